Interfaces: wire types, platform door, configuration document, errors

Cause: several packages are to be written side by side, and they need to agree on the shapes that cross them before any of them exists. Ruled out: letting each package define its own view of a VM, a row or a chunk; the copies would drift. Before: nothing. After: types only, no behaviour, nothing to measure. Conclusion: these packages are the fixed points the others are written to.

--- /dev/null
+++ b/cmd/damaskrouter/main.go
@@ -0,0 +1,4 @@
+// Command damaskrouter is the router fleet's one binary.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,131 @@
+// Package config is the fleet's dynamic configuration: one base document and
+// an overlay for each site, checked as a whole, accepted as one version of a
+// chain that only grows. The settings of a single process are elsewhere, in
+// package settings.
+package config
+
+import "time"
+
+// Document is the base configuration that operators write.
+type Document struct {
+	// Teams own accounts and services; an operator's token may be limited to some.
+	Teams []Team `yaml:"teams" json:"teams"`
+	// Sites are the data centres.
+	Sites []Site `yaml:"sites" json:"sites"`
+	// Models are the language models that pools may serve.
+	Models []Model `yaml:"models" json:"models"`
+	// Pools are groups of interchangeable engines or plain services at a site.
+	Pools []Pool `yaml:"pools" json:"pools"`
+	// Services are the plain services that callers reach through the router.
+	Services []Service `yaml:"services" json:"services"`
+	// Accounts are the client accounts.
+	Accounts []Account `yaml:"accounts" json:"accounts"`
+}
+
+// Team is a group of operators and what they own.
+type Team struct {
+	Name string `yaml:"name" json:"name"`
+}
+
+// Site is a data centre.
+type Site struct {
+	Name string `yaml:"name" json:"name"`
+	// Region groups sites; regions may lose each other.
+	Region string `yaml:"region" json:"region"`
+}
+
+// Model is a language model with its versions and adapters.
+type Model struct {
+	Name     string   `yaml:"name" json:"name"`
+	Versions []string `yaml:"versions" json:"versions"`
+	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty"`
+}
+
+// Pool is a group of interchangeable engines or service VMs.
+type Pool struct {
+	Name string `yaml:"name" json:"name"`
+	// Sites are where the pool has members; each site's members form a pool
+	// of their own for the load bound.
+	Sites []string `yaml:"sites" json:"sites"`
+	// Model, Version and Adapters say what the engines serve; all are empty
+	// for a pool of plain services.
+	Model    string   `yaml:"model,omitempty" json:"model,omitempty"`
+	Version  string   `yaml:"version,omitempty" json:"version,omitempty"`
+	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty"`
+	// LoadBound is c: no engine is admitted work beyond c times the mean
+	// load of its pool. Default 1.5; at least 1.05.
+	LoadBound float64 `yaml:"load_bound,omitempty" json:"load_bound,omitempty"`
+	// MaxBatch is the number of requests an engine may hold at once. Default 50.
+	MaxBatch int `yaml:"max_batch,omitempty" json:"max_batch,omitempty"`
+	// QueueLimit is the number of requests a router may hold waiting for this
+	// pool. Default 1000.
+	QueueLimit int `yaml:"queue_limit,omitempty" json:"queue_limit,omitempty"`
+	// CapacityFloor is the share of engines, 0 to 1, that orders must leave
+	// serving. Default 0.7.
+	CapacityFloor float64 `yaml:"capacity_floor,omitempty" json:"capacity_floor,omitempty"`
+	// ChecksFence says that the engines refuse orders with an old fencing number.
+	ChecksFence bool `yaml:"checks_fence,omitempty" json:"checks_fence,omitempty"`
+	// ChecksSender says that the engines authenticate who gives an order.
+	ChecksSender bool `yaml:"checks_sender,omitempty" json:"checks_sender,omitempty"`
+	// Priority decides between pools that serve the same model; higher first.
+	Priority int `yaml:"priority,omitempty" json:"priority,omitempty"`
+}
+
+// Service is a plain service behind the router.
+type Service struct {
+	Name string `yaml:"name" json:"name"`
+	Team string `yaml:"team" json:"team"`
+	// Pool names the pool whose VMs run the service.
+	Pool string `yaml:"pool" json:"pool"`
+	// Routes is the allow-list; nothing else is forwarded.
+	Routes []Route `yaml:"routes" json:"routes"`
+	// Deduplicates says that the service itself recognises a repeated
+	// idempotency key, so that a request may be sent again.
+	Deduplicates bool `yaml:"deduplicates,omitempty" json:"deduplicates,omitempty"`
+}
+
+// Route is one method and path of a plain service.
+type Route struct {
+	Method string `yaml:"method" json:"method"`
+	// Path is matched segment by segment; a segment of "*" matches any one.
+	Path string `yaml:"path" json:"path"`
+	// Idempotent says that the call may be repeated. The default is true for
+	// GET and HEAD and false for every other method.
+	Idempotent *bool `yaml:"idempotent,omitempty" json:"idempotent,omitempty"`
+	// Priority is the class of requests that name none. Default normal.
+	Priority string `yaml:"priority,omitempty" json:"priority,omitempty"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `yaml:"name" json:"name"`
+	Team string `yaml:"team" json:"team"`
+	// KeyHashes are the SHA-256 sums, in hexadecimal, of the account's API keys.
+	KeyHashes []string `yaml:"key_hashes" json:"key_hashes"`
+	// Weight is the account's share when the fleet is short. Default 1.
+	Weight float64 `yaml:"weight,omitempty" json:"weight,omitempty"`
+	// RequestsPerSecond bounds the account across the fleet; 0 means no bound.
+	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty" json:"requests_per_second,omitempty"`
+	// Burst is how many requests may come at once. Default one second's worth.
+	Burst int `yaml:"burst,omitempty" json:"burst,omitempty"`
+	// Concurrency bounds unfinished requests across the fleet; 0 means no bound.
+	Concurrency int `yaml:"concurrency,omitempty" json:"concurrency,omitempty"`
+	// MaxPriority is the highest class the account may ask for. Default urgent.
+	MaxPriority string `yaml:"max_priority,omitempty" json:"max_priority,omitempty"`
+	// Services lists the plain services the account may call.
+	Services []string `yaml:"services,omitempty" json:"services,omitempty"`
+	// Models lists the models the account may use; empty means all.
+	Models []string `yaml:"models,omitempty" json:"models,omitempty"`
+}
+
+// Defaults of the pool settings.
+const (
+	DefaultLoadBound     = 1.5
+	MinLoadBound         = 1.05
+	DefaultMaxBatch      = 50
+	DefaultQueueLimit    = 1000
+	DefaultCapacityFloor = 0.7
+)
+
+// InForceWithin is how soon an accepted version must be in force everywhere.
+const InForceWithin = 5 * time.Second
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,133 @@
+// Package platform is the narrow door to what the platform provides: the
+// transactional table service, the object store and the list of VMs.
+//
+// The interfaces are what the rest of the program depends on; tests put small
+// fakes behind them. The HTTP clients in this package speak to the real
+// services (or to this repository's stand-ins) over the published protocol in
+// docs/PLATFORM.md.
+package platform
+
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+)
+
+// Errors of the table service and the object store.
+var (
+	// ErrNotFound is returned for a row or an object that does not exist.
+	ErrNotFound = errs.Class("platform: not found")
+	// ErrUnavailable means that the call provably had no effect: it was
+	// refused locally, or no connection could be made.
+	ErrUnavailable = errs.Class("platform: unavailable")
+	// ErrOutcomeUnknown means that a write may have taken effect: it was sent,
+	// and no reply came. The caller must read back by its own token.
+	ErrOutcomeUnknown = errs.Class("platform: outcome unknown")
+	// ErrBudget means that this use has spent its share of the store's
+	// reads or writes; nothing was sent.
+	ErrBudget = errs.Class("platform: budget spent")
+)
+
+// AnyVersion lets a write through whatever the row's version.
+const AnyVersion int64 = -1
+
+// Row is one row of a table.
+type Row struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Version counts the writes of this row, from 1. 0 means absent.
+	Version int64 `json:"version"`
+}
+
+// Write is one conditional write in a transaction.
+type Write struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Delete removes the row instead of writing Value.
+	Delete bool `json:"delete,omitempty"`
+	// IfVersion is the version the row must have: 0 for absent, AnyVersion
+	// for no condition.
+	IfVersion int64 `json:"if_version"`
+}
+
+// ConflictError reports that a condition of a transaction did not hold, and
+// the row as it stands. Nothing of the transaction was written.
+type ConflictError struct {
+	Current Row
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return "platform: conflict on " + e.Current.Table + "/" + e.Current.Key
+}
+
+// Use names a purpose, for budgets and for counting store traffic.
+type Use string
+
+// The uses of the store. When the store is short, claims go before the
+// lease, and the lease before the audit trail.
+const (
+	UseClaim  Use = "claim"
+	UseLease  Use = "lease"
+	UseConfig Use = "config"
+	UseAudit  Use = "audit"
+	UseAdmin  Use = "admin"
+)
+
+// Table is the transactional table service. All methods are safe for
+// concurrent use.
+type Table interface {
+	// Commit applies all writes or none and returns the rows as written.
+	// Errors: *ConflictError, ErrUnavailable, ErrBudget, ErrOutcomeUnknown.
+	Commit(ctx context.Context, use Use, writes ...Write) ([]Row, error)
+	// Get reads one row. Errors: ErrNotFound, ErrUnavailable, ErrBudget.
+	Get(ctx context.Context, use Use, table, key string) (Row, error)
+	// Scan reads up to limit rows with from <= key < to, in key order.
+	// An empty to means no upper end.
+	Scan(ctx context.Context, use Use, table, from, to string, limit int) ([]Row, error)
+}
+
+// Objects is the object store: immutable blobs by name.
+type Objects interface {
+	Put(ctx context.Context, name string, data []byte) error
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
+// VMState is what the platform says of a VM.
+type VMState string
+
+// The states in the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one entry of the platform's lagging list.
+type VM struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Site    string  `json:"site"`
+	State   VMState `json:"state"`
+	// Generation changes whenever the name or the address is used again.
+	Generation uint64 `json:"generation"`
+	// Kind is "router", "engine" or "service".
+	Kind string `json:"kind"`
+	// Pool names the pool of an engine or a plain service's VM.
+	Pool string `json:"pool,omitempty"`
+	// ControlAddress is a router's UDP and RPC address.
+	ControlAddress string `json:"control_address,omitempty"`
+}
+
+// The kinds of VM.
+const (
+	KindRouter  = "router"
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// VMList is the platform's list of live and leaving VMs. It lags.
+type VMList interface {
+	List(ctx context.Context) ([]VM, error)
+}
