--- /dev/null
+++ b/internal/board/snapshot.go
@@ -0,0 +1,68 @@
+package board
+
+import (
+	"maps"
+	"sort"
+
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
+)
+
+// snapshot copies the state into an immutable view with its indexes.
+func snapshot(self string, st *State, revision uint64) *Snapshot {
+	s := &Snapshot{
+		Revision:      revision,
+		Self:          self,
+		Config:        st.Config,
+		ConfigVersion: st.ConfigVersion,
+		Engines:       maps.Clone(st.Engines),
+		Draining:      st.Draining,
+		LeaderFence:   st.LeaderFence,
+		byName:        make(map[string]int, len(st.Routers)),
+	}
+	s.addRouters(st.Routers)
+	s.addGroups()
+	return s
+}
+
+func (s *Snapshot) addRouters(routers map[string]Router) {
+	for _, r := range routers {
+		s.Routers = append(s.Routers, r)
+	}
+	sort.Slice(s.Routers, func(i, j int) bool { return s.Routers[i].Name < s.Routers[j].Name })
+	for i, r := range s.Routers {
+		s.byName[r.Name] = i
+		if r.Leaving {
+			continue
+		}
+		s.Live = append(s.Live, r)
+		s.LiveIDs = append(s.LiveIDs, r.ID)
+	}
+}
+
+func (s *Snapshot) addGroups() {
+	s.groups = make(map[groupKey]*Group)
+	names := make([]string, 0, len(s.Engines))
+	for n := range s.Engines {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		s.addEngine(s.Engines[n])
+	}
+}
+
+func (s *Snapshot) addEngine(e Engine) {
+	k := groupKey{e.Pool, e.Region}
+	g := s.groups[k]
+	if g == nil {
+		g = &Group{Pool: e.Pool, Region: e.Region}
+		s.groups[k] = g
+	}
+	owner := -1
+	if r, ok := s.Owner(e.ID); ok {
+		owner = s.byName[r.Name]
+	}
+	g.Engines = append(g.Engines, e)
+	g.IDs = append(g.IDs, e.ID)
+	g.Owners = append(g.Owners, owner)
+}
