Placement: rendezvous hashing, filter-score-pick under a load bound, baselines

Cause: routers need one decision that keeps a chat at its cached prefix and still holds every engine to a multiple of the pool's mean load.

--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,63 @@
+package placement
+
+import (
+	"maps"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleetPool is a pool of the target size with uneven loads.
+func fleetPool() *Pool {
+	rng := newRand()
+	pool := newPool(make([]int64, 850)...)
+	for i := range pool.Engines {
+		pool.Engines[i].Load = 8_000 + rng.Int64N(4_000)
+		pool.Engines[i].Running = rng.IntN(51)
+	}
+	return pool
+}
+
+func warmRequest(chat uint64) *Request {
+	r := &Request{Chat: chat, PromptTokens: 4_000, OutputTokens: 200}
+	for i := range uint64(3) {
+		r.Evidence = append(r.Evidence, Evidence{chat%850 + i, 1, 3_000, 0.9})
+	}
+	return r
+}
+
+func allStrategies() map[string]Strategy {
+	all := map[string]Strategy{"picker": newTestPicker()}
+	maps.Copy(all, NewBaselines(DefaultPolicy(), newRand()))
+	return all
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	pool, req := fleetPool(), warmRequest(77)
+	for name, s := range allStrategies() {
+		require.Zero(t, testing.AllocsPerRun(20, func() { _, _ = s.Pick(pool, req) }), name)
+	}
+}
+
+func benchmarkPick(b *testing.B, s Strategy, req *Request) {
+	pool := fleetPool()
+	b.ReportAllocs()
+	for i := range b.N {
+		if req.Chat != 0 {
+			req.Chat = uint64(i) + 1
+		}
+		if _, err := s.Pick(pool, req); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkPick850(b *testing.B) {
+	cold := &Request{Chat: 1, PromptTokens: 4_000, OutputTokens: 200}
+	b.Run("cold", func(b *testing.B) { benchmarkPick(b, newTestPicker(), cold) })
+	b.Run("warm", func(b *testing.B) { benchmarkPick(b, newTestPicker(), warmRequest(77)) })
+	b.Run("chatless", func(b *testing.B) { benchmarkPick(b, newTestPicker(), &Request{PromptTokens: 50}) })
+	for name, s := range NewBaselines(DefaultPolicy(), newRand()) {
+		b.Run("baseline/"+name, func(b *testing.B) { benchmarkPick(b, s, warmRequest(77)) })
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,268 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testBound = 1.25
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func newTestPicker() *Picker { return NewPicker(DefaultPolicy(), newRand()) }
+
+func engine(id uint64, load int64) Engine {
+	return Engine{ID: id, Incarnation: 1, Load: load, MaxBatch: 50, Loaded: true, Ramp: 1}
+}
+
+func newPool(loads ...int64) *Pool {
+	p := &Pool{Bound: testBound}
+	for i, load := range loads {
+		p.Engines = append(p.Engines, engine(uint64(i+1), load))
+	}
+	return p
+}
+
+// drawPool draws engines in every state, with the invariants' edge cases: no
+// load, full batches, equal loads and partial ramps.
+func drawPool(t *rapid.T) *Pool {
+	rare := rapid.Map(rapid.IntRange(0, 7), func(n int) bool { return n == 0 })
+	pool := &Pool{Bound: rapid.Float64Range(1, 3).Draw(t, "bound")}
+	for i := range rapid.IntRange(1, 12).Draw(t, "n") {
+		e := engine(uint64(i+1), rapid.Int64Range(0, 40).Draw(t, "load")*100)
+		e.Running = rapid.IntRange(0, 5).Draw(t, "running")
+		e.MaxBatch = rapid.IntRange(0, 8).Draw(t, "batch")
+		e.Leaving = rare.Draw(t, "leaving")
+		e.Loaded = !rare.Draw(t, "unloaded")
+		e.Ejected = rare.Draw(t, "ejected")
+		e.Ramp = rapid.SampledFrom([]float64{0, 0.2, 1, 1, 1}).Draw(t, "ramp")
+		pool.Engines = append(pool.Engines, e)
+	}
+	return pool
+}
+
+func drawRequest(t *rapid.T) *Request {
+	r := &Request{
+		Chat:         rapid.Uint64Range(0, 5).Draw(t, "chat"),
+		PromptTokens: rapid.IntRange(0, 60_000).Draw(t, "prompt"),
+		OutputTokens: rapid.IntRange(0, 500).Draw(t, "output"),
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "evidence") {
+		r.Evidence = append(r.Evidence, Evidence{
+			Engine:       rapid.Uint64Range(1, 12).Draw(t, "holder"),
+			Incarnation:  rapid.Uint64Range(1, 2).Draw(t, "incarnation"),
+			CachedTokens: rapid.IntRange(0, 80_000).Draw(t, "cached"),
+			Confidence:   rapid.Float64Range(0, 1).Draw(t, "confidence"),
+		})
+	}
+	return r
+}
+
+func TestPickHoldsTheInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pool, req := drawPool(t), drawRequest(t)
+		d, err := newTestPicker().Pick(pool, req)
+		again, errAgain := newTestPicker().Pick(pool, req)
+		require.Equal(t, d, again, "the same seed and arguments decide the same")
+		require.Equal(t, err, errAgain)
+		if err != nil {
+			requireNothingAdmissible(t, pool, req, err)
+			return
+		}
+		e := pool.Engines[d.Index]
+		require.False(t, e.Leaving || e.Ejected || !e.Loaded || e.Ramp == 0)
+		require.Less(t, e.Running, e.MaxBatch)
+		requireBound(t, pool, d)
+		require.GreaterOrEqual(t, d.Weight, int64(1))
+		require.LessOrEqual(t, d.Cached, req.PromptTokens)
+	})
+}
+
+// requireBound works the bound out anew, from its definition.
+func requireBound(t *rapid.T, pool *Pool, d Decision) {
+	var total, n float64
+	for _, e := range pool.Engines {
+		if !e.Leaving && e.Loaded && !e.Ejected && e.Ramp > 0 && e.MaxBatch > 0 {
+			total += float64(e.Load)
+			n++
+		}
+	}
+	e := pool.Engines[d.Index]
+	limit := pool.Bound * e.Ramp * (total + float64(d.Weight)) / n
+	if !d.Lump {
+		require.LessOrEqual(t, float64(e.Load+d.Weight), limit+1e-6)
+		return
+	}
+	require.Greater(t, float64(e.Load+d.Weight), limit-1e-6, "a lump is beyond the bound")
+	for _, o := range pool.Engines {
+		if o.check().inService() {
+			require.GreaterOrEqual(t, float64(o.Load)/o.Ramp, float64(e.Load)/e.Ramp)
+		}
+	}
+}
+
+func requireNothingAdmissible(t *rapid.T, pool *Pool, req *Request, err error) {
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	r := refused.Removed
+	gone := r.Leaving + r.Unloaded + r.Ejected + r.Unreported
+	require.Equal(t, len(pool.Engines), gone+r.Full+r.Bound)
+	if gone == len(pool.Engines) {
+		require.ErrorIs(t, err, ErrNoEngine)
+	} else {
+		require.ErrorIs(t, err, ErrFull)
+	}
+	census := TakeCensus(pool.Engines)
+	for i := range pool.Engines {
+		e := &pool.Engines[i]
+		p := DefaultPolicy()
+		_, err := Admit(e, p.Weight(req, req.cachedTokens(e)), census, pool.Bound)
+		require.Error(t, err)
+	}
+}
+
+func TestPick(t *testing.T) {
+	const chat = 42
+	home := rendezvous.Owner(chat, []uint64{1, 2, 3, 4})
+	other := (home + 1) % 4
+	holder := func(i int, tokens int) []Evidence {
+		return []Evidence{{Engine: uint64(i + 1), Incarnation: 1, CachedTokens: tokens, Confidence: 1}}
+	}
+	type change = func(*Pool, *Request)
+	nop := func(*Pool, *Request) {}
+	cases := map[string]struct {
+		change change
+		want   int
+		reason Reason
+		lump   bool
+	}{
+		"cold chat goes home": {nop, home, Preferred, false},
+		"evidence beats home": {func(_ *Pool, r *Request) {
+			r.Evidence = holder(other, 900)
+		}, other, ByEvidence, false},
+		"evidence of an earlier incarnation is void": {func(p *Pool, r *Request) {
+			r.Evidence = holder(other, 900)
+			p.Engines[other].Incarnation = 2
+		}, home, Preferred, false},
+		"a little more load doesn't move a cold chat": {func(p *Pool, r *Request) {
+			p.Engines[home].Load += 1_000
+		}, home, Preferred, false},
+		"a much longer wait does": {func(p *Pool, r *Request) {
+			p.Engines[home].DrainRate = 100
+		}, none, Overflow, false},
+		"a long earlier prefix is worth that wait": {func(p *Pool, r *Request) {
+			*p = *newPool(1e6, 1e6, 1e6, 1e6)
+			p.Engines[other].Load -= 20_000
+			r.PromptTokens = 61_000
+			r.EarlierTokens = 60_000
+		}, home, Preferred, false},
+		"a holder beyond the bound is passed over": {func(p *Pool, r *Request) {
+			r.Evidence = holder(other, 900)
+			p.Engines[other].Load = 40_000
+		}, home, Preferred, false},
+		"a dossier is a lump at the least loaded": {func(p *Pool, r *Request) {
+			r.PromptTokens = 600_000
+			p.Engines[other].Load--
+		}, other, Overflow, true},
+		"a returning engine takes only its share": {func(p *Pool, r *Request) {
+			p.Engines[home].Load = 3_000
+			p.Engines[home].Ramp = 0.2
+			r.PromptTokens = 100
+		}, none, Overflow, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			pool := newPool(10_000, 10_000, 10_000, 10_000)
+			req := &Request{Chat: chat, PromptTokens: 1_000, OutputTokens: 100}
+			c.change(pool, req)
+			d, err := newTestPicker().Pick(pool, req)
+			require.NoError(t, err)
+			if c.want == none {
+				require.NotEqual(t, home, d.Index)
+			} else {
+				require.Equal(t, c.want, d.Index)
+			}
+			require.Equal(t, c.reason, d.Reason, d.Reason.String())
+			require.Equal(t, c.lump, d.Lump)
+		})
+	}
+}
+
+func TestRequestWithoutChatGoesByLoad(t *testing.T) {
+	p := DefaultPolicy()
+	p.Spread = LeastWait
+	pool := newPool(500, 300, 400)
+	d, err := NewPicker(p, nil).Pick(pool, &Request{PromptTokens: 10})
+	require.NoError(t, err)
+	require.Equal(t, Decision{Index: 1, Weight: 10, Reason: ByLoad, Wait: 31 * time.Millisecond}, d)
+}
+
+// Symptom: an engine carries far more than the bound although every router
+// obeyed it. Sequence: two routers see the same load report, both pick the
+// engine for a long dossier, and both send. Cause: the bound was checked where
+// the report was late and not at the grant.
+func TestSecondGrantOnOneReportIsRefused(t *testing.T) {
+	pool := newPool(10_000, 10_000, 10_000)
+	req := &Request{Chat: 9, PromptTokens: 2_500}
+	first, err := newTestPicker().Pick(pool, req)
+	require.NoError(t, err)
+	second, err := newTestPicker().Pick(pool, req)
+	require.NoError(t, err)
+	require.Equal(t, first.Index, second.Index)
+
+	e := &pool.Engines[first.Index]
+	lump, err := Admit(e, first.Weight, TakeCensus(pool.Engines), pool.Bound)
+	require.NoError(t, err)
+	require.False(t, lump)
+	e.Load += first.Weight
+	_, err = Admit(e, second.Weight, TakeCensus(pool.Engines), pool.Bound)
+	require.ErrorIs(t, err, ErrFull)
+}
+
+// Symptom: the hit rate collapses whenever an engine leaves or joins.
+// Sequence: the set changes by one, and chats whose engine is still there are
+// placed elsewhere. Cause: the place depended on the size of the set.
+func TestMembershipMovesOnlyItsOwnChats(t *testing.T) {
+	const chats = 20_000
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 10).Draw(t, "n")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		base := rapid.Uint64Range(1, 1<<62).Draw(t, "base")
+		whole := newPool(make([]int64, n)...)
+		without := newPool(make([]int64, n)...)
+		without.Engines[gone].Leaving = true
+		p, moved := newTestPicker(), 0
+		for i := range chats {
+			req := &Request{Chat: base + uint64(i), PromptTokens: 100}
+			a, _ := p.Pick(whole, req)
+			b, _ := p.Pick(without, req)
+			if a.Index == gone {
+				moved++
+				continue
+			}
+			require.Equal(t, a.Index, b.Index)
+		}
+		require.InDelta(t, 1/float64(n), float64(moved)/chats, 0.02)
+	})
+}
+
+func TestBaselinesUseOnlyEnginesWithRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pool, req := drawPool(t), drawRequest(t)
+		for name, s := range NewBaselines(DefaultPolicy(), newRand()) {
+			d, err := s.Pick(pool, req)
+			if err == nil {
+				require.Equal(t, passed, pool.Engines[d.Index].check(), name)
+				continue
+			}
+			for i := range pool.Engines {
+				require.NotEqual(t, passed, pool.Engines[i].check(), name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,95 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func drawNodes(t *rapid.T) []uint64 {
+	return rapid.SliceOfNDistinct(rapid.Uint64(), 1, 40, rapid.ID[uint64]).Draw(t, "nodes")
+}
+
+func TestRankingsAgree(t *testing.T) {
+	require.Equal(t, NoOwner, Owner(1, nil))
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := drawNodes(t)
+		key := rapid.Uint64().Draw(t, "key")
+		k := rapid.IntRange(0, len(nodes)+2).Draw(t, "k")
+		order := Order(nil, key, nodes)
+		require.Equal(t, Owner(key, nodes), order[0])
+		require.ElementsMatch(t, Order(nil, 0, nodes), order)
+		require.Equal(t, order[:min(k, len(nodes))], append([]int{}, Top(nil, k, key, nodes)...))
+
+		reversed := slices.Clone(nodes)
+		slices.Reverse(reversed)
+		require.Equal(t, nodes[order[0]], reversed[Owner(key, reversed)], "position must not matter")
+	})
+}
+
+func TestRemovalKeepsTheOrderOfTheOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := drawNodes(t)
+		key := rapid.Uint64().Draw(t, "key")
+		gone := rapid.IntRange(0, len(nodes)-1).Draw(t, "gone")
+		rest := slices.Delete(slices.Clone(nodes), gone, gone+1)
+		var want, got []uint64
+		for _, i := range Order(nil, key, nodes) {
+			if i != gone {
+				want = append(want, nodes[i])
+			}
+		}
+		for _, i := range Order(nil, key, rest) {
+			got = append(got, rest[i])
+		}
+		require.Equal(t, want, got)
+	})
+}
+
+func TestSharesAreEven(t *testing.T) {
+	const keys, n = 90_000, 9
+	named := make([]uint64, n)
+	counted := make([]uint64, n)
+	for i := range n {
+		named[i] = ID(fmt.Sprintf("engine-%d", i))
+		counted[i] = uint64(i)
+	}
+	for name, nodes := range map[string][]uint64{"hashed names": named, "small integers": counted} {
+		t.Run(name, func(t *testing.T) {
+			var share [n]int
+			for key := range uint64(keys) {
+				share[Owner(key, nodes)]++
+			}
+			for _, s := range share {
+				require.InEpsilon(t, keys/n, s, 0.05)
+			}
+		})
+	}
+}
+
+func TestNoAllocation(t *testing.T) {
+	nodes := make([]uint64, 850)
+	for i := range nodes {
+		nodes[i] = uint64(i)
+	}
+	dst := make([]int, 0, len(nodes))
+	require.Zero(t, testing.AllocsPerRun(10, func() {
+		Owner(7, nodes)
+		Order(dst, 7, nodes)
+		Top(dst, 3, 7, nodes)
+	}))
+}
+
+func BenchmarkOwner850(b *testing.B) {
+	nodes := make([]uint64, 850)
+	for i := range nodes {
+		nodes[i] = uint64(i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		Owner(uint64(i), nodes)
+	}
+}
