queue: class order, fair accounts, early refusal

Cause: requests that find no room have to wait in an order that keeps pressing work first and accounts apart, and those that cannot be met by their deadline must be refused at once.

Ruled out: a single heap of start tags set at arrival, because a removed item would still cost its account virtual time; ageing straight into the higher class's flow, because an account's old batch work then stands before its own urgent requests; a drain rate over all time, because a quiet hour makes the first burst look hopeless.

--- /dev/null
+++ b/internal/queue/class.go
@@ -0,0 +1,43 @@
+package queue
+
+import "strconv"
+
+// Class is the priority class of a request; a smaller value is served first.
+type Class uint8
+
+// The priority classes, most pressing first.
+const (
+	Urgent Class = iota
+	High
+	Normal
+	Batch
+
+	classCount = int(Batch) + 1
+)
+
+var classNames = [classCount]string{"urgent", "high", "normal", "batch"}
+
+// String returns the name that callers and configurations use.
+func (c Class) String() string {
+	if !c.Valid() {
+		return "class(" + strconv.Itoa(int(c)) + ")"
+	}
+	return classNames[c]
+}
+
+// Valid reports whether c is one of the declared classes.
+func (c Class) Valid() bool { return int(c) < classCount }
+
+// ParseClass returns the class with the given name; the empty name means
+// Normal. Any other name yields a *ClassError.
+func ParseClass(name string) (Class, error) {
+	if name == "" {
+		return Normal, nil
+	}
+	for i, n := range classNames {
+		if n == name {
+			return Class(i), nil
+		}
+	}
+	return Normal, &ClassError{Name: name}
+}
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,346 @@
+package queue
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func TestParseClass(t *testing.T) {
+	for c := Urgent; c.Valid(); c++ {
+		got, err := ParseClass(c.String())
+		require.NoError(t, err)
+		assert.Equal(t, c, got)
+	}
+	got, err := ParseClass("")
+	require.NoError(t, err)
+	assert.Equal(t, Normal, got)
+	_, err = ParseClass("Urgent")
+	var ce *ClassError
+	require.ErrorAs(t, err, &ce)
+	assert.Equal(t, "Urgent", ce.Name)
+}
+
+// saturate makes q believe that it drains rate units of weight a second, and
+// returns the time at which the last of them finished.
+func saturate(t *testing.T, q *Queue, rate int) time.Duration {
+	t.Helper()
+	require.NoError(t, q.Push(epoch, Item{ID: "seed", Account: "seed", Class: Urgent}))
+	var now time.Duration
+	for range 100 * rate {
+		now += time.Second / time.Duration(rate)
+		q.Observe(at(now), 1)
+	}
+	_, ok := q.Pop(at(now))
+	require.True(t, ok)
+	return now
+}
+
+// Symptom: a caller waits until its deadline and only then learns that nobody
+// was going to serve it. Sequence: the backlog is longer than the deadline
+// allows when the request arrives. Cause: admission by queue length alone.
+func TestPushRefusesAtOnceWhatCannotBeMet(t *testing.T) {
+	q := New(Config{AgeAfter: time.Hour, Rand: rand.New(rand.NewPCG(1, 1))})
+	now := saturate(t, q, 10)
+	for i := range 100 {
+		require.NoError(t, q.Push(at(now), Item{ID: fmt.Sprint(i), Account: "a", Class: Normal}))
+	}
+	late := Item{ID: "x", Account: "a", Class: Normal, Deadline: at(now + 5*time.Second)}
+	var de *DeadlineError
+	require.ErrorAs(t, q.Push(at(now), late), &de)
+	assert.InDelta(t, 10, de.PredictedWait.Seconds(), 0.2)
+	assert.GreaterOrEqual(t, de.RetryAfter, de.PredictedWait-5*time.Second)
+	assert.Equal(t, 100, q.Len())
+
+	late.Class = Urgent
+	assert.NoError(t, q.Push(at(now), late), "a higher class does not wait for this backlog")
+	other := Item{ID: "y", Account: "b", Class: Normal, Deadline: at(now + time.Second)}
+	assert.NoError(t, q.Push(at(now), other), "nor does another account")
+	var dup *DuplicateError
+	require.ErrorAs(t, q.Push(at(now), other), &dup)
+}
+
+// Symptom: a request that was accepted is refused only when its deadline has
+// passed. Sequence: it is accepted behind a short backlog; then the engines
+// stop, or more pressing work arrives. Cause: the prediction made at admission
+// is never looked at again.
+func TestExpireGivesUpWhatHasBecomeHopeless(t *testing.T) {
+	cases := map[string]func(q *Queue, now time.Duration) time.Duration{
+		"engines stop": func(_ *Queue, now time.Duration) time.Duration { return now + 15*time.Second },
+		"urgent work arrives": func(q *Queue, now time.Duration) time.Duration {
+			for i := range 500 {
+				_ = q.Push(at(now), Item{ID: fmt.Sprint("u", i), Account: "b", Class: Urgent})
+			}
+			return now
+		},
+	}
+	for name, happen := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := New(Config{AgeAfter: time.Hour})
+			now := saturate(t, q, 10)
+			for i := range 100 {
+				it := Item{ID: fmt.Sprint(i), Account: "a", Class: Normal, Deadline: at(now + 20*time.Second)}
+				require.NoError(t, q.Push(at(now), it))
+			}
+			require.Empty(t, q.Expire(at(now)))
+			now = happen(q, now)
+			lost := q.Expire(at(now))
+			assert.NotEmpty(t, lost)
+			for _, it := range lost {
+				assert.True(t, it.Deadline.After(at(now)), "given up before the deadline, not at it")
+			}
+			if name == "engines stop" {
+				assert.NotZero(t, q.Len(), "those at the front can still make it")
+			}
+		})
+	}
+}
+
+// Symptom: the first burst after a quiet time is refused though every engine
+// is free. Sequence: demand is low for an hour, then 50 requests come at once.
+// Cause: a drain rate measured over idle time says how low demand was.
+func TestQuietTimeDoesNotLowerTheRate(t *testing.T) {
+	q := New(Config{})
+	var now time.Duration
+	for i := range 360 {
+		now += 10 * time.Second
+		require.NoError(t, q.Push(at(now), Item{ID: fmt.Sprint("q", i), Account: "a"}))
+		_, ok := q.Pop(at(now))
+		require.True(t, ok)
+		q.Observe(at(now+time.Second), 1)
+	}
+	for i := range 50 {
+		it := Item{ID: fmt.Sprint(i), Account: "a", Deadline: at(now + time.Second)}
+		require.NoError(t, q.Push(at(now), it))
+	}
+}
+
+// Symptom: a surge of batch work fills the queue and key checks are refused.
+// Sequence: one account pushes until it is refused, then others arrive.
+// Cause: one bound for all, taken by whoever comes first.
+func TestBoundsKeepRoomForOthers(t *testing.T) {
+	q := New(Config{Limit: 100})
+	fill := func(account string, c Class) (n int, err error) {
+		for ; ; n++ {
+			it := Item{ID: fmt.Sprint(account, c, n), Account: account, Class: c}
+			if err = q.Push(epoch, it); err != nil {
+				return n, err
+			}
+		}
+	}
+	steps := []struct {
+		account string
+		class   Class
+		n       int
+		scope   Scope
+	}{
+		{"surge", Batch, 60, ScopeClass},
+		{"surge", Urgent, 20, ScopeAccount},
+		{"calm", Normal, 0, ScopeClass},
+		{"calm", High, 10, ScopeClass},
+		{"calm", Urgent, 0, ""},
+	}
+	for _, s := range steps[:4] {
+		n, err := fill(s.account, s.class)
+		var fe *FullError
+		require.ErrorAs(t, err, &fe)
+		assert.Equal(t, s.n, n, "%+v", s)
+		assert.Equal(t, s.scope, fe.Scope, "%+v", s)
+		assert.GreaterOrEqual(t, fe.RetryAfter, minRetryAfter)
+	}
+	n, _ := fill("calm", Urgent)
+	assert.Positive(t, n)
+}
+
+// Two backlogged accounts may differ from their shares by no more than one
+// item each, whatever their weights: the known bound of start-time fair
+// queueing.
+func TestFairnessBetweenBackloggedAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{Limit: 10000, AgeAfter: time.Hour})
+		share := map[string]float64{
+			"a": rapid.Float64Range(0.1, 10).Draw(t, "share a"),
+			"b": rapid.Float64Range(0.1, 10).Draw(t, "share b"),
+		}
+		weights := rapid.SliceOfN(rapid.Int64Range(1, 1000), 200, 200).Draw(t, "weights")
+		var heaviest int64
+		for i, w := range weights {
+			heaviest = max(heaviest, w)
+			a := string("ab"[i%2])
+			it := Item{ID: fmt.Sprint(i), Account: a, Class: High, Weight: w, Share: share[a]}
+			require.NoError(t, q.Push(epoch, it))
+		}
+		served := map[string]float64{}
+		count := map[string]int{}
+		for count["a"] < 100 && count["b"] < 100 {
+			it, ok := q.Pop(epoch)
+			require.True(t, ok)
+			served[it.Account] += float64(it.Weight) / it.Share
+			count[it.Account]++
+			bound := float64(heaviest) * (1/share["a"] + 1/share["b"])
+			require.LessOrEqual(t, math.Abs(served["a"]-served["b"]), bound+1e-6)
+		}
+	})
+}
+
+// Symptom: a batch request never runs. Sequence: more urgent work arrives than
+// the pool can do, for good. Cause: strict priority without ageing. The second
+// half is the reverse: an account's aged batch work must not hold up its own
+// urgent requests.
+func TestAgeingServesTheLowestClassWithoutCrowdingTheHighest(t *testing.T) {
+	q := New(Config{AgeAfter: 10 * time.Second})
+	for i := range 200 {
+		require.NoError(t, q.Push(epoch, Item{ID: fmt.Sprint("b", i), Account: "a", Class: Batch}))
+	}
+	firstBatch := -1
+	batch, urgent := 0, 0
+	for s := range 120 {
+		now := at(time.Duration(s) * time.Second)
+		for i := range 2 {
+			_ = q.Push(now, Item{ID: fmt.Sprint("u", s, "-", i), Account: "a", Class: Urgent})
+		}
+		it, ok := q.Pop(now)
+		require.True(t, ok)
+		if it.Class == Urgent {
+			urgent++
+			continue
+		}
+		batch++
+		if firstBatch < 0 {
+			firstBatch = s
+		}
+	}
+	t.Logf("first batch item after %d s; %d batch, %d urgent served", firstBatch, batch, urgent)
+	assert.Equal(t, 30, firstBatch)
+	assert.InDelta(t, 90*agedShare/(1+agedShare), batch, 2)
+}
+
+// Random pushes, pops, removals and expiries: each item that was accepted
+// leaves exactly once, and the counts return to zero.
+func TestEachItemLeavesExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{Limit: 40, AgeAfter: 3 * time.Second})
+		now := epoch
+		held := map[string]Item{}
+		next := 0
+		leave := func(it Item) {
+			_, ok := held[it.ID]
+			require.True(t, ok, "%s left twice or never entered", it.ID)
+			delete(held, it.ID)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				it := Item{
+					ID:      fmt.Sprint(next),
+					Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+					Class:   Class(rapid.IntRange(0, classCount).Draw(t, "class")),
+					Weight:  rapid.Int64Range(-1, 50).Draw(t, "weight"),
+					Share:   rapid.SampledFrom([]float64{0, 1, 5, math.NaN(), math.Inf(1)}).Draw(t, "share"),
+				}
+				if rapid.Bool().Draw(t, "has deadline") {
+					it.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 9).Draw(t, "in")) * time.Second)
+				}
+				if q.Push(now, it) == nil {
+					held[it.ID] = it
+				}
+			},
+			"pop": func(t *rapid.T) {
+				if it, ok := q.Pop(now); ok {
+					require.False(t, it.late(now))
+					leave(it)
+				}
+			},
+			"expire": func(t *rapid.T) {
+				for _, it := range q.Expire(now) {
+					leave(it)
+				}
+				for _, it := range held {
+					require.False(t, it.late(now), "%s is overdue and still held", it.ID)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, next+1).Draw(t, "id"))
+				if it, ok := q.Remove(id); ok {
+					leave(it)
+				}
+			},
+			"observe": func(t *rapid.T) { q.Observe(now, rapid.Int64Range(0, 60).Draw(t, "done")) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) { require.Len(t, held, q.Len()) },
+		})
+		for it, ok := q.Pop(now); ok; it, ok = q.Pop(now) {
+			leave(it)
+		}
+		for _, it := range q.Expire(now) {
+			leave(it)
+		}
+		require.Empty(t, held)
+		require.Zero(t, q.Work())
+		require.Empty(t, q.accounts)
+		for _, l := range q.levels {
+			require.Empty(t, l.flows)
+			require.Zero(t, l.work+int64(l.ages.Len()))
+		}
+	})
+}
+
+// Symptom: memory grows with every account ever seen. Sequence: a level never
+// runs empty while thousands of accounts come, send three requests and go.
+// Cause: idle flows kept for good.
+func TestIdleFlowsAreForgotten(t *testing.T) {
+	q := New(Config{AgeAfter: time.Hour})
+	most := 0
+	for i := range 30000 {
+		it := Item{ID: fmt.Sprint(i), Account: fmt.Sprint(i / 3), Class: High}
+		require.NoError(t, q.Push(epoch, it))
+		if i >= 10 {
+			q.Pop(epoch)
+		}
+		most = max(most, len(q.levels[High].flows))
+	}
+	assert.LessOrEqual(t, most, 2*minSweep)
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := New(Config{Limit: 2000})
+	ids := make([]string, 4000)
+	for i := range ids {
+		ids[i] = fmt.Sprint(i)
+	}
+	item := func(i int) Item {
+		return Item{ID: ids[i%len(ids)], Account: ids[i%410], Class: Class(i % classCount), Weight: 10}
+	}
+	for i := range 1000 {
+		_ = q.Push(epoch, item(i))
+	}
+	b.ReportAllocs()
+	for i := 1000; b.Loop(); i++ {
+		_ = q.Push(epoch, item(i))
+		q.Pop(epoch)
+	}
+}
+
+func BenchmarkExpire1000(b *testing.B) {
+	q := New(Config{Limit: 2000})
+	for i := range 1000 {
+		it := Item{ID: fmt.Sprint(i), Account: fmt.Sprint(i % 410), Class: Class(i % classCount), Deadline: at(time.Hour)}
+		_ = q.Push(epoch, it)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Expire(epoch)
+	}
+}
