Strict configuration and settings parsing with file and line

Cause: operators need one base document, an overlay for each site, and the settings of a process, and must learn of a mistake by file and line before it is in force.

Ruled out: the YAML library's own strict mode. It accepts 1.10 for a string and a bare 10 as ten nanoseconds, and for broken text it names the line where the enclosing list begins (line 52 for a mistake on line 60 of examples/sebeke/base.yaml). The parsed tree is checked against the Go types instead, and a second parser gives the line of broken text only.

--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// Errors of the configuration.
+var (
+	// ErrCorrupt means that stored or received data does not match its hash
+	// or cannot be decoded.
+	ErrCorrupt = errs.Class("config: corrupt")
+	// ErrUnknownSite means that the configuration does not name the site.
+	ErrUnknownSite = errs.Class("config: unknown site")
+	// ErrBadChange means that a change lacks its id or its author.
+	ErrBadChange = errs.Class("config: bad change")
+	// ErrNoVersion means that the chain has no such version.
+	ErrNoVersion = errs.Class("config: no such version")
+	// ErrNoRoute means that the service does not allow the path.
+	ErrNoRoute = errs.Class("config: no route")
+	// ErrMethod means that the service allows the path, with another method.
+	ErrMethod = errs.Class("config: method not allowed")
+	// ErrBadPath means that a path could be read in two ways.
+	ErrBadPath = errs.Class("config: bad path")
+)
+
+// ConflictError reports that another change was accepted first.
+type ConflictError struct {
+	// Version, Hash and Author are those of the version in force.
+	Version uint64
+	Hash    Hash
+	Author  string
+	// Expected is the version that the losing change was based on.
+	Expected uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("config: change is based on version %d, but version %d by %s is in force",
+		e.Expected, e.Version, e.Author)
+}
+
+// InvalidError reports a change that was refused before anything was written.
+type InvalidError struct {
+	Problems Problems
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "config: invalid:\n" + e.Problems.Error() }
+
+// OutcomeUnknownError reports that a change may or may not have been
+// accepted. Accepting it again with the same change id settles it.
+type OutcomeUnknownError struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error implements error.
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("config: outcome of change %s unknown: %v", e.ChangeID, e.Cause)
+}
+
+// Unwrap returns the last error of the table service.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// ChangeIDReusedError reports a change id that another content already used.
+type ChangeIDReusedError struct {
+	ChangeID string
+	// Version is the version that the id was first used for.
+	Version uint64
+}
+
+// Error implements error.
+func (e *ChangeIDReusedError) Error() string {
+	return fmt.Sprintf("config: change id %s was used for version %d with other content", e.ChangeID, e.Version)
+}
+
+// ForkError reports two contents for one version, which the chain rules out:
+// one of the two did not come from it.
+type ForkError struct {
+	Version uint64
+	// InForce and Offered are the two hashes.
+	InForce, Offered Hash
+}
+
+// Error implements error.
+func (e *ForkError) Error() string {
+	return fmt.Sprintf("config: version %d has hash %s in force and was offered with hash %s",
+		e.Version, e.InForce, e.Offered)
+}
+
+// RejectedError reports an offered version that was not put in force.
+type RejectedError struct {
+	Version uint64
+	Hash    Hash
+	Cause   error
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("config: version %d rejected: %v", e.Version, e.Cause)
+}
+
+// Unwrap returns why the version was rejected.
+func (e *RejectedError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/settings/provision.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+)
+
+// Defaults of the settings.
+const (
+	DefaultLogLevel        = "info"
+	DefaultUpstreamConnect = time.Second
+	DefaultFirstByte       = 30 * time.Second
+	DefaultIdleGap         = 10 * time.Second
+	DefaultLocateTTL       = 10 * time.Second
+	DefaultDrain           = 60 * time.Second
+)
+
+// DefaultBudgets is a process's share of a table service that takes several
+// hundred writes and two thousand reads a second, with nine routers.
+var DefaultBudgets = Budgets{
+	Claim:  Budget{Reads: 80, Writes: 40},
+	Lease:  Budget{Reads: 5, Writes: 2},
+	Config: Budget{Reads: 5, Writes: 2},
+	Audit:  Budget{Reads: 10, Writes: 5},
+	Admin:  Budget{Reads: 10, Writes: 5},
+}
+
+// Provision fills the defaults and reads the keys.
+func (s *Settings) Provision() error {
+	fill(&s.LogLevel, DefaultLogLevel)
+	s.provisionAddresses()
+	s.Timeouts.provision()
+	s.Budgets.provision()
+	var problems strictyaml.Problems
+	problems = append(problems, s.provisionKeys("fleet_keys", s.FleetKeys)...)
+	problems = append(problems, s.provisionKeys("hint_keys", s.HintKeys)...)
+	return problems.Err()
+}
+
+// provisionAddresses advertises the listening address where it is one that
+// others can connect to. A wildcard is not: callers would be sent nowhere.
+func (s *Settings) provisionAddresses() {
+	if single(s.Listen) {
+		fill(&s.Advertise, s.Listen)
+	}
+	if single(s.ControlListen) {
+		fill(&s.ControlAdvertise, s.ControlListen)
+	}
+}
+
+func (s *Settings) provisionKeys(path string, keys []Key) strictyaml.Problems {
+	var problems strictyaml.Problems
+	for i := range keys {
+		if err := keys[i].provision(); err != nil {
+			problems = append(problems, s.at(fmt.Sprintf("%s[%d]", path, i), "%v", err))
+		}
+	}
+	return problems
+}
+
+func (t *Timeouts) provision() {
+	fill(&t.UpstreamConnect, DefaultUpstreamConnect)
+	fill(&t.FirstByte, DefaultFirstByte)
+	fill(&t.IdleGap, DefaultIdleGap)
+	fill(&t.LocateTTL, DefaultLocateTTL)
+	fill(&t.Drain, DefaultDrain)
+}
+
+func (b *Budgets) provision() {
+	b.Claim.provision(DefaultBudgets.Claim)
+	b.Lease.provision(DefaultBudgets.Lease)
+	b.Config.provision(DefaultBudgets.Config)
+	b.Audit.provision(DefaultBudgets.Audit)
+	b.Admin.provision(DefaultBudgets.Admin)
+}
+
+func (b *Budget) provision(defaults Budget) {
+	fill(&b.Reads, defaults.Reads)
+	fill(&b.Writes, defaults.Writes)
+}
+
+// fill sets a field that was left out.
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/platform"
+)
+
+var testKey = base64.StdEncoding.EncodeToString(make([]byte, MinKeyBytes))
+
+const insecureText = `name: r1
+site: north
+region: r
+listen: 127.0.0.1:8080
+control_listen: 127.0.0.1:9090
+platform:
+  table: http://127.0.0.1:1
+  objects: http://127.0.0.1:2
+  vms: http://127.0.0.1:3
+allow_insecure: true
+`
+
+func secureText() string {
+	text := strings.Replace(insecureText, "allow_insecure: true\n", "", 1)
+	return text + fmt.Sprintf(`fleet_keys: [{id: k1, key: %q}]
+hint_keys: [{id: k1, key: %q}]
+tls: {cert: c.pem, key: k.pem}
+`, testKey, testKey)
+}
+
+func TestDefaults(t *testing.T) {
+	s, err := LoadBytes("s.yaml", []byte(insecureText+"timeouts: {idle_gap: 5s}\nbudgets: {lease: {reads: 1}}\n"))
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:8080", s.Advertise)
+	assert.Equal(t, "127.0.0.1:9090", s.ControlAdvertise)
+	assert.Equal(t, Timeouts{UpstreamConnect: time.Second, FirstByte: 30 * time.Second, IdleGap: 5 * time.Second,
+		LocateTTL: 10 * time.Second, Drain: time.Minute}, s.Timeouts)
+	assert.Equal(t, Budget{Reads: 1, Writes: 2}, s.Budgets.For(platform.UseLease))
+	for _, use := range []platform.Use{platform.UseClaim, platform.UseConfig, platform.UseAudit, platform.UseAdmin} {
+		assert.Equal(t, DefaultBudgets.For(use), s.Budgets.For(use))
+	}
+	assert.Zero(t, s.Budgets.For("other"))
+	assert.Equal(t, DefaultLogLevel, s.LogLevel)
+}
+
+func TestRefused(t *testing.T) {
+	edit := func(old, new string) string { return strings.Replace(insecureText, old, new, 1) }
+	cases := map[string]struct {
+		text string
+		want string
+	}{
+		"unknown key":          {edit("region: r", "regoin: r"), `s.yaml:3: unknown key "regoin"`},
+		"missing":              {edit("region: r\n", ""), "s.yaml:1: region: is required"},
+		"bare duration":        {insecureText + "timeouts: {drain: 10}\n", `s.yaml:11: timeouts.drain: must be a duration with a unit, for example "10s"`},
+		"bad duration":         {insecureText + "timeouts: {drain: soon}\n", `s.yaml:11: timeouts.drain: must be a duration with a unit, for example "10s"`},
+		"negative duration":    {insecureText + "timeouts: {idle_gap: -1s}\n", "s.yaml:11: timeouts.idle_gap: must be more than 0"},
+		"drain within TTL":     {insecureText + "timeouts:\n  drain: 10s\n", "s.yaml:12: timeouts.drain: must be longer than locate_ttl, 10s"},
+		"host name":            {edit("127.0.0.1:8080", "localhost:8080"), "s.yaml:4: listen: must be an IP address and a port"},
+		"wildcard, advertised": {edit("127.0.0.1:8080", "0.0.0.0:8080"), "s.yaml:1: advertise: is required"},
+		"advertise wildcard":   {insecureText + "advertise: 0.0.0.0:1\n", "s.yaml:11: advertise: must be an IP address that others can connect to, and a port"},
+		"seed":                 {insecureText + "seeds: [\"10.0.0.1:5\", x]\n", "s.yaml:11: seeds[1]: must be an IP address that others can connect to, and a port"},
+		"URL":                  {edit("http://127.0.0.1:2", "ftp://x"), "s.yaml:8: platform.objects: must be an http or https URL"},
+		"log level":            {insecureText + "log_level: loud\n", "s.yaml:11: log_level: must be one of debug info warn error"},
+		"budget":               {insecureText + "budgets: {claim: {writes: -1}}\n", "s.yaml:11: budgets.claim.writes: must be more than 0"},
+		"token hash":           {insecureText + "admin_token_hash: ab\n", "s.yaml:11: admin_token_hash: must be 64 characters long"},
+		"short key":            {insecureText + "fleet_keys: [{id: a, key: YWJj}]\n", "s.yaml:11: fleet_keys[0]: must hold at least 32 bytes in base64"},
+		"broken key":           {insecureText + "hint_keys: [{id: a, key: \"%\"}]\n", "s.yaml:11: hint_keys[0]: settings: key: key a: illegal base64 data at input byte 0"},
+		"third key":            {insecureText + "hint_keys: [{id: a}, {id: b}, {id: c}]\n", "s.yaml:11: hint_keys: must be at most 2 entries"},
+		"same key id":          {insecureText + "hint_keys: [{id: a}, {id: a}]\n", "s.yaml:11: hint_keys: must not name the same thing twice"},
+		"no TLS":               {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: tls.cert: is required unless allow_insecure is set"},
+		"no fleet key":         {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: fleet_keys: is required unless allow_insecure is set"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := LoadBytes("s.yaml", []byte(c.text))
+			var problems strictyaml.Problems
+			require.ErrorAs(t, err, &problems)
+			assert.Contains(t, strings.Split(err.Error(), "\n"), c.want)
+		})
+	}
+}
+
+func TestKeys(t *testing.T) {
+	dir := t.TempDir()
+	keyFile, path := filepath.Join(dir, "key"), filepath.Join(dir, "s.yaml")
+	require.NoError(t, os.WriteFile(keyFile, []byte(testKey+"\n"), 0o600))
+	text := strings.Replace(secureText(), fmt.Sprintf("key: %q", testKey), fmt.Sprintf("file: %q", keyFile), 1)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+
+	s, err := Load(path)
+	require.NoError(t, err)
+	assert.Equal(t, make([]byte, MinKeyBytes), s.FleetKeys[0].Bytes())
+	assert.Equal(t, s.FleetKeys[0].Bytes(), s.HintKeys[0].Bytes())
+
+	_, err = Load(path + "x")
+	assert.True(t, ErrRead.Has(err))
+}
+
+// Symptom: the fleet's key stands in the log. Sequence: a process starts badly
+// and prints its settings. Cause: a key that is a plain string prints itself.
+func TestSecretsAreNotPrinted(t *testing.T) {
+	s, err := LoadBytes("s.yaml", []byte(secureText()))
+	require.NoError(t, err)
+	encoded, err := json.Marshal(s)
+	require.NoError(t, err)
+	printed := fmt.Sprintf("%v %+v %#v %s %s", s, s, s, encoded, s.FleetKeys)
+	assert.NotContains(t, printed, testKey)
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+)
+
+// Constraints on addresses, beside those of strictyaml.
+const (
+	constraintHostPort  = "hostport"
+	constraintReachable = "reachable"
+)
+
+// builtInCode names settings in problems that were not read from a file.
+const builtInCode = "settings"
+
+// fieldValidator is built on first use: it compiles the struct tags.
+var fieldValidator = sync.OnceValue(newFieldValidator)
+
+func newFieldValidator() *strictyaml.Validator {
+	v := strictyaml.NewValidator()
+	v.Add(constraintHostPort, isAddrPort, "must be an IP address and a port")
+	v.Add(constraintReachable, single, "must be an IP address that others can connect to, and a port")
+	return v
+}
+
+func isAddrPort(address string) bool {
+	_, err := netip.ParseAddrPort(address)
+	return err == nil
+}
+
+// single reports whether the address names one host and port that others can
+// connect to.
+func single(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && !parsed.Addr().IsUnspecified() && parsed.Port() != 0
+}
+
+// Validate checks settings that have been provisioned. The error is of type
+// strictyaml.Problems and lists everything that is wrong.
+func (s *Settings) Validate() error {
+	if s.source == nil {
+		s.source = strictyaml.NewSource(builtInCode)
+	}
+	problems := s.source.Fields(fieldValidator(), s)
+	problems = append(problems, s.checkKeys("fleet_keys", s.FleetKeys)...)
+	problems = append(problems, s.checkKeys("hint_keys", s.HintKeys)...)
+	problems = append(problems, s.checkDrain()...)
+	if !s.AllowInsecure {
+		problems = append(problems, s.checkSecure()...)
+	}
+	return problems.Err()
+}
+
+func (s *Settings) at(path, format string, args ...any) strictyaml.Problem {
+	if s.source == nil {
+		s.source = strictyaml.NewSource(builtInCode)
+	}
+	return s.source.At(path, format, args...)
+}
+
+func (s *Settings) checkKeys(path string, keys []Key) strictyaml.Problems {
+	var problems strictyaml.Problems
+	for i, k := range keys {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		switch {
+		case k.Key != "" && k.File != "":
+			problems = append(problems, s.at(at, "has both key and file"))
+		case len(k.secret) < MinKeyBytes:
+			problems = append(problems, s.at(at, "must hold at least %d bytes in base64", MinKeyBytes))
+		}
+	}
+	return problems
+}
+
+// checkDrain makes sure that a graceful shutdown outlasts the addresses that
+// callers keep. Otherwise they connect to a process that has gone, and see
+// refused connections on every planned restart.
+func (s *Settings) checkDrain() strictyaml.Problems {
+	if s.Timeouts.Drain > s.Timeouts.LocateTTL {
+		return nil
+	}
+	return strictyaml.Problems{s.at("timeouts.drain", "must be longer than locate_ttl, %v", s.Timeouts.LocateTTL)}
+}
+
+func (s *Settings) checkSecure() strictyaml.Problems {
+	var problems strictyaml.Problems
+	require := func(path string, present bool) {
+		if !present {
+			problems = append(problems, s.at(path, "is required unless allow_insecure is set"))
+		}
+	}
+	require("tls.cert", s.TLS.Cert != "")
+	require("tls.key", s.TLS.Key != "")
+	require("fleet_keys", len(s.FleetKeys) > 0)
+	require("hint_keys", len(s.HintKeys) > 0)
+	return problems
+}
