--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,8 +26,21 @@
 	// ErrBudget means that this use has spent its share of the store's
 	// reads or writes; nothing was sent.
 	ErrBudget = errs.Class("platform: budget spent")
+	// ErrInvalid means that the call can never succeed as it is written;
+	// nothing was done.
+	ErrInvalid = errs.Class("platform: invalid call")
 )
 
+// MaxScanRows bounds the rows of one Scan. A larger limit is refused with
+// ErrInvalid, because a silently shortened page reads like the end of a table.
+const MaxScanRows = 10_000
+
+// ObjectsTable is the table that a ConflictError names for an object.
+const ObjectsTable = "objects"
+
+// MaxWrites bounds the writes of one transaction.
+const MaxWrites = 128
+
 // AnyVersion lets a write through whatever the row's version.
 const AnyVersion int64 = -1
 
@@ -80,18 +93,24 @@
 // concurrent use.
 type Table interface {
 	// Commit applies all writes or none and returns the rows as written.
-	// Errors: *ConflictError, ErrUnavailable, ErrBudget, ErrOutcomeUnknown.
+	// A transaction names each row at most once.
+	// Errors: *ConflictError, ErrUnavailable, ErrBudget, ErrOutcomeUnknown,
+	// ErrInvalid.
 	Commit(ctx context.Context, use Use, writes ...Write) ([]Row, error)
 	// Get reads one row. Errors: ErrNotFound, ErrUnavailable, ErrBudget.
 	Get(ctx context.Context, use Use, table, key string) (Row, error)
 	// Scan reads up to limit rows with from <= key < to, in key order.
-	// An empty to means no upper end.
+	// An empty to means no upper end. limit is from 1 to MaxScanRows.
 	Scan(ctx context.Context, use Use, table, from, to string, limit int) ([]Row, error)
 }
 
 // Objects is the object store: immutable blobs by name.
 type Objects interface {
+	// Put stores data under name. Putting the same data again succeeds, so a
+	// Put whose outcome is unknown may be repeated; other data under a name in
+	// use is a *ConflictError.
 	Put(ctx context.Context, name string, data []byte) error
+	// Get reads an object whole. Errors: ErrNotFound, ErrUnavailable.
 	Get(ctx context.Context, name string) ([]byte, error)
 }
 
@@ -129,5 +148,6 @@
 
 // VMList is the platform's list of live and leaving VMs. It lags.
 type VMList interface {
+	// List returns all entries, by name. Errors: ErrUnavailable.
 	List(ctx context.Context) ([]VM, error)
 }
