--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -22,6 +22,9 @@
 	DefaultIdleTimeout  = 15 * time.Second
 )
 
+// maxIdleConns bounds the connections for reads that are kept unused.
+const maxIdleConns = 4
+
 // maxReply bounds a reply's body, in bytes.
 const maxReply = 64 << 20
 
@@ -92,6 +95,9 @@
 			DialContext:       dialer(opts),
 			DisableKeepAlives: fresh,
 			IdleConnTimeout:   opts.IdleTimeout,
+			// The zero value would keep two and dial anew for every further
+			// read that runs at the same time.
+			MaxIdleConnsPerHost: maxIdleConns,
 		},
 		// A redirect with status 307 or 308 would send the body a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error {
--- a/internal/standin/platform/guard.go
+++ b/internal/standin/platform/guard.go
@@ -1,14 +1,15 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/time/rate"
 
 	api "damaskrouter.example/damaskrouter/internal/platform"
 )
@@ -28,6 +29,9 @@
 func (s *Server) guard(k Kind, a access) echo.MiddlewareFunc {
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
+			if err := takeBody(c); err != nil {
+				return err
+			}
 			f := s.faults.next(k, bool(a))
 			if f.Down {
 				s.counts.update(func(st *Stats) { st.Refused++ })
@@ -37,7 +41,7 @@
 				s.counts.update(func(st *Stats) { st.Refused++ })
 				return hangUp(c)
 			}
-			if !s.limiter(k, a).AllowN(s.now(), 1) {
+			if !s.allow(k, a) {
 				s.counts.update(func(st *Stats) { st.Throttled++ })
 				return refuse(c, throttleStatus(k), api.CodeOverloaded)
 			}
@@ -50,18 +54,29 @@
 	}
 }
 
-// limiter returns the rate that a call counts against, an endless one for the
-// VM list.
-func (s *Server) limiter(k Kind, a access) *rate.Limiter {
+// takeBody reads the whole request. A call that a fault then delays or drops
+// has arrived, and takes effect late even when the client's end is gone.
+func takeBody(c echo.Context) error {
+	req := c.Request()
+	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), req.Body, maxBody))
+	if err != nil {
+		return api.ErrInvalid.Wrap(err)
+	}
+	req.Body = io.NopCloser(bytes.NewReader(data))
+	return nil
+}
+
+// allow counts a call against its rate. The VM list has none.
+func (s *Server) allow(k Kind, a access) bool {
 	switch {
-	case k == KindWeights:
-		return s.weights
 	case k == KindVMs:
-		return rate.NewLimiter(rate.Inf, 0)
+		return true
+	case k == KindWeights:
+		return s.weights.AllowN(s.now(), 1)
 	case a == write:
-		return s.writes
+		return s.writes.AllowN(s.now(), 1)
 	default:
-		return s.reads
+		return s.reads.AllowN(s.now(), 1)
 	}
 }
 
@@ -113,12 +128,13 @@
 
 // loseReply lets the call take effect and hangs up instead of replying.
 func (s *Server) loseReply(c echo.Context, next echo.HandlerFunc) error {
-	real := c.Response()
+	answer := c.Response()
 	c.SetResponse(echo.NewResponse(discard{http.Header{}}, s.echo))
-	err := next(c)
-	c.SetResponse(real)
+	// The error would have become the reply.
+	_ = next(c)
+	c.SetResponse(answer)
 	s.counts.update(func(st *Stats) { st.LostReplies++ })
-	return errors.Join(err, hangUp(c))
+	return hangUp(c)
 }
 
 // replyError answers with the status that the protocol gives a typed error.
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -81,7 +81,7 @@
 }
 
 func (s *Server) putObject(c echo.Context) error {
-	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+	data, err := io.ReadAll(c.Request().Body)
 	if err != nil {
 		return api.ErrInvalid.Wrap(err)
 	}
--- a/internal/standin/platform/memory/memory.go
+++ b/internal/standin/platform/memory/memory.go
@@ -13,20 +13,17 @@
 	api "damaskrouter.example/damaskrouter/internal/platform"
 )
 
-// rowID names a row.
-type rowID struct{ table, key string }
-
 // Store holds rows and objects. The zero value is not usable; call New.
 // All methods are safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
-	rows    map[rowID]api.Row
+	tables  map[string]map[string]api.Row
 	objects map[string][]byte
 }
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{rows: map[rowID]api.Row{}, objects: map[string][]byte{}}
+	return &Store{tables: map[string]map[string]api.Row{}, objects: map[string][]byte{}}
 }
 
 // Commit applies all writes or none. It returns the rows as written, a deleted
@@ -53,20 +50,22 @@
 // apply makes one write; its condition holds.
 func (s *Store) apply(w api.Write) api.Row {
 	row := s.row(w.Table, w.Key)
-	id := rowID{w.Table, w.Key}
 	if w.Delete {
-		delete(s.rows, id)
+		delete(s.tables[w.Table], w.Key)
 		return api.Row{Table: w.Table, Key: w.Key}
 	}
 	row.Version++
 	row.Value = bytes.Clone(w.Value)
-	s.rows[id] = row
+	if s.tables[w.Table] == nil {
+		s.tables[w.Table] = map[string]api.Row{}
+	}
+	s.tables[w.Table][w.Key] = row
 	return clone(row)
 }
 
 // row returns the row as it stands; an absent one has version 0.
 func (s *Store) row(table, key string) api.Row {
-	row, ok := s.rows[rowID{table, key}]
+	row, ok := s.tables[table][key]
 	if !ok {
 		return api.Row{Table: table, Key: key}
 	}
@@ -95,11 +94,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := []api.Row{}
-	for id, row := range s.rows {
-		if id.table != table || id.key < from || (to != "" && id.key >= to) {
-			continue
+	for key, row := range s.tables[table] {
+		if key >= from && (to == "" || key < to) {
+			out = append(out, clone(row))
 		}
-		out = append(out, clone(row))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
 	return out[:min(limit, len(out))], nil
--- a/internal/standin/platform/stats.go
+++ b/internal/standin/platform/stats.go
@@ -30,10 +30,13 @@
 type counters struct {
 	mu sync.Mutex
 	s  Stats
-	// txns holds the transaction ids seen.
-	txns map[string]bool
+	// txns and older hold the transaction ids seen lately.
+	txns, older map[string]bool
 }
 
+// maxTxns bounds the transaction ids in each of two generations.
+const maxTxns = 1 << 16
+
 func newCounters() *counters {
 	return &counters{txns: map[string]bool{}, s: Stats{
 		Reads:  map[api.Use]uint64{},
@@ -53,9 +56,13 @@
 func (c *counters) seenTxn(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.txns[id] {
+	if c.txns[id] || c.older[id] {
 		c.s.RepeatedTxns++
 	}
+	if len(c.txns) >= maxTxns {
+		c.older = c.txns
+		c.txns = map[string]bool{}
+	}
 	c.txns[id] = true
 }
 
