Upstream client and stand-ins for engines and services: first working cut

Cause: routers need a client that says what is known of each call, and tests need upstreams that keep books of their own. Checked so far: TestStreamWholeAnswer (three streams, each whole, one connection), go vet.

--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,216 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/labstack/echo/v4"
+)
+
+// Paths of the stand-in's own controls.
+const (
+	PathBooks   = "/standin/books"
+	PathFaults  = "/standin/faults"
+	PathLeave   = "/standin/leave"
+	PathRestart = "/standin/restart"
+)
+
+const (
+	roleAssistant = "assistant"
+	ranNo         = "no"
+	bearerPrefix  = "Bearer "
+	paramID       = "id"
+	finishStop    = "stop"
+)
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	r := echo.New()
+	r.POST(wire.PathChat, e.postChat)
+	r.GET(wire.PathEngineStreams+":"+paramID, e.getStream)
+	r.DELETE(wire.PathEngineStreams+":"+paramID, e.deleteStream)
+	r.GET(wire.PathEngineStatus, e.getStatus)
+	r.GET(wire.PathEngineEvents, e.getEvents)
+	r.POST(wire.PathEngineOrders, e.postOrder)
+	r.POST(wire.PathEngineExport, e.postExport)
+	r.POST(wire.PathEngineImport, e.postImport)
+	r.GET(PathBooks, e.getBooks)
+	r.POST(PathFaults, e.postFault)
+	r.DELETE(PathFaults, e.deleteFaults)
+	r.POST(PathLeave, e.postLeave)
+	r.POST(PathRestart, e.postRestart)
+	return e.guard(r)
+}
+
+// guard breaks every connection while the engine is down, save for the
+// stand-in's own controls.
+func (e *Engine) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		down := e.down
+		w.Header().Set(wire.HeaderIncarnation, strconv.FormatUint(e.incarnation, 10))
+		e.mu.Unlock()
+		if down && r.URL.Path != PathRestart && r.URL.Path != PathBooks {
+			panic(http.ErrAbortHandler)
+		}
+		if id := r.Header.Get(wire.HeaderRequestID); id != "" {
+			w.Header().Set(wire.HeaderRequestID, id)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuse answers a request that was not executed, with proof.
+func refuse(c echo.Context, status int, code protocol.Code) error {
+	c.Response().Header().Set(wire.HeaderRan, ranNo)
+	return c.JSON(status, protocol.Refusal{Code: code})
+}
+
+// refusalStatus maps a reason to its status.
+func refusalStatus(code protocol.Code) int {
+	switch code {
+	case protocol.CodeQueueFull:
+		return http.StatusTooManyRequests
+	case protocol.CodeWrongIncarnation, protocol.CodeStaleFence:
+		return http.StatusConflict
+	case protocol.CodeModelNotLoaded, protocol.CodeUnknownStream, protocol.CodeUnknownPrefix:
+		return http.StatusNotFound
+	case protocol.CodeSenderUnknown:
+		return http.StatusForbidden
+	case protocol.CodeBadRequest:
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// wrongIncarnation reports whether the router meant another incarnation.
+func (e *Engine) wrongIncarnation(c echo.Context) bool {
+	want := c.Request().Header.Get(wire.HeaderIncarnation)
+	if want == "" {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return want != strconv.FormatUint(e.incarnation, 10)
+}
+
+func (e *Engine) postChat(c echo.Context) error {
+	req, code := e.readChat(c)
+	if code != "" {
+		return refuse(c, refusalStatus(code), code)
+	}
+	if f, ok := e.takeFault(FaultRefuse, FaultErrorBefore); ok {
+		return strikeBefore(c, f)
+	}
+	j := newJob(c.Request().Header.Get(wire.HeaderRequestID), c.Request().Header.Get(wire.HeaderPriority), req)
+	if code, ok := e.accept(j); !ok {
+		return refuse(c, refusalStatus(code), code)
+	}
+	if _, ok := e.takeFault(FaultErrorAfter); ok {
+		return e.strikeAfter(c, j)
+	}
+	if !req.Stream {
+		return e.complete(c, j)
+	}
+	f, _ := e.takeFault(FaultHang, FaultCut, FaultNoEnd, FaultStaleChunk, FaultCrash)
+	return e.stream(c, j, 0, f)
+}
+
+func (e *Engine) readChat(c echo.Context) (wire.ChatRequest, protocol.Code) {
+	var req wire.ChatRequest
+	if e.wrongIncarnation(c) {
+		return req, protocol.CodeWrongIncarnation
+	}
+	err := json.NewDecoder(c.Request().Body).Decode(&req)
+	if err != nil || c.Request().Header.Get(wire.HeaderRequestID) == "" {
+		return req, protocol.CodeBadRequest
+	}
+	return req, ""
+}
+
+func strikeBefore(c echo.Context, f Fault) error {
+	if f.Kind == FaultRefuse {
+		return refuse(c, http.StatusServiceUnavailable, protocol.CodeFault)
+	}
+	return c.JSON(http.StatusInternalServerError, protocol.Refusal{Code: protocol.CodeFault})
+}
+
+func (e *Engine) strikeAfter(c echo.Context, j *job) error {
+	if !e.wait(c, j) {
+		return nil
+	}
+	return c.JSON(http.StatusInternalServerError, protocol.Refusal{Code: protocol.CodeFault})
+}
+
+func (e *Engine) getStream(c echo.Context) error {
+	from, err := strconv.Atoi(c.QueryParam(protocol.QueryFrom))
+	if c.QueryParam(protocol.QueryFrom) == "" {
+		from, err = 0, nil
+	}
+	e.mu.Lock()
+	j, ok := e.jobs[c.Param(paramID)]
+	e.mu.Unlock()
+	if !ok {
+		return refuseKnown(c, protocol.CodeUnknownStream)
+	}
+	if err != nil || from < 0 || from > j.total {
+		return refuseKnown(c, protocol.CodeBadRequest)
+	}
+	return e.stream(c, j, from, Fault{})
+}
+
+// refuseKnown answers about a request that may have run, so without proof.
+func refuseKnown(c echo.Context, code protocol.Code) error {
+	return c.JSON(refusalStatus(code), protocol.Refusal{Code: code})
+}
+
+func (e *Engine) deleteStream(c echo.Context) error {
+	if !e.cancel(c.Param(paramID)) {
+		return refuseKnown(c, protocol.CodeUnknownStream)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (e *Engine) getStatus(c echo.Context) error { return c.JSON(http.StatusOK, e.Status()) }
+
+func (e *Engine) getEvents(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam(protocol.QueryAfter), 10, 64)
+	if c.QueryParam(protocol.QueryAfter) != "" && err != nil {
+		return refuseKnown(c, protocol.CodeBadRequest)
+	}
+	e.mu.Lock()
+	page := wire.CacheEvents{Incarnation: e.incarnation}
+	page.Events, page.Next = e.events.after(after)
+	e.mu.Unlock()
+	return c.JSON(http.StatusOK, page)
+}
+
+func (e *Engine) getBooks(c echo.Context) error { return c.JSON(http.StatusOK, e.Books()) }
+
+func (e *Engine) postFault(c echo.Context) error {
+	var f Fault
+	if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
+		return refuseKnown(c, protocol.CodeBadRequest)
+	}
+	e.Inject(f)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (e *Engine) deleteFaults(c echo.Context) error {
+	e.ClearFaults()
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (e *Engine) postLeave(c echo.Context) error {
+	e.Leave()
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (e *Engine) postRestart(c echo.Context) error {
+	e.Restart()
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/service/http.go
@@ -0,0 +1,177 @@
+package service
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/labstack/echo/v4"
+)
+
+// Paths of the service and of the stand-in's own controls.
+const (
+	PathReceipts  = "/receipts"
+	PathHandovers = "/handovers"
+	PathStatus    = "/status/"
+	PathChecks    = "/checks/"
+	PathBooks     = "/standin/books"
+	PathFaults    = "/standin/faults"
+	PathLeave     = "/standin/leave"
+)
+
+const (
+	ranNo   = "no"
+	paramID = "id"
+)
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	r := echo.New()
+	r.Use(echoIdentity)
+	r.POST(PathReceipts, s.work("receipts"))
+	r.POST(PathHandovers, s.work("handovers"))
+	r.GET(PathStatus+":"+paramID, s.lookup("status"))
+	r.GET(PathChecks+":"+paramID, s.lookup("checks"))
+	r.GET(wire.PathEngineStatus, s.getReport)
+	r.GET(PathBooks, s.getBooks)
+	r.POST(PathFaults, s.postFault)
+	r.DELETE(PathFaults, s.deleteFaults)
+	r.POST(PathLeave, s.postLeave)
+	return r
+}
+
+// echoIdentity repeats the request id in the reply.
+func echoIdentity(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if id := c.Request().Header.Get(wire.HeaderRequestID); id != "" {
+			c.Response().Header().Set(wire.HeaderRequestID, id)
+		}
+		return next(c)
+	}
+}
+
+// work handles a kind of non-idempotent call.
+func (s *Service) work(kind string) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		defer s.enter(c.Request().Header.Get(wire.HeaderRequestID))()
+		if done, err := s.before(c); done {
+			return err
+		}
+		r := s.execute(kind, c.Request().Header.Get(wire.HeaderIdempotencyKey))
+		if f, ok := s.takeFault(FaultReplyLost, FaultHang, FaultErrorAfter); ok {
+			return strikeAfter(c, f)
+		}
+		return c.JSON(http.StatusCreated, r)
+	}
+}
+
+// lookup handles a kind of idempotent call.
+func (s *Service) lookup(kind string) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		defer s.enter(c.Request().Header.Get(wire.HeaderRequestID))()
+		if done, err := s.before(c); done {
+			return err
+		}
+		s.mu.Lock()
+		s.books.Lookups++
+		s.mu.Unlock()
+		if f, ok := s.takeFault(FaultReplyLost, FaultHang, FaultErrorAfter); ok {
+			return strikeAfter(c, f)
+		}
+		id := c.Param(paramID)
+		return c.JSON(http.StatusOK, Lookup{Kind: kind, ID: id, State: LookupState(kind, id)})
+	}
+}
+
+// before runs what can end a call before its execution, and reports whether
+// it has.
+func (s *Service) before(c echo.Context) (bool, error) {
+	if s.refuses(c) {
+		return true, s.refuse(c, protocol.CodeLeaving)
+	}
+	if f, ok := s.takeFault(FaultRefuse, FaultErrorBefore); ok {
+		if f.Kind == FaultRefuse {
+			return true, s.refuse(c, protocol.CodeFault)
+		}
+		return true, c.JSON(http.StatusInternalServerError, protocol.Refusal{Code: protocol.CodeFault})
+	}
+	wait := s.opts.Latency
+	if f, ok := s.takeFault(FaultSlow); ok {
+		wait += f.Delay
+	}
+	// Execution goes on although the caller may have left: that is what makes
+	// a timeout's outcome unknown.
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return false, nil
+}
+
+func (s *Service) refuses(c echo.Context) bool {
+	want := c.Request().Header.Get(wire.HeaderIncarnation)
+	other := want != "" && want != strconv.FormatUint(s.opts.Incarnation, 10)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || other
+}
+
+func (s *Service) refuse(c echo.Context, code protocol.Code) error {
+	s.mu.Lock()
+	s.books.Refused++
+	s.mu.Unlock()
+	c.Response().Header().Set(wire.HeaderRan, ranNo)
+	return c.JSON(http.StatusServiceUnavailable, protocol.Refusal{Code: code})
+}
+
+func strikeAfter(c echo.Context, f Fault) error {
+	if f.Kind == FaultErrorAfter {
+		return c.JSON(http.StatusInternalServerError, protocol.Refusal{Code: protocol.CodeFault})
+	}
+	if f.Kind == FaultHang {
+		<-c.Request().Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// Report returns the service's status report.
+func (s *Service) Report() wire.EngineStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wire.EngineStatus{
+		Name:        s.opts.Name,
+		Incarnation: s.opts.Incarnation,
+		Leaving:     s.leaving,
+		Running:     s.calls,
+		Weight:      int64(s.calls),
+		MaxBatch:    s.opts.MaxRunning,
+		RequestIDs:  slices.Sorted(maps.Keys(s.running)),
+	}
+}
+
+func (s *Service) getReport(c echo.Context) error { return c.JSON(http.StatusOK, s.Report()) }
+
+func (s *Service) getBooks(c echo.Context) error { return c.JSON(http.StatusOK, s.Books()) }
+
+func (s *Service) postFault(c echo.Context) error {
+	var f Fault
+	if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
+		return c.JSON(http.StatusBadRequest, protocol.Refusal{Code: protocol.CodeBadRequest})
+	}
+	s.Inject(f)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Service) deleteFaults(c echo.Context) error {
+	s.ClearFaults()
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Service) postLeave(c echo.Context) error {
+	s.Leave()
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,189 @@
+// Package upstream is the router's HTTP client towards engines and plain
+// services. It classifies every call by what is known about its execution,
+// reads streams without trusting them, and never lets the HTTP transport send
+// non-idempotent work twice.
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// DialFunc opens a connection; tests put in-memory pipes here.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options are the client's settings. The zero value of a field means its default.
+type Options struct {
+	// Dial opens connections. The default dials TCP.
+	Dial DialFunc
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// HeaderTimeout bounds the wait for a reply's headers, for streams and
+	// control calls. Engines send them as soon as they queue a request.
+	HeaderTimeout time.Duration
+	// CallTimeout bounds a whole control call.
+	CallTimeout time.Duration
+	// TransferTimeout bounds an export or import of KV cache.
+	TransferTimeout time.Duration
+	// FirstChunk bounds the wait for a stream's first chunk, which includes
+	// the engine's queue and prefill.
+	FirstChunk time.Duration
+	// IdleGap bounds the wait between two chunks of a stream.
+	IdleGap time.Duration
+	// IdleConn is how long an unused connection stays in the pool.
+	IdleConn time.Duration
+	// ConnAge is how long the pool hands out connections of one generation.
+	ConnAge time.Duration
+	// MaxIdlePerHost bounds the unused connections to one upstream.
+	MaxIdlePerHost int
+	// MaxBody bounds a reply that is read whole, in bytes.
+	MaxBody int64
+	// MaxTransfer bounds an exported KV cache, in bytes.
+	MaxTransfer int64
+	// MaxEvent bounds one line and one event of a stream, in bytes.
+	MaxEvent int
+	// OrderToken is sent with orders to upstreams that check their sender.
+	OrderToken string
+}
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout     = time.Second
+	DefaultHeaderTimeout   = 2 * time.Second
+	DefaultCallTimeout     = 2 * time.Second
+	DefaultTransferTimeout = 30 * time.Second
+	DefaultFirstChunk      = 30 * time.Second
+	DefaultIdleGap         = 2 * time.Second
+	DefaultIdleConn        = 5 * time.Second
+	DefaultConnAge         = time.Minute
+	DefaultMaxIdlePerHost  = 64
+	DefaultMaxBody         = 8 << 20
+	DefaultMaxTransfer     = 256 << 20
+	DefaultMaxEvent        = 64 << 10
+)
+
+// Client calls upstreams. It is safe for concurrent use.
+type Client struct {
+	opts  Options
+	pool  *pool
+	fresh *http.Transport
+}
+
+// New returns a Client. Close releases its connections.
+func New(opts Options) *Client {
+	opts = opts.withDefaults()
+	return &Client{
+		opts:  opts,
+		pool:  newPool(opts),
+		fresh: freshTransport(opts),
+	}
+}
+
+// Close drops the pooled connections. Streams in progress go on.
+func (c *Client) Close() {
+	c.pool.shed()
+	c.fresh.CloseIdleConnections()
+}
+
+func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.TransferTimeout, DefaultTransferTimeout)
+	setDefault(&o.FirstChunk, DefaultFirstChunk)
+	setDefault(&o.IdleGap, DefaultIdleGap)
+	setDefault(&o.IdleConn, DefaultIdleConn)
+	setDefault(&o.ConnAge, DefaultConnAge)
+	setDefault(&o.MaxIdlePerHost, DefaultMaxIdlePerHost)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.MaxTransfer, DefaultMaxTransfer)
+	setDefault(&o.MaxEvent, DefaultMaxEvent)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o Options) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+	defer cancel()
+	c, err := o.Dial(ctx, network, address)
+	if err != nil {
+		return nil, ErrDial.Wrap(err)
+	}
+	return &countedConn{Conn: c}, nil
+}
+
+// freshTransport opens a connection for each request and closes it afterwards.
+//
+// What goes wrong with a pooled one: on a reused connection that breaks before
+// the reply, net/http sends the request again by itself if it bears an
+// Idempotency-Key, so a receipt is issued twice. One notices two executions in
+// the service's books for one call. A connection that carries a single request
+// is never "reused", and net/http re-sends on reused connections only.
+func freshTransport(o Options) *http.Transport {
+	return &http.Transport{
+		DialContext:        o.dialCounted,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
+// pool hands out a transport whose connections have a bounded age.
+//
+// What goes wrong without it: something between router and upstream forgets a
+// connection. The pool keeps offering it, and each request on it waits for its
+// timeout although a new connection would work. A generation of connections is
+// left behind after ConnAge, and at once when a reused connection went silent.
+type pool struct {
+	opts Options
+	mu   sync.Mutex
+	cur  *http.Transport
+	born time.Time
+}
+
+func newPool(o Options) *pool {
+	return &pool{opts: o, cur: pooledTransport(o), born: time.Now()}
+}
+
+func pooledTransport(o Options) *http.Transport {
+	return &http.Transport{
+		DialContext:         o.dialCounted,
+		DisableCompression:  true,
+		IdleConnTimeout:     o.IdleConn,
+		MaxIdleConnsPerHost: o.MaxIdlePerHost,
+	}
+}
+
+func (p *pool) transport() *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.born) >= p.opts.ConnAge {
+		p.renew()
+	}
+	return p.cur
+}
+
+// shed leaves the present generation behind: its unused connections close
+// now, those in use close after IdleConn without work.
+func (p *pool) shed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.renew()
+}
+
+func (p *pool) renew() {
+	p.cur.CloseIdleConnections()
+	p.cur = pooledTransport(p.opts)
+	p.born = time.Now()
+}
--- /dev/null
+++ b/internal/upstream/protocol/protocol.go
@@ -0,0 +1,54 @@
+// Package protocol holds the parts of the upstream protocol that are no wire
+// type: the body of a refusal, its codes and the content types. The router's
+// client and the stand-ins both import it, so that they can't drift apart.
+package protocol
+
+// Code names the reason for a refusal.
+type Code string
+
+// The reasons for which an upstream refuses a call.
+const (
+	CodeQueueFull        Code = "queue_full"
+	CodeLeaving          Code = "leaving"
+	CodeWrongIncarnation Code = "wrong_incarnation"
+	CodeModelNotLoaded   Code = "model_not_loaded"
+	CodeStaleFence       Code = "stale_fence"
+	CodeSenderUnknown    Code = "sender_unknown"
+	CodeUnknownStream    Code = "unknown_stream"
+	CodeUnknownPrefix    Code = "unknown_prefix"
+	CodeBadRequest       Code = "bad_request"
+	CodeFault            Code = "fault"
+)
+
+// Refusal is the JSON body of every answer with a status of 400 or above.
+type Refusal struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message,omitempty"`
+}
+
+// ExportRequest is the body of a KV cache export.
+type ExportRequest struct {
+	// Prefix is the chain hash of the last message boundary to export.
+	Prefix uint64 `json:"prefix"`
+}
+
+// Query parameters.
+const (
+	// QueryFrom is the offset of the first chunk wanted from a resumed stream.
+	QueryFrom = "from"
+	// QueryAfter is the sequence number of the last cache event already seen.
+	QueryAfter = "after"
+)
+
+// Content types of the protocol.
+const (
+	TypeJSON   = "application/json"
+	TypeEvents = "text/event-stream"
+	TypeBinary = "application/octet-stream"
+)
+
+// ObjectChunk and ObjectCompletion are the values of an answer's object field.
+const (
+	ObjectChunk      = "chat.completion.chunk"
+	ObjectCompletion = "chat.completion"
+)
--- /dev/null
+++ b/internal/upstream/service.go
@@ -0,0 +1,162 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"path"
+	"strings"
+
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/wire"
+)
+
+// Response is a whole reply. Of the upstream's headers only the content type
+// is kept: all others are between router and upstream.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// controlPaths belong to the router itself. Some upstreams don't check who
+// gives an order, so a caller's path must never reach them.
+var controlPaths = []string{
+	wire.PathEngineStatus,
+	strings.TrimSuffix(wire.PathEngineStreams, "/"),
+	"/v1/cache",
+	wire.PathEngineOrders,
+	"/v1/kv",
+	"/standin",
+}
+
+// Do sends one call to a plain service and returns the whole reply. Unless
+// call.Idempotent is set, it goes out once at most, on its own connection.
+// A status of 400 or above is a *Failure.
+func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
+	if err := checkServicePath(call.Path); err != nil {
+		return Response{}, &Failure{Op: opService, Sent: NotSent, Cause: err}
+	}
+	body, n := bytesBody(call.Body)
+	r := request{
+		op:      opService,
+		method:  call.Method,
+		path:    call.Path,
+		query:   call.Query,
+		body:    body,
+		length:  n,
+		call:    call,
+		typ:     call.ContentType,
+		accept:  call.Accept,
+		pooled:  call.Idempotent,
+		headers: c.opts.TransferTimeout,
+	}
+	return c.whole(ctx, r, c.opts.MaxBody)
+}
+
+// Complete runs a chat completion that is not streamed. The reply's request id
+// is checked in the header and in the body.
+func (c *Client) Complete(ctx context.Context, call Call) (Response, error) {
+	body, n := bytesBody(call.Body)
+	res, err := c.whole(ctx, request{
+		op:      opComplete,
+		method:  http.MethodPost,
+		path:    wire.PathChat,
+		body:    body,
+		length:  n,
+		call:    call,
+		typ:     protocol.TypeJSON,
+		accept:  protocol.TypeJSON,
+		pooled:  true,
+		headers: c.opts.TransferTimeout,
+	}, c.opts.MaxBody)
+	if err != nil {
+		return Response{}, err
+	}
+	return res, checkCompletion(call, res)
+}
+
+func checkCompletion(call Call, res Response) error {
+	var body struct {
+		ID string `json:"id"`
+	}
+	f := &Failure{Op: opComplete, Sent: SentNoReply, Status: res.Status}
+	if err := json.Unmarshal(res.Body, &body); err != nil {
+		f.Cause = ErrMalformed.Wrap(err)
+		return f
+	}
+	if body.ID != call.RequestID {
+		f.Cause = ErrMismatch.New("completion of request %q", body.ID)
+		return f
+	}
+	return nil
+}
+
+// whole runs r and reads its reply to the end, up to limit bytes and within
+// the time r gives to headers.
+func (c *Client) whole(ctx context.Context, r request, limit int64) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.headers)
+	defer cancel()
+	rep, err := c.roundTrip(ctx, r)
+	if err != nil {
+		return Response{}, err
+	}
+	defer rep.close()
+	res := Response{Status: rep.res.StatusCode, ContentType: rep.res.Header.Get("Content-Type")}
+	if err := checkReplyOwner(r, rep.res); err != nil {
+		return Response{}, &Failure{Op: r.op, Sent: SentNoReply, Status: res.Status, Cause: err}
+	}
+	res.Body, err = readBounded(rep.res, limit)
+	if err != nil {
+		return Response{}, c.readFailure(r, rep, err)
+	}
+	return res, nil
+}
+
+// checkReplyOwner insists on the echoed id for chat completions. Plain
+// services need not echo it, but may not echo another's.
+func checkReplyOwner(r request, res *http.Response) error {
+	if r.op != opComplete && res.Header.Get(wire.HeaderRequestID) == "" {
+		return nil
+	}
+	return checkEcho(r.call, res)
+}
+
+func (c *Client) readFailure(r request, rep *reply, err error) *Failure {
+	f := &Failure{Op: r.op, Sent: SentNoReply, Status: rep.res.StatusCode, Cause: err}
+	ctx := rep.res.Request.Context()
+	if !ErrTooLarge.Has(err) && ctx.Err() != nil {
+		f.Cause = transportCause(ctx, err)
+	}
+	if rep.reused && ErrTimeout.Has(f.Cause) {
+		c.pool.shed()
+	}
+	return f
+}
+
+func readBounded(res *http.Response, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err != nil {
+		return nil, ErrIncomplete.Wrap(err)
+	}
+	if int64(len(b)) > limit {
+		return nil, ErrTooLarge.New("body beyond %d bytes", limit)
+	}
+	return b, nil
+}
+
+// checkServicePath refuses paths that are relative, not in their shortest
+// form, or meant for the router's own control calls.
+func checkServicePath(p string) error {
+	if !strings.HasPrefix(p, "/") || path.Clean(p) != p {
+		return ErrCall.New("path %q is not in its shortest form", p)
+	}
+	lower := strings.ToLower(p)
+	for _, control := range controlPaths {
+		if lower == control || strings.HasPrefix(lower, control+"/") {
+			return ErrCall.New("path %q is reserved for control", p)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/stream.go
@@ -0,0 +1,301 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/wire"
+)
+
+// Names of the operations, as they appear in Failure.Op.
+const (
+	opStream   = "stream"
+	opResume   = "resume"
+	opCancel   = "cancel"
+	opComplete = "complete"
+	opService  = "service"
+	opStatus   = "status"
+	opEvents   = "events"
+	opOrder    = "order"
+	opExport   = "export"
+	opImport   = "import"
+)
+
+// drainTimeout bounds the wait for the end of a body behind the end marker.
+const drainTimeout = 100 * time.Millisecond
+
+// maxDrain bounds what is read behind the end marker, in bytes.
+const maxDrain = 512
+
+// Event is one chunk of a stream, or its end.
+type Event struct {
+	// Offset is the chunk's place in the answer, counted from 0.
+	Offset int
+	// Data is the chunk's JSON, valid until the next call of Next.
+	Data []byte
+	// Done is set on the end marker: the answer is whole.
+	Done bool
+}
+
+// Stream reads one answer. It is not safe for concurrent use; to stop a
+// blocked Next, cancel the context that the stream was opened with.
+type Stream struct {
+	client *Client
+	call   Call
+	rep    *reply
+	ctx    context.Context
+	sse    *sseReader
+	timer  *time.Timer
+	gap    time.Duration
+	next   int
+	idHead []byte
+	done   bool
+	err    error
+}
+
+// Stream starts a streamed chat completion.
+func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
+	body, n := bytesBody(call.Body)
+	return c.open(ctx, request{
+		op:      opStream,
+		method:  http.MethodPost,
+		path:    wire.PathChat,
+		body:    body,
+		length:  n,
+		call:    call,
+		typ:     protocol.TypeJSON,
+		accept:  protocol.TypeEvents,
+		pooled:  true,
+		headers: c.opts.HeaderTimeout,
+	}, 0)
+}
+
+// Resume continues the stream of call.RequestID at chunk from, always on a new
+// connection: the old one may have gone silent, and so may its neighbours in
+// the pool.
+func (c *Client) Resume(ctx context.Context, call Call, from int) (*Stream, error) {
+	return c.open(ctx, request{
+		op:      opResume,
+		method:  http.MethodGet,
+		path:    wire.PathEngineStreams + call.RequestID,
+		query:   url.Values{protocol.QueryFrom: {strconv.Itoa(from)}}.Encode(),
+		call:    call,
+		accept:  protocol.TypeEvents,
+		headers: c.opts.HeaderTimeout,
+	}, from)
+}
+
+// Cancel asks the engine to stop working on call.RequestID. A stream that the
+// engine doesn't know is no error: it has ended already.
+func (c *Client) Cancel(ctx context.Context, call Call) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	rep, err := c.roundTrip(ctx, request{
+		op:      opCancel,
+		method:  http.MethodDelete,
+		path:    wire.PathEngineStreams + call.RequestID,
+		call:    call,
+		pooled:  true,
+		headers: c.opts.CallTimeout,
+	})
+	var f *Failure
+	if errors.As(err, &f) && f.Code == protocol.CodeUnknownStream {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	rep.close()
+	return nil
+}
+
+func (c *Client) open(ctx context.Context, r request, from int) (*Stream, error) {
+	if r.call.RequestID == "" || strings.ContainsAny(r.call.RequestID, "/?#") {
+		return nil, &Failure{Op: r.op, Sent: NotSent, Cause: ErrCall.New("request id %q", r.call.RequestID)}
+	}
+	if r.call.FirstChunk <= 0 {
+		r.call.FirstChunk = c.opts.FirstChunk
+	}
+	if r.call.IdleGap <= 0 {
+		r.call.IdleGap = c.opts.IdleGap
+	}
+	rep, err := c.roundTrip(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStreamHead(r.call, rep.res); err != nil {
+		rep.close()
+		return nil, &Failure{Op: r.op, Sent: SentNoReply, Status: rep.res.StatusCode, Cause: err}
+	}
+	return newStream(c, r.call, rep, from), nil
+}
+
+// checkStreamHead refuses a reply that is no stream or not ours.
+func checkStreamHead(call Call, res *http.Response) error {
+	if err := checkEcho(call, res); err != nil {
+		return err
+	}
+	if t := res.Header.Get("Content-Type"); !strings.HasPrefix(t, protocol.TypeEvents) {
+		return ErrMalformed.New("content type %q", t)
+	}
+	return nil
+}
+
+// checkEcho compares the request id in the reply's header with ours. A reply
+// left over on a connection would otherwise reach another caller.
+func checkEcho(call Call, res *http.Response) error {
+	if echoed := res.Header.Get(wire.HeaderRequestID); echoed != call.RequestID {
+		return ErrMismatch.New("reply to request %q", echoed)
+	}
+	return nil
+}
+
+func newStream(c *Client, call Call, rep *reply, from int) *Stream {
+	quoted, _ := json.Marshal(call.RequestID)
+	s := &Stream{
+		client: c,
+		call:   call,
+		rep:    rep,
+		ctx:    rep.res.Request.Context(),
+		sse:    newSSEReader(rep.res.Body, c.opts.MaxEvent),
+		gap:    call.IdleGap,
+		next:   from,
+		idHead: append(append([]byte(`{"id":`), quoted...), ','),
+	}
+	// One timer serves the whole stream: first for the first chunk, then,
+	// reset by Next, for the gap between chunks. Its expiry cancels the
+	// request, which closes the connection; it can't return to the pool.
+	s.timer = time.AfterFunc(call.FirstChunk, func() {
+		rep.cancel(ErrIdle.New("silent at chunk %d", from))
+	})
+	return s
+}
+
+// Next returns the next chunk. After an error or the end marker the stream is
+// finished, and Next returns the same again.
+func (s *Stream) Next() (Event, error) {
+	if s.err != nil {
+		return Event{}, s.err
+	}
+	if s.done {
+		return Event{Offset: s.next, Done: true}, nil
+	}
+	raw, err := s.sse.next()
+	if err != nil {
+		return Event{}, s.fail(s.readCause(err))
+	}
+	ev, err := s.check(raw)
+	if err != nil {
+		return Event{}, s.fail(err)
+	}
+	s.timer.Reset(s.gap)
+	return ev, nil
+}
+
+func (s *Stream) check(raw sseEvent) (Event, error) {
+	if string(raw.data) == wire.DoneMarker {
+		s.done = true
+		return Event{Offset: s.next, Done: true}, nil
+	}
+	offset, ok := parseOffset(raw.id)
+	if !ok {
+		return Event{}, ErrMalformed.New("event id %q", raw.id)
+	}
+	if err := s.checkChunkID(raw.data); err != nil {
+		return Event{}, err
+	}
+	if offset != s.next {
+		return Event{}, ErrOffset.New("chunk %d instead of %d", offset, s.next)
+	}
+	s.next++
+	return Event{Offset: offset, Data: raw.data}, nil
+}
+
+// checkChunkID compares the id inside the chunk. Engines write it first, so
+// that a comparison of bytes mostly does; any other order of fields is parsed.
+func (s *Stream) checkChunkID(data []byte) error {
+	if bytes.HasPrefix(data, s.idHead) {
+		return nil
+	}
+	var c struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal(data, &c); err != nil {
+		return ErrMalformed.Wrap(err)
+	}
+	if c.ID != s.call.RequestID {
+		return ErrMismatch.New("chunk of request %q", c.ID)
+	}
+	return nil
+}
+
+// parseOffset reads a decimal without allocation.
+func parseOffset(b []byte) (int, bool) {
+	const maxDigits = 9
+	if len(b) == 0 || len(b) > maxDigits {
+		return 0, false
+	}
+	n := 0
+	for _, d := range b {
+		if d < '0' || d > '9' {
+			return 0, false
+		}
+		n = n*10 + int(d-'0')
+	}
+	return n, true
+}
+
+// readCause tells apart our own timers, our caller, and a broken stream.
+func (s *Stream) readCause(err error) error {
+	switch {
+	case ErrTooLarge.Has(err):
+		return err
+	case s.ctx.Err() != nil:
+		return transportCause(s.ctx, err)
+	default:
+		return ErrIncomplete.Wrap(err)
+	}
+}
+
+// fail closes the stream. What was sent stays sent: a broken stream never
+// proves that the request did not run.
+func (s *Stream) fail(cause error) error {
+	s.err = &Failure{Op: opStream, Sent: SentNoReply, Status: s.rep.res.StatusCode, Cause: cause}
+	s.timer.Stop()
+	if s.rep.reused && ErrIdle.Has(cause) {
+		s.client.pool.shed()
+	}
+	s.rep.close()
+	return s.err
+}
+
+// Offset returns the offset of the next chunk expected.
+func (s *Stream) Offset() int { return s.next }
+
+// Resume closes the stream and continues it on a new connection.
+func (s *Stream) Resume(ctx context.Context) (*Stream, error) {
+	from := s.next
+	s.Close()
+	return s.client.Resume(ctx, s.call, from)
+}
+
+// Close releases the connection. Only a stream read to its end marker gives it
+// back to the pool; any other is closed, so no leftover can reach a later
+// request.
+func (s *Stream) Close() {
+	if s.done {
+		s.timer.Reset(drainTimeout)
+		_, _ = io.CopyN(io.Discard, s.rep.res.Body, maxDrain)
+	}
+	s.timer.Stop()
+	s.rep.close()
+}
