Add signed prefix hints and resume tokens

Cause: what a chat needs after its router is gone has to travel with the caller, and must not be forgeable or usable by another account.

Ruled out: encrypting the token (the fields can be chosen so that none is confidential: no address, no content); leaving the account out of the body and only under the MAC (a forged token and another account's could not be told apart in the logs); strict expiry (one stepped clock would refuse fresh tokens).

--- /dev/null
+++ b/internal/token/key.go
@@ -0,0 +1,87 @@
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"hash"
+	"sync"
+
+	"github.com/zeebo/errs"
+)
+
+const (
+	// MaxKeys is how many keys are valid at once.
+	MaxKeys = 2
+	// MinSecret is the least length of a secret, in bytes.
+	MinSecret = 32
+)
+
+// ErrKeys reports a set of keys that cannot be used.
+var ErrKeys = errs.Class("token: keys")
+
+// Key is one signing key of the fleet.
+type Key struct {
+	// ID names the key inside tokens.
+	ID byte
+	// Secret is random, at least MinSecret bytes long.
+	Secret []byte
+}
+
+// ValidateKeys checks the number of keys, their ids and the length of their
+// secrets.
+func ValidateKeys(keys []Key) error {
+	if len(keys) == 0 || len(keys) > MaxKeys {
+		return ErrKeys.New("%d keys given, 1 to %d allowed", len(keys), MaxKeys)
+	}
+	for i, k := range keys {
+		if len(k.Secret) < MinSecret {
+			return ErrKeys.New("key %d has %d bytes, %d needed", k.ID, len(k.Secret), MinSecret)
+		}
+		if i > 0 && k.ID == keys[0].ID {
+			return ErrKeys.New("key id %d is used twice", k.ID)
+		}
+	}
+	return nil
+}
+
+// macKey reuses HMAC states: building one per token would cost more than the
+// signature itself.
+type macKey struct {
+	id     byte
+	states sync.Pool
+}
+
+type macState struct {
+	hash hash.Hash
+	sum  [sha256.Size]byte
+}
+
+func newMACKey(k Key) *macKey {
+	secret := append([]byte(nil), k.Secret...)
+	m := &macKey{id: k.ID}
+	m.states.New = func() any {
+		return &macState{hash: hmac.New(sha256.New, secret)}
+	}
+	return m
+}
+
+// appendMAC appends the MAC of body to dst.
+func (m *macKey) appendMAC(dst, body []byte) []byte {
+	mac := m.mac(body)
+	return append(dst, mac[:]...)
+}
+
+func (m *macKey) verify(body, mac []byte) bool {
+	want := m.mac(body)
+	return subtle.ConstantTimeCompare(want[:], mac) == 1
+}
+
+func (m *macKey) mac(body []byte) [macSize]byte {
+	s := m.states.Get().(*macState)
+	defer m.states.Put(s)
+	s.hash.Reset()
+	_, _ = s.hash.Write(body)
+	s.hash.Sum(s.sum[:0])
+	return [macSize]byte(s.sum[:macSize])
+}
