Traffic handlers: locate, chat, resume, plain services

Cause: callers need an interface that streams whole answers, and says of each refusal whether the request ran. Ruled out: passing the caller's body and path upstream as they came (two readings of one text); retries in more than one layer. Before: no caller's interface. After: it compiles; not yet run.

--- a/internal/board/snapshot.go
+++ b/internal/board/snapshot.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"sort"
-
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
 )
 
 // snapshot copies the state into an immutable view with its indexes.
--- /dev/null
+++ b/internal/traffic/locate.go
@@ -0,0 +1,111 @@
+package traffic
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	// alternates is how many further routers a locate answer names.
+	alternates = 2
+	// ttlJitter spreads the times at which callers come back, as a share of
+	// the time to live: answers given in one burst must not expire in one.
+	ttlJitter = 0.2
+)
+
+// locate names the router that owns the chat's preferred engine, so that the
+// permit is granted without a message between routers.
+func (s *Server) locate(c echo.Context) error {
+	who, err := s.authenticate(c)
+	if err != nil {
+		return err
+	}
+	if id := c.QueryParam("chat"); id != "" {
+		if !validID(id) {
+			return badRequest("malformed chat id")
+		}
+		who.setChat(id)
+	}
+	routers := s.routersFor(who, c.QueryParam("model"))
+	if len(routers) == 0 {
+		return apierr.New(apierr.CodeNotReady, http.StatusServiceUnavailable, "no router in service is known").
+			WithRetryAfter(time.Second)
+	}
+	answer := wire.Locate{
+		Address: routers[0].Address,
+		Router:  routers[0].Name,
+		TTLMS:   s.jitteredTTL().Milliseconds(),
+	}
+	for _, r := range routers[1:] {
+		answer.Alternates = append(answer.Alternates, r.Address)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// routersFor lists the best router and its alternates.
+func (s *Server) routersFor(who *caller, model string) []board.Router {
+	snap := who.snapshot
+	key := who.chat
+	if key == 0 {
+		// Callers without a chat are spread evenly over the routers.
+		key = rand.Uint64()
+	}
+	var out []board.Router
+	if r, ok := s.preferredOwner(who, model); ok {
+		out = append(out, r)
+	}
+	for _, i := range rendezvous.Top(nil, alternates+1, key, snap.LiveIDs) {
+		r := snap.Live[i]
+		if len(out) > alternates {
+			break
+		}
+		if len(out) == 0 || out[0].Name != r.Name {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// preferredOwner is the owner of the engine that the chat's rendezvous order
+// names first, among the engines that are not leaving.
+func (s *Server) preferredOwner(who *caller, model string) (board.Router, bool) {
+	if who.chat == 0 || model == "" {
+		return board.Router{}, false
+	}
+	for _, p := range who.config.PoolsFor(model, "") {
+		g := who.snapshot.Group(p.Name, who.config.Site.Region)
+		if g == nil {
+			continue
+		}
+		if i := preferredEngine(g, who.chat); i >= 0 && g.Owners[i] >= 0 {
+			return who.snapshot.Routers[g.Owners[i]], true
+		}
+	}
+	return board.Router{}, false
+}
+
+func preferredEngine(g *board.Group, chat uint64) int {
+	best, bestScore := -1, uint64(0)
+	for i := range g.Engines {
+		if g.Engines[i].Leaving {
+			continue
+		}
+		score := rendezvous.Score(chat, g.IDs[i])
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+func (s *Server) jitteredTTL() time.Duration {
+	f := 1 - ttlJitter*rand.Float64()
+	return time.Duration(float64(s.LocateTTL) * f)
+}
--- /dev/null
+++ b/internal/traffic/server.go
@@ -0,0 +1,175 @@
+// Package traffic is the callers' interface: locating, chats, resuming and
+// plain services over HTTP. Its handlers read the board's snapshots and never
+// write control state.
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+)
+
+// Admitter grants engines to requests.
+type Admitter interface {
+	// Admit waits for a grant. Its errors are *apierr.Error.
+	Admit(ctx context.Context, req *admission.Request) (*admission.Grant, error)
+	// Adopt takes over the permit of a stream that is resumed here. It
+	// fails when the engine is gone or was restarted.
+	Adopt(ctx context.Context, requestID, engine string, incarnation uint64) (*admission.Grant, error)
+	// Observe reports how an engine did, for outlier detection.
+	Observe(engine uint64, seen Observation)
+	// Served tells where a chat's prefix is cached from now on.
+	Served(chat uint64, engine board.Engine, prefix uint64, tokens int)
+	// Evidence finds what the fleet knows of a chat's prefix.
+	Evidence(q EvidenceQuery) []Evidence
+}
+
+// Options configures a Server.
+type Options struct {
+	Board    *board.Board
+	Admitter Admitter
+	Upstream *upstream.Client
+	Claims   *claim.Store
+	Tokens   *token.Codec
+	Log      *log.Logger
+	// Name is this router's name.
+	Name string
+	// LocateTTL is how long callers may keep a locate answer.
+	LocateTTL time.Duration
+	// Heartbeat is the longest silence towards a caller of a stream.
+	Heartbeat time.Duration
+	// ResumeGrace is how long a broken caller's stream waits to be resumed.
+	ResumeGrace time.Duration
+	// MaxBody bounds a request's body, in bytes.
+	MaxBody int64
+}
+
+// Defaults of Options.
+const (
+	DefaultLocateTTL   = 10 * time.Second
+	DefaultHeartbeat   = 5 * time.Second
+	DefaultResumeGrace = 10 * time.Second
+	DefaultMaxBody     = 8 << 20
+)
+
+// Limits of what a caller may send, in bytes.
+const (
+	maxHeaderBytes = 32 << 10
+	maxIDLength    = 128
+)
+
+// Server serves callers.
+type Server struct {
+	Options
+	log      *log.Logger
+	metrics  *metrics
+	echo     *echo.Echo
+	lingerMu sync.Mutex
+	lingers  map[string]*linger
+	inflight sync.WaitGroup
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	o.fillDefaults()
+	s := &Server{Options: o, log: o.Log, metrics: newMetrics(), lingers: make(map[string]*linger)}
+	s.echo = s.routes()
+	return s
+}
+
+func (o *Options) fillDefaults() {
+	if o.LocateTTL <= 0 {
+		o.LocateTTL = DefaultLocateTTL
+	}
+	if o.Heartbeat <= 0 {
+		o.Heartbeat = DefaultHeartbeat
+	}
+	if o.ResumeGrace <= 0 {
+		o.ResumeGrace = DefaultResumeGrace
+	}
+	if o.MaxBody <= 0 {
+		o.MaxBody = DefaultMaxBody
+	}
+}
+
+// Handler returns the HTTP interface for callers.
+func (s *Server) Handler() http.Handler { return s.echo }
+
+// MaxHeaderBytes is what an http.Server in front of Handler should allow.
+func MaxHeaderBytes() int { return maxHeaderBytes }
+
+func (s *Server) routes() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = s.handleError
+	e.Use(s.identify)
+	e.GET(wire.PathLocate, s.locate)
+	e.POST(wire.PathChat, s.chat)
+	e.GET(wire.PathResume, s.resume)
+	e.Any(wire.PathServices+"*", s.service)
+	return e
+}
+
+// identify gives each request its id and names the router in the answer.
+func (s *Server) identify(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		s.inflight.Add(1)
+		defer s.inflight.Done()
+		h := c.Response().Header()
+		h.Set(wire.HeaderRouter, s.Name)
+		id := c.Request().Header.Get(wire.HeaderRequestID)
+		if id == "" {
+			id = uuid.NewString()
+		}
+		if !validID(id) {
+			return badRequest("malformed " + wire.HeaderRequestID)
+		}
+		h.Set(wire.HeaderRequestID, id)
+		if s.Board.Snapshot().Draining {
+			h.Set(wire.HeaderMoved, "1")
+		}
+		return next(c)
+	}
+}
+
+// Wait returns once all requests in progress have ended, or ctx has.
+func (s *Server) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.inflight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// validID accepts what may safely stand in a header, a log line and a row key.
+func validID(id string) bool {
+	if id == "" || len(id) > maxIDLength {
+		return false
+	}
+	return strings.IndexFunc(id, func(r rune) bool {
+		return r <= ' ' || r > '~'
+	}) < 0
+}
+
+func requestID(c echo.Context) string {
+	return c.Response().Header().Get(wire.HeaderRequestID)
+}
--- /dev/null
+++ b/internal/traffic/services.go
@@ -0,0 +1,302 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/placement"
+	"damaskrouter.example/damaskrouter/internal/queue"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	maxServiceBody = 1 << 20
+	maxKeyLength   = 256
+	// recordTimeout bounds the recording of an answer, which goes on after a
+	// caller has left: the work ran, and its answer must be found again.
+	recordTimeout = 5 * time.Second
+	// storeRetryAfter is suggested to callers while the table service is down.
+	storeRetryAfter = 2 * time.Second
+)
+
+// call is one request to a plain service.
+type call struct {
+	s       *Server
+	who     *caller
+	id      string
+	service *config.Service
+	route   config.RouteMatch
+	query   string
+	typ     string
+	accept  string
+	key     string
+	body    []byte
+	avoid   []uint64
+}
+
+// service serves /v1/services/{service}/{path}.
+func (s *Server) service(c echo.Context) error {
+	who, err := s.authenticate(c)
+	if err != nil {
+		return err
+	}
+	k := &call{s: s, who: who, id: requestID(c)}
+	if err := k.read(c); err != nil {
+		return err
+	}
+	var resp upstream.Response
+	if k.route.Idempotent {
+		resp, err = k.repeatable(c.Request().Context())
+	} else {
+		resp, err = k.once(c.Request().Context())
+	}
+	if err != nil {
+		return err
+	}
+	return c.Blob(resp.Status, resp.ContentType, resp.Body)
+}
+
+func (k *call) read(c echo.Context) error {
+	r := c.Request()
+	if err := k.match(r); err != nil {
+		return err
+	}
+	body, err := readBody(c, maxServiceBody)
+	if err != nil {
+		return err
+	}
+	k.body = body
+	k.query = r.URL.RawQuery
+	k.typ = r.Header.Get("Content-Type")
+	k.accept = r.Header.Get("Accept")
+	k.key = r.Header.Get(wire.HeaderIdempotencyKey)
+	if len(k.key) > maxKeyLength {
+		return badRequest(wire.HeaderIdempotencyKey + " is too long")
+	}
+	if !k.route.Idempotent && k.key == "" {
+		return apierr.New(apierr.CodeKeyMissing, http.StatusBadRequest,
+			"this call is not idempotent and needs "+wire.HeaderIdempotencyKey)
+	}
+	if r.Header.Get(wire.HeaderPriority) == "" {
+		return k.defaultClass()
+	}
+	return nil
+}
+
+// match finds the declared route. Only its own encoding of the path goes
+// upstream, never the caller's.
+func (k *call) match(r *http.Request) error {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), wire.PathServices)
+	name, path, _ := strings.Cut(rest, "/")
+	svc, ok := k.who.config.Service(name)
+	if !ok || !k.who.account.MayCall(name) {
+		return apierr.New(apierr.CodeNotFound, http.StatusNotFound, "no such service")
+	}
+	route, err := svc.Match(r.Method, "/"+path)
+	switch {
+	case config.ErrMethod.Has(err):
+		return apierr.New(apierr.CodeMethod, http.StatusMethodNotAllowed, "method not allowed here").WithCause(err)
+	case config.ErrBadPath.Has(err):
+		return badRequest("malformed path").WithCause(err)
+	case err != nil:
+		return apierr.New(apierr.CodeNotFound, http.StatusNotFound, "no such route").WithCause(err)
+	}
+	k.service = svc
+	k.route = route
+	return nil
+}
+
+func (k *call) defaultClass() error {
+	class, err := queue.ParseClass(k.route.Priority)
+	if err != nil {
+		return nil
+	}
+	highest, err := queue.ParseClass(k.who.account.MaxPriority)
+	if err != nil {
+		highest = queue.Normal
+	}
+	k.who.class = max(class, highest)
+	return nil
+}
+
+// repeatable sends an idempotent call, again to another VM where that helps.
+func (k *call) repeatable(ctx context.Context) (upstream.Response, error) {
+	for attempt := 1; ; attempt++ {
+		resp, err := k.send(ctx)
+		if err == nil {
+			return resp, nil
+		}
+		var refused *apierr.Error
+		if errors.As(err, &refused) {
+			return resp, refused
+		}
+		if answer, ok := answerOf(err); ok {
+			return answer, nil
+		}
+		if ctx.Err() != nil || attempt >= maxAttempts {
+			return resp, upstreamFailed(upstream.SentOf(err), err)
+		}
+		k.s.metrics.retries.Add(1)
+	}
+}
+
+// once sends a non-idempotent call under a claim: the claim is in the table
+// service before the first byte leaves, and nobody else ever takes it over.
+func (k *call) once(ctx context.Context) (upstream.Response, error) {
+	out, err := k.s.Claims.Begin(ctx, claim.Key{
+		Account:        k.who.account.Name,
+		IdempotencyKey: k.key,
+		Service:        k.service.Name,
+		Deduplicates:   k.service.Deduplicates,
+	}, claim.HashBody(k.fingerprint()))
+	if err != nil {
+		return upstream.Response{}, claimRefusal(err)
+	}
+	if out.Kind == claim.Answered {
+		k.s.metrics.repeated.Add(1)
+		return upstream.Response(out.Answer), nil
+	}
+	if err := out.Err(); err != nil {
+		return upstream.Response{}, claimRefusal(err)
+	}
+	k.s.metrics.claimsRun.Add(1)
+	return k.run(ctx, out.Claim)
+}
+
+// fingerprint is what must be equal when a key is used again: method, path,
+// query and body.
+func (k *call) fingerprint() []byte {
+	head := k.route.Route.Method + " " + k.service.Name + k.route.Path + "?" + k.query + "\n"
+	return append([]byte(head), k.body...)
+}
+
+// run executes a claimed call and records how it ended.
+func (k *call) run(ctx context.Context, c *claim.Claim) (upstream.Response, error) {
+	resp, err := k.send(ctx)
+	// The caller may be gone by now; the record must be made all the same.
+	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err == nil {
+		return resp, k.record(k.s.Claims.Finish(rctx, c, claim.Answer(resp)))
+	}
+	if answer, ok := answerOf(err); ok {
+		return answer, k.record(k.s.Claims.Finish(rctx, c, claim.Answer(answer)))
+	}
+	var refused *apierr.Error
+	if errors.As(err, &refused) {
+		// Admission refused it: nothing was sent.
+		_ = k.record(k.s.Claims.Refused(rctx, c))
+		return upstream.Response{}, refused
+	}
+	sent := upstream.SentOf(err)
+	if sent.DidNotRun() {
+		_ = k.record(k.s.Claims.Refused(rctx, c))
+		return upstream.Response{}, upstreamFailed(sent, err)
+	}
+	_ = k.record(k.s.Claims.MarkUnknown(rctx, c))
+	return upstream.Response{}, outcomeUnknown(err)
+}
+
+// record logs what could not be recorded. The claim then stays in its earlier
+// state, which blocks the key: the answer can't be repeated, but nothing runs twice.
+func (k *call) record(err error) error {
+	if err != nil {
+		k.s.log.Warn("claim not recorded", "request", k.id, "service", k.service.Name, "cause", err)
+	}
+	return nil
+}
+
+// send asks for a grant and sends the call once.
+func (k *call) send(ctx context.Context) (upstream.Response, error) {
+	pool, ok := k.who.config.Pool(k.service.Pool)
+	if !ok {
+		return upstream.Response{}, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
+			WithRetryAfter(time.Second)
+	}
+	g, err := k.s.Admitter.Admit(ctx, &admission.Request{
+		ID:       k.id,
+		Account:  k.who.account,
+		Class:    k.who.class,
+		Pools:    []*config.Pool{pool},
+		Deadline: k.who.deadline,
+		Place:    placement.Request{OutputTokens: 1},
+		Avoid:    k.avoid,
+	})
+	if err != nil {
+		return upstream.Response{}, err
+	}
+	defer g.Release()
+	resp, err := k.s.Upstream.Do(ctx, upstream.Call{
+		Address:        g.Engine.Address,
+		Name:           g.Engine.Name,
+		Incarnation:    g.Engine.Status.Incarnation,
+		RequestID:      k.id,
+		Method:         k.route.Route.Method,
+		Path:           k.route.Path,
+		Query:          k.query,
+		ContentType:    k.typ,
+		Accept:         k.accept,
+		IdempotencyKey: k.key,
+		Idempotent:     k.route.Idempotent,
+		Body:           k.body,
+	})
+	if err != nil && ctx.Err() == nil {
+		k.avoid = append(k.avoid, g.Engine.ID)
+		k.s.Admitter.Observe(g.Engine.ID, Observation{Failed: true})
+	}
+	return resp, err
+}
+
+// answerOf returns a service's own refusal, such as 404 or 422, as an answer:
+// the service spoke, and its words belong to the caller. A 5xx is not one,
+// because it proves nothing about execution.
+func answerOf(err error) (upstream.Response, bool) {
+	var f *upstream.Failure
+	if !errors.As(err, &f) || f.Sent.DidNotRun() {
+		return upstream.Response{}, false
+	}
+	if f.Status < http.StatusBadRequest || f.Status >= http.StatusInternalServerError {
+		return upstream.Response{}, false
+	}
+	return upstream.Response{Status: f.Status, ContentType: "application/json", Body: []byte("{}")}, true
+}
+
+func outcomeUnknown(cause error) *apierr.Error {
+	return apierr.New(apierr.CodeOutcomeUnknown, http.StatusBadGateway,
+		"the request was sent and its outcome is not known; do not repeat it under another key").
+		WithRan(apierr.RanUnknown).WithCause(cause)
+}
+
+// claimRefusal translates a claim's errors.
+func claimRefusal(err error) error {
+	var notRun *claim.NotRunError
+	switch {
+	case errors.As(err, &notRun):
+		return apierr.New(apierr.CodeStoreDown, http.StatusServiceUnavailable,
+			"the claim could not be recorded; come back with the same key").
+			WithRetryAfter(storeRetryAfter).WithCause(err)
+	case claim.ErrKeyReused.Has(err):
+		return apierr.New(apierr.CodeKeyReused, http.StatusUnprocessableEntity,
+			"the key belongs to a request with another body").WithCause(err)
+	case claim.ErrOutcomeUnknown.Has(err):
+		return apierr.New(apierr.CodeOutcomeUnknown, http.StatusConflict,
+			"an earlier request with this key may have run or may still be running").
+			WithRan(apierr.RanUnknown).WithRetryAfter(time.Second).WithCause(err)
+	case claim.ErrAnswerLost.Has(err):
+		return apierr.New(apierr.CodeOutcomeUnknown, http.StatusConflict,
+			"the request ran, but its answer can't be shown again").
+			WithRan(apierr.RanYes).WithCause(err)
+	case claim.ErrBadKey.Has(err):
+		return badRequest("malformed " + wire.HeaderIdempotencyKey).WithCause(err)
+	}
+	return apierr.From(err)
+}
