Add evidence of where a chat's prefix is cached

Cause: placement needs to know which engines still hold a returning chat's prefix, from sources that are each late, incomplete or lost with a router.

--- /dev/null
+++ b/internal/prefix/table.go
@@ -0,0 +1,139 @@
+package prefix
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	// ways is the number of slots in a bucket. More ways fill better before
+	// they evict, and cost a longer scan: 16 keys are two cache lines.
+	ways = 16
+	// fillPercent is the load for which a table is sized. Buckets fill
+	// unevenly; the spare slots keep evictions rare until capacity is reached.
+	fillPercent = 75
+	// ageUnit is the grain of last use. 16 bits of it are 12 days; an entry
+	// untouched for longer looks young again and is merely evicted later.
+	ageUnit = 16 * time.Second
+)
+
+// stamp is a coarse time. 0 marks an empty slot.
+type stamp uint16
+
+// stampAt counts units since epoch, leaving out 0.
+func stampAt(epoch, now time.Time) stamp {
+	units := max(now.Sub(epoch), 0) / ageUnit
+	return stamp(units%(1<<16-1)) + 1
+}
+
+// age returns how long ago s was, as seen at now.
+func (s stamp) age(now stamp) time.Duration {
+	units := int(now) - int(s)
+	if units < 0 {
+		units += 1<<16 - 1
+	}
+	return time.Duration(units) * ageUnit
+}
+
+// bucket holds keys apart from values, so that a scan reads few cache lines.
+type bucket[V any] struct {
+	keys [ways]uint64
+	used [ways]stamp
+	vals [ways]V
+}
+
+// table is a set-associative map from hashes: a key lives in one bucket, and a
+// full bucket evicts its least recently used entry. It never allocates after
+// it is made, and needs no tombstones, rehashing or clock hand.
+type table[V any] struct {
+	buckets []bucket[V]
+	seed    uint64
+	len     int
+}
+
+// newTable makes room for capacity entries at the load of fillPercent. A
+// random seed keeps callers, who choose their chat ids, from filling one bucket
+// on purpose and so evicting the chats of others.
+func newTable[V any](capacity int, seed uint64) (*table[V], error) {
+	if capacity <= 0 {
+		return nil, ErrCapacity.New("%d", capacity)
+	}
+	perBucket := ways * fillPercent / 100
+	n := (capacity + perBucket - 1) / perBucket
+	return &table[V]{buckets: make([]bucket[V], n), seed: seed}, nil
+}
+
+func (t *table[V]) bucket(key uint64) *bucket[V] {
+	i, _ := bits.Mul64(mix(key^t.seed), uint64(len(t.buckets)))
+	return &t.buckets[i]
+}
+
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// find returns the slot of key, or -1.
+func (b *bucket[V]) find(key uint64) int {
+	for i, k := range b.keys {
+		if k == key && b.used[i] != 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// victim returns an empty slot, or else the least recently used one.
+func (b *bucket[V]) victim(now stamp) int {
+	oldest, oldestAge := 0, time.Duration(-1)
+	for i, u := range b.used {
+		if u == 0 {
+			return i
+		}
+		if a := u.age(now); a > oldestAge {
+			oldest, oldestAge = i, a
+		}
+	}
+	return oldest
+}
+
+// get returns the value of key and its last use, or nil.
+func (t *table[V]) get(key uint64) (*V, stamp) {
+	b := t.bucket(key)
+	i := b.find(key)
+	if i < 0 {
+		return nil, 0
+	}
+	return &b.vals[i], b.used[i]
+}
+
+// put returns the value of key for the caller to set, and what the slot held
+// before. Without an old entry, old is the zero value and replaced is false.
+func (t *table[V]) put(key uint64, now stamp) (v *V, old V, replaced bool) {
+	b := t.bucket(key)
+	i := b.find(key)
+	if i < 0 {
+		i = b.victim(now)
+	}
+	old, replaced = b.vals[i], b.used[i] != 0
+	if !replaced {
+		t.len++
+	}
+	b.keys[i], b.used[i] = key, now
+	return &b.vals[i], old, replaced
+}
+
+// sweep calls f with every entry, and removes those for which it returns true.
+func (t *table[V]) sweep(f func(key uint64, v *V, used stamp) (remove bool)) {
+	for n := range t.buckets {
+		b := &t.buckets[n]
+		for i := range ways {
+			if b.used[i] != 0 && f(b.keys[i], &b.vals[i], b.used[i]) {
+				b.used[i] = 0
+				t.len--
+			}
+		}
+	}
+}
