Add authentication and authorisation of accounts and operators

Cause: every request has to be charged to one client account, and a platform shared by teams needs operators whose reach ends at their own.

Ruled out: a slow password hash (the secrets are 256 random bits, and it would make wrong keys an attack on the router's processor); a linear scan in constant time (cost grows with accounts, and the look-up by hash leaks nothing that a caller can steer); per-team roles (one role and a list of teams says what is needed so far).

--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,184 @@
+package access
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/config"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func secret(t *testing.T, prefix string, seed byte) (text, hash string) {
+	text, err := NewSecret(bytes.NewReader(bytes.Repeat([]byte{seed}, secretBytes)), prefix)
+	require.NoError(t, err)
+	return text, HashSecret(text).String()
+}
+
+func TestAuthorize(t *testing.T) {
+	roles := []Role{RoleViewer, RoleEditor, RoleAdmin, RoleBreakGlass, "nonsense"}
+	// The roles that may take each action, written out apart from the rules.
+	may := map[Action]string{
+		ActionReadStatus: "viewer editor admin breakglass",
+		ActionReadConfig: "viewer editor admin breakglass",
+		ActionReadAudit:  "editor admin breakglass",
+		ActionEditConfig: "editor admin breakglass",
+		ActionIssueToken: "admin breakglass",
+		ActionDrain:      "admin breakglass",
+		ActionOrder:      "admin breakglass",
+		ActionOverride:   "breakglass",
+		"unheard.of":     "",
+	}
+	scopes := map[string]struct {
+		teams   []string
+		team    string
+		outside bool
+	}{
+		"fleet on fleet":     {nil, FleetWide, false},
+		"fleet on team":      {nil, "desk", false},
+		"team on its own":    {[]string{"desk", "keys"}, "desk", false},
+		"team on another":    {[]string{"desk"}, "keys", true},
+		"team on fleet-wide": {[]string{"desk"}, FleetWide, true},
+	}
+	for action, allowed := range may {
+		for _, role := range roles {
+			for name, s := range scopes {
+				op := &Operator{Name: "kim", Role: role, Teams: s.teams}
+				err := Authorize(op, action, s.team)
+				byRole := slices.Contains(strings.Fields(allowed), string(role))
+				if byRole && (!s.outside || action == ActionReadStatus) {
+					assert.NoError(t, err, "%s %s %s", role, action, name)
+					continue
+				}
+				var denied *DeniedError
+				require.ErrorAs(t, err, &denied, "%s %s %s", role, action, name)
+				assert.Equal(t, DeniedError{"kim", action, s.team, denied.Reason}, *denied)
+				assert.Equal(t, byRole, denied.Reason == ReasonScope)
+			}
+		}
+	}
+}
+
+// Symptom: an operator of one team changes another team's services. Sequence:
+// an admin of the team issues itself a second token. Cause: a grant that
+// exceeds the granter's own role or scope.
+func TestAuthorizeGrant(t *testing.T) {
+	teamAdmin := &Operator{Name: "kim", Role: RoleAdmin, Teams: []string{"desk"}}
+	fleetAdmin := &Operator{Name: "ada", Role: RoleAdmin}
+	for name, tc := range map[string]struct {
+		by, grant *Operator
+		want      Reason
+	}{
+		"own scope":       {teamAdmin, &Operator{Role: RoleAdmin, Teams: []string{"desk"}}, ""},
+		"team by fleet":   {fleetAdmin, &Operator{Role: RoleEditor, Teams: []string{"keys"}}, ""},
+		"another team":    {teamAdmin, &Operator{Role: RoleViewer, Teams: []string{"desk", "keys"}}, ReasonScope},
+		"the whole fleet": {teamAdmin, &Operator{Role: RoleViewer}, ReasonScope},
+		"a higher role":   {fleetAdmin, &Operator{Role: RoleBreakGlass}, ReasonRole},
+		"granter too low": {&Operator{Role: RoleEditor}, &Operator{Role: RoleViewer}, ReasonRole},
+	} {
+		err := AuthorizeGrant(tc.by, tc.grant)
+		if tc.want == "" {
+			assert.NoError(t, err, name)
+			continue
+		}
+		var denied *DeniedError
+		require.ErrorAs(t, err, &denied, name)
+		assert.Equal(t, tc.want, denied.Reason, name)
+	}
+}
+
+func TestAccounts(t *testing.T) {
+	first, firstHash := secret(t, PrefixAPIKey, 1)
+	second, secondHash := secret(t, PrefixAPIKey, 2)
+	operator, operatorHash := secret(t, PrefixOperator, 3)
+	accounts := []config.Account{
+		{Name: "acme", KeyHashes: []string{firstHash, operatorHash}, Models: []string{"large"}, Services: []string{"keys"}},
+		{Name: "bolt", KeyHashes: []string{secondHash}},
+	}
+	a, err := NewAccounts(accounts)
+	require.NoError(t, err)
+	for key, want := range map[string]string{
+		first: "acme", second: "bolt", "": "", PrefixAPIKey: "", first + "x": "", first[:10]: "", firstHash: "",
+		operator: "", PrefixAPIKey + strings.Repeat("x", maxSecret): "",
+	} {
+		got, err := a.Authenticate(key)
+		if want == "" {
+			assert.True(t, ErrUnauthenticated.Has(err), key)
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, want, got.Name)
+	}
+	acme, bolt := &accounts[0], &accounts[1]
+	var denied *DeniedError
+	assert.NoError(t, AuthorizeModel(acme, "large"))
+	assert.NoError(t, AuthorizeModel(bolt, "large"))
+	assert.ErrorAs(t, AuthorizeModel(acme, "small"), &denied)
+	assert.NoError(t, AuthorizeService(acme, "keys"))
+	assert.ErrorAs(t, AuthorizeService(bolt, "keys"), &denied)
+}
+
+// Symptom: requests of one account count, and answer, as another's. Sequence:
+// two accounts are configured with one key. Cause: the first match wins.
+func TestInvalidAccounts(t *testing.T) {
+	_, h := secret(t, PrefixAPIKey, 1)
+	_, err := NewAccounts([]config.Account{{KeyHashes: []string{h}}, {KeyHashes: []string{strings.ToUpper(h)}}})
+	assert.True(t, ErrDuplicate.Has(err))
+	for _, bad := range []string{"", "zz", h[2:], h + "00"} {
+		_, err = NewAccounts([]config.Account{{KeyHashes: []string{bad}}})
+		assert.True(t, ErrHash.Has(err), bad)
+	}
+}
+
+func TestOperators(t *testing.T) {
+	token, hash := secret(t, PrefixOperator, 1)
+	ops, err := NewOperators([]Operator{{Name: "kim", TokenHash: hash, Role: RoleBreakGlass, Expires: now}})
+	require.NoError(t, err)
+	op, err := ops.Authenticate(token, now.Add(-time.Second))
+	require.NoError(t, err)
+	assert.Equal(t, "kim", op.Name)
+	_, expired := ops.Authenticate(token, now)
+	_, unknown := ops.Authenticate(token+"x", now)
+	assert.True(t, ErrUnauthenticated.Has(expired))
+	assert.Equal(t, unknown.Error(), expired.Error())
+
+	for name, bad := range map[string]Operator{
+		"no name":                    {TokenHash: hash, Role: RoleViewer},
+		"unknown role":               {Name: "kim", TokenHash: hash, Role: "root"},
+		"break glass without an end": {Name: "kim", TokenHash: hash, Role: RoleBreakGlass},
+		"empty team":                 {Name: "kim", TokenHash: hash, Role: RoleAdmin, Teams: []string{""}},
+	} {
+		_, err := NewOperators([]Operator{bad})
+		assert.True(t, ErrOperator.Has(err), name)
+	}
+}
+
+func TestNewSecret(t *testing.T) {
+	_, err := NewSecret(io.LimitReader(bytes.NewReader(make([]byte, 99)), secretBytes-1), PrefixAPIKey)
+	assert.True(t, ErrRandom.Has(err))
+	assert.True(t, errors.Is(err, io.ErrUnexpectedEOF))
+	text, _ := secret(t, PrefixAPIKey, 0xff)
+	assert.Len(t, text, len(PrefixAPIKey)+43)
+}
+
+func BenchmarkAuthenticate(b *testing.B) {
+	var accounts []config.Account
+	for i := range 410 {
+		accounts = append(accounts, config.Account{KeyHashes: []string{HashSecret(PrefixAPIKey + string(rune(i+1))).String()}})
+	}
+	a, err := NewAccounts(accounts)
+	require.NoError(b, err)
+	key := PrefixAPIKey + string(rune(200))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = a.Authenticate(key)
+	}
+}
