--- /dev/null
+++ b/internal/claim/sweep.go
@@ -0,0 +1,141 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/platform"
+)
+
+const (
+	// sweepTable and sweepKey name the row with the progress of retention.
+	sweepTable = "claim_sweep"
+	sweepKey   = "progress"
+	// roundsKept is the number of rounds that a finished claim outlives. With
+	// more rounds a sweeper needs to live less long to complete one.
+	roundsKept = 8
+	// sweepPage is the number of claims read, and at most written, in a step.
+	sweepPage = 100
+)
+
+// progress is the state of retention, shared by all sweepers.
+type progress struct {
+	Round uint64 `json:"round"`
+	// Cursor is the key to go on from in the current round.
+	Cursor string `json:"cursor,omitempty"`
+	// Idle says that the round is complete.
+	Idle bool `json:"idle,omitempty"`
+}
+
+// Sweeper deletes finished claims after a retention period. Claims that are
+// claimed or unknown are never deleted: their request may still run.
+//
+// Age is counted in rounds, not by timestamps: a VM whose clock steps forward
+// would delete fresh claims, and a repeated request would run again. A round
+// begins only after its sweeper has watched the completed one for a share of
+// the retention period on its own monotonic clock.
+type Sweeper struct {
+	table     platform.Table
+	retention time.Duration
+
+	watched int64
+	since   time.Duration
+}
+
+// NewSweeper returns a Sweeper. A finished claim lives for at least retention.
+func NewSweeper(table platform.Table, retention time.Duration) *Sweeper {
+	return &Sweeper{table: table, retention: retention}
+}
+
+// Step handles one page of claims, or finds that a round is not due. now is
+// the monotonic time since some fixed moment in this process. It costs at most
+// two reads and one transaction; the caller sets the pace. Several sweepers
+// may run at once. Errors are those of the table service, and nothing needs to
+// be undone after one. A conflict means that another writer was faster.
+func (s *Sweeper) Step(ctx context.Context, now time.Duration) error {
+	row, p, err := s.load(ctx)
+	if err != nil {
+		return err
+	}
+	if !p.Idle {
+		return s.page(ctx, row.Version, p)
+	}
+	if row.Version != s.watched {
+		s.watched = row.Version
+		s.since = now
+		return nil
+	}
+	if now-s.since < s.retention/roundsKept {
+		return nil
+	}
+	return s.commit(ctx, row.Version, progress{Round: p.Round + 1}, nil)
+}
+
+func (s *Sweeper) load(ctx context.Context) (platform.Row, progress, error) {
+	row, err := s.table.Get(ctx, platform.UseAdmin, sweepTable, sweepKey)
+	if platform.ErrNotFound.Has(err) {
+		return platform.Row{}, progress{Round: 1}, nil
+	}
+	if err != nil {
+		return platform.Row{}, progress{}, err
+	}
+	var p progress
+	err = json.Unmarshal(row.Value, &p)
+	return row, p, ErrCorrupt.Wrap(err)
+}
+
+func (s *Sweeper) page(ctx context.Context, version int64, p progress) error {
+	rows, err := s.table.Scan(ctx, platform.UseAdmin, Table, p.Cursor, "", sweepPage)
+	if err != nil {
+		return err
+	}
+	var writes []platform.Write
+	for _, row := range rows {
+		write, ok := sweepRow(row, p.Round)
+		if ok {
+			writes = append(writes, write)
+		}
+	}
+	next := progress{Round: p.Round, Idle: len(rows) < sweepPage}
+	if !next.Idle {
+		next.Cursor = rows[len(rows)-1].Key + "\x00"
+	}
+	return s.commit(ctx, version, next, writes)
+}
+
+// sweepRow returns the write that retention asks for, if any. Rows that can't
+// be decoded are left to operators.
+func sweepRow(row platform.Row, round uint64) (platform.Write, bool) {
+	rec, err := decode(row)
+	if err != nil || rec.State != StateDone && rec.State != StateRefused {
+		return platform.Write{}, false
+	}
+	write := platform.Write{Table: Table, Key: row.Key, IfVersion: row.Version}
+	if rec.SweepRound != 0 {
+		write.Delete = true
+		return write, rec.SweepRound+roundsKept < round
+	}
+	rec.SweepRound = round
+	write.Value, err = rec.encode()
+	return write, err == nil
+}
+
+// commit writes a page together with the progress row. A deleted row's
+// versions start again at 1, so a delete that is delivered twice could hit a
+// later claim of the same key. The progress row is never deleted: its version
+// has moved on by then, and the whole late transaction fails.
+func (s *Sweeper) commit(ctx context.Context, version int64, p progress, writes []platform.Write) error {
+	value, err := json.Marshal(p)
+	if err != nil {
+		return ErrCorrupt.Wrap(err)
+	}
+	writes = append(writes, platform.Write{Table: sweepTable, Key: sweepKey, Value: value, IfVersion: version})
+	_, err = s.table.Commit(ctx, platform.UseAdmin, writes...)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
