Outlier: judge shares of failed streams too, split by concern, tests

Cause: an engine that fails every other stream is never five failures in a row, and a broken connection yields no latency, so neither rule saw it.

Conclusion: a moving average of failed streams against a threshold and twice the pool's median; the case table and the cap property cover it.

--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -1,10 +1,6 @@
 package outlier
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Detector watches the engines of one pool.
 type Detector struct {
@@ -16,23 +12,6 @@
 	suppressed int
 }
 
-// engine is the state of one engine. It outlives the engine's membership by
-// ForgetAfter, so that one which flaps is recognised when it is back.
-type engine struct {
-	member bool
-	// since is when the engine joined, left, or last had a repeat forgotten.
-	since time.Time
-	// inARow counts stalls and failures since the last success.
-	inARow  int
-	average float64
-	samples int
-	ejected bool
-	// repeat counts ejections, flaps the returns to the pool.
-	repeat, flaps int
-	// ramp starts when an ejection ends or the engine comes back.
-	ramp Ramp
-}
-
 // NewDetector returns a detector without engines.
 func NewDetector(cfg Config) *Detector {
 	return &Detector{cfg: cfg, engines: make(map[uint64]*engine)}
@@ -93,17 +72,17 @@
 func (d *Detector) Evaluate(now time.Time) []Ejection {
 	d.expire(now)
 	d.enforceCap(now)
-	limit, ok := d.slowLimit(now)
-	if !ok {
-		return nil
-	}
-	var ejections []Ejection
-	for _, id := range d.slowerThan(limit, now) {
-		if ej := d.eject(id, Slow, now); ej != nil {
-			ejections = append(ejections, *ej)
+	ejections := d.ejectAll(nil, d.failing(now), Failing, now)
+	return d.ejectAll(ejections, d.slow(now), Slow, now)
+}
+
+func (d *Detector) ejectAll(done []Ejection, ids []uint64, cause Cause, now time.Time) []Ejection {
+	for _, id := range ids {
+		if ej := d.eject(id, cause, now); ej != nil {
+			done = append(done, *ej)
 		}
 	}
-	return ejections
+	return done
 }
 
 // Ejected says whether the engine must get no work now.
@@ -125,7 +104,8 @@
 	return e.ramp.At(now)
 }
 
-// Suppressed returns how many ejections the cap has prevented. A rising count
+// Suppressed returns how many attempts at an ejection the cap has prevented,
+// repeated ones of the same engine included. A rising count
 // means that the pool as a whole is in trouble, or the path to it.
 func (d *Detector) Suppressed() int {
 	return d.suppressed
@@ -140,106 +120,15 @@
 	return e.ejected
 }
 
-func (d *Detector) eject(id uint64, cause Cause, now time.Time) *Ejection {
-	members, ejected := d.count(now)
-	if ejected >= d.allowed(members) {
-		d.suppressed++
-		return nil
-	}
-	e := d.engines[id]
-	e.repeat++
-	until := now.Add(doubled(d.cfg.BaseEjection, d.cfg.MaxEjection, e.repeat))
-	e.ejected = true
-	e.ramp = d.rampFrom(until, d.cfg.RampTime)
-	e.clear()
-	return &Ejection{Engine: id, Cause: cause, Until: until, Repeat: e.repeat}
-}
-
-// allowed is how many of n engines may be ejected at once.
-func (d *Detector) allowed(n int) int {
-	share := int(d.cfg.MaxEjected * float64(n))
-	return min(max(share, 1), n-1)
-}
-
-// enforceCap lets those back in that would return soonest, until no more than
-// the allowed number is ejected. Without it, healthy engines that leave could
-// raise the ejected share of a pool without any further ejection.
-func (d *Detector) enforceCap(now time.Time) {
-	for {
-		members, ejected := d.count(now)
-		if ejected <= max(d.allowed(members), 0) {
-			return
-		}
-		e := d.soonestBack()
-		e.ejected = false
-		e.since = now
-		e.ramp = d.rampFrom(now, d.cfg.RampTime)
-	}
-}
-
-func (d *Detector) soonestBack() *engine {
-	var soonest *engine
-	for _, e := range d.engines {
-		if !e.ejected {
-			continue
-		}
-		if soonest == nil || e.ramp.Start.Before(soonest.ramp.Start) {
-			soonest = e
-		}
-	}
-	return soonest
-}
-
-func (d *Detector) count(now time.Time) (members, ejected int) {
-	for _, e := range d.engines {
-		if !e.member {
-			continue
-		}
-		members++
-		if d.away(e, now) {
-			ejected++
-		}
-	}
-	return members, ejected
-}
-
-// slowLimit is the average, in seconds, above which an engine is an outlier. It
-// isn't known until enough engines have enough samples.
-func (d *Detector) slowLimit(now time.Time) (limit float64, ok bool) {
-	d.scratch = d.scratch[:0]
-	for _, e := range d.engines {
-		if d.judged(e, now) {
-			d.scratch = append(d.scratch, e.average)
-		}
-	}
-	if len(d.scratch) < max(d.cfg.MinPeers, 1) {
-		return 0, false
-	}
-	slices.Sort(d.scratch)
-	median := d.scratch[(len(d.scratch)-1)/2]
-	return max(median*d.cfg.SlowFactor, d.cfg.SlowFloor.Seconds()), true
+func (d *Detector) rampFrom(start time.Time, length time.Duration) Ramp {
+	return Ramp{Start: start, Time: length, Steps: d.cfg.RampSteps}
 }
 
-// slowerThan lists the judged engines above limit, slowest first. Equal ones go
-// by identifier, so that the outcome doesn't depend on the order of the map.
-func (d *Detector) slowerThan(limit float64, now time.Time) []uint64 {
-	var ids []uint64
-	for id, e := range d.engines {
-		if d.judged(e, now) && e.average > limit {
-			ids = append(ids, id)
-		}
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	slices.SortFunc(ids, func(a, b uint64) int {
-		if c := cmp.Compare(d.engines[b].average, d.engines[a].average); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-	return ids
-}
-
-func (d *Detector) judged(e *engine, now time.Time) bool {
-	return e.member && !d.away(e, now) && e.samples >= d.cfg.MinSamples
+	return a
 }
 
 // expire forgets one ejection and one flap of each engine for every
@@ -258,47 +147,3 @@
 		e.flaps = max(e.flaps-1, 0)
 	}
 }
-
-func (d *Detector) rampFrom(start time.Time, length time.Duration) Ramp {
-	return Ramp{Start: start, Time: length, Steps: d.cfg.RampSteps}
-}
-
-// feed takes one observation into the averages.
-func (e *engine) feed(o Observation, smoothing float64) {
-	switch o.Kind {
-	case Success:
-		e.inARow = 0
-	case FirstToken:
-		e.sample(o, smoothing)
-	case Stall:
-		e.inARow++
-		e.sample(o, smoothing)
-	case Failure:
-		e.inARow++
-	}
-}
-
-func (e *engine) sample(o Observation, smoothing float64) {
-	excess := max(o.Latency-o.Expected, 0).Seconds()
-	e.samples++
-	if e.samples == 1 {
-		e.average = excess
-		return
-	}
-	e.average += smoothing * (excess - e.average)
-}
-
-// clear drops what was observed. An engine that returns is judged by its new
-// behaviour; its old average would eject it again at once.
-func (e *engine) clear() {
-	e.inARow = 0
-	e.average = 0
-	e.samples = 0
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -50,6 +50,8 @@
 	Consecutive Cause = iota + 1
 	// Slow means that the mean excess latency is far above the pool's median.
 	Slow
+	// Failing means that too large a share of the streams stalls or fails.
+	Failing
 )
 
 // String returns the label of the cause in metrics and logs.
@@ -59,6 +61,8 @@
 		return "consecutive"
 	case Slow:
 		return "slow"
+	case Failing:
+		return "failing"
 	}
 	return "none"
 }
@@ -88,11 +92,15 @@
 	// SlowFloor keeps engines of a fast pool from being ejected over
 	// differences that no caller notices.
 	SlowFloor time.Duration
-	// MinSamples is how many latencies an engine must have to be judged.
+	// FailureShare, 0 to 1, ejects an engine that fails a larger share of its
+	// streams, if that is also twice the pool's median share.
+	FailureShare float64
+	// MinSamples is how many latencies, or ends of streams, an engine must have
+	// to be compared by them.
 	MinSamples int
 	// MinPeers is how many such engines the pool must have for a median.
 	MinPeers int
-	// Smoothing is the share of a new latency in the moving average.
+	// Smoothing is the share of a new sample in the moving averages.
 	Smoothing float64
 	// BaseEjection is the length of a first ejection; each repetition doubles
 	// it up to MaxEjection.
@@ -100,7 +108,8 @@
 	// ForgetAfter is how long an engine must stay in service for one of its
 	// ejections or flaps to be forgotten.
 	ForgetAfter time.Duration
-	// RampTime is how long a return takes, in RampSteps equal steps.
+	// RampTime is how long a return takes, in RampSteps equal steps. Each further
+	// return of a flapping engine doubles it up to MaxEjection.
 	RampTime  time.Duration
 	RampSteps int
 }
@@ -111,6 +120,7 @@
 	DefaultConsecutive  = 5
 	DefaultSlowFactor   = 3
 	DefaultSlowFloor    = 200 * time.Millisecond
+	DefaultFailureShare = 0.3
 	DefaultMinSamples   = 20
 	DefaultMinPeers     = 3
 	DefaultSmoothing    = 0.1
@@ -128,6 +138,7 @@
 		Consecutive:  DefaultConsecutive,
 		SlowFactor:   DefaultSlowFactor,
 		SlowFloor:    DefaultSlowFloor,
+		FailureShare: DefaultFailureShare,
 		MinSamples:   DefaultMinSamples,
 		MinPeers:     DefaultMinPeers,
 		Smoothing:    DefaultSmoothing,
