upstream: tests of silent re-sends, silent connections and foreign answers

Cause: three hazards of HTTP clients before engines: net/http sends again by itself; a pooled connection goes silent; a late or foreign answer is shown.

The idle timer run while the reader pauses: a slow caller's stream is broken off.

Ruled out: httptrace.WroteHeaders as the proof of "not sent": it fires when headers enter a buffer, and a write may follow the deadline. Closing only the silent connection: its neighbours cost a timeout each. Found on the way: the stand-in's foreign chunk copied a live job (data race), and a refusal sent before the body was read could be lost to the closing connection. Both mended; the protocol now says to read the body first.

--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -149,7 +149,8 @@
 func (e *Engine) prefillBatch(d time.Duration) {
 	// A step without duration has no prefill limit.
 	unlimited := e.opts.PrefillPerMS <= 0 || d <= 0
-	budget := int(d.Milliseconds()) * e.opts.PrefillPerMS / e.slowness()
+	perStep := d.Seconds() * 1000 * float64(e.opts.PrefillPerMS) / float64(e.slowness())
+	budget := max(1, int(perStep))
 	for p := range priorityNames {
 		for _, j := range e.batch {
 			if j.priority != p || j.prefill == 0 {
@@ -228,18 +229,25 @@
 
 // addLoad counts the requests that were unfinished at the given time.
 func (e *Engine) addLoad(st *wire.EngineStatus, at time.Time) {
-	for _, j := range e.jobs {
-		over := !j.unfinished() && !j.ended.After(at)
-		if over || j.accepted.After(at) {
-			continue
-		}
-		st.RequestIDs = append(st.RequestIDs, j.id)
-		st.Weight += j.weight
-		if j.started.IsZero() || j.started.After(at) {
-			st.Queued++
-		} else {
-			st.Running++
+	for _, jobs := range append(e.queue[:len(e.queue):len(e.queue)], e.batch, e.ended) {
+		for _, j := range jobs {
+			j.addTo(st, at)
 		}
 	}
 	slices.Sort(st.RequestIDs)
 }
+
+// addTo counts j if it was unfinished at the given time.
+func (j *job) addTo(st *wire.EngineStatus, at time.Time) {
+	over := !j.unfinished() && !j.ended.After(at)
+	if over || j.accepted.After(at) {
+		return
+	}
+	st.RequestIDs = append(st.RequestIDs, j.id)
+	st.Weight += j.weight
+	if j.started.IsZero() || j.started.After(at) {
+		st.Queued++
+		return
+	}
+	st.Running++
+}
--- a/internal/standin/engine/books.go
+++ b/internal/standin/engine/books.go
@@ -46,6 +46,28 @@
 	WeightSeconds  float64 `json:"weight_seconds"`
 }
 
+// Skew returns, for each span in which the engines' loads sum up to at least
+// minWeightSeconds, how far the busiest engine is above their mean: 1 is an even
+// spread, len(books) is all load on one engine. An engine without load in a
+// span counts as idle.
+func Skew(minWeightSeconds float64, books ...Books) []float64 {
+	sums := map[int64]float64{}
+	peaks := map[int64]float64{}
+	for _, b := range books {
+		for _, l := range b.Load {
+			sums[l.Index] += l.WeightSeconds
+			peaks[l.Index] = max(peaks[l.Index], l.WeightSeconds)
+		}
+	}
+	var skews []float64
+	for _, i := range slices.Sorted(maps.Keys(sums)) {
+		if sums[i] > 0 && sums[i] >= minWeightSeconds {
+			skews = append(skews, peaks[i]*float64(len(books))/sums[i])
+		}
+	}
+	return skews
+}
+
 // ledger keeps the books. The engine's lock guards it.
 type ledger struct {
 	books    Books
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -83,7 +83,11 @@
 }
 
 // Drained is closed once the engine is leaving and has nothing left to do.
-func (e *Engine) Drained() <-chan struct{} { return e.drained }
+func (e *Engine) Drained() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.drained
+}
 
 func (e *Engine) checkDrained() {
 	if e.leaving && !e.isDrained && e.queued+len(e.batch) == 0 {
@@ -110,6 +114,7 @@
 	e.queue = make([][]*job, len(priorityNames))
 	e.queued = 0
 	e.batch = nil
+	e.ended = nil
 	e.jobs = map[string]*job{}
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -10,6 +10,8 @@
 const (
 	// FaultHang makes a stream silent after After chunks; the engine lives on.
 	FaultHang FaultKind = "hang"
+	// FaultSilent executes, but sends not even the reply's headers.
+	FaultSilent FaultKind = "silent"
 	// FaultCut breaks the connection after After chunks.
 	FaultCut FaultKind = "cut"
 	// FaultNoEnd ends the body in good order after After chunks, or before
@@ -25,7 +27,7 @@
 	FaultErrorBefore FaultKind = "error_before"
 	// FaultErrorAfter executes and then answers 500.
 	FaultErrorAfter FaultKind = "error_after"
-	// FaultSlow makes each step Factor times as long.
+	// FaultSlow makes each step Factor times as long, until cleared.
 	FaultSlow FaultKind = "slow"
 	// FaultEventGap loses the next After cache events.
 	FaultEventGap FaultKind = "event_gap"
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -63,8 +64,11 @@
 	})
 }
 
-// refuse answers a request that was not executed, with proof.
+// refuse answers a request that was not executed, with proof. It reads the
+// body first: a reply that crosses with a body still being written may be lost
+// to the closing connection, and the proof with it.
 func refuse(c echo.Context, status int, code protocol.Code) error {
+	_, _ = io.Copy(io.Discard, c.Request().Body)
 	c.Response().Header().Set(wire.HeaderRan, ranNo)
 	return c.JSON(status, protocol.Refusal{Code: code})
 }
@@ -113,6 +117,9 @@
 	if _, ok := e.takeFault(FaultErrorAfter); ok {
 		return e.strikeAfter(c, j)
 	}
+	if _, ok := e.takeFault(FaultSilent); ok {
+		e.attach(c, j).hang()
+	}
 	if !req.Stream {
 		return e.complete(c, j)
 	}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -151,8 +151,11 @@
 }
 
 func (r *reader) writeStale() {
-	foreign := *r.j
-	foreign.head = chunkHead(staleID, r.j.req.Model)
+	foreign := &job{
+		seed:  r.j.seed,
+		total: r.j.total,
+		head:  chunkHead(staleID, r.j.req.Model),
+	}
 	r.buf = append(r.buf, "id: "...)
 	r.buf = strconv.AppendInt(r.buf, int64(r.pos), 10)
 	r.buf = append(r.buf, "\ndata: "...)
--- a/internal/standin/service/http.go
+++ b/internal/standin/service/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -32,12 +33,11 @@
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	r := echo.New()
-	r.Use(echoIdentity)
-	r.POST(PathReceipts, s.work("receipts"))
-	r.POST(PathHandovers, s.work("handovers"))
-	r.GET(PathStatus+":"+paramID, s.lookup("status"))
-	r.GET(PathChecks+":"+paramID, s.lookup("checks"))
-	r.GET(wire.PathEngineStatus, s.getReport)
+	r.POST(PathReceipts, s.work("receipts"), echoIdentity)
+	r.POST(PathHandovers, s.work("handovers"), echoIdentity)
+	r.GET(PathStatus+":"+paramID, s.lookup("status"), echoIdentity)
+	r.GET(PathChecks+":"+paramID, s.lookup("checks"), echoIdentity)
+	r.GET(wire.PathEngineStatus, s.getReport, echoIdentity)
 	r.GET(PathBooks, s.getBooks)
 	r.POST(PathFaults, s.postFault)
 	r.DELETE(PathFaults, s.deleteFaults)
@@ -45,12 +45,16 @@
 	return r
 }
 
-// echoIdentity repeats the request id in the reply.
+// echoIdentity repeats the request id in the reply. It reads the body to its
+// end, since net/http notices that a caller left only after that.
 func echoIdentity(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if id := c.Request().Header.Get(wire.HeaderRequestID); id != "" {
 			c.Response().Header().Set(wire.HeaderRequestID, id)
 		}
+		if _, err := io.Copy(io.Discard, c.Request().Body); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
 		return next(c)
 	}
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -98,7 +98,7 @@
 }
 
 // roundTrip sends r and returns the reply once its headers are in. Statuses of
-// 400 and above become a *Failure.
+// 400 and above become a *Failure, save for the plain replies of a service.
 func (c *Client) roundTrip(ctx context.Context, r request) (*reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	tracker := &sentTracker{}
@@ -115,9 +115,9 @@
 		return nil, c.transportFailure(ctx, r.op, tracker, err)
 	}
 	rep := &reply{res: res, cancel: cancel, reused: tracker.onReused()}
-	if res.StatusCode >= http.StatusBadRequest {
-		defer rep.close()
-		return nil, refusal(r, res)
+	if f := refusal(r, res); f != nil {
+		rep.close()
+		return nil, f
 	}
 	return rep, nil
 }
@@ -231,9 +231,13 @@
 	return nil
 }
 
-// refusal turns a status of 400 or above into a Failure. Only the typed header
-// proves that nothing ran; a bare 5xx may come after execution.
+// refusal returns nil for a status that is a reply. All others become a
+// Failure. Only the typed header proves that nothing ran; a bare 5xx may come
+// after execution.
 func refusal(r request, res *http.Response) *Failure {
+	if isReply(r, res) {
+		return nil
+	}
 	f := &Failure{Op: r.op, Sent: SentNoReply, Status: res.StatusCode}
 	echoed := res.Header.Get(wire.HeaderRequestID)
 	foreign := echoed != "" && echoed != r.call.RequestID
@@ -249,6 +253,21 @@
 	return f
 }
 
+// isReply reports whether the status is the upstream's answer to the work
+// itself. A plain service's 4xx is, unless it states that nothing ran.
+func isReply(r request, res *http.Response) bool {
+	switch {
+	case res.StatusCode < http.StatusOK:
+		return false
+	case res.StatusCode < http.StatusBadRequest:
+		return true
+	case res.StatusCode < http.StatusInternalServerError:
+		return r.op == opService && res.Header.Get(wire.HeaderRan) != ranNo
+	default:
+		return false
+	}
+}
+
 func refusalCode(body io.Reader) protocol.Code {
 	var p protocol.Refusal
 	b, _ := io.ReadAll(io.LimitReader(body, maxRefusal))
--- /dev/null
+++ b/internal/upstream/control_test.go
@@ -0,0 +1,287 @@
+package upstream_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/chat"
+	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/stretchr/testify/require"
+)
+
+// Symptom: a caller loads a model, or reads another's stream.
+// Sequence: a caller's path, method or id is passed on and means a control call.
+// Cause: some upstreams don't check who gives an order.
+func TestControlCallsCannotBeForged(t *testing.T) {
+	paths := []string{
+		"/v1/orders", "/V1/Orders", "/v1/orders/", "//v1/orders", "/x/../v1/orders", "/v1/./orders",
+		"v1/orders", "", "/v1/kv/export", "/v1/status", "/v1/streams/other", "/v1/cache/events", "/standin/faults",
+	}
+	refuse := func(t *testing.T, err error) {
+		require.True(t, upstream.ErrCall.Has(requireFailure(t, err, upstream.NotSent)))
+	}
+	c := upstream.New(upstream.Options{Dial: nil})
+	for _, p := range paths {
+		t.Run("path "+p, func(t *testing.T) {
+			call := receipt("r")
+			call.Path = p
+			_, err := c.Do(t.Context(), call)
+			refuse(t, err)
+		})
+	}
+	for _, id := range []string{"", ".", "..", "../orders", "a/b", "a?b", "a%2fb", "a b", "a\nb", strings.Repeat("a", 129)} {
+		t.Run("id "+id, func(t *testing.T) {
+			call := upstream.Call{Address: address, RequestID: id}
+			_, err := c.Resume(t.Context(), call, 0)
+			refuse(t, err)
+			_, err = c.Stream(t.Context(), call)
+			refuse(t, err)
+			refuse(t, c.Cancel(t.Context(), call))
+		})
+	}
+	for name, change := range map[string]func(*upstream.Call){
+		"method":          func(c *upstream.Call) { c.Method = "CONNECT" },
+		"header":          func(c *upstream.Call) { c.ContentType = "a\r\nX-Priority: urgent" },
+		"address by name": func(c *upstream.Call) { c.Address = "localhost:1" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			call := receipt("r")
+			change(&call)
+			_, err := c.Do(t.Context(), call)
+			refuse(t, err)
+		})
+	}
+}
+
+// Symptom: an internal header leaves the router, or an upstream's reaches a caller.
+// Cause: headers are listed one by one instead of passed through.
+func TestOnlyListedHeadersPass(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var got http.Header
+		c := newClient(t, listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			got = r.Header.Clone()
+			w.Header().Set("Content-Type", "text/plain")
+			w.Header().Set("Set-Cookie", "a=b")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = io.WriteString(w, "no such receipt")
+		})), upstream.Options{OrderToken: "secret"})
+		res, err := c.Do(t.Context(), receipt("r"))
+		require.NoError(t, err)
+		require.Equal(t, upstream.Response{
+			Status: http.StatusNotFound, ContentType: "text/plain", Body: []byte("no such receipt"),
+		}, res, "a service's 4xx is its answer")
+		require.Equal(t, http.Header{
+			"User-Agent":              {"damaskrouter"},
+			"Connection":              {"close"},
+			"Content-Length":          {"17"},
+			"Content-Type":            {"application/json"},
+			wire.HeaderRequestID:      {"r"},
+			wire.HeaderIdempotencyKey: {"key-r"},
+		}, got)
+	})
+}
+
+// Symptom: half a reply is handed on, or memory runs out.
+func TestDoubtfulBodiesAreRefused(t *testing.T) {
+	cases := map[string]func(w http.ResponseWriter){
+		"cut":       func(w http.ResponseWriter) { w.Header().Set("Content-Length", "9") },
+		"too large": func(w http.ResponseWriter) { _, _ = io.WriteString(w, strings.Repeat("x", 101)) },
+		"without length": func(w http.ResponseWriter) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nhalf")
+				_ = conn.Close()
+			}
+		},
+	}
+	for name, write := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := newClient(t, listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					write(w)
+				})), upstream.Options{MaxBody: 100})
+				_, err := c.Do(t.Context(), receipt("r"))
+				f := requireFailure(t, err, upstream.SentNoReply)
+				require.True(t, upstream.ErrIncomplete.Has(f) || upstream.ErrTooLarge.Has(f), "%v", f)
+			})
+		})
+	}
+}
+
+// Symptom: work or trust meant for one engine goes to another.
+// Sequence: the VM is replaced and the new one has the same IP address.
+// Cause: an address says nothing of who answers.
+func TestIdentityIsChecked(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		e, c, _ := newEngine(t, engine.Defaults("e1", "m"))
+		call := chatCall("r", chatRequest(1, "x"))
+		call.Name, call.Incarnation = "e1", 1
+		_, err := c.Status(t.Context(), call)
+		require.NoError(t, err)
+		e.Restart()
+		st, err := c.Status(t.Context(), call)
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.Replied)))
+		require.EqualValues(t, 2, st.Incarnation)
+		_, err = c.Events(t.Context(), call, 0)
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.Replied)))
+		_, err = c.Stream(t.Context(), call)
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.RefusedBeforeExecuting)))
+		_, err = c.Order(t.Context(), call, wire.Order{Kind: wire.OrderRole, Value: "x"})
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.RefusedBeforeExecuting)))
+		call.Name, call.Incarnation = "e2", 0
+		_, err = c.Status(t.Context(), call)
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.Replied)))
+		require.Empty(t, e.Books().Runs)
+		require.Empty(t, e.Books().Orders)
+	})
+}
+
+// Symptom: an order of a leader that lost its lease takes effect.
+// Cause: some engines check fence and sender, others neither.
+func TestOrdersByKindOfEngine(t *testing.T) {
+	cases := []struct {
+		name      string
+		fence     bool
+		token     string
+		class     func(error) bool
+		oldFences int
+	}{
+		{"checks the fence", true, "", upstream.ErrStaleFence.Has, 0},
+		{"ignores the fence", false, "", nil, 1},
+		{"checks the sender", true, "other", upstream.ErrSender.Has, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				opts := engine.Defaults("e1", "m")
+				opts.CheckFence, opts.OrderToken = tc.fence, tc.token
+				e, c, _ := newEngine(t, opts)
+				call := upstream.Call{Address: address, RequestID: "o"}
+				_, err := c.Order(t.Context(), call, wire.Order{Kind: wire.OrderLoadAdapter, Value: "a1", Fence: 7})
+				if tc.token == "" {
+					require.NoError(t, err)
+				}
+				_, err = c.Order(t.Context(), call, wire.Order{Kind: wire.OrderVersion, Value: "2", Fence: 6})
+				require.Equal(t, tc.oldFences, e.Books().OldFences)
+				if tc.class == nil {
+					require.NoError(t, err)
+					require.Equal(t, "2", e.Status().Version)
+					return
+				}
+				require.True(t, tc.class(requireFailure(t, err, upstream.RefusedBeforeExecuting)))
+				require.Equal(t, "1", e.Status().Version)
+			})
+		})
+	}
+}
+
+// Symptom: what is believed of a cache is wrong without anyone noticing.
+// Sequence: events come late, and some never come.
+func TestEventsShowTheirGaps(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		e, c, _ := newEngine(t, engine.Defaults("e1", "m"))
+		call := upstream.Call{Address: address, RequestID: "ev"}
+		ask := func(after uint64) upstream.EventPage {
+			page, err := c.Events(t.Context(), call, after)
+			require.NoError(t, err)
+			return page
+		}
+		run := func(id string, words ...string) {
+			s, err := c.Stream(t.Context(), chatCall(id, chatRequest(1, words...)))
+			require.NoError(t, err)
+			_, err = readAll(s)
+			require.NoError(t, err)
+			s.Close()
+		}
+		run("r0", "x", "y")
+		require.Empty(t, ask(0).Events, "events are late")
+		time.Sleep(time.Second)
+		page := ask(0)
+		require.Len(t, page.Events, 3)
+		require.False(t, page.Gap)
+		e.Inject(engine.Fault{Kind: engine.FaultEventGap, After: 1})
+		run("r1", "z")
+		time.Sleep(time.Second)
+		page = ask(page.Next)
+		require.Len(t, page.Events, 1)
+		require.True(t, page.Gap)
+		require.Empty(t, ask(page.Next).Events)
+	})
+}
+
+// Symptom: a chat that moves has to be read in anew.
+func TestExportedCacheIsHitElsewhere(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		_, from, _ := newEngine(t, engine.Defaults("e1", "m"))
+		e2, to, _ := newEngine(t, engine.Defaults("e2", "m"))
+		req := chatRequest(10, strings.Repeat("dossier ", 100))
+		call := chatCall("r", req)
+		s, err := from.Stream(t.Context(), call)
+		require.NoError(t, err)
+		_, err = readAll(s)
+		require.NoError(t, err)
+		s.Close()
+		req.Messages = append(req.Messages, wire.Message{Role: "assistant", Content: engine.AnswerText(req)})
+		prefix := chat.Boundaries(req.Model, "", req.Messages)
+		last := prefix[len(prefix)-1]
+		kv, err := from.Export(t.Context(), call, last.Hash)
+		require.NoError(t, err)
+		require.NoError(t, to.Import(t.Context(), call, kv))
+		require.Error(t, to.Import(t.Context(), call, kv[:10]), "a cut import is refused")
+		_, err = from.Export(t.Context(), call, 1)
+		requireFailure(t, err, upstream.RefusedBeforeExecuting)
+		req.Messages = append(req.Messages, wire.Message{Role: "user", Content: "and now?"})
+		req.Stream = false
+		res, err := to.Complete(t.Context(), chatCall("r2", req))
+		require.NoError(t, err)
+		require.Contains(t, string(res.Body), fmt.Sprintf(`"cached_tokens":%d`, last.Tokens))
+		require.EqualValues(t, last.Tokens, e2.Books().CachedTokens)
+	})
+}
+
+// Symptom: an engine works on for a caller who has gone.
+func TestCancelEndsTheWorkOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		e, c, _ := newEngine(t, engine.Defaults("e1", "m"))
+		call := chatCall("r", chatRequest(1000, "x"))
+		s, err := c.Stream(t.Context(), call)
+		require.NoError(t, err)
+		_, err = s.Next()
+		require.NoError(t, err)
+		s.Close()
+		require.NoError(t, c.Cancel(t.Context(), call))
+		require.NoError(t, c.Cancel(t.Context(), call))
+		call.RequestID = "unknown"
+		require.NoError(t, c.Cancel(t.Context(), call))
+		time.Sleep(time.Minute)
+		b := e.Books()
+		require.Equal(t, 1, b.Canceled)
+		require.Empty(t, b.Finished)
+		require.Less(t, b.OutputTokens, int64(10))
+		require.Zero(t, e.Status().Running)
+	})
+}
+
+func TestServiceRepliesWhole(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := service.New(service.Options{Name: "portal", Deduplicates: true})
+		c := newClient(t, listen(t, s.Handler()), upstream.Options{})
+		for range 2 {
+			res, err := c.Do(t.Context(), receipt("r"))
+			require.NoError(t, err)
+			require.JSONEq(t, `{"number":1,"kind":"receipts","key":"key-r"}`, string(res.Body))
+		}
+		b := s.Books()
+		require.Equal(t, map[string]int{"key-r": 1}, b.Executions)
+		require.Equal(t, 1, b.Deduplicated)
+	})
+}
--- a/internal/upstream/helper_test.go
+++ b/internal/upstream/helper_test.go
@@ -116,7 +116,9 @@
 		if err := json.Unmarshal(ev.Data, &c); err != nil {
 			return words, err
 		}
-		words = append(words, c.Choices[0].Delta.Content)
+		for _, choice := range c.Choices {
+			words = append(words, choice.Delta.Content)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/sent_test.go
@@ -0,0 +1,213 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/stretchr/testify/require"
+	"github.com/zeebo/errs"
+)
+
+func receipt(id string) upstream.Call {
+	return upstream.Call{
+		Address:        address,
+		RequestID:      id,
+		Method:         http.MethodPost,
+		Path:           service.PathReceipts,
+		ContentType:    protocol.TypeJSON,
+		Body:           []byte(`{"application":7}`),
+		IdempotencyKey: "key-" + id,
+	}
+}
+
+// closingServer executes each POST; when a connection carries its second one,
+// it closes the connection after reading it, without a reply.
+type closingServer struct {
+	executions atomic.Int64
+}
+
+func (s *closingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.Method == http.MethodGet {
+		return
+	}
+	s.executions.Add(1)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// Symptom: one call issues two receipts.
+// Sequence: a pooled connection has served a look-up; the receipt goes out on
+// it; the service executes, and the connection breaks before the reply.
+// Cause: net/http sends a request again by itself if its connection was reused
+// and the request bears an Idempotency-Key. The second case shows that it
+// still does so, and thus that the first one tests something.
+func TestNonIdempotentWorkIsSentOnce(t *testing.T) {
+	cases := []struct {
+		name       string
+		idempotent bool
+		body       []byte
+		executions int64
+	}{
+		{"non-idempotent", false, []byte("{}"), 1},
+		{"non-idempotent without a body", false, nil, 1},
+		{"idempotent: net/http sends again", true, []byte("{}"), 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				srv := &closingServer{}
+				c := newClient(t, listen(t, srv), upstream.Options{})
+				lookup := upstream.Call{Address: address, Method: http.MethodGet, Path: "/status/1", Idempotent: true}
+				_, err := c.Do(t.Context(), lookup)
+				require.NoError(t, err)
+				call := receipt("r")
+				call.Body = tc.body
+				call.Idempotent = tc.idempotent
+				_, err = c.Do(t.Context(), call)
+				requireFailure(t, err, upstream.SentNoReply)
+				require.Equal(t, tc.executions, srv.executions.Load())
+			})
+		})
+	}
+}
+
+// Symptom: "did not run" is reported for a receipt that was issued, or the
+// outcome is called unknown although nothing was sent.
+// Sequence: the service fails at each point of a call.
+// Cause: only the protocol's proof counts; no status means "did not run".
+func TestServiceFaultsAreClassified(t *testing.T) {
+	cases := []struct {
+		fault      service.FaultKind
+		sent       upstream.Sent
+		want       *errs.Class
+		executions int
+	}{
+		{service.FaultReplyLost, upstream.SentNoReply, &upstream.ErrTransport, 1},
+		{service.FaultHang, upstream.SentNoReply, &upstream.ErrTimeout, 1},
+		{service.FaultSlow, upstream.SentNoReply, &upstream.ErrTimeout, 1},
+		{service.FaultErrorAfter, upstream.SentNoReply, &upstream.ErrRefused, 1},
+		{service.FaultErrorBefore, upstream.SentNoReply, &upstream.ErrRefused, 0},
+		{service.FaultRefuse, upstream.RefusedBeforeExecuting, &upstream.ErrRefused, 0},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.fault), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				s := service.New(service.Options{Name: "portal"})
+				c := newClient(t, listen(t, s.Handler()), upstream.Options{})
+				s.Inject(service.Fault{Kind: tc.fault, Count: 1, Delay: time.Minute})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := c.Do(ctx, receipt("r"))
+				f := requireFailure(t, err, tc.sent)
+				require.True(t, tc.want.Has(f), "%v", f)
+				time.Sleep(2 * time.Minute)
+				require.Equal(t, tc.executions, s.Books().Executions["key-r"])
+			})
+		})
+	}
+}
+
+// Symptom: as above, for a chat completion.
+func TestEngineFaultsAreClassified(t *testing.T) {
+	cases := []struct {
+		fault engine.FaultKind
+		sent  upstream.Sent
+		want  *errs.Class
+		runs  int
+	}{
+		{engine.FaultRefuse, upstream.RefusedBeforeExecuting, &upstream.ErrRefused, 0},
+		{engine.FaultErrorBefore, upstream.SentNoReply, &upstream.ErrRefused, 0},
+		{engine.FaultErrorAfter, upstream.SentNoReply, &upstream.ErrRefused, 1},
+		{engine.FaultSilent, upstream.SentNoReply, &upstream.ErrTimeout, 1},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.fault), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				e, c, _ := newEngine(t, engine.Defaults("e1", "m"))
+				e.Inject(engine.Fault{Kind: tc.fault, Count: 1})
+				_, err := c.Stream(t.Context(), chatCall("r", chatRequest(5, "x")))
+				f := requireFailure(t, err, tc.sent)
+				require.True(t, tc.want.Has(f), "%v", f)
+				require.Equal(t, tc.runs, e.Books().Runs["r"])
+			})
+		})
+	}
+}
+
+// Symptom: a call that was never sent is taken for one that may have run, or
+// the reverse.
+// Sequence: dialling fails, dialling hangs, or the peer never reads a byte.
+func TestConnectionFaultsAreClassified(t *testing.T) {
+	refused := func(context.Context, string, string) (net.Conn, error) { return nil, errors.ErrUnsupported }
+	hanging := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	unread := func(context.Context, string, string) (net.Conn, error) {
+		client, _ := net.Pipe()
+		return client, nil
+	}
+	cases := []struct {
+		name string
+		dial upstream.DialFunc
+		sent upstream.Sent
+		want *errs.Class
+	}{
+		{"dial refused", refused, upstream.NotSent, &upstream.ErrDial},
+		{"dial hangs", hanging, upstream.NotSent, &upstream.ErrTimeout},
+		{"write begun and not finished", unread, upstream.SentNoReply, &upstream.ErrTimeout},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := upstream.New(upstream.Options{Dial: tc.dial})
+				for _, run := range []func(context.Context) error{
+					func(ctx context.Context) error { _, err := c.Do(ctx, receipt("r")); return err },
+					func(ctx context.Context) error {
+						_, err := c.Stream(ctx, chatCall("r", chatRequest(1, "x")))
+						return err
+					},
+				} {
+					ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+					f := requireFailure(t, run(ctx), tc.sent)
+					cancel()
+					require.True(t, tc.want.Has(f), "%v", f)
+				}
+				// The transport's own dials end with their timeout.
+				time.Sleep(2 * upstream.DefaultDialTimeout)
+			})
+		})
+	}
+}
+
+// Symptom: "did not run" for a request that ran.
+// Sequence: a late refusal of another request is read as the reply to ours.
+// Cause: the proof belongs to the request id that it echoes.
+func TestRefusalOfAnotherRequestProvesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := newClient(t, listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set(wire.HeaderRequestID, "other")
+			w.Header().Set(wire.HeaderRan, "no")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})), upstream.Options{})
+		_, err := c.Do(t.Context(), receipt("r"))
+		require.True(t, upstream.ErrMismatch.Has(requireFailure(t, err, upstream.SentNoReply)), "%v", err)
+		require.False(t, upstream.SentOf(err).DidNotRun())
+		require.Equal(t, upstream.SentNoReply, upstream.SentOf(errors.ErrUnsupported))
+	})
+}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 
 	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
@@ -33,9 +34,9 @@
 
 // Do sends one call to a plain service and returns the whole reply. Unless
 // call.Idempotent is set, it goes out once at most, on its own connection.
-// A status of 400 or above is a *Failure.
+// A status of 500 or above, and any refusal before executing, is a *Failure.
 func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
-	if err := checkServicePath(call.Path); err != nil {
+	if err := checkService(call); err != nil {
 		return Response{}, &Failure{Op: opService, Sent: NotSent, Cause: err}
 	}
 	body, n := bytesBody(call.Body)
@@ -135,7 +136,13 @@
 	return f
 }
 
+// readBounded reads a body whose end is marked. A body that ends with its
+// connection is refused: a cut can't be told from its end, and half an answer
+// would be shown as whole.
 func readBounded(res *http.Response, limit int64) ([]byte, error) {
+	if res.ContentLength < 0 && !slices.Contains(res.TransferEncoding, "chunked") {
+		return nil, ErrIncomplete.New("body without length")
+	}
 	b, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
 		return nil, ErrIncomplete.Wrap(err)
@@ -146,6 +153,22 @@
 	return b, nil
 }
 
+// serviceMethods are the methods that Do sends.
+var serviceMethods = []string{
+	http.MethodGet,
+	http.MethodPost,
+	http.MethodPut,
+	http.MethodPatch,
+	http.MethodDelete,
+}
+
+func checkService(call Call) error {
+	if !slices.Contains(serviceMethods, call.Method) {
+		return ErrCall.New("method %q", call.Method)
+	}
+	return checkServicePath(call.Path)
+}
+
 // checkServicePath refuses paths that are relative, not in their shortest
 // form, or meant for the router's own control calls.
 func checkServicePath(p string) error {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +37,10 @@
 // maxDrain bounds what is read behind the end marker, in bytes.
 const maxDrain = 512
 
+// requestIDs are letters, digits, _ and -, so that no id is a path segment
+// with a meaning of its own.
+var requestIDs = regexp.MustCompile(`^[A-Za-z0-9_-]{1,128}$`)
+
 // Event is one chunk of a stream, or its end.
 type Event struct {
 	// Offset is the chunk's place in the answer, counted from 0.
@@ -50,12 +55,14 @@
 // blocked Next, cancel the context that the stream was opened with.
 type Stream struct {
 	client *Client
+	op     string
 	call   Call
 	rep    *reply
 	ctx    context.Context
 	sse    *sseReader
 	timer  *time.Timer
-	gap    time.Duration
+	// wait is how long the next event may take: FirstChunk, later IdleGap.
+	wait   time.Duration
 	next   int
 	idHead []byte
 	done   bool
@@ -97,6 +104,9 @@
 // Cancel asks the engine to stop working on call.RequestID. A stream that the
 // engine doesn't know is no error: it has ended already.
 func (c *Client) Cancel(ctx context.Context, call Call) error {
+	if err := checkRequestID(call.RequestID); err != nil {
+		return &Failure{Op: opCancel, Sent: NotSent, Cause: err}
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
 	defer cancel()
 	rep, err := c.roundTrip(ctx, request{
@@ -119,8 +129,8 @@
 }
 
 func (c *Client) open(ctx context.Context, r request, from int) (*Stream, error) {
-	if r.call.RequestID == "" || strings.ContainsAny(r.call.RequestID, "/?#") {
-		return nil, &Failure{Op: r.op, Sent: NotSent, Cause: ErrCall.New("request id %q", r.call.RequestID)}
+	if err := checkRequestID(r.call.RequestID); err != nil {
+		return nil, &Failure{Op: r.op, Sent: NotSent, Cause: err}
 	}
 	if r.call.FirstChunk <= 0 {
 		r.call.FirstChunk = c.opts.FirstChunk
@@ -136,7 +146,16 @@
 		rep.close()
 		return nil, &Failure{Op: r.op, Sent: SentNoReply, Status: rep.res.StatusCode, Cause: err}
 	}
-	return newStream(c, r.call, rep, from), nil
+	return newStream(c, r, rep, from), nil
+}
+
+// checkRequestID allows ids that need no escaping. Request ids become part of
+// a path; one such as "../orders" would make a cancel an order.
+func checkRequestID(id string) error {
+	if !requestIDs.MatchString(id) {
+		return ErrCall.New("request id %q", id)
+	}
+	return nil
 }
 
 // checkStreamHead refuses a reply that is no stream or not ours.
@@ -144,6 +163,9 @@
 	if err := checkEcho(call, res); err != nil {
 		return err
 	}
+	if err := checkIncarnation(call, res); err != nil {
+		return err
+	}
 	if t := res.Header.Get("Content-Type"); !strings.HasPrefix(t, protocol.TypeEvents) {
 		return ErrMalformed.New("content type %q", t)
 	}
@@ -159,23 +181,35 @@
 	return nil
 }
 
-func newStream(c *Client, call Call, rep *reply, from int) *Stream {
-	quoted, _ := json.Marshal(call.RequestID)
+// checkIncarnation compares the incarnation in the reply's header, if it names
+// one, with the expected one: not every engine refuses by itself.
+func checkIncarnation(call Call, res *http.Response) error {
+	got := res.Header.Get(wire.HeaderIncarnation)
+	want := strconv.FormatUint(call.Incarnation, 10)
+	if call.Incarnation != 0 && got != "" && got != want {
+		return ErrIdentity.New("incarnation %q instead of %s", got, want)
+	}
+	return nil
+}
+
+func newStream(c *Client, r request, rep *reply, from int) *Stream {
 	s := &Stream{
 		client: c,
-		call:   call,
+		op:     r.op,
+		call:   r.call,
 		rep:    rep,
 		ctx:    rep.res.Request.Context(),
 		sse:    newSSEReader(rep.res.Body, c.opts.MaxEvent),
-		gap:    call.IdleGap,
+		wait:   r.call.FirstChunk,
 		next:   from,
-		idHead: append(append([]byte(`{"id":`), quoted...), ','),
+		idHead: []byte(`{"id":"` + r.call.RequestID + `",`),
 	}
-	// One timer serves the whole stream: first for the first chunk, then,
-	// reset by Next, for the gap between chunks. Its expiry cancels the
-	// request, which closes the connection; it can't return to the pool.
-	s.timer = time.AfterFunc(call.FirstChunk, func() {
-		rep.cancel(ErrIdle.New("silent at chunk %d", from))
+	// One timer serves the whole stream. It runs only while Next waits, since
+	// a caller that reads slowly doesn't make the engine silent. Its expiry
+	// cancels the request, which closes the connection; a silent connection
+	// can't return to the pool.
+	s.timer = time.AfterFunc(s.wait, func() {
+		rep.cancel(ErrIdle.New("no chunk in time"))
 	})
 	return s
 }
@@ -189,7 +223,9 @@
 	if s.done {
 		return Event{Offset: s.next, Done: true}, nil
 	}
+	s.timer.Reset(s.wait)
 	raw, err := s.sse.next()
+	s.timer.Stop()
 	if err != nil {
 		return Event{}, s.fail(s.readCause(err))
 	}
@@ -197,7 +233,7 @@
 	if err != nil {
 		return Event{}, s.fail(err)
 	}
-	s.timer.Reset(s.gap)
+	s.wait = s.call.IdleGap
 	return ev, nil
 }
 
@@ -269,8 +305,7 @@
 // fail closes the stream. What was sent stays sent: a broken stream never
 // proves that the request did not run.
 func (s *Stream) fail(cause error) error {
-	s.err = &Failure{Op: opStream, Sent: SentNoReply, Status: s.rep.res.StatusCode, Cause: cause}
-	s.timer.Stop()
+	s.err = &Failure{Op: s.op, Sent: SentNoReply, Status: s.rep.res.StatusCode, Cause: cause}
 	if s.rep.reused && ErrIdle.Has(cause) {
 		s.client.pool.shed()
 	}
