Admission: lanes, books, permits between routers, queues, load digests

Cause: a request needs one answer to which engine it may use and when, from packages that each know one part. Ruled out: one router that owns a whole pool (all its requests would cost a message, and its own control traffic would grow with the pool's). Before: decisions without a driver. Conclusion: owners keep exact counts, other routers ask them.

--- a/client/stream.go
+++ b/client/stream.go
@@ -22,12 +22,13 @@
 	started   time.Time
 	onToken   func(string)
 
-	text   strings.Builder
-	next   int
-	resume string
-	hint   string
-	last   time.Time
-	turn   Turn
+	streamID string
+	text     strings.Builder
+	next     int
+	resume   string
+	hint     string
+	last     time.Time
+	turn     Turn
 }
 
 // run sends the request, and goes on elsewhere while that is safe: before the
@@ -111,6 +112,7 @@
 
 func (s *stream) takeHeaders(h http.Header) {
 	s.turn.Router = h.Get(wire.HeaderRouter)
+	s.streamID = h.Get(wire.HeaderStreamID)
 	if t := h.Get(wire.HeaderResumeToken); t != "" {
 		s.resume = t
 	}
@@ -146,11 +148,17 @@
 
 // take checks that the chunk belongs to this request and is the next one.
 func (s *stream) take(data []byte) error {
-	var ch wire.Chunk
+	var ch struct {
+		wire.Chunk
+		Error *apierr.Error `json:"error"`
+	}
 	if err := json.Unmarshal(data, &ch); err != nil {
 		return ErrProtocol.Wrap(err)
 	}
-	if ch.ID != s.requestID {
+	if ch.Error != nil {
+		return ch.Error
+	}
+	if ch.ID != s.streamID {
 		return ErrProtocol.New("chunk of another request")
 	}
 	if ch.Offset < s.next {
--- /dev/null
+++ b/internal/admission/digest.go
@@ -0,0 +1,274 @@
+package admission
+
+import (
+	"encoding/binary"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/board"
+	"github.com/zeebo/errs"
+)
+
+// ErrDigest is a load digest that can't be decoded.
+var ErrDigest = errs.Class("admission: load digest")
+
+// EngineLoad is what an engine's owner tells other routers.
+type EngineLoad struct {
+	// Engine is the engine's id.
+	Engine      uint64
+	Incarnation uint64
+	// Weight and Count are the admitted, unfinished work.
+	Weight   int64
+	Count    int32
+	MaxBatch int32
+	Flags    uint8
+}
+
+// The flags of an EngineLoad.
+const (
+	flagLeaving = 1 << iota
+	flagLoaded
+)
+
+// Leaving says that the engine is to stop.
+func (e EngineLoad) Leaving() bool { return e.Flags&flagLeaving != 0 }
+
+// Loaded says that the engine serves what its pool is configured for.
+func (e EngineLoad) Loaded() bool { return e.Flags&flagLoaded != 0 }
+
+const (
+	// subscription is how long a router that asked for a permit is told of
+	// load changes.
+	subscription = 30 * time.Second
+	// loadTTL is how long what an owner said is believed.
+	loadTTL = 10 * time.Second
+	// digestVersion is the format of a digest.
+	digestVersion = 1
+	// maxDigest bounds the engines in one digest.
+	maxDigest = 32
+)
+
+// appendDigest encodes loads for a datagram.
+func appendDigest(dst []byte, loads []EngineLoad) []byte {
+	dst = append(dst, digestVersion, byte(len(loads)))
+	for _, l := range loads {
+		dst = binary.LittleEndian.AppendUint64(dst, l.Engine)
+		dst = binary.AppendUvarint(dst, l.Incarnation)
+		dst = binary.AppendVarint(dst, l.Weight)
+		dst = binary.AppendVarint(dst, int64(l.Count))
+		dst = binary.AppendVarint(dst, int64(l.MaxBatch))
+		dst = append(dst, l.Flags)
+	}
+	return dst
+}
+
+// decodeDigest reads what appendDigest wrote.
+func decodeDigest(p []byte) ([]EngineLoad, error) {
+	if len(p) < 2 || p[0] != digestVersion || p[1] > maxDigest {
+		return nil, ErrDigest.New("header")
+	}
+	n := int(p[1])
+	d := digestReader{rest: p[2:]}
+	loads := make([]EngineLoad, 0, n)
+	for range n {
+		loads = append(loads, EngineLoad{
+			Engine:      d.fixed(),
+			Incarnation: d.unsigned(),
+			Weight:      d.signed(),
+			Count:       int32(d.signed()),
+			MaxBatch:    int32(d.signed()),
+			Flags:       d.octet(),
+		})
+	}
+	if d.short || len(d.rest) > 0 {
+		return nil, ErrDigest.New("length")
+	}
+	return loads, nil
+}
+
+type digestReader struct {
+	rest  []byte
+	short bool
+}
+
+func (d *digestReader) take(n int) []byte {
+	if n <= 0 || n > len(d.rest) {
+		d.short = true
+		d.rest = nil
+		return make([]byte, 8)
+	}
+	p := d.rest[:n]
+	d.rest = d.rest[n:]
+	return p
+}
+
+func (d *digestReader) fixed() uint64 { return binary.LittleEndian.Uint64(d.take(8)) }
+
+func (d *digestReader) octet() uint8 { return d.take(1)[0] }
+
+func (d *digestReader) unsigned() uint64 {
+	v, n := binary.Uvarint(d.rest)
+	d.take(n)
+	return v
+}
+
+func (d *digestReader) signed() int64 {
+	v, n := binary.Varint(d.rest)
+	d.take(n)
+	return v
+}
+
+// learn takes in what the owner of some engines said of them. The word of a
+// router that does not own an engine any more is not taken.
+func (l *lane) learn(now time.Time, from string, loads []EngineLoad) {
+	snap := l.a.opts.Board.Snapshot()
+	changed := false
+	l.mu.Lock()
+	for _, e := range loads {
+		if owner, ok := snap.Owner(e.Engine); !ok || owner.Name != from {
+			continue
+		}
+		old, had := l.loads[e.Engine]
+		if had && e.Incarnation < old.Incarnation {
+			continue
+		}
+		l.loads[e.Engine] = known{EngineLoad: e, at: now}
+		changed = changed || !had || e != old.EngineLoad
+	}
+	l.mu.Unlock()
+	if changed {
+		l.wake()
+	}
+}
+
+func (l *lane) subscribe(now time.Time, router string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.subs[router] = now.Add(subscription)
+}
+
+// owned lists the loads of the engines in this lane that this router owns.
+func (l *lane) owned(now time.Time) []EngineLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []EngineLoad
+	for id, k := range l.loads {
+		load, ok := l.a.keeper.load(now, id)
+		if !ok {
+			continue
+		}
+		e := k.EngineLoad
+		e.Weight = load.Weight
+		e.Count = int32(load.Count)
+		out = append(out, e)
+		if len(out) == maxDigest {
+			break
+		}
+	}
+	return out
+}
+
+// listeners are the routers to tell of load changes: those that own an engine
+// of the group, and those that asked for a permit lately.
+func (l *lane) listeners(now time.Time, snap *board.Snapshot) map[string]bool {
+	out := make(map[string]bool)
+	if g := snap.Group(l.key.pool, l.key.region); g != nil {
+		for _, o := range g.Owners {
+			if o >= 0 {
+				out[snap.Routers[o].Name] = true
+			}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, until := range l.subs {
+		if now.After(until) {
+			delete(l.subs, name)
+			continue
+		}
+		out[name] = true
+	}
+	delete(out, snap.Self)
+	return out
+}
+
+// Digest is a datagram that tells one router of load changes.
+type Digest struct {
+	To      board.Router
+	Payload []byte
+}
+
+// Digests returns the datagrams to send now. Unless all is set, only engines
+// whose load changed since the last call are told of.
+func (a *Admission) Digests(now time.Time, all bool) []Digest {
+	snap := a.opts.Board.Snapshot()
+	perRouter := make(map[string][]EngineLoad)
+	for _, l := range a.allLanes() {
+		loads := l.changed(now, all)
+		if len(loads) == 0 {
+			continue
+		}
+		for name := range l.listeners(now, snap) {
+			perRouter[name] = append(perRouter[name], loads...)
+		}
+	}
+	var out []Digest
+	for name, loads := range perRouter {
+		r, ok := snap.Router(name)
+		if !ok {
+			continue
+		}
+		for len(loads) > 0 {
+			n := min(len(loads), maxDigest)
+			out = append(out, Digest{To: r, Payload: appendDigest(nil, loads[:n])})
+			loads = loads[n:]
+		}
+	}
+	return out
+}
+
+// changed lists the owned engines whose load is worth telling.
+func (l *lane) changed(now time.Time, all bool) []EngineLoad {
+	loads := l.owned(now)
+	out := loads[:0]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range loads {
+		k := l.loads[e.Engine]
+		if all || k.EngineLoad != e {
+			out = append(out, e)
+		}
+		k.EngineLoad = e
+		l.loads[e.Engine] = k
+	}
+	return out
+}
+
+// TakeDigest takes in a datagram from another router.
+func (a *Admission) TakeDigest(from string, payload []byte) error {
+	loads, err := decodeDigest(payload)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	snap := a.opts.Board.Snapshot()
+	byLane := make(map[laneKey][]EngineLoad)
+	for _, e := range loads {
+		if key, ok := laneKeyOf(snap, e.Engine); ok {
+			byLane[key] = append(byLane[key], e)
+		}
+	}
+	for key, list := range byLane {
+		if l := a.lane(key); l != nil {
+			l.learn(now, from, list)
+		}
+	}
+	return nil
+}
+
+func laneKeyOf(snap *board.Snapshot, engine uint64) (laneKey, bool) {
+	e, ok := snap.EngineByID(engine)
+	if !ok {
+		return laneKey{}, false
+	}
+	return laneKey{pool: e.Pool, region: e.Region}, true
+}
--- /dev/null
+++ b/internal/admission/engines.go
@@ -0,0 +1,199 @@
+package admission
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/permit"
+	"damaskrouter.example/damaskrouter/internal/wire"
+)
+
+// EngineReport takes in the report of an engine that this router owns.
+func (a *Admission) EngineReport(e *board.Engine, st wire.EngineStatus) {
+	now := time.Now()
+	snap := a.opts.Board.Snapshot()
+	l := a.laneOf(snap, e)
+	if l == nil {
+		return
+	}
+	owned := a.keeper.report(now, e.ID, permit.EngineLoad{
+		Incarnation: st.Incarnation,
+		Age:         time.Duration(st.ReportAgeMS) * time.Millisecond,
+		Count:       st.Running + st.Queued,
+		Weight:      st.Weight,
+		IDs:         st.RequestIDs,
+	})
+	if !owned {
+		return
+	}
+	l.heard(now, e, st)
+}
+
+// heard records the parts of a report that the book does not keep.
+func (l *lane) heard(now time.Time, e *board.Engine, st wire.EngineStatus) {
+	l.mu.Lock()
+	k := l.loads[e.ID]
+	k.Engine = e.ID
+	k.Incarnation = st.Incarnation
+	k.MaxBatch = int32(st.MaxBatch)
+	k.Flags = 0
+	if st.Leaving {
+		k.Flags |= flagLeaving
+	}
+	if serves(l.pool, st) {
+		k.Flags |= flagLoaded
+	}
+	k.at = now
+	l.loads[e.ID] = k
+	l.mu.Unlock()
+	l.wake()
+}
+
+// serves says whether an engine has what its pool is configured for.
+func serves(p *config.Pool, st wire.EngineStatus) bool {
+	if p.Model == "" {
+		return true
+	}
+	if st.Model != p.Model || (p.Version != "" && st.Version != p.Version) {
+		return false
+	}
+	for _, adapter := range p.Adapters {
+		if !slices.Contains(st.Adapters, adapter) {
+			return false
+		}
+	}
+	return true
+}
+
+// Adopt takes over the permit of a stream that is resumed at this router.
+func (a *Admission) Adopt(ctx context.Context, id, engine string, incarnation uint64) (*Grant, error) {
+	snap := a.opts.Board.Snapshot()
+	gone := apierr.New(apierr.CodeIncomplete, http.StatusBadGateway, "the stream can no longer be resumed").
+		WithRan(apierr.RanYes)
+	e, ok := snap.Engines[engine]
+	if !ok {
+		return nil, gone
+	}
+	owner, ok := snap.Owner(e.ID)
+	l := a.laneOf(snap, &e)
+	if !ok || l == nil {
+		return nil, gone
+	}
+	c := choice{engine: e, owner: owner, inc: incarnation}
+	if owner.Name == a.opts.Self {
+		p, err := a.keeper.transfer(time.Now(), e.ID, permit.Request{ID: id, Holder: a.holder, Incarnation: incarnation})
+		if err != nil {
+			return nil, gone.WithCause(err)
+		}
+		c.decision.Weight = p.Weight
+		return l.grant(id, c, incarnation), nil
+	}
+	reply, err := l.call(ctx, c, AcquireArgs{ID: id, Incarnation: incarnation, Transfer: true})
+	if err != nil || reply.Verdict != Granted {
+		return nil, gone.WithRetryAfter(minRetryAfter).WithCause(err)
+	}
+	return l.grant(id, c, incarnation), nil
+}
+
+// giveUp ends a permit whose caller did not come back, and reports whether it
+// was still this router's. Where the owner can't be asked the answer is no: a
+// stream that goes on for nobody ends by itself, one that is stopped under a
+// caller does not come back.
+func (a *Admission) giveUp(ctx context.Context, id string) bool {
+	h, ok := a.held.remove(id)
+	if !ok {
+		return false
+	}
+	if l := a.lane(h.lane); l != nil {
+		defer l.finished(h.weight)
+	}
+	if out, _, owned := a.keeper.release(time.Now(), h.engine, id, a.holder); owned {
+		return out != permit.Moved
+	}
+	return a.giveUpRemote(ctx, h, id)
+}
+
+func (a *Admission) giveUpRemote(ctx context.Context, h held, id string) bool {
+	p := ReleasedPermit{Engine: h.engine, ID: id}
+	owner, ok := a.outbox.owner(h.engine)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.opts.CallTimeout)
+	defer cancel()
+	var reply ReleaseReply
+	args := ReleaseArgs{Holder: a.holder, Permits: []ReleasedPermit{p}}
+	t := peer.Target{Name: owner.Name, Address: owner.Control}
+	err := a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply)
+	if err != nil || len(reply.Outcomes) == 0 {
+		a.outbox.add(p)
+		return false
+	}
+	return reply.Outcomes[0] == permit.Released
+}
+
+// Reports returns, for each owner, what this router has unfinished at its
+// engines. Owners compare it with their books: a release that was lost for
+// good, or a permit that a new owner does not know, shows here.
+func (a *Admission) Reports() map[string]ReportArgs {
+	snap := a.opts.Board.Snapshot()
+	seq := a.held.seq.Add(1)
+	byEngine := a.held.byEngine()
+	out := make(map[string]ReportArgs)
+	for _, e := range snap.Engines {
+		owner, ok := snap.Owner(e.ID)
+		if !ok {
+			continue
+		}
+		args, ok := out[owner.Name]
+		if !ok {
+			args = ReportArgs{Holder: a.holder, Seq: seq, Engines: make(map[uint64][]ReportedPermit)}
+		}
+		args.Engines[e.ID] = byEngine[e.ID]
+		out[owner.Name] = args
+	}
+	return out
+}
+
+// SendReports delivers the reports; an owner that can't be reached gets the next.
+func (a *Admission) SendReports(ctx context.Context) {
+	snap := a.opts.Board.Snapshot()
+	for name, args := range a.Reports() {
+		if name == a.opts.Self {
+			_ = a.Service().Report(args, nil)
+			continue
+		}
+		r, ok := snap.Router(name)
+		if !ok || !worthTelling(args) {
+			continue
+		}
+		a.sendReport(ctx, r, args)
+	}
+}
+
+// worthTelling leaves out reports of nothing: an owner that hears nothing
+// drops nothing, and warms up by time.
+func worthTelling(args ReportArgs) bool {
+	for _, list := range args.Engines {
+		if len(list) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Admission) sendReport(ctx context.Context, r board.Router, args ReportArgs) {
+	ctx, cancel := context.WithTimeout(ctx, a.opts.CallTimeout)
+	defer cancel()
+	var reply ReportReply
+	t := peer.Target{Name: r.Name, Address: r.Control}
+	if err := a.opts.Caller.Call(ctx, t, ServiceName+".Report", args, &reply); err != nil {
+		a.Metrics.ReportsFailed.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/admission/outbox.go
@@ -0,0 +1,154 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/permit"
+)
+
+const (
+	// releasePause is the wait before permits are offered again that their
+	// owner could not take.
+	releasePause = 200 * time.Millisecond
+	// maxReleaseBatch bounds the permits in one call.
+	maxReleaseBatch = 256
+)
+
+// outbox gives permits back to the owners of other routers' engines. A
+// release is repeated until the present owner has taken it: a lost one would
+// hold room at the engine that nobody uses.
+type outbox struct {
+	a       *Admission
+	mu      sync.Mutex
+	pending map[string][]ReleasedPermit
+	busy    map[string]bool
+}
+
+func newOutbox(a *Admission) *outbox {
+	return &outbox{a: a, pending: make(map[string][]ReleasedPermit), busy: make(map[string]bool)}
+}
+
+// add hands a permit back to whoever owns the engine now.
+func (o *outbox) add(p ReleasedPermit) {
+	owner, ok := o.owner(p.Engine)
+	if !ok {
+		return
+	}
+	if owner.Name == o.a.opts.Self {
+		o.a.releaseOwned(time.Now(), p, o.a.holder)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending[owner.Name] = append(o.pending[owner.Name], p)
+	if o.busy[owner.Name] {
+		return
+	}
+	o.busy[owner.Name] = true
+	o.a.wg.Add(1)
+	go o.deliver(owner)
+}
+
+// owner finds the owner of an engine; an engine that is gone has none, and
+// its permits went with it.
+func (o *outbox) owner(engine uint64) (board.Router, bool) {
+	snap := o.a.opts.Board.Snapshot()
+	return snap.Owner(engine)
+}
+
+func (o *outbox) deliver(owner board.Router) {
+	defer o.a.wg.Done()
+	for {
+		batch := o.take(owner.Name)
+		if batch == nil {
+			return
+		}
+		if o.send(owner, batch) {
+			continue
+		}
+		if !sleep(o.a.ctx, releasePause) {
+			return
+		}
+		o.requeue(owner.Name, batch)
+		return
+	}
+}
+
+func (o *outbox) take(owner string) []ReleasedPermit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	all := o.pending[owner]
+	if len(all) == 0 {
+		delete(o.busy, owner)
+		delete(o.pending, owner)
+		return nil
+	}
+	n := min(len(all), maxReleaseBatch)
+	o.pending[owner] = all[n:]
+	return all[:n]
+}
+
+// requeue sorts permits to the owners of now: the one that did not answer may
+// have lost its engines meanwhile.
+func (o *outbox) requeue(owner string, batch []ReleasedPermit) {
+	o.mu.Lock()
+	batch = append(batch, o.pending[owner]...)
+	delete(o.pending, owner)
+	delete(o.busy, owner)
+	o.mu.Unlock()
+	for _, p := range batch {
+		o.add(p)
+	}
+}
+
+func (o *outbox) send(owner board.Router, batch []ReleasedPermit) bool {
+	ctx, cancel := context.WithTimeout(o.a.ctx, o.a.opts.CallTimeout)
+	defer cancel()
+	args := ReleaseArgs{Holder: o.a.holder, Permits: batch}
+	var reply ReleaseReply
+	t := peer.Target{Name: owner.Name, Address: owner.Control}
+	if err := o.a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply); err != nil {
+		o.a.Metrics.ReleaseRetries.Add(int64(len(batch)))
+		return false
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// releaseHeld gives a permit of this router back.
+func (a *Admission) releaseHeld(id string) {
+	h, ok := a.held.remove(id)
+	if !ok {
+		return
+	}
+	a.outbox.add(ReleasedPermit{Engine: h.engine, ID: id})
+	if l := a.lane(h.lane); l != nil {
+		l.finished(h.weight)
+	}
+}
+
+// releaseOwned takes a permit back for an engine owned here.
+func (a *Admission) releaseOwned(now time.Time, p ReleasedPermit, holder string) (permit.Outcome, bool) {
+	out, key, ok := a.keeper.release(now, p.Engine, p.ID, holder)
+	if !ok {
+		return out, false
+	}
+	if l := a.lane(key); l != nil && out == permit.Released {
+		l.wake()
+	}
+	return out, true
+}
--- /dev/null
+++ b/internal/admission/remote.go
@@ -0,0 +1,235 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/permit"
+	"damaskrouter.example/damaskrouter/internal/placement"
+	"github.com/zeebo/errs"
+)
+
+// ErrAsk is a question for a permit that got no usable answer.
+var ErrAsk = errs.Class("admission: owner gave no answer")
+
+// ServiceName is the RPC name under which Permits is registered.
+const ServiceName = "Permits"
+
+// Verdict is an owner's answer to a question for a permit.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Granted means that the permit is counted at the owner.
+	Granted Verdict = iota + 1
+	// Full means that the engine has no room by the owner's count.
+	Full
+	// NotOwner means that the asked router does not own the engine, or has
+	// not heard from it yet.
+	NotOwner
+	// Gone means that the engine's incarnation, or the permit, is over.
+	Gone
+)
+
+// AcquireArgs asks the owner of an engine for a permit.
+type AcquireArgs struct {
+	Pool   string
+	Region string
+	// Engine is the engine's id; Incarnation the one meant, or 0.
+	Engine      uint64
+	Incarnation uint64
+	// ID, Holder and Weight are those of the permit; Router is the holder's name.
+	ID     string
+	Holder string
+	Router string
+	Weight int64
+	// Transfer asks to move the permit to Holder instead of granting one.
+	Transfer bool
+}
+
+// AcquireReply is the owner's answer.
+type AcquireReply struct {
+	Verdict     Verdict
+	Incarnation uint64
+	// Loads is what the owner knows of the pool's engines.
+	Loads []EngineLoad
+}
+
+// ReleaseArgs gives permits back. It may be delivered more than once.
+type ReleaseArgs struct {
+	Holder  string
+	Permits []ReleasedPermit
+}
+
+// ReleasedPermit is one permit given back.
+type ReleasedPermit struct {
+	Engine uint64
+	ID     string
+}
+
+// ReleaseReply says what became of each permit, index for index.
+type ReleaseReply struct {
+	Outcomes []permit.Outcome
+	// Unknown lists the indexes of permits whose engine the router does not own.
+	Unknown []int
+}
+
+// ReportedPermit is one unfinished request in a holder's report.
+type ReportedPermit struct {
+	permit.Held
+	Incarnation uint64
+}
+
+// ReportArgs tells an owner what the holder has unfinished at its engines.
+type ReportArgs struct {
+	Holder  string
+	Seq     uint64
+	Engines map[uint64][]ReportedPermit
+}
+
+// ReportReply is empty.
+type ReportReply struct{}
+
+// Permits is the RPC service of the engines' owners.
+type Permits struct{ a *Admission }
+
+// Service returns the RPC service, to be registered under ServiceName.
+func (a *Admission) Service() *Permits { return &Permits{a: a} }
+
+// Acquire answers a question for a permit.
+func (p *Permits) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	a := p.a
+	now := time.Now()
+	l := a.lane(laneKey{pool: args.Pool, region: args.Region})
+	if l == nil {
+		reply.Verdict = NotOwner
+		return nil
+	}
+	l.subscribe(now, args.Router)
+	got, err := l.serve(now, args)
+	reply.Verdict = verdictOf(err)
+	reply.Incarnation = got.Incarnation
+	reply.Loads = l.owned(now)
+	return nil
+}
+
+// Release takes permits back.
+func (p *Permits) Release(args ReleaseArgs, reply *ReleaseReply) error {
+	now := time.Now()
+	for i, r := range args.Permits {
+		out, ok := p.a.releaseOwned(now, r, args.Holder)
+		reply.Outcomes = append(reply.Outcomes, out)
+		if !ok {
+			reply.Unknown = append(reply.Unknown, i)
+		}
+	}
+	return nil
+}
+
+// Report takes in a holder's unfinished requests.
+func (p *Permits) Report(args ReportArgs, _ *ReportReply) error {
+	now := time.Now()
+	for engine, list := range args.Engines {
+		p.a.takeReport(now, engine, args, list)
+	}
+	return nil
+}
+
+// takeReport hands a report to the engine's book, by incarnation.
+func (a *Admission) takeReport(now time.Time, engine uint64, args ReportArgs, list []ReportedPermit) {
+	byIncarnation := make(map[uint64][]permit.Held)
+	for _, h := range list {
+		byIncarnation[h.Incarnation] = append(byIncarnation[h.Incarnation], h.Held)
+	}
+	if len(list) == 0 {
+		byIncarnation[0] = nil
+	}
+	for inc, heldThere := range byIncarnation {
+		a.keeper.holdings(now, engine, permit.HolderReport{
+			Holder: args.Holder, Seq: args.Seq, Incarnation: inc, Held: heldThere,
+		})
+	}
+}
+
+func verdictOf(err error) Verdict {
+	var released *permit.ReleasedError
+	var inc *permit.IncarnationError
+	switch {
+	case err == nil:
+		return Granted
+	case errors.As(err, &inc), errors.As(err, &released):
+		return Gone
+	case errors.Is(full(err), placement.ErrFull):
+		return Full
+	}
+	return NotOwner
+}
+
+// serve grants or moves a permit of an engine owned here.
+func (l *lane) serve(now time.Time, args AcquireArgs) (permit.Permit, error) {
+	r := permit.Request{ID: args.ID, Holder: args.Holder, Incarnation: args.Incarnation, Weight: args.Weight}
+	if args.Transfer {
+		return l.a.keeper.transfer(now, args.Engine, r)
+	}
+	snap := l.a.opts.Board.Snapshot()
+	group := snap.Group(l.key.pool, l.key.region)
+	if group == nil {
+		return permit.Permit{}, ErrNotOwner.New("pool %s", l.key.pool)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pool := l.view(now, snap, group, nil)
+	for i := range pool.Engines {
+		if pool.Engines[i].ID == args.Engine {
+			return l.acquire(now, pool, i, r)
+		}
+	}
+	return permit.Permit{}, ErrNotOwner.New("engine %x", args.Engine)
+}
+
+// ask asks another router, the engine's owner, for a permit.
+func (l *lane) ask(ctx context.Context, c choice, req *Request) (*Grant, error) {
+	reply, err := l.call(ctx, c, AcquireArgs{ID: req.ID, Weight: c.decision.Weight})
+	if err != nil {
+		return nil, err
+	}
+	if reply.Verdict != Granted {
+		return nil, refusedBy(reply.Verdict)
+	}
+	return l.grant(req.ID, c, reply.Incarnation), nil
+}
+
+func refusedBy(v Verdict) error {
+	if v == Full {
+		return placement.ErrFull
+	}
+	return ErrAsk.New("verdict %d", v)
+}
+
+// call sends a question to the owner and takes in the loads that it tells.
+func (l *lane) call(ctx context.Context, c choice, args AcquireArgs) (AcquireReply, error) {
+	args.Pool = l.key.pool
+	args.Region = l.key.region
+	args.Engine = c.engine.ID
+	args.Holder = l.a.holder
+	args.Router = l.a.opts.Self
+	cctx, cancel := context.WithTimeout(ctx, l.a.opts.CallTimeout)
+	defer cancel()
+	var reply AcquireReply
+	t := peer.Target{Name: c.owner.Name, Address: c.owner.Control}
+	err := l.a.opts.Caller.Call(cctx, t, ServiceName+".Acquire", args, &reply)
+	l.a.Metrics.Asked.Add(1)
+	if err != nil {
+		l.a.Metrics.AskFailed.Add(1)
+		if !peer.ErrNotSent.Has(err) && !args.Transfer {
+			// The owner may have granted it. Without this, a permit that nobody
+			// holds would count against the engine until it is reconciled.
+			l.a.outbox.add(ReleasedPermit{Engine: c.engine.ID, ID: args.ID})
+		}
+		return reply, ErrAsk.Wrap(err)
+	}
+	l.learn(time.Now(), c.owner.Name, reply.Loads)
+	return reply, nil
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -22,6 +22,8 @@
 	Name string
 	// ID is the rendezvous identity of Name.
 	ID uint64
+	// Instance is random and tells a router's restarts apart.
+	Instance uint64
 	// Address is where callers connect, Control where routers do.
 	Address string
 	Control string
@@ -104,8 +106,9 @@
 	// LeaderFence is this router's fencing number while it is leader, or 0.
 	LeaderFence uint64
 
-	groups map[groupKey]*Group
-	byName map[string]int
+	groups   map[groupKey]*Group
+	byName   map[string]int
+	engineID map[uint64]string
 }
 
 type groupKey struct{ pool, region string }
@@ -139,6 +142,15 @@
 	return s.Routers[i], true
 }
 
+// EngineByID finds an engine by its rendezvous identity.
+func (s *Snapshot) EngineByID(id uint64) (Engine, bool) {
+	name, ok := s.engineID[id]
+	if !ok {
+		return Engine{}, false
+	}
+	return s.Engines[name], true
+}
+
 // Owner returns the live router that owns the key, by rendezvous hashing.
 func (s *Snapshot) Owner(key uint64) (Router, bool) {
 	i := rendezvous.Owner(key, s.LiveIDs)
--- a/internal/board/snapshot.go
+++ b/internal/board/snapshot.go
@@ -39,6 +39,7 @@
 
 func (s *Snapshot) addGroups() {
 	s.groups = make(map[groupKey]*Group)
+	s.engineID = make(map[uint64]string, len(s.Engines))
 	names := make([]string, 0, len(s.Engines))
 	for n := range s.Engines {
 		names = append(names, n)
@@ -50,6 +51,7 @@
 }
 
 func (s *Snapshot) addEngine(e Engine) {
+	s.engineID[e.ID] = e.Name
 	k := groupKey{e.Pool, e.Region}
 	g := s.groups[k]
 	if g == nil {
--- a/internal/permit/book.go
+++ b/internal/permit/book.go
@@ -171,6 +171,37 @@
 	return NotHeld
 }
 
+// ReleaseBy is Release by a holder, and does nothing if the permit has moved
+// to another one. The router that lost its caller gives up late, while the
+// stream may long go on at the router to which the caller came back; ending
+// the permit then would hide a running request from the count.
+func (b *Book) ReleaseBy(now time.Time, id, holder string) Outcome {
+	if rec, ok := b.permits[id]; ok && rec.permit.Holder != holder {
+		return Moved
+	}
+	return b.Release(now, id)
+}
+
+// Transfer moves a permit to the router that takes the stream up. A permit
+// that this book does not know, because its owner is new, is adopted. Errors:
+// *IncarnationError, *ReleasedError.
+func (b *Book) Transfer(now time.Time, r Request) (Permit, error) {
+	if err := b.checkIncarnation(r.Incarnation); err != nil {
+		return Permit{}, err
+	}
+	if _, ok := b.done.get(r.ID); ok {
+		return Permit{}, &ReleasedError{ID: r.ID}
+	}
+	b.hear(now, r.Holder)
+	rec, ok := b.permits[r.ID]
+	if !ok {
+		b.add(now, Permit{ID: r.ID, Holder: r.Holder, Weight: max(r.Weight, 1), Incarnation: b.incarnation})
+		return b.permits[r.ID].permit, nil
+	}
+	b.claim(rec, r.Holder)
+	return rec.permit, nil
+}
+
 // Load returns what the book knows about the engine's load: its own permits
 // and whatever the engine reports beyond them.
 func (b *Book) Load(now time.Time) Load {
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -48,6 +48,8 @@
 	Released Outcome = "released"
 	// AlreadyReleased means that an earlier release had ended it.
 	AlreadyReleased Outcome = "already_released"
+	// Moved means that another router has taken the permit over.
+	Moved Outcome = "moved"
 	// NotHeld means that the book did not know the permit. It will not grant
 	// the id afterwards: the release may have overtaken its request.
 	NotHeld Outcome = "not_held"
--- a/internal/traffic/account.go
+++ b/internal/traffic/account.go
@@ -11,8 +11,8 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/prefix"
 	"damaskrouter.example/damaskrouter/internal/queue"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
 )
@@ -81,15 +81,10 @@
 func (w *caller) setChat(id string) {
 	w.chatID = id
 	if id != "" {
-		w.chat = chatKey(w.account.Name, id)
+		w.chat = prefix.ChatID(w.account.Name, id)
 	}
 }
 
-// chatKey is the affinity key of an account's chat.
-func chatKey(account, chat string) uint64 {
-	return rendezvous.ID(account + "\x00" + chat)
-}
-
 // setClass takes the class asked for, but none above the account's own limit.
 func (w *caller) setClass(name string) error {
 	class, err := queue.ParseClass(name)
--- a/internal/traffic/again.go
+++ b/internal/traffic/again.go
@@ -8,6 +8,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/admission"
 	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 )
 
@@ -17,7 +18,7 @@
 // again decides whether a request that failed before its first chunk may go to
 // another engine: nil means yes. It is the only place where chats are retried.
 func (t *turn) again(ctx context.Context, attempt int, g *admission.Grant, err error) error {
-	t.s.Admitter.Observe(g.Engine.ID, Observation{Failed: true})
+	t.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
 	if ctx.Err() != nil {
 		return gone(ctx.Err())
 	}
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -5,23 +5,12 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/outlier"
+	"damaskrouter.example/damaskrouter/internal/prefix"
 	"damaskrouter.example/damaskrouter/internal/token"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 )
 
-// Observation is how an engine did on one request.
-type Observation struct {
-	// FirstToken is the time until the first chunk, when there was one.
-	FirstToken time.Duration
-	// PromptTokens is the length of the uncached prompt, which the first
-	// token waits for.
-	PromptTokens int
-	// Stalled is set when the stream broke or went silent.
-	Stalled bool
-	// Failed is set when the engine did not start to answer.
-	Failed bool
-}
-
 const (
 	// resumeAttempts bounds how often one break is mended on a new connection.
 	resumeAttempts = 3
@@ -55,21 +44,19 @@
 	if err != nil {
 		return err
 	}
-	a.s.Admitter.Observe(a.grant.Engine.ID, Observation{
-		FirstToken:   time.Since(a.sent),
-		PromptTokens: int(a.grant.Decision.Weight) - a.outputTokens(),
-	})
+	a.observe(outlier.FirstToken, time.Since(a.sent))
 	a.head = ev
 	a.headData = append([]byte(nil), ev.Data...)
 	a.head.Data = a.headData
 	return nil
 }
 
-func (a *answer) outputTokens() int {
-	if a.turn == nil {
-		return 0
-	}
-	return a.turn.place.OutputTokens
+func (a *answer) observe(kind outlier.Kind, latency time.Duration) {
+	a.s.Admitter.Observe(a.grant.Engine.Name, admission.Observation{
+		Kind:     kind,
+		Latency:  latency,
+		Expected: a.grant.Decision.Wait,
+	})
 }
 
 // next returns the next event, mending a broken or silent connection by
@@ -89,7 +76,7 @@
 		if a.ctx.Err() != nil {
 			return upstream.Event{}, err
 		}
-		a.s.Admitter.Observe(a.grant.Engine.ID, Observation{Stalled: true})
+		a.observe(outlier.Stall, a.s.IdleGap)
 		ev, err = a.resume(attempt)
 	}
 	return ev, err
@@ -122,6 +109,7 @@
 	a.stream.Close()
 	a.cancel()
 	a.grant.Release()
+	a.observe(outlier.Success, 0)
 	a.remember()
 }
 
@@ -132,7 +120,22 @@
 		return
 	}
 	last := a.turn.prefixes[len(a.turn.prefixes)-1]
-	a.s.Admitter.Served(a.turn.who.chat, a.grant.Engine, last.Hash, last.Tokens)
+	a.s.Facts.Served(a.turn.who.chat, prefix.Place{
+		Engine:      a.grant.Engine.ID,
+		Incarnation: a.grant.Incarnation,
+		Prefix:      last.Hash,
+		Tokens:      last.Tokens,
+	})
+}
+
+// giveUp ends a stream whose caller did not come back. The permit goes first
+// here: if another router took it over, the engine must not be stopped.
+func (a *answer) giveUp() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), cancelTimeout)
+	defer cancel()
+	if a.grant.GiveUp(ctx) {
+		a.cancelAtEngine(ctx)
+	}
 }
 
 // abandon gives a stream up: the engine is told to stop before the permit is
@@ -142,10 +145,14 @@
 	a.cancel()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), cancelTimeout)
 	defer cancel()
+	a.cancelAtEngine(ctx)
+	a.grant.Release()
+}
+
+func (a *answer) cancelAtEngine(ctx context.Context) {
 	if err := a.s.Upstream.Cancel(ctx, a.call); err != nil {
 		a.s.log.Debug("cancel failed", "request", a.call.RequestID, "engine", a.call.Name, "cause", err)
 	}
-	a.grant.Release()
 }
 
 // hint seals where this turn's prefix is cached.
@@ -156,9 +163,9 @@
 	last := a.turn.prefixes[len(a.turn.prefixes)-1]
 	return a.s.Tokens.SealHint(a.turn.who.account.Name, token.Hint{
 		Chat:        a.turn.who.chat,
-		Model:       modelKey(a.turn.body.Model),
+		Model:       prefix.ModelID(a.turn.body.Model),
 		Engine:      a.grant.Engine.ID,
-		Incarnation: a.grant.Engine.Status.Incarnation,
+		Incarnation: a.grant.Incarnation,
 		Prefix:      last.Hash,
 		Tokens:      last.Tokens,
 		Counter:     uint64(len(a.turn.prefixes)),
@@ -168,9 +175,9 @@
 // resumeToken seals the right to take this stream up again.
 func (a *answer) resumeToken() (string, error) {
 	return a.s.Tokens.SealResume(a.turn.who.account.Name, token.Resume{
-		RequestID:   a.turn.id,
+		RequestID:   a.call.RequestID,
 		Engine:      a.grant.Engine.Name,
-		Incarnation: a.grant.Engine.Status.Incarnation,
+		Incarnation: a.grant.Incarnation,
 		Chat:        a.turn.who.chat,
 		Model:       a.turn.body.Model,
 		Issued:      time.Now(),
--- a/internal/traffic/chat.go
+++ b/internal/traffic/chat.go
@@ -14,8 +14,10 @@
 	"damaskrouter.example/damaskrouter/internal/chat"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/placement"
+	"damaskrouter.example/damaskrouter/internal/prefix"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 )
 
@@ -175,7 +177,7 @@
 	if n > 1 && t.who.chat != 0 {
 		t.place.EarlierTokens = t.prefixes[n-2].Tokens
 	}
-	q := EvidenceQuery{Chat: t.who.chat, Prefixes: t.prefixes}
+	q := prefix.Query{Chat: t.who.chat, Boundaries: t.prefixes, Model: prefix.ModelID(t.body.Model)}
 	if hint != "" {
 		h, err := t.s.Tokens.OpenHint(t.who.account.Name, hint)
 		if err != nil {
@@ -183,7 +185,7 @@
 		}
 		q.Hint = &h
 	}
-	t.place.Evidence = t.s.Admitter.Evidence(q)
+	t.place.Evidence = t.s.Facts.Evidence(q)
 	return nil
 }
 
@@ -191,7 +193,9 @@
 // nothing has reached the caller, so the request may go to another engine.
 func (t *turn) open(ctx context.Context) (*answer, error) {
 	for attempt := 1; ; attempt++ {
-		grant, err := t.s.Admitter.Admit(ctx, t.request())
+		// Each attempt has an id of its own at the engine, which no caller can
+		// choose: two requests with one id would get each other's answers.
+		grant, err := t.s.Admitter.Admit(ctx, t.request(uuid.NewString()))
 		if err != nil {
 			return nil, err
 		}
@@ -206,9 +210,9 @@
 	}
 }
 
-func (t *turn) request() *admission.Request {
+func (t *turn) request(attempt string) *admission.Request {
 	return &admission.Request{
-		ID:       t.id,
+		ID:       attempt,
 		Account:  t.who.account,
 		Class:    t.who.class,
 		Pools:    t.pools,
@@ -244,8 +248,8 @@
 	return upstream.Call{
 		Address:     g.Engine.Address,
 		Name:        g.Engine.Name,
-		Incarnation: g.Engine.Status.Incarnation,
-		RequestID:   t.id,
+		Incarnation: g.Incarnation,
+		RequestID:   g.ID,
 		Priority:    t.who.class.String(),
 		Body:        t.bytes,
 	}
--- a/internal/traffic/linger.go
+++ b/internal/traffic/linger.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
 )
@@ -46,7 +45,7 @@
 		return
 	}
 	defer s.inflight.Done()
-	l.answer.abandon()
+	l.answer.giveUp()
 }
 
 // takeLinger removes l and reports whether this call was the one to do it.
@@ -130,5 +129,3 @@
 	}
 	return n + 1, nil
 }
-
-func modelKey(model string) uint64 { return rendezvous.ID(model) }
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -26,6 +26,7 @@
 	if h := a.hint(); h != "" {
 		c.Response().Header().Set(wire.HeaderPrefixHint, h)
 	}
+	c.Response().Header().Set(wire.HeaderStreamID, a.call.RequestID)
 	out := newEventWriter(c.Response(), s.Heartbeat)
 	defer out.close()
 	s.metrics.streamsOpen.Add(1)
@@ -175,7 +176,7 @@
 
 func completion(a *answer, text, finish string, usage *wire.Usage) wire.Completion {
 	out := wire.Completion{
-		ID:     a.turn.id,
+		ID:     a.call.RequestID,
 		Object: "chat.completion",
 		Model:  a.turn.body.Model,
 		Choices: []wire.CompletionChoice{{
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -21,7 +21,7 @@
 	"github.com/labstack/echo/v4"
 )
 
-// Admitter grants engines to requests.
+// Admitter grants engines to requests; *admission.Admission is one.
 type Admitter interface {
 	// Admit waits for a grant. Its errors are *apierr.Error.
 	Admit(ctx context.Context, req *admission.Request) (*admission.Grant, error)
@@ -29,17 +29,14 @@
 	// fails when the engine is gone or was restarted.
 	Adopt(ctx context.Context, requestID, engine string, incarnation uint64) (*admission.Grant, error)
 	// Observe reports how an engine did, for outlier detection.
-	Observe(engine uint64, seen Observation)
-	// Served tells where a chat's prefix is cached from now on.
-	Served(chat uint64, engine board.Engine, prefix uint64, tokens int)
-	// Evidence finds what the fleet knows of a chat's prefix.
-	Evidence(q EvidenceQuery) []Evidence
+	Observe(engine string, o admission.Observation)
 }
 
 // Options configures a Server.
 type Options struct {
 	Board    *board.Board
 	Admitter Admitter
+	Facts    *admission.Facts
 	Upstream *upstream.Client
 	Claims   *claim.Store
 	Tokens   *token.Codec
@@ -50,6 +47,8 @@
 	LocateTTL time.Duration
 	// Heartbeat is the longest silence towards a caller of a stream.
 	Heartbeat time.Duration
+	// IdleGap is the longest silence of an engine within a stream.
+	IdleGap time.Duration
 	// ResumeGrace is how long a broken caller's stream waits to be resumed.
 	ResumeGrace time.Duration
 	// MaxBody bounds a request's body, in bytes.
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -11,10 +11,12 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/queue"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 )
 
@@ -222,8 +224,9 @@
 		return upstream.Response{}, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
 			WithRetryAfter(time.Second)
 	}
+	attempt := uuid.NewString()
 	g, err := k.s.Admitter.Admit(ctx, &admission.Request{
-		ID:       k.id,
+		ID:       attempt,
 		Account:  k.who.account,
 		Class:    k.who.class,
 		Pools:    []*config.Pool{pool},
@@ -238,24 +241,34 @@
 	resp, err := k.s.Upstream.Do(ctx, upstream.Call{
 		Address:        g.Engine.Address,
 		Name:           g.Engine.Name,
-		Incarnation:    g.Engine.Status.Incarnation,
-		RequestID:      k.id,
+		Incarnation:    g.Incarnation,
+		RequestID:      attempt,
 		Method:         k.route.Route.Method,
 		Path:           k.route.Path,
 		Query:          k.query,
 		ContentType:    k.typ,
 		Accept:         k.accept,
-		IdempotencyKey: k.key,
+		IdempotencyKey: k.upstreamKey(),
 		Idempotent:     k.route.Idempotent,
 		Body:           k.body,
 	})
 	if err != nil && ctx.Err() == nil {
 		k.avoid = append(k.avoid, g.Engine.ID)
-		k.s.Admitter.Observe(g.Engine.ID, Observation{Failed: true})
+		k.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
 	}
 	return resp, err
 }
 
+// upstreamKey is the idempotency key as the service sees it. The account is
+// part of it: a service that recognises repeated keys would otherwise give one
+// account the answer of another that chose the same key.
+func (k *call) upstreamKey() string {
+	if k.key == "" {
+		return ""
+	}
+	return k.who.account.Name + "/" + k.key
+}
+
 // answerOf returns a service's own refusal, such as 404 or 422, as an answer:
 // the service spoke, and its words belong to the caller. A 5xx is not one,
 // because it proves nothing about execution.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,8 @@
 	HeaderResumeToken = "X-Resume-Token"
 	// HeaderLastEventID is the offset of the last chunk that a reconnecting caller has.
 	HeaderLastEventID = "Last-Event-ID"
+	// HeaderStreamID is the id that every chunk of a streamed answer repeats.
+	HeaderStreamID = "X-Stream-Id"
 	// HeaderRan says whether a refused request ran: no, unknown or yes.
 	HeaderRan = "X-Request-Ran"
 	// HeaderRouter names the router that answered.
