--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -14,6 +14,9 @@
 	kindService offeringKind = "service"
 )
 
+// inForcePrefix marks problems of the version in force, not of the change.
+const inForcePrefix = "in force: "
+
 // offering is something that callers can ask a site for.
 type offering struct {
 	kind    offeringKind
@@ -53,13 +56,13 @@
 // compareBundles returns the withdrawals that nobody confirmed and the sites
 // that lost their last pool. Only the former can be waived.
 func compareBundles(old, new Bundle) (withdrawals, empty Problems) {
-	before, err := old.Parse()
+	after, err := new.Parse()
 	if err != nil {
 		return nil, asProblems(err)
 	}
-	after, err := new.Parse()
+	before, err := old.Parse()
 	if err != nil {
-		return nil, asProblems(err)
+		return unreadable(err), nil
 	}
 	for _, site := range before.Document.Sites {
 		lost, bare := compareSite(before, after, site.Name)
@@ -69,6 +72,17 @@
 	return withdrawals, empty
 }
 
+// unreadable reports an old bundle that this program can no longer read. It
+// counts as a withdrawal, which can be waived: otherwise no change could ever
+// follow a version that a later program refuses.
+func unreadable(err error) Problems {
+	problems := asProblems(err)
+	for i := range problems {
+		problems[i].File = inForcePrefix + problems[i].File
+	}
+	return problems
+}
+
 // compareSite compares one site. A site that is no longer in the document has
 // been closed on purpose.
 func compareSite(before, after *Parsed, site string) (withdrawals, empty Problems) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -278,6 +278,15 @@
 	}
 }
 
+// Symptom: after an upgrade no change is accepted any more. Sequence: the new
+// program refuses a text that is in force, and every change is compared with
+// it. Cause: a fault of the old version that the author could not waive.
+func TestChangeFromAnUnreadableVersion(t *testing.T) {
+	withdrawals, empty := compareBundles(Bundle{Base: []byte("gone: 1\n")}, testBundle())
+	assert.Empty(t, empty)
+	assert.ErrorContains(t, withdrawals, "in force: base.yaml:1: unknown key")
+}
+
 func TestBundleHash(t *testing.T) {
 	b := testBundle()
 	decoded, err := DecodeBundle(b.Encode())
@@ -355,3 +364,21 @@
 		}
 	})
 }
+
+// Symptom: an upstream acts on another path than the one that was allowed.
+// Sequence: an accepted path is encoded anew, and reads differently. Cause: a
+// path with two readings was let through.
+func FuzzSplitPath(f *testing.F) {
+	for _, seed := range []string{"/", "/a/b%20c", "/%2e%2e", "/a;b", "/%25", "/a%2fb"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, path string) {
+		segments, err := splitPath(path)
+		if err != nil {
+			return
+		}
+		again, err := splitPath(joinPath(segments))
+		require.NoError(t, err)
+		require.Equal(t, segments, again)
+	})
+}
