--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,319 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/chat"
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func run(t *testing.T, opts Options, f func(t *testing.T, e *Engine)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(opts)
+		defer e.Close()
+		f(t, e)
+	})
+}
+
+// post sends a chat request to the handler and returns the recorded reply.
+func post(e *Engine, id, priority string, req wire.ChatRequest) *httptest.ResponseRecorder {
+	body, _ := json.Marshal(req)
+	r := httptest.NewRequest(http.MethodPost, wire.PathChat, strings.NewReader(string(body)))
+	r.Header.Set(wire.HeaderRequestID, id)
+	r.Header.Set(wire.HeaderPriority, priority)
+	w := httptest.NewRecorder()
+	e.Handler().ServeHTTP(w, r)
+	return w
+}
+
+func ask(tokens int, contents ...string) wire.ChatRequest {
+	req := wire.ChatRequest{Model: "m", MaxTokens: tokens}
+	for _, c := range contents {
+		req.Messages = append(req.Messages, wire.Message{Role: "user", Content: c})
+	}
+	return req
+}
+
+func completion(t *testing.T, w *httptest.ResponseRecorder) wire.Completion {
+	require.Equal(t, http.StatusOK, w.Code, w.Body)
+	var c wire.Completion
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &c))
+	return c
+}
+
+func TestAnswerDependsOnTheWholeConversation(t *testing.T) {
+	seen := map[string]bool{}
+	reqs := []wire.ChatRequest{ask(5), ask(5, "a"), ask(5, "a", "b"), ask(5, "ab"), ask(5, "b", "a")}
+	reqs = append(reqs, wire.ChatRequest{Model: "n", MaxTokens: 5, Messages: ask(5, "a").Messages})
+	for _, r := range reqs {
+		require.Len(t, Answer(r), 5)
+		require.Equal(t, AnswerText(r), AnswerText(r))
+		require.False(t, seen[AnswerText(r)])
+		seen[AnswerText(r)] = true
+	}
+}
+
+func TestChunksAreWireChunks(t *testing.T) {
+	j := newJob(`r"1`, "", ask(3, "x"))
+	for i, word := range Answer(j.req) {
+		want := wire.Chunk{
+			ID: j.id, Object: protocol.ObjectChunk, Model: "m", Offset: i,
+			Choices: []wire.ChunkChoice{{Delta: wire.Message{Role: roleAssistant, Content: word}}},
+		}
+		if i == 2 {
+			stop, usage := finishStop, j.usage()
+			want.Choices[0].FinishReason = &stop
+			want.Usage = &usage
+		}
+		b, err := json.Marshal(want)
+		require.NoError(t, err)
+		require.Equal(t, string(b), string(j.appendChunk(nil, i)))
+	}
+}
+
+func TestReturningChatFindsItsPrefix(t *testing.T) {
+	run(t, Defaults("e", "m"), func(t *testing.T, e *Engine) {
+		req := ask(10, strings.Repeat("dossier ", 50))
+		first := completion(t, post(e, "r1", "", req))
+		require.Zero(t, first.Usage.CachedTokens)
+		turn := wire.Message{Role: roleAssistant, Content: first.Choices[0].Message.Content}
+		req.Messages = append(req.Messages, turn)
+		known := chat.Boundaries("m", "", req.Messages)
+		req.Messages = append(req.Messages, wire.Message{Role: "user", Content: "and now?"})
+		second := completion(t, post(e, "r2", "", req))
+		require.Equal(t, known[len(known)-1].Tokens, second.Usage.CachedTokens)
+		e.Restart()
+		third := completion(t, post(e, "r3", "", req))
+		require.Zero(t, third.Usage.CachedTokens, "a new incarnation starts empty")
+		b := e.Books()
+		require.EqualValues(t, second.Usage.CachedTokens, b.CachedTokens)
+		require.EqualValues(t, 2, b.Incarnation)
+	})
+}
+
+// The cache never holds more than its limit, and never a block without those
+// it builds on.
+func TestCacheStaysWithinItsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(1, 200).Draw(t, "limit")
+		held := map[uint64]bool{}
+		c := newPrefixCache(limit, func(k wire.CacheEventKind, b block) { held[b.Hash] = k == wire.CacheStored })
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			words := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "bbbbbbbb", strings.Repeat("c", 99)}), 1, 6).Draw(t, "words")
+			bs := chat.Boundaries("m", "", ask(1, words...).Messages)
+			require.LessOrEqual(t, c.hit(bs), bs[len(bs)-1].Tokens)
+			c.store(bs)
+			require.LessOrEqual(t, c.used, limit)
+			sum := int64(0)
+			for _, b := range c.lru.Values() {
+				sum += b.Cost
+				require.True(t, b.Parent == 0 || c.lru.Contains(b.Parent))
+				require.True(t, held[b.Hash], "events tell what is held")
+			}
+			require.Equal(t, sum, c.used)
+		}
+	})
+}
+
+func TestQueueHonoursPriorityAndLimits(t *testing.T) {
+	opts := Defaults("e", "m")
+	opts.MaxBatch, opts.MaxQueue, opts.PrefillPerMS = 1, 3, 0
+	run(t, opts, func(t *testing.T, e *Engine) {
+		ended := make(chan string, 4)
+		start := func(id, priority string) {
+			go func() {
+				post(e, id, priority, ask(5, id))
+				ended <- id
+			}()
+			synctest.Wait()
+		}
+		start("running", "batch")
+		time.Sleep(opts.StepTime)
+		start("batch", "batch")
+		start("normal", "normal")
+		start("urgent", "urgent")
+		refused := post(e, "fourth", "urgent", ask(1))
+		require.Equal(t, http.StatusTooManyRequests, refused.Code)
+		require.Equal(t, ranNo, refused.Header().Get(wire.HeaderRan))
+		time.Sleep(time.Second)
+		for _, want := range []string{"running", "urgent", "normal", "batch"} {
+			require.Equal(t, want, <-ended)
+		}
+		b := e.Books()
+		require.Equal(t, 1, b.Refused)
+		require.NotContains(t, b.Runs, "fourth")
+	})
+}
+
+func TestStepsAndPrefillTakeTheirTime(t *testing.T) {
+	opts := Defaults("e", "m")
+	opts.PrefillPerMS = 10
+	for words, want := range map[int]time.Duration{
+		0:   4 * opts.StepTime,
+		800: 4*opts.StepTime + 2*opts.StepTime,
+	} {
+		t.Run(fmt.Sprint(words), func(t *testing.T) {
+			run(t, opts, func(t *testing.T, e *Engine) {
+				// 200 tokens fill three steps of 80; a prefill's last step
+				// brings the first chunk.
+				start := time.Now()
+				completion(t, post(e, "r", "", ask(4, strings.Repeat("x", words))))
+				require.Equal(t, want, time.Since(start))
+			})
+		})
+	}
+}
+
+func TestLeavingFinishesWhatRuns(t *testing.T) {
+	run(t, Defaults("e", "m"), func(t *testing.T, e *Engine) {
+		done := make(chan *httptest.ResponseRecorder, 1)
+		go func() { done <- post(e, "r", "", ask(20, "x")) }()
+		synctest.Wait()
+		e.Leave()
+		refused := post(e, "late", "", ask(1))
+		require.Equal(t, http.StatusServiceUnavailable, refused.Code)
+		require.Equal(t, ranNo, refused.Header().Get(wire.HeaderRan))
+		select {
+		case <-e.Drained():
+			require.Fail(t, "drained while a request runs")
+		default:
+		}
+		<-e.Drained()
+		require.True(t, e.Status().Leaving)
+		completion(t, <-done)
+	})
+}
+
+func TestReportsLag(t *testing.T) {
+	opts := Defaults("e", "m")
+	run(t, opts, func(t *testing.T, e *Engine) {
+		go post(e, "r", "", ask(100, "x"))
+		synctest.Wait()
+		require.Zero(t, e.Status().Running+e.Status().Queued, "the report is old")
+		time.Sleep(opts.ReportLag + opts.StepTime)
+		st := e.Status()
+		require.Equal(t, 1, st.Running)
+		require.Equal(t, []string{"r"}, st.RequestIDs)
+		require.EqualValues(t, 1+100, st.Weight)
+		time.Sleep(time.Second)
+		require.Zero(t, e.Status().Running)
+	})
+}
+
+func TestBooksTellLoadOverTime(t *testing.T) {
+	opts := Defaults("e", "m")
+	opts.StepTime = 10 * time.Millisecond
+	run(t, opts, func(t *testing.T, e *Engine) {
+		completion(t, post(e, "r", "", ask(25, "x")))
+		sum := 0.0
+		for _, l := range e.Books().Load {
+			require.Equal(t, 1, l.MaxRequests)
+			require.EqualValues(t, 26, l.MaxWeight)
+			sum += l.RequestSeconds
+		}
+		require.InDelta(t, 0.25, sum, 1e-9)
+		other := Books{}
+		skews := Skew(0, e.Books(), other)
+		require.NotEmpty(t, skews)
+		require.InDelta(t, 2, skews[0], 1e-9, "one of two engines has all the load")
+	})
+}
+
+// Symptom: a request that a crash ended is lost without trace.
+func TestCrashBreaksConnectionsUntilRestart(t *testing.T) {
+	run(t, Defaults("e", "m"), func(t *testing.T, e *Engine) {
+		broken := make(chan any, 1)
+		go func() {
+			defer func() { broken <- recover() }()
+			post(e, "r", "", ask(1000, "x"))
+		}()
+		synctest.Wait()
+		e.Crash()
+		require.Equal(t, http.ErrAbortHandler, <-broken)
+		require.PanicsWithValue(t, http.ErrAbortHandler, func() { post(e, "r2", "", ask(1)) })
+		e.Restart()
+		completion(t, post(e, "r3", "", ask(1)))
+		require.Equal(t, 1, e.Books().Lost)
+	})
+}
+
+func TestEndedStreamsAreForgottenInTime(t *testing.T) {
+	opts := Defaults("e", "m")
+	run(t, opts, func(t *testing.T, e *Engine) {
+		get := func(query string) *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequestWithContext(context.Background(), http.MethodGet, wire.PathEngineStreams+"r"+query, nil)
+			e.Handler().ServeHTTP(w, r)
+			return w
+		}
+		completion(t, post(e, "r", "", ask(3, "x")))
+		require.Equal(t, 3, strings.Count(get("").Body.String(), "id: "))
+		require.Equal(t, 1, strings.Count(get("?from=2").Body.String(), "id: "))
+		require.Equal(t, http.StatusBadRequest, get("?from=4").Code)
+		time.Sleep(2 * opts.KeepStreams)
+		completion(t, post(e, "other", "", ask(3, "x")))
+		require.Equal(t, http.StatusNotFound, get("").Code)
+	})
+}
+
+func TestSlowEngineAnswersProbesAtOnce(t *testing.T) {
+	run(t, Defaults("e", "m"), func(t *testing.T, e *Engine) {
+		e.Inject(Fault{Kind: FaultSlow, Factor: 50})
+		start := time.Now()
+		e.Status()
+		require.Zero(t, time.Since(start))
+		completion(t, post(e, "r", "", ask(2, "x")))
+		require.Equal(t, 2*50*8*time.Millisecond, time.Since(start))
+		e.ClearFaults()
+	})
+}
+
+func TestOrdersChangeWhatIsServed(t *testing.T) {
+	run(t, Defaults("e", "m"), func(t *testing.T, e *Engine) {
+		completion(t, post(e, "r1", "", ask(1, "x")))
+		require.NotZero(t, e.Status().CachedTokens)
+		require.Empty(t, e.obey(wire.Order{Kind: wire.OrderLoadModel, Value: "n", Fence: 3}))
+		require.Zero(t, e.Status().CachedTokens)
+		require.Equal(t, http.StatusNotFound, post(e, "r2", "", ask(1, "x")).Code)
+		require.Equal(t, protocol.CodeStaleFence, e.obey(wire.Order{Kind: wire.OrderLoadModel, Value: "m", Fence: 2}))
+		require.Equal(t, protocol.CodeBadRequest, e.obey(wire.Order{Kind: "?", Fence: 3}))
+		require.EqualValues(t, 3, e.Status().Fence)
+		adapted := ask(1, "x")
+		adapted.Model, adapted.Adapter = "n", "a"
+		require.Equal(t, http.StatusNotFound, post(e, "r3", "", adapted).Code)
+		require.Empty(t, e.obey(wire.Order{Kind: wire.OrderLoadAdapter, Value: "a", Fence: 3}))
+		completion(t, post(e, "r4", "", adapted))
+	})
+}
+
+func TestControlsOverHTTP(t *testing.T) {
+	run(t, Defaults("e", "m"), func(t *testing.T, e *Engine) {
+		call := func(method, path, body string) *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			e.Handler().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+			return w
+		}
+		require.Equal(t, http.StatusNoContent, call(http.MethodPost, PathFaults, `{"kind":"refuse","count":2}`).Code)
+		require.Equal(t, http.StatusServiceUnavailable, post(e, "r", "", ask(1)).Code)
+		require.Equal(t, http.StatusNoContent, call(http.MethodDelete, PathFaults, "").Code)
+		completion(t, post(e, "r", "", ask(1)))
+		var b Books
+		require.NoError(t, json.Unmarshal(call(http.MethodGet, PathBooks, "").Body.Bytes(), &b))
+		require.Equal(t, map[string]int{"r": 1}, b.Runs)
+		require.Equal(t, http.StatusNoContent, call(http.MethodPost, PathLeave, "").Code)
+		require.Equal(t, http.StatusServiceUnavailable, post(e, "s", "", ask(1)).Code)
+		require.Equal(t, http.StatusNoContent, call(http.MethodPost, PathRestart, "").Code)
+		completion(t, post(e, "s", "", ask(1)))
+	})
+}
