Router assembly, controllers, command line, end-to-end test

Cause: the parts need one process that joins them, and a person needs commands to start it. Ruled out: each router reading the VM list and the configuration head itself (reads would grow with the fleet); relays and gossip carry both. Before: no running router. After: run by hand with three routers, three engines and three portal VMs as separate processes: a chat of two turns and a receipt asked for twice with one key, which ran once. Two faults seen in that run and mended here: an owner did not tell others that an engine had become loaded until the next full digest (what was told is now kept apart from what is known), and a chat's second turn left its engine because its own first turn still counted there in a stale digest.

--- a/cmd/damaskrouter/main.go
+++ b/cmd/damaskrouter/main.go
@@ -1,4 +1,13 @@
-// Command damaskrouter is the router fleet's one binary.
+// Command damaskrouter is the router fleet's one binary: routers, callers'
+// commands, operators' commands and stand-ins.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"damaskrouter.example/damaskrouter/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -154,6 +154,7 @@
 	snap := a.opts.Board.Snapshot()
 	now := time.Now()
 	var waitIn *lane
+	var last error
 	for _, p := range req.Pools {
 		l := a.laneFor(snap, p)
 		if l == nil {
@@ -167,17 +168,18 @@
 		if waitIn == nil && errors.Is(err, placement.ErrFull) {
 			waitIn = l
 		}
+		last = err
 	}
 	if waitIn == nil {
 		a.Metrics.NoEngine.Add(1)
-		return nil, noEngine()
+		return nil, noEngine(last)
 	}
 	return waitIn.wait(ctx, now, req)
 }
 
-func noEngine() *apierr.Error {
+func noEngine(cause error) *apierr.Error {
 	return apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "no engine in service can take the request").
-		WithRetryAfter(noEngineRetry)
+		WithRetryAfter(noEngineRetry).WithCause(cause)
 }
 
 // laneFor finds or makes the lane of a pool in this router's region.
--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -233,12 +233,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range loads {
-		k := l.loads[e.Engine]
-		if all || k.EngineLoad != e {
+		if all || l.told[e.Engine] != e {
 			out = append(out, e)
 		}
-		k.EngineLoad = e
-		l.loads[e.Engine] = k
+		l.told[e.Engine] = e
 	}
 	return out
 }
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	if l := a.lane(h.lane); l != nil {
-		defer l.finished(h.weight)
+		defer l.finished(h)
 	}
 	if out, _, owned := a.keeper.release(time.Now(), h.engine, id, a.holder); owned {
 		return out != permit.Moved
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -36,6 +36,8 @@
 	head *waiter
 	// loads is what the owners of the engines said last.
 	loads map[uint64]known
+	// told is what this router told the others last, of its own engines.
+	told map[uint64]EngineLoad
 	// subs are the routers that asked for permits lately, and until when they
 	// are told of load changes.
 	subs map[string]time.Time
@@ -54,6 +56,7 @@
 		key:      key,
 		strategy: s,
 		loads:    make(map[uint64]known),
+		told:     make(map[uint64]EngineLoad),
 		subs:     make(map[string]time.Time),
 		woken:    make(chan struct{}, 1),
 		queue:    queue.New(queue.Config{Rand: rng}),
--- a/internal/admission/outbox.go
+++ b/internal/admission/outbox.go
@@ -137,7 +137,7 @@
 	}
 	a.outbox.add(ReleasedPermit{Engine: h.engine, ID: id})
 	if l := a.lane(h.lane); l != nil {
-		l.finished(h.weight)
+		l.finished(h)
 	}
 }
 
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		if !errors.Is(err, placement.ErrFull) {
-			l.deliver(w, outcome{err: noEngine()})
+			l.deliver(w, outcome{err: noEngine(err)})
 			continue
 		}
 		l.putBack(w)
@@ -203,10 +203,18 @@
 	l.forget(w)
 }
 
-// finished tells the queue that work ended, from which it estimates waits.
-func (l *lane) finished(weight int64) {
+// finished notes that work of this router ended at an engine. The queue
+// estimates waits from it. The owner of another router's engine tells the new
+// load only with its next digest; until then the last one is corrected here, or
+// a chat's next turn would find its own engine busy with its last one.
+func (l *lane) finished(h held) {
 	l.mu.Lock()
-	l.queue.Observe(time.Now(), weight)
+	l.queue.Observe(time.Now(), h.weight)
+	if k, ok := l.loads[h.engine]; ok {
+		k.Weight = max(0, k.Weight-h.weight)
+		k.Count = max(0, k.Count-1)
+		l.loads[h.engine] = k
+	}
 	l.mu.Unlock()
 	l.wake()
 }
--- /dev/null
+++ b/internal/router/provision.go
@@ -0,0 +1,163 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/controller"
+	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/traffic"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+)
+
+// provision builds the parts, from the platform towards the callers.
+func (r *Router) provision() error {
+	secrets, err := secretsOf(r.set)
+	if err != nil {
+		return err
+	}
+	rng := rand.New(rand.NewPCG(r.opts.Seed, 0))
+	instance := rng.Uint64() | 1
+
+	r.openPlatform()
+	r.caller = peer.NewCaller(r.set.Name, secrets.fleet, &r.counters)
+	r.calls = peer.NewServer(r.set.Name, secrets.fleet, &r.counters)
+	r.upstream = upstream.New(upstream.Options{
+		DialTimeout: r.set.Timeouts.UpstreamConnect,
+		FirstChunk:  r.set.Timeouts.FirstByte,
+		IdleGap:     r.set.Timeouts.IdleGap,
+	})
+	if r.facts, err = admission.NewFacts(admission.DefaultRecentChats, rng.Uint64()); err != nil {
+		return err
+	}
+	r.admission = admission.New(admission.Options{
+		Board:       r.board,
+		Caller:      r.caller,
+		Self:        r.set.Name,
+		Instance:    instance,
+		Policy:      r.opts.Policy,
+		NewStrategy: r.opts.NewStrategy,
+		Rand:        rng,
+	})
+	r.board.Subscribe(r.admission.Sync)
+	r.provisionControllers()
+	if err := r.provisionGossip(secrets, instance); err != nil {
+		return err
+	}
+	r.traffic = traffic.New(traffic.Options{
+		Board:     r.board,
+		Admitter:  r.admission,
+		Facts:     r.facts,
+		Upstream:  r.upstream,
+		Claims:    r.claims,
+		Tokens:    secrets.tokens,
+		Log:       r.log,
+		Name:      r.set.Name,
+		LocateTTL: r.set.Timeouts.LocateTTL,
+		IdleGap:   r.set.Timeouts.IdleGap,
+	})
+	if err := r.calls.Register(admission.ServiceName, r.admission.Service()); err != nil {
+		return err
+	}
+	if err := r.calls.Register(controller.FleetService, controller.NewFleet(r.vms, r.configs)); err != nil {
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Router) openPlatform() {
+	rates := make(map[platform.Use]platform.Rates)
+	var total platform.Rates
+	for _, use := range []platform.Use{platform.UseClaim, platform.UseLease, platform.UseConfig, platform.UseAudit, platform.UseAdmin} {
+		b := r.set.Budgets.For(use)
+		rates[use] = platform.Rates{Reads: b.Reads, Writes: b.Writes}
+		total.Reads += b.Reads
+		total.Writes += b.Writes
+	}
+	var objects platform.Objects
+	var vms platform.VMList
+	r.table, objects, vms, r.stats = platform.Open(platform.OpenOptions{
+		TableURL:   r.set.Platform.Table,
+		ObjectsURL: r.set.Platform.Objects,
+		VMsURL:     r.set.Platform.VMs,
+		Budget:     platform.NewBudget(platform.BudgetOptions{Total: total, PerUse: rates}),
+	})
+	r.chain = config.NewChain(r.table, objects, time.Now)
+	r.claims = claim.New(claim.NewBatcher(r.table, maxClaimBatch), objects, r.set.Name, newToken)
+	r.vms = &controller.VMs{Board: r.board, List: vms, Caller: r.caller, Self: r.set.Name, Log: r.log}
+}
+
+func (r *Router) provisionControllers() {
+	r.vms.Caller = r.caller
+	r.configs = &controller.Configs{
+		Board: r.board, Chain: r.chain, Caller: r.caller,
+		Self: r.set.Name, Site: r.set.Site, Log: r.log,
+	}
+	r.configs.Provision()
+	r.engines = &controller.Engines{
+		Board: r.board, Upstream: r.upstream, Admission: r.admission, Facts: r.facts, Log: r.log,
+	}
+	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
+}
+
+func (r *Router) provisionGossip(secrets *secrets, instance uint64) error {
+	opts := r.opts.Gossip
+	if opts.Period == 0 {
+		opts = membership.DefaultOptions()
+	}
+	opts.Seeds = append(opts.Seeds, r.set.Seeds...)
+	control := r.set.ControlAdvertise
+	if control == r.set.ControlListen {
+		control = r.control
+	}
+	address := r.set.Advertise
+	if address == r.set.Listen {
+		address = r.address
+	}
+	var err error
+	r.gossip, err = gossip.Listen(gossip.Config{
+		Listen: r.control,
+		Self: membership.Member{
+			Name: r.set.Name, ID: instance, Address: control, HTTP: address, Site: r.set.Site,
+		},
+		Options: opts,
+		Keys:    secrets.gossip,
+		Log:     func(message string, keyvals ...any) { r.log.Warn(message, keyvals...) },
+	})
+	return err
+}
+
+// join connects the controllers to membership.
+func (r *Router) join() error {
+	members := &controller.Members{Board: r.board, Self: r.set.Name, ID: r.gossip.Self().ID}
+	r.loads.Send = r.gossip.SendTo
+	r.vms.Witness = func(vms []platform.VM) {
+		if err := r.gossip.ObserveVMs(vms); err != nil {
+			r.log.Debug("VM list not passed to membership", "cause", err)
+		}
+	}
+	r.configs.Announce = func(item membership.Item) {
+		if err := r.gossip.Broadcast(item); err != nil {
+			r.log.Debug("configuration head not announced", "cause", err)
+		}
+	}
+	r.configs.InForce = func(version uint64) {
+		if err := r.gossip.SetConfigVersion(version); err != nil {
+			r.log.Debug("configuration version not announced", "cause", err)
+		}
+	}
+	if err := r.gossip.OnChange(members.Change); err != nil {
+		return err
+	}
+	if err := r.gossip.OnItem(r.configs.Heard); err != nil {
+		return err
+	}
+	return r.gossip.OnDatagram(controller.ChannelLoads, r.loads.Heard)
+}
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -33,6 +33,8 @@
 	defer s.metrics.streamsOpen.Add(-1)
 	stop := contextCut(c.Request().Context(), a.stopReading)
 	defer stop()
+	stopCut := contextCut(s.cut, a.stopReading)
+	defer stopCut()
 	for {
 		ev, err := a.next()
 		if err != nil {
@@ -53,6 +55,12 @@
 
 // broken ends a relay whose stream could not be continued.
 func (s *Server) broken(c echo.Context, a *answer, out *eventWriter, err error) error {
+	if s.cut.Err() != nil {
+		// The caller resumes at another router, which takes the permit over;
+		// the engine must not be stopped.
+		a.stream.Close()
+		return nil
+	}
 	if c.Request().Context().Err() != nil {
 		s.linger(a)
 		return nil
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/token"
@@ -78,12 +80,18 @@
 	lingerMu sync.Mutex
 	lingers  map[string]*linger
 	inflight sync.WaitGroup
+	// refusing is set once newcomers are sent elsewhere.
+	refusing atomic.Bool
+	// cut ends all streams to callers, at the deadline of a drain.
+	cut    context.Context
+	cutNow context.CancelFunc
 }
 
 // New returns a Server.
 func New(o Options) *Server {
 	o.fillDefaults()
 	s := &Server{Options: o, log: o.Log, metrics: newMetrics(), lingers: make(map[string]*linger)}
+	s.cut, s.cutNow = context.WithCancel(context.Background())
 	s.echo = s.routes()
 	return s
 }
@@ -140,10 +148,28 @@
 		if s.Board.Snapshot().Draining {
 			h.Set(wire.HeaderMoved, "1")
 		}
+		if s.refusing.Load() {
+			return leaving()
+		}
 		return next(c)
 	}
 }
 
+func leaving() *apierr.Error {
+	return apierr.New(apierr.CodeLeaving, http.StatusServiceUnavailable, "this router is leaving; locate again").
+		WithRetryAfter(leavingRetry)
+}
+
+// leavingRetry is short: another router can take the request at once.
+const leavingRetry = 50 * time.Millisecond
+
+// RefuseNew sends newcomers elsewhere from now on; what runs goes on.
+func (s *Server) RefuseNew() { s.refusing.Store(true) }
+
+// CutStreams breaks the streams to callers, who resume at another router. The
+// engines' streams go on.
+func (s *Server) CutStreams() { s.cutNow() }
+
 // Wait returns once all requests in progress have ended, or ctx has.
 func (s *Server) Wait(ctx context.Context) error {
 	done := make(chan struct{})
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,22 @@
+// Package version names the build.
+package version
+
+import "runtime/debug"
+
+// String returns the module's version and, where known, the commit.
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	if v == "" || v == "(devel)" {
+		v = "development"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v += " " + s.Value
+		}
+	}
+	return v + " " + info.GoVersion
+}
--- /dev/null
+++ b/test/e2e/fleet_test.go
@@ -0,0 +1,191 @@
+// Package e2e runs the real binary as separate processes on loopback.
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/client"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// patience is how long a test waits for an event before it fails. Nothing
+	// is judged by how long it took.
+	patience   = 60 * time.Second
+	exampleDir = "../../examples/sebeke"
+	chatKey    = "example-review-office-sebeke"
+	portalKey  = "example-applicant-portal-sebeke"
+)
+
+var sites = []string{"cankaya", "yenimahalle", "mamak"}
+
+// versions are what the sites' pools are configured for.
+var versions = map[string]string{"cankaya": "2.1", "yenimahalle": "2.1", "mamak": "2.0"}
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "damaskrouter-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "damaskrouter")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/damaskrouter").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started process and the addresses that its log named.
+type process struct {
+	cmd     *exec.Cmd
+	address string
+	control string
+}
+
+// start runs the binary and waits for the log line that names its address.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(binary, args...)}
+	stderr, err := p.cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.cmd.Start())
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	found := make(chan struct{})
+	go p.read(bufio.NewScanner(stderr), found)
+	select {
+	case <-found:
+	case <-time.After(patience):
+		require.FailNow(t, "no address in the log", strings.Join(args, " "))
+	}
+	return p
+}
+
+func (p *process) read(lines *bufio.Scanner, found chan struct{}) {
+	for lines.Scan() {
+		var entry struct{ Msg, Address, Control string }
+		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Address == "" || p.address != "" {
+			continue
+		}
+		p.address, p.control = entry.Address, entry.Control
+		close(found)
+	}
+}
+
+// fleet is a platform, three engines, three service VMs and three routers.
+type fleet struct {
+	platform *process
+	engines  []*process
+	portals  []*process
+	routers  []*process
+}
+
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{platform: start(t, "standin", "platform", "--base", exampleDir+"/base.yaml", "--overlays", exampleDir+"/sites")}
+	url := "http://" + f.platform.address
+	for i, site := range sites {
+		f.engines = append(f.engines, start(t, "standin", "engine", "--platform", url, "--name", fmt.Sprint("engine-", i),
+			"--site", site, "--pool", "language", "--model", "dossier", "--model-version", versions[site],
+			"--adapter", "grid-code", "--adapter", "objections", "--step", "1"))
+		f.portals = append(f.portals, start(t, "standin", "service", "--platform", url, "--name", fmt.Sprint("portal-", i),
+			"--site", site, "--pool", "portal"))
+	}
+	for i, site := range sites {
+		f.routers = append(f.routers, start(t, "serve", "--settings", f.settings(t, i, site, url)))
+	}
+	return f
+}
+
+func (f *fleet) settings(t *testing.T, i int, site, url string) string {
+	seeds := "[]"
+	if i > 0 {
+		seeds = fmt.Sprintf("[%q]", f.routers[0].control)
+	}
+	text := fmt.Sprintf(`name: router-%d
+site: %s
+region: ankara
+listen: 127.0.0.1:0
+advertise: 127.0.0.1:1
+control_listen: 127.0.0.1:0
+platform: {table: %q, objects: %q, vms: %q}
+seeds: %s
+allow_insecure: true
+`, i, site, url, url, url, seeds)
+	text = strings.Replace(text, "advertise: 127.0.0.1:1\n", "", 1)
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+func (f *fleet) client(t *testing.T, key string) *client.Client {
+	var seeds []string
+	for _, r := range f.routers {
+		seeds = append(seeds, r.address)
+	}
+	c, err := client.New(client.Options{Seeds: seeds, Key: key})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// eventually repeats f until it succeeds: a fleet that has just started
+// refuses with a typed error until it has its configuration and engines.
+func eventually(t *testing.T, f func() error) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		require.True(t, time.Now().Before(deadline), "last error: %v", err)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	f := startFleet(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+
+	v := f.client(t, chatKey).Conversation("chat-1", "dossier")
+	v.MaxTokens = 16
+	var first client.Turn
+	eventually(t, func() (err error) {
+		first, err = v.Say(ctx, "Please check the first page of the dossier.", nil)
+		return err
+	})
+	second, err := v.Say(ctx, "And the second page?", nil)
+	require.NoError(t, err)
+	require.NotEmpty(t, first.Text)
+	require.NotEmpty(t, second.Text)
+	require.NotEqual(t, first.Text, second.Text)
+	require.Positive(t, second.Usage.CachedTokens, "the second turn finds its prefix cached")
+
+	portal := f.client(t, portalKey)
+	call := func() (client.Reply, error) {
+		return portal.Call(ctx, "POST", "portal", "/receipts", "receipt-1", []byte(`{"cooperative":"a"}`))
+	}
+	var issued client.Reply
+	eventually(t, func() (err error) {
+		issued, err = call()
+		return err
+	})
+	again, err := call()
+	require.NoError(t, err)
+	require.Equal(t, issued.Body, again.Body, "the same key gets the stored answer, not a second receipt")
+}
