upstream: one pool of connections for each upstream

Cause: a reused connection that timed out shed the one pool that all upstreams shared, so a single silent engine made every call to every other one dial anew. Ruled out: shedding only the silent connection (its neighbours cost a timeout each, measured before: 3 of 4 requests lost instead of 1). Before: TestSilentUpstreamLeavesOtherPoolsAlone fails on a scratch copy with one shared pool, 2 connections dialled to the healthy engine instead of 1. After: 1, and the tests of the package pass under -race. Conclusion: what one upstream does stays with it.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -112,7 +112,7 @@
 	timer.Stop()
 	if err != nil {
 		defer cancel(nil)
-		return nil, c.transportFailure(ctx, r.op, tracker, err)
+		return nil, c.transportFailure(ctx, r, tracker, err)
 	}
 	rep := &reply{res: res, cancel: cancel, reused: tracker.onReused()}
 	if f := refusal(r, res); f != nil {
@@ -130,17 +130,17 @@
 
 func (c *Client) transportFor(r request) *http.Transport {
 	if r.pooled {
-		return c.pool.transport()
+		return c.pools.at(r.call.Address).transport()
 	}
 	return c.fresh
 }
 
 // transportFailure classifies a failed round trip and sheds the pool where a
 // reused connection is the suspect.
-func (c *Client) transportFailure(ctx context.Context, op string, t *sentTracker, err error) *Failure {
-	f := &Failure{Op: op, Sent: t.afterFailure(), Cause: transportCause(ctx, err)}
+func (c *Client) transportFailure(ctx context.Context, r request, t *sentTracker, err error) *Failure {
+	f := &Failure{Op: r.op, Sent: t.afterFailure(), Cause: transportCause(ctx, err)}
 	if t.onReused() && ErrTimeout.Has(f.Cause) {
-		c.pool.shed()
+		c.pools.at(r.call.Address).shed()
 	}
 	return f
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -68,7 +67,7 @@
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	opts  Options
-	pool  *pool
+	pools *pools
 	fresh *http.Transport
 }
 
@@ -77,14 +76,14 @@
 	opts = opts.withDefaults()
 	return &Client{
 		opts:  opts,
-		pool:  newPool(opts),
+		pools: newPools(opts),
 		fresh: freshTransport(opts),
 	}
 }
 
 // Close drops the pooled connections. Streams in progress go on.
 func (c *Client) Close() {
-	c.pool.shed()
+	c.pools.close()
 	c.fresh.CloseIdleConnections()
 }
 
@@ -138,52 +137,3 @@
 		DisableCompression: true,
 	}
 }
-
-// pool hands out a transport whose connections have a bounded age.
-//
-// What goes wrong without it: something between router and upstream forgets a
-// connection. The pool keeps offering it, and each request on it waits for its
-// timeout although a new connection would work. A generation of connections is
-// left behind after ConnAge, and at once when a reused connection went silent.
-type pool struct {
-	opts Options
-	mu   sync.Mutex
-	cur  *http.Transport
-	born time.Time
-}
-
-func newPool(o Options) *pool {
-	return &pool{opts: o, cur: pooledTransport(o), born: time.Now()}
-}
-
-func pooledTransport(o Options) *http.Transport {
-	return &http.Transport{
-		DialContext:         o.dialCounted,
-		DisableCompression:  true,
-		IdleConnTimeout:     o.IdleConn,
-		MaxIdleConnsPerHost: o.MaxIdlePerHost,
-	}
-}
-
-func (p *pool) transport() *http.Transport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Since(p.born) >= p.opts.ConnAge {
-		p.renew()
-	}
-	return p.cur
-}
-
-// shed leaves the present generation behind: its unused connections close
-// now, those in use close after IdleConn without work.
-func (p *pool) shed() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.renew()
-}
-
-func (p *pool) renew() {
-	p.cur.CloseIdleConnections()
-	p.cur = pooledTransport(p.opts)
-	p.born = time.Now()
-}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -131,7 +131,7 @@
 		f.Cause = transportCause(ctx, err)
 	}
 	if rep.reused && ErrTimeout.Has(f.Cause) {
-		c.pool.shed()
+		c.pools.at(r.call.Address).shed()
 	}
 	return f
 }
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -94,6 +94,38 @@
 	}
 }
 
+// Symptom: calls to all engines dial anew whenever one engine is silent.
+// Sequence: one engine answers on reused connections no more, another does.
+// Cause: a pool shared by all upstreams is shed as a whole.
+func TestSilentUpstreamLeavesOtherPoolsAlone(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const other = "127.0.0.1:2"
+		listeners := map[string]*pipeListener{}
+		engines := map[string]*engine.Engine{}
+		for _, a := range []string{address, other} {
+			engines[a] = engine.New(engine.Defaults(a, "m"))
+			t.Cleanup(engines[a].Close)
+			listeners[a] = listen(t, engines[a].Handler())
+		}
+		c := upstream.New(upstream.Options{Dial: func(ctx context.Context, network, a string) (net.Conn, error) {
+			return listeners[a].dial(ctx, network, a)
+		}})
+		t.Cleanup(c.Close)
+		status := func(a string) {
+			_, err := c.Status(t.Context(), upstream.Call{Address: a})
+			require.NoError(t, err)
+		}
+		status(address)
+		status(other)
+		engines[address].Inject(engine.Fault{Kind: engine.FaultSilent, Count: 1})
+		require.Equal(t, 1, runAtOnce(t, c, "silent", 1))
+		status(address)
+		status(other)
+		require.EqualValues(t, 2, listeners[address].dials.Load())
+		require.EqualValues(t, 1, listeners[other].dials.Load())
+	})
+}
+
 // runAtOnce runs n streams side by side and returns how many timed out.
 func runAtOnce(t *testing.T, c *upstream.Client, name string, n int) int {
 	lost := 0
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -307,7 +307,7 @@
 func (s *Stream) fail(cause error) error {
 	s.err = &Failure{Op: s.op, Sent: SentNoReply, Status: s.rep.res.StatusCode, Cause: cause}
 	if s.rep.reused && ErrIdle.Has(cause) {
-		s.client.pool.shed()
+		s.client.pools.at(s.call.Address).shed()
 	}
 	s.rep.close()
 	return s.err
