upstream: check the name of the upstream as well as its incarnation

Cause: incarnation numbers of two engines may be equal, so a VM replaced by another engine at the same IP address could pass for the first one. Ruled out: a status call before each request (a round trip more, and the VM may change in between); demanding incarnations that are unique in the fleet (engines aren't ours to change). Before, on a scratch copy: without the header X-Engine-Name, a stream meant for e2 is not refused by e1 as TestIdentityIsChecked demands; without the check of the reply, both cases of TestAnswererIsChecked are taken for whole. After: all tests of the three packages pass 30 times under -race. Conclusion: upstreams refuse by name and incarnation before executing; where one doesn't, the reply's headers tell, and the outcome counts as unknown.

--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -54,6 +54,7 @@
 		down := e.down
 		w.Header().Set(wire.HeaderIncarnation, strconv.FormatUint(e.incarnation, 10))
 		e.mu.Unlock()
+		w.Header().Set(protocol.HeaderName, e.opts.Name)
 		if down && r.URL.Path != PathRestart && r.URL.Path != PathBooks {
 			panic(http.ErrAbortHandler)
 		}
@@ -78,7 +79,7 @@
 	switch code {
 	case protocol.CodeQueueFull:
 		return http.StatusTooManyRequests
-	case protocol.CodeWrongIncarnation, protocol.CodeStaleFence:
+	case protocol.CodeWrongIdentity, protocol.CodeStaleFence:
 		return http.StatusConflict
 	case protocol.CodeModelNotLoaded, protocol.CodeUnknownStream, protocol.CodeUnknownPrefix:
 		return http.StatusNotFound
@@ -91,9 +92,13 @@
 	}
 }
 
-// wrongIncarnation reports whether the router meant another incarnation.
-func (e *Engine) wrongIncarnation(c echo.Context) bool {
-	want := c.Request().Header.Get(wire.HeaderIncarnation)
+// wrongIdentity reports whether the router meant another engine or incarnation.
+func (e *Engine) wrongIdentity(c echo.Context) bool {
+	h := c.Request().Header
+	if name := h.Get(protocol.HeaderName); name != "" && name != e.opts.Name {
+		return true
+	}
+	want := h.Get(wire.HeaderIncarnation)
 	if want == "" {
 		return false
 	}
@@ -129,8 +134,8 @@
 
 func (e *Engine) readChat(c echo.Context) (wire.ChatRequest, protocol.Code) {
 	var req wire.ChatRequest
-	if e.wrongIncarnation(c) {
-		return req, protocol.CodeWrongIncarnation
+	if e.wrongIdentity(c) {
+		return req, protocol.CodeWrongIdentity
 	}
 	err := json.NewDecoder(c.Request().Body).Decode(&req)
 	if err != nil || c.Request().Header.Get(wire.HeaderRequestID) == "" {
@@ -189,6 +194,9 @@
 	if c.QueryParam(protocol.QueryAfter) != "" && err != nil {
 		return refuseKnown(c, protocol.CodeBadRequest)
 	}
+	if e.wrongIdentity(c) {
+		return refuse(c, http.StatusConflict, protocol.CodeWrongIdentity)
+	}
 	e.mu.Lock()
 	page := wire.CacheEvents{Incarnation: e.incarnation}
 	page.Events, page.Next = e.events.after(after)
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -29,8 +29,8 @@
 	if e.opts.OrderToken != "" && auth != bearerPrefix+e.opts.OrderToken {
 		return protocol.CodeSenderUnknown
 	}
-	if e.wrongIncarnation(c) {
-		return protocol.CodeWrongIncarnation
+	if e.wrongIdentity(c) {
+		return protocol.CodeWrongIdentity
 	}
 	return ""
 }
@@ -87,8 +87,8 @@
 	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
 		return refuse(c, http.StatusBadRequest, protocol.CodeBadRequest)
 	}
-	if e.wrongIncarnation(c) {
-		return refuse(c, http.StatusConflict, protocol.CodeWrongIncarnation)
+	if e.wrongIdentity(c) {
+		return refuse(c, http.StatusConflict, protocol.CodeWrongIdentity)
 	}
 	e.mu.Lock()
 	chain := e.cache.chain(req.Prefix)
@@ -104,8 +104,8 @@
 }
 
 func (e *Engine) postImport(c echo.Context) error {
-	if e.wrongIncarnation(c) {
-		return refuse(c, http.StatusConflict, protocol.CodeWrongIncarnation)
+	if e.wrongIdentity(c) {
+		return refuse(c, http.StatusConflict, protocol.CodeWrongIdentity)
 	}
 	chain, err := decodeKV(c.Request().Body)
 	if err != nil {
--- a/internal/standin/service/http.go
+++ b/internal/standin/service/http.go
@@ -33,11 +33,11 @@
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	r := echo.New()
-	r.POST(PathReceipts, s.work("receipts"), echoIdentity)
-	r.POST(PathHandovers, s.work("handovers"), echoIdentity)
-	r.GET(PathStatus+":"+paramID, s.lookup("status"), echoIdentity)
-	r.GET(PathChecks+":"+paramID, s.lookup("checks"), echoIdentity)
-	r.GET(wire.PathEngineStatus, s.getReport, echoIdentity)
+	r.POST(PathReceipts, s.work("receipts"), s.echoIdentity)
+	r.POST(PathHandovers, s.work("handovers"), s.echoIdentity)
+	r.GET(PathStatus+":"+paramID, s.lookup("status"), s.echoIdentity)
+	r.GET(PathChecks+":"+paramID, s.lookup("checks"), s.echoIdentity)
+	r.GET(wire.PathEngineStatus, s.getReport, s.echoIdentity)
 	r.GET(PathBooks, s.getBooks)
 	r.POST(PathFaults, s.postFault)
 	r.DELETE(PathFaults, s.deleteFaults)
@@ -45,12 +45,15 @@
 	return r
 }
 
-// echoIdentity repeats the request id in the reply. It reads the body to its
+// echoIdentity names the service and the request in the reply. It reads the body to its
 // end, since net/http notices that a caller left only after that.
-func echoIdentity(next echo.HandlerFunc) echo.HandlerFunc {
+func (s *Service) echoIdentity(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		h := c.Response().Header()
+		h.Set(protocol.HeaderName, s.opts.Name)
+		h.Set(wire.HeaderIncarnation, strconv.FormatUint(s.opts.Incarnation, 10))
 		if id := c.Request().Header.Get(wire.HeaderRequestID); id != "" {
-			c.Response().Header().Set(wire.HeaderRequestID, id)
+			h.Set(wire.HeaderRequestID, id)
 		}
 		if _, err := io.Copy(io.Discard, c.Request().Body); err != nil {
 			return c.NoContent(http.StatusBadRequest)
@@ -95,12 +98,15 @@
 // before runs what can end a call before its execution, and reports whether
 // it has.
 func (s *Service) before(c echo.Context) (bool, error) {
-	if s.refuses(c) {
-		return true, s.refuse(c, protocol.CodeLeaving)
+	if s.wrongIdentity(c) {
+		return true, s.refuse(c, http.StatusConflict, protocol.CodeWrongIdentity)
+	}
+	if s.isLeaving() {
+		return true, s.refuse(c, http.StatusServiceUnavailable, protocol.CodeLeaving)
 	}
 	if f, ok := s.takeFault(FaultRefuse, FaultErrorBefore); ok {
 		if f.Kind == FaultRefuse {
-			return true, s.refuse(c, protocol.CodeFault)
+			return true, s.refuse(c, http.StatusServiceUnavailable, protocol.CodeFault)
 		}
 		return true, c.JSON(http.StatusInternalServerError, protocol.Refusal{Code: protocol.CodeFault})
 	}
@@ -116,20 +122,30 @@
 	return false, nil
 }
 
-func (s *Service) refuses(c echo.Context) bool {
-	want := c.Request().Header.Get(wire.HeaderIncarnation)
-	other := want != "" && want != strconv.FormatUint(s.opts.Incarnation, 10)
+// wrongIdentity reports whether the router meant another service or incarnation.
+func (s *Service) wrongIdentity(c echo.Context) bool {
+	h := c.Request().Header
+	name := h.Get(protocol.HeaderName)
+	if name != "" && name != s.opts.Name {
+		return true
+	}
+	want := h.Get(wire.HeaderIncarnation)
+	return want != "" && want != strconv.FormatUint(s.opts.Incarnation, 10)
+}
+
+func (s *Service) isLeaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || other
+	return s.leaving
 }
 
-func (s *Service) refuse(c echo.Context, code protocol.Code) error {
+// refuse answers a call that was not executed, with proof.
+func (s *Service) refuse(c echo.Context, status int, code protocol.Code) error {
 	s.mu.Lock()
 	s.books.Refused++
 	s.mu.Unlock()
 	c.Response().Header().Set(wire.HeaderRan, ranNo)
-	return c.JSON(http.StatusServiceUnavailable, protocol.Refusal{Code: code})
+	return c.JSON(status, protocol.Refusal{Code: code})
 }
 
 func strikeAfter(c echo.Context, f Fault) error {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/stretchr/testify/require"
 )
@@ -36,6 +37,7 @@
 				w := call(s, http.MethodPost, PathHandovers, "k", "{}")
 				require.Equal(t, http.StatusCreated, w.Code)
 				require.Equal(t, "r", w.Header().Get(wire.HeaderRequestID))
+				require.Equal(t, "keys", w.Header().Get(protocol.HeaderName))
 			}
 			call(s, http.MethodPost, PathHandovers, "", "{}")
 			call(s, http.MethodPost, PathReceipts, "", "{}")
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,7 +21,7 @@
 type Call struct {
 	// Address is the upstream's IP address and port.
 	Address string
-	// Name is the upstream's expected name; empty means any. Only Status checks it.
+	// Name is the upstream's expected name; empty means any.
 	Name string
 	// Incarnation is the expected incarnation; 0 means any.
 	Incarnation uint64
@@ -203,6 +203,7 @@
 	setHeader(h, wire.HeaderPriority, r.call.Priority)
 	setHeader(h, "Content-Type", r.typ)
 	setHeader(h, "Accept", r.accept)
+	setHeader(h, protocol.HeaderName, r.call.Name)
 	if r.call.Incarnation != 0 {
 		setHeader(h, wire.HeaderIncarnation, strconv.FormatUint(r.call.Incarnation, 10))
 	}
@@ -279,8 +280,8 @@
 
 func refusalCause(code protocol.Code, status int) error {
 	switch code {
-	case protocol.CodeWrongIncarnation:
-		return ErrIdentity.New("another incarnation runs at the address")
+	case protocol.CodeWrongIdentity:
+		return ErrIdentity.New("another upstream or incarnation runs at the address")
 	case protocol.CodeStaleFence:
 		return ErrStaleFence.New("a newer order was seen")
 	case protocol.CodeSenderUnknown:
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -24,6 +24,7 @@
 // failure: a replaced VM may have come back with the same IP address.
 func (c *Client) Status(ctx context.Context, call Call) (wire.EngineStatus, error) {
 	want := Call{Name: call.Name, Incarnation: call.Incarnation}
+	call.Name = ""
 	call.Incarnation = 0
 	var st wire.EngineStatus
 	err := c.control(ctx, request{
--- a/internal/upstream/control_test.go
+++ b/internal/upstream/control_test.go
@@ -12,6 +12,7 @@
 	"damaskrouter.example/damaskrouter/internal/standin/engine"
 	"damaskrouter.example/damaskrouter/internal/standin/service"
 	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/stretchr/testify/require"
 )
@@ -140,11 +141,39 @@
 		call.Name, call.Incarnation = "e2", 0
 		_, err = c.Status(t.Context(), call)
 		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.Replied)))
+		// The incarnation agrees by chance; only the name tells.
+		call.Incarnation = 2
+		_, err = c.Stream(t.Context(), call)
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.RefusedBeforeExecuting)))
+		_, err = c.Events(t.Context(), call, 0)
+		require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.RefusedBeforeExecuting)))
 		require.Empty(t, e.Books().Runs)
 		require.Empty(t, e.Books().Orders)
 	})
 }
 
+// Symptom: as above, at an upstream that doesn't look at whom it was meant for.
+// Cause: the reply says who answered.
+func TestAnswererIsChecked(t *testing.T) {
+	for header, value := range map[string]string{protocol.HeaderName: "e2", wire.HeaderIncarnation: "8"} {
+		t.Run(header, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				answer := sse(done)
+				c := newClient(t, listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(header, value)
+					answer(w, r)
+				})), upstream.Options{})
+				call := receipt("r")
+				call.Name, call.Incarnation = "e1", 7
+				_, err := c.Do(t.Context(), call)
+				require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.SentNoReply)))
+				_, err = c.Stream(t.Context(), call)
+				require.True(t, upstream.ErrIdentity.Has(requireFailure(t, err, upstream.SentNoReply)))
+			})
+		})
+	}
+}
+
 // Symptom: an order of a leader that lost its lease takes effect.
 // Cause: some engines check fence and sender, others neither.
 func TestOrdersByKindOfEngine(t *testing.T) {
--- a/internal/upstream/protocol/protocol.go
+++ b/internal/upstream/protocol/protocol.go
@@ -8,16 +8,16 @@
 
 // The reasons for which an upstream refuses a call.
 const (
-	CodeQueueFull        Code = "queue_full"
-	CodeLeaving          Code = "leaving"
-	CodeWrongIncarnation Code = "wrong_incarnation"
-	CodeModelNotLoaded   Code = "model_not_loaded"
-	CodeStaleFence       Code = "stale_fence"
-	CodeSenderUnknown    Code = "sender_unknown"
-	CodeUnknownStream    Code = "unknown_stream"
-	CodeUnknownPrefix    Code = "unknown_prefix"
-	CodeBadRequest       Code = "bad_request"
-	CodeFault            Code = "fault"
+	CodeQueueFull      Code = "queue_full"
+	CodeLeaving        Code = "leaving"
+	CodeWrongIdentity  Code = "wrong_identity"
+	CodeModelNotLoaded Code = "model_not_loaded"
+	CodeStaleFence     Code = "stale_fence"
+	CodeSenderUnknown  Code = "sender_unknown"
+	CodeUnknownStream  Code = "unknown_stream"
+	CodeUnknownPrefix  Code = "unknown_prefix"
+	CodeBadRequest     Code = "bad_request"
+	CodeFault          Code = "fault"
 )
 
 // Refusal is the JSON body of every answer with a status of 400 or above.
@@ -32,6 +32,11 @@
 	Prefix uint64 `json:"prefix"`
 }
 
+// HeaderName is the name of the upstream that answered, and on a request the
+// one that the router means. Incarnation numbers of two engines may be equal,
+// so the number alone doesn't tell a replaced VM from the one it replaced.
+const HeaderName = "X-Engine-Name"
+
 // Query parameters.
 const (
 	// QueryFrom is the offset of the first chunk wanted from a resumed stream.
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -116,8 +116,12 @@
 }
 
 // checkReplyOwner insists on the echoed id for chat completions. Plain
-// services need not echo it, but may not echo another's.
+// services need not echo it, but may not echo another's. The same goes for the
+// answerer's name and incarnation.
 func checkReplyOwner(r request, res *http.Response) error {
+	if err := checkAnswerer(r.call, res); err != nil {
+		return err
+	}
 	if r.op != opComplete && res.Header.Get(wire.HeaderRequestID) == "" {
 		return nil
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -163,7 +163,7 @@
 	if err := checkEcho(call, res); err != nil {
 		return err
 	}
-	if err := checkIncarnation(call, res); err != nil {
+	if err := checkAnswerer(call, res); err != nil {
 		return err
 	}
 	if t := res.Header.Get("Content-Type"); !strings.HasPrefix(t, protocol.TypeEvents) {
@@ -181,9 +181,13 @@
 	return nil
 }
 
-// checkIncarnation compares the incarnation in the reply's header, if it names
-// one, with the expected one: not every engine refuses by itself.
-func checkIncarnation(call Call, res *http.Response) error {
+// checkAnswerer compares the name and incarnation in the reply's headers, if
+// they are there, with those expected: not every upstream refuses by itself.
+func checkAnswerer(call Call, res *http.Response) error {
+	name := res.Header.Get(protocol.HeaderName)
+	if call.Name != "" && name != "" && name != call.Name {
+		return ErrIdentity.New("name %q instead of %q", name, call.Name)
+	}
 	got := res.Header.Get(wire.HeaderIncarnation)
 	want := strconv.FormatUint(call.Incarnation, 10)
 	if call.Incarnation != 0 && got != "" && got != want {
