--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,7 +21,7 @@
 type Call struct {
 	// Address is the upstream's IP address and port.
 	Address string
-	// Name is the upstream's expected name; empty means any. Only Status checks it.
+	// Name is the upstream's expected name; empty means any.
 	Name string
 	// Incarnation is the expected incarnation; 0 means any.
 	Incarnation uint64
@@ -112,7 +112,7 @@
 	timer.Stop()
 	if err != nil {
 		defer cancel(nil)
-		return nil, c.transportFailure(ctx, r.op, tracker, err)
+		return nil, c.transportFailure(ctx, r, tracker, err)
 	}
 	rep := &reply{res: res, cancel: cancel, reused: tracker.onReused()}
 	if f := refusal(r, res); f != nil {
@@ -130,17 +130,17 @@
 
 func (c *Client) transportFor(r request) *http.Transport {
 	if r.pooled {
-		return c.pool.transport()
+		return c.pools.at(r.call.Address).transport()
 	}
 	return c.fresh
 }
 
 // transportFailure classifies a failed round trip and sheds the pool where a
 // reused connection is the suspect.
-func (c *Client) transportFailure(ctx context.Context, op string, t *sentTracker, err error) *Failure {
-	f := &Failure{Op: op, Sent: t.afterFailure(), Cause: transportCause(ctx, err)}
+func (c *Client) transportFailure(ctx context.Context, r request, t *sentTracker, err error) *Failure {
+	f := &Failure{Op: r.op, Sent: t.afterFailure(), Cause: transportCause(ctx, err)}
 	if t.onReused() && ErrTimeout.Has(f.Cause) {
-		c.pool.shed()
+		c.pools.at(r.call.Address).shed()
 	}
 	return f
 }
@@ -203,6 +203,7 @@
 	setHeader(h, wire.HeaderPriority, r.call.Priority)
 	setHeader(h, "Content-Type", r.typ)
 	setHeader(h, "Accept", r.accept)
+	setHeader(h, protocol.HeaderName, r.call.Name)
 	if r.call.Incarnation != 0 {
 		setHeader(h, wire.HeaderIncarnation, strconv.FormatUint(r.call.Incarnation, 10))
 	}
@@ -279,8 +280,8 @@
 
 func refusalCause(code protocol.Code, status int) error {
 	switch code {
-	case protocol.CodeWrongIncarnation:
-		return ErrIdentity.New("another incarnation runs at the address")
+	case protocol.CodeWrongIdentity:
+		return ErrIdentity.New("another upstream or incarnation runs at the address")
 	case protocol.CodeStaleFence:
 		return ErrStaleFence.New("a newer order was seen")
 	case protocol.CodeSenderUnknown:
