--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,346 @@
+package platform_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/platform"
+)
+
+// kind is the caller's view of an error.
+type kind string
+
+const (
+	ok          kind = "ok"
+	conflict    kind = "conflict"
+	notFound    kind = "not found"
+	unavailable kind = "unavailable"
+	unknown     kind = "unknown"
+	budget      kind = "budget"
+	invalid     kind = "invalid"
+)
+
+// kindOf sorts an error, and fails where it belongs to two classes at once.
+func kindOf(t require.TestingT, err error) kind {
+	var c *platform.ConflictError
+	found := []kind{}
+	for k, is := range map[kind]bool{
+		ok:          err == nil,
+		conflict:    errors.As(err, &c),
+		notFound:    platform.ErrNotFound.Has(err),
+		unavailable: platform.ErrUnavailable.Has(err),
+		unknown:     platform.ErrOutcomeUnknown.Has(err),
+		budget:      platform.ErrBudget.Has(err),
+		invalid:     platform.ErrInvalid.Has(err),
+	} {
+		if is {
+			found = append(found, k)
+		}
+	}
+	require.Len(t, found, 1, "%v", err)
+	return found[0]
+}
+
+// rawServer hands every request to answer, with its connection. The connection
+// is closed when answer returns false.
+type rawServer struct {
+	url      string
+	requests atomic.Int32
+	conns    atomic.Int32
+}
+
+func newRawServer(t *testing.T, answer func(conn net.Conn, n int, req *http.Request) bool) *rawServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &rawServer{url: "http://" + ln.Addr().String()}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			n := int(s.conns.Add(1))
+			wg.Go(func() { s.serve(conn, n, answer) })
+		}
+	})
+	t.Cleanup(func() { ln.Close() })
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, n int, answer func(net.Conn, int, *http.Request) bool) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.requests.Add(1)
+		if !answer(conn, n, req) {
+			return
+		}
+	}
+}
+
+// respond writes an answer with extra header lines, each ended by \r\n.
+func respond(conn net.Conn, status int, header, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), header, body)
+}
+
+// patient lets a busy machine take its time: no verdict depends on a timeout.
+var patient = platform.HTTPOptions{ReadTimeout: time.Minute, WriteTimeout: time.Minute, DialTimeout: time.Minute}
+
+var someWrite = platform.Write{Table: "t", Key: "k"}
+
+// Symptom: a request is reported as "did not run" and has run, or a caller
+// takes a foreign answer for its own. Sequence: the store, or something before
+// it, answers or cuts the connection in each of these ways. Cause: an error
+// was mapped by how it looks rather than by what it proves.
+func TestErrorMapping(t *testing.T) {
+	const row = `{"table":"t","key":"k","version":1}`
+	const notExecuted = "X-Not-Executed: true\r\n"
+	answers := func(status int, header, body string) func(net.Conn) {
+		return func(c net.Conn) { respond(c, status, header, body) }
+	}
+	cases := []struct {
+		name        string
+		answer      func(net.Conn)
+		write, read kind
+	}{
+		{"cut after the request", func(net.Conn) {}, unknown, unavailable},
+		{"cut within the header", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConte") }, unknown, unavailable},
+		{"cut within the body", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{") }, unknown, unavailable},
+		{"not HTTP", func(c net.Conn) { fmt.Fprint(c, "SSH-2.0\r\n\r\n") }, unknown, unavailable},
+		{"500", answers(500, "", ""), unknown, unavailable},
+		{"502", answers(502, "", ""), unknown, unavailable},
+		{"503 without the promise", answers(503, "", ""), unknown, unavailable},
+		{"503 with the promise", answers(503, notExecuted, ""), unavailable, unavailable},
+		{"429", answers(429, "", ""), unavailable, unavailable},
+		{"408", answers(408, "", ""), unknown, unavailable},
+		{"404 of something else", answers(404, "", "<html>"), unknown, unavailable},
+		{"404 of the table", answers(404, "", `{"code":"not_found"}`), unknown, notFound},
+		{"400 of something else", answers(400, "", ""), unknown, unavailable},
+		{"400 of the table", answers(400, "", `{"code":"invalid"}`), invalid, invalid},
+		{"redirect that keeps the body", answers(307, "Location: /elsewhere\r\n", ""), unknown, unavailable},
+		{"200 that is not JSON", answers(200, "", "<html>"), unknown, unavailable},
+		{"200 for another transaction or row", answers(200, "", `{"id":"x","rows":[`+row+`],"table":"t","key":"other","version":1}`), unknown, unavailable},
+		{"200 with an absent row", answers(200, "", `{"table":"t","key":"k","version":0}`), unknown, unavailable},
+		{"200 with the row", answers(200, "", row), unknown, ok},
+		{"409 that is not JSON", answers(409, "", "<html>"), unknown, unavailable},
+		{"409 for another transaction", answers(409, "", `{"id":"x","current":`+row+`}`), unknown, unavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newRawServer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+				c.answer(conn)
+				return false
+			})
+			table := platform.NewHTTPTable(s.url, patient)
+			_, err := table.Commit(t.Context(), platform.UseClaim, someWrite)
+			assert.Equal(t, c.write, kindOf(t, err), "%v", err)
+			assert.EqualValues(t, 1, s.requests.Load(), "the write was sent once")
+			_, err = table.Get(t.Context(), platform.UseClaim, "t", "k")
+			assert.Equal(t, c.read, kindOf(t, err), "%v", err)
+		})
+	}
+}
+
+// Symptom: a request that never left is reported as "outcome unknown", and the
+// caller's key stays blocked. Sequence: no connection can be made. Cause: the
+// client did not tell "not connected" from "connected and cut".
+func TestNoConnectionMeansNoEffect(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, ln.Close())
+	refused := "http://" + ln.Addr().String()
+	hang := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name string
+		ctx  context.Context
+		opts platform.HTTPOptions
+	}{
+		{"refused", t.Context(), platform.HTTPOptions{}},
+		{"dial hangs", t.Context(), platform.HTTPOptions{Dial: hang, DialTimeout: time.Millisecond}},
+		{"call times out while dialling", t.Context(), platform.HTTPOptions{Dial: hang, ReadTimeout: time.Millisecond, WriteTimeout: time.Millisecond}},
+		{"context has ended", ended, platform.HTTPOptions{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := platform.NewHTTPTable(refused, c.opts)
+			_, err := table.Commit(c.ctx, platform.UseClaim, someWrite)
+			assert.Equal(t, unavailable, kindOf(t, err), "%v", err)
+			_, err = table.Get(c.ctx, platform.UseClaim, "t", "k")
+			assert.Equal(t, unavailable, kindOf(t, err), "%v", err)
+			err = platform.NewHTTPObjects(refused, c.opts).Put(c.ctx, "o", nil)
+			assert.Equal(t, unavailable, kindOf(t, err), "%v", err)
+			_, err = platform.NewHTTPVMList(refused, c.opts).List(c.ctx)
+			assert.Equal(t, unavailable, kindOf(t, err), "%v", err)
+		})
+	}
+}
+
+// Symptom: a write is reported as not executed and appears later. Sequence:
+// the store takes the request and stalls; the caller gives up. Cause: the end
+// of the context was taken for proof that nothing had been sent.
+func TestCallerGivesUpAfterSending(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := newRawServer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+		cancel()
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	table := platform.NewHTTPTable(s.url, patient)
+	_, err := table.Commit(ctx, platform.UseClaim, someWrite)
+	require.Equal(t, unknown, kindOf(t, err), "%v", err)
+}
+
+// Symptom: the store sees one transaction twice, and the client reports a
+// conflict with itself. Sequence: the store closes kept connections between
+// two writes, or in the middle of one. Cause: http.Transport re-sends on a
+// connection that it has used before.
+func TestWritesShareNoConnection(t *testing.T) {
+	s := newRawServer(t, func(conn net.Conn, _ int, req *http.Request) bool {
+		assert.True(t, req.Close, "the write asks for its connection to be closed")
+		respond(conn, 503, "X-Not-Executed: true\r\n", "")
+		return true
+	})
+	table := platform.NewHTTPTable(s.url, patient)
+	for range 3 {
+		_, err := table.Commit(t.Context(), platform.UseClaim, someWrite)
+		require.Equal(t, unavailable, kindOf(t, err))
+	}
+	require.EqualValues(t, 3, s.requests.Load())
+	require.EqualValues(t, 3, s.conns.Load())
+}
+
+// Symptom: reads time out one after the other although the store is healthy.
+// Sequence: two reads leave two pooled connections; both go silent; new ones
+// work. Cause: only the connection that timed out was dropped, and the next
+// read took the other silent one.
+func TestSilentPooledConnections(t *testing.T) {
+	var silent atomic.Bool
+	ctx, giveUp := context.WithCancel(t.Context())
+	var both sync.WaitGroup
+	both.Add(2)
+	s := newRawServer(t, func(conn net.Conn, n int, _ *http.Request) bool {
+		if silent.Load() && n <= 2 {
+			giveUp()
+			_, _ = conn.Read(make([]byte, 1))
+			return false
+		}
+		if n <= 2 {
+			// Both requests are under way, so each has its own connection.
+			both.Done()
+			both.Wait()
+		}
+		respond(conn, 200, "", `{"table":"t","key":"k","version":1}`)
+		return true
+	})
+	table := platform.NewHTTPTable(s.url, patient)
+	var warm sync.WaitGroup
+	for range 2 {
+		warm.Go(func() { _, _ = table.Get(t.Context(), platform.UseClaim, "t", "k") })
+	}
+	warm.Wait()
+	require.EqualValues(t, 2, s.conns.Load())
+
+	silent.Store(true)
+	_, err := table.Get(ctx, platform.UseClaim, "t", "k")
+	require.Equal(t, unavailable, kindOf(t, err))
+	_, err = table.Get(t.Context(), platform.UseClaim, "t", "k")
+	require.NoError(t, err, "the next read must use a new connection")
+	require.EqualValues(t, 3, s.conns.Load())
+}
+
+// Symptom: every router drops all upstreams at once. Sequence: the VM list's
+// service answers 200 with something that isn't a list. Cause: a missing list
+// decodes to an empty one.
+func TestVMListWithoutList(t *testing.T) {
+	for _, body := range []string{"{}", "null", "<html>", `{"vms":null}`} {
+		s := newRawServer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+			respond(conn, 200, "", body)
+			return true
+		})
+		_, err := platform.NewHTTPVMList(s.url, patient).List(t.Context())
+		assert.Equal(t, unavailable, kindOf(t, err), body)
+	}
+}
+
+func TestNamesThatTheProtocolCannotCarry(t *testing.T) {
+	table := platform.NewHTTPTable("http://127.0.0.1:1", platform.HTTPOptions{})
+	twice := []platform.Write{someWrite, someWrite}
+	for name, writes := range map[string][]platform.Write{
+		"none": nil, "twice": twice, "no key": {{Table: "t"}},
+		"not UTF-8": {{Table: "t", Key: "\xff"}}, "condition": {{Table: "t", Key: "k", IfVersion: -2}},
+	} {
+		_, err := table.Commit(t.Context(), platform.UseClaim, writes...)
+		assert.Equal(t, invalid, kindOf(t, err), name)
+	}
+	for _, name := range []string{"", "a//b", "a/../b", ".", "\xff", "/a"} {
+		assert.Equal(t, invalid, kindOf(t, platform.CheckObjectName(name)), name)
+	}
+	_, err := table.Scan(t.Context(), platform.UseClaim, "t", "", "", platform.MaxScanRows+1)
+	assert.Equal(t, invalid, kindOf(t, err))
+}
+
+// FuzzReplies feeds arbitrary bodies to the clients: no panic, no reply of a
+// foreign row, and a write is never reported as done or as not executed.
+func FuzzReplies(f *testing.F) {
+	f.Add(`{"rows":[{"table":"t","key":"a","version":1},{"table":"t","key":"a","version":1}]}`)
+	f.Add(`{"table":"t","key":"k","value":"eA==","version":1}`)
+	f.Add(`{"vms":[{}]}`)
+	f.Add(`{"id":"","rows":null,"current":{}}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		client := stubServer(body)
+		rows, err := client.Scan(t.Context(), platform.UseClaim, "t", "a", "b", 2)
+		for _, row := range rows {
+			assert.True(t, row.Table == "t" && strings.HasPrefix(row.Key, "a"), "%v", row)
+		}
+		assert.LessOrEqual(t, len(rows), 2)
+		kindOf(t, err)
+		row, err := client.Get(t.Context(), platform.UseClaim, "t", "k")
+		assert.True(t, err != nil || row.Key == "k")
+		_, err = client.Commit(t.Context(), platform.UseClaim, someWrite)
+		assert.Equal(t, unknown, kindOf(t, err))
+	})
+}
+
+// stubServer returns a client whose every call is answered 200 with body, over
+// an in-memory connection.
+func stubServer(body string) *platform.HTTPTable {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer server.Close()
+			if req, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				respond(server, 200, "Connection: close\r\n", body)
+			}
+		}()
+		return client, nil
+	}
+	opts := patient
+	opts.Dial = dial
+	return platform.NewHTTPTable("http://stub", opts)
+}
--- a/internal/standin/platform/conformance_test.go
+++ b/internal/standin/platform/conformance_test.go
@@ -1,58 +1,243 @@
 package platform_test
 
 import (
+	"context"
+	"errors"
 	"net"
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	api "damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
 	standin "damaskrouter.example/damaskrouter/internal/standin/platform"
 )
 
+// patient lets a busy machine take its time: no verdict depends on a timeout.
+var patient = api.HTTPOptions{ReadTimeout: time.Minute, WriteTimeout: time.Minute, DialTimeout: time.Minute}
+
+// unlimited are rates that no test reaches.
+var unlimited = standin.Options{WriteRate: 1e6, ReadRate: 1e6, WeightRate: 1e6}
+
 // serve starts s on a loopback port and returns its base URL.
 func serve(t *testing.T, s *standin.Server) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go s.Serve(ln)
-	t.Cleanup(s.Close)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		assert.NoError(t, <-done)
+	})
 	return "http://" + ln.Addr().String()
 }
 
-func TestSmoke(t *testing.T) {
-	s := standin.NewServer(standin.Options{})
+// fault is what both implementations can do to a write.
+type fault string
+
+const (
+	down      fault = "down"
+	dropped   fault = "dropped"
+	lostReply fault = "lost reply"
+)
+
+// subject is one implementation of the platform's interfaces.
+type subject struct {
+	table   api.Table
+	objects api.Objects
+	vms     api.VMList
+	putVM   func(api.VM)
+	dropVM  func(string)
+	// inject sets a fault for the next commit and heal ends it.
+	inject func(fault)
+	heal   func()
+}
+
+func fakeSubject(*testing.T) subject {
+	f := platformtest.New()
+	faults := map[fault]platformtest.Fault{
+		down: platformtest.Down, dropped: platformtest.LoseBeforeEffect, lostReply: platformtest.LoseReplyAfterEffect,
+	}
+	return subject{
+		table: f, objects: f.Objects(), vms: f.VMList(), putVM: f.PutVM, dropVM: f.DeleteVM,
+		inject: func(ft fault) { f.Script(platformtest.OpCommit, faults[ft]) },
+		heal:   func() {},
+	}
+}
+
+func httpSubject(t *testing.T) subject {
+	s := standin.NewServer(unlimited)
 	base := serve(t, s)
-	table := api.NewHTTPTable(base, api.HTTPOptions{})
-	ctx := t.Context()
-	w := api.Write{Table: "t", Key: "k", Value: []byte("v")}
+	faults := map[fault]standin.Faults{
+		down:      {Kind: standin.KindTable, Down: true},
+		dropped:   {Kind: standin.KindTable, DropRequests: 1},
+		lostReply: {Kind: standin.KindTable, LoseReplies: 1},
+	}
+	table, objects, vms, _ := api.Open(api.OpenOptions{TableURL: base, ObjectsURL: base, VMsURL: base, HTTP: patient})
+	return subject{
+		table: table, objects: objects, vms: vms, putVM: s.PutVM, dropVM: s.DeleteVM,
+		inject: func(ft fault) { s.SetFaults(faults[ft]) },
+		heal:   func() { s.SetFaults(standin.Faults{Kind: standin.KindTable}) },
+	}
+}
 
-	rows, err := table.Commit(ctx, api.UseClaim, w)
-	require.NoError(t, err)
-	require.Equal(t, int64(1), rows[0].Version)
-	_, err = table.Commit(ctx, api.UseClaim, w)
+// outcome is what a call returned, in a form that both implementations share.
+type outcome struct {
+	class   string
+	current api.Row
+}
+
+// result sorts an error; text and chain may differ between implementations.
+func result(err error) outcome {
 	var conflict *api.ConflictError
-	require.ErrorAs(t, err, &conflict)
-	_, err = table.Get(ctx, api.UseClaim, "t", "absent")
-	require.True(t, api.ErrNotFound.Has(err))
-	s.SetFaults(standin.Faults{Kind: standin.KindTable, LoseReplies: 1})
-	_, err = table.Commit(ctx, api.UseClaim, api.Write{Table: "t", Key: "k2"})
-	require.True(t, api.ErrOutcomeUnknown.Has(err), err)
-	got, err := table.Scan(ctx, api.UseClaim, "t", "", "", 10)
-	require.NoError(t, err)
-	require.Len(t, got, 2)
+	switch {
+	case err == nil:
+		return outcome{class: "ok"}
+	case errors.As(err, &conflict):
+		return outcome{class: "conflict", current: conflict.Current}
+	case api.ErrNotFound.Has(err):
+		return outcome{class: "not found"}
+	case api.ErrOutcomeUnknown.Has(err):
+		return outcome{class: "unknown"}
+	case api.ErrUnavailable.Has(err):
+		return outcome{class: "unavailable"}
+	case api.ErrInvalid.Has(err):
+		return outcome{class: "invalid"}
+	default:
+		return outcome{class: err.Error()}
+	}
+}
+
+func put(key, value string, ifVersion int64) api.Write {
+	return api.Write{Table: "t", Key: key, Value: []byte(value), IfVersion: ifVersion}
+}
+
+func row(key, value string, version int64) api.Row {
+	return api.Row{Table: "t", Key: key, Value: []byte(value), Version: version}
+}
+
+// TestTableConformance runs the same steps against the fake and against the
+// HTTP client with the stand-in. Each case starts with rows a and b, version 1.
+func TestTableConformance(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  fault
+		writes []api.Write
+		want   outcome
+		// rows is the table afterwards.
+		rows []api.Row
+	}{
+		{"create", "", []api.Write{put("c", "3", 0)}, outcome{class: "ok"},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1), row("c", "3", 1)}},
+		{"update", "", []api.Write{put("a", "9", 1)}, outcome{class: "ok"},
+			[]api.Row{row("a", "9", 2), row("b", "2", 1)}},
+		{"unconditional", "", []api.Write{put("a", "9", api.AnyVersion)}, outcome{class: "ok"},
+			[]api.Row{row("a", "9", 2), row("b", "2", 1)}},
+		{"delete", "", []api.Write{{Table: "t", Key: "a", Delete: true, IfVersion: 1}}, outcome{class: "ok"},
+			[]api.Row{row("b", "2", 1)}},
+		{"key with separators", "", []api.Write{put("a&b=c/d?ü+ %", "9", 0)}, outcome{class: "ok"},
+			[]api.Row{row("a", "1", 1), row("a&b=c/d?ü+ %", "9", 1), row("b", "2", 1)}},
+		{"exists", "", []api.Write{put("a", "9", 0)}, outcome{"conflict", row("a", "1", 1)},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1)}},
+		{"absent", "", []api.Write{put("c", "9", 1)}, outcome{"conflict", api.Row{Table: "t", Key: "c"}},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1)}},
+		{"all or none", "", []api.Write{put("a", "9", 1), put("b", "9", 5)}, outcome{"conflict", row("b", "2", 1)},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1)}},
+		{"one row twice", "", []api.Write{put("a", "9", 1), put("a", "8", 1)}, outcome{class: "invalid"},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1)}},
+		{"down", down, []api.Write{put("c", "3", 0)}, outcome{class: "unavailable"},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1)}},
+		{"request dropped", dropped, []api.Write{put("c", "3", 0)}, outcome{class: "unknown"},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1)}},
+		{"reply lost", lostReply, []api.Write{put("c", "3", 0)}, outcome{class: "unknown"},
+			[]api.Row{row("a", "1", 1), row("b", "2", 1), row("c", "3", 1)}},
+	}
+	for name, subject := range map[string]func(*testing.T) subject{"fake": fakeSubject, "http": httpSubject} {
+		for _, c := range cases {
+			t.Run(name+"/"+c.name, func(t *testing.T) {
+				s := subject(t)
+				created, err := s.table.Commit(t.Context(), api.UseClaim, put("a", "1", 0), put("b", "2", 0))
+				require.NoError(t, err)
+				require.Equal(t, []api.Row{row("a", "1", 1), row("b", "2", 1)}, created)
+				if c.fault != "" {
+					s.inject(c.fault)
+				}
+				_, err = s.table.Commit(t.Context(), api.UseClaim, c.writes...)
+				require.Equal(t, c.want, result(err), "%v", err)
+				s.heal()
+				rows, err := s.table.Scan(t.Context(), api.UseClaim, "t", "", "", 10)
+				require.NoError(t, err)
+				require.Equal(t, c.rows, rows)
+			})
+		}
+		t.Run(name+"/reads", func(t *testing.T) { checkReads(t, subject(t)) })
+		t.Run(name+"/objects", func(t *testing.T) { checkObjects(t, subject(t).objects) })
+		t.Run(name+"/vms", func(t *testing.T) { checkVMs(t, subject(t)) })
+	}
+}
 
-	objects := api.NewHTTPObjects(base, api.HTTPOptions{})
-	const name = "config/5 ü%2F?"
-	require.NoError(t, objects.Put(ctx, name, []byte("x")))
-	data, err := objects.Get(ctx, name)
+func checkReads(t *testing.T, s subject) {
+	ctx := t.Context()
+	_, err := s.table.Commit(ctx, api.UseClaim, put("a", "", 0), put("b", "", 0), put("c", "", 0))
 	require.NoError(t, err)
-	require.Equal(t, "x", string(data))
-	require.NoError(t, objects.Put(ctx, name, []byte("x")))
-	require.ErrorAs(t, objects.Put(ctx, name, []byte("y")), &conflict)
+	for _, c := range []struct {
+		from, to string
+		limit    int
+		want     []string
+	}{
+		{"", "", 10, []string{"a", "b", "c"}},
+		{"b", "", 10, []string{"b", "c"}},
+		{"a", "c", 10, []string{"a", "b"}},
+		{"", "", 2, []string{"a", "b"}},
+		{"d", "", 10, []string{}},
+	} {
+		rows, err := s.table.Scan(ctx, api.UseClaim, "t", c.from, c.to, c.limit)
+		require.NoError(t, err)
+		keys := []string{}
+		for _, r := range rows {
+			keys = append(keys, r.Key)
+		}
+		require.Equal(t, c.want, keys)
+	}
+	_, err = s.table.Get(ctx, api.UseClaim, "t", "absent")
+	require.Equal(t, "not found", result(err).class)
+	_, err = s.table.Scan(ctx, api.UseClaim, "t", "", "", 0)
+	require.Equal(t, "invalid", result(err).class)
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err = s.table.Get(ended, api.UseClaim, "t", "a")
+	require.Equal(t, "unavailable", result(err).class)
+}
 
-	s.PutVM(api.VM{Name: "a"})
-	vms, err := api.NewHTTPVMList(base, api.HTTPOptions{}).List(ctx)
+func checkObjects(t *testing.T, o api.Objects) {
+	ctx := t.Context()
+	for _, name := range []string{"plain", "config/5", "ü%2F? #&"} {
+		_, err := o.Get(ctx, name)
+		require.Equal(t, "not found", result(err).class, name)
+		require.NoError(t, o.Put(ctx, name, []byte(name)))
+		require.NoError(t, o.Put(ctx, name, []byte(name)), "the same data again")
+		require.Equal(t, "conflict", result(o.Put(ctx, name, []byte("other"))).class)
+		data, err := o.Get(ctx, name)
+		require.NoError(t, err)
+		require.Equal(t, name, string(data))
+	}
+	require.Equal(t, "invalid", result(o.Put(ctx, "a/../b", nil)).class)
+}
+
+func checkVMs(t *testing.T, s subject) {
+	vms, err := s.vms.List(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, vms)
+	b := api.VM{Name: "b", Address: "127.0.0.1:1", Site: "s", State: api.VMLeaving, Generation: 3, Kind: api.KindEngine, Pool: "p"}
+	a := api.VM{Name: "a", State: api.VMLive, Kind: api.KindRouter, ControlAddress: "127.0.0.1:2"}
+	s.putVM(b)
+	s.putVM(a)
+	s.putVM(api.VM{Name: "c"})
+	s.dropVM("c")
+	vms, err = s.vms.List(t.Context())
 	require.NoError(t, err)
-	require.Len(t, vms, 1)
+	require.Equal(t, []api.VM{a, b}, vms)
 }
--- a/internal/standin/platform/guard.go
+++ b/internal/standin/platform/guard.go
@@ -94,6 +94,7 @@
 	if f.SlowMS <= 0 {
 		return
 	}
+	s.counts.update(func(st *Stats) { st.Delayed++ })
 	t := time.NewTimer(time.Duration(f.SlowMS) * time.Millisecond)
 	defer t.Stop()
 	select {
--- a/internal/standin/platform/stats.go
+++ b/internal/standin/platform/stats.go
@@ -17,6 +17,8 @@
 	// Throttled counts calls beyond the rate, Refused those hit by a fault.
 	Throttled uint64 `json:"throttled"`
 	Refused   uint64 `json:"refused"`
+	// Delayed counts calls that a fault made slow, from their arrival.
+	Delayed uint64 `json:"delayed"`
 	// LostReplies counts writes that took effect without a reply.
 	LostReplies uint64 `json:"lost_replies"`
 	// RepeatedTxns counts transactions whose id had been seen before: the
