--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -39,8 +39,6 @@
 	// subscription is how long a router that asked for a permit is told of
 	// load changes.
 	subscription = 30 * time.Second
-	// loadTTL is how long what an owner said is believed.
-	loadTTL = 10 * time.Second
 	// digestVersion is the format of a digest.
 	digestVersion = 1
 	// maxDigest bounds the engines in one digest.
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -39,6 +39,7 @@
 	} {
 		out.Set(name, expvar.Func(func() any { return v.Load() }))
 	}
+	out.Set("ejections", expvar.Func(func() any { return a.health.ejected() }))
 	out.Set("held", expvar.Func(func() any { return a.held.Len() }))
 	return out
 }
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -118,19 +119,25 @@
 	text := fmt.Sprintf(`name: router-%d
 site: %s
 region: ankara
-listen: 127.0.0.1:0
-advertise: 127.0.0.1:1
-control_listen: 127.0.0.1:0
+listen: %s
+control_listen: %s
 platform: {table: %q, objects: %q, vms: %q}
 seeds: %s
 allow_insecure: true
-`, i, site, url, url, url, seeds)
-	text = strings.Replace(text, "advertise: 127.0.0.1:1\n", "", 1)
+`, i, site, freeAddress(t), freeAddress(t), url, url, url, seeds)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	return file
 }
 
+// freeAddress returns an address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
 func (f *fleet) client(t *testing.T, key string) *client.Client {
 	var seeds []string
 	for _, r := range f.routers {
