Account limits across the fleet; one retry layer with a budget

Cause: a surge of one client account must be cut to its share wherever its requests land; and a failed attempt was judged by itself, so that a request whose first attempt may have run and whose second was not sent would have been refused with "did not run". Ruled out: limits per router (a surge would get its share once per router); retries in the client library too (layers multiply). Before: no limits; the falsely refused case found by reading, not by a run. After: package quota drives the ledgers; attempts remember the strongest of what is known. A non-idempotent call now runs to its end when its caller leaves, so that its answer can be given again.

--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -12,6 +12,7 @@
 	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/quota"
 	"damaskrouter.example/damaskrouter/internal/traffic"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 )
@@ -45,7 +46,15 @@
 		NewStrategy: r.opts.NewStrategy,
 		Rand:        rng,
 	})
+	r.quota = quota.New(quota.Options{
+		Board:    r.board,
+		Caller:   r.caller,
+		Self:     r.set.Name,
+		Instance: instance,
+		Rand:     rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
+	})
 	r.board.Subscribe(r.admission.Sync)
+	r.board.Subscribe(r.quota.Sync)
 	r.provisionControllers()
 	if err := r.provisionGossip(secrets, instance); err != nil {
 		return err
@@ -54,6 +63,7 @@
 		Board:     r.board,
 		Admitter:  r.admission,
 		Facts:     r.facts,
+		Quota:     r.quota,
 		Upstream:  r.upstream,
 		Claims:    r.claims,
 		Tokens:    secrets.tokens,
@@ -65,6 +75,9 @@
 	if err := r.calls.Register(admission.ServiceName, r.admission.Service()); err != nil {
 		return err
 	}
+	if err := r.calls.Register(quota.ServiceName, r.quota.Service()); err != nil {
+		return err
+	}
 	if err := r.calls.Register(controller.FleetService, controller.NewFleet(r.vms, r.configs)); err != nil {
 		return err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/quota"
 	"damaskrouter.example/damaskrouter/internal/settings"
 	"damaskrouter.example/damaskrouter/internal/traffic"
 	"damaskrouter.example/damaskrouter/internal/upstream"
@@ -71,6 +72,7 @@
 	upstream  *upstream.Client
 	admission *admission.Admission
 	facts     *admission.Facts
+	quota     *quota.Quota
 	traffic   *traffic.Server
 	chain     *config.Chain
 	claims    *claim.Store
@@ -138,6 +140,7 @@
 	r.goRun(r.engines.Run)
 	r.goRun(r.loads.Run)
 	r.goRun(r.loads.RunReports)
+	r.goRun(r.quota.Run)
 	r.serveCallers(callers)
 	return r.serveAdmin()
 }
--- a/internal/traffic/again.go
+++ b/internal/traffic/again.go
@@ -3,41 +3,112 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
 	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/outlier"
+	"damaskrouter.example/damaskrouter/internal/retry"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 )
 
-// maxAttempts bounds the engines tried for one chat request.
-const maxAttempts = 3
+// retries is the router's one retry layer: a policy and the budget that all
+// its requests share.
+type retries struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+	policy *retry.Policy
+}
 
-// again decides whether a request that failed before its first chunk may go to
-// another engine: nil means yes. It is the only place where chats are retried.
-func (t *turn) again(ctx context.Context, attempt int, g *admission.Grant, err error) error {
-	t.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
-	if ctx.Err() != nil {
-		return gone(ctx.Err())
+func newRetries() *retries {
+	b := retry.NewBudget(time.Now(), retry.BudgetConfig{})
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &retries{budget: b, policy: retry.NewPolicy(retry.Config{}, b, rng)}
+}
+
+func (r *retries) fresh() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Fresh(time.Now())
+}
+
+func (r *retries) decide(a retry.Attempt) retry.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.Decide(time.Now(), a)
+}
+
+// noDeadline stands for the time left of a request without a deadline.
+const noDeadline = time.Minute
+
+// attempts follows one request through its attempts at upstreams.
+type attempts struct {
+	s          *Server
+	idempotent bool
+	deadline   time.Time
+	number     int
+	// worst is the strongest of what is known of the attempts so far: a
+	// request whose second attempt was not sent may still have run in its first.
+	worst retry.Known
+}
+
+func (s *Server) newAttempts(idempotent bool, deadline time.Time) *attempts {
+	s.retries.fresh()
+	return &attempts{s: s, idempotent: idempotent, deadline: deadline}
+}
+
+// after decides what follows a failed attempt. Nil means that the request is
+// to be sent again, now; any other result is the final refusal.
+func (a *attempts) after(ctx context.Context, err error) *apierr.Error {
+	var refused *apierr.Error
+	if errors.As(err, &refused) {
+		// Admission refused this attempt; an earlier one may have run.
+		return a.ran(refused)
 	}
-	sent := upstream.SentOf(err)
-	if attempt >= maxAttempts || t.expired() {
-		return upstreamFailed(sent, err)
+	a.number++
+	known := knownOf(upstream.SentOf(err))
+	d := a.s.retries.decide(retry.Attempt{
+		Number:     a.number,
+		Idempotent: a.idempotent,
+		Known:      known,
+		Earlier:    a.worst,
+		Alternate:  true,
+		Remaining:  a.remaining(),
+	})
+	a.worst = max(a.worst, known)
+	if ctx.Err() != nil {
+		return a.ran(gone(ctx.Err()))
 	}
-	if !sent.DidNotRun() {
-		// The engine may be working on it. A chat can be repeated, but the
-		// first copy must not keep on using the engine.
-		t.s.cancelLater(t.call(g))
+	switch d.Action {
+	case retry.RetryNow:
+	case retry.RetryAfter:
+		pause(ctx, d.Delay)
+	default:
+		return a.ran(upstreamFailed(err))
 	}
-	t.avoid = append(t.avoid, g.Engine.ID)
-	t.s.metrics.retries.Add(1)
+	a.s.metrics.retries.Add(1)
 	return nil
 }
 
-func (t *turn) expired() bool {
-	return !t.who.deadline.IsZero() && time.Now().After(t.who.deadline)
+// ran sets what may be said about execution after all attempts.
+func (a *attempts) ran(e *apierr.Error) *apierr.Error { return e.WithRan(a.worst.Ran()) }
+
+func (a *attempts) remaining() time.Duration {
+	if a.deadline.IsZero() {
+		return noDeadline
+	}
+	return time.Until(a.deadline)
+}
+
+func knownOf(s upstream.Sent) retry.Known {
+	switch s {
+	case upstream.NotSent:
+		return retry.NotSent
+	case upstream.RefusedBeforeExecuting:
+		return retry.RefusedBeforeExecuting
+	}
+	return retry.SentNoReply
 }
 
 // cancelLater tells an engine to stop work whose answer nobody waits for.
@@ -55,22 +126,16 @@
 
 func gone(err error) *apierr.Error {
 	// Nobody reads this answer; it is for the log and the metrics.
-	return apierr.New(apierr.CodeDeadline, http.StatusRequestTimeout, "caller is gone").
-		WithRan(apierr.RanUnknown).WithCause(err)
+	return apierr.New(apierr.CodeDeadline, http.StatusRequestTimeout, "caller is gone").WithCause(err)
 }
 
-// upstreamFailed is the refusal after an upstream's failure. Only proof that
-// nothing was executed becomes "did not run".
-func upstreamFailed(sent upstream.Sent, err error) *apierr.Error {
-	var f *upstream.Failure
-	if sent == upstream.RefusedBeforeExecuting && errors.As(err, &f) {
+// upstreamFailed is the refusal after an upstream's failure. What is said
+// about execution is set by the caller, from all attempts.
+func upstreamFailed(err error) *apierr.Error {
+	if upstream.SentOf(err) == upstream.RefusedBeforeExecuting {
 		return apierr.New(apierr.CodeUpstreamRefused, http.StatusServiceUnavailable, "the upstream refused the request").
 			WithRetryAfter(time.Second).WithCause(err)
 	}
-	e := apierr.New(apierr.CodeUpstreamFailed, http.StatusBadGateway, "the upstream failed").
+	return apierr.New(apierr.CodeUpstreamFailed, http.StatusBadGateway, "the upstream failed").
 		WithRetryAfter(time.Second).WithCause(err)
-	if !sent.DidNotRun() {
-		e = e.WithRan(apierr.RanUnknown)
-	}
-	return e
 }
--- a/internal/traffic/chat.go
+++ b/internal/traffic/chat.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/chat"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/prefix"
 	"damaskrouter.example/damaskrouter/internal/upstream"
@@ -77,6 +78,11 @@
 	if err := t.prepare(c.Request().Header.Get(wire.HeaderPrefixHint)); err != nil {
 		return err
 	}
+	done, err := s.Quota.Take(c.Request().Context(), who.account)
+	if err != nil {
+		return err
+	}
+	defer done()
 	st, err := t.open(c.Request().Context())
 	if err != nil {
 		return err
@@ -192,24 +198,36 @@
 // open gets a grant and a stream whose first chunk has arrived. Until then
 // nothing has reached the caller, so the request may go to another engine.
 func (t *turn) open(ctx context.Context) (*answer, error) {
-	for attempt := 1; ; attempt++ {
+	tries := t.s.newAttempts(true, t.who.deadline)
+	for {
 		// Each attempt has an id of its own at the engine, which no caller can
 		// choose: two requests with one id would get each other's answers.
 		grant, err := t.s.Admitter.Admit(ctx, t.request(uuid.NewString()))
 		if err != nil {
-			return nil, err
+			return nil, tries.after(ctx, err)
 		}
 		st, err := t.start(ctx, grant)
 		if err == nil {
 			return st, nil
 		}
-		grant.Release()
-		if err := t.again(ctx, attempt, grant, err); err != nil {
-			return nil, err
+		t.failedAt(grant, err)
+		if final := tries.after(ctx, err); final != nil {
+			return nil, final
 		}
 	}
 }
 
+// failedAt ends an attempt that gave no chunk. The engine may be working on
+// it: a chat can be repeated, but the first copy must not go on using the engine.
+func (t *turn) failedAt(g *admission.Grant, err error) {
+	if !upstream.SentOf(err).DidNotRun() {
+		t.s.cancelLater(t.call(g))
+	}
+	g.Release()
+	t.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
+	t.avoid = append(t.avoid, g.Engine.ID)
+}
+
 func (t *turn) request(attempt string) *admission.Request {
 	return &admission.Request{
 		ID:       attempt,
@@ -237,7 +255,8 @@
 	a := &answer{s: t.s, turn: t, grant: g, call: call, stream: st, ctx: sctx, cancel: cancel, sent: time.Now()}
 	if err := a.first(); err != nil {
 		stop()
-		a.abandon()
+		st.Close()
+		cancel()
 		return nil, err
 	}
 	stop()
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -15,6 +15,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/token"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 	"damaskrouter.example/damaskrouter/internal/wire"
@@ -34,11 +35,19 @@
 	Observe(engine string, o admission.Observation)
 }
 
+// Limiter holds client accounts to their limits; *quota.Quota is one.
+type Limiter interface {
+	// Take admits one request; done must be called when it ends. Its errors
+	// are *apierr.Error.
+	Take(ctx context.Context, a *config.Account) (done func(), err error)
+}
+
 // Options configures a Server.
 type Options struct {
 	Board    *board.Board
 	Admitter Admitter
 	Facts    *admission.Facts
+	Quota    Limiter
 	Upstream *upstream.Client
 	Claims   *claim.Store
 	Tokens   *token.Codec
@@ -76,6 +85,7 @@
 	Options
 	log      *log.Logger
 	metrics  *metrics
+	retries  *retries
 	echo     *echo.Echo
 	lingerMu sync.Mutex
 	lingers  map[string]*linger
@@ -90,7 +100,7 @@
 // New returns a Server.
 func New(o Options) *Server {
 	o.fillDefaults()
-	s := &Server{Options: o, log: o.Log, metrics: newMetrics(), lingers: make(map[string]*linger)}
+	s := &Server{Options: o, log: o.Log, metrics: newMetrics(), retries: newRetries(), lingers: make(map[string]*linger)}
 	s.cut, s.cutNow = context.WithCancel(context.Background())
 	s.echo = s.routes()
 	return s
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -26,6 +26,8 @@
 	// recordTimeout bounds the recording of an answer, which goes on after a
 	// caller has left: the work ran, and its answer must be found again.
 	recordTimeout = 5 * time.Second
+	// onceTimeout bounds a non-idempotent call at the service.
+	onceTimeout = 30 * time.Second
 	// storeRetryAfter is suggested to callers while the table service is down.
 	storeRetryAfter = 2 * time.Second
 )
@@ -55,18 +57,29 @@
 	if err := k.read(c); err != nil {
 		return err
 	}
-	var resp upstream.Response
-	if k.route.Idempotent {
-		resp, err = k.repeatable(c.Request().Context())
-	} else {
-		resp, err = k.once(c.Request().Context())
+	done, err := s.Quota.Take(c.Request().Context(), who.account)
+	if err != nil {
+		return err
 	}
+	defer done()
+	resp, err := k.serve(c.Request().Context())
 	if err != nil {
 		return err
 	}
 	return c.Blob(resp.Status, resp.ContentType, resp.Body)
 }
 
+func (k *call) serve(ctx context.Context) (upstream.Response, error) {
+	if !k.route.Idempotent {
+		return k.once(ctx)
+	}
+	resp, refused := k.send(ctx, true)
+	if refused != nil {
+		return resp, refused
+	}
+	return resp, nil
+}
+
 func (k *call) read(c echo.Context) error {
 	r := c.Request()
 	if err := k.match(r); err != nil {
@@ -130,24 +143,18 @@
 	return nil
 }
 
-// repeatable sends an idempotent call, again to another VM where that helps.
-func (k *call) repeatable(ctx context.Context) (upstream.Response, error) {
-	for attempt := 1; ; attempt++ {
-		resp, err := k.send(ctx)
+// send sends the call, again to another VM where that is allowed and helps.
+// The error is final: it says what is known of all attempts.
+func (k *call) send(ctx context.Context, idempotent bool) (upstream.Response, *apierr.Error) {
+	tries := k.s.newAttempts(idempotent, k.who.deadline)
+	for {
+		resp, err := k.attempt(ctx)
 		if err == nil {
 			return resp, nil
 		}
-		var refused *apierr.Error
-		if errors.As(err, &refused) {
-			return resp, refused
-		}
-		if answer, ok := answerOf(err); ok {
-			return answer, nil
+		if final := tries.after(ctx, err); final != nil {
+			return resp, final
 		}
-		if ctx.Err() != nil || attempt >= maxAttempts {
-			return resp, upstreamFailed(upstream.SentOf(err), err)
-		}
-		k.s.metrics.retries.Add(1)
 	}
 }
 
@@ -181,52 +188,43 @@
 	return append([]byte(head), k.body...)
 }
 
-// run executes a claimed call and records how it ended.
+// run executes a claimed call and records how it ended. It is sent again only
+// where an attempt provably did not run, or the service recognises repetitions.
 func (k *call) run(ctx context.Context, c *claim.Claim) (upstream.Response, error) {
-	resp, err := k.send(ctx)
+	resp, refused := k.send(ctx, k.service.Deduplicates)
 	// The caller may be gone by now; the record must be made all the same.
 	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
-	if err == nil {
-		return resp, k.record(k.s.Claims.Finish(rctx, c, claim.Answer(resp)))
-	}
-	if answer, ok := answerOf(err); ok {
-		return answer, k.record(k.s.Claims.Finish(rctx, c, claim.Answer(answer)))
-	}
-	var refused *apierr.Error
-	if errors.As(err, &refused) {
-		// Admission refused it: nothing was sent.
-		_ = k.record(k.s.Claims.Refused(rctx, c))
-		return upstream.Response{}, refused
-	}
-	sent := upstream.SentOf(err)
-	if sent.DidNotRun() {
-		_ = k.record(k.s.Claims.Refused(rctx, c))
-		return upstream.Response{}, upstreamFailed(sent, err)
+	switch {
+	case refused == nil:
+		k.record(k.s.Claims.Finish(rctx, c, claim.Answer(resp)))
+		return resp, nil
+	case refused.Ran == apierr.RanNo:
+		k.record(k.s.Claims.Refused(rctx, c))
+		return resp, refused
 	}
-	_ = k.record(k.s.Claims.MarkUnknown(rctx, c))
-	return upstream.Response{}, outcomeUnknown(err)
+	k.record(k.s.Claims.MarkUnknown(rctx, c))
+	return resp, outcomeUnknown(refused)
 }
 
 // record logs what could not be recorded. The claim then stays in its earlier
 // state, which blocks the key: the answer can't be repeated, but nothing runs twice.
-func (k *call) record(err error) error {
+func (k *call) record(err error) {
 	if err != nil {
 		k.s.log.Warn("claim not recorded", "request", k.id, "service", k.service.Name, "cause", err)
 	}
-	return nil
 }
 
-// send asks for a grant and sends the call once.
-func (k *call) send(ctx context.Context) (upstream.Response, error) {
+// attempt asks for a grant and sends the call once.
+func (k *call) attempt(ctx context.Context) (upstream.Response, error) {
 	pool, ok := k.who.config.Pool(k.service.Pool)
 	if !ok {
 		return upstream.Response{}, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
 			WithRetryAfter(time.Second)
 	}
-	attempt := uuid.NewString()
+	id := uuid.NewString()
 	g, err := k.s.Admitter.Admit(ctx, &admission.Request{
-		ID:       attempt,
+		ID:       id,
 		Account:  k.who.account,
 		Class:    k.who.class,
 		Pools:    []*config.Pool{pool},
@@ -238,11 +236,19 @@
 		return upstream.Response{}, err
 	}
 	defer g.Release()
+	if !k.route.Idempotent {
+		// Once it is sent, the call runs to its end although the caller may be
+		// gone: cutting it would leave the outcome unknown, while its recorded
+		// answer is there when the caller comes back with the key.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), onceTimeout)
+		defer cancel()
+	}
 	resp, err := k.s.Upstream.Do(ctx, upstream.Call{
 		Address:        g.Engine.Address,
 		Name:           g.Engine.Name,
 		Incarnation:    g.Incarnation,
-		RequestID:      attempt,
+		RequestID:      id,
 		Method:         k.route.Route.Method,
 		Path:           k.route.Path,
 		Query:          k.query,
@@ -269,20 +275,6 @@
 	return k.who.account.Name + "/" + k.key
 }
 
-// answerOf returns a service's own refusal, such as 404 or 422, as an answer:
-// the service spoke, and its words belong to the caller. A 5xx is not one,
-// because it proves nothing about execution.
-func answerOf(err error) (upstream.Response, bool) {
-	var f *upstream.Failure
-	if !errors.As(err, &f) || f.Sent.DidNotRun() {
-		return upstream.Response{}, false
-	}
-	if f.Status < http.StatusBadRequest || f.Status >= http.StatusInternalServerError {
-		return upstream.Response{}, false
-	}
-	return upstream.Response{Status: f.Status, ContentType: "application/json", Body: []byte("{}")}, true
-}
-
 func outcomeUnknown(cause error) *apierr.Error {
 	return apierr.New(apierr.CodeOutcomeUnknown, http.StatusBadGateway,
 		"the request was sent and its outcome is not known; do not repeat it under another key").
