Locate by hint and by engines in service; cache handed off on a planned leave

Cause: a locate answer named the owner of an engine that does not serve the model's version (seen by hand: the chat then ran elsewhere over a remote permit); and a leaving engine took its chats' prefixes with it.

--- a/client/client.go
+++ b/client/client.go
@@ -130,13 +130,18 @@
 // Locate asks the fleet which addresses to use for a chat, best first. An
 // empty chat asks for any lightly loaded router.
 func (c *Client) Locate(ctx context.Context, chat, model string) ([]string, error) {
+	return c.locate(ctx, chat, model, "")
+}
+
+// locate is Locate with the hint of where the chat's prefix is cached.
+func (c *Client) locate(ctx context.Context, chat, model, hint string) ([]string, error) {
 	key := chat + "\x00" + model
 	if addrs, ok := c.remembered(key); ok {
 		return addrs, nil
 	}
 	var last error
 	for _, seed := range c.askable() {
-		loc, err := c.ask(ctx, seed, chat, model)
+		loc, err := c.ask(ctx, seed, chat, model, hint)
 		if err != nil {
 			last = err
 			continue
@@ -201,7 +206,7 @@
 	return out
 }
 
-func (c *Client) ask(ctx context.Context, addr, chat, model string) (wire.Locate, error) {
+func (c *Client) ask(ctx context.Context, addr, chat, model, hint string) (wire.Locate, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout)
 	defer cancel()
 	q := url.Values{"chat": {chat}, "model": {model}}
@@ -210,6 +215,7 @@
 		return wire.Locate{}, ErrProtocol.Wrap(err)
 	}
 	c.authorize(req)
+	setIf(req.Header, wire.HeaderPrefixHint, hint)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return wire.Locate{}, ErrNoRouter.Wrap(err)
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/permit"
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/wire"
 )
 
@@ -71,6 +72,34 @@
 	return true
 }
 
+// Home is the owner of the engine that a chat without evidence goes to: the
+// first in its rendezvous order that is in service, as far as is known here.
+func (a *Admission) Home(p *config.Pool, chat uint64) (board.Router, bool) {
+	snap := a.opts.Board.Snapshot()
+	g := snap.Group(p.Name, snap.Config.Site.Region)
+	if g == nil {
+		return board.Router{}, false
+	}
+	l := a.laneFor(snap, p)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	best, bestScore := -1, uint64(0)
+	for i := range g.Engines {
+		e := l.describe(now, &g.Engines[i])
+		if e.Leaving || !e.Loaded || e.Ejected || g.Owners[i] < 0 {
+			continue
+		}
+		if score := rendezvous.Score(chat, e.ID); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return board.Router{}, false
+	}
+	return snap.Routers[g.Owners[best]], true
+}
+
 // Adopt takes over the permit of a stream that is resumed at this router.
 func (a *Admission) Adopt(ctx context.Context, id, engine string, incarnation uint64) (*Grant, error) {
 	snap := a.opts.Board.Snapshot()
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -117,6 +117,7 @@
 	r.engines = &controller.Engines{
 		Board: r.board, Upstream: r.upstream, Admission: r.admission, Facts: r.facts, Log: r.log,
 	}
+	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
 	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,6 +83,7 @@
 	configs *controller.Configs
 	engines *controller.Engines
 	loads   *controller.Loads
+	handoff *controller.Handoff
 
 	http    *http.Server
 	vars    *expvar.Map
@@ -138,6 +139,7 @@
 	r.goRun(r.vms.Run)
 	r.goRun(r.configs.Run)
 	r.goRun(r.engines.Run)
+	r.goRun(r.handoff.Run)
 	r.goRun(r.loads.Run)
 	r.goRun(r.loads.RunReports)
 	r.goRun(r.quota.Run)
--- a/internal/traffic/locate.go
+++ b/internal/traffic/locate.go
@@ -33,7 +33,7 @@
 		}
 		who.setChat(id)
 	}
-	routers := s.routersFor(who, c.QueryParam("model"))
+	routers := s.routersFor(who, c.QueryParam("model"), c.Request().Header.Get(wire.HeaderPrefixHint))
 	if len(routers) == 0 {
 		return apierr.New(apierr.CodeNotReady, http.StatusServiceUnavailable, "no router in service is known").
 			WithRetryAfter(time.Second)
@@ -50,7 +50,7 @@
 }
 
 // routersFor lists the best router and its alternates.
-func (s *Server) routersFor(who *caller, model string) []board.Router {
+func (s *Server) routersFor(who *caller, model, hint string) []board.Router {
 	snap := who.snapshot
 	key := who.chat
 	if key == 0 {
@@ -58,7 +58,7 @@
 		key = rand.Uint64()
 	}
 	var out []board.Router
-	if r, ok := s.preferredOwner(who, model); ok {
+	if r, ok := s.preferredOwner(who, model, hint); ok {
 		out = append(out, r)
 	}
 	for _, i := range rendezvous.Top(nil, alternates+1, key, snap.LiveIDs) {
@@ -73,36 +73,38 @@
 	return out
 }
 
-// preferredOwner is the owner of the engine that the chat's rendezvous order
-// names first, among the engines that are not leaving.
-func (s *Server) preferredOwner(who *caller, model string) (board.Router, bool) {
+// preferredOwner is the owner of the engine that holds the chat's prefix by
+// the caller's hint, or else of the one that the chat's rendezvous order names.
+func (s *Server) preferredOwner(who *caller, model, hint string) (board.Router, bool) {
+	if r, ok := s.hintedOwner(who, hint); ok {
+		return r, true
+	}
 	if who.chat == 0 || model == "" {
 		return board.Router{}, false
 	}
 	for _, p := range who.config.PoolsFor(model, "") {
-		g := who.snapshot.Group(p.Name, who.config.Site.Region)
-		if g == nil {
-			continue
-		}
-		if i := preferredEngine(g, who.chat); i >= 0 && g.Owners[i] >= 0 {
-			return who.snapshot.Routers[g.Owners[i]], true
+		if r, ok := s.Admitter.Home(p, who.chat); ok {
+			return r, true
 		}
 	}
 	return board.Router{}, false
 }
 
-func preferredEngine(g *board.Group, chat uint64) int {
-	best, bestScore := -1, uint64(0)
-	for i := range g.Engines {
-		if g.Engines[i].Leaving {
-			continue
-		}
-		score := rendezvous.Score(chat, g.IDs[i])
-		if best < 0 || score > bestScore {
-			best, bestScore = i, score
-		}
+// hintedOwner follows a hint. One that is not valid is passed over here; the
+// chat request itself, which hands it back too, is refused with the reason.
+func (s *Server) hintedOwner(who *caller, hint string) (board.Router, bool) {
+	if hint == "" {
+		return board.Router{}, false
+	}
+	h, err := s.Tokens.OpenHint(who.account.Name, hint)
+	if err != nil {
+		return board.Router{}, false
+	}
+	e, ok := who.snapshot.EngineByID(h.Engine)
+	if !ok || e.Leaving {
+		return board.Router{}, false
 	}
-	return best
+	return who.snapshot.Owner(e.ID)
 }
 
 func (s *Server) jitteredTTL() time.Duration {
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -28,6 +28,8 @@
 type Admitter interface {
 	// Admit waits for a grant. Its errors are *apierr.Error.
 	Admit(ctx context.Context, req *admission.Request) (*admission.Grant, error)
+	// Home is the owner of the engine that a chat without evidence goes to.
+	Home(p *config.Pool, chat uint64) (board.Router, bool)
 	// Adopt takes over the permit of a stream that is resumed here. It
 	// fails when the engine is gone or was restarted.
 	Adopt(ctx context.Context, requestID, engine string, incarnation uint64) (*admission.Grant, error)
