--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -55,10 +56,8 @@
 				require.NoError(t, err)
 				return
 			}
-			var fe *FullError
-			require.ErrorAs(t, err, &fe)
-			assert.Equal(t, c.reason, fe.Reason)
-			assert.Equal(t, Load{Count: c.granted, Weight: int64(10 * c.granted)}, fe.Load)
+			load := Load{Count: c.granted, Weight: int64(10 * c.granted)}
+			assert.Equal(t, &FullError{Reason: c.reason, Load: load, WarmingUp: c.live != nil}, err)
 		})
 	}
 }
@@ -156,11 +155,11 @@
 // the router dies, its permits are freed, new work is granted, and the engine
 // still runs the old. Cause: the end of a holder taken for the end of its work.
 func TestDeadRouterKeepsItsPermitsUntilTheEngineReports(t *testing.T) {
+	anonymous := func(n int) EngineLoad { return EngineLoad{Incarnation: 1, Count: n, Weight: int64(10 * n)} }
 	load := func(ids ...string) EngineLoad {
-		return EngineLoad{Incarnation: 1, Count: len(ids), Weight: int64(10 * len(ids)), IDs: ids}
-	}
-	anonymous := func(n int) EngineLoad {
-		return EngineLoad{Incarnation: 1, Count: n, Weight: int64(10 * n)}
+		l := anonymous(len(ids))
+		l.IDs = ids
+		return l
 	}
 	cases := map[string]struct {
 		at     float64
@@ -249,8 +248,8 @@
 	w.reports = append(w.reports, r)
 }
 
-func (w *world) engineReport(age time.Duration, named bool) {
-	l := EngineLoad{Incarnation: w.inc, Age: age, Count: len(w.engine)}
+func (w *world) engineReport(named bool) {
+	l := EngineLoad{Incarnation: w.inc, Count: len(w.engine)}
 	for id, weight := range w.engine {
 		l.Weight += weight
 		if named {
@@ -260,14 +259,7 @@
 	w.book.EngineReport(w.now, l)
 }
 
-func (w *world) live() []string {
-	var names []string
-	for r := range w.holds {
-		names = append(names, r)
-	}
-	slices.Sort(names)
-	return names
-}
+func (w *world) live() []string { return slices.Sorted(maps.Keys(w.holds)) }
 
 // Random requests, releases, deaths, reports, take-overs and restarts, with
 // any message lost, late or repeated: once all work has ended and each side
@@ -276,7 +268,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
 			now: epoch, inc: 1, engine: map[string]int64{}, seq: map[string]uint64{}, released: map[string]int{},
-			holds: map[string]map[string]int64{"a": {}, "b": {}, "c": {}},
+			holds:    map[string]map[string]int64{"a": {}, "b": {}, "c": {}},
+			requests: []Request{ask("0", "a")}, reports: []HolderReport{{Holder: "a", Incarnation: 1}},
 		}
 		w.book = NewBook(w.now, Config{}, w.inc, nil)
 		id := func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(0, w.next).Draw(t, "id")) }
@@ -291,18 +284,16 @@
 				w.acquire(r, rapid.Bool().Draw(t, "reply lost"))
 			},
 			"repeat request": func(t *rapid.T) {
-				if len(w.requests) > 0 {
-					w.acquire(rapid.SampledFrom(w.requests).Draw(t, "request"), true)
-				}
+				w.acquire(rapid.SampledFrom(w.requests).Draw(t, "request"), true)
 			},
 			"finish": func(t *rapid.T) {
 				r, x := router(t), id(t)
-				if _, ok := w.holds[r][x]; !ok {
-					return
+				_, held := w.holds[r][x]
+				if held {
+					delete(w.holds[r], x)
+					delete(w.engine, x)
 				}
-				delete(w.holds[r], x)
-				delete(w.engine, x)
-				if rapid.Bool().Draw(t, "release arrives") {
+				if held && rapid.Bool().Draw(t, "release arrives") {
 					w.release(x)
 				}
 			},
@@ -318,9 +309,7 @@
 				}
 			},
 			"deliver report": func(t *rapid.T) {
-				if len(w.reports) > 0 {
-					w.book.Holdings(w.now, rapid.SampledFrom(w.reports).Draw(t, "report"))
-				}
+				w.book.Holdings(w.now, rapid.SampledFrom(w.reports).Draw(t, "report"))
 			},
 			"router dies": func(t *rapid.T) {
 				if r := router(t); len(w.holds) > 1 {
@@ -330,14 +319,14 @@
 					}
 				}
 			},
-			"engine report": func(t *rapid.T) { w.engineReport(0, rapid.Bool().Draw(t, "named")) },
+			"engine report": func(t *rapid.T) { w.engineReport(rapid.Bool().Draw(t, "named")) },
 			"engine restarts": func(t *rapid.T) {
 				w.inc++
 				clear(w.engine)
 				for _, h := range w.holds {
 					clear(h)
 				}
-				w.engineReport(0, true)
+				w.engineReport(true)
 			},
 			"take over": func(*rapid.T) {
 				w.book = NewBook(w.now, Config{}, w.inc, w.live())
@@ -363,7 +352,7 @@
 				w.report(r)
 				w.book.Holdings(w.now, w.reports[len(w.reports)-1])
 			}
-			w.engineReport(0, named)
+			w.engineReport(named)
 		}
 		require.Equal(t, Load{}, w.book.Own())
 		require.Equal(t, Load{}, w.book.Load(w.now))
@@ -380,18 +369,16 @@
 // holds it to the sum of what the two owners may grant.
 func TestOvershootWhileTwoOwnersDisagree(t *testing.T) {
 	const runs = 300
-	cases := []struct {
+	for i, c := range []struct {
 		name          string
 		engineReports bool
-		length        float64
-		limit         float64
+		length, limit float64
 	}{
 		{"warm-up, engine silent", false, 4.9, 1.5},
 		{"warm-up, engine reports 1 s late", true, 4.9, 1.5},
 		{"beyond warm-up, engine silent", false, 30, 2},
 		{"beyond warm-up, engine reports 1 s late", true, 30, 2},
-	}
-	for i, c := range cases {
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(7, uint64(i)))
 			worst, sum := 0.0, 0.0
@@ -409,46 +396,37 @@
 // disagree runs two owners of one engine for the given seconds and returns the
 // highest true load as a multiple of the bound for the heaviest request.
 func disagree(rnd *rand.Rand, engineReports bool, length float64) float64 {
-	books := []*Book{
-		NewBook(epoch, Config{MaxBatch: 1000}, 1, nil),
-		NewBook(epoch, Config{MaxBatch: 1000}, 1, []string{"r0", "r1", "r2"}),
-	}
+	cfg := Config{MaxBatch: 1000}
+	books := []*Book{NewBook(epoch, cfg, 1, nil), NewBook(epoch, cfg, 1, []string{"r0", "r1", "r2"})}
 	const total, n, heaviest = 2000, 10, 60
 	const bound = DefaultBound * (total + heaviest) / n
-	type running struct {
-		weight int64
-		owner  int
-	}
-	engine := map[string]running{}
+	engine := map[string]int64{}
 	var load int64
 	var history []EngineLoad
 	worst := 0.0
 	for step := 0; float64(step)/20 < length; step++ {
 		now := at(float64(step) / 20)
-		owner := rnd.IntN(2)
 		r := Request{
 			ID: fmt.Sprint(step), Holder: fmt.Sprint("r", rnd.IntN(3)), Incarnation: 1,
 			Weight: 1 + rnd.Int64N(heaviest), PoolTotal: total, PoolN: n,
 		}
-		if _, err := books[owner].Acquire(now, r); err == nil {
-			engine[r.ID] = running{r.Weight, owner}
+		if _, err := books[rnd.IntN(2)].Acquire(now, r); err == nil {
+			engine[r.ID] = r.Weight
 			load += r.Weight
 		}
 		worst = max(worst, float64(load)/bound)
-		snapshot := EngineLoad{Incarnation: 1, Age: time.Second, Weight: load, Count: len(engine)}
-		for id := range engine {
-			snapshot.IDs = append(snapshot.IDs, id)
-		}
-		slices.Sort(snapshot.IDs)
-		history = append(history, snapshot)
+		ids := slices.Sorted(maps.Keys(engine))
+		history = append(history, EngineLoad{Incarnation: 1, Age: time.Second, Weight: load, Count: len(ids), IDs: ids})
 		if engineReports && step >= 20 && step%10 == 0 {
 			books[0].EngineReport(now, history[step-20])
 			books[1].EngineReport(now, history[step-20])
 		}
-		if id := snapshot.IDs; len(id) > 0 && rnd.IntN(4) == 0 {
-			x := id[rnd.IntN(len(id))]
-			books[engine[x].owner].Release(now, x)
-			load -= engine[x].weight
+		if len(ids) > 0 && rnd.IntN(4) == 0 {
+			x := ids[rnd.IntN(len(ids))]
+			for _, b := range books {
+				b.Release(now, x)
+			}
+			load -= engine[x]
 			delete(engine, x)
 		}
 	}
@@ -457,14 +435,10 @@
 
 func BenchmarkAcquireRelease(b *testing.B) {
 	book := NewBook(epoch, Config{MaxBatch: 100}, 1, nil)
-	ids := make([]string, 4096)
-	for i := range ids {
-		ids[i] = fmt.Sprint(i)
-	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		now := at(float64(i))
-		_, _ = book.Acquire(now, ask(ids[i%len(ids)], "a"))
-		book.Release(now, ids[i%len(ids)])
+		id := fmt.Sprint(i)
+		_, _ = book.Acquire(at(float64(i)), ask(id, "a"))
+		book.Release(at(float64(i)), id)
 	}
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,9 +27,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, Normal, got)
 	_, err = ParseClass("Urgent")
-	var ce *ClassError
-	require.ErrorAs(t, err, &ce)
-	assert.Equal(t, "Urgent", ce.Name)
+	assert.Equal(t, &ClassError{Name: "Urgent"}, err)
 }
 
 // saturate makes q believe that it drains rate units of weight a second, and
@@ -138,7 +137,7 @@
 			}
 		}
 	}
-	steps := []struct {
+	for _, s := range []struct {
 		account string
 		class   Class
 		n       int
@@ -148,9 +147,7 @@
 		{"surge", Urgent, 20, ScopeAccount},
 		{"calm", Normal, 0, ScopeClass},
 		{"calm", High, 10, ScopeClass},
-		{"calm", Urgent, 0, ""},
-	}
-	for _, s := range steps[:4] {
+	} {
 		n, err := fill(s.account, s.class)
 		var fe *FullError
 		require.ErrorAs(t, err, &fe)
@@ -173,15 +170,13 @@
 			"b": rapid.Float64Range(0.1, 10).Draw(t, "share b"),
 		}
 		weights := rapid.SliceOfN(rapid.Int64Range(1, 1000), 200, 200).Draw(t, "weights")
-		var heaviest int64
+		heaviest := slices.Max(weights)
 		for i, w := range weights {
-			heaviest = max(heaviest, w)
 			a := string("ab"[i%2])
 			it := Item{ID: fmt.Sprint(i), Account: a, Class: High, Weight: w, Share: share[a]}
 			require.NoError(t, q.Push(epoch, it))
 		}
-		served := map[string]float64{}
-		count := map[string]int{}
+		served, count := map[string]float64{}, map[string]int{}
 		for count["a"] < 100 && count["b"] < 100 {
 			it, ok := q.Pop(epoch)
 			require.True(t, ok)
@@ -202,8 +197,7 @@
 	for i := range 200 {
 		require.NoError(t, q.Push(epoch, Item{ID: fmt.Sprint("b", i), Account: "a", Class: Batch}))
 	}
-	firstBatch := -1
-	batch, urgent := 0, 0
+	firstBatch, batch, urgent := -1, 0, 0
 	for s := range 120 {
 		now := at(time.Duration(s) * time.Second)
 		for i := range 2 {
@@ -215,8 +209,7 @@
 			urgent++
 			continue
 		}
-		batch++
-		if firstBatch < 0 {
+		if batch++; firstBatch < 0 {
 			firstBatch = s
 		}
 	}
@@ -230,9 +223,7 @@
 func TestEachItemLeavesExactlyOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(Config{Limit: 40, AgeAfter: 3 * time.Second})
-		now := epoch
-		held := map[string]Item{}
-		next := 0
+		held, now, next := map[string]Item{}, epoch, 0
 		leave := func(it Item) {
 			_, ok := held[it.ID]
 			require.True(t, ok, "%s left twice or never entered", it.ID)
@@ -314,31 +305,30 @@
 	assert.LessOrEqual(t, most, 2*minSweep)
 }
 
-func BenchmarkPushPop(b *testing.B) {
+// backlog returns a queue of 1,000 items and the items that follow them.
+func backlog() (*Queue, []Item) {
 	q := New(Config{Limit: 2000})
-	ids := make([]string, 4000)
-	for i := range ids {
-		ids[i] = fmt.Sprint(i)
-	}
-	item := func(i int) Item {
-		return Item{ID: ids[i%len(ids)], Account: ids[i%410], Class: Class(i % classCount), Weight: 10}
-	}
-	for i := range 1000 {
-		_ = q.Push(epoch, item(i))
+	items := make([]Item, 4000)
+	for i := range items {
+		items[i] = Item{ID: fmt.Sprint(i), Account: fmt.Sprint(i % 410), Class: Class(i % classCount), Deadline: at(time.Hour)}
+		if i < 1000 {
+			_ = q.Push(epoch, items[i])
+		}
 	}
+	return q, items
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q, items := backlog()
 	b.ReportAllocs()
 	for i := 1000; b.Loop(); i++ {
-		_ = q.Push(epoch, item(i))
+		_ = q.Push(epoch, items[i%len(items)])
 		q.Pop(epoch)
 	}
 }
 
 func BenchmarkExpire1000(b *testing.B) {
-	q := New(Config{Limit: 2000})
-	for i := range 1000 {
-		it := Item{ID: fmt.Sprint(i), Account: fmt.Sprint(i % 410), Class: Class(i % classCount), Deadline: at(time.Hour)}
-		_ = q.Push(epoch, it)
-	}
+	q, _ := backlog()
 	b.ReportAllocs()
 	for b.Loop() {
 		q.Expire(epoch)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -31,17 +31,11 @@
 		attempt                          int
 		inTime, budget                   bool
 	}
-	bools := []bool{false, true}
 	var rows []row
-	for known := NotSent; known <= FirstByteDelivered; known++ {
-		for earlier := NotSent; earlier <= FirstByteDelivered; earlier++ {
-			for _, attempt := range []int{1, 2, 3, 4} {
-				for bits := range 32 {
-					on := func(i int) bool { return bools[bits>>i&1] }
-					rows = append(rows, row{known, earlier, on(0), on(1), on(2), attempt, on(3), on(4)})
-				}
-			}
-		}
+	for i := range 4 * 4 * 4 * 32 {
+		on := func(bit int) bool { return i>>bit&1 == 1 }
+		known, earlier, attempt := Known(i>>5&3), Known(i>>7&3), i>>9+1
+		rows = append(rows, row{known, earlier, on(0), on(1), on(2), attempt, on(3), on(4)})
 	}
 	// expected[strongest knowledge][idempotent] if nothing else stands against it.
 	again, resume, no := "again", "resume", "no"
@@ -56,10 +50,7 @@
 		SentNoReply: apierr.RanUnknown, FirstByteDelivered: apierr.RanYes,
 	}
 	for _, r := range rows {
-		p := newPolicy(0)
-		if r.budget {
-			p = newPolicy(1)
-		}
+		p := newPolicy(map[bool]float64{true: 1}[r.budget])
 		a := Attempt{
 			Number: r.attempt, Idempotent: r.idempotent, Known: r.known, Earlier: r.earlier,
 			Resumable: r.resumable, Alternate: r.alternate,
