Traffic: proofs of whole answers, at most once, honest refusals, bad input

Cause: the callers' interface had no tests of its own. Ruled out: timing in verdicts; the stand-ins' books and the callers' own copies decide. Before: 0 tests here.

--- /dev/null
+++ b/internal/traffic/harness_test.go
@@ -0,0 +1,208 @@
+package traffic
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	chatKey   = "example-review-office-sebeke"
+	otherKey  = "example-objections-office-sebeke"
+	portalKey = "example-applicant-portal-sebeke"
+	site      = "cankaya"
+	region    = "ankara"
+)
+
+// harness is one router's traffic layer before stand-in upstreams.
+type harness struct {
+	t       *testing.T
+	server  *Server
+	http    *httptest.Server
+	board   *board.Board
+	adm     *admission.Admission
+	store   *platformtest.Fake
+	engines map[string]*engine.Engine
+	portal  *service.Service
+}
+
+// unlimited lets every request through.
+type unlimited struct{}
+
+func (unlimited) Take(context.Context, *config.Account) (func(), error) { return func() {}, nil }
+
+func newHarness(t *testing.T, engines ...string) *harness {
+	h := &harness{t: t, board: board.New("r1"), store: platformtest.New(), engines: make(map[string]*engine.Engine)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go h.board.Run(ctx)
+	facts, err := admission.NewFacts(1000, 1)
+	require.NoError(t, err)
+	h.adm = admission.New(admission.Options{Board: h.board, Self: "r1", Instance: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	t.Cleanup(h.adm.Close)
+	codec, err := token.NewCodec(token.Key{ID: 1, Secret: []byte(strings.Repeat("s", token.MinSecret))})
+	require.NoError(t, err)
+	h.server = New(Options{
+		Board: h.board, Admitter: h.adm, Facts: facts, Quota: unlimited{}, Name: "r1",
+		Upstream:  upstream.New(upstream.Options{IdleGap: 200 * time.Millisecond}),
+		Claims:    claim.New(h.store, h.store.Objects(), "r1", uuid.NewString),
+		Tokens:    codec,
+		Log:       log.New(io.Discard),
+		IdleGap:   200 * time.Millisecond,
+		Heartbeat: time.Second, ResumeGrace: time.Hour,
+	})
+	h.http = httptest.NewServer(h.server.Handler())
+	t.Cleanup(h.http.Close)
+	h.configure()
+	for _, name := range engines {
+		h.addEngine(name)
+	}
+	h.portal = service.New(service.Options{Name: "p1"})
+	h.addUpstream("p1", platform.KindService, "portal", h.portal.Handler(), h.portal.Report())
+	return h
+}
+
+func (h *harness) configure() {
+	b, err := config.ReadBundle("../../examples/sebeke/base.yaml", "")
+	require.NoError(h.t, err)
+	parsed, err := b.Parse()
+	require.NoError(h.t, err)
+	eff, err := config.NewEffective(parsed.Document, parsed.Overlays, site)
+	require.NoError(h.t, err)
+	h.board.UpdateWait(func(s *board.State) {
+		s.Config, s.ConfigVersion = eff, 1
+		s.Routers["r1"] = board.Router{Name: "r1", ID: rendezvous.ID("r1"), Instance: 1, Address: "127.0.0.1:1", Site: site}
+	})
+}
+
+func (h *harness) addEngine(name string) {
+	opts := engine.Defaults(name, "dossier")
+	opts.Version, opts.Adapters, opts.StepTime = "2.1", []string{"grid-code", "objections"}, 0
+	opts.ReportLag = 0
+	e := engine.New(opts)
+	h.t.Cleanup(e.Close)
+	h.engines[name] = e
+	h.addUpstream(name, platform.KindEngine, "language", e.Handler(), e.Status())
+}
+
+func (h *harness) addUpstream(name, kind, pool string, handler http.Handler, st wire.EngineStatus) {
+	srv := httptest.NewServer(handler)
+	h.t.Cleanup(srv.Close)
+	e := board.Engine{
+		Name: name, ID: rendezvous.ID(name), Address: srv.Listener.Addr().String(),
+		Site: site, Region: region, Pool: pool, Kind: kind,
+	}
+	h.board.UpdateWait(func(s *board.State) { s.Engines[name] = e })
+	h.adm.Sync(h.board.Snapshot())
+	h.adm.EngineReport(&e, st)
+}
+
+// request is one call to the router.
+type request struct {
+	method, path, body string
+	key                string
+	header             map[string]string
+}
+
+func (h *harness) do(r request) (*http.Response, string) {
+	h.t.Helper()
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.path == "" {
+		r.path = wire.PathChat
+	}
+	req, err := http.NewRequest(r.method, h.http.URL+r.path, strings.NewReader(r.body))
+	require.NoError(h.t, err)
+	if r.key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.key)
+	}
+	for k, v := range r.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(h.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return resp, string(body)
+}
+
+func refusalIn(t *testing.T, body string) *apierr.Error {
+	t.Helper()
+	var b errorBody
+	require.NoError(t, json.Unmarshal([]byte(body), &b), body)
+	require.NotNil(t, b.Error, body)
+	return b.Error
+}
+
+// ask is a chat request and the answer that it must get.
+func ask(text string, stream bool) (body, want string) {
+	req := wire.ChatRequest{Model: "dossier", Messages: []wire.Message{{Role: "user", Content: text}}, Stream: stream, MaxTokens: 12}
+	data, err := json.Marshal(req)
+	if err != nil {
+		panic(err)
+	}
+	return string(data), engine.AnswerText(req)
+}
+
+// events reads a streamed body: its text, whether the end marker came, and a
+// typed error event if one did.
+func events(t *testing.T, body string) (text string, whole bool, failed *apierr.Error) {
+	t.Helper()
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == wire.DoneMarker {
+			whole = true
+			continue
+		}
+		var ch struct {
+			wire.Chunk
+			Error *apierr.Error `json:"error"`
+		}
+		require.NoError(t, json.Unmarshal([]byte(data), &ch))
+		if ch.Error != nil {
+			failed = ch.Error
+			continue
+		}
+		text += ch.Choices[0].Delta.Content
+	}
+	return text, whole, failed
+}
+
+func runs(engines map[string]*engine.Engine) int {
+	n := 0
+	for _, e := range engines {
+		for _, times := range e.Books().Runs {
+			n += times
+		}
+	}
+	return n
+}
