--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -122,14 +122,14 @@
 }
 
 // cheapest returns the candidate with the least cost, and the one with the
-// least cost among those that hold a prefix, or nil.
+// least cost among those that hold a prefix, or nil. The latter may be barred.
 func (p *Picker) cheapest() (best, warm *candidate) {
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		if best == nil || c.cost < best.cost {
 			best = c
 		}
-		if c.cached > 0 && c.cost < barred && (warm == nil || c.cost < warm.cost) {
+		if c.cached > 0 && (warm == nil || c.cost < warm.cost) {
 			warm = c
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,7 +42,8 @@
 
 // Pool is the set of engines that can serve a request at one site.
 type Pool struct {
-	// Bound is c: an engine is admitted work up to c times the mean load.
+	// Bound is c: an engine is admitted work up to c times the mean load. It
+	// must be above 1; a smaller one admits nothing but lumps.
 	Bound float64
 	// Engines are all members, in any order.
 	Engines []Engine
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -11,7 +11,7 @@
 	// loaded engine and overrun it; two random ones keep them apart.
 	PowerOfTwo Spread = iota
 	// LeastWait takes the admissible engine with the shortest predicted wait.
-	// It is better only where the loads are exact, as at the engine's owner.
+	// Short checks then fill the batch of the engine that is lightest by weight.
 	LeastWait
 )
 
@@ -43,7 +43,7 @@
 	// DefaultOutputWeight agrees with wire.EngineStatus.Weight, so that the
 	// bound can be checked against the engines' own count.
 	DefaultOutputWeight = 1
-	DefaultKeepWait     = 500 * time.Millisecond
+	DefaultKeepWait     = 2 * time.Second
 	DefaultHomeWait     = 500 * time.Millisecond
 	DefaultHomeTrust    = 0.5
 	// DefaultPrefillRate and DefaultDrainRate fit a batch of 50 sequences at
--- a/internal/placement/scores.go
+++ b/internal/placement/scores.go
@@ -34,10 +34,12 @@
 }
 
 // homeSlack is how many seconds beyond the best a chat without evidence may
-// wait in order to follow its rendezvous order.
+// wait in order to follow its rendezvous order. It is never negative: the best
+// engine has to stay within it, or a bad policy would leave nothing to choose.
 func (p *Policy) homeSlack(r *Request) float64 {
 	earlier := float64(max(r.EarlierTokens, 0))
-	return p.HomeWait.Seconds() + p.HomeTrust*earlier/p.PrefillRate
+	slack := p.HomeWait.Seconds() + p.HomeTrust*earlier/p.PrefillRate
+	return max(slack, 0)
 }
 
 func rate(reported, assumed float64) float64 {
