--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -81,9 +81,9 @@
 // that slipped in before them could starve them.
 func (l *lane) enter(ctx context.Context, now time.Time, req *Request) (*Grant, error) {
 	l.mu.Lock()
-	waiting := l.head != nil || l.queue.Len() > 0
+	waiting := l.waiting()
 	l.mu.Unlock()
-	if waiting {
+	if waiting > 0 {
 		return nil, placement.ErrFull
 	}
 	return l.place(ctx, now, req)
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -61,7 +61,7 @@
 func (l *lane) push(now time.Time, w *waiter) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.queue.Len() >= l.pool.QueueLimit {
+	if l.waiting() >= l.pool.QueueLimit {
 		return &queue.FullError{Scope: queue.ScopeQueue, RetryAfter: time.Second}
 	}
 	return l.queue.Push(now, queue.Item{
@@ -75,6 +75,15 @@
 	})
 }
 
+// waiting counts the requests that wait here; the caller holds l.mu.
+func (l *lane) waiting() int {
+	n := l.queue.Len()
+	if l.head != nil {
+		n++
+	}
+	return n
+}
+
 func queueRefusal(err error) *apierr.Error {
 	var full *queue.FullError
 	if errors.As(err, &full) {
