bench: fleet in one process, workloads, driver, measures, demo

Trials of a placement need the engines' own view under churn: what was cached, how far the busiest engine is above the mean, and whether callers were told the truth. Routers run unchanged on loopback sockets; only the upstreams and the platform are stand-ins. A simulator of the cluster was ruled out: it would measure a model of the routers.

--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,254 @@
+// Package fleet starts a whole fleet in this process on loopback sockets: a
+// stand-in platform, stand-in engines and service VMs, and real routers.
+// Engines go and come back on demand.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/router"
+	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/standin"
+	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"github.com/charmbracelet/log"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of failures to start a fleet.
+var Error = errs.Class("bench fleet")
+
+const (
+	loopback = "127.0.0.1:0"
+	// readyTimeout bounds the wait until all routers know all others, the
+	// engines and the configuration.
+	readyTimeout = 20 * time.Second
+	readyPoll    = 50 * time.Millisecond
+	// settleTime lets the owners hear from their engines and tell the others.
+	settleTime = 2500 * time.Millisecond
+	locateTTL  = 2 * time.Second
+	drainTime  = 10 * time.Second
+	readHeader = 5 * time.Second
+)
+
+// Options configures a fleet.
+type Options struct {
+	Workload *workload.Workload
+	// Bound is the load bound of the language pool.
+	Bound float64
+	// Router is passed to each router; the seed is made different for each.
+	Router router.Options
+	// Log takes the routers' logs; nil drops them.
+	Log *log.Logger
+}
+
+// Fleet is a running fleet. Close stops it.
+type Fleet struct {
+	opts     Options
+	platform *standin.Platform
+	url      string
+	servers  []*http.Server
+	wg       sync.WaitGroup
+
+	Engines  []*Engine
+	Services []*service.Service
+	Routers  []*router.Router
+}
+
+// Start starts a fleet and waits until it serves.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if o.Log == nil {
+		o.Log = log.New(io.Discard)
+	}
+	f := &Fleet{opts: o, platform: standin.NewPlatform()}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, Error.Wrap(err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	address, err := f.serve(f.platform.Handler())
+	if err != nil {
+		return err
+	}
+	f.url = "http://" + address
+	b, err := f.opts.Workload.Bundle(f.opts.Bound)
+	if err != nil {
+		return err
+	}
+	if err := standin.Seed(ctx, f.url, b); err != nil {
+		return err
+	}
+	if err := f.startUpstreams(); err != nil {
+		return err
+	}
+	if err := f.startRouters(); err != nil {
+		return err
+	}
+	return f.waitReady(ctx)
+}
+
+func (f *Fleet) startUpstreams() error {
+	w := f.opts.Workload
+	for i := range w.Engines.Count {
+		if err := f.startEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range w.Services.Count {
+		if err := f.startService(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startService(i int) error {
+	name := fmt.Sprintf("service-%d", i+1)
+	s := service.New(service.Options{Name: name, Latency: f.opts.Workload.Services.Latency})
+	address, err := f.serve(s.Handler())
+	if err != nil {
+		return err
+	}
+	f.Services = append(f.Services, s)
+	f.platform.PutVM(platform.VM{
+		Name: name, Address: address, Site: siteOf(i), Pool: workload.ServicePool,
+		Kind: platform.KindService, State: platform.VMLive, Generation: 1,
+	})
+	return nil
+}
+
+func (f *Fleet) startRouters() error {
+	for i := range f.opts.Workload.Routers {
+		opts := f.opts.Router
+		opts.Seed += uint64(i)
+		r, err := router.New(f.settings(i), f.opts.Log, opts)
+		if err != nil {
+			return err
+		}
+		if err := r.Start(); err != nil {
+			return err
+		}
+		f.Routers = append(f.Routers, r)
+	}
+	return nil
+}
+
+func (f *Fleet) settings(i int) *settings.Settings {
+	s := &settings.Settings{
+		Name:   fmt.Sprintf("router-%d", i+1),
+		Site:   siteOf(i),
+		Region: workload.Region,
+		// Advertised as well, so that the port that is found is told.
+		Listen: loopback, Advertise: loopback,
+		ControlListen: loopback, ControlAdvertise: loopback,
+		Platform:      settings.Platform{Table: f.url, Objects: f.url, VMs: f.url},
+		Timeouts:      settings.Timeouts{LocateTTL: locateTTL, Drain: drainTime},
+		AllowInsecure: true,
+	}
+	for _, r := range f.Routers {
+		s.Seeds = append(s.Seeds, r.Control())
+	}
+	// Without keys there is nothing that Provision could find fault with.
+	_ = s.Provision()
+	return s
+}
+
+// serve answers on a loopback port of its own.
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeader, ErrorLog: f.opts.Log.StandardLog()}
+	f.servers = append(f.servers, srv)
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			f.opts.Log.Error("stand-in's listener failed", "cause", err)
+		}
+	}()
+	return ln.Addr().String(), nil
+}
+
+func (f *Fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !f.ready() {
+		if !Sleep(ctx, readyPoll) {
+			return Error.New("not ready after %s", readyTimeout)
+		}
+	}
+	Sleep(ctx, settleTime)
+	return nil
+}
+
+func (f *Fleet) ready() bool {
+	upstreams := len(f.Engines) + len(f.Services)
+	for _, r := range f.Routers {
+		s := r.Snapshot()
+		if s.Config == nil || len(s.Live) != len(f.Routers) || len(s.Engines) != upstreams {
+			return false
+		}
+	}
+	return true
+}
+
+// Addresses are where callers can ask for an address.
+func (f *Fleet) Addresses() []string {
+	var out []string
+	for _, r := range f.Routers {
+		out = append(out, r.Address())
+	}
+	return out
+}
+
+// ControlBytes is each router's control traffic so far, sent and received.
+func (f *Fleet) ControlBytes() []int64 {
+	out := make([]int64, len(f.Routers))
+	for i, r := range f.Routers {
+		udp, tcp := r.ControlBytes()
+		out[i] = udp + tcp
+	}
+	return out
+}
+
+// Close stops routers, upstreams and platform, in this order.
+func (f *Fleet) Close() {
+	for _, r := range f.Routers {
+		r.Close()
+	}
+	for _, e := range f.Engines {
+		e.close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.platform.Close()
+	f.wg.Wait()
+}
+
+func siteOf(i int) string { return workload.Sites[i%len(workload.Sites)] }
+
+// Sleep waits for d and reports whether ctx still holds.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/bench/report/table.go
@@ -0,0 +1,115 @@
+// Package report renders the results of runs: a table for the terminal, JSON
+// for programs, and a page of HTML with plots.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"damaskrouter.example/damaskrouter/internal/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/bench/run"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of failures to write a report.
+var Error = errs.Class("report")
+
+const (
+	cellPadding = 2
+	fileMode    = 0o644
+)
+
+// Table writes the results side by side, one line each, and what needs a look.
+func Table(out io.Writer, results []*run.Result) error {
+	t := tabwriter.NewWriter(out, 0, 0, cellPadding, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "strategy\treuse\tof bound\tskew mean\tp99\tworst\tcount skew\tB/s router\tfirst p50\tp99 ms\tnext p50\tp99 ms\trequests\trefused\tinterrupted\tlost\tmixed\tdoubled\tfalse no\t")
+	for _, r := range results {
+		first, next := merged(r.FirstToken), merged(r.NextToken)
+		fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			r.Strategy, r.CacheReuse, r.ReuseShare, r.Skew.Mean, r.Skew.P99, r.Skew.Worst, r.SkewRequests.Mean, r.ControlBytes,
+			first.P50, first.P99, next.P50, next.P99,
+			r.Requests, r.Refused, r.Interrupted, r.Lost, r.Mixed, r.Doubled, r.FalselyRefused)
+	}
+	if err := t.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	for _, r := range results {
+		details(out, r)
+	}
+	return nil
+}
+
+// merged takes the class with the most samples: percentiles of several
+// histograms can't be joined afterwards.
+func merged(byClass map[string]measure.Percentiles) measure.Percentiles {
+	var most measure.Percentiles
+	for _, p := range byClass {
+		if p.Count > most.Count {
+			most = p
+		}
+	}
+	return most
+}
+
+// details writes the times by class and the failures of one run.
+func details(out io.Writer, r *run.Result) {
+	fmt.Fprintf(out, "\n%s on %s, seed %d, %.0f s: all-knowing bound %.3f over %d returning turns; skew over %d of %d windows; churn %v\n",
+		r.Strategy, r.Workload, r.Seed, r.Seconds, r.ReuseBound, r.Returning, r.Skew.Windows, r.Skew.Total, r.Churn)
+	times(out, "first token", r.FirstToken)
+	times(out, "next token", r.NextToken)
+	times(out, "call", r.Calls)
+	if len(r.Outcomes) > 0 {
+		fmt.Fprintf(out, "  failures by code and whether it ran: %v; engines lost %d requests in crashes\n", r.Outcomes, r.EngineLost)
+	}
+	for _, s := range r.Samples {
+		fmt.Fprintln(out, "  sample:", s)
+	}
+}
+
+func times(out io.Writer, what string, byLabel map[string]measure.Percentiles) {
+	for _, label := range slices.Sorted(maps.Keys(byLabel)) {
+		p := byLabel[label]
+		fmt.Fprintf(out, "  %s, %s: %d, p50 %.1f ms, p95 %.1f ms, p99 %.1f ms, max %.1f ms\n",
+			what, label, p.Count, p.P50, p.P95, p.P99, p.Max)
+	}
+}
+
+// JSON writes value to a file.
+func JSON(file string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.WriteFile(file, append(data, '\n'), fileMode))
+}
+
+// Summary is the short form of one result.
+type Summary struct {
+	CacheReuse     float64 `json:"cache_reuse"`
+	Skew           float64 `json:"skew"`
+	ControlBytes   float64 `json:"control_bytes_per_router_second"`
+	Requests       int     `json:"requests"`
+	Lost           int     `json:"lost"`
+	Mixed          int     `json:"mixed"`
+	Doubled        int     `json:"doubled"`
+	FalselyRefused int     `json:"falsely_refused"`
+}
+
+// Summarize returns the short form.
+func Summarize(r *run.Result) Summary {
+	return Summary{
+		CacheReuse:     r.CacheReuse,
+		Skew:           r.Skew.Mean,
+		ControlBytes:   r.ControlBytes,
+		Requests:       r.Requests,
+		Lost:           r.Lost,
+		Mixed:          r.Mixed,
+		Doubled:        r.Doubled,
+		FalselyRefused: r.FalselyRefused,
+	}
+}
--- /dev/null
+++ b/internal/bench/run/result.go
@@ -0,0 +1,200 @@
+package run
+
+import (
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/standin/engine"
+)
+
+// Result is what one run measured.
+type Result struct {
+	Workload string  `json:"workload"`
+	Strategy string  `json:"strategy"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	// CacheReuse is the share of the returning turns' prompt tokens that the
+	// engines found cached; ReuseBound what a pooled cache that knows the
+	// future would reach on this run's trace, and ReuseShare their quotient.
+	CacheReuse float64 `json:"cache_reuse"`
+	ReuseBound float64 `json:"cache_reuse_bound"`
+	ReuseShare float64 `json:"cache_reuse_share_of_bound"`
+	Returning  int     `json:"returning_turns"`
+	// Skew is of the engines' weight over windows of SkewWindow, SkewShort over
+	// windows of SkewShortWindow, SkewRequests of the number of requests.
+	Skew         measure.Skew     `json:"skew"`
+	SkewShort    measure.Skew     `json:"skew_short"`
+	SkewRequests measure.Skew     `json:"skew_requests"`
+	SkewWindows  []measure.Window `json:"skew_windows"`
+	// ControlBytes is bytes per router and second, sent and received.
+	ControlBytes     float64 `json:"control_bytes_per_router_second"`
+	ControlBytesPeak float64 `json:"control_bytes_busiest_router_second"`
+	Counts
+	// Outcomes counts failures by code and what was said of execution.
+	Outcomes map[string]int `json:"outcomes"`
+	// EngineLost is the number of requests that crashes ended at the engines.
+	EngineLost int                            `json:"engine_lost"`
+	Churn      map[string]int                 `json:"churn"`
+	FirstToken map[string]measure.Percentiles `json:"first_token"`
+	NextToken  map[string]measure.Percentiles `json:"next_token"`
+	Calls      map[string]measure.Percentiles `json:"calls"`
+	// Samples are some failures word for word.
+	Samples []string `json:"samples,omitempty"`
+}
+
+// Windows of the skew.
+const (
+	SkewWindow      = time.Second
+	SkewShortWindow = 200 * time.Millisecond
+)
+
+// leastRequests is the mean load of an engine, in mean answers, from which on
+// a window's skew is counted.
+const leastRequests = 2
+
+// collect makes the result of a run that is over.
+func (r *runner) collect(from, to time.Time, control []int64) *Result {
+	res := &Result{
+		Workload: r.w.Name,
+		Strategy: r.o.Strategy,
+		Seed:     r.o.Seed,
+		Seconds:  to.Sub(from).Seconds(),
+		Churn:    r.churned,
+	}
+	r.judgeBooks()
+	res.Counts = r.tally.counts
+	res.Outcomes = r.tally.codes
+	res.Samples = r.tally.samples
+	res.EngineLost = r.engineLost()
+	r.fillReuse(res)
+	r.fillSkew(res, from, to)
+	res.fillControl(control)
+	res.FirstToken = r.first.Percentiles()
+	res.NextToken = r.gaps.Percentiles()
+	res.Calls = r.calls.Percentiles()
+	return res
+}
+
+// judgeBooks compares what callers were told with what upstreams executed.
+func (r *runner) judgeBooks() {
+	c := &r.tally.counts
+	executed := make(map[string]bool)
+	for _, e := range r.fleet.Engines {
+		for mark := range e.Executed() {
+			executed[mark] = true
+		}
+	}
+	for _, mark := range r.tally.refusedMarks {
+		if executed[mark] {
+			c.FalselyRefused++
+			r.tally.samples = append(r.tally.samples, mark+": refused as not run, and executed")
+		}
+	}
+	r.judgeServices(c)
+	// A crash interrupts what the engine had; anything more has no excuse.
+	if over := c.Interrupted - r.engineLost(); over > 0 {
+		c.Lost += over
+	}
+}
+
+func (r *runner) judgeServices(c *Counts) {
+	executions := make(map[string]int)
+	for _, s := range r.fleet.Services {
+		for key, n := range s.Books().Executions {
+			executions[key] += n
+		}
+	}
+	for key, n := range executions {
+		if n > 1 && key != "" {
+			c.Doubled++
+			r.tally.samples = append(r.tally.samples, key+": executed more than once")
+		}
+	}
+	for _, key := range r.tally.refusedKeys {
+		if executions[key] > 0 {
+			c.FalselyRefused++
+			r.tally.samples = append(r.tally.samples, key+": refused as not run, and executed")
+		}
+	}
+}
+
+func (r *runner) engineLost() int {
+	n := 0
+	for _, e := range r.fleet.Engines {
+		n += e.Books().Lost
+	}
+	return n
+}
+
+func (r *runner) fillReuse(res *Result) {
+	trace := r.tally.trace
+	res.CacheReuse = measure.Reuse(trace)
+	res.ReuseBound = measure.ReuseBound(trace, r.capacity())
+	if res.ReuseBound > 0 {
+		res.ReuseShare = res.CacheReuse / res.ReuseBound
+	}
+	for _, a := range trace {
+		if a.Returning && !a.Broken {
+			res.Returning++
+		}
+	}
+}
+
+// capacity is the summed cache of the engines that are up, over time.
+func (r *runner) capacity() []measure.Capacity {
+	var steps []measure.Capacity
+	for _, e := range r.fleet.Engines {
+		for _, s := range e.Up() {
+			steps = append(steps, measure.Capacity{At: s.From, Tokens: r.w.Engines.CacheTokens})
+			if !s.To.IsZero() {
+				steps = append(steps, measure.Capacity{At: s.To, Tokens: -r.w.Engines.CacheTokens})
+			}
+		}
+	}
+	return measure.SumCapacity(steps)
+}
+
+func (r *runner) fillSkew(res *Result, from, to time.Time) {
+	loads := r.loads()
+	long := measure.SkewOptions{From: from, To: to, Window: SkewWindow, LeastMean: r.leastMean()}
+	short := long
+	short.Window = SkewShortWindow
+	res.SkewWindows = measure.Windows(long, loads)
+	res.Skew = measure.Summarize(res.SkewWindows, int(to.Sub(from)/long.Window))
+	res.SkewShort = measure.Summarize(measure.Windows(short, loads), int(to.Sub(from)/short.Window))
+	count := long
+	count.Requests = true
+	count.LeastMean = leastRequests
+	res.SkewRequests = measure.Summarize(measure.Windows(count, loads), int(to.Sub(from)/count.Window))
+}
+
+// leastMean is the load of some answers of middling length.
+func (r *runner) leastMean() float64 {
+	a := r.w.Chats.AnswerTokens
+	return leastRequests * float64(a.Min+a.Max) / 2
+}
+
+func (r *runner) loads() []measure.EngineLoad {
+	var out []measure.EngineLoad
+	for _, e := range r.fleet.Engines {
+		l := measure.EngineLoad{Books: e.Books().Load, Bucket: engine.Defaults("", "").Bucket}
+		for _, s := range e.Service() {
+			l.InService = append(l.InService, pair(s))
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func pair(s fleet.Span) [2]time.Time { return [2]time.Time{s.From, s.To} }
+
+func (res *Result) fillControl(control []int64) {
+	var sum, peak int64
+	for _, n := range control {
+		sum += n
+		peak = max(peak, n)
+	}
+	res.ControlBytes = float64(sum) / float64(len(control)) / res.Seconds
+	res.ControlBytesPeak = float64(peak) / res.Seconds
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,7 +45,7 @@
 	p.ShowCompletion = false
 	commands := []*command{
 		serveCommand(), chatCommand(), callCommand(), locateCommand(),
-		standinCommand(), checkCommand(), versionCommand(),
+		standinCommand(), checkCommand(), versionCommand(), benchCommand(), demoCommand(),
 	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
