--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -15,6 +15,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/token"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 	"damaskrouter.example/damaskrouter/internal/wire"
@@ -27,6 +28,8 @@
 type Admitter interface {
 	// Admit waits for a grant. Its errors are *apierr.Error.
 	Admit(ctx context.Context, req *admission.Request) (*admission.Grant, error)
+	// Home is the owner of the engine that a chat without evidence goes to.
+	Home(p *config.Pool, chat uint64) (board.Router, bool)
 	// Adopt takes over the permit of a stream that is resumed here. It
 	// fails when the engine is gone or was restarted.
 	Adopt(ctx context.Context, requestID, engine string, incarnation uint64) (*admission.Grant, error)
@@ -34,11 +37,19 @@
 	Observe(engine string, o admission.Observation)
 }
 
+// Limiter holds client accounts to their limits; *quota.Quota is one.
+type Limiter interface {
+	// Take admits one request; done must be called when it ends. Its errors
+	// are *apierr.Error.
+	Take(ctx context.Context, a *config.Account) (done func(), err error)
+}
+
 // Options configures a Server.
 type Options struct {
 	Board    *board.Board
 	Admitter Admitter
 	Facts    *admission.Facts
+	Quota    Limiter
 	Upstream *upstream.Client
 	Claims   *claim.Store
 	Tokens   *token.Codec
@@ -76,6 +87,7 @@
 	Options
 	log      *log.Logger
 	metrics  *metrics
+	retries  *retries
 	echo     *echo.Echo
 	lingerMu sync.Mutex
 	lingers  map[string]*linger
@@ -90,7 +102,7 @@
 // New returns a Server.
 func New(o Options) *Server {
 	o.fillDefaults()
-	s := &Server{Options: o, log: o.Log, metrics: newMetrics(), lingers: make(map[string]*linger)}
+	s := &Server{Options: o, log: o.Log, metrics: newMetrics(), retries: newRetries(), lingers: make(map[string]*linger)}
 	s.cut, s.cutNow = context.WithCancel(context.Background())
 	s.echo = s.routes()
 	return s
