Permits of chat-less requests are granted where they land

Cause: in the demo 643 of 2,651 requests asked another router for a permit, at about 340 bytes for each end (counted at the connections); most were calls to plain services, which reach a random router and took any VM of the pool. Ruled out: one owner for a pool of services (all its calls would be remote). Now a locate for a service names the owner of one of its VMs, and a request without a chat takes an engine owned here while that is within the bound.

--- a/client/client.go
+++ b/client/client.go
@@ -130,18 +130,27 @@
 // Locate asks the fleet which addresses to use for a chat, best first. An
 // empty chat asks for any lightly loaded router.
 func (c *Client) Locate(ctx context.Context, chat, model string) ([]string, error) {
-	return c.locate(ctx, chat, model, "")
+	return c.locate(ctx, question{chat: chat, model: model})
 }
 
-// locate is Locate with the hint of where the chat's prefix is cached.
-func (c *Client) locate(ctx context.Context, chat, model, hint string) ([]string, error) {
-	key := chat + "\x00" + model
+// question is what a locate request asks about.
+type question struct {
+	chat, model, service string
+	// hint says where the chat's prefix is cached.
+	hint string
+}
+
+// keptAs is the key under which the answer is kept.
+func (q question) keptAs() string { return q.chat + "\x00" + q.model + "\x00" + q.service }
+
+func (c *Client) locate(ctx context.Context, q question) ([]string, error) {
+	key := q.keptAs()
 	if addrs, ok := c.remembered(key); ok {
 		return addrs, nil
 	}
 	var last error
 	for _, seed := range c.askable() {
-		loc, err := c.ask(ctx, seed, chat, model, hint)
+		loc, err := c.ask(ctx, seed, q)
 		if err != nil {
 			last = err
 			continue
@@ -153,9 +162,19 @@
 
 // Forget drops the kept answer for a chat, so that the next request asks anew.
 func (c *Client) Forget(chat, model string) {
+	c.forget(question{chat: chat, model: model})
+}
+
+func (c *Client) forget(q question) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.kept, chat+"\x00"+model)
+	delete(c.kept, q.keptAs())
+}
+
+func setParam(v url.Values, name, value string) {
+	if value != "" {
+		v.Set(name, value)
+	}
 }
 
 func (c *Client) remembered(key string) ([]string, bool) {
@@ -206,16 +225,19 @@
 	return out
 }
 
-func (c *Client) ask(ctx context.Context, addr, chat, model, hint string) (wire.Locate, error) {
+func (c *Client) ask(ctx context.Context, addr string, q question) (wire.Locate, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ConnectTimeout)
 	defer cancel()
-	q := url.Values{"chat": {chat}, "model": {model}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(addr, wire.PathLocate)+"?"+q.Encode(), nil)
+	v := url.Values{}
+	setParam(v, "chat", q.chat)
+	setParam(v, "model", q.model)
+	setParam(v, "service", q.service)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(addr, wire.PathLocate)+"?"+v.Encode(), nil)
 	if err != nil {
 		return wire.Locate{}, ErrProtocol.Wrap(err)
 	}
 	c.authorize(req)
-	setIf(req.Header, wire.HeaderPrefixHint, hint)
+	setIf(req.Header, wire.HeaderPrefixHint, q.hint)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return wire.Locate{}, ErrNoRouter.Wrap(err)
--- a/client/conversation.go
+++ b/client/conversation.go
@@ -125,7 +125,8 @@
 // router it reaches. Call itself sends it once per address, and goes to the
 // next address only while nothing was sent or the fleet said it did not run.
 func (c *Client) Call(ctx context.Context, method, service, path, idempotencyKey string, body []byte) (Reply, error) {
-	addrs, err := c.Locate(ctx, "", "")
+	q := question{service: service}
+	addrs, err := c.locate(ctx, q)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -142,7 +143,7 @@
 		if sent {
 			return Reply{}, err
 		}
-		c.Forget("", "")
+		c.forget(q)
 	}
 	return Reply{}, last
 }
--- a/client/stream.go
+++ b/client/stream.go
@@ -36,7 +36,7 @@
 func (s *stream) run(ctx context.Context) (Turn, error) {
 	var last error
 	for attempt := 0; attempt < s.v.c.opts.Attempts; attempt++ {
-		addrs, err := s.v.c.locate(ctx, s.v.id, s.v.model, s.v.hint)
+		addrs, err := s.v.c.locate(ctx, question{chat: s.v.id, model: s.v.model, hint: s.v.hint})
 		if err != nil {
 			return s.turn, err
 		}
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -43,7 +43,9 @@
 	subs map[string]time.Time
 	// scratch is reused by every decision.
 	scratch placement.Pool
-	woken   chan struct{}
+	// hidden keeps the engines' counts while hideOthers is in effect.
+	hidden []int
+	woken  chan struct{}
 }
 
 func newLane(a *Admission, key laneKey, rng *rand.Rand) *lane {
@@ -135,7 +137,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	pool := l.view(now, snap, group, avoid)
-	d, err := l.strategy.Pick(pool, &req.Place)
+	d, err := l.pick(pool, snap, group, req)
 	if err != nil {
 		return choice{}, err
 	}
@@ -155,6 +157,47 @@
 	return c, nil
 }
 
+// pick asks the strategy. A request without a chat has no engine of its own, so
+// one that this router owns will do as well as any while it is within the
+// bound, and its permit costs no message.
+func (l *lane) pick(pool *placement.Pool, snap *board.Snapshot, group *board.Group, req *Request) (placement.Decision, error) {
+	if req.Place.Chat != 0 || !l.hideOthers(pool, snap, group) {
+		return l.strategy.Pick(pool, &req.Place)
+	}
+	d, err := l.strategy.Pick(pool, &req.Place)
+	l.showOthers(pool)
+	if err == nil && !d.Lump {
+		return d, nil
+	}
+	return l.strategy.Pick(pool, &req.Place)
+}
+
+// hideOthers makes the engines of other owners look full, so that they count
+// in the pool's mean but are not picked. It reports whether any is left.
+func (l *lane) hideOthers(pool *placement.Pool, snap *board.Snapshot, group *board.Group) bool {
+	l.hidden = l.hidden[:0]
+	own := false
+	for i := range pool.Engines {
+		e := &pool.Engines[i]
+		l.hidden = append(l.hidden, e.Running)
+		if o := group.Owners[i]; o >= 0 && snap.Routers[o].Name == snap.Self {
+			own = true
+			continue
+		}
+		e.Running = max(e.Running, e.MaxBatch)
+	}
+	if !own {
+		l.showOthers(pool)
+	}
+	return own
+}
+
+func (l *lane) showOthers(pool *placement.Pool) {
+	for i, running := range l.hidden {
+		pool.Engines[i].Running = running
+	}
+}
+
 // view describes the engines to placement; the caller holds l.mu.
 func (l *lane) view(now time.Time, snap *board.Snapshot, group *board.Group, avoid []uint64) *placement.Pool {
 	engines := l.scratch.Engines[:0]
--- a/internal/traffic/locate.go
+++ b/internal/traffic/locate.go
@@ -33,7 +33,49 @@
 		}
 		who.setChat(id)
 	}
+	if name := c.QueryParam("service"); name != "" {
+		who.chat = 0
+		if r, ok := s.serviceOwner(who, name); ok {
+			return s.answerLocate(c, withFirst(r, s.routersFor(who, "", "")))
+		}
+	}
 	routers := s.routersFor(who, c.QueryParam("model"), c.Request().Header.Get(wire.HeaderPrefixHint))
+	return s.answerLocate(c, routers)
+}
+
+// withFirst puts r before the others.
+func withFirst(r board.Router, others []board.Router) []board.Router {
+	out := []board.Router{r}
+	for _, o := range others {
+		if o.Name != r.Name && len(out) <= alternates {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// serviceOwner is the owner of one of the service's VMs, drawn at random, so
+// that callers spread over the owners and their permits are local.
+func (s *Server) serviceOwner(who *caller, name string) (board.Router, bool) {
+	svc, ok := who.config.Service(name)
+	if !ok || !who.account.MayCall(name) {
+		return board.Router{}, false
+	}
+	g := who.snapshot.Group(svc.Pool, who.config.Site.Region)
+	if g == nil {
+		return board.Router{}, false
+	}
+	start := rand.IntN(len(g.Engines))
+	for i := range g.Engines {
+		at := (start + i) % len(g.Engines)
+		if !g.Engines[at].Leaving && g.Owners[at] >= 0 {
+			return who.snapshot.Routers[g.Owners[at]], true
+		}
+	}
+	return board.Router{}, false
+}
+
+func (s *Server) answerLocate(c echo.Context, routers []board.Router) error {
 	if len(routers) == 0 {
 		return apierr.New(apierr.CodeNotReady, http.StatusServiceUnavailable, "no router in service is known").
 			WithRetryAfter(time.Second)
