Smaller permit messages; releases that share a call

Cause: a remote permit cost about 340 bytes at each end: pool, region and router names, the id as text, the loads of all engines in every reply, and outcomes as words. Ruled out: an own binary codec (net/rpc's is not what is large). A release that reaches a router which does not own the engine is now offered to the owner instead of being taken for done.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/permit"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/google/uuid"
 )
 
 // EngineReport takes in the report of an engine that this router owns.
@@ -123,7 +124,7 @@
 		c.decision.Weight = p.Weight
 		return l.grant(id, c, incarnation), nil
 	}
-	reply, err := l.call(ctx, c, AcquireArgs{ID: id, Incarnation: incarnation, Transfer: true})
+	reply, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true})
 	if err != nil || reply.Verdict != Granted {
 		return nil, gone.WithRetryAfter(minRetryAfter).WithCause(err)
 	}
@@ -149,22 +150,22 @@
 }
 
 func (a *Admission) giveUpRemote(ctx context.Context, h held, id string) bool {
-	p := ReleasedPermit{Engine: h.engine, ID: id}
 	owner, ok := a.outbox.owner(h.engine)
-	if !ok {
+	parsed, err := uuid.Parse(id)
+	if !ok || err != nil {
 		return false
 	}
+	p := ReleasedPermit{Engine: h.engine, ID: parsed}
 	ctx, cancel := context.WithTimeout(ctx, a.opts.CallTimeout)
 	defer cancel()
 	var reply ReleaseReply
 	args := ReleaseArgs{Holder: a.holder, Permits: []ReleasedPermit{p}}
 	t := peer.Target{Name: owner.Name, Address: owner.Control}
-	err := a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply)
-	if err != nil || len(reply.Outcomes) == 0 {
+	if err := a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply); err != nil {
 		a.outbox.add(p)
 		return false
 	}
-	return reply.Outcomes[0] == permit.Released
+	return len(reply.Moved) == 0
 }
 
 // Reports returns, for each owner, what this router has unfinished at its
--- a/internal/admission/keeper.go
+++ b/internal/admission/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,12 @@
 	return router + "#" + strconv.FormatUint(instance, 36)
 }
 
+// routerOf is the router behind a holder name.
+func routerOf(holder string) string {
+	name, _, _ := strings.Cut(holder, "#")
+	return name
+}
+
 // sync opens and closes books as ownership moves.
 func (k *Keeper) sync(now time.Time, snap *board.Snapshot) {
 	owned := make(map[uint64]*board.Engine)
--- a/internal/admission/outbox.go
+++ b/internal/admission/outbox.go
@@ -8,12 +8,15 @@
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/permit"
+	"github.com/google/uuid"
 )
 
 const (
 	// releasePause is the wait before permits are offered again that their
 	// owner could not take.
 	releasePause = 200 * time.Millisecond
+	// releaseWindow is how long a release waits for others to the same owner.
+	releaseWindow = 30 * time.Millisecond
 	// maxReleaseBatch bounds the permits in one call.
 	maxReleaseBatch = 256
 )
@@ -63,17 +66,22 @@
 func (o *outbox) deliver(owner board.Router) {
 	defer o.a.wg.Done()
 	for {
+		// Permits that end within this window share a call.
+		if !sleep(o.a.ctx, releaseWindow) {
+			return
+		}
 		batch := o.take(owner.Name)
 		if batch == nil {
 			return
 		}
-		if o.send(owner, batch) {
+		rest := o.send(owner, batch)
+		if len(rest) == 0 {
 			continue
 		}
 		if !sleep(o.a.ctx, releasePause) {
 			return
 		}
-		o.requeue(owner.Name, batch)
+		o.requeue(owner.Name, rest)
 		return
 	}
 }
@@ -105,17 +113,21 @@
 	}
 }
 
-func (o *outbox) send(owner board.Router, batch []ReleasedPermit) bool {
+// send offers a batch and returns what the owner did not take.
+func (o *outbox) send(owner board.Router, batch []ReleasedPermit) (rest []ReleasedPermit) {
 	ctx, cancel := context.WithTimeout(o.a.ctx, o.a.opts.CallTimeout)
 	defer cancel()
 	args := ReleaseArgs{Holder: o.a.holder, Permits: batch}
 	var reply ReleaseReply
 	t := peer.Target{Name: owner.Name, Address: owner.Control}
 	if err := o.a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply); err != nil {
-		o.a.Metrics.ReleaseRetries.Add(int64(len(batch)))
-		return false
+		rest = batch
+	}
+	for _, i := range reply.NotOwned {
+		rest = append(rest, batch[i])
 	}
-	return true
+	o.a.Metrics.ReleaseRetries.Add(int64(len(rest)))
+	return rest
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -135,20 +147,34 @@
 	if !ok {
 		return
 	}
-	a.outbox.add(ReleasedPermit{Engine: h.engine, ID: id})
+	a.giveBack(h.engine, id)
 	if l := a.lane(h.lane); l != nil {
 		l.finished(h)
 	}
 }
 
-// releaseOwned takes a permit back for an engine owned here.
-func (a *Admission) releaseOwned(now time.Time, p ReleasedPermit, holder string) (permit.Outcome, bool) {
-	out, key, ok := a.keeper.release(now, p.Engine, p.ID, holder)
-	if !ok {
-		return out, false
+// giveBack ends a permit wherever its engine's owner is.
+func (a *Admission) giveBack(engine uint64, id string) {
+	if _, key, owned := a.keeper.release(time.Now(), engine, id, a.holder); owned {
+		a.wake(key)
+		return
 	}
-	if l := a.lane(key); l != nil && out == permit.Released {
+	if parsed, err := uuid.Parse(id); err == nil {
+		a.outbox.add(ReleasedPermit{Engine: engine, ID: parsed})
+	}
+}
+
+func (a *Admission) wake(key laneKey) {
+	if l := a.lane(key); l != nil {
 		l.wake()
 	}
-	return out, true
+}
+
+// releaseOwned takes a permit back for an engine owned here.
+func (a *Admission) releaseOwned(now time.Time, p ReleasedPermit, holder string) (permit.Outcome, bool) {
+	out, key, ok := a.keeper.release(now, p.Engine, p.ID.String(), holder)
+	if ok && out == permit.Released {
+		a.wake(key)
+	}
+	return out, ok
 }
--- a/internal/admission/remote.go
+++ b/internal/admission/remote.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/permit"
 	"damaskrouter.example/damaskrouter/internal/placement"
+	"github.com/google/uuid"
 	"github.com/zeebo/errs"
 )
 
@@ -35,15 +37,12 @@
 
 // AcquireArgs asks the owner of an engine for a permit.
 type AcquireArgs struct {
-	Pool   string
-	Region string
 	// Engine is the engine's id; Incarnation the one meant, or 0.
 	Engine      uint64
 	Incarnation uint64
-	// ID, Holder and Weight are those of the permit; Router is the holder's name.
-	ID     string
+	// ID, Holder and Weight are those of the permit.
+	ID     uuid.UUID
 	Holder string
-	Router string
 	Weight int64
 	// Transfer asks to move the permit to Holder instead of granting one.
 	Transfer bool
@@ -53,7 +52,8 @@
 type AcquireReply struct {
 	Verdict     Verdict
 	Incarnation uint64
-	// Loads is what the owner knows of the pool's engines.
+	// Loads is the asked engine's load and, with a refusal, that of the other
+	// engines of the pool that the router owns.
 	Loads []EngineLoad
 }
 
@@ -66,14 +66,16 @@
 // ReleasedPermit is one permit given back.
 type ReleasedPermit struct {
 	Engine uint64
-	ID     string
+	ID     uuid.UUID
 }
 
-// ReleaseReply says what became of each permit, index for index.
+// ReleaseReply lists, by their indexes, the permits that were not taken back.
 type ReleaseReply struct {
-	Outcomes []permit.Outcome
-	// Unknown lists the indexes of permits whose engine the router does not own.
-	Unknown []int
+	// Moved are no longer the holder's: another router has taken them over.
+	Moved []int
+	// NotOwned are permits of engines that the asked router does not own; they
+	// are to be offered to whoever does.
+	NotOwned []int
 }
 
 // ReportedPermit is one unfinished request in a holder's report.
@@ -102,16 +104,20 @@
 func (p *Permits) Acquire(args AcquireArgs, reply *AcquireReply) error {
 	a := p.a
 	now := time.Now()
-	l := a.lane(laneKey{pool: args.Pool, region: args.Region})
-	if l == nil {
+	key, ok := laneKeyOf(a.opts.Board.Snapshot(), args.Engine)
+	l := a.lane(key)
+	if !ok || l == nil {
 		reply.Verdict = NotOwner
 		return nil
 	}
-	l.subscribe(now, args.Router)
+	l.subscribe(now, routerOf(args.Holder))
 	got, err := l.serve(now, args)
 	reply.Verdict = verdictOf(err)
 	reply.Incarnation = got.Incarnation
 	reply.Loads = l.owned(now)
+	if reply.Verdict == Granted {
+		reply.Loads = slices.DeleteFunc(reply.Loads, func(e EngineLoad) bool { return e.Engine != args.Engine })
+	}
 	return nil
 }
 
@@ -119,10 +125,12 @@
 func (p *Permits) Release(args ReleaseArgs, reply *ReleaseReply) error {
 	now := time.Now()
 	for i, r := range args.Permits {
-		out, ok := p.a.releaseOwned(now, r, args.Holder)
-		reply.Outcomes = append(reply.Outcomes, out)
-		if !ok {
-			reply.Unknown = append(reply.Unknown, i)
+		out, owned := p.a.releaseOwned(now, r, args.Holder)
+		switch {
+		case !owned:
+			reply.NotOwned = append(reply.NotOwned, i)
+		case out == permit.Moved:
+			reply.Moved = append(reply.Moved, i)
 		}
 	}
 	return nil
@@ -169,7 +177,7 @@
 
 // serve grants or moves a permit of an engine owned here.
 func (l *lane) serve(now time.Time, args AcquireArgs) (permit.Permit, error) {
-	r := permit.Request{ID: args.ID, Holder: args.Holder, Incarnation: args.Incarnation, Weight: args.Weight}
+	r := permit.Request{ID: args.ID.String(), Holder: args.Holder, Incarnation: args.Incarnation, Weight: args.Weight}
 	if args.Transfer {
 		return l.a.keeper.transfer(now, args.Engine, r)
 	}
@@ -191,7 +199,7 @@
 
 // ask asks another router, the engine's owner, for a permit.
 func (l *lane) ask(ctx context.Context, c choice, req *Request) (*Grant, error) {
-	reply, err := l.call(ctx, c, AcquireArgs{ID: req.ID, Weight: c.decision.Weight})
+	reply, err := l.call(ctx, c, req.ID, AcquireArgs{Weight: c.decision.Weight})
 	if err != nil {
 		return nil, err
 	}
@@ -209,17 +217,18 @@
 }
 
 // call sends a question to the owner and takes in the loads that it tells.
-func (l *lane) call(ctx context.Context, c choice, args AcquireArgs) (AcquireReply, error) {
-	args.Pool = l.key.pool
-	args.Region = l.key.region
+func (l *lane) call(ctx context.Context, c choice, id string, args AcquireArgs) (AcquireReply, error) {
+	var err error
+	if args.ID, err = uuid.Parse(id); err != nil {
+		return AcquireReply{}, ErrAsk.Wrap(err)
+	}
 	args.Engine = c.engine.ID
 	args.Holder = l.a.holder
-	args.Router = l.a.opts.Self
 	cctx, cancel := context.WithTimeout(ctx, l.a.opts.CallTimeout)
 	defer cancel()
 	var reply AcquireReply
 	t := peer.Target{Name: c.owner.Name, Address: c.owner.Control}
-	err := l.a.opts.Caller.Call(cctx, t, ServiceName+".Acquire", args, &reply)
+	err = l.a.opts.Caller.Call(cctx, t, ServiceName+".Acquire", args, &reply)
 	l.a.Metrics.Asked.Add(1)
 	if err != nil {
 		l.a.Metrics.AskFailed.Add(1)
