Leader: lease, drains and orders in the running router

Cause: engines have to be told what to serve by one router at a time. The lease's clock is CLOCK_BOOTTIME, which goes on while a VM is suspended; Go's own stands still. Before: engines had to be started with the right model.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -48,7 +48,7 @@
 	if st.Leaving {
 		k.Flags |= flagLeaving
 	}
-	if serves(l.pool, st) {
+	if serves(l.pool, st) && !e.Drained {
 		k.Flags |= flagLoaded
 	}
 	k.at = now
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -235,6 +235,7 @@
 			out.MaxBatch = 0
 		}
 	}
+	out.Loaded = out.Loaded && !e.Drained
 	out.Ejected, out.Ramp = l.a.health.state(now, e)
 	return out
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -56,8 +56,8 @@
 	Since time.Time
 	// Joined is set for an engine that came after this router had a complete view.
 	Joined bool
-	// Ejected is set while outlier detection keeps the engine out.
-	Ejected bool
+	// Drained is set while the leader keeps the engine idle for an order.
+	Drained bool
 }
 
 // State is the control state. Only the board's goroutine touches it.
--- a/internal/controller/configs.go
+++ b/internal/controller/configs.go
@@ -240,6 +240,13 @@
 	return true
 }
 
+// InForceNow is the configuration in force here, or nil.
+func (c *Configs) InForceNow() *config.InForce {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follower.InForce()
+}
+
 // Current answers a router that asks for the configuration in force here.
 func (c *Configs) Current(atLeast uint64) ConfigReply {
 	c.mu.Lock()
--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -29,11 +29,21 @@
 
 	mu       sync.Mutex
 	watching map[uint64]context.CancelFunc
+	reports  map[string]heardReport
+}
+
+// heardReport is an engine's last report and when it came.
+type heardReport struct {
+	status wire.EngineStatus
+	at     time.Time
 }
 
 // Run watches until ctx ends.
 func (g *Engines) Run(ctx context.Context) {
+	g.mu.Lock()
 	g.watching = make(map[uint64]context.CancelFunc)
+	g.reports = make(map[string]heardReport)
+	g.mu.Unlock()
 	every(ctx, statusPeriod/2, g.step)
 }
 
@@ -52,6 +62,7 @@
 		if _, ok := owned[id]; !ok {
 			stop()
 			delete(g.watching, id)
+			g.forget(snap, id)
 			g.Facts.Unfollow(id)
 		}
 	}
@@ -65,6 +76,15 @@
 	g.Facts.Prune(snap)
 }
 
+// forget drops the report of an engine that is not watched any more.
+func (g *Engines) forget(snap *board.Snapshot, id uint64) {
+	for name := range g.reports {
+		if e, ok := snap.Engines[name]; !ok || e.ID == id {
+			delete(g.reports, name)
+		}
+	}
+}
+
 // watch asks one engine for its report and its cache events.
 func (g *Engines) watch(ctx context.Context, name string) {
 	e, ok := g.Board.Snapshot().Engines[name]
@@ -79,6 +99,7 @@
 		g.Log.Debug("no report", "engine", name, "cause", err)
 		return
 	}
+	g.remember(st)
 	g.Admission.EngineReport(&e, st)
 	g.Facts.Current(e.ID, st.Incarnation)
 	g.note(e, st)
@@ -87,6 +108,45 @@
 	}
 }
 
+func (g *Engines) remember(st wire.EngineStatus) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st.RequestIDs = nil
+	g.reports[st.Name] = heardReport{status: st, at: time.Now()}
+}
+
+// Observed lists the engines that this router owns, for the leader.
+func (g *Engines) Observed() []ObservedEngine {
+	snap := g.Board.Snapshot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []ObservedEngine
+	for _, e := range snap.Engines {
+		if e.Kind != platform.KindEngine || e.Leaving {
+			continue
+		}
+		if r, ok := snap.Owner(e.ID); !ok || r.Name != snap.Self {
+			continue
+		}
+		h, known := g.reports[e.Name]
+		out = append(out, ObservedEngine{Name: e.Name, Pool: e.Pool, Site: e.Site, Known: known, Report: reportOf(h)})
+	}
+	return out
+}
+
+func reportOf(h heardReport) EngineReport {
+	return EngineReport{
+		Incarnation: h.status.Incarnation,
+		Model:       h.status.Model,
+		Version:     h.status.Version,
+		Role:        h.status.Role,
+		Adapters:    h.status.Adapters,
+		Running:     h.status.Running,
+		Queued:      h.status.Queued,
+		Age:         time.Since(h.at),
+	}
+}
+
 // note puts the report on the board where it says something new.
 func (g *Engines) note(e board.Engine, st wire.EngineStatus) {
 	generation := e.Generation
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -9,6 +9,7 @@
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
 	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/platform"
@@ -78,7 +79,7 @@
 	if err := r.calls.Register(quota.ServiceName, r.quota.Service()); err != nil {
 		return err
 	}
-	if err := r.calls.Register(controller.FleetService, controller.NewFleet(r.vms, r.configs)); err != nil {
+	if err := r.calls.Register(controller.FleetService, controller.NewFleet(r.vms, r.configs, r.drains)); err != nil {
 		return err
 	}
 	r.publish()
@@ -117,6 +118,12 @@
 	r.engines = &controller.Engines{
 		Board: r.board, Upstream: r.upstream, Admission: r.admission, Facts: r.facts, Log: r.log,
 	}
+	r.drains = &controller.Drains{Board: r.board, Engines: r.engines}
+	r.leader = &controller.Leader{
+		Board: r.board, Configs: r.configs, Caller: r.caller, Drains: r.drains, Upstream: r.upstream,
+		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, controller.BootTime, rand.Float64),
+		Clock: controller.BootTime, Self: r.set.Name, Log: r.log,
+	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
 	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
 }
