Administration API, audit trail and operators' commands

Cause: operators could only seed a configuration through the stand-in; no router accepted a change, showed who has it, or kept a trail of who did what. The API accepts, rolls back, checks and compares configurations under roles with team scope, and the command line calls it.

Ruled out: comparing the files' text for the team scope (order and other changes of meaning leave no line), time as the key of the trail (a slow clock writes behind a reader's cursor), one store read for each token (wrong tokens would use up the budget).

--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -27,15 +27,16 @@
 	roles := []Role{RoleViewer, RoleEditor, RoleAdmin, RoleBreakGlass, "nonsense"}
 	// The roles that may take each action, written out apart from the rules.
 	may := map[Action]string{
-		ActionReadStatus: "viewer editor admin breakglass",
-		ActionReadConfig: "viewer editor admin breakglass",
-		ActionReadAudit:  "editor admin breakglass",
-		ActionEditConfig: "editor admin breakglass",
-		ActionIssueToken: "admin breakglass",
-		ActionDrain:      "admin breakglass",
-		ActionOrder:      "admin breakglass",
-		ActionOverride:   "breakglass",
-		"unheard.of":     "",
+		ActionReadStatus:   "viewer editor admin breakglass",
+		ActionReadConfig:   "viewer editor admin breakglass",
+		ActionReadAudit:    "editor admin breakglass",
+		ActionEditConfig:   "editor admin breakglass",
+		ActionIssueToken:   "admin breakglass",
+		ActionDrain:        "admin breakglass",
+		ActionOrder:        "admin breakglass",
+		ActionResolveClaim: "admin breakglass",
+		ActionOverride:     "breakglass",
+		"unheard.of":       "",
 	}
 	scopes := map[string]struct {
 		teams   []string
--- a/internal/access/authorize.go
+++ b/internal/access/authorize.go
@@ -21,6 +21,9 @@
 	ActionDrain Action = "drain"
 	// ActionOrder gives an order to an engine.
 	ActionOrder Action = "engine.order"
+	// ActionResolveClaim gives a verdict on a non-idempotent request whose
+	// outcome is not known.
+	ActionResolveClaim Action = "claim.resolve"
 	// ActionOverride passes a safeguard, such as a pool's capacity floor.
 	ActionOverride Action = "safeguard.override"
 )
@@ -43,14 +46,15 @@
 }
 
 var rules = map[Action]rule{
-	ActionReadStatus: {least: RoleViewer, anyScope: true},
-	ActionReadConfig: {least: RoleViewer},
-	ActionReadAudit:  {least: RoleEditor},
-	ActionEditConfig: {least: RoleEditor},
-	ActionIssueToken: {least: RoleAdmin},
-	ActionDrain:      {least: RoleAdmin},
-	ActionOrder:      {least: RoleAdmin},
-	ActionOverride:   {least: RoleBreakGlass},
+	ActionReadStatus:   {least: RoleViewer, anyScope: true},
+	ActionReadConfig:   {least: RoleViewer},
+	ActionReadAudit:    {least: RoleEditor},
+	ActionEditConfig:   {least: RoleEditor},
+	ActionIssueToken:   {least: RoleAdmin},
+	ActionDrain:        {least: RoleAdmin},
+	ActionOrder:        {least: RoleAdmin},
+	ActionResolveClaim: {least: RoleAdmin},
+	ActionOverride:     {least: RoleBreakGlass},
 }
 
 // Reason says why an action was denied.
--- /dev/null
+++ b/internal/admin/input.go
@@ -0,0 +1,120 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"damaskrouter.example/damaskrouter/internal/admin/api"
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	// maxBundleBody bounds a body with a bundle, in bytes.
+	maxBundleBody = config.MaxEncodedBytes
+	// maxBody bounds any other body, in bytes.
+	maxBody = 64 << 10
+	// maxComment bounds the comment on a change, in bytes.
+	maxComment = 4 << 10
+)
+
+const bearerPrefix = "Bearer "
+
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get(echo.HeaderAuthorization), bearerPrefix)
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// decode reads a JSON body of at most limit bytes. Unknown fields are refused:
+// a misspelt one would be ignored, and its author told that all is well.
+func decode(c *call, limit int64, into any) error {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	if err == nil {
+		err = atEnd(d)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return apierr.New(apierr.CodeTooLarge, http.StatusRequestEntityTooLarge, "body too large")
+	case err != nil:
+		return badRequest("malformed body: " + err.Error())
+	}
+	return nil
+}
+
+// atEnd refuses a second value after the first.
+func atEnd(d *json.Decoder) error {
+	_, err := d.Token()
+	if err == io.EOF {
+		return nil
+	}
+	if err == nil {
+		return badRequest("more than one JSON value")
+	}
+	return err
+}
+
+// ifMatch reads the version that a change was made from. There is no default:
+// a change made from an unnamed version would overwrite whatever came between.
+func ifMatch(c *call) (uint64, error) {
+	text := c.Request().Header.Get("If-Match")
+	if text == "" {
+		return 0, apierr.New(apierr.CodeBadRequest, http.StatusPreconditionRequired,
+			"If-Match must name the version that the change was made from")
+	}
+	version, err := parseVersion(strings.Trim(text, `"`))
+	if err != nil {
+		return 0, badRequest("If-Match is not a version")
+	}
+	return version, nil
+}
+
+// etag is the entity tag of a version.
+func etag(version uint64) string { return strconv.Quote(strconv.FormatUint(version, 10)) }
+
+func parseVersion(text string) (uint64, error) {
+	version, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, badRequest("not a version: " + strconv.Quote(text))
+	}
+	return version, nil
+}
+
+// limitOf reads how many items a page may hold.
+func limitOf(c *call) (int, error) {
+	text := c.QueryParam(api.ParamLimit)
+	if text == "" {
+		return api.DefaultLimit, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 || limit > api.MaxLimit {
+		return 0, badRequest("limit is from 1 to " + strconv.Itoa(api.MaxLimit))
+	}
+	return limit, nil
+}
+
+// checkParams refuses query parameters that the call doesn't know. A filter
+// that is misspelt and ignored shows more than was asked for.
+func checkParams(c *call, known ...string) error {
+	for name, values := range c.QueryParams() {
+		if !slices.Contains(known, name) {
+			return badRequest("unknown parameter " + strconv.Quote(name))
+		}
+		if len(values) > 1 {
+			return badRequest("parameter " + strconv.Quote(name) + " is given twice")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/admin/status.go
@@ -0,0 +1,112 @@
+package admin
+
+import (
+	"net/http"
+
+	"damaskrouter.example/damaskrouter/internal/access"
+	"damaskrouter.example/damaskrouter/internal/admin/api"
+	"damaskrouter.example/damaskrouter/internal/board"
+)
+
+// status shows which routers have a version in force, as this one knows.
+func (s *Server) status(c *call) error {
+	if err := access.Authorize(c.op, access.ActionReadStatus, access.FleetWide); err != nil {
+		return err
+	}
+	if err := checkParams(c, api.ParamVersion); err != nil {
+		return err
+	}
+	snap := s.Board.Snapshot()
+	st := api.Status{SeenBy: snap.Self, Routers: routersOf(snap), Lagging: []string{}}
+	if err := s.statusVersion(c, snap, &st); err != nil {
+		return err
+	}
+	for _, r := range st.Routers {
+		// A leaving router may be gone before it takes in the version, and
+		// would keep the change from ever being complete.
+		if r.State == api.RouterLive && r.ConfigVersion < st.Version {
+			st.Lagging = append(st.Lagging, r.Name)
+		}
+	}
+	st.Complete = len(st.Lagging) == 0
+	return c.JSON(http.StatusOK, st)
+}
+
+// statusVersion chooses the version to compare with. While the store is down
+// the newest one that any router has stands in for the head.
+func (s *Server) statusVersion(c *call, snap *board.Snapshot, st *api.Status) error {
+	if text := c.QueryParam(api.ParamVersion); text != "" {
+		version, err := parseVersion(text)
+		st.Version, st.HeadKnown = version, true
+		return err
+	}
+	head, err := s.Chain.Head(c.ctx())
+	if err == nil {
+		st.Version, st.HeadKnown = head.Version, true
+		return nil
+	}
+	st.Version = snap.ConfigVersion
+	for _, r := range snap.Routers {
+		st.Version = max(st.Version, r.ConfigVersion)
+	}
+	return nil
+}
+
+func routersOf(snap *board.Snapshot) []api.RouterStatus {
+	out := make([]api.RouterStatus, 0, len(snap.Routers))
+	for _, r := range snap.Routers {
+		state := api.RouterLive
+		if r.Leaving {
+			state = api.RouterLeaving
+		}
+		version := r.ConfigVersion
+		if r.Name == snap.Self {
+			version = snap.ConfigVersion
+		}
+		out = append(out, api.RouterStatus{
+			Name: r.Name, Site: r.Site, State: state, Address: r.Address, ConfigVersion: version,
+		})
+	}
+	return out
+}
+
+// fleet shows the routers and engines as this router sees them.
+func (s *Server) fleet(c *call) error {
+	if err := access.Authorize(c.op, access.ActionReadStatus, access.FleetWide); err != nil {
+		return err
+	}
+	if err := checkParams(c); err != nil {
+		return err
+	}
+	snap := s.Board.Snapshot()
+	f := api.Fleet{
+		SeenBy:        snap.Self,
+		ConfigVersion: snap.ConfigVersion,
+		LeaderFence:   snap.LeaderFence,
+		Draining:      snap.Draining,
+		Routers:       routersOf(snap),
+		Engines:       []api.Engine{},
+	}
+	for _, g := range snap.Groups() {
+		for i, e := range g.Engines {
+			f.Engines = append(f.Engines, engineOf(snap, e, g.Owners[i]))
+		}
+	}
+	return c.JSON(http.StatusOK, f)
+}
+
+func engineOf(snap *board.Snapshot, e board.Engine, owner int) api.Engine {
+	out := api.Engine{
+		Name: e.Name, Kind: e.Kind, Pool: e.Pool, Site: e.Site, Address: e.Address,
+		Leaving: e.Leaving, Ejected: e.Ejected, Known: e.Known,
+	}
+	if owner >= 0 {
+		out.Owner = snap.Routers[owner].Name
+	}
+	if e.Known {
+		out.Incarnation = e.Status.Incarnation
+		out.Model, out.Version = e.Status.Model, e.Status.Version
+		out.Running, out.Queued = e.Status.Running, e.Status.Queued
+	}
+	return out
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,9 +33,15 @@
 // console is what a command writes to.
 type console struct {
 	out io.Writer
+	err io.Writer
 	log *log.Logger
 }
 
+// note tells the person at the terminal something that is not the result.
+func (c *console) note(format string, args ...any) {
+	fmt.Fprintf(c.err, format+"\n", args...)
+}
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	p := flaggy.NewParser("damaskrouter")
@@ -45,6 +51,8 @@
 	p.ShowCompletion = false
 	commands := []*command{
 		serveCommand(), chatCommand(), callCommand(), locateCommand(),
+		configCommand(), accountsCommand(), sitesCommand(), servicesCommand(), poolsCommand(),
+		fleetCommand(), claimsCommand(), auditCommand(), operatorsCommand(), keysCommand(),
 		standinCommand(), checkCommand(), versionCommand(),
 	}
 	for _, c := range commands {
@@ -56,7 +64,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	con := &console{out: stdout, log: newLogger(stderr, log.InfoLevel)}
+	con := &console{out: stdout, err: stderr, log: newLogger(stderr, log.InfoLevel)}
 	for _, c := range commands {
 		if c.sub.Used {
 			return finish(con, stderr, c.run(ctx, con))
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"damaskrouter.example/damaskrouter/internal/admin/api"
+)
+
+func fleetCommand() *command {
+	var f operatorFlags
+	c := newCommand("fleet", "Show the routers and engines, as the asked router sees them.", func(ctx context.Context, con *console) error {
+		var fleet api.Fleet
+		printed, err := f.get(ctx, con, api.PathFleet, nil, &fleet)
+		if printed || err != nil {
+			return err
+		}
+		return printFleet(con.out, fleet)
+	})
+	f.add(c.sub)
+	return c
+}
+
+func printFleet(out io.Writer, f api.Fleet) error {
+	fmt.Fprintf(out, "seen by %s, configuration version %d\n", f.SeenBy, f.ConfigVersion)
+	if f.LeaderFence > 0 {
+		fmt.Fprintf(out, "it is leader with fencing number %d\n", f.LeaderFence)
+	}
+	err := table(out, true, "\nROUTER\tSITE\tSTATE\tADDRESS\tCONFIG", func(w io.Writer) error {
+		for _, r := range f.Routers {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", r.Name, r.Site, r.State, r.Address, r.ConfigVersion)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return table(out, true, "\nENGINE\tKIND\tPOOL\tSITE\tSTATE\tOWNER\tMODEL\tRUNNING\tQUEUED", func(w io.Writer) error {
+		for _, e := range f.Engines {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s %s\t%d\t%d\n", e.Name, e.Kind, e.Pool, e.Site, engineState(e),
+				e.Owner, e.Model, e.Version, e.Running, e.Queued)
+		}
+		return nil
+	})
+}
+
+func engineState(e api.Engine) string {
+	switch {
+	case e.Leaving:
+		return "leaving"
+	case e.Ejected:
+		return "ejected"
+	case !e.Known:
+		return "no report"
+	}
+	return "live"
+}
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"expvar"
 	"net"
 	"net/http"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/admin"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/keys"
 )
 
 // publish collects the metrics of the parts.
@@ -27,16 +34,23 @@
 	if r.set.AdminListen == "" {
 		return nil
 	}
-	ln, err := net.Listen("tcp", r.set.AdminListen)
+	handler, err := r.adminHandler()
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(r.vars.String()))
-	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	ln, err := r.listenAdmin()
+	if err != nil {
+		return err
+	}
+	r.admin = ln.Addr().String()
+	r.log.Info("serving operators", "admin", r.admin, "tls", r.set.TLS.Cert != "")
+	srv := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       adminReadTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          r.log.StandardLog(),
+	}
 	r.goRun(func(ctx context.Context) {
 		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 		defer stop()
@@ -46,3 +60,79 @@
 	})
 	return nil
 }
+
+// adminReadTimeout bounds how slowly a call's body may come.
+const adminReadTimeout = 30 * time.Second
+
+// certPeriod is how often certificate files are looked at.
+const certPeriod = 10 * time.Second
+
+// listenAdmin listens with TLS if the settings name a certificate: operators'
+// tokens must not cross a network in clear.
+func (r *Router) listenAdmin() (net.Listener, error) {
+	if r.set.TLS.Cert == "" {
+		return net.Listen("tcp", r.set.AdminListen)
+	}
+	paths := keys.CertPaths{Cert: r.set.TLS.Cert, Key: r.set.TLS.Key}
+	certs, err := keys.OpenCerts(paths, time.Now)
+	if err != nil {
+		return nil, err
+	}
+	r.goRun(func(ctx context.Context) { r.watchCerts(ctx, certs) })
+	return tls.Listen("tcp", r.set.AdminListen, certs.CallerServer())
+}
+
+// watchCerts takes replaced certificate files into use.
+func (r *Router) watchCerts(ctx context.Context, certs *keys.CertReloader) {
+	t := time.NewTicker(certPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if _, err := certs.Check(); err != nil {
+			r.log.Error("new certificate can't be used; the old one stays", "cause", err)
+		}
+	}
+}
+
+// adminHandler serves the metrics and the administration API.
+func (r *Router) adminHandler() (http.Handler, error) {
+	server, err := admin.New(admin.Options{
+		Board:         r.board,
+		Chain:         r.chain,
+		Claims:        r.claims,
+		Table:         r.table,
+		InForce:       r.inForce,
+		Accepted:      r.configs.Accepted,
+		BootstrapHash: r.set.AdminTokenHash,
+		Log:           r.log,
+		Now:           time.Now,
+		Rand:          rand.Reader,
+	})
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(r.vars.String()))
+	})
+	mux.Handle("/", server.Handler())
+	return mux, nil
+}
+
+// inForce is the configuration in force here, with its text.
+func (r *Router) inForce() (uint64, config.Bundle, error) {
+	current := r.configs.Current(0)
+	if current.Version == 0 {
+		return 0, config.Bundle{}, nil
+	}
+	b, err := config.DecodeBundle(current.Bundle)
+	return current.Version, b, err
+}
+
+// Admin is where operators connect; empty if this router serves none.
+func (r *Router) Admin() string { return r.admin }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,6 +92,7 @@
 	wg      sync.WaitGroup
 	address string
 	control string
+	admin   string
 }
 
 // New provisions a router; Start makes it serve.
