Administration API: tests of roles, races, lost replies, outages and scope

Cause: the API came without tests. They found three faults, mended here: an error that was already translated was sorted again by its cause, so that a verdict that was never tried was reported as possibly in effect; a change of a team's editor before the first version was refused as invalid; files that can't be decoded lost their line numbers.

Ruled out: a test clock for the call's deadline; the verdicts hold whenever it ends, so the tests shorten it.

go test ./internal/admin: passes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// callTimeout bounds one call, with all its calls of the store.
-	callTimeout = 10 * time.Second
+	// DefaultCallTimeout is how long one call may take.
+	DefaultCallTimeout = 10 * time.Second
 	// maxIDLength bounds a request id, in characters.
 	maxIDLength = 128
 )
@@ -51,6 +51,9 @@
 	// Now is the clock, and Rand the source of secrets.
 	Now  func() time.Time
 	Rand io.Reader
+	// CallTimeout bounds one call, with all its calls of the store;
+	// DefaultCallTimeout where zero.
+	CallTimeout time.Duration
 }
 
 // Server serves the administration API.
@@ -64,6 +67,9 @@
 
 // New returns a Server. Errors: access.ErrHash.
 func New(o Options) (*Server, error) {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
 	d, err := newDirectory(o)
 	if err != nil {
 		return nil, err
@@ -83,7 +89,7 @@
 	e.HidePort = true
 	e.HTTPErrorHandler = s.handleError
 	e.Use(middleware.RecoverWithConfig(middleware.RecoverConfig{DisablePrintStack: true}))
-	e.Use(identify, bound)
+	e.Use(identify, s.bound)
 	for _, r := range s.table() {
 		e.Add(r.method, r.path, s.authenticated(r.handle))
 	}
@@ -174,9 +180,9 @@
 
 // bound ends a call that takes too long. Without it a store that accepts
 // calls and never answers would hold operators' connections for good.
-func bound(next echo.HandlerFunc) echo.HandlerFunc {
+func (s *Server) bound(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		ctx, cancel := context.WithTimeout(c.Request().Context(), callTimeout)
+		ctx, cancel := context.WithTimeout(c.Request().Context(), s.CallTimeout)
 		defer cancel()
 		c.SetRequest(c.Request().WithContext(ctx))
 		return next(c)
--- /dev/null
+++ b/internal/admin/audit_test.go
@@ -0,0 +1,154 @@
+package admin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/access"
+	"damaskrouter.example/damaskrouter/internal/admin/api"
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/audit"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func (h *harness) trail(token, query string) []audit.Entry {
+	h.t.Helper()
+	var page api.Page[audit.Entry]
+	require.Nil(h.t, h.get(token, api.PathAudit+query, &page))
+	return page.Items
+}
+
+func TestAuditSaysWhoWhatWhenAndFromWhichVersion(t *testing.T) {
+	h := newHarness(t)
+	h.pass(time.Minute)
+	ada := h.operator("ada", access.RoleAdmin, "desk")
+	h.pass(time.Minute)
+	_, f := h.apply(ada, 1, edited("weight: 2", "weight: 4"))
+	require.Nil(t, f)
+	h.pass(time.Minute)
+	h.claimed("mills", "secret-key")
+	var v claim.View
+	require.Nil(t, h.get(ada, api.PathClaims+"?account=mills&key=secret-key", &v))
+	require.Nil(t, h.post(ada, api.PathResolve, api.ResolveRequest{Account: "mills", Key: "secret-key", Verdict: claim.VerdictRan, Seen: v.Version}, &v))
+	assert.Equal(t, claim.StateDone, v.State)
+	h.pass(time.Minute)
+	require.Nil(t, h.revoke(rootToken, "ada"))
+
+	at := func(minutes int) time.Time { return startTime.Add(time.Duration(minutes) * time.Minute) }
+	got := h.trail(rootToken, "")
+	require.Len(t, got, 6)
+	assert.Equal(t, got[1].ID, got[2].ID, "the two entries of one operation")
+	for i := range got {
+		got[i].ID = ""
+	}
+	target := claimTarget(claim.Key{Account: "mills", IdempotencyKey: "secret-key"})
+	assert.NotContains(t, target, "secret-key")
+	assert.Equal(t, []audit.Entry{
+		{Number: 4, Time: at(4), Actor: BootstrapOperator, Action: audit.ActionOperatorRevoke, Outcome: audit.OutcomeDone, Team: "desk", Target: "operator ada", FromVersion: 1, Detail: "admin of desk"},
+		{Number: 3, Time: at(3), Actor: "ada", Action: audit.ActionClaimResolve, Outcome: audit.OutcomeDone, Team: "desk", Target: target, FromVersion: 1, Detail: "ran"},
+		{Number: 2, Time: at(3), Actor: "ada", Action: audit.ActionClaimResolve, Outcome: audit.OutcomeBegun, Team: "desk", Target: target, FromVersion: 1, Detail: "ran"},
+		{Number: 2, Time: at(2), Actor: "ada", Action: audit.ActionConfigAccept, Outcome: audit.OutcomeDone, Target: "version 2", FromVersion: 1, Detail: "why"},
+		{Number: 1, Time: at(1), Actor: BootstrapOperator, Action: audit.ActionOperatorAdd, Outcome: audit.OutcomeDone, Team: "desk", Target: "operator ada", Detail: "admin of desk"},
+		{Number: 1, Time: at(0), Actor: "seed", Action: audit.ActionConfigAccept, Outcome: audit.OutcomeDone, Target: "version 1"},
+	}, got)
+	desk := h.operator("desk-editor", access.RoleEditor, "desk")
+	assert.Len(t, h.trail(desk, ""), 5, "its own and the new operator's entries, not the fleet's")
+	assert.Empty(t, h.trail(rootToken, "?team=portal"))
+}
+
+// giveUpSoon ends a call in an outage. The verdicts below hold whenever that
+// happens, so that it may come at any moment.
+const giveUpSoon = 200 * time.Millisecond
+
+// Symptom: a verdict took effect that nobody gave, says the trail. Sequence:
+// the store fails between the verdict and its entry. Cause: the entry is
+// written only afterwards.
+func TestVerdictNeedsItsEntry(t *testing.T) {
+	for name, fault := range map[string]platformtest.Fault{
+		"refused":     platformtest.Down,
+		"late effect": platformtest.LateEffect,
+	} {
+		h := newHarness(t)
+		h.admin.CallTimeout = giveUpSoon
+		h.claimed("mills", "k")
+		req := api.ResolveRequest{Account: "mills", Key: "k", Verdict: claim.VerdictNotRun, Seen: 1}
+		h.store.Before(func(_ context.Context, c platformtest.Call) {
+			if c.Op == platformtest.OpCommit && c.Use == platform.UseAudit {
+				h.store.SetDown(true)
+			}
+		})
+		h.store.Script(platformtest.OpCommit, fault)
+		f := h.post(rootToken, api.PathResolve, req, nil)
+		require.NotNil(t, f, name)
+		assert.Equal(t, []any{apierr.CodeStoreDown, apierr.RanNo}, []any{f.Code, f.Ran}, name)
+		h.store.Before(nil)
+		h.store.SetDown(false)
+		var v claim.View
+		require.Nil(t, h.get(rootToken, api.PathClaims+"?account=mills&key=k", &v))
+		assert.Equal(t, claim.StateClaimed, v.State, name)
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	h := newHarness(t)
+	h.claimed("mills", "k")
+	for name, tc := range map[string]struct {
+		req  api.ResolveRequest
+		code apierr.Code
+	}{
+		"another version":  {api.ResolveRequest{Account: "mills", Key: "k", Verdict: claim.VerdictRan, Seen: 9}, apierr.CodeConflict},
+		"unknown verdict":  {api.ResolveRequest{Account: "mills", Key: "k", Verdict: "perhaps", Seen: 1}, apierr.CodeConflict},
+		"no such claim":    {api.ResolveRequest{Account: "mills", Key: "other", Verdict: claim.VerdictRan, Seen: 1}, apierr.CodeNotFound},
+		"no key":           {api.ResolveRequest{Account: "mills", Verdict: claim.VerdictRan, Seen: 1}, apierr.CodeBadRequest},
+		"another's claims": {api.ResolveRequest{Account: "pumps", Key: "k", Verdict: claim.VerdictRan, Seen: 1}, apierr.CodeNotFound},
+	} {
+		h.pass(time.Second)
+		f := h.post(rootToken, api.PathResolve, tc.req, nil)
+		require.NotNil(t, f, name)
+		assert.Equal(t, []any{tc.code, apierr.RanNo}, []any{f.Code, f.Ran}, name)
+		assert.Equal(t, audit.OutcomeFailed, h.trail(rootToken, "?limit=1")[0].Outcome, name)
+	}
+}
+
+// Symptom: after a lost reply the operator can't tell whether the verdict
+// holds. Sequence: the reply to the write of the claim is lost. Cause: the
+// same verdict again must be no error.
+func TestVerdictWithLostReply(t *testing.T) {
+	h := newHarness(t)
+	h.claimed("mills", "k")
+	req := api.ResolveRequest{Account: "mills", Key: "k", Verdict: claim.VerdictRan, Seen: 1}
+	h.store.Script(platformtest.OpCommit, platformtest.None, platformtest.LoseReplyAfterEffect)
+	h.pass(time.Second)
+	f := h.post(rootToken, api.PathResolve, req, nil)
+	require.NotNil(t, f)
+	assert.Equal(t, []any{apierr.CodeOutcomeUnknown, apierr.RanUnknown}, []any{f.Code, f.Ran})
+	assert.Equal(t, audit.OutcomeUnknown, h.trail(rootToken, "?limit=1")[0].Outcome)
+	assert.Nil(t, h.post(rootToken, api.PathResolve, req, nil))
+}
+
+func TestAuditIsStableWhileItGrows(t *testing.T) {
+	h := newHarness(t)
+	for _, name := range []string{"a", "b", "c"} {
+		h.operator(name, access.RoleViewer)
+	}
+	var got []string
+	query := "?limit=2"
+	for i := 0; query != ""; i++ {
+		var page api.Page[audit.Entry]
+		require.Nil(t, h.get(rootToken, api.PathAudit+query, &page))
+		for _, e := range page.Items {
+			got = append(got, e.Target)
+		}
+		query = ""
+		if page.Next != "" {
+			query = "?limit=2&cursor=" + page.Next
+		}
+		h.operator("late-"+string(rune('a'+i)), access.RoleViewer)
+	}
+	assert.Equal(t, []string{"version 1", "operator c", "operator b", "operator a"}, got)
+}
--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -65,6 +65,10 @@
 // comes first: such an error often wraps one that, by itself, proves the
 // opposite.
 func translate(err error) *api.Failure {
+	var known *apierr.Error
+	if errors.As(err, &known) {
+		return api.NewFailure(known)
+	}
 	var unknown *config.OutcomeUnknownError
 	if errors.As(err, &unknown) || platform.ErrOutcomeUnknown.Has(err) {
 		return api.NewFailure(outcomeUnknown(err))
--- a/internal/admin/scope.go
+++ b/internal/admin/scope.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -68,12 +69,16 @@
 // partsOf splits a bundle by owner. It works on the decoded documents, not on
 // their text: whatever two texts do to look alike, what routers would act on
 // is what is compared. Comments and layout make no difference.
+// The bundle before the first version is empty.
 func partsOf(b config.Bundle) (parts, error) {
+	out := make(parts)
+	if len(b.Base) == 0 && len(b.Overlays) == 0 {
+		return out, nil
+	}
 	parsed, err := b.Parse()
 	if err != nil {
-		return nil, &config.InvalidError{Problems: config.Problems{{File: config.BaseFile, Reason: err.Error()}}}
+		return nil, unreadable(err)
 	}
-	out := make(parts)
 	out.addBase(parsed.Document)
 	for site, overlay := range parsed.Overlays {
 		out.addOverlay(config.OverlayFile(site), overlay, parsed.Document)
@@ -81,6 +86,16 @@
 	return out, nil
 }
 
+// unreadable refuses a comparison with files that can't be decoded. Only an
+// operator of the whole fleet, who needs no comparison, can replace those.
+func unreadable(err error) error {
+	var problems config.Problems
+	if errors.As(err, &problems) {
+		return &config.InvalidError{Problems: problems}
+	}
+	return err
+}
+
 func (p parts) addBase(doc *config.Document) {
 	file := config.BaseFile + ": "
 	p.add(file+"teams", access.FleetWide, doc.Teams)
