--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -32,7 +32,7 @@
 	// changeAttempts is how often an unsettled change is sent.
 	changeAttempts = 3
 	// changePause is the wait between the attempts.
-	changePause = time.Second
+	changePause = 400 * time.Millisecond
 	// statusPeriod is how often --wait asks.
 	statusPeriod = 250 * time.Millisecond
 	// defaultWait is how long --wait lasts, in seconds.
@@ -137,7 +137,7 @@
 	if noted != "" && !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
-	head, err := f.head(ctx)
+	head, err := f.head(ctx, con)
 	if err != nil {
 		return err
 	}
@@ -169,7 +169,7 @@
 	unsettled := false
 	for attempt := 1; ; attempt++ {
 		var v config.Version
-		raw, err := c.Do(ctx, req, &v)
+		raw, err := patiently(ctx, con, c, req, &v)
 		if err == nil {
 			return v, f.printVersion(con, raw, v)
 		}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -182,7 +182,7 @@
 
 func configShow(ctx context.Context, con *console, f *operatorFlags, version uint64, out string) error {
 	if version == 0 {
-		head, err := f.head(ctx)
+		head, err := f.head(ctx, con)
 		if err != nil {
 			return err
 		}
@@ -207,11 +207,11 @@
 }
 
 // head asks which version is in force.
-func (f *operatorFlags) head(ctx context.Context) (config.Head, error) {
+func (f *operatorFlags) head(ctx context.Context, con *console) (config.Head, error) {
 	quiet := *f
 	quiet.json = false
 	var head config.Head
-	_, err := quiet.get(ctx, nil, api.PathConfig, nil, &head)
+	_, err := quiet.get(ctx, con, api.PathConfig, nil, &head)
 	return head, err
 }
 
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 	"damaskrouter.example/damaskrouter/internal/admin/client"
+	"damaskrouter.example/damaskrouter/internal/apierr"
 	"github.com/integrii/flaggy"
 )
 
@@ -21,6 +23,9 @@
 	envToken = "DAMASKROUTER_TOKEN"
 )
 
+// storeAttempts is how often a call is made that the store refuses.
+const storeAttempts = 3
+
 // columnGap is the space between the columns of a table.
 const columnGap = 2
 
@@ -58,7 +63,7 @@
 	if err != nil {
 		return false, err
 	}
-	raw, err := c.Do(ctx, r, out)
+	raw, err := patiently(ctx, con, c, r, out)
 	if err != nil {
 		return false, err
 	}
@@ -69,6 +74,25 @@
 	return true, err
 }
 
+// patiently makes a call, and makes it again while the router says that the
+// store refused it, that nothing was done, and when to come back.
+func patiently(ctx context.Context, con *console, c *client.Client, r client.Request, out any) ([]byte, error) {
+	for attempt := 1; ; attempt++ {
+		raw, err := c.Do(ctx, r, out)
+		var f *api.Failure
+		if !errors.As(err, &f) || f.Code != apierr.CodeStoreDown || f.Ran != apierr.RanNo || f.RetryAfterMS == 0 {
+			return raw, err
+		}
+		if attempt == storeAttempts {
+			return raw, err
+		}
+		con.note("%s; asking again in %s", f.Message, f.RetryAfter())
+		if !sleep(ctx, f.RetryAfter()) {
+			return raw, err
+		}
+	}
+}
+
 // get is do for a reading call.
 func (f *operatorFlags) get(ctx context.Context, con *console, path string, query url.Values, out any) (printed bool, err error) {
 	return f.do(ctx, con, client.Request{Method: http.MethodGet, Path: path, Query: query}, out)
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/admin"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/keys"
+	"damaskrouter.example/damaskrouter/internal/platform"
 )
 
 // publish collects the metrics of the parts.
@@ -102,7 +103,7 @@
 func (r *Router) adminHandler() (http.Handler, error) {
 	server, err := admin.New(admin.Options{
 		Board:         r.board,
-		Chain:         r.chain,
+		Chain:         config.NewChain(admin.Charged(r.table, platform.UseAdmin), r.objects, time.Now),
 		Claims:        r.claims,
 		Table:         r.table,
 		InForce:       r.inForce,
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -102,6 +102,7 @@
 		VMsURL:     r.set.Platform.VMs,
 		Budget:     platform.NewBudget(platform.BudgetOptions{Total: total, PerUse: rates}),
 	})
+	r.objects = objects
 	r.chain = config.NewChain(r.table, objects, time.Now)
 	r.claims = claim.New(claim.NewBatcher(r.table, maxClaimBatch), objects, r.set.Name, newToken)
 	r.vms = &controller.VMs{Board: r.board, List: vms, Caller: r.caller, Self: r.set.Name, Log: r.log}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,6 +77,7 @@
 	chain     *config.Chain
 	claims    *claim.Store
 	table     platform.Table
+	objects   platform.Objects
 	stats     *platform.Stats
 
 	vms     *controller.VMs
