--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	if f.admin == "" && os.Getenv(envAdmin) == "" {
-		return report(con, files, config.Validate(b), nil, "the files are in order; no router was asked")
+		return printFaults(con, files, config.Validate(b), nil, "the files are in order; no router was asked")
 	}
 	texts, err := api.NewFiles(b)
 	if err != nil {
@@ -104,12 +104,12 @@
 	if printed {
 		return refused(len(problems) + len(reply.Forbidden))
 	}
-	return report(con, files, problems, reply.Forbidden,
+	return printFaults(con, files, problems, reply.Forbidden,
 		fmt.Sprintf("the files are in order as a change of version %d", reply.Version))
 }
 
-// report prints faults as file:line, which editors understand.
-func report(con *console, files *bundleFlags, problems []config.Problem, forbidden []string, fine string) error {
+// printFaults prints faults as file:line, which editors understand.
+func printFaults(con *console, files *bundleFlags, problems []config.Problem, forbidden []string, fine string) error {
 	for _, p := range problems {
 		fmt.Fprintln(con.out, files.local(p))
 	}
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -35,8 +35,8 @@
 	patience = time.Minute
 )
 
-// run runs the command line.
-func run(args ...string) (code int, stdout, stderr string) {
+// execute runs the command line.
+func execute(args ...string) (code int, stdout, stderr string) {
 	var out, err bytes.Buffer
 	code = Main(args, &out, &err)
 	return code, out.String(), err.String()
@@ -52,11 +52,11 @@
 	overlay := filepath.Join(dir, "sites", "mamak.yaml")
 	require.NoError(t, os.WriteFile(overlay, []byte("site: mamak\npools: [{name: nothing}]\n"), fileMode))
 
-	code, out, _ := run("config", "check", "--base", file, "--overlays", filepath.Join(dir, "sites"))
+	code, out, _ := execute("config", "check", "--base", file, "--overlays", filepath.Join(dir, "sites"))
 	assert.Equal(t, exitFailed, code)
 	assert.Regexp(t, file+`:\d+: accounts\[0\].team: no team is called "dessk"\n`, out)
 	assert.Contains(t, out, overlay+":2: pools[0].name: site mamak has no pool called \"nothing\"\n")
-	code, _, _ = run("config", "check", "--base", exampleDir+"/base.yaml", "--overlays", exampleDir+"/sites")
+	code, _, _ = execute("config", "check", "--base", exampleDir+"/base.yaml", "--overlays", exampleDir+"/sites")
 	assert.Equal(t, exitOK, code)
 }
 
@@ -76,24 +76,24 @@
 		"certs for nobody":  {"keys", "generate", "--dir", t.TempDir()},
 		"version as a text": {"config", "rollback", "--to", "1", "--from", "x"},
 	} {
-		code, _, stderr := run(args...)
+		code, _, stderr := execute(args...)
 		assert.Equal(t, exitUsage, code, "%s: %s", name, stderr)
 	}
-	code, _, stderr := run("fleet", "--admin", "127.0.0.1:1", "--token", "t")
+	code, _, stderr := execute("fleet", "--admin", "127.0.0.1:1", "--token", "t")
 	assert.Equal(t, exitFailed, code)
 	assert.Contains(t, stderr, "router not reached")
 }
 
 func TestKeysGenerate(t *testing.T) {
-	code, out, _ := run("keys", "generate", "--kind", "operator")
+	code, out, _ := execute("keys", "generate", "--kind", "operator")
 	require.Equal(t, exitOK, code)
 	lines := strings.Fields(out)
 	assert.Equal(t, access.HashSecret(lines[0]).String(), lines[1])
-	code, out, _ = run("keys", "generate", "--kind", "fleet")
+	code, out, _ = execute("keys", "generate", "--kind", "fleet")
 	require.Equal(t, exitOK, code)
 	assert.Len(t, strings.TrimSpace(out), 44)
 	dir := filepath.Join(t.TempDir(), "certs")
-	code, out, stderr := run("keys", "generate", "--dir", dir, "--router", "r1", "--host", "127.0.0.1")
+	code, out, stderr := execute("keys", "generate", "--dir", dir, "--router", "r1", "--host", "127.0.0.1")
 	require.Equal(t, exitOK, code, stderr)
 	assert.Contains(t, out, filepath.Join(dir, "r1.pem"))
 }
@@ -128,7 +128,7 @@
 			calls++
 			answer(w, tc.answers[calls-1])
 		}))
-		code, out, stderr := run("config", "apply", "--admin", server.URL, "--token", "t", "--change-id", "one", "--from", "1",
+		code, out, stderr := execute("config", "apply", "--admin", server.URL, "--token", "t", "--change-id", "one", "--from", "1",
 			"--base", exampleDir+"/base.yaml", "--overlays", exampleDir+"/sites")
 		server.Close()
 		assert.Equal(t, tc.code, code, name)
@@ -207,7 +207,7 @@
 	t.Setenv(envToken, rootToken)
 	must := func(args ...string) string {
 		t.Helper()
-		code, out, stderr := run(args...)
+		code, out, stderr := execute(args...)
 		require.Equal(t, exitOK, code, "%v: %s", args, stderr)
 		return out
 	}
@@ -233,7 +233,7 @@
 
 	must("config", "rollback", "--to", "1", "--comment", "back")
 	assert.Contains(t, must("config", "history"), "(content of version 1) back")
-	code, _, stderr := run(apply...)
+	code, _, stderr := execute(apply...)
 	assert.Equal(t, exitFailed, code, "the files are of version 2")
 	assert.Contains(t, stderr, "made from version 2, but version 3 by bootstrap")
 
@@ -241,7 +241,7 @@
 	assert.True(t, strings.HasPrefix(token, access.PrefixOperator))
 	assert.Contains(t, must("operators", "list"), "kim")
 	must("operators", "revoke", "--name", "kim")
-	code, _, stderr = run("config", "history", "--token", token)
+	code, _, stderr = execute("config", "history", "--token", token)
 	assert.Equal(t, exitFailed, code)
 	assert.Contains(t, stderr, "unauthorized")
 	trail := must("audit")
