docs/API.md, TLS for operators, a test that keeps the page complete

Cause: operators' tokens crossed the network in clear, and docs/OPERATING.md refers to a page of codes that did not exist.

Ruled out: a listener of its own for TLS; the settings' certificate serves both and is replaced in place.

The test through two running routers now goes over TLS; it passes.

--- /dev/null
+++ b/internal/admin/doc_test.go
@@ -0,0 +1,26 @@
+package admin
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestDocumentation keeps docs/API.md complete: each code and each call is in it.
+func TestDocumentation(t *testing.T) {
+	doc, err := os.ReadFile("../../docs/API.md")
+	require.NoError(t, err)
+	source, err := os.ReadFile("../apierr/apierr.go")
+	require.NoError(t, err)
+	codes := regexp.MustCompile(`Code = "(\w+)"`).FindAllStringSubmatch(string(source), -1)
+	require.NotEmpty(t, codes)
+	for _, code := range codes {
+		assert.Contains(t, string(doc), "| `"+code[1]+"` |")
+	}
+	for _, r := range new(Server).table() {
+		assert.Contains(t, string(doc), "`"+r.method+" "+r.path)
+	}
+}
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -21,6 +21,7 @@
 const (
 	envAdmin = "DAMASKROUTER_ADMIN"
 	envToken = "DAMASKROUTER_TOKEN"
+	envCA    = "DAMASKROUTER_CA"
 )
 
 // storeAttempts is how often a call is made that the store refuses.
@@ -40,7 +41,7 @@
 func (f *operatorFlags) add(sub *flaggy.Subcommand) {
 	sub.String(&f.admin, "a", "admin", "The admin address of any router, HOST:PORT or https://HOST:PORT. Default: "+envAdmin+" from the environment.")
 	sub.String(&f.token, "t", "token", "The operator's token. Default: "+envToken+" from the environment, where other users can't see it.")
-	sub.String(&f.ca, "", "ca", "The file with the authority of the routers' certificates, in PEM. Default: the system's.")
+	sub.String(&f.ca, "", "ca", "The file with the authority of the routers' certificates, in PEM. Default: "+envCA+" from the environment, or else the system's.")
 	sub.Bool(&f.json, "j", "json", "Print the router's answer as it is, in JSON.")
 }
 
@@ -51,6 +52,9 @@
 	if f.token == "" {
 		f.token = os.Getenv(envToken)
 	}
+	if f.ca == "" {
+		f.ca = os.Getenv(envCA)
+	}
 	if f.admin == "" || f.token == "" {
 		return nil, ErrUsage.New("name a router with --admin ADDRESS (or %s) and your token with --token (or %s)", envAdmin, envToken)
 	}
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -19,6 +19,7 @@
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/keys"
 	"damaskrouter.example/damaskrouter/internal/router"
 	"damaskrouter.example/damaskrouter/internal/settings"
 	"damaskrouter.example/damaskrouter/internal/standin"
@@ -156,8 +157,8 @@
 }
 
 // startRouters runs two routers over a stand-in platform, and returns where
-// operators reach the first.
-func startRouters(t *testing.T) string {
+// operators reach the first, and the authority of its certificate.
+func startRouters(t *testing.T) (address, ca string) {
 	platform := standin.NewPlatform()
 	t.Cleanup(platform.Close)
 	server := httptest.NewServer(platform.Handler())
@@ -165,6 +166,9 @@
 	b, err := config.ReadBundle(exampleDir+"/base.yaml", exampleDir+"/sites")
 	require.NoError(t, err)
 	require.NoError(t, standin.Seed(context.Background(), server.URL, b))
+	certs := t.TempDir()
+	require.NoError(t, keys.Generate(certs, keys.GenerateOptions{Routers: []string{"r1"}, Hosts: []string{"127.0.0.1"}, Now: time.Now()}))
+	files := keys.PathsIn(certs, "r1")
 	seeds := ""
 	var first *router.Router
 	for _, site := range []string{"cankaya", "mamak"} {
@@ -175,10 +179,11 @@
 control_listen: %s
 admin_listen: 127.0.0.1:0
 admin_token_hash: %s
+tls: {cert: %s, key: %s}
 platform: {table: %q, objects: %q, vms: %q}
 seeds: [%s]
 allow_insecure: true
-`, site, site, freeAddress(t), freeAddress(t), access.HashSecret(rootToken), server.URL, server.URL, server.URL, seeds)))
+`, site, site, freeAddress(t), freeAddress(t), access.HashSecret(rootToken), files.Cert, files.Key, server.URL, server.URL, server.URL, seeds)))
 		require.NoError(t, err)
 		r, err := router.New(set, log.New(io.Discard), router.Options{})
 		require.NoError(t, err)
@@ -191,7 +196,7 @@
 	require.Eventually(t, func() bool {
 		return len(first.Snapshot().Live) == 2 && first.Snapshot().ConfigVersion == 1
 	}, patience, 50*time.Millisecond)
-	return first.Admin()
+	return "https://" + first.Admin(), files.CA
 }
 
 // freeAddress returns an address that nothing listens on.
@@ -203,7 +208,9 @@
 }
 
 func TestThroughRunningRouters(t *testing.T) {
-	t.Setenv(envAdmin, startRouters(t))
+	address, ca := startRouters(t)
+	t.Setenv(envAdmin, address)
+	t.Setenv(envCA, ca)
 	t.Setenv(envToken, rootToken)
 	must := func(args ...string) string {
 		t.Helper()
