--- a/internal/admin/access_test.go
+++ b/internal/admin/access_test.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -154,6 +155,24 @@
 	assert.Equal(t, http.StatusUnauthorized, h.get(kim, api.PathConfig, nil).Status)
 }
 
+// Symptom: two people hold tokens of one name, and one of the tokens can't be
+// revoked. Sequence: two admins issue it at the same moment. Cause: the second
+// row overwrites the first.
+func TestOneTokenOfAName(t *testing.T) {
+	h := newHarness(t)
+	var first string
+	h.store.Before(func(_ context.Context, c platformtest.Call) {
+		if c.Op == platformtest.OpCommit {
+			h.store.Before(nil)
+			first = h.operator("kim", access.RoleViewer)
+		}
+	})
+	f := h.post(rootToken, api.PathOperators, api.AddOperatorRequest{Name: "kim", Role: access.RoleAdmin}, nil)
+	require.NotNil(t, f)
+	assert.Equal(t, []any{apierr.CodeConflict, apierr.RanNo}, []any{f.Code, f.Ran})
+	assert.Nil(t, h.get(first, api.PathConfig, nil))
+}
+
 // Symptom: operators can't get in. Sequence: somebody sends wrong tokens as
 // fast as the network allows. Cause: each token costs a read of the store,
 // whose budget is soon spent.
--- a/internal/admin/config_test.go
+++ b/internal/admin/config_test.go
@@ -14,6 +14,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -141,6 +142,37 @@
 	assert.Nil(t, h.get(rootToken, api.PathFleet, nil), "the token in the settings needs no store")
 }
 
+// Symptom: an operator whose token was just revoked changes the fleet. Sequence:
+// the list of operators can't be read, while the rest of the store can. Cause:
+// the old list serves for changes too.
+func TestChangeNeedsFreshOperators(t *testing.T) {
+	h := newHarness(t)
+	kim := h.operator("kim", access.RoleAdmin)
+	require.Nil(t, h.get(kim, api.PathConfig, nil))
+	h.pass(freshFor)
+	h.store.Script(platformtest.OpScan, platformtest.Down)
+	before := h.rows()
+	_, f := h.apply(kim, 1, edited("weight: 2", "weight: 4"))
+	require.NotNil(t, f)
+	assert.Equal(t, []any{apierr.CodeStoreDown, apierr.RanNo}, []any{f.Code, f.Ran})
+	assert.Equal(t, before, h.rows())
+	assert.Nil(t, h.get(kim, api.PathConfig, nil), "reading goes on")
+}
+
+// Symptom: a failed read is reported as a change that may be in force.
+// Sequence: a row can't be decoded. Cause: every unforeseen error counts as
+// "unknown".
+func TestFailedReadRanNothing(t *testing.T) {
+	h := newHarness(t)
+	_, err := h.store.Store().Commit([]platform.Write{{Table: config.TableHead, Key: config.HeadKey, Value: []byte("{"), IfVersion: 1}})
+	require.NoError(t, err)
+	f := h.get(rootToken, api.PathConfig, nil)
+	require.NotNil(t, f)
+	assert.Equal(t, []any{apierr.CodeInternal, apierr.RanNo}, []any{f.Code, f.Ran})
+	_, f = h.apply(rootToken, 1, testFiles())
+	assert.Equal(t, []any{apierr.CodeInternal, apierr.RanUnknown}, []any{f.Code, f.Ran})
+}
+
 // Symptom: one team's accounts change behind its back. Sequence: an editor of
 // another team applies files that hold the change. Cause: a configuration is
 // accepted as a whole, whoever owns its parts.
@@ -282,10 +314,12 @@
 		require.Nil(t, f)
 	}
 	var got []uint64
+	pages := 0
 	path := api.PathHistory + "?limit=3"
 	for next := uint64(7); path != ""; next++ {
 		var page api.Page[config.Version]
 		require.Nil(t, h.get(rootToken, path, &page))
+		pages++
 		for _, v := range page.Items {
 			got = append(got, v.Number)
 		}
@@ -297,6 +331,7 @@
 		require.Nil(t, f)
 	}
 	assert.Equal(t, []uint64{7, 6, 5, 4, 3, 2, 1}, got)
+	assert.Equal(t, 3, pages, "the page with version 1 is the last")
 }
 
 func TestLists(t *testing.T) {
