--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,6 +77,7 @@
 	chain     *config.Chain
 	claims    *claim.Store
 	table     platform.Table
+	objects   platform.Objects
 	stats     *platform.Stats
 
 	vms     *controller.VMs
@@ -94,6 +95,7 @@
 	wg      sync.WaitGroup
 	address string
 	control string
+	admin   string
 }
 
 // New provisions a router; Start makes it serve.
