A change of version no longer takes the pool out of service

Cause: a router took an engine for unusable unless it had the pool's version and all adapters. An accepted change of version would have left every engine unusable at once, until the leader had gone through them; a request without an adapter found no engine although all had the model. Seen by hand: engines with version 2.0 at a site configured for 2.1, "no engine in service". Ruled out: waiting for the roll-out before the version is in force (it must be in force within seconds). Now the model decides; adapters count for requests that name one. A blocked group is logged once.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -224,9 +224,8 @@
 	Site    string `json:"site"`
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving"`
-	// Ejected is set while outlier detection at the answering router keeps
-	// the engine out.
-	Ejected bool `json:"ejected"`
+	// Drained is set while the leader keeps the engine idle for an order.
+	Drained bool `json:"drained"`
 	// Known is false until a report has arrived; the fields after Owner are
 	// empty then.
 	Known bool `json:"known"`
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -98,7 +98,7 @@
 func engineOf(snap *board.Snapshot, e board.Engine, owner int) api.Engine {
 	out := api.Engine{
 		Name: e.Name, Kind: e.Kind, Pool: e.Pool, Site: e.Site, Address: e.Address,
-		Leaving: e.Leaving, Ejected: e.Ejected, Known: e.Known,
+		Leaving: e.Leaving, Drained: e.Drained, Known: e.Known,
 	}
 	if owner >= 0 {
 		out.Owner = snap.Routers[owner].Name
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -37,6 +37,8 @@
 	Pools []*config.Pool
 	// Deadline is when the caller stops waiting; zero for no limit of its own.
 	Deadline time.Time
+	// Adapter says that the request needs an adapter of the pool.
+	Adapter bool
 	// Place describes the request to placement.
 	Place placement.Request
 	// Avoid lists engines that have already failed this request.
--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -26,14 +26,18 @@
 // The flags of an EngineLoad.
 const (
 	flagLeaving = 1 << iota
-	flagLoaded
+	flagModel
+	flagAdapters
 )
 
 // Leaving says that the engine is to stop.
 func (e EngineLoad) Leaving() bool { return e.Flags&flagLeaving != 0 }
 
-// Loaded says that the engine serves what its pool is configured for.
-func (e EngineLoad) Loaded() bool { return e.Flags&flagLoaded != 0 }
+// Serves says whether the engine can serve a request to its pool, with one of
+// the pool's adapters or without.
+func (e EngineLoad) Serves(adapter bool) bool {
+	return e.Flags&flagModel != 0 && (!adapter || e.Flags&flagAdapters != 0)
+}
 
 const (
 	// subscription is how long a router that asked for a permit is told of
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -48,8 +48,17 @@
 	if st.Leaving {
 		k.Flags |= flagLeaving
 	}
-	if serves(l.pool, st) && !e.Drained {
-		k.Flags |= flagLoaded
+	if l.pool.Model == "" || l.pool.Model == st.Model {
+		// The version is not looked at: while a new one is rolled out, engines
+		// with the old one go on serving. Were they taken out, an accepted
+		// change of version would leave the pool without engines at once.
+		k.Flags |= flagModel
+	}
+	if hasAdapters(l.pool, st) {
+		k.Flags |= flagAdapters
+	}
+	if e.Drained {
+		k.Flags &^= flagModel
 	}
 	k.at = now
 	l.loads[e.ID] = k
@@ -57,14 +66,8 @@
 	l.wake()
 }
 
-// serves says whether an engine has what its pool is configured for.
-func serves(p *config.Pool, st wire.EngineStatus) bool {
-	if p.Model == "" {
-		return true
-	}
-	if st.Model != p.Model || (p.Version != "" && st.Version != p.Version) {
-		return false
-	}
+// hasAdapters says whether an engine has all adapters of its pool.
+func hasAdapters(p *config.Pool, st wire.EngineStatus) bool {
 	for _, adapter := range p.Adapters {
 		if !slices.Contains(st.Adapters, adapter) {
 			return false
@@ -87,7 +90,7 @@
 	now := time.Now()
 	best, bestScore := -1, uint64(0)
 	for i := range g.Engines {
-		e := l.describe(now, &g.Engines[i])
+		e := l.describe(now, &g.Engines[i], false)
 		if e.Leaving || !e.Loaded || e.Ejected || g.Owners[i] < 0 {
 			continue
 		}
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -136,7 +136,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pool := l.view(now, snap, group, avoid)
+	pool := l.view(now, snap, group, req.Adapter, avoid)
 	d, err := l.pick(pool, snap, group, req)
 	if err != nil {
 		return choice{}, err
@@ -199,11 +199,11 @@
 }
 
 // view describes the engines to placement; the caller holds l.mu.
-func (l *lane) view(now time.Time, snap *board.Snapshot, group *board.Group, avoid []uint64) *placement.Pool {
+func (l *lane) view(now time.Time, snap *board.Snapshot, group *board.Group, adapter bool, avoid []uint64) *placement.Pool {
 	engines := l.scratch.Engines[:0]
 	for i := range group.Engines {
 		e := &group.Engines[i]
-		p := l.describe(now, e)
+		p := l.describe(now, e, adapter)
 		if len(avoid) > 0 && slices.Contains(avoid, e.ID) {
 			p.Ejected = true
 		}
@@ -214,13 +214,13 @@
 	return &l.scratch
 }
 
-func (l *lane) describe(now time.Time, e *board.Engine) placement.Engine {
+func (l *lane) describe(now time.Time, e *board.Engine, adapter bool) placement.Engine {
 	out := placement.Engine{ID: e.ID, Leaving: e.Leaving, Loaded: true, MaxBatch: l.pool.MaxBatch, Ramp: 1}
 	k, heard := l.loads[e.ID]
 	if heard {
 		out.Incarnation = k.Incarnation
 		out.Leaving = out.Leaving || k.Leaving()
-		out.Loaded = k.Loaded()
+		out.Loaded = k.Serves(adapter)
 		out.Load = k.Weight
 		out.Running = int(k.Count)
 		if k.MaxBatch > 0 {
--- a/internal/admission/remote.go
+++ b/internal/admission/remote.go
@@ -44,6 +44,8 @@
 	ID     uuid.UUID
 	Holder string
 	Weight int64
+	// Adapter says that the request needs an adapter of the pool.
+	Adapter bool
 	// Transfer asks to move the permit to Holder instead of granting one.
 	Transfer bool
 }
@@ -188,7 +190,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pool := l.view(now, snap, group, nil)
+	pool := l.view(now, snap, group, args.Adapter, nil)
 	for i := range pool.Engines {
 		if pool.Engines[i].ID == args.Engine {
 			return l.acquire(now, pool, i, r)
@@ -199,7 +201,7 @@
 
 // ask asks another router, the engine's owner, for a permit.
 func (l *lane) ask(ctx context.Context, c choice, req *Request) (*Grant, error) {
-	reply, err := l.call(ctx, c, req.ID, AcquireArgs{Weight: c.decision.Weight})
+	reply, err := l.call(ctx, c, req.ID, AcquireArgs{Weight: c.decision.Weight, Adapter: req.Adapter})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -49,8 +49,8 @@
 	switch {
 	case e.Leaving:
 		return "leaving"
-	case e.Ejected:
-		return "ejected"
+	case e.Drained:
+		return "drained"
 	case !e.Known:
 		return "no report"
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,8 @@
 	targets []orders.Target
 	version uint64
 	running map[string]bool
+	// blocked are the groups that the last plan could not touch.
+	blocked []orders.Blocked
 }
 
 // Run leads whenever this router holds the lease, until ctx ends.
@@ -248,9 +251,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.planner.Plan(l.targets, observed, l.Clock())
-	for _, b := range p.Blocked {
-		l.Log.Warn("no order can be given without passing the capacity floor",
-			"pool", b.Pool, "site", b.Site, "serving", b.Serving, "needed", b.Needed)
+	if !slices.Equal(p.Blocked, l.blocked) {
+		l.blocked = p.Blocked
+		for _, b := range p.Blocked {
+			l.Log.Warn("no order can be given without passing the capacity floor",
+				"pool", b.Pool, "site", b.Site, "serving", b.Serving, "needed", b.Needed)
+		}
 	}
 	return p.Steps
 }
--- a/internal/traffic/chat.go
+++ b/internal/traffic/chat.go
@@ -234,6 +234,7 @@
 		Account:  t.who.account,
 		Class:    t.who.class,
 		Pools:    t.pools,
+		Adapter:  t.body.Adapter != "",
 		Deadline: t.who.deadline,
 		Place:    t.place,
 		Avoid:    t.avoid,
