--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -281,6 +281,9 @@
 		m.Site = string(r.bytes(membership.MaxSite))
 		m.Generation = r.uint()
 		m.ConfigVersion = r.uint()
+		if m.Name == "" {
+			r.keep(errDecode.New("full member without a name"))
+		}
 	default:
 		r.keep(errDecode.New("member of %d fields", fields))
 	}
--- a/internal/gossip/driver.go
+++ b/internal/gossip/driver.go
@@ -270,9 +270,9 @@
 	return d.enqueue(func() { d.onEvent = append(d.onEvent, f) })
 }
 
-// OnDatagram sets the handler of a channel. Errors: ErrBusy.
-func (d *Driver) OnDatagram(channel uint8, handle DatagramHandler) error {
-	return d.enqueue(func() { d.end.OnDatagram(channel, handle) })
+// OnDatagram sets the handler of a channel. It holds from when it returns.
+func (d *Driver) OnDatagram(channel uint8, handle DatagramHandler) {
+	d.end.OnDatagram(channel, handle)
 }
 
 // SendTo sends a datagram of at most MaxDatagram bytes to a member. It may be
--- a/internal/gossip/endpoint.go
+++ b/internal/gossip/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand"
+	"sync/atomic"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/membership"
@@ -27,15 +28,15 @@
 
 // Endpoint joins the failure detector with the packet format: bytes in, bytes
 // out, time as an argument. It does no input or output itself; Driver runs it
-// on a socket, and package simnet under virtual time. Except for Counters it
-// is not safe for concurrent use.
+// on a socket, and package simnet under virtual time. Except for Counters and
+// OnDatagram it is not safe for concurrent use.
 type Endpoint struct {
 	det      *membership.Detector
 	keys     Keys
 	seq      uint64
 	seen     *replayGuard
 	counters counterSet
-	handlers [maxUint8 + 1]DatagramHandler
+	handlers [maxUint8 + 1]atomic.Pointer[DatagramHandler]
 	log      Logger
 	loggedAt [reasonCount]time.Duration
 }
@@ -112,14 +113,15 @@
 	if !ok || m.To != e.det.Self().ID {
 		return
 	}
-	if handle := e.handlers[dg.Channel]; handle != nil {
-		handle(m.From, dg.Payload)
+	if handle := e.handlers[dg.Channel].Load(); handle != nil {
+		(*handle)(m.From, dg.Payload)
 	}
 }
 
-// OnDatagram sets the handler of a channel; nil removes it.
+// OnDatagram sets the handler of a channel. It is safe for concurrent use and
+// holds for all packets that are processed after it returns.
 func (e *Endpoint) OnDatagram(channel uint8, handle DatagramHandler) {
-	e.handlers[channel] = handle
+	e.handlers[channel].Store(&handle)
 }
 
 // Datagram returns the packet that carries payload to a member. It may be
--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -3,12 +3,34 @@
 import (
 	"math"
 	"sort"
+	"time"
 )
 
 // maxPiggyback bounds the piggybacked bytes of one packet, so that the cost of
 // a packet does not depend on the fleet size or on how much is changing.
 const maxPiggyback = 400
 
+// The rate at which one router spends bytes on piggybacked updates, and what
+// it may save up. Without it, a router that learns many rows at once, as after
+// a start or a partition, would fill every packet with them for a while.
+const (
+	piggybackRate  = 2000 // bytes per second
+	piggybackBurst = 2000 // bytes
+)
+
+// allowance is a token bucket of piggybacked bytes.
+type allowance struct {
+	bytes float64
+	at    time.Duration
+}
+
+// refill brings the bucket to the time now.
+func (a *allowance) refill(now time.Duration) {
+	a.bytes += (now - a.at).Seconds() * piggybackRate
+	a.bytes = min(a.bytes, piggybackBurst)
+	a.at = now
+}
+
 // broadcastKey names what is being spread: the row of a member or an item.
 // The content is looked up when it is sent, so that a newer state replaces an
 // older one that still waits.
@@ -115,8 +137,10 @@
 		budget -= u.encodedSize()
 		m.Updates = append(m.Updates, u)
 	}
+	budget = min(budget, int(d.allowed.bytes))
 	limit := retransmits(d.opts.RetransmitFactor, d.live)
 	for _, key := range d.queue.take(budget, limit, d.broadcastSize) {
+		d.allowed.bytes -= float64(d.broadcastSize(key))
 		d.appendBroadcast(m, key, listed)
 	}
 }
@@ -133,7 +157,7 @@
 
 // gossip sends pending updates to a few random members.
 func (d *Detector) gossip() {
-	if d.queue.empty() || d.now < d.nextGossip {
+	if d.queue.empty() || d.now < d.nextGossip || d.allowed.bytes < maxPiggyback {
 		return
 	}
 	d.nextGossip = d.now + d.opts.GossipInterval
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -49,6 +49,7 @@
 	nextSeq uint32
 
 	queue      broadcastQueue
+	allowed    allowance
 	items      itemStore
 	freshItems []Item
 	pages      []pageJob
@@ -129,6 +130,7 @@
 // all dead. The probe under way is dropped and suspicions start over.
 func (d *Detector) advance(now time.Duration) {
 	d.now = max(d.now, now)
+	d.allowed.refill(d.now)
 	if !d.ticked || d.now-d.lastTick <= d.opts.FreezeThreshold {
 		return
 	}
