--- a/internal/bench/fleet/engine.go
+++ b/internal/bench/fleet/engine.go
@@ -35,6 +35,7 @@
 	o := engine.Defaults(fmt.Sprintf("engine-%d", i+1), workload.Model)
 	o.Version = workload.Version
 	o.MaxBatch = w.MaxBatch
+	o.MaxQueue = max(o.MaxQueue, w.MaxBatch)
 	o.StepTime = w.Step
 	o.CacheTokens = w.CacheTokens
 	o.PrefillPerMS = w.PrefillPerMS
@@ -166,3 +167,10 @@
 	}
 	return out
 }
+
+// Address is where the engine listens.
+func (e *Engine) Address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.vm.Address
+}
--- /dev/null
+++ b/internal/bench/measure/measure_test.go
@@ -0,0 +1,137 @@
+package measure_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+
+// turn is a turn of half a second that adds ten tokens to what the chat has.
+func turn(chat string, second, earlier int) measure.Access {
+	return measure.Access{
+		Chat: chat, Start: at(second), End: at(second).Add(time.Second / 2),
+		Prompt: earlier + 5, Earlier: earlier, After: earlier + 10, Returning: earlier > 0,
+	}
+}
+
+func TestBoundKeepsWhatIsUsedNext(t *testing.T) {
+	trace := []measure.Access{
+		turn("a", 1, 0), turn("b", 2, 0), turn("b", 3, 10), turn("a", 4, 10), turn("c", 5, 0),
+	}
+	whole := []measure.Capacity{{At: at(0), Tokens: 20}}
+	require.InDelta(t, 20.0/30, measure.ReuseBound(trace, whole), 1e-9)
+	// With room for one chat b, which comes first, is kept whole, and of a
+	// nothing is left.
+	half := []measure.Capacity{{At: at(0), Tokens: 10}}
+	require.InDelta(t, 10.0/30, measure.ReuseBound(trace, half), 1e-9)
+	// A part of a chat counts.
+	more := []measure.Capacity{{At: at(0), Tokens: 14}}
+	require.InDelta(t, 14.0/30, measure.ReuseBound(trace, more), 1e-9)
+}
+
+func TestBoundShrinksWithTheFleet(t *testing.T) {
+	trace := []measure.Access{turn("a", 1, 0), turn("b", 2, 0), turn("a", 4, 10), turn("b", 5, 10)}
+	capacity := measure.SumCapacity([]measure.Capacity{
+		{At: at(3), Tokens: -10}, {At: at(0), Tokens: 10}, {At: at(0), Tokens: 10},
+	})
+	require.Equal(t, int64(10), capacity[2].Tokens)
+	require.InDelta(t, 10.0/30, measure.ReuseBound(trace, capacity), 1e-9)
+}
+
+func TestBrokenTurnsAreNotCounted(t *testing.T) {
+	broken := turn("a", 3, 10)
+	broken.Broken = true
+	broken.Cached = 10
+	trace := []measure.Access{turn("a", 1, 0), broken}
+	require.Zero(t, measure.Reuse(trace))
+	require.Zero(t, measure.ReuseBound(trace, []measure.Capacity{{At: at(0), Tokens: 100}}))
+}
+
+// TestNoPlacementBeatsTheBound replays random traces against separate caches
+// that evict the chat used longest ago, under random placement and under one
+// fixed engine for each chat.
+func TestNoPlacementBeatsTheBound(t *testing.T) {
+	const engines, room, chats, turns = 3, 60, 12, 400
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		length := map[string]int{}
+		var trace []measure.Access
+		for s := range turns {
+			chat := fmt.Sprint("chat-", rng.IntN(chats))
+			trace = append(trace, turn(chat, s, length[chat]))
+			length[chat] = (length[chat] + 10) % 50
+		}
+		bound := measure.ReuseBound(trace, []measure.Capacity{{At: at(-1), Tokens: engines * room}})
+		for _, place := range []func(measure.Access) int{
+			func(measure.Access) int { return rng.IntN(engines) },
+			func(a measure.Access) int { return int(a.Chat[len(a.Chat)-1]) % engines },
+		} {
+			reuse := reuseOf(trace, engines, room, place)
+			require.Positive(t, reuse)
+			require.LessOrEqual(t, reuse, bound+1e-9)
+		}
+	}
+}
+
+// reuseOf is the reuse of separate caches of whole chats, least recently used
+// evicted first.
+func reuseOf(trace []measure.Access, engines, room int, place func(measure.Access) int) float64 {
+	caches := make([][]measure.Access, engines)
+	done := make([]measure.Access, 0, len(trace))
+	for _, a := range trace {
+		i := place(a)
+		kept := caches[i][:0:0]
+		for _, c := range caches[i] {
+			if c.Chat == a.Chat {
+				a.Cached = min(c.After, a.Earlier)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		kept = append(kept, a)
+		for used(kept) > room {
+			kept = kept[1:]
+		}
+		caches[i] = kept
+		done = append(done, a)
+	}
+	return measure.Reuse(done)
+}
+
+func used(list []measure.Access) int {
+	sum := 0
+	for _, a := range list {
+		sum += a.After
+	}
+	return sum
+}
+
+func buckets(second int, weight float64) []engine.LoadBucket {
+	return []engine.LoadBucket{{Index: at(second).UnixNano() / int64(time.Second), WeightSeconds: weight}}
+}
+
+func TestSkewCountsEnginesInServiceAndWindowsWithLoad(t *testing.T) {
+	service := [][2]time.Time{{at(0), {}}}
+	engines := []measure.EngineLoad{
+		{Books: append(buckets(0, 30), buckets(1, 1)...), Bucket: time.Second, InService: service},
+		{Books: append(buckets(0, 10), buckets(1, 2)...), Bucket: time.Second, InService: service},
+		// This one left during the first window; its rest does not count.
+		{Books: buckets(0, 500), Bucket: time.Second, InService: [][2]time.Time{{at(-5), at(0).Add(time.Millisecond)}}},
+	}
+	o := measure.SkewOptions{From: at(0), To: at(2), Window: time.Second, LeastMean: 5}
+	windows := measure.Windows(o, engines)
+	require.Len(t, windows, 1, "the second window has too little load")
+	require.InDelta(t, 1.5, windows[0].Skew, 1e-9)
+	require.Equal(t, 2, windows[0].Engines)
+	s := measure.Summarize(windows, 2)
+	require.Equal(t, measure.Skew{Mean: 1.5, P50: 1.5, P99: 1.5, Worst: 1.5, Windows: 1, Total: 2}, s)
+}
--- /dev/null
+++ b/internal/bench/run/judge_test.go
@@ -0,0 +1,54 @@
+package run
+
+import (
+	"net/http"
+	"testing"
+
+	"damaskrouter.example/damaskrouter/client"
+	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"github.com/stretchr/testify/require"
+)
+
+// TestVerdicts: a bench that takes a cut, foreign or silent answer for a good
+// one reports kept promises that were broken.
+func TestVerdicts(t *testing.T) {
+	no := apierr.New(apierr.CodeQueueFull, http.StatusServiceUnavailable, "full")
+	for _, c := range []struct {
+		text string
+		err  error
+		want verdict
+	}{
+		{"whole answer", nil, answered},
+		{"whole", nil, lost},
+		{"another answer", nil, mixed},
+		{"whole answer and more", nil, mixed},
+		{"", no, refused},
+		{"", no.WithRan(apierr.RanUnknown), interrupted},
+		{"who", no.WithRan(apierr.RanYes), interrupted},
+		{"", client.ErrOutcomeUnknown.New("cut"), lost},
+		{"", client.ErrNoRouter.New("nobody"), lost},
+	} {
+		require.Equal(t, c.want, judge(c.text, "whole answer", c.err), "%q %v", c.text, c.err)
+	}
+}
+
+func TestCallRepliesMustBeTheCallsOwn(t *testing.T) {
+	receipt := &workload.Call{Account: "a", Method: http.MethodPost, Path: "/receipts"}
+	status := &workload.Call{Account: "a", Method: http.MethodGet, Path: "/status/*"}
+	for _, c := range []struct {
+		call *workload.Call
+		body string
+		want verdict
+	}{
+		{receipt, `{"number":1,"kind":"receipts","key":"a/7"}`, answered},
+		{receipt, `{"number":1,"kind":"receipts","key":"a/8"}`, mixed},
+		{receipt, `{"number":1,`, lost},
+		{status, `{"kind":"status","id":"7","state":"status of 7: open"}`, answered},
+		{status, `{"kind":"status","id":"8","state":"status of 8: open"}`, mixed},
+		{status, ``, lost},
+	} {
+		reply := client.Reply{Status: http.StatusOK, Body: []byte(c.body)}
+		require.Equal(t, c.want, judgeReply(c.call, "7", reply, nil), c.body)
+	}
+}
--- a/internal/bench/workload/chat.go
+++ b/internal/bench/workload/chat.go
@@ -63,11 +63,10 @@
 	return int(math.Round(usual * max(0, w.Surge.Factor-1)))
 }
 
-// Start is when worker n sends its first message: the chats that are open at
-// the beginning are spread over one median pause.
+// Start is when worker n sends its first message.
 func (w *Workload) Start(seed uint64, n int) time.Duration {
 	rng := source(seed, streamStarts+uint64(n))
-	return time.Duration(rng.Float64() * float64(w.Chats.Pause.Median) / w.Speed)
+	return time.Duration(rng.Float64() * float64(w.Chats.Ramp))
 }
 
 func (w *Workload) drawTurns(rng *rand.Rand, p *Plan) {
--- a/internal/bench/workload/churn.go
+++ b/internal/bench/workload/churn.go
@@ -39,23 +39,27 @@
 	back := make([]time.Duration, w.Engines.Count)
 	var script []ChurnEvent
 	for at := c.Period; at+c.Absent < length; at += c.Period {
-		i := rng.IntN(w.Engines.Count)
-		if back[i] > at {
+		i, ok := present(back, rng.IntN(len(back)), at)
+		if !ok {
 			continue
 		}
-		back[i] = at + 2*c.Absent
+		back[i] = at + awayFactor*c.Absent
 		kind := ChurnKind(c.Kinds[len(script)%len(c.Kinds)])
 		script = append(script, ChurnEvent{At: at, Kind: kind, Engine: i, Absent: c.Absent})
 	}
 	return script
 }
 
-// HasCrashes reports whether the churn ends engines without warning.
-func (w *Workload) HasCrashes() bool {
-	for _, k := range w.Churn.Kinds {
-		if ChurnKind(k) != ChurnLeave {
-			return true
+// awayFactor leaves room for the drain that precedes an absence.
+const awayFactor = 2
+
+// present finds an engine, from i on, that is back by the given time.
+func present(back []time.Duration, i int, at time.Duration) (int, bool) {
+	for range back {
+		if back[i] <= at {
+			return i, true
 		}
+		i = (i + 1) % len(back)
 	}
-	return false
+	return 0, false
 }
--- a/internal/bench/workload/workload.go
+++ b/internal/bench/workload/workload.go
@@ -58,6 +58,9 @@
 type Chats struct {
 	// Open is the number of chats that are open at one time.
 	Open int `yaml:"open" validate:"gte=1,lte=20000"`
+	// Ramp is the time over which the first of them begin: their whole dossiers
+	// at one moment would be an overload that no day brings.
+	Ramp time.Duration `yaml:"ramp" validate:"gte=0"`
 	// Turns is the number of turns of one chat.
 	Turns Range `yaml:"turns"`
 	Pause Pause `yaml:"pause"`
