--- /dev/null
+++ b/internal/faultkit/router.go
@@ -0,0 +1,163 @@
+package faultkit
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/controller"
+	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/quota"
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/traffic"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// site is where all routers and stand-ins of a World are.
+	site = "cankaya"
+	// maxClaimBatch bounds the claims in one transaction.
+	maxClaimBatch = 32
+)
+
+// tokenSecret signs the hints and resume tokens of all routers of a World.
+var tokenSecret = []byte("0123456789abcdef0123456789abcdef")
+
+// Router is a router's real parts in this process, behind a gate. It knows no
+// other router: each one of a World sees itself as the whole fleet, which is
+// the extreme of views that differ.
+type Router struct {
+	Name    string
+	Address string
+	Gate    *Gate
+
+	Board     *board.Board
+	Admission *admission.Admission
+	Traffic   *traffic.Server
+	Claims    *claim.Store
+	Configs   *controller.Configs
+
+	world    *World
+	store    *store
+	vms      *vmList
+	upstream *upstream.Client
+	facts    *admission.Facts
+	quota    *quota.Quota
+	server   *http.Server
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// StartRouter starts a router. Its first steps read configuration and VM list.
+func (w *World) StartRouter(name, address string) (*Router, error) {
+	r := &Router{Name: name, Address: address, Gate: NewGate(), world: w, Board: board.New(name)}
+	r.store = &store{Table: w.Platform, gate: r.Gate}
+	r.vms = &vmList{VMList: w.Platform.VMList(), gate: r.Gate}
+	r.upstream = upstream.New(upstream.Options{Dial: w.Net.Dial(name, r.Gate)})
+	if err := r.assemble(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.run(ctx)
+	r.Board.UpdateWait(func(s *board.State) {
+		s.Routers = map[string]board.Router{name: {
+			Name: name, ID: rendezvous.ID(name), Instance: 1, Address: address, Site: site,
+		}}
+	})
+	r.serve()
+	w.Routers = append(w.Routers, r)
+	return r, nil
+}
+
+func (r *Router) assemble() error {
+	rng := rand.New(rand.NewPCG(seedOf(r.Name), r.world.Seed))
+	caller := peer.NewCaller(r.Name, nil, new(peer.Counters))
+	facts, err := admission.NewFacts(admission.DefaultRecentChats, rng.Uint64())
+	if err != nil {
+		return err
+	}
+	r.facts = facts
+	r.Admission = admission.New(admission.Options{
+		Board: r.Board, Caller: caller, Self: r.Name, Instance: 1, Rand: rng,
+	})
+	r.Board.Subscribe(r.Admission.Sync)
+	r.quota = quota.New(quota.Options{
+		Board: r.Board, Caller: caller, Self: r.Name, Instance: 1, Rand: rand.New(rand.NewPCG(rng.Uint64(), 0)),
+	})
+	r.Board.Subscribe(r.quota.Sync)
+	tokens, err := token.NewCodec(token.Key{ID: 1, Secret: tokenSecret})
+	if err != nil {
+		return err
+	}
+	r.Claims = claim.New(claim.NewBatcher(r.store, maxClaimBatch),
+		objects{r.world.Platform.Objects(), r.Gate}, r.Name, r.world.token)
+	r.Traffic = traffic.New(traffic.Options{
+		Board: r.Board, Admitter: r.Admission, Facts: facts, Upstream: r.upstream, Claims: r.Claims,
+		Quota: r.quota, Tokens: tokens, Log: quiet(), Name: r.Name,
+	})
+	return nil
+}
+
+// run starts the controllers that read configuration, VM list and engines.
+func (r *Router) run(ctx context.Context) {
+	caller := peer.NewCaller(r.Name, nil, new(peer.Counters))
+	r.Configs = &controller.Configs{
+		Board: r.Board, Chain: config.NewChain(r.store, r.world.Platform.Objects(), time.Now), Caller: caller,
+		Self: r.Name, Site: site, Log: quiet(),
+		Announce: func(item membership.Item) { r.world.announce(r, item) },
+	}
+	r.Configs.Provision()
+	vms := &controller.VMs{Board: r.Board, List: r.vms, Caller: caller, Self: r.Name, Log: quiet()}
+	engines := &controller.Engines{
+		Board: r.Board, Upstream: r.upstream, Admission: r.Admission, Facts: r.facts, Log: quiet(),
+	}
+	handoff := &controller.Handoff{Board: r.Board, Upstream: r.upstream, Facts: r.facts, Log: quiet()}
+	for _, f := range []func(context.Context){
+		r.Board.Run, r.Configs.Run, vms.Run, engines.Run, r.quota.Run, handoff.Run,
+	} {
+		r.wg.Go(func() { f(ctx) })
+	}
+}
+
+func (r *Router) serve() {
+	ln := r.world.Net.Listen(r.Name, r.Address, r.Gate)
+	r.server = &http.Server{Handler: r.Traffic.Handler(), ErrorLog: quiet().StandardLog()}
+	r.wg.Go(func() { _ = r.server.Serve(ln) })
+	r.Gate.OnKill(func() { _ = ln.Close() })
+}
+
+// OnStore adds a tap to the router's calls of the table service.
+func (r *Router) OnStore(t StoreTap) { r.store.tap(t) }
+
+// HoldVMs keeps the router's VM list as it is, or lets it go on.
+func (r *Router) HoldVMs(hold bool) { r.vms.setHold(hold) }
+
+// Close ends the router's goroutines.
+func (r *Router) Close() {
+	r.Gate.Thaw()
+	r.cancel()
+	_ = r.server.Close()
+	r.Admission.Close()
+	r.upstream.Close()
+	r.wg.Wait()
+}
+
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, name)
+	return h.Sum64()
+}
+
+func quiet() *log.Logger { return log.New(io.Discard) }
--- /dev/null
+++ b/internal/faultkit/store.go
@@ -0,0 +1,147 @@
+package faultkit
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"damaskrouter.example/damaskrouter/internal/platform"
+)
+
+// StoreCall is one call of a router to the table service.
+type StoreCall struct {
+	Use   platform.Use
+	Write bool
+	// Tables are the tables that a commit writes.
+	Tables []string
+	// State is that of the claim written, or empty.
+	State string
+}
+
+// StoreTap strikes once at a call of one router.
+type StoreTap struct {
+	// Matches picks the call.
+	Matches func(StoreCall) bool
+	// After strikes when the call has taken effect and has not returned yet;
+	// the default is before the call leaves the router.
+	After bool
+	// Strike is called at the matching call.
+	Strike func()
+}
+
+// store is one router's way to the table service, through its gate and taps.
+type store struct {
+	platform.Table
+	gate *Gate
+	mu   sync.Mutex
+	taps []*StoreTap
+}
+
+func (s *store) tap(t StoreTap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taps = append(s.taps, &t)
+}
+
+// struck runs the taps whose turn it is.
+func (s *store) struck(c StoreCall, after bool) {
+	s.mu.Lock()
+	var now []*StoreTap
+	s.taps = slices.DeleteFunc(s.taps, func(t *StoreTap) bool {
+		if t.After != after || !t.Matches(c) {
+			return false
+		}
+		now = append(now, t)
+		return true
+	})
+	s.mu.Unlock()
+	for _, t := range now {
+		t.Strike()
+	}
+}
+
+func callOf(use platform.Use, writes []platform.Write) StoreCall {
+	c := StoreCall{Use: use, Write: true}
+	for _, w := range writes {
+		c.Tables = append(c.Tables, w.Table)
+	}
+	var claim struct {
+		State string `json:"state"`
+	}
+	if use == platform.UseClaim && json.Unmarshal(writes[0].Value, &claim) == nil {
+		c.State = claim.State
+	}
+	return c
+}
+
+// Commit implements platform.Table. A process that is killed after the effect
+// never learns of it.
+func (s *store) Commit(ctx context.Context, use platform.Use, writes ...platform.Write) ([]platform.Row, error) {
+	c := callOf(use, writes)
+	s.struck(c, false)
+	if err := s.gate.Pass(); err != nil {
+		return nil, platform.ErrUnavailable.Wrap(err)
+	}
+	rows, err := s.Table.Commit(ctx, use, writes...)
+	s.struck(c, true)
+	if gerr := s.gate.Pass(); gerr != nil {
+		return nil, platform.ErrOutcomeUnknown.Wrap(gerr)
+	}
+	return rows, err
+}
+
+// Get implements platform.Table.
+func (s *store) Get(ctx context.Context, use platform.Use, table, key string) (platform.Row, error) {
+	s.struck(StoreCall{Use: use, Tables: []string{table}}, false)
+	if err := s.gate.Pass(); err != nil {
+		return platform.Row{}, platform.ErrUnavailable.Wrap(err)
+	}
+	return s.Table.Get(ctx, use, table, key)
+}
+
+// objects is one router's way to the object store.
+type objects struct {
+	platform.Objects
+	gate *Gate
+}
+
+// Put implements platform.Objects.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	if err := o.gate.Pass(); err != nil {
+		return platform.ErrUnavailable.Wrap(err)
+	}
+	return o.Objects.Put(ctx, name, data)
+}
+
+// vmList is one router's way to the list of VMs; hold keeps it stale.
+type vmList struct {
+	platform.VMList
+	gate *Gate
+	mu   sync.Mutex
+	held []platform.VM
+	hold bool
+}
+
+// List implements platform.VMList.
+func (l *vmList) List(ctx context.Context) ([]platform.VM, error) {
+	if err := l.gate.Pass(); err != nil {
+		return nil, platform.ErrUnavailable.Wrap(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hold {
+		return slices.Clone(l.held), nil
+	}
+	vms, err := l.VMList.List(ctx)
+	if err == nil {
+		l.held = vms
+	}
+	return vms, err
+}
+
+func (l *vmList) setHold(hold bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hold = hold
+}
--- /dev/null
+++ b/test/faults/helper_test.go
@@ -0,0 +1,48 @@
+package faults
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/faultkit"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	exampleDir = "../../examples/sebeke"
+	// warmUp is how long routers get on the virtual clock to read the
+	// configuration, the VM list and the engines' reports.
+	warmUp = 5 * time.Second
+	// lull is a span on the virtual clock in which everything late arrives.
+	lull = 35 * time.Second
+)
+
+func exampleBundle(t testing.TB) config.Bundle {
+	b, err := config.ReadBundle(exampleDir+"/base.yaml", exampleDir+"/sites")
+	require.NoError(t, err)
+	return b
+}
+
+// inWorld runs f in a bubble with a world of its own, whose routers know their
+// configuration and their engines. At the end the oracle judges.
+func inWorld(t *testing.T, routers int, o faultkit.Options, f func(t *testing.T, w *faultkit.World)) {
+	synctest.Test(t, func(t *testing.T) {
+		o.Bundle = exampleBundle(t)
+		w, err := faultkit.NewWorld(o)
+		require.NoError(t, err)
+		defer w.Close()
+		for i := range routers {
+			_, err := w.StartRouter(routerName(i), faultkit.RouterAddress(i))
+			require.NoError(t, err)
+		}
+		time.Sleep(warmUp)
+		f(t, w)
+		time.Sleep(lull)
+		synctest.Wait()
+		require.Empty(t, w.Oracle.Violations())
+	})
+}
+
+func routerName(i int) string { return string(rune('a' + i)) }
