Admission: a stream whose permit has been given back can still be read

Symptom, found by the fault matrix: a caller whose connection went silent in the middle of a stream, or was cut before the end marker, came back and was told "the stream can no longer be resumed", while the engine still had the whole answer. Cause: the router relays the rest into a connection that the path has forgotten, sees no error, finishes and gives the permit back. Adopt took the released permit for the end of the stream. Ruled out: keeping the permit until the caller confirms, which callers do not do, and which would hold room at an engine that has long finished; adopting nothing and reading without a grant, which needs a second path in traffic. Now Adopt lets a released permit's stream be read. Reading adds no work at the engine, a restarted engine refuses by its incarnation, and the second release finds its tombstone.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -118,19 +119,31 @@
 	c := choice{engine: e, owner: owner, inc: incarnation}
 	if owner.Name == a.opts.Self {
 		p, err := a.keeper.transfer(time.Now(), e.ID, permit.Request{ID: id, Holder: a.holder, Incarnation: incarnation})
-		if err != nil {
+		if err != nil && !wasReleased(err) {
 			return nil, gone.WithCause(err)
 		}
 		c.decision.Weight = p.Weight
 		return l.grant(id, c, incarnation), nil
 	}
 	reply, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true})
-	if err != nil || reply.Verdict != Granted {
+	if err != nil || reply.Verdict != Granted && reply.Verdict != Gone {
 		return nil, gone.WithRetryAfter(minRetryAfter).WithCause(err)
 	}
 	return l.grant(id, c, incarnation), nil
 }
 
+// wasReleased reports a permit that had ended before its stream was taken up.
+//
+// What goes wrong without it: a router relays the last chunks into a connection
+// that the path has forgotten, sees no error, and gives the permit back. The
+// caller notices the silence, comes back, and would be told that its answer is
+// gone, while the engine still has it. Reading what an engine has adds no work
+// to it; an engine that has forgotten the stream, or restarted, says so.
+func wasReleased(err error) bool {
+	var released *permit.ReleasedError
+	return errors.As(err, &released)
+}
+
 // giveUp ends a permit whose caller did not come back, and reports whether it
 // was still this router's. Where the owner can't be asked the answer is no: a
 // stream that goes on for nobody ends by itself, one that is stopped under a
