capacity: benchmarks of each role's slope against the size of the fleet

Cause: the two-year target can't be run on one machine, so docs/CAPACITY.md has to work it out from slopes, and there were none for the board, load digests, account leases, the VM list or engine reports.

Ruled out: a cluster simulator. Each role is measured at its own interface with synthetic control state (fleet.go), calls over real connections between routers for bytes, and virtual time where the rate of messages matters.

--- /dev/null
+++ b/internal/capacity/measure_test.go
@@ -0,0 +1,84 @@
+package capacity_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/capacity"
+	"damaskrouter.example/damaskrouter/internal/peer"
+)
+
+func fleetOf(b *testing.B, s capacity.Size) *capacity.Fleet {
+	f, err := capacity.New(s)
+	require.NoError(b, err)
+	return f
+}
+
+// contextOf ends with the benchmark.
+func contextOf(b *testing.B) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	return ctx
+}
+
+// perSize runs f at each of the sizes between today's and the target's.
+func perSize(b *testing.B, f func(*testing.B, *capacity.Fleet)) {
+	for _, s := range capacity.Steps() {
+		b.Run(s.String(), func(b *testing.B) { f(b, fleetOf(b, s)) })
+	}
+}
+
+// processorTime is the user and system time of this process so far.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapInUse is the bytes in use after a collection.
+func heapInUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// heapOf is the heap that make's result keeps alive.
+func heapOf(make func() any) float64 {
+	before := heapInUse()
+	v := make()
+	after := heapInUse()
+	runtime.KeepAlive(v)
+	return after - before
+}
+
+func fleetKeys() []peer.FleetKey {
+	return []peer.FleetKey{{ID: 1, Secret: []byte("0123456789abcdef")}}
+}
+
+// admissionOf is the admission of one router. Its caller reaches the routers
+// whose control addresses are real.
+func admissionOf(b *testing.B, bd *board.Board, self string, cnt *peer.Counters) *admission.Admission {
+	caller := peer.NewCaller(self, fleetKeys, cnt)
+	b.Cleanup(caller.Close)
+	a := admission.New(admission.Options{
+		Board: bd, Caller: caller, Self: self, Instance: 1, Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	b.Cleanup(a.Close)
+	return a
+}
+
+// reportAll gives an admission the reports of the engines that it owns.
+func reportAll(f *capacity.Fleet, a *admission.Admission, snap *board.Snapshot, running int) {
+	for _, e := range capacity.Owned(snap) {
+		a.EngineReport(&e, f.Status(e, running))
+	}
+}
--- /dev/null
+++ b/internal/capacity/quota_test.go
@@ -0,0 +1,239 @@
+package capacity_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/capacity"
+	"damaskrouter.example/damaskrouter/internal/limit"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/quota"
+)
+
+// BenchmarkAccountAsk is one ask of an account's owner over a real connection.
+// Bytes are those of the call, without TCP and IP headers.
+func BenchmarkAccountAsk(b *testing.B) {
+	f := fleetOf(b, capacity.Size{Routers: 2, Engines: 2, Pools: 1, Accounts: 10, Sites: 1, Regions: 1})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = ln.Close() })
+	bd := f.Start(contextOf(b), self)
+	q := quota.New(quota.Options{Board: bd, Self: self, Instance: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	srv := peer.NewServer(self, fleetKeys, new(peer.Counters))
+	require.NoError(b, srv.Register(quota.ServiceName, q.Service()))
+	go srv.Serve(ln)
+	b.Cleanup(srv.Close)
+
+	var cnt peer.Counters
+	caller := peer.NewCaller("asker", fleetKeys, &cnt)
+	b.Cleanup(caller.Close)
+	seq := uint64(0)
+	ask := func() {
+		seq++
+		args := quota.GrantArgs{Account: ownedAccount(q, f), Ask: limit.Ask{
+			Report:     limit.Report{Router: "entry-123#1hlyev0kq0nl3", Seq: seq, Held: 3},
+			WantTokens: 2, WantSlots: 1,
+		}}
+		var reply quota.GrantReply
+		t := peer.Target{Name: self, Address: ln.Addr().String()}
+		require.NoError(b, caller.Call(b.Context(), t, quota.ServiceName+".Grant", args, &reply))
+		require.True(b, reply.Owner)
+	}
+	ask()
+	in, out, cpu := cnt.In.Load(), cnt.Out.Load(), processorTime(b)
+	for b.Loop() {
+		ask()
+	}
+	cpu = processorTime(b) - cpu
+	b.ReportMetric(float64(cnt.Out.Load()-out)/float64(b.N), "B-out/ask")
+	b.ReportMetric(float64(cnt.In.Load()-in)/float64(b.N), "B-in/ask")
+	b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/ask")
+}
+
+// ownedAccount finds an account that the router itself owns.
+func ownedAccount(q *quota.Quota, f *capacity.Fleet) string {
+	for i := range f.Size.Accounts {
+		var reply quota.GrantReply
+		_ = q.Service().Grant(quota.GrantArgs{Account: capacity.AccountName(i)}, &reply)
+		if reply.Owner {
+			return capacity.AccountName(i)
+		}
+	}
+	return ""
+}
+
+// BenchmarkAccountAsks counts the asks a second that one account costs its
+// owner, under virtual time: requests come at random times to random routers
+// and run for as long as an answer of 300 tokens takes.
+func BenchmarkAccountAsks(b *testing.B) {
+	for _, routers := range []int{9, 36, 72, 144, 380} {
+		for _, rate := range []float64{0.3, 3, 12, 40, 400} {
+			b.Run(fmt.Sprintf("routers=%d/requests=%v", routers, rate), func(b *testing.B) {
+				for b.Loop() {
+					s := newAccountRun(routers, rate)
+					s.run(accountSpan)
+					b.ReportMetric(float64(s.asks)/accountSpan.Seconds(), "asks/s")
+					b.ReportMetric(float64(s.asks)/float64(max(s.admitted, 1)), "asks/request")
+					b.ReportMetric(float64(s.waited)/float64(max(s.admitted, 1)), "share-waited")
+					b.ReportMetric(float64(s.refused), "refused")
+				}
+			})
+		}
+	}
+}
+
+const (
+	accountSpan = time.Minute
+	// answerTime is 300 tokens at 53 ms.
+	answerTime = 16 * time.Second
+	// renewPeriod is the period of quota's look at its leases.
+	renewPeriod = 500 * time.Millisecond
+	account     = "account"
+)
+
+// accountRun is one account at all its routers, with an owner that answers at
+// once.
+type accountRun struct {
+	rng    *rand.Rand
+	now    time.Time
+	rate   float64
+	ledger *limit.Ledger
+	caches []*limit.Cache
+	queue  accountEvents
+
+	asks, admitted, waited, refused int
+}
+
+type accountEvent struct {
+	at     time.Time
+	router int
+	kind   accountEventKind
+}
+
+type accountEventKind int
+
+const (
+	requestBegins accountEventKind = iota
+	requestEnds
+	leasesRenewed
+)
+
+type accountEvents []accountEvent
+
+// Len implements heap.Interface.
+func (q accountEvents) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q accountEvents) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+
+// Swap implements heap.Interface.
+func (q accountEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *accountEvents) Push(x any) { *q = append(*q, x.(accountEvent)) }
+
+// Pop implements heap.Interface.
+func (q *accountEvents) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+func newAccountRun(routers int, rate float64) *accountRun {
+	s := &accountRun{rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1_000_000, 0), rate: rate}
+	limits := limit.Limits{Rate: 1e6, Burst: 1e6, Concurrency: 1e6}
+	s.ledger = limit.NewLedger(s.now, limits, 0, nil)
+	var live []string
+	for i := range routers {
+		live = append(live, capacity.RouterName(i))
+	}
+	for i, name := range live {
+		cfg := limit.CacheConfig{Self: name, Limits: func(string) limit.Limits { return limits }, Rand: s.rng}
+		s.caches = append(s.caches, limit.NewCache(cfg, live))
+		s.plan(time.Duration(s.rng.Int64N(int64(renewPeriod))), i, leasesRenewed)
+	}
+	s.planRequest()
+	return s
+}
+
+func (s *accountRun) plan(after time.Duration, router int, kind accountEventKind) {
+	heap.Push(&s.queue, accountEvent{s.now.Add(after), router, kind})
+}
+
+func (s *accountRun) planRequest() {
+	gap := time.Duration(s.rng.ExpFloat64() / s.rate * float64(time.Second))
+	s.plan(gap, s.rng.IntN(len(s.caches)), requestBegins)
+}
+
+// run lets the load build up and counts over the span after that.
+func (s *accountRun) run(span time.Duration) {
+	s.runTo(s.now.Add(2 * answerTime))
+	s.asks, s.admitted, s.waited, s.refused = 0, 0, 0, 0
+	s.runTo(s.now.Add(span))
+}
+
+func (s *accountRun) runTo(end time.Time) {
+	for s.queue[0].at.Before(end) {
+		e := heap.Pop(&s.queue).(accountEvent)
+		s.now = e.at
+		s.step(e)
+	}
+	s.now = end
+}
+
+func (s *accountRun) step(e accountEvent) {
+	c := s.caches[e.router]
+	switch e.kind {
+	case requestBegins:
+		s.planRequest()
+		s.begin(c, e.router)
+	case requestEnds:
+		c.Done(account)
+	case leasesRenewed:
+		s.plan(renewPeriod, e.router, leasesRenewed)
+		for range c.Due(s.now) {
+			s.ask(c)
+		}
+	}
+}
+
+// begin admits a request as quota does: undecided ones ask and try again.
+func (s *accountRun) begin(c *limit.Cache, router int) {
+	const tries = 3
+	for try := range tries {
+		v := c.Take(s.now, account)
+		if !v.OK && v.Err == nil {
+			s.ask(c)
+			continue
+		}
+		if !v.OK {
+			break
+		}
+		if v.NeedRefill {
+			s.ask(c)
+		}
+		s.admitted++
+		if try > 0 {
+			s.waited++
+		}
+		s.plan(answerTime, router, requestEnds)
+		return
+	}
+	s.refused++
+}
+
+func (s *accountRun) ask(c *limit.Cache) {
+	a, ok := c.Ask(s.now, account)
+	if !ok {
+		return
+	}
+	s.asks++
+	c.Fill(s.now, account, s.ledger.Grant(s.now, a))
+}
--- /dev/null
+++ b/internal/capacity/relay_test.go
@@ -0,0 +1,205 @@
+package capacity_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/capacity"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/prefix"
+	"damaskrouter.example/damaskrouter/internal/quota"
+	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/traffic"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/wire"
+)
+
+const (
+	relayEngines = 6
+	perEngine    = 40
+	// stepTime is the target's time between two tokens.
+	stepTime     = 53 * time.Millisecond
+	answerTokens = 100
+)
+
+// relayBench is one router with its real traffic layer, admission and limits,
+// before stand-in engines.
+type relayBench struct {
+	router  string
+	engines []string
+	key     string
+}
+
+func newRelayBench(b *testing.B) *relayBench {
+	f := fleetOf(b, capacity.Size{Routers: 1, Engines: relayEngines, Pools: 1, Accounts: 10, Sites: 1, Regions: 1})
+	r := &relayBench{key: capacity.AccountName(0)}
+	var reports []wire.EngineStatus
+	for name, e := range f.Engines {
+		opts := engine.Defaults(name, e.Status.Model)
+		opts.Version, opts.Adapters = e.Status.Version, e.Status.Adapters
+		opts.StepTime, opts.MaxBatch, opts.ReportLag = stepTime, 2*perEngine, 0
+		standIn := engine.New(opts)
+		b.Cleanup(standIn.Close)
+		srv := httptest.NewServer(standIn.Handler())
+		b.Cleanup(srv.Close)
+		e.Address = srv.Listener.Addr().String()
+		e.Status = standIn.Status()
+		f.Engines[name] = e
+		r.engines = append(r.engines, srv.URL)
+		reports = append(reports, e.Status)
+	}
+	bd := f.Start(contextOf(b), self)
+	adm := admissionOf(b, bd, self, new(peer.Counters))
+	adm.Sync(bd.Snapshot())
+	for _, st := range reports {
+		e := f.Engines[st.Name]
+		adm.EngineReport(&e, st)
+	}
+	srv := httptest.NewServer(trafficOf(b, bd, adm).Handler())
+	b.Cleanup(srv.Close)
+	r.router = srv.URL
+	return r
+}
+
+func trafficOf(b *testing.B, bd *board.Board, adm *admission.Admission) *traffic.Server {
+	facts, err := admission.NewFacts(admission.DefaultRecentChats, 1)
+	require.NoError(b, err)
+	codec, err := token.NewCodec(token.Key{ID: 1, Secret: []byte(strings.Repeat("s", token.MinSecret))})
+	require.NoError(b, err)
+	fake := platformtest.New()
+	return traffic.New(traffic.Options{
+		Board: bd, Admitter: adm, Facts: facts, Name: self, Tokens: codec,
+		Quota:    quota.New(quota.Options{Board: bd, Self: self, Instance: 1, Rand: rand.New(rand.NewPCG(1, 1))}),
+		Upstream: upstream.New(upstream.Options{}),
+		Claims:   claim.New(fake, fake.Objects(), self, uuid.NewString),
+		Log:      log.New(io.Discard),
+	})
+}
+
+// stream asks one URL for an answer and reads it to its end.
+func (r *relayBench) stream(b *testing.B, url string, n int) {
+	body, err := json.Marshal(wire.ChatRequest{
+		Model: "model-0", Stream: true, MaxTokens: answerTokens,
+		Messages: []wire.Message{{Role: "user", Content: fmt.Sprint("chat ", n)}},
+	})
+	require.NoError(b, err)
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url+wire.PathChat, bytes.NewReader(body))
+	require.NoError(b, err)
+	req.Header.Set("Authorization", "Bearer "+r.key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(wire.HeaderRequestID, uuid.NewString())
+	req.Header.Set(wire.HeaderChatID, fmt.Sprint("chat-", n))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || !bytes.Contains(answer, []byte(wire.DoneMarker)) {
+		b.Error("answer not whole", resp.StatusCode, err, len(answer))
+	}
+}
+
+// BenchmarkRelay streams answers at the target's pace, straight from the
+// engines and through one router, clients and engines in the same process.
+// The difference of the two is the router's own processor time and memory.
+func BenchmarkRelay(b *testing.B) {
+	for _, via := range []string{"engine", "router"} {
+		b.Run("from="+via, func(b *testing.B) {
+			r := newRelayBench(b)
+			urls := r.engines
+			if via == "router" {
+				urls = []string{r.router}
+			}
+			const streams = relayEngines * perEngine
+			idle := footprint()
+			var open float64
+			cpu := processorTime(b)
+			for b.Loop() {
+				var wg sync.WaitGroup
+				for n := range streams {
+					wg.Go(func() { r.stream(b, urls[n%len(urls)], n) })
+				}
+				time.Sleep(answerTokens / 2 * stepTime)
+				open = footprint()
+				wg.Wait()
+			}
+			cpu = processorTime(b) - cpu
+			tokens := float64(b.N * streams * answerTokens)
+			b.ReportMetric(float64(cpu.Nanoseconds())/tokens, "cpu-ns/token")
+			b.ReportMetric(tokens/b.Elapsed().Seconds(), "tokens/s")
+			b.ReportMetric((open-idle)/streams, "B/stream")
+		})
+	}
+}
+
+// footprint is the bytes of heap and stacks in use after a collection.
+func footprint() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkFactsMemory is what one router keeps of chats and of the caches of
+// the engines that it owns, all tables filled.
+func BenchmarkFactsMemory(b *testing.B) {
+	for _, owned := range []int{0, 2, 4, 8} {
+		b.Run(fmt.Sprintf("owned=%d", owned), func(b *testing.B) {
+			var total float64
+			for b.Loop() {
+				total = heapOf(func() any { return fullFacts(b, owned) })
+			}
+			b.ReportMetric(total, "heap-B")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func fullFacts(b *testing.B, owned int) *admission.Facts {
+	facts, err := admission.NewFacts(admission.DefaultRecentChats, 1)
+	require.NoError(b, err)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range admission.DefaultRecentChats {
+		facts.Served(rng.Uint64(), placeOf(rng))
+	}
+	const viewPrefixes, pageSize = 20_000, 500
+	for e := range uint64(owned) {
+		_, err := facts.Follow(e + 1)
+		require.NoError(b, err)
+		for after := uint64(0); after < viewPrefixes; after += pageSize {
+			facts.Apply(e+1, page(after, pageSize))
+		}
+	}
+	return facts
+}
+
+// placeOf is a random chat's place at one of the target's engines.
+func placeOf(rng *rand.Rand) prefix.Place {
+	return prefix.Place{
+		Engine:      1 + rng.Uint64N(uint64(capacity.Target().Engines)),
+		Incarnation: 1,
+		Prefix:      rng.Uint64(),
+		Tokens:      4000,
+	}
+}
--- /dev/null
+++ b/internal/capacity/store_test.go
@@ -0,0 +1,303 @@
+package capacity_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/capacity"
+	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/controller"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/wire"
+)
+
+// fleetStub answers as controller.Fleet does, from data that is given.
+type fleetStub struct {
+	config controller.ConfigReply
+	vms    controller.VMsReply
+}
+
+// Config returns the configuration.
+func (f *fleetStub) Config(_ controller.ConfigArgs, reply *controller.ConfigReply) error {
+	*reply = f.config
+	return nil
+}
+
+// VMs returns the VM list, or that it is the same.
+func (f *fleetStub) VMs(args controller.VMsArgs, reply *controller.VMsReply) error {
+	*reply = f.vms
+	if args.Etag == f.vms.Etag {
+		*reply = controller.VMsReply{Known: true, Same: true, Etag: args.Etag}
+	}
+	return nil
+}
+
+// serveFleet puts the stub behind a real connection.
+func serveFleet(b *testing.B, stub *fleetStub, cnt *peer.Counters) (call func(method string, args, reply any)) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = ln.Close() })
+	srv := peer.NewServer(self, fleetKeys, new(peer.Counters))
+	require.NoError(b, srv.Register(controller.FleetService, stub))
+	go srv.Serve(ln)
+	b.Cleanup(srv.Close)
+	caller := peer.NewCaller("asker", fleetKeys, cnt)
+	b.Cleanup(caller.Close)
+	t := peer.Target{Name: self, Address: ln.Addr().String()}
+	return func(method string, args, reply any) {
+		require.NoError(b, caller.Call(context.Background(), t, controller.FleetService+"."+method, args, reply))
+	}
+}
+
+// BenchmarkConfigFetch fetches one version from another router and puts it in
+// force.
+func BenchmarkConfigFetch(b *testing.B) {
+	perSize(b, func(b *testing.B, f *capacity.Fleet) {
+		var cnt peer.Counters
+		stub := &fleetStub{config: controller.ConfigReply{Version: 1, Hash: f.Bundle.Hash(), Bundle: f.Bundle.Encode()}}
+		call := serveFleet(b, stub, &cnt)
+		for b.Loop() {
+			var reply controller.ConfigReply
+			call("Config", controller.ConfigArgs{AtLeast: 1}, &reply)
+			bundle, err := config.DecodeBundle(reply.Bundle)
+			require.NoError(b, err)
+			_, err = config.NewFollower("site-0").Offer(reply.Version, reply.Hash, bundle)
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(cnt.In.Load()+cnt.Out.Load())/float64(b.N), "B/fetch")
+	})
+}
+
+// BenchmarkVMList relays the VM list over a real connection, when it is the
+// same and when it has changed, and weighs the platform's own reply.
+func BenchmarkVMList(b *testing.B) {
+	perSize(b, func(b *testing.B, f *capacity.Fleet) {
+		vms := f.VMs()
+		data, err := json.Marshal(platform.VMsReply{VMs: vms})
+		require.NoError(b, err)
+		for name, etag := range map[string]uint64{"same": 7, "changed": 6} {
+			b.Run(name, func(b *testing.B) {
+				var cnt peer.Counters
+				call := serveFleet(b, &fleetStub{vms: controller.VMsReply{Known: true, Etag: 7, VMs: vms}}, &cnt)
+				for b.Loop() {
+					var reply controller.VMsReply
+					call("VMs", controller.VMsArgs{Etag: etag}, &reply)
+				}
+				b.ReportMetric(float64(cnt.In.Load()+cnt.Out.Load())/float64(b.N), "B/poll")
+				b.ReportMetric(float64(len(data)), "B/platform-reply")
+			})
+		}
+	})
+}
+
+// BenchmarkPlatformVMs reads the whole list over HTTP and decodes it, as each
+// relay does every two seconds.
+func BenchmarkPlatformVMs(b *testing.B) {
+	perSize(b, func(b *testing.B, f *capacity.Fleet) {
+		data, err := json.Marshal(platform.VMsReply{VMs: f.VMs()})
+		require.NoError(b, err)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(data)
+		}))
+		b.Cleanup(srv.Close)
+		list := platform.NewHTTPVMList(srv.URL, platform.HTTPOptions{})
+		cpu := processorTime(b)
+		for b.Loop() {
+			_, err := list.List(b.Context())
+			require.NoError(b, err)
+		}
+		cpu = processorTime(b) - cpu
+		b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/read")
+	})
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkEnginePoll asks one engine for its report and its cache events, as
+// its owner does once a second. running is the requests it has, each of which
+// the report names; events is what happened to its cache in that second.
+func BenchmarkEnginePoll(b *testing.B) {
+	for _, running := range []int{0, 25, 50, 100} {
+		for _, events := range []int{0, 12} {
+			b.Run(fmt.Sprintf("running=%d/events=%d", running, events), func(b *testing.B) {
+				benchmarkEnginePoll(b, running, events)
+			})
+		}
+	}
+}
+
+func benchmarkEnginePoll(b *testing.B, running, events int) {
+	f := fleetOf(b, capacity.Today())
+	status := f.Status(f.Engines["engine-0000"], running)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if r.URL.Path == wire.PathEngineStatus {
+			_ = json.NewEncoder(w).Encode(status)
+			return
+		}
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		_ = json.NewEncoder(w).Encode(page(after, events))
+	}))
+	b.Cleanup(srv.Close)
+	var bytes atomic.Int64
+	c := upstream.New(upstream.Options{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countingConn{conn, &bytes}, err
+	}})
+	b.Cleanup(c.Close)
+	call := upstream.Call{Address: srv.Listener.Addr().String(), Name: status.Name}
+	next := uint64(0)
+	cpu := processorTime(b)
+	for b.Loop() {
+		_, err := c.Status(b.Context(), call)
+		require.NoError(b, err)
+		p, err := c.Events(b.Context(), call, next)
+		require.NoError(b, err)
+		next = p.Next
+	}
+	cpu = processorTime(b) - cpu
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/poll")
+	b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/poll")
+}
+
+func page(after uint64, n int) wire.CacheEvents {
+	p := wire.CacheEvents{Incarnation: 1, Next: after + uint64(n)}
+	for i := range uint64(n) {
+		seq := after + i + 1
+		p.Events = append(p.Events, wire.CacheEvent{Seq: seq, Kind: wire.CacheStored, Prefix: seq * 0x9e3779b97f4a7c15, Tokens: 4000})
+	}
+	return p
+}
+
+// BenchmarkConfigChange counts what one accepted change costs the store.
+func BenchmarkConfigChange(b *testing.B) {
+	perSize(b, func(b *testing.B, f *capacity.Fleet) {
+		fake := platformtest.New()
+		chain := config.NewChain(fake, fake.Objects(), time.Now)
+		version := uint64(0)
+		for b.Loop() {
+			change := config.Change{
+				Bundle:   config.Bundle{Base: append(f.Bundle.Base, []byte("# "+uuid.NewString()+"\n")...)},
+				Expected: version, ChangeID: uuid.NewString(), Author: "operator", Comment: "capacity",
+			}
+			v, err := chain.Accept(b.Context(), change)
+			require.NoError(b, err)
+			version = v.Number
+		}
+		n := float64(b.N)
+		b.ReportMetric(float64(fake.Count(platformtest.OpCommit))/n, "commits/change")
+		b.ReportMetric(float64(writesOf(fake))/n, "rows/change")
+		b.ReportMetric(float64(fake.Count(platformtest.OpGet))/n, "reads/change")
+		b.ReportMetric(float64(fake.Count(platformtest.OpPutObject))/n, "objects/change")
+		before := fake.Count(platformtest.OpGet)
+		_, err := chain.Load(b.Context(), version)
+		require.NoError(b, err)
+		b.ReportMetric(float64(fake.Count(platformtest.OpGet)-before), "reads/load")
+		b.ReportMetric(float64(fake.Count(platformtest.OpGetObject)), "object-reads")
+	})
+}
+
+func writesOf(fake *platformtest.Fake) (rows int) {
+	for _, c := range fake.History() {
+		rows += len(c.Writes)
+	}
+	return rows
+}
+
+// slowTable is a table service whose commits take some time and are counted.
+type slowTable struct {
+	platform.Table
+	delay   time.Duration
+	commits atomic.Int64
+	rows    atomic.Int64
+}
+
+// Commit implements platform.Table.
+func (t *slowTable) Commit(ctx context.Context, use platform.Use, writes ...platform.Write) ([]platform.Row, error) {
+	t.commits.Add(1)
+	t.rows.Add(int64(len(writes)))
+	time.Sleep(t.delay)
+	return t.Table.Commit(ctx, use, writes...)
+}
+
+// BenchmarkClaims runs whole claims at one router, with commits that take
+// 5 ms, by how many requests are under way there at once.
+func BenchmarkClaims(b *testing.B) {
+	const (
+		commitTime    = 5 * time.Millisecond
+		perWorker     = 20
+		maxClaimBatch = 32
+	)
+	for _, workers := range []int{1, 2, 4, 16, 64} {
+		b.Run(fmt.Sprintf("concurrent=%d", workers), func(b *testing.B) {
+			fake := platformtest.New()
+			t := &slowTable{Table: fake, delay: commitTime}
+			store := claim.New(claim.NewBatcher(t, maxClaimBatch), fake.Objects(), self, uuid.NewString)
+			for b.Loop() {
+				var wg sync.WaitGroup
+				for range workers {
+					wg.Go(func() {
+						for range perWorker {
+							oneClaim(b, store)
+						}
+					})
+				}
+				wg.Wait()
+			}
+			claims := float64(b.N * workers * perWorker)
+			b.ReportMetric(float64(t.rows.Load())/claims, "rows/claim")
+			b.ReportMetric(float64(t.commits.Load())/claims, "commits/claim")
+			b.ReportMetric(float64(t.rows.Load())/float64(t.commits.Load()), "rows/commit")
+			b.ReportMetric(claims/b.Elapsed().Seconds(), "claims/s")
+			b.ReportMetric(float64(fake.Count(platformtest.OpGet))/claims, "reads/claim")
+		})
+	}
+}
+
+func oneClaim(b *testing.B, store *claim.Store) {
+	key := claim.Key{Account: "account", IdempotencyKey: uuid.NewString(), Service: "portal"}
+	out, err := store.Begin(context.Background(), key, claim.HashBody([]byte("body")))
+	if err != nil || out.Kind != claim.Run {
+		b.Error("not claimed", err)
+		return
+	}
+	answer := claim.Answer{Status: http.StatusOK, ContentType: "application/json", Body: []byte(`{"receipt":"1"}`)}
+	if err := store.Finish(context.Background(), out.Claim, answer); err != nil {
+		b.Error(err)
+	}
+}
