--- a/internal/capacity/permits_test.go
+++ b/internal/capacity/permits_test.go
@@ -179,8 +179,7 @@
 			}
 			var reply admission.AcquireReply
 			args := admission.AcquireArgs{
-				Pool: e.Pool, Region: e.Region, Engine: e.ID,
-				ID: uuid.NewString(), Holder: name, Router: name, Weight: 1,
+				Engine: e.ID, ID: uuid.New(), Holder: name, Weight: 1,
 			}
 			_ = a.Service().Acquire(args, &reply)
 		}
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -181,5 +181,6 @@
 	if err := r.gossip.OnItem(r.configs.Heard); err != nil {
 		return err
 	}
-	return r.gossip.OnDatagram(controller.ChannelLoads, r.loads.Heard)
+	r.gossip.OnDatagram(controller.ChannelLoads, r.loads.Heard)
+	return nil
 }
