membership: a newcomer is not sent the table by everyone

Cause: in the worst second of a mass return one router got 31 pages: each router that a newcomer spoke to first sent it a digest, and each answer invited pages. Its updates are now read before it is held for a stranger, and a router answers with a digest at most once a second.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -63,9 +63,11 @@
 	// strangerSyncAt is when the next packet of an unknown instance may start
 	// an exchange of tables.
 	strangerSyncAt time.Duration
-	lastTick       time.Duration
-	ticked         bool
-	departed       bool
+	// nextInvite is when a digest may be answered by a digest again.
+	nextInvite time.Duration
+	lastTick   time.Duration
+	ticked     bool
+	departed   bool
 
 	events   []Event
 	snapshot []Member
@@ -157,10 +159,12 @@
 		d.refuse(from, m)
 		return d.take()
 	}
-	d.noteSender(from, m)
 	for _, u := range m.Updates {
 		d.apply(u)
 	}
+	// After the updates: a newcomer describes itself in its first packets, and
+	// then it need not be asked for its table by everyone it speaks to.
+	d.noteSender(from, m)
 	for _, item := range m.Items {
 		// A refused item is bounded loss: its owner learns the reason when it
 		// calls Broadcast.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -18,6 +19,11 @@
 // below it stand for the buckets of members.
 const itemsBucket = DigestBuckets
 
+// inviteInterval is the least time after a digest of this router before it
+// answers another one by its own. Each digest invites pages: without the
+// bound, a newcomer that many routers ask at once gets the table from each.
+const inviteInterval = time.Second
+
 // pageJob is a transfer of part of the table to one member, one page at a
 // time. Pages are paced, so that a fresh router in a large fleet costs its
 // peer no more than the budget allows.
@@ -84,6 +90,7 @@
 // knows to whom it answers.
 func (d *Detector) sendDigest(to string, id uint64, reply bool) {
 	d.strangerSyncAt = d.now + d.opts.SyncPeriod/2
+	d.nextInvite = d.now + inviteInterval
 	g := d.digest()
 	g.Reply = reply
 	d.send(to, id, g, d.self.ID)
@@ -96,7 +103,7 @@
 	if mask == 0 {
 		return
 	}
-	if !theirs.Reply {
+	if !theirs.Reply && d.now >= d.nextInvite {
 		d.sendDigest(from, id, true)
 	}
 	job := pageJob{to: from, id: id, mask: mask}
