--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -272,5 +272,6 @@
 		lane:        l.key,
 	}
 	l.a.held.add(id, h)
+	l.a.Metrics.Chosen[c.decision.Reason].Add(1)
 	return &Grant{ID: id, Engine: c.engine, Incarnation: incarnation, Decision: c.decision, a: l.a}
 }
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"expvar"
 	"sync/atomic"
+
+	"damaskrouter.example/damaskrouter/internal/placement"
 )
 
 // Metrics counts decisions.
@@ -16,6 +18,8 @@
 	Asked, AskFailed atomic.Int64
 	// ReleaseRetries counts permits that had to be given back again.
 	ReleaseRetries, ReportsFailed atomic.Int64
+	// Chosen counts granted decisions by placement.Reason.
+	Chosen [placement.ReasonCount]atomic.Int64
 	// Reconciled counts permits that reports corrected.
 	Reconciled atomic.Int64
 }
@@ -39,6 +43,10 @@
 	} {
 		out.Set(name, expvar.Func(func() any { return v.Load() }))
 	}
+	for r := range m.Chosen {
+		v := &m.Chosen[r]
+		out.Set("chosen_"+placement.Reason(r).String(), expvar.Func(func() any { return v.Load() }))
+	}
 	out.Set("ejections", expvar.Func(func() any { return a.health.ejected() }))
 	out.Set("held", expvar.Func(func() any { return a.held.Len() }))
 	return out
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -109,6 +109,9 @@
 	Overflow
 	// ByLoad is an engine chosen by load for a request without a chat.
 	ByLoad
+
+	// ReasonCount is the number of reasons.
+	ReasonCount
 )
 
 var reasonNames = [...]string{"preferred", "evidence", "overflow", "load"}
