--- a/internal/standin/engine/books.go
+++ b/internal/standin/engine/books.go
@@ -44,6 +44,9 @@
 	// RequestSeconds and WeightSeconds are sums over time.
 	RequestSeconds float64 `json:"request_seconds"`
 	WeightSeconds  float64 `json:"weight_seconds"`
+	// WorkSeconds is the sum of the unfinished work over time: as WeightSeconds,
+	// but without the prompts that are in already.
+	WorkSeconds float64 `json:"work_seconds"`
 }
 
 // Skew returns, for each span in which the engines' loads sum up to at least
@@ -74,6 +77,7 @@
 	bucket   time.Duration
 	requests int
 	weight   int64
+	work     int64
 	since    time.Time
 }
 
@@ -86,10 +90,11 @@
 }
 
 // change settles the load up to now and then alters it.
-func (l *ledger) change(requests int, weight int64) {
+func (l *ledger) change(requests int, weight, work int64) {
 	l.settle(time.Now())
 	l.requests += requests
 	l.weight += weight
+	l.work += work
 	if l.requests > 0 {
 		l.raise(l.at(l.index(l.since)))
 	}
@@ -107,6 +112,7 @@
 		b := l.at(i)
 		b.RequestSeconds += span * float64(l.requests)
 		b.WeightSeconds += span * float64(l.weight)
+		b.WorkSeconds += span * float64(l.work)
 		l.raise(b)
 		l.since = end
 	}
