--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -65,12 +65,6 @@
 	g.once.Do(func() { g.a.releaseHeld(g.ID) })
 }
 
-// Progress tells that only left of the request's weight is still to be done:
-// the prompt is in once the first token is there. A long dossier would
-// otherwise weigh on its engine until its last token, and send the engine's
-// other chats away from their prefixes.
-func (g *Grant) Progress(left int64) { g.a.progress(g.ID, left) }
-
 // GiveUp ends the permit of a stream whose caller is gone. It reports whether
 // the permit was still this router's: the caller may have taken its stream up
 // at another router, where it goes on.
--- a/internal/admission/held.go
+++ b/internal/admission/held.go
@@ -42,20 +42,6 @@
 	return p, ok
 }
 
-// lighten lowers the weight of a permit and returns it as it was before.
-func (h *heldPermits) lighten(id string, left int64) (held, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p, ok := h.all[id]
-	if !ok || left >= p.weight {
-		return held{}, false
-	}
-	lighter := p
-	lighter.weight = left
-	h.all[id] = lighter
-	return p, true
-}
-
 // byEngine groups the permits for reports to the engines' owners.
 func (h *heldPermits) byEngine() map[uint64][]ReportedPermit {
 	h.mu.Lock()
--- a/internal/admission/keeper.go
+++ b/internal/admission/keeper.go
@@ -166,19 +166,6 @@
 	return en.book.ReleaseBy(now, permitID, holder), en.lane, true
 }
 
-// progress lowers a permit's weight; ok is false where this router does not own
-// the engine.
-func (k *Keeper) progress(id uint64, permitID, holder string, left int64) (lane laneKey, ok bool) {
-	en := k.entry(id)
-	if en == nil {
-		return laneKey{}, false
-	}
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	en.book.Progress(permitID, holder, left)
-	return en.lane, true
-}
-
 func (k *Keeper) transfer(now time.Time, id uint64, r permit.Request) (permit.Permit, error) {
 	en := k.entry(id)
 	if en == nil {
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -18,8 +18,6 @@
 	Asked, AskFailed atomic.Int64
 	// ReleaseRetries counts permits that had to be given back again.
 	ReleaseRetries, ReportsFailed atomic.Int64
-	// ProgressLost counts reports of finished prompts that did not arrive.
-	ProgressLost atomic.Int64
 	// Chosen counts granted decisions by placement.Reason.
 	Chosen [placement.ReasonCount]atomic.Int64
 	// Reconciled counts permits that reports corrected.
@@ -41,7 +39,6 @@
 		"ask_failed":      &m.AskFailed,
 		"release_retries": &m.ReleaseRetries,
 		"reports_failed":  &m.ReportsFailed,
-		"progress_lost":   &m.ProgressLost,
 		"reconciled":      &m.Reconciled,
 	} {
 		out.Set(name, expvar.Func(func() any { return v.Load() }))
--- a/internal/admission/remote.go
+++ b/internal/admission/remote.go
@@ -71,18 +71,6 @@
 	ID     uuid.UUID
 }
 
-// ProgressArgs tells that a permit weighs less from now on. It is sent once; a
-// lost one is made up for when the permit is given back.
-type ProgressArgs struct {
-	Engine uint64
-	ID     uuid.UUID
-	Holder string
-	Left   int64
-}
-
-// ProgressReply is empty.
-type ProgressReply struct{}
-
 // ReleaseReply lists, by their indexes, the permits that were not taken back.
 type ReleaseReply struct {
 	// Moved are no longer the holder's: another router has taken them over.
@@ -150,14 +138,6 @@
 	return nil
 }
 
-// Progress lowers the weight of a permit.
-func (p *Permits) Progress(args ProgressArgs, _ *ProgressReply) error {
-	if key, ok := p.a.keeper.progress(args.Engine, args.ID.String(), args.Holder, args.Left); ok {
-		p.a.wake(key)
-	}
-	return nil
-}
-
 // Report takes in a holder's unfinished requests.
 func (p *Permits) Report(args ReportArgs, _ *ReportReply) error {
 	now := time.Now()
--- a/internal/permit/book.go
+++ b/internal/permit/book.go
@@ -208,20 +208,6 @@
 	return b.Release(now, id)
 }
 
-// Progress lowers the weight of a permit to what is left of its work. A weight
-// that is not lower, or of a permit that is not there, changes nothing, so that
-// a message that comes late or twice does no harm.
-func (b *Book) Progress(id, holder string, left int64) bool {
-	rec, ok := b.permits[id]
-	left = max(left, 1)
-	if !ok || rec.permit.Holder != holder || left >= rec.permit.Weight {
-		return false
-	}
-	b.weight -= rec.permit.Weight - left
-	rec.permit.Weight = left
-	return true
-}
-
 // Transfer moves a permit to the router that takes the stream up. A permit
 // that this book does not know, because its owner is new, is adopted. Errors:
 // *IncarnationError, *ReleasedError.
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -22,7 +22,7 @@
 	e.jobs[j.id] = j
 	e.queue[j.priority] = append(e.queue[j.priority], j)
 	e.queued++
-	e.ledger.change(1, j.weight, j.weight)
+	e.ledger.change(1, j.weight)
 	e.signal()
 	return "", true
 }
@@ -163,19 +163,12 @@
 			budget -= n
 			j.prefill -= n
 			if j.prefill == 0 {
-				e.prefilled(j)
+				e.cache.store(j.prompt)
 			}
 		}
 	}
 }
 
-// prefilled ends the prompt's part of a job's work; the answer's part is left.
-func (e *Engine) prefilled(j *job) {
-	e.cache.store(j.prompt)
-	j.prefilledAt = time.Now()
-	e.ledger.change(0, 0, j.workAt(j.prefilledAt)-j.weight)
-}
-
 func (e *Engine) decode(j *job) {
 	if j.produced < j.total {
 		j.produced++
@@ -194,7 +187,7 @@
 	j.state = state
 	j.ended = time.Now()
 	e.ended = append(e.ended, j)
-	e.ledger.change(-1, -j.weight, -j.workAt(j.ended))
+	e.ledger.change(-1, -j.weight)
 }
 
 // forget drops ended jobs that nobody may resume any more.
@@ -251,7 +244,7 @@
 		return
 	}
 	st.RequestIDs = append(st.RequestIDs, j.id)
-	st.Weight += j.workAt(at)
+	st.Weight += j.weight
 	if j.started.IsZero() || j.started.After(at) {
 		st.Queued++
 		return
--- a/internal/standin/engine/books.go
+++ b/internal/standin/engine/books.go
@@ -44,9 +44,6 @@
 	// RequestSeconds and WeightSeconds are sums over time.
 	RequestSeconds float64 `json:"request_seconds"`
 	WeightSeconds  float64 `json:"weight_seconds"`
-	// WorkSeconds is the sum of the unfinished work over time: as WeightSeconds,
-	// but without the prompts that are in already.
-	WorkSeconds float64 `json:"work_seconds"`
 }
 
 // Skew returns, for each span in which the engines' loads sum up to at least
@@ -77,7 +74,6 @@
 	bucket   time.Duration
 	requests int
 	weight   int64
-	work     int64
 	since    time.Time
 }
 
@@ -90,11 +86,10 @@
 }
 
 // change settles the load up to now and then alters it.
-func (l *ledger) change(requests int, weight, work int64) {
+func (l *ledger) change(requests int, weight int64) {
 	l.settle(time.Now())
 	l.requests += requests
 	l.weight += weight
-	l.work += work
 	if l.requests > 0 {
 		l.raise(l.at(l.index(l.since)))
 	}
@@ -112,7 +107,6 @@
 		b := l.at(i)
 		b.RequestSeconds += span * float64(l.requests)
 		b.WeightSeconds += span * float64(l.weight)
-		b.WorkSeconds += span * float64(l.work)
 		l.raise(b)
 		l.since = end
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -106,7 +106,7 @@
 	}
 	e.down = true
 	e.ledger.books.Lost += e.queued + len(e.batch)
-	e.ledger.change(-e.ledger.requests, -e.ledger.weight, -e.ledger.work)
+	e.ledger.change(-e.ledger.requests, -e.ledger.weight)
 	close(e.crashed)
 	for _, j := range e.jobs {
 		j.wake()
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -201,13 +201,11 @@
 		go post(e, "r", "", ask(100, "x"))
 		synctest.Wait()
 		require.Zero(t, e.Status().Running+e.Status().Queued, "the report is old")
-		time.Sleep(opts.ReportLag + opts.StepTime/2)
-		require.EqualValues(t, 1+100, e.Status().Weight, "the prompt is not in yet")
-		time.Sleep(opts.StepTime / 2)
+		time.Sleep(opts.ReportLag + opts.StepTime)
 		st := e.Status()
 		require.Equal(t, 1, st.Running)
 		require.Equal(t, []string{"r"}, st.RequestIDs)
-		require.EqualValues(t, 100, st.Weight, "the prompt's part of the work is done")
+		require.EqualValues(t, 1+100, st.Weight)
 		time.Sleep(time.Second)
 		require.Zero(t, e.Status().Running)
 	})
@@ -218,17 +216,13 @@
 	opts.StepTime = 10 * time.Millisecond
 	run(t, opts, func(t *testing.T, e *Engine) {
 		completion(t, post(e, "r", "", ask(25, "x")))
-		sum, weight, work := 0.0, 0.0, 0.0
+		sum := 0.0
 		for _, l := range e.Books().Load {
 			require.Equal(t, 1, l.MaxRequests)
 			require.EqualValues(t, 26, l.MaxWeight)
 			sum += l.RequestSeconds
-			weight += l.WeightSeconds
-			work += l.WorkSeconds
 		}
 		require.InDelta(t, 0.25, sum, 1e-9)
-		require.InDelta(t, 0.25*26, weight, 1e-9)
-		require.InDelta(t, 0.01*26+0.24*25, work, 1e-9, "the prompt is in after one step")
 		other := Books{}
 		skews := Skew(0, e.Books(), other)
 		require.NotEmpty(t, skews)
--- a/internal/standin/engine/job.go
+++ b/internal/standin/engine/job.go
@@ -28,18 +28,15 @@
 	total    int
 	head     []byte
 
-	state   jobState
-	cached  int
-	prefill int
-	// weight is the work that the job was accepted with.
+	state    jobState
+	cached   int
+	prefill  int
 	weight   int64
 	produced int
 	accepted time.Time
 	started  time.Time
-	// prefilledAt is when the prompt's part of the work was done.
-	prefilledAt time.Time
-	ended       time.Time
-	watchers    []chan struct{}
+	ended    time.Time
+	watchers []chan struct{}
 }
 
 // priorityNames lists the classes, most urgent first. Unknown names count as normal.
@@ -76,15 +73,6 @@
 	return j.prompt[len(j.prompt)-1].Tokens
 }
 
-// workAt is the part of the job's weight that was unfinished at the given
-// time: all of it until the prompt is in, the expected answer from then on.
-func (j *job) workAt(at time.Time) int64 {
-	if j.prefilledAt.IsZero() || j.prefilledAt.After(at) {
-		return j.weight
-	}
-	return int64(j.expectedTokens())
-}
-
 // expectedTokens is what the engine counts for an answer not yet written.
 func (j *job) expectedTokens() int {
 	if j.req.MaxTokens > 0 {
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -45,7 +45,6 @@
 		return err
 	}
 	a.observe(outlier.FirstToken, time.Since(a.sent))
-	a.grant.Progress(int64(a.turn.place.OutputTokens))
 	a.head = ev
 	a.headData = append([]byte(nil), ev.Data...)
 	a.head.Data = a.headData
