--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -214,12 +215,34 @@
 	return out
 }
 
-// ControlBytes is each router's control traffic so far, sent and received.
-func (f *Fleet) ControlBytes() []int64 {
-	out := make([]int64, len(f.Routers))
+// Control is the control traffic of one router, sent and received, in bytes:
+// membership and load digests by UDP, calls between routers by TCP.
+type Control struct{ UDP, TCP int64 }
+
+// ControlBytes is each router's control traffic so far.
+func (f *Fleet) ControlBytes() []Control {
+	out := make([]Control, len(f.Routers))
 	for i, r := range f.Routers {
-		udp, tcp := r.ControlBytes()
-		out[i] = udp + tcp
+		out[i].UDP, out[i].TCP = r.ControlBytes()
+	}
+	return out
+}
+
+// Admission sums up the routers' counters of their decisions.
+func (f *Fleet) Admission() map[string]int64 {
+	out := make(map[string]int64)
+	for _, r := range f.Routers {
+		v := r.Vars().Get("admission")
+		if v == nil {
+			continue
+		}
+		var one map[string]int64
+		if json.Unmarshal([]byte(v.String()), &one) != nil {
+			continue // a counter that is no number has come to be
+		}
+		for name, n := range one {
+			out[name] += n
+		}
 	}
 	return out
 }
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -22,6 +22,8 @@
 const (
 	cellPadding = 2
 	fileMode    = 0o644
+	// shownSamples bounds the failures shown; the JSON has more.
+	shownSamples = 5
 )
 
 // Table writes the results side by side, one line each, and what needs a look.
@@ -60,13 +62,18 @@
 func details(out io.Writer, r *run.Result) {
 	fmt.Fprintf(out, "\n%s on %s, seed %d, %.0f s: all-knowing bound %.3f over %d returning turns; skew over %d of %d windows; churn %v\n",
 		r.Strategy, r.Workload, r.Seed, r.Seconds, r.ReuseBound, r.Returning, r.Skew.Windows, r.Skew.Total, r.Churn)
+	fmt.Fprintf(out, "  control bytes per router and second: %.0f by UDP, %.0f by TCP, sent and received; busiest router %.0f\n",
+		r.ControlUDP, r.ControlTCP, r.ControlBytesPeak)
+	fmt.Fprintf(out, "  skew by requests: mean %.2f, p99 %.2f; in windows of %s: mean %.2f, p99 %.2f, worst %.2f (%d of %d)\n",
+		r.SkewRequests.Mean, r.SkewRequests.P99, run.SkewShortWindow, r.SkewShort.Mean, r.SkewShort.P99, r.SkewShort.Worst, r.SkewShort.Windows, r.SkewShort.Total)
+	fmt.Fprintf(out, "  admission: %v\n", r.Admission)
 	times(out, "first token", r.FirstToken)
 	times(out, "next token", r.NextToken)
 	times(out, "call", r.Calls)
 	if len(r.Outcomes) > 0 {
 		fmt.Fprintf(out, "  failures by code and whether it ran: %v; engines lost %d requests in crashes\n", r.Outcomes, r.EngineLost)
 	}
-	for _, s := range r.Samples {
+	for _, s := range r.Samples[:min(len(r.Samples), shownSamples)] {
 		fmt.Fprintln(out, "  sample:", s)
 	}
 }
--- a/internal/bench/run/result.go
+++ b/internal/bench/run/result.go
@@ -30,6 +30,10 @@
 	// ControlBytes is bytes per router and second, sent and received.
 	ControlBytes     float64 `json:"control_bytes_per_router_second"`
 	ControlBytesPeak float64 `json:"control_bytes_busiest_router_second"`
+	ControlUDP       float64 `json:"control_udp_bytes_per_router_second"`
+	ControlTCP       float64 `json:"control_tcp_bytes_per_router_second"`
+	// Admission sums up the routers' own counters, to explain the rest.
+	Admission map[string]int64 `json:"admission"`
 	Counts
 	// Outcomes counts failures by code and what was said of execution.
 	Outcomes map[string]int `json:"outcomes"`
@@ -54,7 +58,7 @@
 const leastRequests = 2
 
 // collect makes the result of a run that is over.
-func (r *runner) collect(from, to time.Time, control []int64) *Result {
+func (r *runner) collect(from, to time.Time, control []fleet.Control) *Result {
 	res := &Result{
 		Workload: r.w.Name,
 		Strategy: r.o.Strategy,
@@ -70,6 +74,7 @@
 	r.fillReuse(res)
 	r.fillSkew(res, from, to)
 	res.fillControl(control)
+	res.Admission = r.fleet.Admission()
 	res.FirstToken = r.first.Percentiles()
 	res.NextToken = r.gaps.Percentiles()
 	res.Calls = r.calls.Percentiles()
@@ -189,12 +194,17 @@
 
 func pair(s fleet.Span) [2]time.Time { return [2]time.Time{s.From, s.To} }
 
-func (res *Result) fillControl(control []int64) {
-	var sum, peak int64
-	for _, n := range control {
-		sum += n
-		peak = max(peak, n)
+func (res *Result) fillControl(control []fleet.Control) {
+	var sum fleet.Control
+	var peak int64
+	for _, c := range control {
+		sum.UDP += c.UDP
+		sum.TCP += c.TCP
+		peak = max(peak, c.UDP+c.TCP)
 	}
-	res.ControlBytes = float64(sum) / float64(len(control)) / res.Seconds
+	perSecond := 1 / float64(len(control)) / res.Seconds
+	res.ControlUDP = float64(sum.UDP) * perSecond
+	res.ControlTCP = float64(sum.TCP) * perSecond
+	res.ControlBytes = res.ControlUDP + res.ControlTCP
 	res.ControlBytesPeak = float64(peak) / res.Seconds
 }
--- a/internal/bench/run/run.go
+++ b/internal/bench/run/run.go
@@ -13,7 +13,6 @@
 	"damaskrouter.example/damaskrouter/internal/bench/fleet"
 	"damaskrouter.example/damaskrouter/internal/bench/measure"
 	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/router"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
@@ -89,20 +88,12 @@
 }
 
 func (r *runner) start(ctx context.Context) error {
-	strategy, bounded, err := factory(r.o.Strategy)
+	s, err := setupOf(r.o.Strategy, r.w)
 	if err != nil {
 		return err
 	}
-	bound := float64(noBound)
-	if bounded {
-		bound = r.w.LoadBound
-	}
-	r.fleet, err = fleet.Start(ctx, fleet.Options{
-		Workload: r.w,
-		Bound:    bound,
-		Router:   router.Options{NewStrategy: strategy, Seed: r.o.Seed},
-		Log:      r.o.Log,
-	})
+	s.options.Seed = r.o.Seed
+	r.fleet, err = fleet.Start(ctx, fleet.Options{Workload: r.w, Bound: s.bound, Router: s.options, Log: r.o.Log})
 	if err != nil {
 		return err
 	}
@@ -136,7 +127,8 @@
 	to := time.Now()
 	control := r.fleet.ControlBytes()
 	for i := range control {
-		control[i] -= before[i]
+		control[i].UDP -= before[i].UDP
+		control[i].TCP -= before[i].TCP
 	}
 	if !r.waitEnd() {
 		return nil, Error.New("requests were still open %s after the end of the load", endTimeout)
