--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	"damaskrouter.example/damaskrouter/internal/permit"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/wire"
+	"github.com/google/uuid"
 )
 
 // EngineReport takes in the report of an engine that this router owns.
@@ -47,8 +49,17 @@
 	if st.Leaving {
 		k.Flags |= flagLeaving
 	}
-	if serves(l.pool, st) {
-		k.Flags |= flagLoaded
+	if l.pool.Model == "" || l.pool.Model == st.Model {
+		// The version is not looked at: while a new one is rolled out, engines
+		// with the old one go on serving. Were they taken out, an accepted
+		// change of version would leave the pool without engines at once.
+		k.Flags |= flagModel
+	}
+	if hasAdapters(l.pool, st) {
+		k.Flags |= flagAdapters
+	}
+	if e.Drained {
+		k.Flags &^= flagModel
 	}
 	k.at = now
 	l.loads[e.ID] = k
@@ -56,14 +67,8 @@
 	l.wake()
 }
 
-// serves says whether an engine has what its pool is configured for.
-func serves(p *config.Pool, st wire.EngineStatus) bool {
-	if p.Model == "" {
-		return true
-	}
-	if st.Model != p.Model || (p.Version != "" && st.Version != p.Version) {
-		return false
-	}
+// hasAdapters says whether an engine has all adapters of its pool.
+func hasAdapters(p *config.Pool, st wire.EngineStatus) bool {
 	for _, adapter := range p.Adapters {
 		if !slices.Contains(st.Adapters, adapter) {
 			return false
@@ -86,7 +91,7 @@
 	now := time.Now()
 	best, bestScore := -1, uint64(0)
 	for i := range g.Engines {
-		e := l.describe(now, &g.Engines[i])
+		e := l.describe(now, &g.Engines[i], false)
 		if e.Leaving || !e.Loaded || e.Ejected || g.Owners[i] < 0 {
 			continue
 		}
@@ -117,19 +122,31 @@
 	c := choice{engine: e, owner: owner, inc: incarnation}
 	if owner.Name == a.opts.Self {
 		p, err := a.keeper.transfer(time.Now(), e.ID, permit.Request{ID: id, Holder: a.holder, Incarnation: incarnation})
-		if err != nil {
+		if err != nil && !wasReleased(err) {
 			return nil, gone.WithCause(err)
 		}
 		c.decision.Weight = p.Weight
 		return l.grant(id, c, incarnation), nil
 	}
-	reply, err := l.call(ctx, c, AcquireArgs{ID: id, Incarnation: incarnation, Transfer: true})
-	if err != nil || reply.Verdict != Granted {
+	reply, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true})
+	if err != nil || reply.Verdict != Granted && reply.Verdict != Gone {
 		return nil, gone.WithRetryAfter(minRetryAfter).WithCause(err)
 	}
 	return l.grant(id, c, incarnation), nil
 }
 
+// wasReleased reports a permit that had ended before its stream was taken up.
+//
+// What goes wrong without it: a router relays the last chunks into a connection
+// that the path has forgotten, sees no error, and gives the permit back. The
+// caller notices the silence, comes back, and would be told that its answer is
+// gone, while the engine still has it. Reading what an engine has adds no work
+// to it; an engine that has forgotten the stream, or restarted, says so.
+func wasReleased(err error) bool {
+	var released *permit.ReleasedError
+	return errors.As(err, &released)
+}
+
 // giveUp ends a permit whose caller did not come back, and reports whether it
 // was still this router's. Where the owner can't be asked the answer is no: a
 // stream that goes on for nobody ends by itself, one that is stopped under a
@@ -149,22 +166,22 @@
 }
 
 func (a *Admission) giveUpRemote(ctx context.Context, h held, id string) bool {
-	p := ReleasedPermit{Engine: h.engine, ID: id}
 	owner, ok := a.outbox.owner(h.engine)
-	if !ok {
+	parsed, err := uuid.Parse(id)
+	if !ok || err != nil {
 		return false
 	}
+	p := ReleasedPermit{Engine: h.engine, ID: parsed}
 	ctx, cancel := context.WithTimeout(ctx, a.opts.CallTimeout)
 	defer cancel()
 	var reply ReleaseReply
 	args := ReleaseArgs{Holder: a.holder, Permits: []ReleasedPermit{p}}
 	t := peer.Target{Name: owner.Name, Address: owner.Control}
-	err := a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply)
-	if err != nil || len(reply.Outcomes) == 0 {
+	if err := a.opts.Caller.Call(ctx, t, ServiceName+".Release", args, &reply); err != nil {
 		a.outbox.add(p)
 		return false
 	}
-	return reply.Outcomes[0] == permit.Released
+	return len(reply.Moved) == 0
 }
 
 // Reports returns, for each owner, what this router has unfinished at its
