--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -63,9 +63,11 @@
 	// strangerSyncAt is when the next packet of an unknown instance may start
 	// an exchange of tables.
 	strangerSyncAt time.Duration
-	lastTick       time.Duration
-	ticked         bool
-	departed       bool
+	// nextInvite is when a digest may be answered by a digest again.
+	nextInvite time.Duration
+	lastTick   time.Duration
+	ticked     bool
+	departed   bool
 
 	events   []Event
 	snapshot []Member
@@ -79,11 +81,12 @@
 func New(self Member, opts Options, rng *rand.Rand) *Detector {
 	self.Incarnation = max(self.Incarnation, 1)
 	d := &Detector{
-		opts:   opts.withDefaults(),
-		rng:    rng,
-		rows:   make(map[uint64]*row),
-		relays: make(map[uint32]relay),
-		queue:  newBroadcastQueue(),
+		opts:    opts.withDefaults(),
+		rng:     rng,
+		rows:    make(map[uint64]*row),
+		relays:  make(map[uint32]relay),
+		queue:   newBroadcastQueue(),
+		allowed: allowance{bytes: maxPiggyback},
 	}
 	d.witness = newWitness(d.opts.Seeds)
 	d.self = d.insert(self)
@@ -156,10 +159,12 @@
 		d.refuse(from, m)
 		return d.take()
 	}
-	d.noteSender(from, m)
 	for _, u := range m.Updates {
 		d.apply(u)
 	}
+	// After the updates: a newcomer describes itself in its first packets, and
+	// then it need not be asked for its table by everyone it speaks to.
+	d.noteSender(from, m)
 	for _, item := range m.Items {
 		// A refused item is bounded loss: its owner learns the reason when it
 		// calls Broadcast.
@@ -189,7 +194,7 @@
 func (d *Detector) dispatch(from string, m Message) {
 	switch b := m.Body.(type) {
 	case Ping:
-		d.send(from, m.From, Ack(b))
+		d.answerPing(from, m, b)
 	case Ack:
 		d.handleAck(m.From, b)
 	case PingRequest:
@@ -203,6 +208,18 @@
 	}
 }
 
+// answerPing acknowledges a ping. To one who holds this router as suspect or
+// dead the answer always carries its row, whatever else waits to be sent.
+func (d *Detector) answerPing(from string, m Message, b Ping) {
+	for _, u := range m.Updates {
+		if u.ID == d.self.ID && accuses(u) {
+			d.send(from, m.From, Ack(b), d.self.ID)
+			return
+		}
+	}
+	d.send(from, m.From, Ack(b))
+}
+
 // noteSender takes the sender's configuration version at first hand, and
 // starts an exchange with an instance that is not in the table.
 func (d *Detector) noteSender(from string, m Message) {
