Peer: mutual TLS, a proof bound to it, and connections that follow keys

Cause: calls between routers were authenticated by a fleet key once and then ran unprotected; any holder of the key could claim any name.

Now WithTLS makes each connection mutual TLS with the router's name proved, the fleet-key handshake runs inside and is bound to the TLS connection.

Ruled out: signing or encrypting calls ourselves without TLS, a second transport to look after; cutting connections at each reload, which loses replies.

--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -5,26 +5,15 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"io"
-	"net"
-	"time"
-
-	"github.com/zeebo/errs"
-)
-
-// Errors of the handshake.
-var (
-	// ErrHandshake means that the other end does not hold a fleet key that is
-	// valid here, or speaks another protocol.
-	ErrHandshake = errs.Class("peer: handshake")
+	"math"
 )
 
 const (
-	nonceSize        = 16
-	handshakeTimeout = 2 * time.Second
-	protocolVersion  = 1
+	nonceSize       = 16
+	protocolVersion = 2
 
-	labelDialer   = "damaskrouter dialer 1"
-	labelListener = "damaskrouter listener 1"
+	labelDialer   = "damaskrouter dialer 2"
+	labelListener = "damaskrouter listener 2"
 )
 
 // FleetKey is one of the shared secrets that routers prove to each other.
@@ -38,109 +27,135 @@
 // is used at once.
 type Keys func() []FleetKey
 
-// dialerHandshake proves to the listener that this end holds a fleet key,
-// and asks the same of it. Both ends answer the other's fresh nonce, so a
-// recorded handshake is of no use to a third party.
-func dialerHandshake(c net.Conn, keys Keys, self string) (peerName string, err error) {
-	if err := c.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return "", ErrHandshake.Wrap(err)
-	}
-	theirs := make([]byte, 1+nonceSize)
-	if _, err := io.ReadFull(c, theirs); err != nil {
-		return "", ErrHandshake.Wrap(err)
+// handshake is what both ends of the proof of a fleet key need.
+type handshake struct {
+	rw   io.ReadWriter
+	keys []FleetKey
+	self string
+	// binding identifies the TLS connection that the proof is made on, and is
+	// empty without TLS. A proof that is relayed from one connection to
+	// another then fails: without it a router with a certificate, but without
+	// a fleet key, could pass on the proof of one that has both.
+	binding []byte
+}
+
+// result is what the other end has proved.
+type result struct {
+	name string
+	key  byte
+}
+
+// dial proves to the listener that this end holds a fleet key, and asks the
+// same of it. Both ends answer the other's fresh nonce, so a recorded
+// handshake is of no use to a third party.
+func (h *handshake) dial() (result, error) {
+	theirs, err := h.read(1 + nonceSize)
+	if err != nil {
+		return result{}, err
 	}
 	if theirs[0] != protocolVersion {
-		return "", ErrHandshake.New("protocol version %d", theirs[0])
+		return result{}, ErrHandshake.New("protocol version %d", theirs[0])
 	}
-	valid := keys()
-	if len(valid) == 0 {
-		return "", ErrHandshake.New("no fleet key")
+	if len(h.keys) == 0 {
+		return result{}, ErrHandshake.New("no fleet key")
 	}
-	key := valid[0]
-	ours := newNonce()
-	mac := sign(key, labelDialer, theirs[1:], ours, self)
-	msg := append([]byte{key.ID, byte(len(self))}, self...)
-	msg = append(append(msg, ours...), mac...)
-	if _, err := c.Write(msg); err != nil {
-		return "", ErrHandshake.Wrap(err)
+	key, ours := h.keys[0], newNonce()
+	msg := append([]byte{key.ID}, h.selfField()...)
+	msg = append(msg, ours...)
+	msg = append(msg, h.sign(key, labelDialer, theirs[1:], ours, h.self)...)
+	if err := h.write(msg); err != nil {
+		return result{}, err
 	}
-	name, err := readName(c)
+	name, err := h.readName()
 	if err != nil {
-		return "", err
+		return result{}, err
 	}
-	proof := make([]byte, sha256.Size)
-	if _, err := io.ReadFull(c, proof); err != nil {
-		return "", ErrHandshake.Wrap(err)
+	proof, err := h.read(sha256.Size)
+	if err != nil {
+		return result{}, err
 	}
-	if !hmac.Equal(proof, sign(key, labelListener, ours, theirs[1:], name)) {
-		return "", ErrHandshake.New("listener holds another key")
+	if !hmac.Equal(proof, h.sign(key, labelListener, ours, theirs[1:], name)) {
+		return result{}, ErrHandshake.New("listener holds another key")
 	}
-	return name, c.SetDeadline(time.Time{})
+	return result{name: name, key: key.ID}, nil
 }
 
-func listenerHandshake(c net.Conn, keys Keys, self string) (peerName string, err error) {
-	if err := c.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return "", ErrHandshake.Wrap(err)
-	}
+// accept is the listener's side of dial. All of its reads are of a bounded
+// length, since whoever sends has proved nothing yet.
+func (h *handshake) accept() (result, error) {
 	ours := newNonce()
-	if _, err := c.Write(append([]byte{protocolVersion}, ours...)); err != nil {
-		return "", ErrHandshake.Wrap(err)
+	if err := h.write(append([]byte{protocolVersion}, ours...)); err != nil {
+		return result{}, err
 	}
-	var id [1]byte
-	if _, err := io.ReadFull(c, id[:]); err != nil {
-		return "", ErrHandshake.Wrap(err)
+	id, err := h.read(1)
+	if err != nil {
+		return result{}, err
 	}
-	name, err := readName(c)
+	name, err := h.readName()
 	if err != nil {
-		return "", err
+		return result{}, err
 	}
-	rest := make([]byte, nonceSize+sha256.Size)
-	if _, err := io.ReadFull(c, rest); err != nil {
-		return "", ErrHandshake.Wrap(err)
+	rest, err := h.read(nonceSize + sha256.Size)
+	if err != nil {
+		return result{}, err
 	}
 	theirs, proof := rest[:nonceSize], rest[nonceSize:]
-	key, ok := find(keys(), id[0])
-	if !ok || !hmac.Equal(proof, sign(key, labelDialer, ours, theirs, name)) {
-		return "", ErrHandshake.New("dialer %q holds no valid key", name)
-	}
-	msg := append([]byte{byte(len(self))}, self...)
-	msg = append(msg, sign(key, labelListener, theirs, ours, self)...)
-	if _, err := c.Write(msg); err != nil {
-		return "", ErrHandshake.Wrap(err)
+	key, ok := find(h.keys, id[0])
+	if !ok || !hmac.Equal(proof, h.sign(key, labelDialer, ours, theirs, name)) {
+		return result{}, ErrHandshake.New("dialer %q holds no valid key", name)
 	}
-	return name, c.SetDeadline(time.Time{})
+	msg := append(h.selfField(), h.sign(key, labelListener, theirs, ours, h.self)...)
+	return result{name: name, key: key.ID}, h.write(msg)
 }
 
-func find(keys []FleetKey, id byte) (FleetKey, bool) {
-	for _, k := range keys {
-		if k.ID == id {
-			return k, true
-		}
-	}
-	return FleetKey{}, false
+// selfField is this end's name as readName reads it.
+func (h *handshake) selfField() []byte {
+	name := h.self[:min(len(h.self), math.MaxUint8)]
+	return append([]byte{byte(len(name))}, name...)
 }
 
-func readName(r io.Reader) (string, error) {
-	var n [1]byte
-	if _, err := io.ReadFull(r, n[:]); err != nil {
-		return "", ErrHandshake.Wrap(err)
-	}
-	name := make([]byte, n[0])
-	if _, err := io.ReadFull(r, name); err != nil {
-		return "", ErrHandshake.Wrap(err)
+func (h *handshake) read(n int) ([]byte, error) {
+	p := make([]byte, n)
+	_, err := io.ReadFull(h.rw, p)
+	return p, ErrHandshake.Wrap(err)
+}
+
+func (h *handshake) readName() (string, error) {
+	n, err := h.read(1)
+	if err != nil {
+		return "", err
 	}
-	return string(name), nil
+	name, err := h.read(int(n[0]))
+	return string(name), err
+}
+
+func (h *handshake) write(p []byte) error {
+	_, err := h.rw.Write(p)
+	return ErrHandshake.Wrap(err)
 }
 
-func sign(key FleetKey, label string, a, b []byte, name string) []byte {
+// sign writes the lengths that vary before the fields, so that no two sets of
+// fields are signed alike.
+func (h *handshake) sign(key FleetKey, label string, a, b []byte, name string) []byte {
 	m := hmac.New(sha256.New, key.Secret)
 	_, _ = io.WriteString(m, label)
+	_, _ = m.Write([]byte{byte(len(h.binding))})
+	_, _ = m.Write(h.binding)
 	_, _ = m.Write(a)
 	_, _ = m.Write(b)
 	_, _ = io.WriteString(m, name)
 	return m.Sum(nil)
 }
 
+func find(keys []FleetKey, id byte) (FleetKey, bool) {
+	for _, k := range keys {
+		if k.ID == id {
+			return k, true
+		}
+	}
+	return FleetKey{}, false
+}
+
 func newNonce() []byte {
 	n := make([]byte, nonceSize)
 	_, _ = rand.Read(n)
