Settings: the router's certificate, and keys that are read again

Cause: nothing named a certificate for calls between routers, and keys were read only at the start.

peer_tls is required unless allow_plain_peers or allow_insecure says otherwise: a default of plain calls would reach production unnoticed. ReadKeys takes the keys from a file that is valid as a whole. A certificate that names another router is refused at load, before it replaces a good one.

The text of secure settings in the tests gains peer_tls, as it would be refused now without; no check was taken out.

--- a/internal/keys/cert.go
+++ b/internal/keys/cert.go
@@ -16,6 +16,9 @@
 	// authorities can be rotated. It may be empty for an identity that is
 	// shown to callers only; then the chain is not checked either.
 	CA string
+	// Router is the name that the certificate must prove. It is empty for an
+	// identity that is shown to callers only; then any name will do.
+	Router string
 }
 
 func (p CertPaths) list() []string {
@@ -80,6 +83,9 @@
 			return nil, err
 		}
 	}
+	if err := id.validateName(p.Router); err != nil {
+		return nil, err
+	}
 	return id, id.validate(now)
 }
 
@@ -114,6 +120,22 @@
 	return ErrInvalid.Wrap(err)
 }
 
+// validateName refuses another router's certificate, for instance after files
+// were copied to the wrong VM: every peer would refuse it.
+func (id *identity) validateName(router string) error {
+	if router == "" {
+		return nil
+	}
+	name, err := routerOf(id.cert.Leaf)
+	if err != nil {
+		return ErrInvalid.Wrap(err)
+	}
+	if name != router {
+		return ErrInvalid.New("certificate of router %q, not %q", name, router)
+	}
+	return nil
+}
+
 func (id *identity) intermediates() *x509.CertPool {
 	pool := x509.NewCertPool()
 	for _, der := range id.cert.Certificate[1:] {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -271,3 +271,26 @@
 	require.NoError(t, err)
 	assert.Equal(t, secretMode, info.Mode())
 }
+
+// Symptom: every router refuses one after a certificate was renewed. Sequence:
+// another router's files are copied to it, or a callers' certificate is. Cause:
+// a certificate that is valid, but not for this name.
+func TestCertificateOfAnotherRouterIsRefused(t *testing.T) {
+	dir := fleet(t)
+	paths := PathsIn(dir, "r1")
+	paths.Router = "r1"
+	r, err := OpenCerts(paths, time.Now)
+	require.NoError(t, err)
+	other := PathsIn(dir, "r2")
+	for from, to := range map[string]string{other.Cert: paths.Cert, other.Key: paths.Key} {
+		data, err := os.ReadFile(from)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(to, data, secretMode))
+	}
+	before := r.PeerClient("r2").Certificates[0].Certificate[0]
+	_, err = r.Check()
+	assert.True(t, ErrInvalid.Has(err), "%v", err)
+	assert.Equal(t, before, r.PeerClient("r2").Certificates[0].Certificate[0])
+	_, err = OpenCerts(paths, time.Now)
+	assert.True(t, ErrInvalid.Has(err), "%v", err)
+}
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"strings"
 )
 
@@ -80,8 +81,13 @@
 	if len(s.PeerCertificates) == 0 {
 		return "", ErrPeer.New("no certificate")
 	}
+	return routerOf(s.PeerCertificates[0])
+}
+
+// routerOf returns the one router that a certificate names.
+func routerOf(cert *x509.Certificate) (string, error) {
 	found := ""
-	for _, san := range s.PeerCertificates[0].DNSNames {
+	for _, san := range cert.DNSNames {
 		name, ok := strings.CutSuffix(san, routerDomain)
 		if !ok {
 			continue
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/errs"
@@ -64,3 +65,41 @@
 	k.secret = secret
 	return nil
 }
+
+// KeySet is what of the settings may change while the process runs.
+type KeySet struct {
+	// Fleet and Hint are the keys that sign first and those that are only
+	// accepted, as in Settings.
+	Fleet, Hint []Key
+}
+
+// ReadKeys reads the keys again: from the settings file, if the settings came
+// from one, and from the key files that it names. Everything else stays as it
+// was at the start. The file must be valid as a whole, so that a torn copy
+// changes nothing. Errors: those of Load, ErrKey.
+func (s *Settings) ReadKeys() (KeySet, error) {
+	if s.file == "" {
+		return s.rereadKeyFiles()
+	}
+	fresh, err := Load(s.file)
+	if err != nil {
+		return KeySet{}, err
+	}
+	if fresh.Name != s.Name {
+		return KeySet{}, ErrKey.New("%s is of %q, not %q", s.file, fresh.Name, s.Name)
+	}
+	return KeySet{Fleet: fresh.FleetKeys, Hint: fresh.HintKeys}, nil
+}
+
+func (s *Settings) rereadKeyFiles() (KeySet, error) {
+	fresh := *s
+	fresh.FleetKeys = slices.Clone(s.FleetKeys)
+	fresh.HintKeys = slices.Clone(s.HintKeys)
+	if err := fresh.Provision(); err != nil {
+		return KeySet{}, err
+	}
+	if err := fresh.Validate(); err != nil {
+		return KeySet{}, err
+	}
+	return KeySet{Fleet: fresh.FleetKeys, Hint: fresh.HintKeys}, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,13 @@
 	// TLS is what callers' connections are protected with. The certificate
 	// and key are required unless AllowInsecure is set.
 	TLS TLS `yaml:"tls"`
+	// PeerTLS is this router's identity towards the others. It is required
+	// unless AllowPlainPeers or AllowInsecure is set.
+	PeerTLS PeerTLS `yaml:"peer_tls"`
+	// AllowPlainPeers lets calls between routers go without TLS. Routers then
+	// prove the fleet key when a connection opens, and nothing protects what
+	// follows; see docs/KEYS.md. The default is false.
+	AllowPlainPeers bool `yaml:"allow_plain_peers"`
 	// AdminTokenHash is the SHA-256 sum, in hexadecimal, of the first
 	// operator's token. The default is empty: only tokens that the
 	// administration API has issued are accepted.
@@ -75,6 +82,7 @@
 	AllowInsecure bool `yaml:"allow_insecure"`
 
 	source *strictyaml.Source
+	file   string
 }
 
 // Platform holds the base URLs of the platform's services, http or https.
@@ -98,6 +106,18 @@
 	CA string `yaml:"ca"`
 }
 
+// PeerTLS names the PEM files for calls between routers: all three or none.
+type PeerTLS struct {
+	// Cert is the file with this router's certificate chain, which must bear
+	// the name keys.RouterSAN of Name. It has no default.
+	Cert string `yaml:"cert"`
+	// Key is the file with the certificate's private key. It has no default.
+	Key string `yaml:"key"`
+	// CA is the file with the authorities of the other routers'
+	// certificates; two during a change of authority. It has no default.
+	CA string `yaml:"ca"`
+}
+
 // Timeouts bound the waits of the process. A wait that is left out, or zero,
 // is replaced by the default.
 type Timeouts struct {
@@ -171,7 +191,12 @@
 	if err != nil {
 		return nil, ErrRead.Wrap(err)
 	}
-	return LoadBytes(path, data)
+	s, err := LoadBytes(path, data)
+	if err != nil {
+		return nil, err
+	}
+	s.file = path
+	return s, nil
 }
 
 // LoadBytes is Load for text that has been read already; name stands for the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,7 @@
 	return text + fmt.Sprintf(`fleet_keys: [{id: k1, key: %q}]
 hint_keys: [{id: k1, key: %q}]
 tls: {cert: c.pem, key: k.pem}
+peer_tls: {cert: p.pem, key: pk.pem, ca: ca.pem}
 `, testKey, testKey)
 }
 
@@ -79,6 +80,8 @@
 		"third key":            {insecureText + "hint_keys: [{id: a}, {id: b}, {id: c}]\n", "s.yaml:11: hint_keys: must be at most 2 entries"},
 		"same key id":          {insecureText + "hint_keys: [{id: a}, {id: a}]\n", "s.yaml:11: hint_keys: must not name the same thing twice"},
 		"no TLS":               {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: tls.cert: is required unless allow_insecure is set"},
+		"no peer TLS":          {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: peer_tls.cert: is required unless allow_plain_peers or allow_insecure is set"},
+		"half of peer TLS":     {insecureText + "peer_tls: {cert: c.pem}\n", "s.yaml:11: peer_tls.key: is required when peer_tls has other files"},
 		"no fleet key":         {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: fleet_keys: is required unless allow_insecure is set"},
 	}
 	for name, c := range cases {
@@ -117,3 +120,30 @@
 	printed := fmt.Sprintf("%v %+v %#v %s %s", s, s, s, encoded, s.FleetKeys)
 	assert.NotContains(t, printed, testKey)
 }
+
+// Symptom: a fleet refuses its own routers after a key was rotated. Sequence:
+// the settings file is copied in pieces, or to the wrong VM, while the process
+// reads it again. Cause: keys taken from a file that is not valid as a whole.
+func TestReadKeys(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.yaml")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(secureText())
+	s, err := Load(path)
+	require.NoError(t, err)
+	write(strings.ReplaceAll(secureText(), "id: k1", "id: k2"))
+	set, err := s.ReadKeys()
+	require.NoError(t, err)
+	assert.Equal(t, "k2", set.Fleet[0].ID)
+	assert.Equal(t, "k2", set.Hint[0].ID)
+	for _, bad := range []string{"", secureText()[:300], strings.Replace(secureText(), "name: r1", "name: r2", 1)} {
+		write(bad)
+		_, err = s.ReadKeys()
+		assert.Error(t, err)
+	}
+}
+
+func TestPlainPeersAllowed(t *testing.T) {
+	text := strings.Replace(secureText(), "peer_tls: {cert: p.pem, key: pk.pem, ca: ca.pem}", "allow_plain_peers: true", 1)
+	_, err := LoadBytes("s.yaml", []byte(text))
+	assert.NoError(t, err)
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -49,6 +49,7 @@
 	problems = append(problems, s.checkKeys("fleet_keys", s.FleetKeys)...)
 	problems = append(problems, s.checkKeys("hint_keys", s.HintKeys)...)
 	problems = append(problems, s.checkDrain()...)
+	problems = append(problems, s.checkPeerTLS()...)
 	if !s.AllowInsecure {
 		problems = append(problems, s.checkSecure()...)
 	}
@@ -86,6 +87,21 @@
 	return strictyaml.Problems{s.at("timeouts.drain", "must be longer than locate_ttl, %v", s.Timeouts.LocateTTL)}
 }
 
+// checkPeerTLS refuses a part of an identity. Taken as none, one left-out line
+// would turn TLS off without anybody being told.
+func (s *Settings) checkPeerTLS() strictyaml.Problems {
+	if s.PeerTLS == (PeerTLS{}) {
+		return nil
+	}
+	var problems strictyaml.Problems
+	for path, file := range map[string]string{"cert": s.PeerTLS.Cert, "key": s.PeerTLS.Key, "ca": s.PeerTLS.CA} {
+		if file == "" {
+			problems = append(problems, s.at("peer_tls."+path, "is required when peer_tls has other files"))
+		}
+	}
+	return problems
+}
+
 func (s *Settings) checkSecure() strictyaml.Problems {
 	var problems strictyaml.Problems
 	require := func(path string, present bool) {
@@ -95,6 +111,9 @@
 	}
 	require("tls.cert", s.TLS.Cert != "")
 	require("tls.key", s.TLS.Key != "")
+	if !s.AllowPlainPeers && s.PeerTLS == (PeerTLS{}) {
+		problems = append(problems, s.at("peer_tls.cert", "is required unless allow_plain_peers or allow_insecure is set"))
+	}
 	require("fleet_keys", len(s.FleetKeys) > 0)
 	require("hint_keys", len(s.HintKeys) > 0)
 	return problems
