Secret: keys and certificates replaced in the running router

Cause: a rotation needed a restart of each router, and callers had no TLS.

Bad files keep the old, are counted, and logged once a minute. A key with the id of one in use but another secret is refused, as are settings that lost their keys. Tokens in traffic became an interface, so that a codec is looked up at each use.

Ruled out: HTTP/2 towards callers, where one silent connection stalls all of a caller's streams.

--- a/internal/cli/callers.go
+++ b/internal/cli/callers.go
@@ -16,11 +16,13 @@
 type callerFlags struct {
 	seeds []string
 	key   string
+	tls   tlsFlags
 }
 
 func (f *callerFlags) add(sub *flaggy.Subcommand) {
 	sub.StringSlice(&f.seeds, "r", "router", "The address of a router to ask; may be given several times.")
 	sub.String(&f.key, "k", "key", "The client account's API key. Default: DAMASKROUTER_KEY from the environment.")
+	f.tls.add(sub)
 }
 
 func (f *callerFlags) client() (*client.Client, error) {
@@ -30,7 +32,11 @@
 	if f.key == "" {
 		f.key = os.Getenv("DAMASKROUTER_KEY")
 	}
-	return client.New(client.Options{Seeds: f.seeds, Key: f.key})
+	o := client.Options{Seeds: f.seeds, Key: f.key}
+	if err := f.tls.apply(&o); err != nil {
+		return nil, err
+	}
+	return client.New(o)
 }
 
 func locateCommand() *command {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	defer r.Close()
+	defer onHangup(func() { reload(con, r) })()
 	<-ctx.Done()
 	again, stop := secondSignal()
 	defer stop()
@@ -47,6 +48,14 @@
 	return nil
 }
 
+func reload(con *console, r *router.Router) {
+	if err := r.ReloadSecrets(); err != nil {
+		con.log.Warn("keys or certificates not reloaded; the old ones stay in use", "cause", err)
+		return
+	}
+	con.log.Info("keys and certificates are up to date")
+}
+
 func checkCommand() *command {
 	var file string
 	c := newCommand("check", "Check a settings file and say what is wrong with it.", func(_ context.Context, con *console) error {
--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -2,10 +2,33 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 )
 
+// onHangup calls f for each SIGHUP until the returned function is called. An
+// operator who has replaced a key need not wait for the next check.
+func onHangup(f func()) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	done := make(chan struct{})
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				f()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(done)
+	}
+}
+
 // secondSignal returns a context that ends with the next signal: an operator
 // who asks again does not want to wait for the drain.
 func secondSignal() (context.Context, context.CancelFunc) {
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -19,24 +19,26 @@
 
 // provision builds the parts, from the platform towards the callers.
 func (r *Router) provision() error {
-	secrets, err := secretsOf(r.set)
-	if err != nil {
+	if err := r.openSecrets(); err != nil {
 		return err
 	}
 	rng := rand.New(rand.NewPCG(r.opts.Seed, 0))
 	instance := rng.Uint64() | 1
 
 	r.openPlatform()
-	r.caller = peer.NewCaller(r.set.Name, secrets.fleet, &r.counters)
-	r.calls = peer.NewServer(r.set.Name, secrets.fleet, &r.counters)
+	secure := r.secrets.PeerOptions()
+	r.caller = peer.NewCaller(r.set.Name, r.secrets.Fleet, &r.counters, secure...)
+	r.calls = peer.NewServer(r.set.Name, r.secrets.Fleet, &r.counters, secure...)
 	r.upstream = upstream.New(upstream.Options{
 		DialTimeout: r.set.Timeouts.UpstreamConnect,
 		FirstChunk:  r.set.Timeouts.FirstByte,
 		IdleGap:     r.set.Timeouts.IdleGap,
 	})
-	if r.facts, err = admission.NewFacts(admission.DefaultRecentChats, rng.Uint64()); err != nil {
+	facts, err := admission.NewFacts(admission.DefaultRecentChats, rng.Uint64())
+	if err != nil {
 		return err
 	}
+	r.facts = facts
 	r.admission = admission.New(admission.Options{
 		Board:       r.board,
 		Caller:      r.caller,
@@ -56,7 +58,7 @@
 	r.board.Subscribe(r.admission.Sync)
 	r.board.Subscribe(r.quota.Sync)
 	r.provisionControllers()
-	if err := r.provisionGossip(secrets, instance); err != nil {
+	if err := r.provisionGossip(instance); err != nil {
 		return err
 	}
 	r.traffic = traffic.New(traffic.Options{
@@ -66,7 +68,7 @@
 		Quota:     r.quota,
 		Upstream:  r.upstream,
 		Claims:    r.claims,
-		Tokens:    secrets.tokens,
+		Tokens:    r.secrets,
 		Log:       r.log,
 		Name:      r.set.Name,
 		LocateTTL: r.set.Timeouts.LocateTTL,
@@ -121,7 +123,7 @@
 	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
 }
 
-func (r *Router) provisionGossip(secrets *secrets, instance uint64) error {
+func (r *Router) provisionGossip(instance uint64) error {
 	opts := r.opts.Gossip
 	if opts.Period == 0 {
 		opts = membership.DefaultOptions()
@@ -142,7 +144,7 @@
 			Name: r.set.Name, ID: instance, Address: control, HTTP: address, Site: r.set.Site,
 		},
 		Options: opts,
-		Keys:    secrets.gossip,
+		Keys:    r.secrets.Gossip(),
 		Log:     func(message string, keyvals ...any) { r.log.Warn(message, keyvals...) },
 	})
 	return err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/quota"
+	"damaskrouter.example/damaskrouter/internal/secret"
 	"damaskrouter.example/damaskrouter/internal/settings"
 	"damaskrouter.example/damaskrouter/internal/traffic"
 	"damaskrouter.example/damaskrouter/internal/upstream"
@@ -69,6 +70,7 @@
 	caller    *peer.Caller
 	calls     *peer.Server
 	counters  peer.Counters
+	secrets   *secret.Store
 	upstream  *upstream.Client
 	admission *admission.Admission
 	facts     *admission.Facts
@@ -136,6 +138,7 @@
 		return errors.Join(err, control.Close(), callers.Close())
 	}
 	context.AfterFunc(r.ctx, func() { _ = control.Close() })
+	r.goRun(r.watchSecrets)
 	r.goRun(r.vms.Run)
 	r.goRun(r.configs.Run)
 	r.goRun(r.engines.Run)
@@ -143,7 +146,7 @@
 	r.goRun(r.loads.Run)
 	r.goRun(r.loads.RunReports)
 	r.goRun(r.quota.Run)
-	r.serveCallers(callers)
+	r.serveCallers(r.callerListener(callers))
 	return r.serveAdmin()
 }
 
--- /dev/null
+++ b/internal/secret/secret_test.go
@@ -0,0 +1,319 @@
+package secret
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/keys"
+	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/token"
+)
+
+const settingsText = `name: %s
+site: north
+region: r
+listen: 127.0.0.1:8080
+control_listen: 127.0.0.1:9090
+platform: {table: "http://127.0.0.1:1", objects: "http://127.0.0.1:2", vms: "http://127.0.0.1:3"}
+tls: {cert: %[2]s/%[1]s.pem, key: %[2]s/%[1]s-key.pem}
+peer_tls: {cert: %[2]s/%[1]s.pem, key: %[2]s/%[1]s-key.pem, ca: %[2]s/ca.pem}
+fleet_keys: [%[3]s]
+hint_keys: [%[3]s]
+`
+
+// secretOf is the base64 text of the secret of key id.
+func secretOf(id string) string {
+	return base64.StdEncoding.EncodeToString([]byte(strings.Repeat(id, settings.MinKeyBytes)))
+}
+
+func keyList(ids ...string) string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, fmt.Sprintf("{id: %s, key: %q}", id, secretOf(id)))
+	}
+	return strings.Join(out, ", ")
+}
+
+// fixture is the files of one router, and the Store over them.
+type fixture struct {
+	*Store
+	name, dir, file string
+	now             time.Time
+	logged          int
+}
+
+func newDir(t *testing.T) string {
+	dir := t.TempDir()
+	generate(t, dir, time.Now())
+	return dir
+}
+
+func generate(t *testing.T, dir string, now time.Time) {
+	require.NoError(t, keys.Generate(dir, keys.GenerateOptions{
+		Routers: []string{"r1", "r2", "r3"}, Hosts: []string{"127.0.0.1"}, Now: now,
+	}))
+}
+
+func newFixture(t *testing.T, dir, name string, ids ...string) *fixture {
+	f := &fixture{name: name, dir: dir, file: filepath.Join(dir, name+".yaml"), now: time.Now()}
+	f.write(t, keyList(ids...))
+	set, err := settings.Load(f.file)
+	require.NoError(t, err)
+	f.Store, err = Open(Options{
+		Settings: set,
+		Log:      func(string, ...any) { f.logged++ },
+		Now:      func() time.Time { return f.now },
+	})
+	require.NoError(t, err)
+	return f
+}
+
+func (f *fixture) write(t *testing.T, list string) {
+	text := fmt.Sprintf(settingsText, f.name, f.dir, list)
+	require.NoError(t, os.WriteFile(f.file, []byte(text), 0o600))
+}
+
+// router is one of a fleet: calls, packets and hints under one Store.
+type router struct {
+	*fixture
+	id       uint64
+	counters peer.Counters
+	server   *peer.Server
+	caller   *peer.Caller
+	packets  *gossip.Endpoint
+	address  string
+}
+
+// Ping is what the routers call.
+type Ping struct{}
+
+// Do returns what it is given.
+func (Ping) Do(in int, out *int) error {
+	*out = in
+	return nil
+}
+
+func newRouter(t *testing.T, dir string, id uint64, seeds ...string) *router {
+	r := &router{fixture: newFixture(t, dir, fmt.Sprint("r", id), "k1"), id: id}
+	r.server = peer.NewServer(r.name, r.Fleet, &r.counters, r.PeerOptions()...)
+	require.NoError(t, r.server.Register("Ping", Ping{}))
+	r.caller = peer.NewCaller(r.name, r.Fleet, &r.counters, r.PeerOptions()...)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.address = ln.Addr().String()
+	self := membership.Member{Name: r.name, ID: id, Address: r.address, Site: "north"}
+	opts := membership.DefaultOptions()
+	opts.Seeds = seeds
+	r.packets, err = gossip.NewEndpoint(self, opts, r.Gossip(), rand.New(rand.NewSource(1)), nil)
+	require.NoError(t, err)
+	go r.server.Serve(ln)
+	t.Cleanup(func() {
+		r.caller.Close()
+		_ = ln.Close()
+		r.server.Close()
+	})
+	return r
+}
+
+// reload is what a running router does every few seconds.
+func (r *router) reload(t *testing.T) {
+	require.NoError(t, r.Check())
+	require.NoError(t, r.packets.SetKeys(r.Gossip()))
+	r.server.Sweep()
+}
+
+// reach calls to and hands it a hint and a resume token.
+func (r *router) reach(t *testing.T, to *router) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var got int
+	require.NoError(t, r.caller.Call(ctx, peer.Target{Name: to.name, Address: to.address}, "Ping.Do", 7, &got))
+	require.Equal(t, 7, got)
+	hint, err := to.OpenHint("account", r.SealHint("account", token.Hint{Chat: 7}))
+	require.NoError(t, err)
+	require.EqualValues(t, 7, hint.Chat)
+	text, err := r.SealResume("account", token.Resume{Engine: "e1", Issued: r.now, Lifetime: time.Hour})
+	require.NoError(t, err)
+	_, err = to.OpenResume("account", text, r.now)
+	require.NoError(t, err)
+}
+
+// Symptom: routers refuse each other's calls and packets, or callers' hints,
+// while a key is rotated. Sequence: new key added, keys swapped, old key
+// removed, each step on one router after the other. Cause: a router that signs
+// with a key before the others accept it, or connections cut at a step.
+func TestRotationAcrossRoutersRefusesNothing(t *testing.T) {
+	dir := newDir(t)
+	first := newRouter(t, dir, 1)
+	fleet := []*router{first, newRouter(t, dir, 2, first.address), newRouter(t, dir, 3, first.address)}
+	now := time.Duration(0)
+	everyone := func() {
+		exchange(fleet, &now)
+		for _, from := range fleet {
+			for _, to := range fleet {
+				if from != to {
+					from.reach(t, to)
+				}
+			}
+		}
+	}
+	everyone()
+	for _, step := range [][]string{{"k1", "k2"}, {"k2", "k1"}, {"k2"}} {
+		for _, r := range fleet {
+			r.write(t, keyList(step...))
+			r.reload(t)
+			everyone()
+		}
+	}
+	for _, r := range fleet {
+		assert.Equal(t, []string{"k2"}, r.Status().FleetKeys)
+		assert.EqualValues(t, 3, r.Status().Reloads)
+		got := r.counters.Snapshot()
+		assert.Zero(t, got.Refused+got.RefusedDials+got.Timeouts)
+		packets := r.packets.Counters()
+		assert.Zero(t, packets.Refused)
+		t.Logf("%s: %d calls, %d packets received", r.name, got.Calls, gossip.Total(packets.In).Packets)
+		assert.Len(t, r.packets.Detector().Snapshot(), len(fleet))
+		for _, m := range r.packets.Detector().Snapshot() {
+			assert.Equal(t, membership.StateAlive, m.State, m.Name)
+		}
+	}
+}
+
+// Symptom: a router is cut off from its fleet after a file was copied to it.
+// Sequence: files are torn, of another router, expired, or lose their keys.
+// Cause: new content taken over before it has proved usable.
+func TestBadFilesKeepTheOld(t *testing.T) {
+	f := newFixture(t, newDir(t), "r1", "k1")
+	sealed := f.SealHint("a", token.Hint{Chat: 1})
+	read := func(name string) []byte {
+		data, err := os.ReadFile(filepath.Join(f.dir, name))
+		require.NoError(t, err)
+		return data
+	}
+	put := func(name string, data []byte) {
+		require.NoError(t, os.WriteFile(filepath.Join(f.dir, name), data, 0o600))
+	}
+	expired := newDir(t)
+	generate(t, expired, f.now.Add(-keys.DefaultValidity*2))
+	old, err := os.ReadFile(filepath.Join(expired, "r1.pem"))
+	require.NoError(t, err)
+	oldKey, err := os.ReadFile(filepath.Join(expired, "r1-key.pem"))
+	require.NoError(t, err)
+	cases := map[string]map[string][]byte{
+		"torn settings":             {"r1.yaml": read("r1.yaml")[:200]},
+		"no settings":               {"r1.yaml": nil},
+		"settings of another":       {"r1.yaml": []byte(strings.Replace(string(read("r1.yaml")), "name: r1", "name: r2", 1))},
+		"keys gone":                 {"r1.yaml": []byte(strings.Replace(fmt.Sprintf(settingsText, "r1", f.dir, ""), "name", "allow_insecure: true\nname", 1))},
+		"other secret, same id":     {"r1.yaml": []byte(strings.ReplaceAll(string(read("r1.yaml")), secretOf("k1"), secretOf("xx")))},
+		"torn certificate":          {"r1.pem": read("r1.pem")[:100]},
+		"garbage authority":         {"ca.pem": []byte("garbage")},
+		"key of another":            {"r1-key.pem": read("r2-key.pem")},
+		"certificate of another":    {"r1-key.pem": read("r2-key.pem"), "r1.pem": read("r2.pem")},
+		"expired certificate":       {"r1-key.pem": oldKey, "r1.pem": old},
+		"certificate, no authority": {"ca.pem": nil},
+	}
+	failures := uint64(0)
+	for name, files := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := f.Status()
+			for file, data := range files {
+				good := read(file)
+				defer put(file, good)
+				put(file, data)
+				if data == nil {
+					require.NoError(t, os.Remove(filepath.Join(f.dir, file)))
+				}
+			}
+			require.Error(t, f.Check())
+			after := f.Status()
+			assert.Greater(t, after.Failures, failures)
+			failures = after.Failures
+			assert.Equal(t, before.FleetKeys, after.FleetKeys)
+			assert.Equal(t, before.PeerCertSeconds, after.PeerCertSeconds)
+			assert.Equal(t, before.CallerCertSeconds, after.CallerCertSeconds)
+			_, err := f.OpenHint("a", sealed)
+			assert.NoError(t, err)
+		})
+	}
+	assert.Equal(t, 1, f.logged, "one line for all of them")
+	require.NoError(t, f.Check())
+	f.now = f.now.Add(logInterval)
+	put("r1.yaml", nil)
+	require.Error(t, f.Check())
+	assert.Equal(t, 2, f.logged)
+}
+
+// Symptom: a fleet key can be read from a metrics page. Sequence: an operator
+// looks at it. Cause: a status that holds more than names.
+func TestStatusShowsNoSecret(t *testing.T) {
+	f := newFixture(t, newDir(t), "r1", "k1", "k2")
+	text, err := json.Marshal(f.Status())
+	require.NoError(t, err)
+	assert.Contains(t, string(text), `"fleet_keys":["k1","k2"]`)
+	assert.NotContains(t, string(text), secretOf("k1"))
+	assert.NotContains(t, string(text), strings.Repeat("k1", 8))
+	assert.Positive(t, *f.Status().CallerCertSeconds)
+	f.now = f.now.Add(2 * keys.DefaultValidity)
+	assert.Negative(t, *f.Status().PeerCertSeconds)
+}
+
+// Symptom: streams break when the callers' certificate is replaced. Sequence:
+// a connection is open across the reload. Cause: a listener that is restarted.
+func TestCallerCertificateReload(t *testing.T) {
+	f := newFixture(t, newDir(t), "r1", "k1")
+	ln, err := tls.Listen("tcp", "127.0.0.1:0", f.CallerTLS())
+	require.NoError(t, err)
+	defer ln.Close()
+	go echoAll(ln)
+	dial := func() *tls.Conn {
+		c, err := tls.Dial("tcp", ln.Addr().String(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2", "http/1.1"}})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	ping := func(c *tls.Conn) {
+		_, err := c.Write([]byte("x"))
+		require.NoError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		require.NoError(t, err)
+	}
+	old := dial()
+	ping(old)
+	generate(t, f.dir, f.now)
+	require.NoError(t, f.Check())
+	fresh := dial()
+	ping(fresh)
+	ping(old)
+	serial := func(c *tls.Conn) string { return c.ConnectionState().PeerCertificates[0].SerialNumber.String() }
+	assert.NotEqual(t, serial(old), serial(fresh))
+	assert.Equal(t, "http/1.1", fresh.ConnectionState().NegotiatedProtocol)
+	assert.EqualValues(t, tls.VersionTLS13, fresh.ConnectionState().Version)
+	assert.EqualValues(t, 2, f.Status().Reloads, "the callers' and the routers' certificate")
+}
+
+func TestWithoutKeysAndCertificates(t *testing.T) {
+	s, err := Open(Options{Settings: &settings.Settings{Name: "r1", AllowInsecure: true}})
+	require.NoError(t, err)
+	assert.Nil(t, s.CallerTLS())
+	assert.Empty(t, s.PeerOptions())
+	assert.Nil(t, s.Status().PeerCertSeconds)
+	require.Len(t, s.Fleet(), 1)
+	require.NoError(t, s.Gossip().Validate())
+}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -44,6 +44,15 @@
 	Take(ctx context.Context, a *config.Account) (done func(), err error)
 }
 
+// Tokens seals and opens what callers carry for the fleet; *token.Codec is
+// one. It may change its keys at any time.
+type Tokens interface {
+	SealHint(account string, h token.Hint) string
+	OpenHint(account, text string) (token.Hint, error)
+	SealResume(account string, r token.Resume) (string, error)
+	OpenResume(account, text string, now time.Time) (token.Resume, error)
+}
+
 // Options configures a Server.
 type Options struct {
 	Board    *board.Board
@@ -52,7 +61,7 @@
 	Quota    Limiter
 	Upstream *upstream.Client
 	Claims   *claim.Store
-	Tokens   *token.Codec
+	Tokens   Tokens
 	Log      *log.Logger
 	// Name is this router's name.
 	Name string
