Leader: no order from a configuration older than the chain's head

Symptom, found by the fault matrix: engines that had been brought to the newest configuration were ordered back to an earlier one, and forward again later. Sequence: the leader rolls a new configuration out; the next candidate has not heard of it, as its reads of the configuration fail (their share of the store is spent) while those of the lease go through; the leader is lost; the candidate takes the lease and orders what it has in force. Cause: holding the lease says nothing about how new one's configuration is. Ruled out: the configuration's version in the lease row, which the holder would have to rewrite at each change; reading the head before each order, which costs the store a read per engine. Now a leader reads the head once in each term, after it took the lease, and gives no order while it has less in force.

Before, TestMatrix/order/views_differ: "version 2.1 is ordered again after 2.0". After: passes, with the other 41 cells of the leader.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -56,6 +56,9 @@
 	targets []orders.Target
 	version uint64
 	running map[string]bool
+	// floor is the head of the configuration chain in the term floorOf.
+	floor   uint64
+	floorOf uint64
 }
 
 // Run leads whenever this router holds the lease, until ctx ends.
@@ -89,6 +92,9 @@
 	if err != nil {
 		return
 	}
+	if !l.current(ctx, grant.Fence) {
+		return
+	}
 	if err := l.aim(); err != nil {
 		l.Log.Warn("no targets for orders", "cause", err)
 		return
@@ -123,6 +129,28 @@
 	}
 }
 
+// current reports whether the configuration in force here is at least as new
+// as any that a former leader can have acted on.
+//
+// What goes wrong without it: a router that has not heard of the newest version
+// takes the lease and orders the engines back to an earlier one; one sees an
+// accepted change undone. The former leader's lease had ended when this one
+// was taken, so it acted on no version beyond the head as read from now on.
+func (l *Leader) current(ctx context.Context, fence uint64) bool {
+	if l.floorOf != fence {
+		ctx, cancel := context.WithTimeout(ctx, configTimeout)
+		defer cancel()
+		head, err := l.Configs.Chain.Head(ctx)
+		if err != nil {
+			l.Log.Debug("no orders before the configuration's head is known", "cause", err)
+			return false
+		}
+		l.floor, l.floorOf = head.Version, fence
+	}
+	f := l.Configs.InForceNow()
+	return f != nil && f.Version >= l.floor
+}
+
 // aim works out what the engines of all sites should be serving.
 func (l *Leader) aim() error {
 	f := l.Configs.InForceNow()
