Fault matrix: cells of chats and of the leader

Cause: after the receipts, the promises about whole answers and about the configuration at the engines had no cells. Chats run through the client library against two routers and two engines; the leader's cells roll a version out, change the configuration and let a second candidate take over.

Cells now run in parallel, each in a bubble of its own; a cell may consist of several tests.

--- a/internal/faultkit/network.go
+++ b/internal/faultkit/network.go
@@ -202,6 +202,8 @@
 	dropOut bool
 	dropIn  bool
 	delay   func()
+	rewrite func([]byte) []byte
+	pending []byte
 }
 
 // Cut breaks the connection; both ends notice. What was under way is lost.
@@ -235,6 +237,13 @@
 	c.Drop(In)
 }
 
+// Rewrite changes the next piece that comes in, such as by repeating it.
+func (c *Conn) Rewrite(f func([]byte) []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rewrite = f
+}
+
 // Delay calls wait before the next bytes that come in are passed on.
 func (c *Conn) Delay(wait func()) {
 	c.mu.Lock()
@@ -280,21 +289,47 @@
 // Read implements net.Conn. What is lost is read and thrown away, so that the
 // sender goes on as if it had arrived.
 func (c *Conn) Read(p []byte) (int, error) {
+	if n := c.takePending(p); n > 0 {
+		return n, nil
+	}
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.strike(In, p[:n])
 			c.wait()
-			if c.isCut() {
-				return 0, net.ErrClosed
-			}
+		}
+		if c.isCut() {
+			return 0, net.ErrClosed
 		}
 		if !c.dropping(In) || err != nil {
-			return n, err
+			return c.rewritten(p, n), err
 		}
 	}
 }
 
+// rewritten changes the piece in p[:n] if it is to be, and returns how much of
+// it fits in p.
+func (c *Conn) rewritten(p []byte, n int) int {
+	c.mu.Lock()
+	f := c.rewrite
+	if f == nil || n == 0 {
+		c.mu.Unlock()
+		return n
+	}
+	c.rewrite = nil
+	c.pending = f(bytes.Clone(p[:n]))
+	c.mu.Unlock()
+	return c.takePending(p)
+}
+
+func (c *Conn) takePending(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.pending)
+	c.pending = c.pending[n:]
+	return n
+}
+
 // gatedConn is a process's end of a connection behind its gate.
 type gatedConn struct {
 	net.Conn
--- a/internal/faultkit/oracle.go
+++ b/internal/faultkit/oracle.go
@@ -55,10 +55,9 @@
 // Oracle judges the promises by the stand-ins' books and by what callers got.
 // It knows nothing of the routers' own books.
 type Oracle struct {
+	mu       sync.Mutex
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
-
-	mu       sync.Mutex
 	outcomes map[string][]Outcome
 	chats    []Chat
 }
@@ -72,10 +71,43 @@
 }
 
 // Engine returns an engine by name.
-func (o *Oracle) Engine(name string) *engine.Engine { return o.engines[name] }
+func (o *Oracle) Engine(name string) *engine.Engine {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.engines[name]
+}
+
+// Engines returns all engines.
+func (o *Oracle) Engines() []*engine.Engine {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Values(o.engines))
+}
 
 // Service returns a service by name.
-func (o *Oracle) Service(name string) *service.Service { return o.services[name] }
+func (o *Oracle) Service(name string) *service.Service {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.services[name]
+}
+
+func (o *Oracle) allServices() []*service.Service {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Values(o.services))
+}
+
+func (o *Oracle) addEngine(name string, e *engine.Engine) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.engines[name] = e
+}
+
+func (o *Oracle) addService(name string, s *service.Service) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.services[name] = s
+}
 
 // Note keeps the outcome of an attempt.
 func (o *Oracle) Note(out Outcome) {
@@ -95,7 +127,7 @@
 // the router prefixes with the client account.
 func (o *Oracle) Runs(key string) int {
 	n := 0
-	for _, s := range o.services {
+	for _, s := range o.allServices() {
 		for k, runs := range s.Books().Executions {
 			if k == Account+"/"+key {
 				n += runs
@@ -108,7 +140,7 @@
 // EngineRuns is how often the engines began to execute anything.
 func (o *Oracle) EngineRuns() int {
 	n := 0
-	for _, e := range o.engines {
+	for _, e := range o.Engines() {
 		for _, runs := range e.Books().Runs {
 			n += runs
 		}
@@ -119,12 +151,14 @@
 // Violations lists the promises that did not hold for receipts and chats.
 func (o *Oracle) Violations() []string {
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	outcomes := maps.Clone(o.outcomes)
+	chats := slices.Clone(o.chats)
+	o.mu.Unlock()
 	var out []string
-	for _, key := range slices.Sorted(maps.Keys(o.outcomes)) {
-		out = append(out, o.judgeKey(key, o.outcomes[key])...)
+	for _, key := range slices.Sorted(maps.Keys(outcomes)) {
+		out = append(out, o.judgeKey(key, outcomes[key])...)
 	}
-	for _, c := range o.chats {
+	for _, c := range chats {
 		out = append(out, judgeChat(c)...)
 	}
 	return out
@@ -151,7 +185,7 @@
 
 // issued reports whether a service gave this record for the key.
 func (o *Oracle) issued(key string, r service.Record) bool {
-	for _, s := range o.services {
+	for _, s := range o.allServices() {
 		for _, x := range s.Books().Records {
 			if x == r && x.Key == Account+"/"+key {
 				return true
--- a/internal/faultkit/router.go
+++ b/internal/faultkit/router.go
@@ -14,6 +14,7 @@
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
+	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/quota"
@@ -47,6 +48,8 @@
 	Traffic   *traffic.Server
 	Claims    *claim.Store
 	Configs   *controller.Configs
+	// Lease is set if Options.Leaders is.
+	Lease *lease.Runner
 
 	world    *World
 	store    *store
@@ -54,15 +57,21 @@
 	upstream *upstream.Client
 	facts    *admission.Facts
 	quota    *quota.Quota
+	drains   *controller.Drains
+	leader   *controller.Leader
 	server   *http.Server
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
 
 // StartRouter starts a router. Its first steps read configuration and VM list.
-func (w *World) StartRouter(name, address string) (*Router, error) {
+// Taps are in place before it makes its first call of the table service.
+func (w *World) StartRouter(name, address string, taps ...StoreTap) (*Router, error) {
 	r := &Router{Name: name, Address: address, Gate: NewGate(), world: w, Board: board.New(name)}
 	r.store = &store{Table: w.Platform, gate: r.Gate}
+	for _, t := range taps {
+		r.store.tap(t)
+	}
 	r.vms = &vmList{VMList: w.Platform.VMList(), gate: r.Gate}
 	r.upstream = upstream.New(upstream.Options{Dial: w.Net.Dial(name, r.Gate)})
 	if err := r.assemble(); err != nil {
@@ -76,6 +85,9 @@
 			Name: name, ID: rendezvous.ID(name), Instance: 1, Address: address, Site: site,
 		}}
 	})
+	if w.opts.Leaders {
+		r.lead(ctx)
+	}
 	r.serve()
 	w.Routers = append(w.Routers, r)
 	return r, nil
@@ -123,14 +135,28 @@
 	engines := &controller.Engines{
 		Board: r.Board, Upstream: r.upstream, Admission: r.Admission, Facts: r.facts, Log: quiet(),
 	}
+	r.drains = &controller.Drains{Board: r.Board, Engines: engines}
 	handoff := &controller.Handoff{Board: r.Board, Upstream: r.upstream, Facts: r.facts, Log: quiet()}
 	for _, f := range []func(context.Context){
-		r.Board.Run, r.Configs.Run, vms.Run, engines.Run, r.quota.Run, handoff.Run,
+		r.Board.Run, r.Configs.Run, vms.Run, engines.Run, r.quota.Run, handoff.Run, r.drains.Run,
 	} {
 		r.wg.Go(func() { f(ctx) })
 	}
 }
 
+// lead starts the controller that seeks the lease and gives orders.
+func (r *Router) lead(ctx context.Context) {
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
+	rng := rand.New(rand.NewPCG(seedOf(r.Name), r.world.Seed))
+	r.Lease = lease.NewRunner(r.store, r.Name, r.world.token(), lease.DefaultTTL, clock, rng.Float64)
+	r.leader = &controller.Leader{
+		Board: r.Board, Configs: r.Configs, Drains: r.drains, Upstream: r.upstream,
+		Lease: r.Lease, Clock: clock, Self: r.Name, Log: quiet(),
+	}
+	r.wg.Go(func() { r.leader.Run(ctx) })
+}
+
 func (r *Router) serve() {
 	ln := r.world.Net.Listen(r.Name, r.Address, r.Gate)
 	r.server = &http.Server{Handler: r.Traffic.Handler(), ErrorLog: quiet().StandardLog()}
@@ -141,6 +167,9 @@
 // OnStore adds a tap to the router's calls of the table service.
 func (r *Router) OnStore(t StoreTap) { r.store.tap(t) }
 
+// Reconnect ends what taps deny.
+func (r *Router) Reconnect() { r.store.undeny() }
+
 // HoldVMs keeps the router's VM list as it is, or lets it go on.
 func (r *Router) HoldVMs(hold bool) { r.vms.setHold(hold) }
 
--- a/internal/faultkit/store.go
+++ b/internal/faultkit/store.go
@@ -11,16 +11,29 @@
 
 // StoreCall is one call of a router to the table service.
 type StoreCall struct {
-	Use   platform.Use
-	Write bool
-	// Tables are the tables that a commit writes.
-	Tables []string
-	// State is that of the claim written, or empty.
-	State string
+	Use platform.Use
+	// Writes are those of a commit; nil for a read.
+	Writes []platform.Write
+	// Table and Key are what is read.
+	Table, Key string
+}
+
+// State is the state of the claim that is written, or empty.
+func (c StoreCall) State() string {
+	var claim struct {
+		State string `json:"state"`
+	}
+	if c.Use != platform.UseClaim || len(c.Writes) == 0 || json.Unmarshal(c.Writes[0].Value, &claim) != nil {
+		return ""
+	}
+	return claim.State
 }
 
 // StoreTap strikes once at a call of one router.
 type StoreTap struct {
+	// Deny makes each matching call fail as if the store were down, for good;
+	// Strike is not called then.
+	Deny bool
 	// Matches picks the call.
 	Matches func(StoreCall) bool
 	// After strikes when the call has taken effect and has not returned yet;
@@ -44,12 +57,26 @@
 	s.taps = append(s.taps, &t)
 }
 
+// denied reports whether a tap denies the call.
+func (s *store) denied(c StoreCall) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.taps, func(t *StoreTap) bool { return t.Deny && t.Matches(c) })
+}
+
+// undeny drops the taps that deny calls.
+func (s *store) undeny() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taps = slices.DeleteFunc(s.taps, func(t *StoreTap) bool { return t.Deny })
+}
+
 // struck runs the taps whose turn it is.
 func (s *store) struck(c StoreCall, after bool) {
 	s.mu.Lock()
 	var now []*StoreTap
 	s.taps = slices.DeleteFunc(s.taps, func(t *StoreTap) bool {
-		if t.After != after || !t.Matches(c) {
+		if t.Deny || t.After != after || !t.Matches(c) {
 			return false
 		}
 		now = append(now, t)
@@ -61,25 +88,14 @@
 	}
 }
 
-func callOf(use platform.Use, writes []platform.Write) StoreCall {
-	c := StoreCall{Use: use, Write: true}
-	for _, w := range writes {
-		c.Tables = append(c.Tables, w.Table)
-	}
-	var claim struct {
-		State string `json:"state"`
-	}
-	if use == platform.UseClaim && json.Unmarshal(writes[0].Value, &claim) == nil {
-		c.State = claim.State
-	}
-	return c
-}
-
 // Commit implements platform.Table. A process that is killed after the effect
 // never learns of it.
 func (s *store) Commit(ctx context.Context, use platform.Use, writes ...platform.Write) ([]platform.Row, error) {
-	c := callOf(use, writes)
+	c := StoreCall{Use: use, Writes: writes}
 	s.struck(c, false)
+	if s.denied(c) {
+		return nil, platform.ErrUnavailable.New("denied")
+	}
 	if err := s.gate.Pass(); err != nil {
 		return nil, platform.ErrUnavailable.Wrap(err)
 	}
@@ -93,7 +109,11 @@
 
 // Get implements platform.Table.
 func (s *store) Get(ctx context.Context, use platform.Use, table, key string) (platform.Row, error) {
-	s.struck(StoreCall{Use: use, Tables: []string{table}}, false)
+	c := StoreCall{Use: use, Table: table, Key: key}
+	s.struck(c, false)
+	if s.denied(c) {
+		return platform.Row{}, platform.ErrUnavailable.New("denied")
+	}
 	if err := s.gate.Pass(); err != nil {
 		return platform.Row{}, platform.ErrUnavailable.Wrap(err)
 	}
--- a/internal/faultkit/world.go
+++ b/internal/faultkit/world.go
@@ -30,6 +30,13 @@
 	Engines, Services int
 	// StepTime is the time of an engine's step; 0 means 10 ms.
 	StepTime time.Duration
+	// EngineVersion is the model version that engines start with; empty
+	// means the one of the example configuration.
+	EngineVersion string
+	// IgnoreFence lets the engines obey orders with an old fencing number.
+	IgnoreFence bool
+	// Leaders lets the routers seek the lease and give orders.
+	Leaders bool
 	// Seed drives the routers' random choices.
 	Seed uint64
 	// Bundle is the first configuration.
@@ -58,6 +65,9 @@
 	if o.StepTime == 0 {
 		o.StepTime = 10 * time.Millisecond
 	}
+	if o.EngineVersion == "" {
+		o.EngineVersion = modelVersion
+	}
 	w := &World{Net: NewNetwork(), Platform: platformtest.New(), Oracle: newOracle(), Seed: o.Seed, opts: o}
 	chain := config.NewChain(w.Platform, w.Platform.Objects(), time.Now)
 	_, err := chain.Accept(context.Background(), config.Change{
@@ -87,21 +97,40 @@
 // AddEngine starts an engine and lists it.
 func (w *World) AddEngine(name, address string, generation uint64) *engine.Engine {
 	o := engine.Defaults(name, Model)
-	o.Version = modelVersion
+	o.Version = w.opts.EngineVersion
+	o.CheckFence = !w.opts.IgnoreFence
 	o.Adapters = []string{"grid-code", "objections"}
 	o.StepTime = w.opts.StepTime
 	o.ReportLag = 0
 	e := engine.New(o)
-	w.Oracle.engines[name] = e
+	w.Oracle.addEngine(name, e)
 	w.serve(name, address, e.Handler())
 	w.list(name, address, platform.KindEngine, PoolLanguage, generation)
 	return e
 }
 
+// ReplaceEngine lets the i-th engine's VM vanish and another engine come up at
+// its address, under another name.
+func (w *World) ReplaceEngine(i int, name string) *engine.Engine {
+	old := fmt.Sprint("engine-", i)
+	w.Net.Between("", old, (*Conn).Cut)
+	w.Oracle.Engine(old).Crash()
+	w.Platform.DeleteVM(old)
+	return w.AddEngine(name, EngineAddress(i), 2)
+}
+
+// ReplaceService is ReplaceEngine for the i-th service.
+func (w *World) ReplaceService(i int, name string) *service.Service {
+	old := fmt.Sprint("portal-", i)
+	w.Net.Between("", old, (*Conn).Cut)
+	w.Platform.DeleteVM(old)
+	return w.AddService(name, ServiceAddress(i), 2)
+}
+
 // AddService starts a plain service and lists it.
 func (w *World) AddService(name, address string, generation uint64) *service.Service {
 	s := service.New(service.Options{Name: name})
-	w.Oracle.services[name] = s
+	w.Oracle.addService(name, s)
 	w.serve(name, address, s.Handler())
 	w.list(name, address, platform.KindService, PoolPortal, generation)
 	return s
@@ -139,7 +168,7 @@
 	for _, r := range w.Routers {
 		r.Close()
 	}
-	for _, e := range w.Oracle.engines {
+	for _, e := range w.Oracle.Engines() {
 		e.Close()
 	}
 	for _, srv := range w.servers {
--- a/test/faults/helper_test.go
+++ b/test/faults/helper_test.go
@@ -1,12 +1,14 @@
 package faults
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/faultkit"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
 	"github.com/stretchr/testify/require"
 )
 
@@ -46,3 +48,17 @@
 }
 
 func routerName(i int) string { return string(rune('a' + i)) }
+
+// holdNextCall holds the next call of the store up for d, or until its caller
+// gives up.
+func holdNextCall(w *faultkit.World, d time.Duration) {
+	w.Platform.Before(func(ctx context.Context, _ platformtest.Call) {
+		w.Platform.Before(nil)
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	})
+}
--- a/test/faults/matrix_test.go
+++ b/test/faults/matrix_test.go
@@ -5,7 +5,9 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"damaskrouter.example/damaskrouter/internal/faultkit"
@@ -24,27 +26,25 @@
 	run  func(t *testing.T)
 }
 
-// proofs are the tests by cell.
-type proofs map[faultkit.Key]proof
+// proofs are the tests by cell. A cell may have several, for different ends of
+// a connection or kinds of request; it is proved if all pass.
+type proofs map[faultkit.Key][]proof
 
 func (p proofs) add(f faultkit.Fault, s faultkit.Step, x proof) {
 	key := faultkit.Key{Fault: f, Step: s}
-	if _, twice := p[key]; twice {
-		panic("two proofs of " + string(f) + " at " + string(s))
-	}
-	p[key] = x
+	p[key] = append(p[key], x)
 }
 
 // merge takes in the proofs of one activity.
 func (p proofs) merge(more proofs) {
-	for key, x := range more {
-		p.add(key.Fault, key.Step, x)
+	for key, list := range more {
+		p[key] = append(p[key], list...)
 	}
 }
 
 func allProofs() proofs {
 	all := proofs{}
-	for _, some := range []func() proofs{receiptProofs} {
+	for _, some := range []func() proofs{receiptProofs, chatProofs, leaderProofs} {
 		all.merge(some())
 	}
 	return all
@@ -71,51 +71,78 @@
 	require.True(t, string(want) == page, "docs/FAULTS.md differs from the run; write it with -args -update")
 }
 
-// matrixRun is one run of the matrix.
+// matrixRun is one run of the matrix. Cells of a step run in parallel.
 type matrixRun struct {
 	proofs proofs
-	ran    map[faultkit.Key]bool
+
+	mu     sync.Mutex
+	ran    int
 	matrix faultkit.Matrix
 }
 
 func newMatrixRun(p proofs) *matrixRun {
-	return &matrixRun{proofs: p, ran: make(map[faultkit.Key]bool), matrix: faultkit.Matrix{}}
+	return &matrixRun{proofs: p, matrix: faultkit.Matrix{}}
 }
 
 // complete reports whether no proof was left out by -run.
-func (m *matrixRun) complete() bool { return len(m.ran) == len(m.proofs) }
+func (m *matrixRun) complete() bool { return m.ran == len(m.proofs) }
 
 func (m *matrixRun) step(t *testing.T, step faultkit.Step) {
 	for _, f := range faultkit.Singles {
-		m.cell(t, f, step)
+		m.cell(t, faultkit.Key{Fault: f, Step: step})
 	}
 	for _, f := range faultkit.Pairs {
-		if _, ok := m.proofs[faultkit.Key{Fault: f, Step: step}]; ok {
-			m.cell(t, f, step)
+		key := faultkit.Key{Fault: f, Step: step}
+		if _, ok := m.proofs[key]; ok {
+			m.cell(t, key)
 		}
 	}
 }
 
-func (m *matrixRun) cell(t *testing.T, f faultkit.Fault, step faultkit.Step) {
-	key := faultkit.Key{Fault: f, Step: step}
-	cell := faultkit.Cell{Fault: f, Step: step}
-	p, ok := m.proofs[key]
+func (m *matrixRun) cell(t *testing.T, key faultkit.Key) {
+	list, ok := m.proofs[key]
 	if !ok {
-		cell.Status, cell.Note = unproved(key)
-		m.matrix[key] = cell
+		status, why := unproved(key)
+		m.note(faultkit.Cell{Fault: key.Fault, Step: key.Step, Status: status, Note: why})
 		return
 	}
-	passed := t.Run(testName(string(f)), func(t *testing.T) {
-		m.ran[key] = true
-		p.run(t)
+	cell := faultkit.Cell{Fault: key.Fault, Step: key.Step, Status: faultkit.Proved}
+	cell.Promises, cell.Note = describe(list)
+	t.Run(testName(string(key.Fault)), func(t *testing.T) {
+		t.Parallel()
+		t.Cleanup(func() { m.prove(t, cell) })
+		for _, p := range list {
+			t.Run(testName(p.does), p.run)
+		}
 	})
-	cell.Status = faultkit.Failed
-	if passed {
-		cell.Status = faultkit.Proved
+}
+
+// prove notes a cell whose tests have run.
+func (m *matrixRun) prove(t *testing.T, c faultkit.Cell) {
+	if t.Failed() {
+		c.Status = faultkit.Failed
+	}
+	m.note(c)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ran++
+}
+
+func (m *matrixRun) note(c faultkit.Cell) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.matrix[faultkit.Key{Fault: c.Fault, Step: c.Step}] = c
+}
+
+// describe sums up the proofs of one cell for the page.
+func describe(list []proof) (promises []faultkit.Promise, does string) {
+	var texts []string
+	for _, p := range list {
+		texts = append(texts, p.does)
+		promises = append(promises, p.promises...)
 	}
-	cell.Promises = p.promises
-	cell.Note = p.does
-	m.matrix[key] = cell
+	slices.Sort(promises)
+	return slices.Compact(promises), strings.Join(texts, "; ")
 }
 
 func testName(s string) string { return strings.ReplaceAll(s, " ", "_") }
--- a/test/faults/receipts_test.go
+++ b/test/faults/receipts_test.go
@@ -1,7 +1,6 @@
 package faults
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,7 +46,7 @@
 type struck func(s *receipt, c *faultkit.Conn)
 
 func claimState(want claim.State) func(faultkit.StoreCall) bool {
-	return func(c faultkit.StoreCall) bool { return c.Write && c.State == string(want) }
+	return func(c faultkit.StoreCall) bool { return c.State() == string(want) }
 }
 
 func atStore(state claim.State, after bool) func(*receipt, func(*faultkit.Conn)) {
@@ -93,17 +92,7 @@
 
 // slowStore holds the next call up for d, or until its caller gives up.
 func slowStore(d time.Duration) struck {
-	return func(s *receipt, _ *faultkit.Conn) {
-		s.Platform.Before(func(ctx context.Context, _ platformtest.Call) {
-			s.Platform.Before(nil)
-			t := time.NewTimer(d)
-			defer t.Stop()
-			select {
-			case <-t.C:
-			case <-ctx.Done():
-			}
-		})
-	}
+	return func(s *receipt, _ *faultkit.Conn) { holdNextCall(s.World, d) }
 }
 
 // lostThenDown lets the next commit lose its reply and the store go down with it.
