capacity: owners moved, datagrams, locate, holder reports; settled membership

Ruled out: a longer run of the existing benchmark, which does not report detection and propagation from the same settled fleet.

--- a/internal/capacity/board_test.go
+++ b/internal/capacity/board_test.go
@@ -1,6 +1,8 @@
 package capacity_test
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 
@@ -8,6 +10,7 @@
 	"damaskrouter.example/damaskrouter/internal/capacity"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/quota"
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
 )
 
 const self = "entry-000"
@@ -137,3 +140,90 @@
 		}
 	})
 }
+
+// BenchmarkOwnersMoved takes a share of the target's routers away, as when a
+// rack, a data centre or a region is lost, and counts the engines and accounts
+// that get a new owner. Time is that of the snapshot and of the books that one
+// remaining router opens.
+func BenchmarkOwnersMoved(b *testing.B) {
+	f := fleetOf(b, capacity.Target())
+	for _, parts := range []int{20, 6, 2} {
+		b.Run(fmt.Sprintf("lost=one-in-%d", parts), func(b *testing.B) {
+			bd := f.Start(contextOf(b), self)
+			a := admissionOf(b, bd, self, new(peer.Counters))
+			before := bd.Snapshot()
+			bd.UpdateWait(func(s *board.State) { loseRouters(s, f.Size.Routers/parts) })
+			after := bd.Snapshot()
+			for b.Loop() {
+				a.Sync(before)
+				a.Sync(after)
+			}
+			b.ReportMetric(float64(moved(before, after, engineIDs(f))), "engines-moved")
+			b.ReportMetric(float64(moved(before, after, accountIDs(f))), "accounts-moved")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(2*b.N), "us/sync")
+		})
+	}
+}
+
+// loseRouters removes the routers with the highest numbers.
+func loseRouters(s *board.State, n int) {
+	routers := maps.Clone(s.Routers)
+	total := len(routers)
+	for i := total - n; i < total; i++ {
+		delete(routers, capacity.RouterName(i))
+	}
+	s.Routers = routers
+}
+
+func moved(before, after *board.Snapshot, keys []uint64) (count int) {
+	for _, k := range keys {
+		old, _ := before.Owner(k)
+		now, _ := after.Owner(k)
+		if old.Name != now.Name {
+			count++
+		}
+	}
+	return count
+}
+
+func engineIDs(f *capacity.Fleet) (ids []uint64) {
+	for _, e := range f.Engines {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+func accountIDs(f *capacity.Fleet) (ids []uint64) {
+	for i := range f.Size.Accounts {
+		ids = append(ids, rendezvous.ID("account/"+capacity.AccountName(i)))
+	}
+	return ids
+}
+
+// BenchmarkOwnersSpread counts the engines of the busiest owner, and the share
+// of the engines whose owner is a router in another region.
+func BenchmarkOwnersSpread(b *testing.B) {
+	perSize(b, func(b *testing.B, f *capacity.Fleet) {
+		snap := f.Start(contextOf(b), self).Snapshot()
+		regions := make(map[string]string)
+		for _, s := range f.Config.Sites {
+			regions[s.Name] = s.Region
+		}
+		owned := make(map[string]int)
+		most, abroad := 0, 0
+		for b.Loop() {
+			clear(owned)
+			most, abroad = 0, 0
+			for _, e := range snap.Engines {
+				r, _ := snap.Owner(e.ID)
+				owned[r.Name]++
+				most = max(most, owned[r.Name])
+				if regions[r.Site] != e.Region {
+					abroad++
+				}
+			}
+		}
+		b.ReportMetric(float64(most), "engines-busiest")
+		b.ReportMetric(float64(abroad)/float64(len(snap.Engines)), "share-other-region")
+	})
+}
--- a/internal/capacity/gossip_test.go
+++ b/internal/capacity/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,57 +106,86 @@
 
 var gossipSizes = []int{9, 18, 36, 72, 144, 380}
 
-// BenchmarkMembership is the control traffic and the processor time of
-// membership in a fleet in which nothing happens, per router. Processor time
-// includes the simulated network's.
+// settle is how long a fleet that has just started spreads its members.
+const settle = 2 * time.Minute
+
+// BenchmarkMembership starts a fleet, lets it settle and measures, per router:
+// the traffic and the processor time at rest, the spread of a new head of the
+// configuration, the changes of the table of members that follow from it, and
+// the loss of one router. Processor time includes the simulated network's.
 func BenchmarkMembership(b *testing.B) {
-	const span = 60 * time.Second
 	for _, n := range gossipSizes {
 		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
 			for b.Loop() {
 				g := newGossipFleet(b, n, int64(n))
-				in0, out0 := g.bytes()
-				cpu := processorTime(b)
-				g.net.RunFor(span)
-				cpu = processorTime(b) - cpu
-				in1, out1 := g.bytes()
-				per := span.Seconds() * float64(n)
-				b.ReportMetric((in1-in0)/per, "B/s-in")
-				b.ReportMetric((out1-out0)/per, "B/s-out")
-				b.ReportMetric(float64(cpu.Microseconds())/per, "cpu-us/s")
+				g.net.RunFor(settle)
+				rest := g.measureRest()
+				g.measureHead(rest)
+				g.measureLoss()
 			}
 		})
 	}
 }
 
-// BenchmarkMembershipMemory is the heap of one router's endpoint.
-func BenchmarkMembershipMemory(b *testing.B) {
-	for _, n := range gossipSizes {
-		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
-			for b.Loop() {
-				bytes := heapOf(func() any { return newGossipFleet(b, n, int64(n)) })
-				b.ReportMetric(bytes/float64(n), "heap-B")
-			}
-		})
+// measureRest returns the bytes a second and router, in and out together.
+func (g *gossipFleet) measureRest() (rest float64) {
+	const span = 60 * time.Second
+	in0, out0 := g.bytes()
+	cpu := processorTime(g.b)
+	g.net.RunFor(span)
+	cpu = processorTime(g.b) - cpu
+	in1, out1 := g.bytes()
+	per := span.Seconds() * float64(len(g.nodes))
+	g.b.ReportMetric((in1-in0)/per, "B/s-in")
+	g.b.ReportMetric((out1-out0)/per, "B/s-out")
+	g.b.ReportMetric(float64(cpu.Microseconds())/per, "cpu-us/s")
+	return (in1 - in0 + out1 - out0) / per
+}
+
+// measureHead is the time until half and all of the routers have heard of a
+// new head, and the bytes that each spends on it beyond those at rest. Then
+// each router says that it has the version in force.
+func (g *gossipFleet) measureHead(rest float64) {
+	const span = 10 * time.Second
+	n := float64(len(g.nodes))
+	start := g.net.Now()
+	in0, out0 := g.bytes()
+	item := membership.Item{Kind: controller.ItemConfigHead, Key: "head", Version: 2, Value: make([]byte, 32)}
+	require.NoError(g.b, g.nodes[0].Endpoint.Detector().Broadcast(item))
+	half := g.until(time.Minute, func() bool { return g.heard() >= len(g.nodes)/2 })
+	all := half + g.until(time.Minute, func() bool { return g.heard() == len(g.nodes) })
+	g.net.RunFor(start + span - g.net.Now())
+	in1, out1 := g.bytes()
+	g.b.ReportMetric(half.Seconds(), "s-head-half")
+	g.b.ReportMetric(all.Seconds(), "s-head-all")
+	g.b.ReportMetric((in1-in0+out1-out0)/n-rest*span.Seconds(), "B/head")
+
+	before := g.changes()
+	for _, node := range g.nodes {
+		node.Endpoint.Detector().SetConfigVersion(2)
 	}
+	g.net.RunFor(settle)
+	g.b.ReportMetric(float64(g.changes()-before)/n, "table-changes/head")
 }
 
-// BenchmarkDetection removes one router and waits until the first and the last
-// of the others hold it to be dead.
-func BenchmarkDetection(b *testing.B) {
-	for _, n := range gossipSizes {
-		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
-			for b.Loop() {
-				g := newGossipFleet(b, n, int64(n))
-				in0, out0 := g.bytes()
-				first, last := g.loseOne()
-				in1, out1 := g.bytes()
-				b.ReportMetric(first.Seconds(), "s-first")
-				b.ReportMetric(last.Seconds(), "s-last")
-				b.ReportMetric((in1-in0+out1-out0)/float64(n)/last.Seconds(), "B/s-meanwhile")
-			}
-		})
+func (g *gossipFleet) heard() (count int) {
+	for _, node := range g.nodes {
+		if len(node.Endpoint.Detector().Items()) > 0 {
+			count++
+		}
 	}
+	return count
+}
+
+// measureLoss removes one router and waits until the first and the last of the
+// others hold it to be dead.
+func (g *gossipFleet) measureLoss() {
+	in0, out0 := g.bytes()
+	first, last := g.loseOne()
+	in1, out1 := g.bytes()
+	g.b.ReportMetric(first.Seconds(), "s-dead-first")
+	g.b.ReportMetric(last.Seconds(), "s-dead-all")
+	g.b.ReportMetric((in1-in0+out1-out0)/float64(len(g.nodes))/last.Seconds(), "B/s-meanwhile")
 }
 
 func (g *gossipFleet) loseOne() (first, last time.Duration) {
@@ -173,6 +203,18 @@
 	return first, last
 }
 
+// BenchmarkMembershipMemory is the heap of one router's endpoint.
+func BenchmarkMembershipMemory(b *testing.B) {
+	for _, n := range gossipSizes {
+		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				bytes := heapOf(func() any { return newGossipFleet(b, n, int64(n)) })
+				b.ReportMetric(bytes/float64(n), "heap-B")
+			}
+		})
+	}
+}
+
 // BenchmarkMassLoss removes a share of the routers at once, as when a data
 // centre or a region goes, and waits until all that remain agree.
 func BenchmarkMassLoss(b *testing.B) {
@@ -180,6 +222,7 @@
 		b.Run(fmt.Sprintf("routers=380/lost=one-in-%d", parts), func(b *testing.B) {
 			for b.Loop() {
 				g := newGossipFleet(b, 380, 1)
+				g.net.RunFor(settle)
 				lost := len(g.nodes) / parts
 				for _, node := range g.nodes[:lost] {
 					g.net.Remove(node.Address)
@@ -195,51 +238,52 @@
 	}
 }
 
-// BenchmarkHeadPropagation is the time until half and all of the routers have
-// heard of a new head of the configuration, and what it costs each in bytes
-// beyond the traffic at rest. Then each router says that it has the version
-// in force; changes is how often that changes the other routers' tables.
-func BenchmarkHeadPropagation(b *testing.B) {
-	for _, n := range gossipSizes {
-		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
-			for b.Loop() {
-				benchmarkHead(b, newGossipFleet(b, n, int64(n)))
-			}
-		})
-	}
-}
-
-func benchmarkHead(b *testing.B, g *gossipFleet) {
-	const settle = 10 * time.Second
-	n := float64(len(g.nodes))
-	in0, out0 := g.bytes()
-	g.net.RunFor(settle)
-	in1, out1 := g.bytes()
-	rest := in1 - in0 + out1 - out0
-
-	item := membership.Item{Kind: controller.ItemConfigHead, Key: "head", Version: 2, Value: make([]byte, 32)}
-	require.NoError(b, g.nodes[0].Endpoint.Detector().Broadcast(item))
-	has := func(d *membership.Detector) bool { return len(d.Items()) > 0 }
-	heard := func() (count int) {
-		for _, node := range g.nodes {
-			if has(node.Endpoint.Detector()) {
-				count++
+// BenchmarkDatagram is the processor time of one load digest at its sender and
+// its receiver together, over real sockets. As in a round of digests, they go
+// out in bursts.
+func BenchmarkDatagram(b *testing.B) {
+	const (
+		digestSize = 24
+		burst      = 64
+		pause      = 20 * time.Millisecond
+	)
+	var received atomic.Int64
+	from, to := driverOf(b, 1), driverOf(b, 2, 1)
+	require.NoError(b, to.OnDatagram(controller.ChannelLoads, func(uint64, []byte) { received.Add(1) }))
+	id := to.Self().ID
+	payload := make([]byte, digestSize)
+	require.Eventually(b, func() bool {
+		return from.SendTo(id, controller.ChannelLoads, payload) == nil && received.Load() > 0
+	}, time.Minute, 10*time.Millisecond)
+	sent, got := 0, received.Load()
+	cpu := processorTime(b)
+	for b.Loop() {
+		for range burst {
+			if from.SendTo(id, controller.ChannelLoads, payload) == nil {
+				sent++
 			}
 		}
-		return count
+		time.Sleep(pause)
 	}
-	half := g.until(time.Minute, func() bool { return heard() >= len(g.nodes)/2 })
-	all := half + g.until(time.Minute, func() bool { return g.all(-1, has) })
-	b.ReportMetric(half.Seconds(), "s-half")
-	b.ReportMetric(all.Seconds(), "s-all")
-	g.net.RunFor(settle - min(all, settle))
-	in2, out2 := g.bytes()
-	b.ReportMetric((in2-in1+out2-out1-rest)/n, "B/router")
+	cpu = processorTime(b) - cpu
+	b.ReportMetric(float64(cpu.Microseconds())/float64(max(sent, 1)), "cpu-us/datagram")
+	b.ReportMetric(float64(received.Load()-got)/float64(max(sent, 1)), "share-received")
+}
 
-	before := g.changes()
-	for _, node := range g.nodes {
-		node.Endpoint.Detector().SetConfigVersion(2)
+// driverOf runs membership of one router on a loopback address of its own.
+func driverOf(b *testing.B, n int, seeds ...int) *gossip.Driver {
+	addr := func(i int) string { return fmt.Sprintf("127.0.0.%d:%d", 10+i, 24700) }
+	opts := membership.Options{}
+	for _, s := range seeds {
+		opts.Seeds = append(opts.Seeds, addr(s))
 	}
-	g.net.RunFor(2 * time.Minute)
-	b.ReportMetric(float64(g.changes()-before)/n, "table-changes/router")
+	d, err := gossip.Listen(gossip.Config{
+		Listen:  addr(n),
+		Self:    membership.Member{Name: capacity.RouterName(n), ID: uint64(n), Address: addr(n), HTTP: addr(n), Site: "site-0"},
+		Options: opts,
+		Keys:    gossip.Keys{Active: gossip.Key{ID: 1, Secret: []byte("0123456789abcdef")}},
+	})
+	require.NoError(b, err)
+	b.Cleanup(d.Close)
+	return d
 }
--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"runtime"
 	"syscall"
 	"testing"
@@ -69,8 +70,9 @@
 func admissionOf(b *testing.B, bd *board.Board, self string, cnt *peer.Counters) *admission.Admission {
 	caller := peer.NewCaller(self, fleetKeys, cnt)
 	b.Cleanup(caller.Close)
+	r, _ := bd.Snapshot().Router(self)
 	a := admission.New(admission.Options{
-		Board: bd, Caller: caller, Self: self, Instance: 1, Rand: rand.New(rand.NewPCG(1, 1)),
+		Board: bd, Caller: caller, Self: self, Instance: r.Instance, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	b.Cleanup(a.Close)
 	return a
@@ -82,3 +84,21 @@
 		a.EngineReport(&e, f.Status(e, running))
 	}
 }
+
+// serve puts an RPC service behind a real connection and returns what calls
+// its methods. The counters are the caller's.
+func serve(b *testing.B, name string, service any, cnt *peer.Counters) (call func(method string, args, reply any)) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = ln.Close() })
+	srv := peer.NewServer(self, fleetKeys, new(peer.Counters))
+	require.NoError(b, srv.Register(name, service))
+	go srv.Serve(ln)
+	b.Cleanup(srv.Close)
+	caller := peer.NewCaller("asker", fleetKeys, cnt)
+	b.Cleanup(caller.Close)
+	t := peer.Target{Name: self, Address: ln.Addr().String()}
+	return func(method string, args, reply any) {
+		require.NoError(b, caller.Call(context.Background(), t, name+"."+method, args, reply))
+	}
+}
--- a/internal/capacity/permits_test.go
+++ b/internal/capacity/permits_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"net"
 	"strconv"
 	"testing"
 	"time"
@@ -178,10 +177,7 @@
 				continue
 			}
 			var reply admission.AcquireReply
-			args := admission.AcquireArgs{
-				Pool: e.Pool, Region: e.Region, Engine: e.ID,
-				ID: uuid.NewString(), Holder: name, Router: name, Weight: 1,
-			}
+			args := admission.AcquireArgs{Engine: e.ID, ID: uuid.New(), Holder: name + "#1", Weight: 1}
 			_ = a.Service().Acquire(args, &reply)
 		}
 	}
@@ -210,59 +206,72 @@
 }
 
 // BenchmarkRemotePermit asks the owner of an engine for a permit over a real
-// connection between two routers and gives it back. Bytes are those of the
-// calls as the asking router counts them, without TCP and IP headers; a
-// refused ask is asked again. owned is how many engines of
-// the pool the owner has, whose loads come along with each answer.
+// connection and gives it back, one call each. Bytes are those of the calls,
+// without TCP and IP headers.
 func BenchmarkRemotePermit(b *testing.B) {
-	for _, owned := range []int{1, 3, 10} {
-		b.Run(fmt.Sprintf("owned=%d", owned), func(b *testing.B) { benchmarkRemotePermit(b, owned) })
-	}
-}
-
-func benchmarkRemotePermit(b *testing.B, owned int) {
-	f := fleetOf(b, capacity.Size{Routers: 2, Engines: 2 * owned, Pools: 1, Accounts: 10, Sites: 1, Regions: 1})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	b.Cleanup(func() { _ = ln.Close() })
-	owner := f.Routers[capacity.RouterName(1)]
-	owner.Control = ln.Addr().String()
-	f.Routers[owner.Name] = owner
-
-	ctx := contextOf(b)
+	f := fleetOf(b, capacity.Size{Routers: 1, Engines: 12, Pools: 1, Accounts: 10, Sites: 1, Regions: 1})
+	bd := f.Start(contextOf(b), self)
+	keeper := admissionOf(b, bd, self, new(peer.Counters))
+	keeper.Sync(bd.Snapshot())
+	reportAll(f, keeper, bd.Snapshot(), config.DefaultMaxBatch/2)
 	var cnt peer.Counters
-	ownerBoard, askerBoard := f.Start(ctx, owner.Name), f.Start(ctx, self)
-	keeper := admissionOf(b, ownerBoard, owner.Name, new(peer.Counters))
-	keeper.Sync(ownerBoard.Snapshot())
-	reportAll(f, keeper, ownerBoard.Snapshot(), 0)
-	srv := peer.NewServer(owner.Name, fleetKeys, new(peer.Counters))
-	require.NoError(b, srv.Register(admission.ServiceName, keeper.Service()))
-	go srv.Serve(ln)
-	b.Cleanup(srv.Close)
-
-	asker := admissionOf(b, askerBoard, self, &cnt)
-	asker.Sync(askerBoard.Snapshot())
-	ask := func(chat uint64) {
-		g, err := asker.Admit(ctx, chatRequest(f, chat))
-		require.NoError(b, err)
-		g.Release()
-	}
-	for chat := range uint64(50) {
-		ask(chat)
+	call := serve(b, admission.ServiceName, keeper.Service(), &cnt)
+	const holder = "entry-123#1hlyev0kq0nl3"
+	engine := bd.Snapshot().Engines["engine-0000"].ID
+	pair := func() {
+		var granted admission.AcquireReply
+		id := uuid.New()
+		call("Acquire", admission.AcquireArgs{Engine: engine, ID: id, Holder: holder, Weight: 1500}, &granted)
+		require.Equal(b, admission.Granted, granted.Verdict)
+		var released admission.ReleaseReply
+		permits := []admission.ReleasedPermit{{Engine: engine, ID: id}}
+		call("Release", admission.ReleaseArgs{Holder: holder, Permits: permits}, &released)
 	}
-	time.Sleep(100 * time.Millisecond)
-	in, out, asked := cnt.In.Load(), cnt.Out.Load(), asker.Metrics.Asked.Load()
-	cpu := processorTime(b)
-	chat := uint64(50)
+	pair()
+	in, out, cpu := cnt.In.Load(), cnt.Out.Load(), processorTime(b)
 	for b.Loop() {
-		chat++
-		ask(chat)
+		pair()
 	}
-	time.Sleep(100 * time.Millisecond)
 	cpu = processorTime(b) - cpu
-	asks := float64(asker.Metrics.Asked.Load() - asked)
-	b.ReportMetric(float64(cnt.Out.Load()-out)/asks, "B-out/ask")
-	b.ReportMetric(float64(cnt.In.Load()-in)/asks, "B-in/ask")
-	b.ReportMetric(float64(cpu.Microseconds())/asks, "cpu-us/ask")
-	b.ReportMetric(asks/float64(b.N), "asks/permit")
+	b.ReportMetric(float64(cnt.Out.Load()-out)/float64(b.N), "B-out/permit")
+	b.ReportMetric(float64(cnt.In.Load()-in)/float64(b.N), "B-in/permit")
+	b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/permit")
+}
+
+// BenchmarkHolderReport is one report of a holder to the owner of two engines,
+// by the permits held at one of them. It is sent every five seconds.
+func BenchmarkHolderReport(b *testing.B) {
+	f := fleetOf(b, capacity.Size{Routers: 1, Engines: 2, Pools: 1, Accounts: 10, Sites: 1, Regions: 1})
+	bd := f.Start(contextOf(b), self)
+	keeper := admissionOf(b, bd, self, new(peer.Counters))
+	keeper.Sync(bd.Snapshot())
+	reportAll(f, keeper, bd.Snapshot(), config.DefaultMaxBatch/2)
+	for _, held := range []int{1, 2, 10} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			var cnt peer.Counters
+			call := serve(b, admission.ServiceName, keeper.Service(), &cnt)
+			args := admission.ReportArgs{Holder: "entry-123#1hlyev0kq0nl3", Engines: holdings(f, held)}
+			for b.Loop() {
+				args.Seq++
+				call("Report", args, new(admission.ReportReply))
+			}
+			b.ReportMetric(float64(cnt.In.Load()+cnt.Out.Load())/float64(b.N), "B/report")
+		})
+	}
+}
+
+// holdings lists permits at one engine, and none at the others.
+func holdings(f *capacity.Fleet, held int) map[uint64][]admission.ReportedPermit {
+	out := make(map[uint64][]admission.ReportedPermit)
+	for name, e := range f.Engines {
+		out[e.ID] = nil
+		if name != "engine-0000" {
+			continue
+		}
+		for range held {
+			p := admission.ReportedPermit{Held: permit.Held{ID: uuid.NewString(), Weight: 1500}, Incarnation: 1}
+			out[e.ID] = append(out[e.ID], p)
+		}
+	}
+	return out
 }
--- a/internal/capacity/quota_test.go
+++ b/internal/capacity/quota_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
@@ -20,29 +19,20 @@
 // Bytes are those of the call, without TCP and IP headers.
 func BenchmarkAccountAsk(b *testing.B) {
 	f := fleetOf(b, capacity.Size{Routers: 2, Engines: 2, Pools: 1, Accounts: 10, Sites: 1, Regions: 1})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	b.Cleanup(func() { _ = ln.Close() })
 	bd := f.Start(contextOf(b), self)
 	q := quota.New(quota.Options{Board: bd, Self: self, Instance: 1, Rand: rand.New(rand.NewPCG(1, 1))})
-	srv := peer.NewServer(self, fleetKeys, new(peer.Counters))
-	require.NoError(b, srv.Register(quota.ServiceName, q.Service()))
-	go srv.Serve(ln)
-	b.Cleanup(srv.Close)
-
 	var cnt peer.Counters
-	caller := peer.NewCaller("asker", fleetKeys, &cnt)
-	b.Cleanup(caller.Close)
+	call := serve(b, quota.ServiceName, q.Service(), &cnt)
+	account := ownedAccount(q, f)
 	seq := uint64(0)
 	ask := func() {
 		seq++
-		args := quota.GrantArgs{Account: ownedAccount(q, f), Ask: limit.Ask{
+		args := quota.GrantArgs{Account: account, Ask: limit.Ask{
 			Report:     limit.Report{Router: "entry-123#1hlyev0kq0nl3", Seq: seq, Held: 3},
 			WantTokens: 2, WantSlots: 1,
 		}}
 		var reply quota.GrantReply
-		t := peer.Target{Name: self, Address: ln.Addr().String()}
-		require.NoError(b, caller.Call(b.Context(), t, quota.ServiceName+".Grant", args, &reply))
+		call("Grant", args, &reply)
 		require.True(b, reply.Owner)
 	}
 	ask()
--- a/internal/capacity/relay_test.go
+++ b/internal/capacity/relay_test.go
@@ -153,6 +153,33 @@
 	}
 }
 
+// BenchmarkLocate is one locate for a chat over a kept connection, client and
+// router in the same process.
+func BenchmarkLocate(b *testing.B) {
+	r := newRelayBench(b)
+	cpu := processorTime(b)
+	n := 0
+	for b.Loop() {
+		n++
+		r.locate(b, fmt.Sprint("chat-", n))
+	}
+	cpu = processorTime(b) - cpu
+	b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/locate")
+}
+
+func (r *relayBench) locate(b *testing.B, chat string) {
+	url := r.router + wire.PathLocate + "?model=model-0&chat=" + chat
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, url, nil)
+	require.NoError(b, err)
+	req.Header.Set("Authorization", "Bearer "+r.key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(b, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(b, err)
+	require.NoError(b, resp.Body.Close())
+	require.Equal(b, http.StatusOK, resp.StatusCode)
+}
+
 // footprint is the bytes of heap and stacks in use after a collection.
 func footprint() float64 {
 	var m runtime.MemStats
--- a/internal/capacity/store_test.go
+++ b/internal/capacity/store_test.go
@@ -48,30 +48,13 @@
 	return nil
 }
 
-// serveFleet puts the stub behind a real connection.
-func serveFleet(b *testing.B, stub *fleetStub, cnt *peer.Counters) (call func(method string, args, reply any)) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	b.Cleanup(func() { _ = ln.Close() })
-	srv := peer.NewServer(self, fleetKeys, new(peer.Counters))
-	require.NoError(b, srv.Register(controller.FleetService, stub))
-	go srv.Serve(ln)
-	b.Cleanup(srv.Close)
-	caller := peer.NewCaller("asker", fleetKeys, cnt)
-	b.Cleanup(caller.Close)
-	t := peer.Target{Name: self, Address: ln.Addr().String()}
-	return func(method string, args, reply any) {
-		require.NoError(b, caller.Call(context.Background(), t, controller.FleetService+"."+method, args, reply))
-	}
-}
-
 // BenchmarkConfigFetch fetches one version from another router and puts it in
 // force.
 func BenchmarkConfigFetch(b *testing.B) {
 	perSize(b, func(b *testing.B, f *capacity.Fleet) {
 		var cnt peer.Counters
 		stub := &fleetStub{config: controller.ConfigReply{Version: 1, Hash: f.Bundle.Hash(), Bundle: f.Bundle.Encode()}}
-		call := serveFleet(b, stub, &cnt)
+		call := serve(b, controller.FleetService, stub, &cnt)
 		for b.Loop() {
 			var reply controller.ConfigReply
 			call("Config", controller.ConfigArgs{AtLeast: 1}, &reply)
@@ -94,7 +77,8 @@
 		for name, etag := range map[string]uint64{"same": 7, "changed": 6} {
 			b.Run(name, func(b *testing.B) {
 				var cnt peer.Counters
-				call := serveFleet(b, &fleetStub{vms: controller.VMsReply{Known: true, Etag: 7, VMs: vms}}, &cnt)
+				stub := &fleetStub{vms: controller.VMsReply{Known: true, Etag: 7, VMs: vms}}
+				call := serve(b, controller.FleetService, stub, &cnt)
 				for b.Loop() {
 					var reply controller.VMsReply
 					call("VMs", controller.VMsArgs{Etag: etag}, &reply)
