--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,44 @@
+package capacity_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"damaskrouter.example/damaskrouter/internal/capacity"
+	"damaskrouter.example/damaskrouter/internal/config"
+)
+
+// Symptom: a slope is measured on a fleet that no router would accept, or that
+// is smaller than its name says.
+// Sequence: the documents' rules change, the generated one does not.
+func TestFleetIsValidAndHasItsSize(t *testing.T) {
+	for _, size := range capacity.Steps() {
+		f, err := capacity.New(size)
+		require.NoError(t, err)
+		assert.Empty(t, config.Validate(f.Bundle), size)
+		assert.Len(t, f.Routers, size.Routers)
+		assert.Len(t, f.Engines, size.Engines)
+		assert.Len(t, f.Config.Accounts, size.Accounts)
+		assert.Len(t, f.Config.Pools, size.Pools)
+		assert.Len(t, f.VMs(), size.Routers+size.Engines)
+	}
+}
+
+// Symptom: the per-router figures are means over routers that own nothing.
+// Sequence: the owners of engines are found by another rule than the board's.
+func TestEveryEngineHasOneOwner(t *testing.T) {
+	f, err := capacity.New(capacity.Today())
+	require.NoError(t, err)
+	owned := make(map[string]int)
+	for name := range f.Routers {
+		for _, e := range capacity.Owned(f.Start(t.Context(), name).Snapshot()) {
+			owned[e.Name]++
+		}
+	}
+	require.Len(t, owned, f.Size.Engines)
+	for name, n := range owned {
+		assert.Equal(t, 1, n, name)
+	}
+}
