capacity: how many fleets hear of a new head too late

A router sends a head four times at up to 9 routers; one that none of these reaches waits for the next digest. Ruled out: loss, or the start of the fleet: the fleets had settled, loss was 0.

--- a/internal/capacity/gossip_test.go
+++ b/internal/capacity/gossip_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"damaskrouter.example/damaskrouter/internal/capacity"
+	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
 	"damaskrouter.example/damaskrouter/internal/gossip"
 	"damaskrouter.example/damaskrouter/internal/gossip/simnet"
@@ -107,7 +108,7 @@
 var gossipSizes = []int{9, 18, 36, 72, 144, 380}
 
 // settle is how long a fleet that has just started spreads its members.
-const settle = 2 * time.Minute
+const settle = 5 * time.Minute
 
 // BenchmarkMembership starts a fleet, lets it settle and measures, per router:
 // the traffic and the processor time at rest, the spread of a new head of the
@@ -150,10 +151,7 @@
 	n := float64(len(g.nodes))
 	start := g.net.Now()
 	in0, out0 := g.bytes()
-	item := membership.Item{Kind: controller.ItemConfigHead, Key: "head", Version: 2, Value: make([]byte, 32)}
-	require.NoError(g.b, g.nodes[0].Endpoint.Detector().Broadcast(item))
-	half := g.until(time.Minute, func() bool { return g.heard() >= len(g.nodes)/2 })
-	all := half + g.until(time.Minute, func() bool { return g.heard() == len(g.nodes) })
+	half, all := g.spreadHead()
 	g.net.RunFor(start + span - g.net.Now())
 	in1, out1 := g.bytes()
 	g.b.ReportMetric(half.Seconds(), "s-head-half")
@@ -168,6 +166,16 @@
 	g.b.ReportMetric(float64(g.changes()-before)/n, "table-changes/head")
 }
 
+// spreadHead announces a new head at one router and returns when half and all
+// of the routers have heard of it.
+func (g *gossipFleet) spreadHead() (half, all time.Duration) {
+	item := membership.Item{Kind: controller.ItemConfigHead, Key: "head", Version: 2, Value: make([]byte, 32)}
+	require.NoError(g.b, g.nodes[0].Endpoint.Detector().Broadcast(item))
+	half = g.until(time.Minute, func() bool { return g.heard() >= len(g.nodes)/2 })
+	all = half + g.until(time.Minute, func() bool { return g.heard() == len(g.nodes) })
+	return half, all
+}
+
 func (g *gossipFleet) heard() (count int) {
 	for _, node := range g.nodes {
 		if len(node.Endpoint.Detector().Items()) > 0 {
@@ -287,3 +295,80 @@
 	b.Cleanup(d.Close)
 	return d
 }
+
+// inForceWithin is how soon a change must hold everywhere, less what a router
+// needs to notice, fetch and compile it.
+const inForceWithin = config.InForceWithin - 2*time.Second
+
+// BenchmarkHeadWorst is the time until all routers had heard of a new head,
+// and until all had heard of it or of a router that has it in force, over
+// fleets with different seeds. late is the share of the fleets that took too
+// long.
+func BenchmarkHeadWorst(b *testing.B) {
+	for n, seeds := range map[int]int{3: 300, 6: 300, 9: 300, 18: 100, 36: 30} {
+		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var head, known lateness
+				for seed := range int64(seeds) {
+					g := newGossipFleet(b, n, 1000+seed)
+					g.net.RunFor(settle)
+					byHead, byVersion := g.spreadVersion()
+					head.add(byHead)
+					known.add(byVersion)
+				}
+				b.ReportMetric(head.worst.Seconds(), "s-head-worst")
+				b.ReportMetric(head.share(), "late-head")
+				b.ReportMetric(known.worst.Seconds(), "s-known-worst")
+				b.ReportMetric(known.share(), "late-known")
+			}
+		})
+	}
+}
+
+// lateness collects times of fleets.
+type lateness struct {
+	worst       time.Duration
+	late, count int
+}
+
+func (l *lateness) add(d time.Duration) {
+	l.worst = max(l.worst, d)
+	l.count++
+	if d > inForceWithin {
+		l.late++
+	}
+}
+
+func (l *lateness) share() float64 { return float64(l.late) / float64(l.count) }
+
+// spreadVersion announces a new head. Routers that have heard of it say that
+// they have it in force.
+func (g *gossipFleet) spreadVersion() (byHead, byVersion time.Duration) {
+	const version = 2
+	item := membership.Item{Kind: controller.ItemConfigHead, Key: "head", Version: version, Value: make([]byte, 32)}
+	require.NoError(g.b, g.nodes[0].Endpoint.Detector().Broadcast(item))
+	start := g.net.Now()
+	allHeard := func() bool {
+		for _, node := range g.nodes {
+			if d := node.Endpoint.Detector(); len(d.Items()) > 0 {
+				d.SetConfigVersion(version)
+			}
+		}
+		if byVersion == 0 && g.all(-1, func(d *membership.Detector) bool { return knows(d, version) }) {
+			byVersion = g.net.Now() - start
+		}
+		return g.heard() == len(g.nodes)
+	}
+	byHead = g.until(time.Minute, allHeard)
+	return byHead, byVersion
+}
+
+// knows reports whether any router is known to have the version in force.
+func knows(d *membership.Detector, version uint64) bool {
+	for _, m := range d.Members() {
+		if m.ConfigVersion >= version {
+			return true
+		}
+	}
+	return false
+}
