Follow the version that peers have in force, not the heard head alone

Cause: a router that the broadcast of a head misses waits for a digest. Every packet says which version its sender has in force, but only a head that was heard of led to a fetch. Ruled out: sending heads more often, which costs bytes for the rare miss. A version that is refused is noted, and so fetched once, not every second; the second test counts that.

--- a/internal/controller/configs.go
+++ b/internal/controller/configs.go
@@ -161,12 +161,23 @@
 	return c.newest
 }
 
-// learnFromPeers lets a fresh router in a store outage take the highest
-// version that its peers have. It serves nothing until it has one.
+// learnFromPeers takes a version of which this router has not heard from a peer
+// that says it has it in force. A fresh router in a store outage gets its first
+// one so; it serves nothing until then. Any other router may have been missed by
+// the broadcast of a head, and would wait for a digest for ten seconds or more.
 func (c *Configs) learnFromPeers(ctx context.Context) {
-	if c.Current(0).Version == 0 {
-		c.fromPeers(ctx, config.Head{Version: 1})
+	c.fromPeers(ctx, config.Head{Version: c.unheard()})
+}
+
+// unheard is the least version that this router can't know of.
+func (c *Configs) unheard() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.follower.InForce()
+	if now == nil {
+		return 1
 	}
+	return max(now.Version, c.newest.Version) + 1
 }
 
 // fromPeers asks routers that say they have the version.
@@ -186,6 +197,8 @@
 		if err != nil || reply.Version < want.Version {
 			continue
 		}
+		// Noted, so that a version that is refused here is not fetched again.
+		c.notice(config.Head{Version: reply.Version, Hash: reply.Hash})
 		b, err := config.DecodeBundle(reply.Bundle)
 		if err != nil {
 			c.Log.Warn("configuration from peer can't be decoded", "peer", r.Name, "cause", err)
