--- a/internal/capacity/store_test.go
+++ b/internal/capacity/store_test.go
@@ -31,6 +31,7 @@
 type fleetStub struct {
 	config controller.ConfigReply
 	vms    controller.VMsReply
+	seen   controller.ObserveReply
 }
 
 // Config returns the configuration.
@@ -48,21 +49,39 @@
 	return nil
 }
 
-// serveFleet puts the stub behind a real connection.
-func serveFleet(b *testing.B, stub *fleetStub, cnt *peer.Counters) (call func(method string, args, reply any)) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	b.Cleanup(func() { _ = ln.Close() })
-	srv := peer.NewServer(self, fleetKeys, new(peer.Counters))
-	require.NoError(b, srv.Register(controller.FleetService, stub))
-	go srv.Serve(ln)
-	b.Cleanup(srv.Close)
-	caller := peer.NewCaller("asker", fleetKeys, cnt)
-	b.Cleanup(caller.Close)
-	t := peer.Target{Name: self, Address: ln.Addr().String()}
-	return func(method string, args, reply any) {
-		require.NoError(b, caller.Call(context.Background(), t, controller.FleetService+"."+method, args, reply))
+// Observe returns the owned engines.
+func (f *fleetStub) Observe(_ controller.ObserveArgs, reply *controller.ObserveReply) error {
+	*reply = f.seen
+	return nil
+}
+
+// BenchmarkObserve is the leader's question to the owner of some engines.
+func BenchmarkObserve(b *testing.B) {
+	for _, owned := range []int{0, 1, 2, 3, 7} {
+		b.Run(fmt.Sprintf("owned=%d", owned), func(b *testing.B) {
+			var cnt peer.Counters
+			call := serve(b, controller.FleetService, &fleetStub{seen: observed(owned)}, &cnt)
+			cpu := processorTime(b)
+			for b.Loop() {
+				call("Observe", controller.ObserveArgs{Fence: 7}, new(controller.ObserveReply))
+			}
+			cpu = processorTime(b) - cpu
+			b.ReportMetric(float64(cnt.In.Load()+cnt.Out.Load())/float64(b.N), "B/call")
+			b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/call")
+		})
+	}
+}
+
+func observed(n int) (reply controller.ObserveReply) {
+	for i := range n {
+		reply.Engines = append(reply.Engines, controller.ObservedEngine{
+			Name: fmt.Sprintf("engine-%04d", i), Pool: capacity.PoolName(i), Site: "site-0", Known: true,
+			Report: controller.EngineReport{
+				Incarnation: 1, Model: "model-0", Version: "v1", Adapters: []string{"a1", "a2"}, Running: 25, Age: time.Second,
+			},
+		})
 	}
+	return reply
 }
 
 // BenchmarkConfigFetch fetches one version from another router and puts it in
@@ -71,7 +90,7 @@
 	perSize(b, func(b *testing.B, f *capacity.Fleet) {
 		var cnt peer.Counters
 		stub := &fleetStub{config: controller.ConfigReply{Version: 1, Hash: f.Bundle.Hash(), Bundle: f.Bundle.Encode()}}
-		call := serveFleet(b, stub, &cnt)
+		call := serve(b, controller.FleetService, stub, &cnt)
 		for b.Loop() {
 			var reply controller.ConfigReply
 			call("Config", controller.ConfigArgs{AtLeast: 1}, &reply)
@@ -94,7 +113,8 @@
 		for name, etag := range map[string]uint64{"same": 7, "changed": 6} {
 			b.Run(name, func(b *testing.B) {
 				var cnt peer.Counters
-				call := serveFleet(b, &fleetStub{vms: controller.VMsReply{Known: true, Etag: 7, VMs: vms}}, &cnt)
+				stub := &fleetStub{vms: controller.VMsReply{Known: true, Etag: 7, VMs: vms}}
+				call := serve(b, controller.FleetService, stub, &cnt)
 				for b.Loop() {
 					var reply controller.VMsReply
 					call("VMs", controller.VMsArgs{Etag: etag}, &reply)
