--- a/internal/bench/report/html.go
+++ b/internal/bench/report/html.go
@@ -22,6 +22,8 @@
 	plotWidth  = 20 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
 	barWidth   = 18
+	// legendRoom lets a share of 1 end below the legend.
+	legendRoom = 1.25
 )
 
 // pageData is what the page shows.
@@ -80,7 +82,7 @@
 	p := plot.New()
 	p.Title.Text = "Cache reuse of returning turns"
 	p.Y.Label.Text = "share of prompt tokens"
-	p.Y.Min, p.Y.Max = 0, 1
+	p.Y.Min, p.Y.Max = 0, legendRoom
 	var measured, bound plotter.Values
 	for _, r := range results {
 		measured = append(measured, r.CacheReuse)
