capacity: the owners' benchmarks ask for owners of engines

Cause: they came in with main and asked for engines by plain hashing, which engines no longer follow.

--- a/internal/capacity/board_test.go
+++ b/internal/capacity/board_test.go
@@ -180,8 +180,8 @@
 				a.Sync(before)
 				a.Sync(after)
 			}
-			b.ReportMetric(float64(moved(before, after, engineIDs(f))), "engines-moved")
-			b.ReportMetric(float64(moved(before, after, accountIDs(f))), "accounts-moved")
+			b.ReportMetric(float64(moved(before.EngineOwner, after.EngineOwner, engineIDs(f))), "engines-moved")
+			b.ReportMetric(float64(moved(before.Owner, after.Owner, accountIDs(f))), "accounts-moved")
 			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(2*b.N), "us/sync")
 		})
 	}
@@ -197,10 +197,10 @@
 	s.Routers = routers
 }
 
-func moved(before, after *board.Snapshot, keys []uint64) (count int) {
+func moved(before, after func(key uint64) (board.Router, bool), keys []uint64) (count int) {
 	for _, k := range keys {
-		old, _ := before.Owner(k)
-		now, _ := after.Owner(k)
+		old, _ := before(k)
+		now, _ := after(k)
 		if old.Name != now.Name {
 			count++
 		}
@@ -237,7 +237,7 @@
 			clear(owned)
 			most, abroad = 0, 0
 			for _, e := range snap.Engines {
-				r, _ := snap.Owner(e.ID)
+				r, _ := snap.EngineOwner(e.ID)
 				owned[r.Name]++
 				most = max(most, owned[r.Name])
 				if regions[r.Site] != e.Region {
