An owner that refused is not asked again at once

Ruled out: a longer tick (room that is seen is then used later). An owner's refusal now holds for 250 ms, or until it tells of less load.

--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -133,7 +133,11 @@
 		if had && e.Incarnation < old.Incarnation {
 			continue
 		}
-		l.loads[e.Engine] = known{EngineLoad: e, at: now}
+		k := known{EngineLoad: e, at: now}
+		if e.Weight >= old.Weight {
+			k.deniedUntil = old.deniedUntil
+		}
+		l.loads[e.Engine] = k
 		changed = changed || !had || e != old.EngineLoad
 	}
 	l.mu.Unlock()
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -21,8 +21,15 @@
 type known struct {
 	EngineLoad
 	at time.Time
+	// deniedUntil is when the owner may be asked again after it refused.
+	deniedUntil time.Time
 }
 
+// denial is how long an owner that refused is not asked again, unless it tells
+// of less load. Without it a waiting request would ask at every event, and the
+// questions would outnumber the permits.
+const denial = 250 * time.Millisecond
+
 // lane is one pool in one region, as this router sees it.
 type lane struct {
 	a   *Admission
@@ -227,6 +234,9 @@
 			out.MaxBatch = min(out.MaxBatch, int(k.MaxBatch))
 		}
 	}
+	if now.Before(k.deniedUntil) {
+		out.Running = max(out.Running, out.MaxBatch)
+	}
 	if load, ok := l.a.keeper.load(now, e.ID); ok {
 		out.Load = load.Weight
 		out.Running = load.Count
--- a/internal/admission/remote.go
+++ b/internal/admission/remote.go
@@ -205,12 +205,25 @@
 	if err != nil {
 		return nil, err
 	}
+	if reply.Verdict == Full {
+		l.deny(c.engine.ID)
+	}
 	if reply.Verdict != Granted {
 		return nil, refusedBy(reply.Verdict)
 	}
 	return l.grant(req.ID, c, reply.Incarnation), nil
 }
 
+// deny remembers that the owner of an engine has just refused.
+func (l *lane) deny(engine uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k, ok := l.loads[engine]; ok {
+		k.deniedUntil = time.Now().Add(denial)
+		l.loads[engine] = k
+	}
+}
+
 func refusedBy(v Verdict) error {
 	if v == Full {
 		return placement.ErrFull
