New owners of engines hear at once what the others hold

Cause: an owner grants half of the bound until all routers have told what they hold, or for five seconds. Reports came every five seconds, and routers that held nothing told nothing, so each move of an engine halved it for five. Ruled out: a shorter warm-up (it is there for routers that are slow to tell).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -113,6 +113,7 @@
 	held    *heldPermits
 	outbox  *outbox
 	health  *health
+	moves   *moves
 	Metrics Metrics
 
 	mu    sync.Mutex
@@ -141,6 +142,7 @@
 	a.held = newHeldPermits()
 	a.outbox = newOutbox(a)
 	a.health = newHealth()
+	a.moves = newMoves()
 	return a
 }
 
@@ -246,6 +248,7 @@
 	now := time.Now()
 	a.keeper.sync(now, snap)
 	a.health.sync(now, snap)
+	a.moves.note(snap)
 	for _, l := range a.allLanes() {
 		l.wake()
 	}
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -210,13 +210,14 @@
 // SendReports delivers the reports; an owner that can't be reached gets the next.
 func (a *Admission) SendReports(ctx context.Context) {
 	snap := a.opts.Board.Snapshot()
+	moved := a.moves.take(snap)
 	for name, args := range a.Reports() {
 		if name == a.opts.Self {
 			_ = a.Service().Report(args, nil)
 			continue
 		}
 		r, ok := snap.Router(name)
-		if !ok || !worthTelling(args) {
+		if !ok || !moved[name] && !worthTelling(args) {
 			continue
 		}
 		a.sendReport(ctx, r, args)
@@ -224,7 +225,7 @@
 }
 
 // worthTelling leaves out reports of nothing: an owner that hears nothing
-// drops nothing, and warms up by time.
+// drops nothing.
 func worthTelling(args ReportArgs) bool {
 	for _, list := range args.Engines {
 		if len(list) > 0 {
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -17,6 +17,8 @@
 	fullEvery = 10
 	// reportPeriod is how often holders report their unfinished requests.
 	reportPeriod = 5 * time.Second
+	// moveSettle is the wait between a move of owners and the report of it.
+	moveSettle = 300 * time.Millisecond
 )
 
 // ChannelLoads is the datagram channel of load digests.
@@ -48,9 +50,23 @@
 	}
 }
 
-// RunReports sends holders' reports until ctx ends.
+// RunReports sends holders' reports until ctx ends: regularly, and shortly
+// after engines got other owners.
 func (l *Loads) RunReports(ctx context.Context) {
-	every(ctx, reportPeriod, l.Admission.SendReports)
+	for {
+		l.Admission.SendReports(ctx)
+		t := time.NewTimer(jitter(reportPeriod))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		case <-l.Admission.OwnersMoved():
+			t.Stop()
+			// The new owner needs a moment to see that it is one.
+			sleep(ctx, moveSettle)
+		}
+	}
 }
 
 // Heard takes in a digest from a router's instance.
