Engines are owned, and callers sent, within their region

Cause: found by reading for docs/CAPACITY.md: with two regions half of the engines were owned by a router of the other one, so that each of their permits crossed regions, and callers were sent to routers that don't serve the engine's region. While regions have lost each other those engines would get no work. Ruled out: a lane for other regions' engines (permits would still cross). Now ownership is spread over the routers of the engine's region, or over all where it has none, and locate answers name routers of the caller's region. Shown failing first: without the region's filter TestEnginesAreOwnedInTheirRegion fails on a scratch copy; with it, it passes, as do all others. Two regions have not run with real delay between them.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -28,6 +28,8 @@
 	Address string
 	Control string
 	Site    string
+	// Region is that of Site, by the configuration in force; snapshots have it.
+	Region  string
 	Leaving bool
 	// ConfigVersion is the configuration the router last said it has in force.
 	ConfigVersion uint64
--- a/internal/board/ownership_test.go
+++ b/internal/board/ownership_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"github.com/stretchr/testify/require"
 )
@@ -52,6 +53,35 @@
 	}
 }
 
+// Symptom: while two regions have lost each other, half of the engines of each
+// get no work.
+// Sequence: the regions are cut; routers ask for permits.
+// Cause: an engine's owner was any live router, in whichever region.
+func TestEnginesAreOwnedInTheirRegion(t *testing.T) {
+	b := New("a0")
+	go b.Run(t.Context())
+	doc := &config.Document{Sites: []config.Site{{Name: "sa", Region: "a"}, {Name: "sb", Region: "b"}, {Name: "sc", Region: "c"}}}
+	eff, err := config.NewEffective(doc, nil, "sa")
+	require.NoError(t, err)
+	b.UpdateWait(func(s *State) {
+		s.Config = eff
+		for i := range 10 {
+			region := string("ab"[i%2])
+			router, engine := fmt.Sprint(region, i), fmt.Sprint("e", i)
+			s.Routers[router] = Router{Name: router, ID: rendezvous.ID(router), Site: "s" + region}
+			s.Engines[engine] = Engine{Name: engine, ID: rendezvous.ID(engine), Pool: "p", Region: region}
+		}
+		s.Engines["far"] = Engine{Name: "far", ID: rendezvous.ID("far"), Pool: "p", Region: "c"}
+	})
+	for _, e := range b.Snapshot().Engines {
+		owner, ok := b.Snapshot().EngineOwner(e.ID)
+		require.True(t, ok, "an engine in a region without routers is owned all the same")
+		if e.Name != "far" {
+			require.Equal(t, e.Region, owner.Region)
+		}
+	}
+}
+
 // fleet is the engines of each group and the live routers.
 type fleet struct {
 	groups [][]uint64
@@ -73,7 +103,10 @@
 
 // owners maps each engine to its owner's identity.
 func (f fleet) owners() map[uint64]uint64 {
-	o := &ownership{live: f.live, groups: f.groups}
+	o := &ownership{live: f.live, regions: make([]string, len(f.live))}
+	for _, ids := range f.groups {
+		o.groups = append(o.groups, ownedGroup{ids: ids})
+	}
 	o.assign()
 	out := make(map[uint64]uint64, len(o.owners))
 	for engine, owner := range o.owners {
--- a/internal/board/snapshot.go
+++ b/internal/board/snapshot.go
@@ -26,6 +26,7 @@
 
 func (s *Snapshot) addRouters(routers map[string]Router) {
 	for _, r := range routers {
+		r.Region = s.regionOf(r.Site)
 		s.Routers = append(s.Routers, r)
 	}
 	sort.Slice(s.Routers, func(i, j int) bool { return s.Routers[i].Name < s.Routers[j].Name })
@@ -39,6 +40,19 @@
 	}
 }
 
+// regionOf is the region of a site by the configuration in force, or "".
+func (s *Snapshot) regionOf(site string) string {
+	if s.Config == nil {
+		return ""
+	}
+	for _, known := range s.Config.Sites {
+		if known.Name == site {
+			return known.Region
+		}
+	}
+	return ""
+}
+
 func (s *Snapshot) addGroups() {
 	s.groups = make(map[groupKey]*Group)
 	s.engineID = make(map[uint64]string, len(s.Engines))
--- a/internal/traffic/locate.go
+++ b/internal/traffic/locate.go
@@ -103,8 +103,9 @@
 	if r, ok := s.preferredOwner(who, model, hint); ok {
 		out = append(out, r)
 	}
-	for _, i := range rendezvous.Top(nil, alternates+1, key, snap.LiveIDs) {
-		r := snap.Live[i]
+	near, ids := nearby(snap, who.config.Site.Region)
+	for _, i := range rendezvous.Top(nil, alternates+1, key, ids) {
+		r := near[i]
 		if len(out) > alternates {
 			break
 		}
@@ -115,6 +116,23 @@
 	return out
 }
 
+// nearby are the live routers of the region, or all where it has none: regions
+// lose each other now and then.
+func nearby(snap *board.Snapshot, region string) ([]board.Router, []uint64) {
+	var near []board.Router
+	var ids []uint64
+	for i, r := range snap.Live {
+		if r.Region == region {
+			near = append(near, r)
+			ids = append(ids, snap.LiveIDs[i])
+		}
+	}
+	if len(near) == 0 {
+		return snap.Live, snap.LiveIDs
+	}
+	return near, ids
+}
+
 // preferredOwner is the owner of the engine that holds the chat's prefix by
 // the caller's hint, or else of the one that the chat's rendezvous order names.
 func (s *Server) preferredOwner(who *caller, model, hint string) (board.Router, bool) {
