Load digests cost the same in a group of any size

Cause: docs/CAPACITY.md: at the two-year size an owner tells 38 others of its engines twice a second, 8.4 KB a round for each router (33.8 KB/s in and out, derived), where 7 KB/s is the budget for everything. Ruled out: a hub for each group (its own traffic grows with the group's square); a longer period alone (34 KB/s would become 34 at five seconds' age). Now, in groups of more than eight listeners, a router tells two others a second, drawn at random, of its own engines and of what it heard lately of others, eight in all. Words carry their owner and a count, so that late, repeated and passed-on ones change nothing. Figures: a datagram of eight loads has 251 B (BenchmarkSpreadDigest); with two a second in each of two groups that is 1.3 KB/s out and as much in with overhead, derived. At nine routers a round rose from 800 to 853 B. A fleet with larger groups has not run.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -320,6 +320,41 @@
 	require.Positive(t, refused.RetryAfter)
 }
 
+// Symptom: a router places by a load that was true long ago.
+// Sequence: digests arrive late, twice, or by way of other routers; an owner
+// is lost, or another one takes over.
+// Cause: what arrives last is taken for what is newest.
+func TestOnlyNewerWordsOfTheOwnerCount(t *testing.T) {
+	nodes := newNodes(t, []string{"r1", "r2"}, []string{"e1"})
+	_, other := ownerOf(nodes, "e1")
+	l := other.adm.lane(laneKey{pool.Name, "r"})
+	start := time.Now()
+	word := func(seq uint32, weight int64) EngineLoad {
+		return EngineLoad{Engine: rendezvous.ID("e1"), Incarnation: 1, Weight: weight, Flags: flagModel, Owner: 1, Seq: seq}
+	}
+	stranger := word(9, 900)
+	stranger.Owner = 2
+	for i, c := range []struct {
+		what   string
+		load   EngineLoad
+		direct bool
+		weight int64
+		at     int
+	}{
+		{"first", word(5, 50), false, 50, 0},
+		{"late", word(4, 40), false, 50, 0},
+		{"passed on again", word(5, 50), false, 50, 0},
+		{"the owner's own answer within the round", word(5, 55), true, 55, 3},
+		{"newer", word(6, 60), false, 60, 4},
+		{"not the owner", stranger, false, 60, 4},
+	} {
+		l.learn(start.Add(time.Duration(i)*time.Second), []EngineLoad{c.load}, c.direct)
+		k := l.loads[c.load.Engine]
+		require.Equal(t, c.weight, k.Weight, c.what)
+		require.Equal(t, start.Add(time.Duration(c.at)*time.Second), k.at, c.what)
+	}
+}
+
 func TestDigestRoundTrip(t *testing.T) {
 	in := []EngineLoad{
 		{Engine: 1, Incarnation: 9, Weight: 60_000, Count: 3, MaxBatch: 50, Flags: flagModel},
@@ -330,6 +365,21 @@
 	require.Equal(t, in, out)
 }
 
+// BenchmarkSpreadDigest is the payload of one digest in a large group.
+func BenchmarkSpreadDigest(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	loads := make([]EngineLoad, spreadLoads)
+	for i := range loads {
+		loads[i] = EngineLoad{Engine: rng.Uint64(), Incarnation: rng.Uint64(), Weight: 60_000, Count: 40, MaxBatch: 100,
+			Flags: flagModel | flagAdapters, Owner: rng.Uint32(), Seq: 100_000}
+	}
+	var p []byte
+	for b.Loop() {
+		p = appendDigest(p[:0], loads)
+	}
+	b.ReportMetric(float64(len(p)), "B/datagram")
+}
+
 func FuzzDecodeDigest(f *testing.F) {
 	f.Add(appendDigest(nil, []EngineLoad{{Engine: 7, Weight: 3}}))
 	f.Add([]byte{digestVersion, 255})
--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/board"
@@ -21,6 +23,10 @@
 	Count    int32
 	MaxBatch int32
 	Flags    uint8
+	// Owner is the low half of the owner's instance, and Seq counts the owner's
+	// rounds: what is passed on by others may arrive late and out of order.
+	Owner uint32
+	Seq   uint32
 }
 
 // The flags of an EngineLoad.
@@ -44,9 +50,16 @@
 	// load changes.
 	subscription = 30 * time.Second
 	// digestVersion is the format of a digest.
-	digestVersion = 1
+	digestVersion = 2
 	// maxDigest bounds the engines in one digest.
 	maxDigest = 32
+	// directListeners is how many routers are told directly. In a larger group
+	// each owner tells spreadTo routers a round, drawn at random, and passes on
+	// what it heard of others, spreadLoads engines in all: the bytes of a router
+	// then do not grow with the group.
+	directListeners = 8
+	spreadTo        = 2
+	spreadLoads     = 8
 )
 
 // appendDigest encodes loads for a datagram.
@@ -59,6 +72,8 @@
 		dst = binary.AppendVarint(dst, int64(l.Count))
 		dst = binary.AppendVarint(dst, int64(l.MaxBatch))
 		dst = append(dst, l.Flags)
+		dst = binary.LittleEndian.AppendUint32(dst, l.Owner)
+		dst = binary.AppendUvarint(dst, uint64(l.Seq))
 	}
 	return dst
 }
@@ -79,6 +94,8 @@
 			Count:       int32(d.signed()),
 			MaxBatch:    int32(d.signed()),
 			Flags:       d.octet(),
+			Owner:       d.fixed32(),
+			Seq:         uint32(d.unsigned()),
 		})
 	}
 	if d.short || len(d.rest) > 0 {
@@ -105,6 +122,8 @@
 
 func (d *digestReader) fixed() uint64 { return binary.LittleEndian.Uint64(d.take(8)) }
 
+func (d *digestReader) fixed32() uint32 { return binary.LittleEndian.Uint32(d.take(4)) }
+
 func (d *digestReader) octet() uint8 { return d.take(1)[0] }
 
 func (d *digestReader) unsigned() uint64 {
@@ -119,26 +138,20 @@
 	return v
 }
 
-// learn takes in what the owner of some engines said of them. The word of a
-// router that does not own an engine any more is not taken.
-func (l *lane) learn(now time.Time, from string, loads []EngineLoad) {
+// learn takes in what the owners of some engines said of them, directly or
+// passed on. The word of a router that does not own an engine any more is not
+// taken, nor one that is older than what is known. direct marks an owner's own
+// answer, which within a round is newer than its digest.
+func (l *lane) learn(now time.Time, loads []EngineLoad, direct bool) {
 	snap := l.a.opts.Board.Snapshot()
 	changed := false
 	l.mu.Lock()
 	for _, e := range loads {
-		if owner, ok := snap.EngineOwner(e.Engine); !ok || owner.Name != from {
-			continue
-		}
-		old, had := l.loads[e.Engine]
-		if had && e.Incarnation < old.Incarnation {
+		owner, ok := snap.EngineOwner(e.Engine)
+		if !ok || owner.Name == snap.Self || uint32(owner.Instance) != e.Owner {
 			continue
 		}
-		k := known{EngineLoad: e, at: now}
-		if e.Weight >= old.Weight {
-			k.deniedUntil = old.deniedUntil
-		}
-		l.loads[e.Engine] = k
-		changed = changed || !had || e != old.EngineLoad
+		changed = l.hear(now, e, direct) || changed
 	}
 	l.mu.Unlock()
 	if changed {
@@ -146,6 +159,27 @@
 	}
 }
 
+// hear takes in one engine's load and reports whether it is news; the caller
+// holds l.mu.
+//
+// What is passed on a second time is not news: it must not look fresh, or the
+// last words of an owner that is lost would go round for ever.
+func (l *lane) hear(now time.Time, e EngineLoad, direct bool) bool {
+	old, had := l.loads[e.Engine]
+	if had && e.Incarnation < old.Incarnation {
+		return false
+	}
+	if had && e.Owner == old.Owner && (e.Seq < old.Seq || e.Seq == old.Seq && !direct) {
+		return false
+	}
+	k := known{EngineLoad: e, at: now}
+	if e.Weight >= old.Weight {
+		k.deniedUntil = old.deniedUntil
+	}
+	l.loads[e.Engine] = k
+	return !had || e != old.EngineLoad
+}
+
 func (l *lane) subscribe(now time.Time, router string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -165,6 +199,8 @@
 		e := k.EngineLoad
 		e.Weight = load.Weight
 		e.Count = int32(load.Count)
+		e.Owner = uint32(l.a.opts.Instance)
+		e.Seq = l.round
 		out = append(out, e)
 		if len(out) == maxDigest {
 			break
@@ -204,16 +240,22 @@
 }
 
 // Digests returns the datagrams to send now. Unless all is set, only engines
-// whose load changed since the last call are told of.
+// whose load changed since the last call are told of directly.
 func (a *Admission) Digests(now time.Time, all bool) []Digest {
 	snap := a.opts.Board.Snapshot()
 	perRouter := make(map[string][]EngineLoad)
 	for _, l := range a.allLanes() {
+		l.nextRound()
+		listeners := slices.Collect(maps.Keys(l.listeners(now, snap)))
 		loads := l.changed(now, all)
+		if len(listeners) > directListeners {
+			listeners = l.draw(listeners)
+			loads = l.passOn(now)
+		}
 		if len(loads) == 0 {
 			continue
 		}
-		for name := range l.listeners(now, snap) {
+		for _, name := range listeners {
 			perRouter[name] = append(perRouter[name], loads...)
 		}
 	}
@@ -223,15 +265,54 @@
 		if !ok {
 			continue
 		}
-		for len(loads) > 0 {
-			n := min(len(loads), maxDigest)
-			out = append(out, Digest{To: r, Payload: appendDigest(nil, loads[:n])})
-			loads = loads[n:]
+		for part := range slices.Chunk(loads, maxDigest) {
+			out = append(out, Digest{To: r, Payload: appendDigest(nil, part)})
 		}
 	}
 	return out
 }
 
+// nextRound begins a round of digests.
+func (l *lane) nextRound() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.round++
+}
+
+// draw picks a few listeners at random. Every second round has none: news of a
+// large group's total may be a little older, as it changes less.
+func (l *lane) draw(listeners []string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.round%2 == 1 {
+		return nil
+	}
+	slices.Sort(listeners)
+	l.rng.Shuffle(len(listeners), func(i, j int) { listeners[i], listeners[j] = listeners[j], listeners[i] })
+	return listeners[:spreadTo]
+}
+
+// passOn is the loads of the engines owned here and, up to spreadLoads, some
+// that were heard of lately, drawn at random.
+func (l *lane) passOn(now time.Time) []EngineLoad {
+	out := l.owned(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, k := range l.loads {
+		if len(out) >= spreadLoads {
+			break
+		}
+		if _, own := l.a.keeper.load(now, id); own || now.Sub(k.at) > passOnAge {
+			continue
+		}
+		out = append(out, k.EngineLoad)
+	}
+	return out
+}
+
+// passOnAge is from when on a load is too old to be passed on.
+const passOnAge = 10 * time.Second
+
 // changed lists the owned engines whose load is worth telling.
 func (l *lane) changed(now time.Time, all bool) []EngineLoad {
 	loads := l.owned(now)
@@ -239,16 +320,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range loads {
-		if all || l.told[e.Engine] != e {
+		told := e
+		told.Seq = 0
+		if all || l.told[e.Engine] != told {
 			out = append(out, e)
 		}
-		l.told[e.Engine] = e
+		l.told[e.Engine] = told
 	}
 	return out
 }
 
 // TakeDigest takes in a datagram from another router.
-func (a *Admission) TakeDigest(from string, payload []byte) error {
+func (a *Admission) TakeDigest(payload []byte) error {
 	loads, err := decodeDigest(payload)
 	if err != nil {
 		return err
@@ -263,7 +346,7 @@
 	}
 	for key, list := range byLane {
 		if l := a.lane(key); l != nil {
-			l.learn(now, from, list)
+			l.learn(now, list, false)
 		}
 	}
 	return nil
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -45,6 +45,9 @@
 	loads map[uint64]known
 	// told is what this router told the others last, of its own engines.
 	told map[uint64]EngineLoad
+	// round counts the rounds of digests, and rng draws their receivers.
+	round uint32
+	rng   *rand.Rand
 	// subs are the routers that asked for permits lately, and until when they
 	// are told of load changes.
 	subs map[string]time.Time
@@ -68,6 +71,7 @@
 		told:     make(map[uint64]EngineLoad),
 		subs:     make(map[string]time.Time),
 		woken:    make(chan struct{}, 1),
+		rng:      rng,
 		queue:    queue.New(queue.Config{Rand: rng}),
 	}
 }
--- a/internal/admission/remote.go
+++ b/internal/admission/remote.go
@@ -254,6 +254,6 @@
 		}
 		return reply, ErrAsk.Wrap(err)
 	}
-	l.learn(time.Now(), c.owner.Name, reply.Loads)
+	l.learn(time.Now(), reply.Loads, true)
 	return reply, nil
 }
--- a/internal/capacity/permits_test.go
+++ b/internal/capacity/permits_test.go
@@ -112,7 +112,9 @@
 }
 
 // BenchmarkDigests is the datagrams of one round of load digests in which
-// every load has changed. askers is the share of the other routers that asked
+// every load has changed, as a mean over ten rounds. In groups of many owners
+// it counts the engines owned here only; BenchmarkSpreadDigest of package
+// admission has the size of a whole datagram. askers is the share of the other routers that asked
 // each owner for a permit within the last thirty seconds. The figures are the
 // means over some routers of the fleet.
 func BenchmarkDigests(b *testing.B) {
@@ -136,7 +138,7 @@
 }
 
 func benchmarkDigests(b *testing.B, f *capacity.Fleet, askers float64) {
-	const sample = 9
+	const sample, rounds = 9, 10
 	seal := newSealer(b)
 	var datagrams, bytes, most int
 	var spent time.Duration
@@ -149,22 +151,24 @@
 			a.Sync(bd.Snapshot())
 			reportAll(f, a, bd.Snapshot(), 25)
 			subscribe(a, f, bd.Snapshot(), askers)
-			start := time.Now()
-			digests := a.Digests(time.Now(), true)
-			spent += time.Since(start)
 			sum := 0
-			for _, d := range digests {
-				sum += seal.weigh(d.Payload)
+			for range rounds {
+				start := time.Now()
+				digests := a.Digests(time.Now(), true)
+				spent += time.Since(start)
+				for _, d := range digests {
+					sum += seal.weigh(d.Payload)
+				}
+				datagrams += len(digests)
 			}
-			datagrams += len(digests)
 			bytes += sum
 			most = max(most, sum)
 		}
 	}
-	b.ReportMetric(float64(datagrams)/sample, "datagrams/round")
-	b.ReportMetric(float64(bytes)/sample, "B/round")
-	b.ReportMetric(float64(most), "B/round-busiest")
-	b.ReportMetric(float64(spent.Microseconds())/sample, "us/round")
+	b.ReportMetric(float64(datagrams)/sample/rounds, "datagrams/round")
+	b.ReportMetric(float64(bytes)/sample/rounds, "B/round")
+	b.ReportMetric(float64(most)/rounds, "B/round-busiest")
+	b.ReportMetric(float64(spent.Microseconds())/sample/rounds, "us/round")
 }
 
 // subscribe lets a share of the routers ask for a permit in each pool, as
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -75,7 +75,7 @@
 		if r.Instance != instance {
 			continue
 		}
-		if err := l.Admission.TakeDigest(r.Name, payload); err != nil {
+		if err := l.Admission.TakeDigest(payload); err != nil {
 			l.Log.Warn("load digest refused", "from", r.Name, "cause", err)
 		}
 		return
