The VM list is fetched again only when it has changed

Cause: docs/CAPACITY.md, the first budget to break: a router that reads the list for twenty others fetched all of it every two seconds, 82 KB/s at the two-year size (derived from 134 B a VM). Ruled out: reading less often (new engines would be seen later). Now the client sends the entity tag it has. A platform without entity tags sends the list as before, and the budget breaks at 105 VMs as before. Shown failing first: with the kept list taken out, the conformance test of the HTTP client fails on a scratch copy; with it, it passes. Not measured: bytes at the target; an unchanged list is a reply of headers only.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -125,6 +125,12 @@
 // read makes a call that changes nothing. Every failure of the call itself is
 // ErrUnavailable.
 func (c *httpClient) read(ctx context.Context, path string, query url.Values) (reply, error) {
+	return c.readUnless(ctx, path, query, "")
+}
+
+// readUnless is read, but answered with 304 and no body if the resource still
+// has the entity tag etag. An empty etag asks for it anyway.
+func (c *httpClient) readUnless(ctx context.Context, path string, query url.Values, etag string) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
 	defer cancel()
 	target := c.base + path
@@ -135,6 +141,9 @@
 	if err != nil {
 		return reply{}, ErrInvalid.Wrap(err)
 	}
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
 	r, err := exchange(c.reads, req)
 	if err != nil {
 		c.forgetConnections()
--- a/internal/platform/http_vms.go
+++ b/internal/platform/http_vms.go
@@ -4,12 +4,18 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 )
 
 // HTTPVMList is the client of the platform's list of VMs. It tries each call
-// once.
+// once. Where the platform gives the list an entity tag, the list is sent only
+// if it has changed: it is read every few seconds and changes every few minutes.
 type HTTPVMList struct {
 	http *httpClient
+
+	mu   sync.Mutex
+	etag string
+	last []VM
 }
 
 var _ VMList = (*HTTPVMList)(nil)
@@ -19,16 +25,35 @@
 	return &HTTPVMList{http: newHTTPClient(baseURL, opts)}
 }
 
-// List implements VMList.
+// List implements VMList. The list must not be changed.
 func (l *HTTPVMList) List(ctx context.Context) ([]VM, error) {
-	r, err := l.http.read(ctx, PathVMs, nil)
-	if err != nil {
+	etag, last := l.known()
+	r, err := l.http.readUnless(ctx, PathVMs, nil, etag)
+	switch {
+	case err != nil:
 		return nil, err
-	}
-	if r.status != http.StatusOK {
+	case r.status == http.StatusNotModified && etag != "":
+		return last, nil
+	case r.status != http.StatusOK:
 		return nil, r.readError()
 	}
-	return decodeVMs(r.body)
+	vms, err := decodeVMs(r.body)
+	if err == nil {
+		l.keep(r.header.Get("ETag"), vms)
+	}
+	return vms, err
+}
+
+func (l *HTTPVMList) known() (string, []VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.etag, l.last
+}
+
+func (l *HTTPVMList) keep(etag string, vms []VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.etag, l.last = etag, vms
 }
 
 // decodeVMs reads a VM list. A body without the list is an error, not an empty
--- a/internal/standin/platform/conformance_test.go
+++ b/internal/standin/platform/conformance_test.go
@@ -240,4 +240,7 @@
 	vms, err = s.vms.List(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, []api.VM{a, b}, vms)
+	again, err := s.vms.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, vms, again, "an unchanged list is the same, however it is sent")
 }
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/zeebo/xxh3"
 
 	api "damaskrouter.example/damaskrouter/internal/platform"
 )
@@ -105,7 +107,16 @@
 }
 
 func (s *Server) listVMs(c echo.Context) error {
-	return c.JSON(http.StatusOK, api.VMsReply{VMs: s.vms.List()})
+	body, err := json.Marshal(api.VMsReply{VMs: s.vms.List()})
+	if err != nil {
+		return err
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxh3.Hash(body), 16))
+	c.Response().Header().Set("ETag", etag)
+	if c.Request().Header.Get("If-None-Match") == etag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, body)
 }
 
 func (s *Server) putVM(c echo.Context) error {
