--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -126,14 +126,18 @@
 	changed := false
 	l.mu.Lock()
 	for _, e := range loads {
-		if owner, ok := snap.Owner(e.Engine); !ok || owner.Name != from {
+		if owner, ok := snap.EngineOwner(e.Engine); !ok || owner.Name != from {
 			continue
 		}
 		old, had := l.loads[e.Engine]
 		if had && e.Incarnation < old.Incarnation {
 			continue
 		}
-		l.loads[e.Engine] = known{EngineLoad: e, at: now}
+		k := known{EngineLoad: e, at: now}
+		if e.Weight >= old.Weight {
+			k.deniedUntil = old.deniedUntil
+		}
+		l.loads[e.Engine] = k
 		changed = changed || !had || e != old.EngineLoad
 	}
 	l.mu.Unlock()
