testseed: property tests draw the same values in every run

RAPID_SEED and -rapid.seed still win. How many checks a test makes before the test's own timeout still depends on the machine. internal/placement and internal/prefix still draw at random.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"testing"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
--- a/internal/platform/commit_once_test.go
+++ b/internal/platform/commit_once_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
--- a/internal/rendezvous/assign_test.go
+++ b/internal/rendezvous/assign_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/chat"
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/stretchr/testify/require"
