sse: one reader for engines' and routers' streams

Cause: internal/sse and internal/upstream/sse.go were two parsers of the same format. The first took 1 MiB for each stream and the last of several data lines; the second was bounded, fuzzed and followed the specification. Now the second one is package sse's, and reports comments by a function, as callers' timers for silence need them and engines' must not. Ruled out: comments as events (the upstream's reader would need a loop around each read); ids as numbers (an id that is none must fail the chunk that carries it, not the reader). Differences for callers: several data lines are joined, events without data are skipped, and a cut event gives io.EOF; as before all but an end marker is "outcome unknown".

--- a/client/stream.go
+++ b/client/stream.go
@@ -125,6 +125,7 @@
 }
 
 func (s *stream) read(r *sse.Reader, idle *time.Timer) error {
+	r.OnComment = func() { idle.Reset(s.v.c.opts.IdleGap) }
 	for {
 		ev, err := r.Next()
 		if err == io.EOF {
@@ -134,8 +135,8 @@
 			return ErrOutcomeUnknown.Wrap(err)
 		}
 		idle.Reset(s.v.c.opts.IdleGap)
-		if ev.Comment {
-			continue
+		if _, ok := sse.ParseID(ev.ID); !ok && len(ev.ID) > 0 {
+			return ErrOutcomeUnknown.New("event id %q", ev.ID)
 		}
 		if string(ev.Data) == wire.DoneMarker {
 			return nil
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/sse"
 	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/wire"
 )
@@ -59,7 +60,7 @@
 	call   Call
 	rep    *reply
 	ctx    context.Context
-	sse    *sseReader
+	events *sse.Reader
 	timer  *time.Timer
 	// wait is how long the next event may take: FirstChunk, later IdleGap.
 	wait   time.Duration
@@ -203,7 +204,7 @@
 		call:   r.call,
 		rep:    rep,
 		ctx:    rep.res.Request.Context(),
-		sse:    newSSEReader(rep.res.Body, c.opts.MaxEvent),
+		events: sse.NewReader(rep.res.Body, c.opts.MaxEvent),
 		wait:   r.call.FirstChunk,
 		next:   from,
 		idHead: []byte(`{"id":"` + r.call.RequestID + `",`),
@@ -228,7 +229,7 @@
 		return Event{Offset: s.next, Done: true}, nil
 	}
 	s.timer.Reset(s.wait)
-	raw, err := s.sse.next()
+	raw, err := s.events.Next()
 	s.timer.Stop()
 	if err != nil {
 		return Event{}, s.fail(s.readCause(err))
@@ -241,23 +242,23 @@
 	return ev, nil
 }
 
-func (s *Stream) check(raw sseEvent) (Event, error) {
-	if string(raw.data) == wire.DoneMarker {
+func (s *Stream) check(raw sse.Event) (Event, error) {
+	if string(raw.Data) == wire.DoneMarker {
 		s.done = true
 		return Event{Offset: s.next, Done: true}, nil
 	}
-	offset, ok := parseOffset(raw.id)
+	offset, ok := sse.ParseID(raw.ID)
 	if !ok {
-		return Event{}, ErrMalformed.New("event id %q", raw.id)
+		return Event{}, ErrMalformed.New("event id %q", raw.ID)
 	}
-	if err := s.checkChunkID(raw.data); err != nil {
+	if err := s.checkChunkID(raw.Data); err != nil {
 		return Event{}, err
 	}
 	if offset != s.next {
 		return Event{}, ErrOffset.New("chunk %d instead of %d", offset, s.next)
 	}
 	s.next++
-	return Event{Offset: offset, Data: raw.data}, nil
+	return Event{Offset: offset, Data: raw.Data}, nil
 }
 
 // checkChunkID compares the id inside the chunk. Engines write it first, so
@@ -278,27 +279,11 @@
 	return nil
 }
 
-// parseOffset reads a decimal without allocation.
-func parseOffset(b []byte) (int, bool) {
-	const maxDigits = 9
-	if len(b) == 0 || len(b) > maxDigits {
-		return 0, false
-	}
-	n := 0
-	for _, d := range b {
-		if d < '0' || d > '9' {
-			return 0, false
-		}
-		n = n*10 + int(d-'0')
-	}
-	return n, true
-}
-
 // readCause tells apart our own timers, our caller, and a broken stream.
 func (s *Stream) readCause(err error) error {
 	switch {
-	case ErrTooLarge.Has(err):
-		return err
+	case sse.ErrTooLong.Has(err):
+		return ErrTooLarge.Wrap(err)
 	case s.ctx.Err() != nil:
 		return transportCause(s.ctx, err)
 	default:
