pause: one wait within a context in place of eight; one name for a holder

Cause: the same wait stood in admission, bench/fleet, cli, controller, platform, router (there without its result) and traffic; the name under which a router holds permits and shares of limits was made in admission and in quota alike, and both must change together or a restarted router's permits are taken for its former process's. Now internal/pause has the wait, board the holder's name, and the keeper applies both kinds of report by one function. Ruled out: lease's and configs' waits, which also end by a signal; the stand-ins', which end by a channel and must outlive their client; acquire, release and transfer of the keeper, which share four lines and differ in what they return. No behaviour changes: platform's wait still refuses a try where the context ended together with the timer.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -135,7 +135,7 @@
 	if o.Policy == (placement.Policy{}) {
 		o.Policy = placement.DefaultPolicy()
 	}
-	a := &Admission{opts: o, holder: holderName(o.Self, o.Instance), lanes: make(map[laneKey]*lane), rng: o.Rand}
+	a := &Admission{opts: o, holder: board.HolderName(o.Self, o.Instance), lanes: make(map[laneKey]*lane), rng: o.Rand}
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	a.keeper = newKeeper(a)
 	a.held = newHeldPermits()
--- a/internal/admission/keeper.go
+++ b/internal/admission/keeper.go
@@ -1,8 +1,6 @@
 package admission
 
 import (
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -39,17 +37,6 @@
 	return &Keeper{a: a, books: make(map[uint64]*entry), live: make(map[string]bool)}
 }
 
-// holderName names a router in permits, so that a restarted one differs.
-func holderName(router string, instance uint64) string {
-	return router + "#" + strconv.FormatUint(instance, 36)
-}
-
-// routerOf is the router behind a holder name.
-func routerOf(holder string) string {
-	name, _, _ := strings.Cut(holder, "#")
-	return name
-}
-
 // sync opens and closes books as ownership moves.
 func (k *Keeper) sync(now time.Time, snap *board.Snapshot) {
 	owned := make(map[uint64]*board.Engine)
@@ -99,7 +86,7 @@
 	var out []string
 	for _, r := range snap.Routers {
 		if r.Name != snap.Self {
-			out = append(out, holderName(r.Name, r.Instance))
+			out = append(out, r.HolderName())
 		}
 	}
 	return out
@@ -109,7 +96,7 @@
 func (k *Keeper) noteRouters(now time.Time, snap *board.Snapshot) {
 	live := make(map[string]bool, len(snap.Routers))
 	for _, r := range snap.Routers {
-		live[holderName(r.Name, r.Instance)] = true
+		live[r.HolderName()] = true
 	}
 	for _, en := range k.books {
 		en.mu.Lock()
@@ -176,26 +163,27 @@
 	return en.book.Transfer(now, r)
 }
 
+// report takes in what an engine says of itself; it returns false where this
+// router does not own the engine.
 func (k *Keeper) report(now time.Time, id uint64, load permit.EngineLoad) bool {
-	en := k.entry(id)
-	if en == nil {
-		return false
-	}
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	r := en.book.EngineReport(now, load)
-	k.a.Metrics.Reconciled.Add(int64(r.Adopted + r.Dropped))
-	return true
+	return k.reconcile(id, func(b *permit.Book) permit.Reconciled { return b.EngineReport(now, load) })
 }
 
+// holdings takes in what another router holds; it returns false where this
+// router does not own the engine.
 func (k *Keeper) holdings(now time.Time, id uint64, r permit.HolderReport) bool {
+	return k.reconcile(id, func(b *permit.Book) permit.Reconciled { return b.Holdings(now, r) })
+}
+
+// reconcile applies a report to an engine's book and counts what it changed.
+func (k *Keeper) reconcile(id uint64, apply func(*permit.Book) permit.Reconciled) bool {
 	en := k.entry(id)
 	if en == nil {
 		return false
 	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	rec := en.book.Holdings(now, r)
-	k.a.Metrics.Reconciled.Add(int64(rec.Adopted + rec.Dropped))
+	r := apply(en.book)
+	k.a.Metrics.Reconciled.Add(int64(r.Adopted + r.Dropped))
 	return true
 }
--- a/internal/admission/outbox.go
+++ b/internal/admission/outbox.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/permit"
 	"github.com/google/uuid"
@@ -68,7 +69,7 @@
 	defer o.a.wg.Done()
 	for {
 		// Permits that end within this window share a call.
-		if !sleep(o.a.ctx, releaseWindow) {
+		if !pause.For(o.a.ctx, releaseWindow) {
 			return
 		}
 		batch := o.take(owner.Name)
@@ -79,7 +80,7 @@
 		if len(rest) == 0 {
 			continue
 		}
-		if !sleep(o.a.ctx, releasePause) {
+		if !pause.For(o.a.ctx, releasePause) {
 			return
 		}
 		o.requeue(owner.Name, rest)
@@ -131,17 +132,6 @@
 	return rest
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // releaseHeld gives a permit of this router back.
 func (a *Admission) releaseHeld(id string) {
 	h, ok := a.held.remove(id)
--- a/internal/admission/remote.go
+++ b/internal/admission/remote.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/permit"
 	"damaskrouter.example/damaskrouter/internal/placement"
@@ -112,7 +113,7 @@
 		reply.Verdict = NotOwner
 		return nil
 	}
-	l.subscribe(now, routerOf(args.Holder))
+	l.subscribe(now, board.RouterOfHolder(args.Holder))
 	got, err := l.serve(now, args)
 	reply.Verdict = verdictOf(err)
 	reply.Incarnation = got.Incarnation
--- a/internal/bench/fleet/churn.go
+++ b/internal/bench/fleet/churn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/pause"
 )
 
 const (
@@ -25,7 +26,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, ev := range script {
-		if !Sleep(ctx, ev.At-time.Since(start)) {
+		if !pause.For(ctx, ev.At-time.Since(start)) {
 			return
 		}
 		told(ev)
@@ -47,7 +48,7 @@
 	case workload.ChurnCrash:
 		e.fall(ctx)
 	}
-	if Sleep(ctx, ev.Absent) {
+	if pause.For(ctx, ev.Absent) {
 		e.Restart()
 		e.join()
 	}
@@ -63,7 +64,7 @@
 	defer cancel()
 	select {
 	case <-e.Drained():
-		Sleep(ctx, flushTime)
+		pause.For(ctx, flushTime)
 	case <-ctx.Done():
 	}
 	e.Crash()
@@ -74,6 +75,6 @@
 func (e *Engine) fall(ctx context.Context) {
 	e.withdraw()
 	e.Crash()
-	Sleep(ctx, crashListed)
+	pause.For(ctx, crashListed)
 	e.gone()
 }
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/router"
 	"damaskrouter.example/damaskrouter/internal/settings"
@@ -187,11 +188,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for !f.ready() {
-		if !Sleep(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return Error.New("not ready after %s", readyTimeout)
 		}
 	}
-	Sleep(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	return nil
 }
 
@@ -263,15 +264,3 @@
 }
 
 func siteOf(i int) string { return workload.Sites[i%len(workload.Sites)] }
-
-// Sleep waits for d and reports whether ctx still holds.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/bench/run/calls.go
+++ b/internal/bench/run/calls.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/bench/fleet"
 	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/standin/service"
 )
 
@@ -29,8 +29,8 @@
 	rng := rand.New(rand.NewPCG(r.o.Seed, uint64(i)))
 	open := make(chan struct{}, maxCallsOpen)
 	for n := 0; ; n++ {
-		pause := time.Duration(rng.ExpFloat64() / c.Rate * float64(time.Second))
-		if !fleet.Sleep(load, pause) {
+		gap := time.Duration(rng.ExpFloat64() / c.Rate * float64(time.Second))
+		if !pause.For(load, gap) {
 			return
 		}
 		select {
--- a/internal/bench/run/chats.go
+++ b/internal/bench/run/chats.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/bench/measure"
 	"damaskrouter.example/damaskrouter/internal/bench/workload"
 	"damaskrouter.example/damaskrouter/internal/chat"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/standin/engine"
 	"damaskrouter.example/damaskrouter/internal/wire"
 )
@@ -29,7 +30,7 @@
 
 // chatWorker keeps one chat open at any time until load ends.
 func (r *runner) chatWorker(load context.Context, n int) {
-	if !fleet.Sleep(load, r.w.Start(r.o.Seed, n)) {
+	if !pause.For(load, r.w.Start(r.o.Seed, n)) {
 		return
 	}
 	for ; load.Err() == nil; n += r.w.Chats.Open {
@@ -40,7 +41,7 @@
 // surgeWorker holds additional chats of the surging account.
 func (r *runner) surgeWorker(load context.Context, n int) {
 	s := &r.w.Surge
-	if !fleet.Sleep(load, s.Start) {
+	if !pause.For(load, s.Start) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(load, s.Length)
@@ -55,7 +56,7 @@
 	c := &conversation{r: r, plan: p, v: r.clients[p.Account.Name].Conversation(p.ID, workload.Model)}
 	c.v.Priority = p.Account.Priority
 	for i := range p.Turns {
-		if !fleet.Sleep(load, p.Turns[i].Pause) {
+		if !pause.For(load, p.Turns[i].Pause) {
 			return
 		}
 		if !c.turn(load, i) {
@@ -80,7 +81,7 @@
 		if err == nil {
 			return true
 		}
-		if !fleet.Sleep(load, backoff(err)) {
+		if !pause.For(load, backoff(err)) {
 			return true
 		}
 	}
--- a/internal/bench/run/run.go
+++ b/internal/bench/run/run.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/bench/fleet"
 	"damaskrouter.example/damaskrouter/internal/bench/measure"
 	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
@@ -177,7 +178,7 @@
 
 // watch waits for the end of the load.
 func (r *runner) watch(load context.Context, from time.Time) {
-	for fleet.Sleep(load, progressPeriod) {
+	for pause.For(load, progressPeriod) {
 		if r.o.Progress != nil {
 			r.o.Progress(Progress{Elapsed: time.Since(from), Length: r.o.Length, Counts: r.tally.snapshot()})
 		}
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -16,6 +16,7 @@
 	"damaskrouter.example/damaskrouter/internal/admin/client"
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/google/uuid"
 	"github.com/integrii/flaggy"
 	"github.com/zeebo/errs"
@@ -178,7 +179,7 @@
 			return config.Version{}, err
 		}
 		con.note("outcome not known yet: %v", err)
-		if attempt == changeAttempts || !sleep(ctx, changePause) {
+		if attempt == changeAttempts || !pause.For(ctx, changePause) {
 			return config.Version{}, ErrUnsettled.New("change %s; the same command with --change-id %s --from %d settles it: %w",
 				f.changeID, f.changeID, f.from, err)
 		}
@@ -230,7 +231,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, statusPeriod) {
+		if !pause.For(ctx, statusPeriod) {
 			return notEverywhere(v, st, lastErr)
 		}
 		st = api.Status{Lagging: st.Lagging}
@@ -266,14 +267,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -14,6 +14,7 @@
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 	"damaskrouter.example/damaskrouter/internal/admin/client"
 	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/integrii/flaggy"
 )
 
@@ -91,7 +92,7 @@
 			return raw, err
 		}
 		con.note("%s; asking again in %s", f.Message, f.RetryAfter())
-		if !sleep(ctx, f.RetryAfter()) {
+		if !pause.For(ctx, f.RetryAfter()) {
 			return raw, err
 		}
 	}
--- a/internal/controller/configs.go
+++ b/internal/controller/configs.go
@@ -9,6 +9,7 @@
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"github.com/charmbracelet/log"
 )
@@ -214,7 +215,7 @@
 // fromStore reads the version from the table service. Routers that hear of a
 // head at the same moment come a little apart, and most find a peer first.
 func (c *Configs) fromStore(ctx context.Context, want config.Head) {
-	if !c.readsHead() && !sleep(ctx, rand.N(fetchJitterMax)) {
+	if !c.readsHead() && !pause.For(ctx, rand.N(fetchJitterMax)) {
 		return
 	}
 	v, err := c.Chain.Load(ctx, want.Version)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 )
 
@@ -17,7 +18,7 @@
 func every(ctx context.Context, period time.Duration, f func(context.Context)) {
 	for {
 		f(ctx)
-		if !sleep(ctx, jitter(period)) {
+		if !pause.For(ctx, jitter(period)) {
 			return
 		}
 	}
@@ -30,17 +31,6 @@
 	return time.Duration(float64(d) * (1 + jitterShare*(2*rand.Float64()-1)))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // The duties that are spread over the live routers by rendezvous hashing.
 var (
 	dutyVMList = rendezvous.ID("duty/vm-list")
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/orders"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/upstream"
@@ -70,7 +71,7 @@
 	go l.Lease.Run(ctx)
 	for {
 		l.step(ctx)
-		if !sleep(ctx, jitter(l.period())) {
+		if !pause.For(ctx, jitter(l.period())) {
 			return
 		}
 	}
--- a/internal/platform/backoff.go
+++ b/internal/platform/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"damaskrouter.example/damaskrouter/internal/pause"
 )
 
 // Defaults of Backoff.
@@ -46,12 +48,5 @@
 
 // wait pauses after the n-th try and reports whether ctx allows another.
 func (b Backoff) wait(ctx context.Context, n int) bool {
-	t := time.NewTimer(b.pause(n))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, b.pause(n)) && ctx.Err() == nil
 }
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -57,7 +57,7 @@
 	var out []string
 	for _, r := range q.opts.Board.Snapshot().Live {
 		if r.Name != q.opts.Self {
-			out = append(out, holderName(r.Name, r.Instance))
+			out = append(out, r.HolderName())
 		}
 	}
 	return out
@@ -71,7 +71,7 @@
 	defer q.mu.Unlock()
 	live := make([]string, 0, len(snap.Live))
 	for _, r := range snap.Live {
-		live = append(live, holderName(r.Name, r.Instance))
+		live = append(live, r.HolderName())
 	}
 	q.cache.SetLive(live)
 	if slices.Equal(live, q.live) && snap.ConfigVersion == q.version {
@@ -108,7 +108,7 @@
 func (q *Quota) buryDead(snap *board.Snapshot) {
 	known := make(map[string]bool, len(snap.Routers))
 	for _, r := range snap.Routers {
-		known[holderName(r.Name, r.Instance)] = true
+		known[r.HolderName()] = true
 	}
 	for name := range q.seen {
 		if !known[name] {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -8,7 +8,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,7 +71,7 @@
 func New(o Options) *Quota {
 	q := &Quota{
 		opts:    o,
-		holder:  holderName(o.Self, o.Instance),
+		holder:  board.HolderName(o.Self, o.Instance),
 		ledgers: make(map[string]*limit.Ledger),
 		owners:  make(map[string]string),
 		asking:  make(map[string]chan struct{}),
@@ -81,11 +80,6 @@
 	return q
 }
 
-// holderName names a router in reports, so that a restarted one differs.
-func holderName(router string, instance uint64) string {
-	return router + "#" + strconv.FormatUint(instance, 36)
-}
-
 func (q *Quota) limits(account string) limit.Limits {
 	cfg := q.opts.Board.Snapshot().Config
 	if cfg == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"damaskrouter.example/damaskrouter/internal/controller"
 	"damaskrouter.example/damaskrouter/internal/gossip"
 	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/platform"
@@ -193,7 +194,7 @@
 	deadline := time.Now().Add(r.set.Timeouts.Drain)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	pause(ctx, r.set.Timeouts.LocateTTL)
+	pause.For(ctx, r.set.Timeouts.LocateTTL)
 	r.traffic.RefuseNew()
 	if err := r.traffic.Wait(ctx); err != nil {
 		r.log.Warn("drain deadline met; streams are handed on", "cause", err)
@@ -205,15 +206,6 @@
 	r.log.Info("drained")
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close stops at once; Drain comes first in a graceful shutdown.
 func (r *Router) Close() {
 	r.cancel()
--- a/internal/router/secrets.go
+++ b/internal/router/secrets.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/secret"
 )
 
@@ -30,7 +31,7 @@
 // watchSecrets looks at the files until ctx ends.
 func (r *Router) watchSecrets(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, secretInterval)
+		pause.For(ctx, secretInterval)
 		_ = r.ReloadSecrets()
 	}
 }
--- a/internal/traffic/again.go
+++ b/internal/traffic/again.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/retry"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 )
@@ -83,7 +84,7 @@
 	switch d.Action {
 	case retry.RetryNow:
 	case retry.RetryAfter:
-		pause(ctx, d.Delay)
+		pause.For(ctx, d.Delay)
 	default:
 		return a.ran(upstreamFailed(err))
 	}
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -6,6 +6,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/admission"
 	"damaskrouter.example/damaskrouter/internal/outlier"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/prefix"
 	"damaskrouter.example/damaskrouter/internal/token"
 	"damaskrouter.example/damaskrouter/internal/upstream"
@@ -84,7 +85,7 @@
 
 func (a *answer) resume(attempt int) (upstream.Event, error) {
 	if attempt > 0 {
-		pause(a.ctx, time.Duration(attempt)*resumePause)
+		pause.For(a.ctx, time.Duration(attempt)*resumePause)
 	}
 	a.resumes++
 	st, err := a.stream.Resume(a.ctx)
@@ -95,15 +96,6 @@
 	return st.Next()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // finish ends an answer whose end marker has been read.
 func (a *answer) finish() {
 	a.stream.Close()
