httperr: refusals over HTTP are made in one place

Cause: internal/admin/errors.go and internal/traffic/errors.go translated echo's errors and set the headers of a refusal by the same lines. Should one learn that an error may have run and the other not, one of the interfaces would promise "did not run" falsely. Ruled out: apierr itself (package client imports it and would get echo); one handleError (the bodies, logs and metrics differ). One case differs on paper: echo's own 413 is "too_large" at the administration API as well, where it was "bad_request". No middleware or handler there raises it; decode's own refusal was "too_large" already. Conclusion: kept.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,6 +14,7 @@
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/charmbracelet/log"
@@ -158,7 +159,7 @@
 			id = uuid.NewString()
 		}
 		if !validID(id) {
-			return badRequest("malformed " + wire.HeaderRequestID)
+			return httperr.BadRequest("malformed " + wire.HeaderRequestID)
 		}
 		c.Response().Header().Set(wire.HeaderRequestID, id)
 		return next(c)
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -7,6 +7,7 @@
 	"damaskrouter.example/damaskrouter/internal/access"
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 )
 
 // apply accepts a bundle as the next version.
@@ -64,11 +65,11 @@
 		}
 	}
 	if len(comment) > maxComment {
-		return config.Change{}, badRequest("comment is longer than " + strconv.Itoa(maxComment) + " bytes")
+		return config.Change{}, httperr.BadRequest("comment is longer than " + strconv.Itoa(maxComment) + " bytes")
 	}
 	id := c.Request().Header.Get(api.HeaderChangeID)
 	if id == "" {
-		return config.Change{}, badRequest(api.HeaderChangeID + " is missing; without it a lost reply can't be settled")
+		return config.Change{}, httperr.BadRequest(api.HeaderChangeID + " is missing; without it a lost reply can't be settled")
 	}
 	expected, err := ifMatch(c)
 	if err != nil {
--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/access"
@@ -14,6 +12,7 @@
 	"damaskrouter.example/damaskrouter/internal/audit"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
@@ -46,10 +45,7 @@
 	}
 	h := c.Response().Header()
 	f.RequestID = h.Get(wire.HeaderRequestID)
-	h.Set(wire.HeaderRan, string(f.Ran))
-	if f.RetryAfterMS > 0 {
-		h.Set(echo.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.RetryAfter().Seconds()))))
-	}
+	httperr.SetHeaders(h, f.Ran, f.RetryAfter())
 	if f.Status == http.StatusUnauthorized {
 		h.Set(echo.HeaderWWWAuthenticate, "Bearer")
 	}
@@ -82,7 +78,7 @@
 	if e := translateStore(err); e != nil {
 		return api.NewFailure(e.WithCause(err))
 	}
-	return api.NewFailure(translateHTTP(err))
+	return api.NewFailure(httperr.From(err))
 }
 
 // translateChange handles the refusals that carry details.
@@ -122,7 +118,7 @@
 	case errors.As(err, &denied):
 		return apierr.New(apierr.CodeForbidden, http.StatusForbidden, denied.Error())
 	case access.ErrOperator.Has(err):
-		return badRequest(err.Error())
+		return httperr.BadRequest(err.Error())
 	}
 	return nil
 }
@@ -136,7 +132,7 @@
 	case errors.As(err, &verdict):
 		return conflict(verdict.Error())
 	case config.ErrBadChange.Has(err), claim.ErrBadKey.Has(err), audit.ErrCursor.Has(err), platform.ErrInvalid.Has(err):
-		return badRequest(err.Error())
+		return httperr.BadRequest(err.Error())
 	case config.ErrNoVersion.Has(err):
 		return apierr.New(apierr.CodeNotFound, http.StatusNotFound, "no such version")
 	case platform.ErrNotFound.Has(err):
@@ -148,29 +144,6 @@
 	return nil
 }
 
-// translateHTTP handles echo's own errors, which arise before any handler ran,
-// and the rest.
-func translateHTTP(err error) *apierr.Error {
-	var he *echo.HTTPError
-	if !errors.As(err, &he) {
-		return apierr.From(err)
-	}
-	switch he.Code {
-	case http.StatusNotFound:
-		return apierr.New(apierr.CodeNotFound, he.Code, "no such path")
-	case http.StatusMethodNotAllowed:
-		return apierr.New(apierr.CodeMethod, he.Code, "method not allowed here")
-	}
-	if he.Code < http.StatusInternalServerError {
-		return apierr.New(apierr.CodeBadRequest, he.Code, "malformed request")
-	}
-	return apierr.From(err)
-}
-
-func badRequest(message string) *apierr.Error {
-	return apierr.New(apierr.CodeBadRequest, http.StatusBadRequest, message)
-}
-
 func conflict(message string) *apierr.Error {
 	return apierr.New(apierr.CodeConflict, http.StatusConflict, message)
 }
--- a/internal/admin/input.go
+++ b/internal/admin/input.go
@@ -12,6 +12,7 @@
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"github.com/labstack/echo/v4"
 )
 
@@ -47,9 +48,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return apierr.New(apierr.CodeTooLarge, http.StatusRequestEntityTooLarge, "body too large")
+		return httperr.TooLarge()
 	case err != nil:
-		return badRequest("malformed body: " + err.Error())
+		return httperr.BadRequest("malformed body: " + err.Error())
 	}
 	return nil
 }
@@ -61,7 +62,7 @@
 		return nil
 	}
 	if err == nil {
-		return badRequest("more than one JSON value")
+		return httperr.BadRequest("more than one JSON value")
 	}
 	return err
 }
@@ -76,7 +77,7 @@
 	}
 	version, err := parseVersion(strings.Trim(text, `"`))
 	if err != nil {
-		return 0, badRequest("If-Match is not a version")
+		return 0, httperr.BadRequest("If-Match is not a version")
 	}
 	return version, nil
 }
@@ -87,7 +88,7 @@
 func parseVersion(text string) (uint64, error) {
 	version, err := strconv.ParseUint(text, 10, 63)
 	if err != nil {
-		return 0, badRequest("not a version: " + strconv.Quote(text))
+		return 0, httperr.BadRequest("not a version: " + strconv.Quote(text))
 	}
 	return version, nil
 }
@@ -100,7 +101,7 @@
 	}
 	limit, err := strconv.Atoi(text)
 	if err != nil || limit < 1 || limit > api.MaxLimit {
-		return 0, badRequest("limit is from 1 to " + strconv.Itoa(api.MaxLimit))
+		return 0, httperr.BadRequest("limit is from 1 to " + strconv.Itoa(api.MaxLimit))
 	}
 	return limit, nil
 }
@@ -110,10 +111,10 @@
 func checkParams(c *call, known ...string) error {
 	for name, values := range c.QueryParams() {
 		if !slices.Contains(known, name) {
-			return badRequest("unknown parameter " + strconv.Quote(name))
+			return httperr.BadRequest("unknown parameter " + strconv.Quote(name))
 		}
 		if len(values) > 1 {
-			return badRequest("parameter " + strconv.Quote(name) + " is given twice")
+			return httperr.BadRequest("parameter " + strconv.Quote(name) + " is given twice")
 		}
 	}
 	return nil
--- a/internal/admin/operators.go
+++ b/internal/admin/operators.go
@@ -12,6 +12,7 @@
 	"damaskrouter.example/damaskrouter/internal/access"
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 	"damaskrouter.example/damaskrouter/internal/audit"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/platform"
 	"github.com/google/uuid"
 )
@@ -114,11 +115,11 @@
 func checkOperator(req api.AddOperatorRequest) error {
 	switch {
 	case !operatorName.MatchString(req.Name):
-		return badRequest("a name has up to 64 letters, digits and . _ @ -, and begins with a letter or digit")
+		return httperr.BadRequest("a name has up to 64 letters, digits and . _ @ -, and begins with a letter or digit")
 	case req.Name == BootstrapOperator:
-		return badRequest("the name " + BootstrapOperator + " is that of the token in the settings")
+		return httperr.BadRequest("the name " + BootstrapOperator + " is that of the token in the settings")
 	case req.ExpiresIn < 0 || req.ExpiresIn > maxTokenLife:
-		return badRequest("expires_in_seconds is from 0 to " + strconv.Itoa(maxTokenLife))
+		return httperr.BadRequest("expires_in_seconds is from 0 to " + strconv.Itoa(maxTokenLife))
 	}
 	return nil
 }
@@ -140,7 +141,7 @@
 			known = known || t.Name == name
 		}
 		if !known {
-			return badRequest("no team is called " + strconv.Quote(name))
+			return httperr.BadRequest("no team is called " + strconv.Quote(name))
 		}
 	}
 	return nil
--- a/internal/traffic/account.go
+++ b/internal/traffic/account.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/prefix"
 	"damaskrouter.example/damaskrouter/internal/queue"
 	"damaskrouter.example/damaskrouter/internal/wire"
@@ -70,7 +71,7 @@
 func (w *caller) readHeaders(h http.Header) error {
 	w.setChat(h.Get(wire.HeaderChatID))
 	if w.chatID != "" && !validID(w.chatID) {
-		return badRequest("malformed " + wire.HeaderChatID)
+		return httperr.BadRequest("malformed " + wire.HeaderChatID)
 	}
 	if err := w.setClass(h.Get(wire.HeaderPriority)); err != nil {
 		return err
@@ -89,7 +90,7 @@
 func (w *caller) setClass(name string) error {
 	class, err := queue.ParseClass(name)
 	if err != nil {
-		return badRequest("unknown class in " + wire.HeaderPriority).WithCause(err)
+		return httperr.BadRequest("unknown class in " + wire.HeaderPriority).WithCause(err)
 	}
 	highest, err := queue.ParseClass(w.account.MaxPriority)
 	if err != nil {
@@ -105,7 +106,7 @@
 	}
 	n, err := strconv.ParseInt(ms, 10, 64)
 	if err != nil || n <= 0 || n > maxDeadline.Milliseconds() {
-		return badRequest("malformed " + wire.HeaderDeadlineMS)
+		return httperr.BadRequest("malformed " + wire.HeaderDeadlineMS)
 	}
 	w.deadline = time.Now().Add(time.Duration(n) * time.Millisecond)
 	return nil
--- a/internal/traffic/chat.go
+++ b/internal/traffic/chat.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/chat"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/prefix"
@@ -69,7 +70,7 @@
 		return err
 	}
 	if c.Request().Header.Get(wire.HeaderIdempotencyKey) != "" {
-		return badRequest(wire.HeaderIdempotencyKey + " has no meaning for chats: an unfinished answer is resumed, not run again")
+		return httperr.BadRequest(wire.HeaderIdempotencyKey + " has no meaning for chats: an unfinished answer is resumed, not run again")
 	}
 	t := &turn{s: s, who: who, id: requestID(c), arrived: arrived}
 	if err := t.read(c); err != nil {
@@ -101,10 +102,10 @@
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&t.body); err != nil {
-		return badRequest("body is not a chat request: " + err.Error())
+		return httperr.BadRequest("body is not a chat request: " + err.Error())
 	}
 	if _, err := d.Token(); err != io.EOF {
-		return badRequest("data after the end of the body")
+		return httperr.BadRequest("data after the end of the body")
 	}
 	return t.check()
 }
@@ -113,17 +114,17 @@
 	b := &t.body
 	switch {
 	case b.Model == "":
-		return badRequest("model is missing")
+		return httperr.BadRequest("model is missing")
 	case len(b.Messages) == 0:
-		return badRequest("messages are missing")
+		return httperr.BadRequest("messages are missing")
 	case len(b.Messages) > maxMessages:
-		return badRequest("too many messages")
+		return httperr.BadRequest("too many messages")
 	case b.MaxTokens < 0 || b.MaxTokens > maxMaxTokens:
-		return badRequest("max_tokens is out of range")
+		return httperr.BadRequest("max_tokens is out of range")
 	}
 	for _, m := range b.Messages {
 		if m.Role == "" {
-			return badRequest("a message has no role")
+			return httperr.BadRequest("a message has no role")
 		}
 	}
 	return nil
@@ -135,10 +136,10 @@
 	raw, err := io.ReadAll(r)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, apierr.New(apierr.CodeTooLarge, http.StatusRequestEntityTooLarge, "body too large")
+		return nil, httperr.TooLarge()
 	}
 	if err != nil {
-		return nil, badRequest("body could not be read").WithCause(err)
+		return nil, httperr.BadRequest("body could not be read").WithCause(err)
 	}
 	return raw, nil
 }
@@ -163,7 +164,7 @@
 	out.Stream = true
 	raw, err := json.Marshal(out)
 	if err != nil {
-		return badRequest("body could not be encoded").WithCause(err)
+		return httperr.BadRequest("body could not be encoded").WithCause(err)
 	}
 	t.bytes = raw
 	return nil
--- a/internal/traffic/linger.go
+++ b/internal/traffic/linger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
 )
@@ -125,7 +126,7 @@
 	}
 	n, err := strconv.Atoi(lastEventID)
 	if err != nil || n < 0 {
-		return 0, badRequest("malformed " + wire.HeaderLastEventID)
+		return 0, httperr.BadRequest("malformed " + wire.HeaderLastEventID)
 	}
 	return n + 1, nil
 }
--- a/internal/traffic/locate.go
+++ b/internal/traffic/locate.go
@@ -7,6 +7,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
@@ -29,7 +30,7 @@
 	}
 	if id := c.QueryParam("chat"); id != "" {
 		if !validID(id) {
-			return badRequest("malformed chat id")
+			return httperr.BadRequest("malformed chat id")
 		}
 		who.setChat(id)
 	}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -16,6 +16,7 @@
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/token"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 	"damaskrouter.example/damaskrouter/internal/wire"
@@ -163,7 +164,7 @@
 			id = uuid.NewString()
 		}
 		if !validID(id) {
-			return badRequest("malformed " + wire.HeaderRequestID)
+			return httperr.BadRequest("malformed " + wire.HeaderRequestID)
 		}
 		h.Set(wire.HeaderRequestID, id)
 		if s.Board.Snapshot().Draining {
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/queue"
@@ -95,7 +96,7 @@
 	k.accept = r.Header.Get("Accept")
 	k.key = r.Header.Get(wire.HeaderIdempotencyKey)
 	if len(k.key) > maxKeyLength {
-		return badRequest(wire.HeaderIdempotencyKey + " is too long")
+		return httperr.BadRequest(wire.HeaderIdempotencyKey + " is too long")
 	}
 	if !k.route.Idempotent && k.key == "" {
 		return apierr.New(apierr.CodeKeyMissing, http.StatusBadRequest,
@@ -121,7 +122,7 @@
 	case config.ErrMethod.Has(err):
 		return apierr.New(apierr.CodeMethod, http.StatusMethodNotAllowed, "method not allowed here").WithCause(err)
 	case config.ErrBadPath.Has(err):
-		return badRequest("malformed path").WithCause(err)
+		return httperr.BadRequest("malformed path").WithCause(err)
 	case err != nil:
 		return apierr.New(apierr.CodeNotFound, http.StatusNotFound, "no such route").WithCause(err)
 	}
@@ -301,7 +302,7 @@
 			"the request ran, but its answer can't be shown again").
 			WithRan(apierr.RanYes).WithCause(err)
 	case claim.ErrBadKey.Has(err):
-		return badRequest("malformed " + wire.HeaderIdempotencyKey).WithCause(err)
+		return httperr.BadRequest("malformed " + wire.HeaderIdempotencyKey).WithCause(err)
 	}
 	return apierr.From(err)
 }
