traffic: shorter attempts, no write to an answer that is left behind

Cause: call.attempt had 48 lines; contextCut and stopReading each repeated what they called; takeUp wrote the new context into the answer of the handler that had just left it, which nothing reads any more. A subtle point: stopReading looked cancel up when the caller's context ended, on an answer that takeUp was writing to without a lock; it is now bound before. Ruled out: splitting services.go (its parts are one call's life).

--- a/internal/traffic/linger.go
+++ b/internal/traffic/linger.go
@@ -19,15 +19,6 @@
 	timer  *time.Timer
 }
 
-// contextCut calls f once ctx ends; the function it returns takes that back.
-func contextCut(ctx context.Context, f func()) (stop func()) {
-	cancel := context.AfterFunc(ctx, f)
-	return func() { cancel() }
-}
-
-// stopReading ends the reads of an answer whose caller is gone.
-func (a *answer) stopReading() { a.cancel() }
-
 // linger keeps the engine's stream alive for the resume grace.
 func (s *Server) linger(a *answer) {
 	a.stream.Close()
@@ -104,7 +95,6 @@
 	sctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	if l := s.findLinger(id); s.takeLinger(id, l) {
 		s.inflight.Done()
-		l.answer.ctx, l.answer.cancel = sctx, cancel
 		return &answer{s: s, grant: l.answer.grant, call: l.answer.call, ctx: sctx, cancel: cancel}, nil
 	}
 	g, err := s.Admitter.Adopt(ctx, id, engine, incarnation)
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -31,9 +32,9 @@
 	defer out.close()
 	s.metrics.streamsOpen.Add(1)
 	defer s.metrics.streamsOpen.Add(-1)
-	stop := contextCut(c.Request().Context(), a.stopReading)
+	stop := context.AfterFunc(c.Request().Context(), a.cancel)
 	defer stop()
-	stopCut := contextCut(s.cut, a.stopReading)
+	stopCut := context.AfterFunc(s.cut, a.cancel)
 	defer stopCut()
 	for {
 		ev, err := a.next()
@@ -146,7 +147,7 @@
 
 // collect gathers a whole answer for a caller that did not ask for a stream.
 func (s *Server) collect(c echo.Context, a *answer) error {
-	stop := contextCut(c.Request().Context(), a.stopReading)
+	stop := context.AfterFunc(c.Request().Context(), a.cancel)
 	defer stop()
 	var text strings.Builder
 	var last wire.Chunk
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -48,9 +48,14 @@
 // Tokens seals and opens what callers carry for the fleet; *token.Codec is
 // one. It may change its keys at any time.
 type Tokens interface {
+	// SealHint says, for the account alone, where a chat's prefix is cached.
 	SealHint(account string, h token.Hint) string
+	// OpenHint reads what SealHint made for the same account.
 	OpenHint(account, text string) (token.Hint, error)
+	// SealResume gives the account the right to resume one stream.
 	SealResume(account string, r token.Resume) (string, error)
+	// OpenResume reads what SealResume made for the same account, unless it
+	// has expired at now.
 	OpenResume(account, text string, now time.Time) (token.Resume, error)
 }
 
@@ -58,12 +63,15 @@
 type Options struct {
 	Board    *board.Board
 	Admitter Admitter
-	Facts    *admission.Facts
-	Quota    Limiter
+	// Facts tells where prefixes are cached.
+	Facts *admission.Facts
+	Quota Limiter
+	// Upstream carries the requests to engines and plain services.
 	Upstream *upstream.Client
-	Claims   *claim.Store
-	Tokens   Tokens
-	Log      *log.Logger
+	// Claims keeps non-idempotent calls from running twice.
+	Claims *claim.Store
+	Tokens Tokens
+	Log    *log.Logger
 	// Name is this router's name.
 	Name string
 	// LocateTTL is how long callers may keep a locate answer.
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -78,6 +78,7 @@
 	if refused != nil {
 		return resp, refused
 	}
+	// Returned as an error, a nil *apierr.Error would not equal nil.
 	return resp, nil
 }
 
@@ -218,21 +219,7 @@
 
 // attempt asks for a grant and sends the call once.
 func (k *call) attempt(ctx context.Context) (upstream.Response, error) {
-	pool, ok := k.who.config.Pool(k.service.Pool)
-	if !ok {
-		return upstream.Response{}, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
-			WithRetryAfter(time.Second)
-	}
-	id := uuid.NewString()
-	g, err := k.s.Admitter.Admit(ctx, &admission.Request{
-		ID:       id,
-		Account:  k.who.account,
-		Class:    k.who.class,
-		Pools:    []*config.Pool{pool},
-		Deadline: k.who.deadline,
-		Place:    placement.Request{OutputTokens: 1},
-		Avoid:    k.avoid,
-	})
+	g, err := k.admit(ctx)
 	if err != nil {
 		return upstream.Response{}, err
 	}
@@ -245,11 +232,39 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), onceTimeout)
 		defer cancel()
 	}
-	resp, err := k.s.Upstream.Do(ctx, upstream.Call{
+	resp, err := k.s.Upstream.Do(ctx, k.upstreamCall(g))
+	if err != nil && ctx.Err() == nil {
+		k.avoid = append(k.avoid, g.Engine.ID)
+		k.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
+	}
+	return resp, err
+}
+
+// admit waits for the right to send one attempt to one VM of the service.
+func (k *call) admit(ctx context.Context) (*admission.Grant, error) {
+	pool, ok := k.who.config.Pool(k.service.Pool)
+	if !ok {
+		return nil, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
+			WithRetryAfter(time.Second)
+	}
+	return k.s.Admitter.Admit(ctx, &admission.Request{
+		ID:       uuid.NewString(),
+		Account:  k.who.account,
+		Class:    k.who.class,
+		Pools:    []*config.Pool{pool},
+		Deadline: k.who.deadline,
+		Place:    placement.Request{OutputTokens: 1},
+		Avoid:    k.avoid,
+	})
+}
+
+// upstreamCall is the attempt that g allows.
+func (k *call) upstreamCall(g *admission.Grant) upstream.Call {
+	return upstream.Call{
 		Address:        g.Engine.Address,
 		Name:           g.Engine.Name,
 		Incarnation:    g.Incarnation,
-		RequestID:      id,
+		RequestID:      g.ID,
 		Method:         k.route.Route.Method,
 		Path:           k.route.Path,
 		Query:          k.query,
@@ -258,12 +273,7 @@
 		IdempotencyKey: k.upstreamKey(),
 		Idempotent:     k.route.Idempotent,
 		Body:           k.body,
-	})
-	if err != nil && ctx.Err() == nil {
-		k.avoid = append(k.avoid, g.Engine.ID)
-		k.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
 	}
-	return resp, err
 }
 
 // upstreamKey is the idempotency key as the service sees it. The account is
