docs: units, owners and errors of exported fields

Cause: read as a newcomer, controllers and the client did not say what their maps are keyed by, what an etag is a hash of, or which errors come back. client.Call's comment was wrong: it said that the next address is tried where the fleet says "did not run"; the code returns such a refusal. rendezvous' comment was wrong: Assign and Spread allocate. Ruled out: changing Call; a refusal is the caller's to weigh, by RetryAfter. Comments only.

--- a/client/client.go
+++ b/client/client.go
@@ -128,7 +128,8 @@
 }
 
 // Locate asks the fleet which addresses to use for a chat, best first. An
-// empty chat asks for any lightly loaded router.
+// empty chat asks for any lightly loaded router. Its error is
+// ErrNoRouter, around what the last address asked has answered.
 func (c *Client) Locate(ctx context.Context, chat, model string) ([]string, error) {
 	return c.locate(ctx, question{chat: chat, model: model})
 }
--- a/client/conversation.go
+++ b/client/conversation.go
@@ -51,8 +51,11 @@
 
 // Turn is what one Say gave.
 type Turn struct {
-	Text   string
-	Usage  wire.Usage
+	// Text is the answer. It is empty where Say failed.
+	Text string
+	// Usage is the engine's count of tokens.
+	Usage wire.Usage
+	// Router is the name of the router that answered last.
 	Router string
 	// FirstToken is the time from sending until the first token.
 	FirstToken time.Duration
@@ -62,8 +65,10 @@
 	Resumes int
 }
 
-// Say sends a message and calls onToken with each piece of the answer. It
-// returns once the whole answer has arrived; a partial answer is an error.
+// Say sends a message and calls onToken, which may be nil, with each piece of
+// the answer. It returns once the whole answer has arrived; a partial answer is
+// an error, and leaves the history as it was. Errors: *Refusal, ErrNoRouter,
+// ErrOutcomeUnknown, ErrProtocol.
 func (v *Conversation) Say(ctx context.Context, text string, onToken func(string)) (Turn, error) {
 	messages := append(v.messages[:len(v.messages):len(v.messages)], wire.Message{Role: "user", Content: text})
 	body, err := json.Marshal(wire.ChatRequest{
@@ -114,16 +119,19 @@
 
 // Reply is the whole answer of a plain service.
 type Reply struct {
+	// Status and ContentType are the service's own.
 	Status      int
 	ContentType string
 	Body        []byte
-	Router      string
+	// Router is the name of the router that answered.
+	Router string
 }
 
 // Call sends one request to a plain service. The idempotency key names the
 // operation: with the same key the fleet runs it at most once, whichever
-// router it reaches. Call itself sends it once per address, and goes to the
-// next address only while nothing was sent or the fleet said it did not run.
+// router it reaches. Call goes to the next address only while no connection was
+// had; after that it returns whatever is known of the outcome: *Refusal,
+// ErrOutcomeUnknown or ErrNoRouter. A later Call with the same key settles it.
 func (c *Client) Call(ctx context.Context, method, service, path, idempotencyKey string, body []byte) (Reply, error) {
 	q := question{service: service}
 	addrs, err := c.locate(ctx, q)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,7 +30,8 @@
 type Request struct {
 	// ID names this attempt. It is unique across the fleet and never used
 	// again; the engine reports its unfinished work by it.
-	ID      string
+	ID string
+	// Account is the client account, for fairness in the queue.
 	Account *config.Account
 	Class   queue.Class
 	// Pools are the pools that can serve the request, in order of preference.
@@ -47,6 +48,7 @@
 
 // Grant is the right to send one request to one engine.
 type Grant struct {
+	// ID is the request's, and the permit's.
 	ID     string
 	Engine board.Engine
 	// Incarnation is the engine's, as its owner last saw it; 0 if unknown.
--- a/internal/admission/facts.go
+++ b/internal/admission/facts.go
@@ -159,7 +159,8 @@
 type HotChat struct {
 	Chat  uint64
 	Place prefix.Place
-	Age   time.Duration
+	// Age is the time since its last turn.
+	Age time.Duration
 }
 
 // Prune forgets the incarnations of engines that are gone.
--- a/internal/controller/configs.go
+++ b/internal/controller/configs.go
@@ -39,9 +39,10 @@
 	Board  *board.Board
 	Chain  *config.Chain
 	Caller *peer.Caller
-	Self   string
-	Site   string
-	Log    *log.Logger
+	// Self is this router's name, Site its data centre.
+	Self string
+	Site string
+	Log  *log.Logger
 	// Announce spreads the head to the other routers.
 	Announce func(membership.Item)
 	// InForce is told of each version put in force here.
@@ -49,8 +50,9 @@
 
 	mu       sync.Mutex
 	follower *config.Follower
-	newest   config.Head
-	wake     chan struct{}
+	// newest is the highest head heard of, in force here or not.
+	newest config.Head
+	wake   chan struct{}
 }
 
 // Provision makes the controller ready to run.
--- a/internal/controller/drains.go
+++ b/internal/controller/drains.go
@@ -40,13 +40,16 @@
 
 // EngineReport is the part of an engine's report that orders are about.
 type EngineReport struct {
+	// Incarnation grows with each restart of the engine.
 	Incarnation uint64
-	Model       string
-	Version     string
-	Role        string
-	Adapters    []string
-	Running     int
-	Queued      int
+	// Model, Version, Role and Adapters are what is loaded now.
+	Model    string
+	Version  string
+	Role     string
+	Adapters []string
+	// Running and Queued count the engine's unfinished requests.
+	Running int
+	Queued  int
 	// Age is how long ago the owner got the report.
 	Age time.Duration
 }
@@ -56,8 +59,10 @@
 	Board   *board.Board
 	Engines *Engines
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// fence is the highest one that a leader has shown.
 	fence uint64
+	// until says, by engine, when a drain lapses.
 	until map[string]time.Time
 }
 
--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -21,15 +21,18 @@
 
 // Engines watches the engines that this router owns.
 type Engines struct {
-	Board     *board.Board
-	Upstream  *upstream.Client
+	Board    *board.Board
+	Upstream *upstream.Client
+	// Admission is told of the engines' loads, Facts of their caches.
 	Admission *admission.Admission
 	Facts     *admission.Facts
 	Log       *log.Logger
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// watching ends the watchers, by the engine's id.
 	watching map[uint64]context.CancelFunc
-	reports  map[string]heardReport
+	// reports are the last ones, by the engine's name.
+	reports map[string]heardReport
 }
 
 // heardReport is an engine's last report and when it came.
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -15,8 +15,9 @@
 type VMsReply struct {
 	// Known is false where the relay has no fresh list.
 	Known bool
-	// Same says that the asker's list is still right.
+	// Same says that the asker's list is still right; VMs is then empty.
 	Same bool
+	// Etag is a hash of the list.
 	Etag uint64
 	VMs  []platform.VM
 }
@@ -28,8 +29,9 @@
 type ConfigReply struct {
 	// Version is 0 where the router has none, or none that is new enough.
 	Version uint64
-	Hash    config.Hash
-	Bundle  []byte
+	// Hash is the hash of Bundle, which the asker checks.
+	Hash   config.Hash
+	Bundle []byte
 }
 
 // Fleet is the RPC service by which routers share what one of them has read.
--- a/internal/controller/handoff.go
+++ b/internal/controller/handoff.go
@@ -40,6 +40,7 @@
 	// Moved counts the prefixes moved, Failed those that could not be.
 	Moved, Failed atomic.Int64
 
+	// started are the incarnations already taken care of, by engine.
 	started map[string]uint64
 	limiter *rate.Limiter
 }
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -9,7 +9,8 @@
 // Members copies what membership knows to the board.
 type Members struct {
 	Board *board.Board
-	// Self is this router's name and ID its instance.
+	// Self is this router's name, and ID the number that membership gave to
+	// this run of it: the Instance of board.Router.
 	Self string
 	ID   uint64
 }
--- a/internal/controller/vms.go
+++ b/internal/controller/vms.go
@@ -34,7 +34,9 @@
 	// Witness hands the list to membership.
 	Witness func([]platform.VM)
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// last is the newest list, etag its hash, and at when it came; seen is
+	// set once there has been one.
 	last []platform.VM
 	etag uint64
 	at   time.Time
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,8 +1,8 @@
 // Package rendezvous implements highest-random-weight hashing: every router
 // ranks the same nodes for a key in the same order without exchanging a
 // message. A node that leaves moves only the keys it owned, and a node that
-// joins takes about one key in n. The functions keep no state and, given room
-// in the destination, allocate nothing.
+// joins takes about one key in n. The functions keep no state. Owner, Order and
+// Top allocate nothing, given room in the destination; Assign and Spread do.
 package rendezvous
 
 import (
