--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -6,6 +6,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/admission"
 	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/charmbracelet/log"
 )
 
@@ -64,7 +65,7 @@
 		case <-l.Admission.OwnersMoved():
 			t.Stop()
 			// The new owner needs a moment to see that it is one.
-			sleep(ctx, moveSettle)
+			pause.For(ctx, moveSettle)
 		}
 	}
 }
--- a/internal/traffic/linger.go
+++ b/internal/traffic/linger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
 )
@@ -18,15 +19,6 @@
 	timer  *time.Timer
 }
 
-// contextCut calls f once ctx ends; the function it returns takes that back.
-func contextCut(ctx context.Context, f func()) (stop func()) {
-	cancel := context.AfterFunc(ctx, f)
-	return func() { cancel() }
-}
-
-// stopReading ends the reads of an answer whose caller is gone.
-func (a *answer) stopReading() { a.cancel() }
-
 // linger keeps the engine's stream alive for the resume grace.
 func (s *Server) linger(a *answer) {
 	a.stream.Close()
@@ -103,7 +95,6 @@
 	sctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	if l := s.findLinger(id); s.takeLinger(id, l) {
 		s.inflight.Done()
-		l.answer.ctx, l.answer.cancel = sctx, cancel
 		return &answer{s: s, grant: l.answer.grant, call: l.answer.call, ctx: sctx, cancel: cancel}, nil
 	}
 	g, err := s.Admitter.Adopt(ctx, id, engine, incarnation)
@@ -125,7 +116,7 @@
 	}
 	n, err := strconv.Atoi(lastEventID)
 	if err != nil || n < 0 {
-		return 0, badRequest("malformed " + wire.HeaderLastEventID)
+		return 0, httperr.BadRequest("malformed " + wire.HeaderLastEventID)
 	}
 	return n + 1, nil
 }
