Claims: one router deletes old finished claims

Cause: claim.Sweeper was run by no router, so the table of claims grew for ever. The retention is the setting claim_retention, 72h by default.

Its calls have their own use, retention, which is paid from the claims' budget and only above a reserve of three quarters of it.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -201,7 +201,8 @@
 		if now%(6*time.Hour) == 0 {
 			sweeper = NewSweeper(table, day)
 		}
-		require.NoError(t, sweeper.Step(ctx, now))
+		_, err := sweeper.Step(ctx, now)
+		require.NoError(t, err)
 		if _, err := s.Show(ctx, receipt); err != nil && gone == 0 {
 			gone = now
 		}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -49,15 +49,16 @@
 	return &Sweeper{table: table, retention: retention}
 }
 
-// Step handles one page of claims, or finds that a round is not due. now is
-// the monotonic time since some fixed moment in this process. It costs at most
-// two reads and one transaction; the caller sets the pace. Several sweepers
-// may run at once. Errors are those of the table service, and nothing needs to
-// be undone after one. A conflict means that another writer was faster.
-func (s *Sweeper) Step(ctx context.Context, now time.Duration) error {
+// Step handles one page of claims, or finds that a round is not due, and
+// returns how many rows it knows to be deleted. now is the monotonic time since
+// some fixed moment in this process. It costs at most two reads and one
+// transaction; the caller sets the pace. Several sweepers may run at once.
+// Errors are those of the table service and ErrCorrupt, and nothing needs to be
+// undone after one. A conflict means that another writer was faster.
+func (s *Sweeper) Step(ctx context.Context, now time.Duration) (deleted int, err error) {
 	row, p, err := s.load(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if !p.Idle {
 		return s.page(ctx, row.Version, p)
@@ -65,16 +66,16 @@
 	if row.Version != s.watched {
 		s.watched = row.Version
 		s.since = now
-		return nil
+		return 0, nil
 	}
 	if now-s.since < s.retention/roundsKept {
-		return nil
+		return 0, nil
 	}
 	return s.commit(ctx, row.Version, progress{Round: p.Round + 1}, nil)
 }
 
 func (s *Sweeper) load(ctx context.Context) (platform.Row, progress, error) {
-	row, err := s.table.Get(ctx, platform.UseAdmin, sweepTable, sweepKey)
+	row, err := s.table.Get(ctx, platform.UseRetention, sweepTable, sweepKey)
 	if platform.ErrNotFound.Has(err) {
 		return platform.Row{}, progress{Round: 1}, nil
 	}
@@ -86,10 +87,10 @@
 	return row, p, ErrCorrupt.Wrap(err)
 }
 
-func (s *Sweeper) page(ctx context.Context, version int64, p progress) error {
-	rows, err := s.table.Scan(ctx, platform.UseAdmin, Table, p.Cursor, "", sweepPage)
+func (s *Sweeper) page(ctx context.Context, version int64, p progress) (deleted int, err error) {
+	rows, err := s.table.Scan(ctx, platform.UseRetention, Table, p.Cursor, "", sweepPage)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var writes []platform.Write
 	for _, row := range rows {
@@ -126,16 +127,24 @@
 // versions start again at 1, so a delete that is delivered twice could hit a
 // later claim of the same key. The progress row is never deleted: its version
 // has moved on by then, and the whole late transaction fails.
-func (s *Sweeper) commit(ctx context.Context, version int64, p progress, writes []platform.Write) error {
+func (s *Sweeper) commit(ctx context.Context, version int64, p progress, writes []platform.Write) (deleted int, err error) {
 	value, err := json.Marshal(p)
 	if err != nil {
-		return ErrCorrupt.Wrap(err)
+		return 0, ErrCorrupt.Wrap(err)
+	}
+	for _, w := range writes {
+		if w.Delete {
+			deleted++
+		}
 	}
 	writes = append(writes, platform.Write{Table: sweepTable, Key: sweepKey, Value: value, IfVersion: version})
-	_, err = s.table.Commit(ctx, platform.UseAdmin, writes...)
+	_, err = s.table.Commit(ctx, platform.UseRetention, writes...)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		return nil
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
 	}
-	return err
+	return deleted, nil
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -45,4 +45,5 @@
 var (
 	dutyVMList = rendezvous.ID("duty/vm-list")
 	dutyConfig = rendezvous.ID("duty/config-head")
+	dutySweep  = rendezvous.ID("duty/claim-sweep")
 )
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -26,12 +26,21 @@
 // When the total runs short, the bucket drains and the uses are cut off from
 // the bottom of this list upwards: the audit trail first, claims last.
 var reserves = map[Use]float64{
-	UseClaim:  0,
-	UseLease:  0.15,
-	UseConfig: 0.3,
-	UseAudit:  0.45,
-	UseAdmin:  0.6,
-}
+	UseClaim:     0,
+	UseLease:     0.15,
+	UseConfig:    0.3,
+	UseAudit:     0.45,
+	UseAdmin:     0.6,
+	UseRetention: 0.75,
+}
+
+// paidBy names the uses that spend the bound of another use, and not one of
+// their own. They leave their reserve of that bound too.
+//
+// What goes wrong without it: the pages of retention take the last of what a
+// router may spend on claims, and calls that must not be repeated are refused
+// while the store is idle. One sees refusals for the budget whenever it runs.
+var paidBy = map[Use]Use{UseRetention: UseClaim}
 
 // otherReserve is the reserve of a use that is not listed.
 const otherReserve = 0.75
@@ -143,12 +152,27 @@
 	if left < reserve(use)*float64(b.total.Burst()) {
 		return false
 	}
-	if own := b.perUse[use]; own != nil && !own.AllowN(now, 1) {
+	if !b.takeOwn(now, use) {
 		return false
 	}
 	return b.total.AllowN(now, 1)
 }
 
+// takeOwn takes a token from the bound of use, or of the use that pays for it.
+func (b *bucket) takeOwn(now time.Time, use Use) bool {
+	payer, shared := paidBy[use]
+	if !shared {
+		own := b.perUse[use]
+		return own == nil || own.AllowN(now, 1)
+	}
+	own := b.perUse[payer]
+	if own == nil {
+		return true
+	}
+	left := own.TokensAt(now) - 1
+	return left >= reserve(use)*float64(own.Burst()) && own.AllowN(now, 1)
+}
+
 func (b *bucket) resize(now time.Time, perSecond float64, burst time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/platform/decorators_test.go
+++ b/internal/platform/decorators_test.go
@@ -183,6 +183,30 @@
 	})
 }
 
+// Symptom: calls that must not be repeated are refused for the budget while
+// the store is idle. Sequence: retention reads page after page. Cause: it pays
+// from the claims' share without leaving them any.
+func TestBudgetOfRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platform.Budgeted(platformtest.New(), platform.NewBudget(platform.BudgetOptions{
+			Total:  platform.Rates{Reads: 1000, Writes: 1000},
+			PerUse: map[platform.Use]platform.Rates{platform.UseClaim: {Reads: 100, Writes: 100}},
+			Burst:  time.Second,
+		}))
+		read := func(use platform.Use) int {
+			for n := 0; ; n++ {
+				if _, err := table.Get(t.Context(), use, "t", "k"); platform.ErrBudget.Has(err) {
+					return n
+				}
+			}
+		}
+		require.Equal(t, 25, read(platform.UseRetention))
+		require.Equal(t, 75, read(platform.UseClaim), "the rest is left, and the cost is counted")
+		time.Sleep(100 * time.Millisecond)
+		require.Zero(t, read(platform.UseRetention), "claims are short")
+	})
+}
+
 func TestRetryRepeatsReadsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fake := platformtest.New()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -87,6 +87,9 @@
 	UseConfig Use = "config"
 	UseAudit  Use = "audit"
 	UseAdmin  Use = "admin"
+	// UseRetention deletes old claims. It spends the budget of UseClaim, and
+	// only what claims leave of it.
+	UseRetention Use = "retention"
 )
 
 // Table is the transactional table service. All methods are safe for
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -128,6 +128,10 @@
 		Clock: controller.BootTime, Self: r.set.Name, Log: r.log,
 	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
+	r.sweeper = &controller.Sweeper{
+		Board: r.board, Claims: claim.NewSweeper(r.table, r.set.ClaimRetention),
+		Clock: controller.BootTime, Log: r.log,
+	}
 	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,6 +89,7 @@
 	handoff *controller.Handoff
 	drains  *controller.Drains
 	leader  *controller.Leader
+	sweeper *controller.Sweeper
 
 	http    *http.Server
 	vars    *expvar.Map
@@ -149,6 +150,7 @@
 	r.goRun(r.handoff.Run)
 	r.goRun(r.drains.Run)
 	r.goRun(r.leader.Run)
+	r.goRun(r.sweeper.Run)
 	r.goRun(r.loads.Run)
 	r.goRun(r.loads.RunReports)
 	r.goRun(r.quota.Run)
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -15,6 +15,7 @@
 	DefaultIdleGap         = 10 * time.Second
 	DefaultLocateTTL       = 10 * time.Second
 	DefaultDrain           = 60 * time.Second
+	DefaultClaimRetention  = 72 * time.Hour
 )
 
 // DefaultBudgets is a process's share of a table service that takes several
@@ -30,6 +31,7 @@
 // Provision fills the defaults and reads the keys.
 func (s *Settings) Provision() error {
 	fill(&s.LogLevel, DefaultLogLevel)
+	fill(&s.ClaimRetention, DefaultClaimRetention)
 	s.provisionAddresses()
 	s.Timeouts.provision()
 	s.Budgets.provision()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,13 @@
 	// Budgets bound what the process asks of the platform's table service.
 	Budgets Budgets `yaml:"budgets"`
 
+	// ClaimRetention is how long the record of a finished non-idempotent
+	// request is kept at least; a repetition with its key gets the stored
+	// answer for that long, and may run again later. It is deleted
+	// about an eighth later if the table service is up. Requests whose outcome is not known are kept until an operator settles them. It should
+	// be the same on all routers. The default is 72h.
+	ClaimRetention time.Duration `yaml:"claim_retention" validate:"gte=1h"`
+
 	// AllowInsecure lets the process run without TLS and without keys, for
 	// tests on one machine. The default is false.
 	AllowInsecure bool `yaml:"allow_insecure"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,6 +53,7 @@
 	}
 	assert.Zero(t, s.Budgets.For("other"))
 	assert.Equal(t, DefaultLogLevel, s.LogLevel)
+	assert.Equal(t, 72*time.Hour, s.ClaimRetention)
 }
 
 func TestRefused(t *testing.T) {
