Orders in the audit trail

Cause: nothing was told of the leader's orders, so the trail showed who changed the configuration and not what engines were ordered because of it. The leader now tells an OrderLog, which writes engine, kind, value, outcome, the router, its fence and the configuration's version.

Ruled out: an entry before each order, as operators' claims have it, since a slow store would then delay orders beyond the lease.

--- a/internal/audit/write.go
+++ b/internal/audit/write.go
@@ -29,13 +29,18 @@
 
 // Record writes an entry together with the writes of its change, all or
 // nothing, and returns the entry as written. e.ID must be new, or that of the
-// operation's earlier entry. The writes must be conditional, so that a late
+// operation's earlier entry. e.Time may be that of the operation, for an entry
+// that comes later; left zero it is now. The writes must be conditional, so that a late
 // copy has no effect.
 //
 // Errors: *platform.ConflictError for one of the writes, ErrContended, and
-// those of platform.CommitOnce.
+// those of platform.CommitOnce. With ErrOutcomeUnknown the entry is returned as
+// it may have been written; see Written.
 func (t *Trail) Record(ctx context.Context, e Entry, writes ...platform.Write) (Entry, error) {
-	e.Time = t.now().UTC()
+	if e.Time.IsZero() {
+		e.Time = t.now()
+	}
+	e.Time = e.Time.UTC()
 	for range maxAttempts {
 		done, err := t.record(ctx, e, writes)
 		if !lostRace(err) {
@@ -55,6 +60,21 @@
 	return conflict.Current.Table == TableHead || conflict.Current.Table == Table
 }
 
+// Written reports whether an entry that Record returned with an unknown outcome
+// is in the trail. Errors: ErrCorrupt, those of platform.Table.
+func (t *Trail) Written(ctx context.Context, e Entry) (bool, error) {
+	row, err := t.table.Get(ctx, platform.UseAudit, Table, key(e.Number))
+	if platform.ErrNotFound.Has(err) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var found Entry
+	err = decode(row.Value, &found)
+	return found.ID == e.ID, err
+}
+
 // record takes the next number by compare-and-set.
 //
 // Numbers without gaps are what makes reading stable: with the time as key, a
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -45,11 +45,12 @@
 	Clock    lease.Clock
 	Self     string
 	Log      *log.Logger
-	// Record writes an order to the audit trail.
-	Record func(ctx context.Context, engine string, o wire.Order, err error)
+	// Record is told of each order that was sent or refused; nil tells nobody.
+	// It must return at once.
+	Record func(OrderResult)
 
-	// Given counts orders that took effect or may have, Refused those that did not.
-	Given, Refused atomic.Int64
+	// given counts orders that took effect or may have, refused those that did not.
+	given, refused atomic.Int64
 
 	mu      sync.Mutex
 	planner *orders.Planner
@@ -64,6 +65,33 @@
 	blocked []orders.Blocked
 }
 
+// OrderResult is what became of one order.
+type OrderResult struct {
+	Engine string
+	// Order has the fence that it was sent with; 0 if it was not sent.
+	Order wire.Order
+	// ConfigVersion is the configuration that the order carries out.
+	ConfigVersion uint64
+	// Ended is when the outcome was known, or given up.
+	Ended time.Time
+	// Err is nil where the engine took the order and orders.ErrRefused where it
+	// did not; any other error leaves it open.
+	Err error
+}
+
+// OrderCounts are the figures of the orders that one router gave.
+type OrderCounts struct {
+	// Given counts orders that took effect or may have.
+	Given int64 `json:"given"`
+	// Refused counts orders that did not take effect.
+	Refused int64 `json:"refused"`
+}
+
+// Counts returns the figures so far.
+func (l *Leader) Counts() OrderCounts {
+	return OrderCounts{Given: l.given.Load(), Refused: l.refused.Load()}
+}
+
 // Run leads whenever this router holds the lease, until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
 	l.running = make(map[string]bool)
@@ -298,39 +326,56 @@
 	}
 	l.running[s.Engine] = true
 	l.mu.Unlock()
+	version := l.version
 	go func() {
-		err := l.executor().Execute(ctx, s)
-		l.done(ctx, s, err)
+		sent := &sender{leader: l, order: s.Order}
+		err := orders.NewExecutor(sent, l.Lease, l.Clock, lease.DefaultTTL, orderTimeout).Execute(ctx, s)
+		l.done(s, err)
+		l.record(OrderResult{Engine: s.Engine, Order: sent.order, ConfigVersion: version, Ended: time.Now(), Err: err})
 	}()
 }
 
-func (l *Leader) executor() *orders.Executor {
-	return orders.NewExecutor(l, l.Lease, l.Clock, lease.DefaultTTL, orderTimeout)
+// sender sends one order and keeps it as it was sent, with its fence.
+type sender struct {
+	leader *Leader
+	order  wire.Order
+}
+
+// Send implements orders.Sender.
+func (s *sender) Send(ctx context.Context, engine string, o wire.Order) error {
+	s.order = o
+	return s.leader.send(ctx, engine, o)
 }
 
-func (l *Leader) done(ctx context.Context, s orders.Step, err error) {
+// notTried reports an order that stayed here, because this router does not
+// lead, or not long enough.
+func notTried(err error) bool { return lease.ErrNotHeld.Has(err) || orders.ErrTooEarly.Has(err) }
+
+func (l *Leader) done(s orders.Step, err error) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.running, s.Engine)
 	if orders.ErrRefused.Has(err) {
 		l.planner.Failed(s.Engine, l.Clock())
 	}
-	l.mu.Unlock()
-	if lease.ErrNotHeld.Has(err) || orders.ErrTooEarly.Has(err) {
+}
+
+func (l *Leader) record(r OrderResult) {
+	if notTried(r.Err) {
 		return
 	}
-	if err != nil {
-		l.Refused.Add(1)
+	if orders.ErrRefused.Has(r.Err) {
+		l.refused.Add(1)
 	} else {
-		l.Given.Add(1)
+		l.given.Add(1)
 	}
-	l.Log.Info("order", "engine", s.Engine, "kind", s.Order.Kind, "value", s.Order.Value, "cause", err)
+	l.Log.Info("order", "engine", r.Engine, "kind", r.Order.Kind, "value", r.Order.Value, "fence", r.Order.Fence, "cause", r.Err)
 	if l.Record != nil {
-		l.Record(ctx, s.Engine, s.Order, err)
+		l.Record(r)
 	}
 }
 
-// Send implements orders.Sender.
-func (l *Leader) Send(ctx context.Context, engine string, o wire.Order) error {
+func (l *Leader) send(ctx context.Context, engine string, o wire.Order) error {
 	e, ok := l.Board.Snapshot().Engines[engine]
 	if !ok {
 		return orders.ErrRefused.New("engine %s is gone", engine)
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/audit"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
@@ -122,10 +123,11 @@
 		Board: r.board, Upstream: r.upstream, Admission: r.admission, Facts: r.facts, Log: r.log,
 	}
 	r.drains = &controller.Drains{Board: r.board, Engines: r.engines}
+	r.ordered = controller.NewOrderLog(audit.New(r.table, r.chain, time.Now), r.set.Name, r.log)
 	r.leader = &controller.Leader{
 		Board: r.board, Configs: r.configs, Caller: r.caller, Drains: r.drains, Upstream: r.upstream,
 		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, controller.BootTime, rand.Float64),
-		Clock: controller.BootTime, Self: r.set.Name, Log: r.log,
+		Clock: controller.BootTime, Self: r.set.Name, Log: r.log, Record: r.ordered.Record,
 	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
 	r.sweeper = &controller.Sweeper{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,6 +90,7 @@
 	drains  *controller.Drains
 	leader  *controller.Leader
 	sweeper *controller.Sweeper
+	ordered *controller.OrderLog
 
 	http    *http.Server
 	vars    *expvar.Map
@@ -149,6 +150,7 @@
 	r.goRun(r.engines.Run)
 	r.goRun(r.handoff.Run)
 	r.goRun(r.drains.Run)
+	r.goRun(r.ordered.Run)
 	r.goRun(r.leader.Run)
 	r.goRun(r.sweeper.Run)
 	r.goRun(r.loads.Run)
