Orders carry the token of the settings

Cause: upstream.Options.OrderToken was never set, so engines that check who orders them refused every order. The settings order_token and order_token_file set it on every router; the leader warns where a pool checks its senders and there is no token.

Ruled out: the token in the fleet's configuration, which every operator who may read a version would see.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -45,6 +45,9 @@
 	Clock    lease.Clock
 	Self     string
 	Log      *log.Logger
+	// HasOrderToken says that Upstream has a token for engines that check
+	// their sender.
+	HasOrderToken bool
 	// Record is told of each order that was sent or refused; nil tells nobody.
 	// It must return at once.
 	Record func(OrderResult)
@@ -199,11 +202,22 @@
 			return err
 		}
 		targets = append(targets, targetsOf(eff)...)
+		l.warnOfToken(eff)
 	}
 	l.targets, l.version = targets, f.Version
 	return nil
 }
 
+// warnOfToken tells why the engines of a pool are going to refuse every order.
+func (l *Leader) warnOfToken(eff *config.Effective) {
+	for _, p := range eff.Pools {
+		if p.ChecksSender && !l.HasOrderToken {
+			l.Log.Warn("the pool's engines check who orders them, and the settings have no order_token",
+				"pool", p.Name, "site", eff.Site.Name)
+		}
+	}
+}
+
 func targetsOf(eff *config.Effective) []orders.Target {
 	var out []orders.Target
 	for _, p := range eff.Pools {
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -35,6 +35,7 @@
 		DialTimeout: r.set.Timeouts.UpstreamConnect,
 		FirstChunk:  r.set.Timeouts.FirstByte,
 		IdleGap:     r.set.Timeouts.IdleGap,
+		OrderToken:  r.set.OrderBearer(),
 	})
 	facts, err := admission.NewFacts(admission.DefaultRecentChats, rng.Uint64())
 	if err != nil {
@@ -128,6 +129,7 @@
 		Board: r.board, Configs: r.configs, Caller: r.caller, Drains: r.drains, Upstream: r.upstream,
 		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, controller.BootTime, rand.Float64),
 		Clock: controller.BootTime, Self: r.set.Name, Log: r.log, Record: r.ordered.Record,
+		HasOrderToken: r.set.OrderBearer() != "",
 	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
 	r.sweeper = &controller.Sweeper{
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -38,6 +38,9 @@
 	var problems strictyaml.Problems
 	problems = append(problems, s.provisionKeys("fleet_keys", s.FleetKeys)...)
 	problems = append(problems, s.provisionKeys("hint_keys", s.HintKeys)...)
+	if err := s.provisionOrderToken(); err != nil {
+		problems = append(problems, s.at("order_token_file", "%v", err))
+	}
 	return problems.Err()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,15 @@
 	// administration API has issued are accepted.
 	AdminTokenHash string `yaml:"admin_token_hash" validate:"omitempty,len=64,hexadecimal,lowercase"`
 
+	// OrderToken is the bearer token that orders to engines carry, for the
+	// pools that the configuration says check their sender (checks_sender). It
+	// must be the same on all routers, since any of them can lead. A change
+	// needs a restart. The default is none.
+	OrderToken Secret `yaml:"order_token"`
+	// OrderTokenFile is a file that holds the token instead. The default is
+	// none.
+	OrderTokenFile string `yaml:"order_token_file"`
+
 	// LogLevel is the least severe level that is logged: debug, info, warn or
 	// error. The default is info.
 	LogLevel string `yaml:"log_level" validate:"oneof=debug info warn error"`
@@ -88,8 +97,9 @@
 	// tests on one machine. The default is false.
 	AllowInsecure bool `yaml:"allow_insecure"`
 
-	source *strictyaml.Source
-	file   string
+	source     *strictyaml.Source
+	file       string
+	orderToken string
 }
 
 // Platform holds the base URLs of the platform's services, http or https.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,6 +56,17 @@
 	assert.Equal(t, 72*time.Hour, s.ClaimRetention)
 }
 
+func TestOrderToken(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte("secret\n"), 0o600))
+	for _, text := range []string{"order_token: secret\n", fmt.Sprintf("order_token_file: %q\n", file)} {
+		s, err := LoadBytes("s.yaml", []byte(insecureText+text))
+		require.NoError(t, err)
+		assert.Equal(t, "secret", s.OrderBearer())
+		assert.NotContains(t, fmt.Sprintf("%v", s.OrderToken), "secret")
+	}
+}
+
 func TestRefused(t *testing.T) {
 	edit := func(old, new string) string { return strings.Replace(insecureText, old, new, 1) }
 	cases := map[string]struct {
@@ -80,6 +91,9 @@
 		"broken key":           {insecureText + "hint_keys: [{id: a, key: \"%\"}]\n", "s.yaml:11: hint_keys[0]: settings: key: key a: illegal base64 data at input byte 0"},
 		"third key":            {insecureText + "hint_keys: [{id: a}, {id: b}, {id: c}]\n", "s.yaml:11: hint_keys: must be at most 2 entries"},
 		"same key id":          {insecureText + "hint_keys: [{id: a}, {id: a}]\n", "s.yaml:11: hint_keys: must not name the same thing twice"},
+		"order token":          {insecureText + "order_token: a b\n", "s.yaml:11: order_token: must hold printable ASCII characters without spaces only"},
+		"two order tokens":     {insecureText + "order_token: a\norder_token_file: /dev/null\n", "s.yaml:11: order_token: is given beside order_token_file"},
+		"empty order token":    {insecureText + "order_token_file: /dev/null\n", "s.yaml:11: order_token_file: names an empty file"},
 		"no TLS":               {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: tls.cert: is required unless allow_insecure is set"},
 		"no peer TLS":          {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: peer_tls.cert: is required unless allow_plain_peers or allow_insecure is set"},
 		"half of peer TLS":     {insecureText + "peer_tls: {cert: c.pem}\n", "s.yaml:11: peer_tls.key: is required when peer_tls has other files"},
