Operators' listener: the router's own certificate store

Cause: it opened the certificate a second time and looked at the files every 10 s, so for a while the two listeners could show different certificates, and a failed reload was neither counted nor slowed in the log. It now takes its TLS from internal/secret. The test of rotation compares both listeners; with the former listener it fails.

--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -12,7 +12,6 @@
 
 	"damaskrouter.example/damaskrouter/internal/admin"
 	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/keys"
 	"damaskrouter.example/damaskrouter/internal/platform"
 )
 
@@ -68,38 +67,19 @@
 // adminReadTimeout bounds how slowly a call's body may come.
 const adminReadTimeout = 30 * time.Second
 
-// certPeriod is how often certificate files are looked at.
-const certPeriod = 10 * time.Second
-
 // listenAdmin listens with TLS if the settings name a certificate: operators'
-// tokens must not cross a network in clear.
+// tokens must not cross a network in clear. The certificate is the callers' own
+// and follows its reloads.
 func (r *Router) listenAdmin() (net.Listener, error) {
-	if r.set.TLS.Cert == "" {
-		return net.Listen("tcp", r.set.AdminListen)
-	}
-	paths := keys.CertPaths{Cert: r.set.TLS.Cert, Key: r.set.TLS.Key}
-	certs, err := keys.OpenCerts(paths, time.Now)
+	ln, err := net.Listen("tcp", r.set.AdminListen)
 	if err != nil {
 		return nil, err
 	}
-	r.goRun(func(ctx context.Context) { r.watchCerts(ctx, certs) })
-	return tls.Listen("tcp", r.set.AdminListen, certs.CallerServer())
-}
-
-// watchCerts takes replaced certificate files into use.
-func (r *Router) watchCerts(ctx context.Context, certs *keys.CertReloader) {
-	t := time.NewTicker(certPeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if _, err := certs.Check(); err != nil {
-			r.log.Error("new certificate can't be used; the old one stays", "cause", err)
-		}
+	config := r.secrets.CallerTLS()
+	if config == nil {
+		return ln, nil
 	}
+	return tls.NewListener(ln, config), nil
 }
 
 // adminHandler serves the metrics and the administration API.
--- a/internal/router/secrets_test.go
+++ b/internal/router/secrets_test.go
@@ -33,6 +33,7 @@
 advertise: 127.0.0.1:1
 control_listen: 127.0.0.1:0
 control_advertise: 127.0.0.1:1
+admin_listen: 127.0.0.1:0
 platform: {table: "http://127.0.0.1:1", objects: "http://127.0.0.1:1", vms: "http://127.0.0.1:1"}
 tls: {cert: %[2]s/%[1]s.pem, key: %[2]s/%[1]s-key.pem}
 peer_tls: {cert: %[2]s/%[1]s.pem, key: %[2]s/%[1]s-key.pem, ca: %[2]s/ca.pem}
@@ -107,6 +108,8 @@
 	fresh := dialCaller(t, dir, fleet[0].Address())
 	serial := func(c *tls.Conn) string { return c.ConnectionState().PeerCertificates[0].SerialNumber.String() }
 	assert.NotEqual(t, serial(caller), serial(fresh))
+	operator := dialCaller(t, dir, fleet[0].Admin())
+	assert.Equal(t, serial(fresh), serial(operator), "one reload serves both listeners")
 	assert.Contains(t, fleet[0].Vars().String(), `"fleet_keys":["k2"]`)
 	for _, r := range fleet {
 		got := r.counters.Snapshot()
--- a/internal/secret/use.go
+++ b/internal/secret/use.go
@@ -24,8 +24,8 @@
 	return []peer.Option{peer.WithTLS(s.peers)}
 }
 
-// CallerTLS returns the configuration of callers' listeners, which follows
-// reloads, or nil if the settings name no certificate.
+// CallerTLS returns the configuration of callers' and operators' listeners,
+// which follows reloads, or nil if the settings name no certificate.
 func (s *Store) CallerTLS() *tls.Config {
 	if s.callers == nil {
 		return nil
