--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,4 +35,5 @@
 var (
 	dutyVMList = rendezvous.ID("duty/vm-list")
 	dutyConfig = rendezvous.ID("duty/config-head")
+	dutySweep  = rendezvous.ID("duty/claim-sweep")
 )
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,6 +90,8 @@
 	handoff *controller.Handoff
 	drains  *controller.Drains
 	leader  *controller.Leader
+	sweeper *controller.Sweeper
+	ordered *controller.OrderLog
 
 	http    *http.Server
 	vars    *expvar.Map
@@ -149,7 +151,9 @@
 	r.goRun(r.engines.Run)
 	r.goRun(r.handoff.Run)
 	r.goRun(r.drains.Run)
+	r.goRun(r.ordered.Run)
 	r.goRun(r.leader.Run)
+	r.goRun(r.sweeper.Run)
 	r.goRun(r.loads.Run)
 	r.goRun(r.loads.RunReports)
 	r.goRun(r.quota.Run)
