--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -128,9 +128,13 @@
 		c.decision.Weight = p.Weight
 		return l.grant(id, c, incarnation), nil
 	}
-	reply, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true})
-	if err != nil || reply.Verdict != Granted && reply.Verdict != Gone {
-		return nil, gone.WithRetryAfter(minRetryAfter).WithCause(err)
+	// What goes wrong if this has to succeed: the router that died was the
+	// caller's and the engine's owner too, and for the seconds until that is
+	// noticed its streams can't be taken up, although the engines have them. The
+	// work is at the engine whoever counts it; the next report of what is held
+	// here tells the new owner.
+	if _, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true}); err != nil {
+		a.Metrics.AdoptedUnasked.Add(1)
 	}
 	return l.grant(id, c, incarnation), nil
 }
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -20,6 +20,9 @@
 	ReleaseRetries, ReportsFailed atomic.Int64
 	// Chosen counts granted decisions by placement.Reason.
 	Chosen [placement.ReasonCount]atomic.Int64
+	// AdoptedUnasked counts streams taken up while their engine's owner could
+	// not be reached.
+	AdoptedUnasked atomic.Int64
 	// Reconciled counts permits that reports corrected.
 	Reconciled atomic.Int64
 }
@@ -39,6 +42,7 @@
 		"ask_failed":      &m.AskFailed,
 		"release_retries": &m.ReleaseRetries,
 		"reports_failed":  &m.ReportsFailed,
+		"adopted_unasked": &m.AdoptedUnasked,
 		"reconciled":      &m.Reconciled,
 	} {
 		out.Set(name, expvar.Func(func() any { return v.Load() }))
--- a/internal/controller/orderlog.go
+++ b/internal/controller/orderlog.go
@@ -8,6 +8,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/audit"
 	"damaskrouter.example/damaskrouter/internal/orders"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/platform"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
@@ -96,7 +97,7 @@
 		if o.try(ctx, &e, orderLogTimeout) == nil {
 			return
 		}
-		if !sleep(ctx, jitter(orderLogPause)) {
+		if !pause.For(ctx, jitter(orderLogPause)) {
 			break
 		}
 		o.retried.Add(1)
--- a/internal/controller/sweeper.go
+++ b/internal/controller/sweeper.go
@@ -8,6 +8,7 @@
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/lease"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/charmbracelet/log"
 )
 
@@ -52,7 +53,7 @@
 
 // Run sweeps whenever this router has the duty, until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) {
-	for sleep(ctx, jitter(s.pause())) {
+	for pause.For(ctx, jitter(s.pause())) {
 		if s.Board.Snapshot().Rank(dutySweep) == 0 {
 			s.step(ctx)
 		}
