The store's budgets are shared in a fleet of more than nine routers

Cause: docs/CAPACITY.md: the budgets hold for each process, and 380 of them could ask for 20,500 writes a second of a store that takes several hundred. Ruled out: a smaller default (nine routers would be held back for no reason). Now the total is divided by the live routers beyond nine. Before, worked out: 380 x 54 writes a second. After: 9 x 54 at any size (TestFleetKeepsToTheBudgetOfNineRouters). A claim's own share is not divided; the total bounds it.

--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -91,21 +91,15 @@
 }
 
 func (r *Router) openPlatform() {
-	rates := make(map[platform.Use]platform.Rates)
-	var total platform.Rates
-	for _, use := range []platform.Use{platform.UseClaim, platform.UseLease, platform.UseConfig, platform.UseAudit, platform.UseAdmin} {
-		b := r.set.Budgets.For(use)
-		rates[use] = platform.Rates{Reads: b.Reads, Writes: b.Writes}
-		total.Reads += b.Reads
-		total.Writes += b.Writes
-	}
+	budget := newStoreBudget(r.set.Budgets)
+	r.board.Subscribe(budget.share)
 	var objects platform.Objects
 	var vms platform.VMList
 	r.table, objects, vms, r.stats = platform.Open(platform.OpenOptions{
 		TableURL:   r.set.Platform.Table,
 		ObjectsURL: r.set.Platform.Objects,
 		VMsURL:     r.set.Platform.VMs,
-		Budget:     platform.NewBudget(platform.BudgetOptions{Total: total, PerUse: rates}),
+		Budget:     budget.Budget,
 	})
 	r.objects = objects
 	r.chain = config.NewChain(r.table, objects, time.Now)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -156,7 +156,9 @@
 	Drain time.Duration `yaml:"drain" validate:"gt=0"`
 }
 
-// Budgets hold the process's share of the table service for each use.
+// Budgets hold the process's share of the table service for each use. They
+// are for a fleet of up to nine routers; in a larger one their sum is shared,
+// so that the fleet asks no more of the store than nine routers may.
 type Budgets struct {
 	// Claim is for non-idempotent requests. The default is 80 reads and 40
 	// writes a second.
