--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -305,7 +305,7 @@
 		nonIdempotent    [2]string
 		urgentWhenUnsaid string
 	}{
-		"sebeke": {[]string{"portal"}, 1.6, [2]string{"portal", "/receipts"}, ""},
+		"sebeke": {[]string{"portal"}, 1.45, [2]string{"portal", "/receipts"}, ""},
 		"glansa": {[]string{"booking", "keys"}, 1.25, [2]string{"keys", "/handovers"}, "/checks/7"},
 	}
 	for name, c := range cases {
