--- a/internal/controller/orderlog.go
+++ b/internal/controller/orderlog.go
@@ -77,17 +77,18 @@
 	}
 }
 
-// Run writes entries until ctx ends, and then what waits, for a moment.
+// Run writes entries until ctx ends, and then what waits, for a moment. Orders
+// whose outcome comes later stand in the log only; a router that drains has
+// none, since it gave the lease up before.
 func (o *OrderLog) Run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		select {
 		case e := <-o.queue:
 			o.write(ctx, e)
 		case <-ctx.Done():
-			o.flush(ctx)
-			return
 		}
 	}
+	o.flush(ctx)
 }
 
 // write tries until the entry is in the trail, or ctx ends.
