Stand-ins wait for a platform that was started with them

Cause: pasted as it stands, the README's hand run started engine and service before the platform listened; both ended, and the chat was refused with no_upstream.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -74,12 +74,33 @@
 	return service.New(service.Options{Name: name})
 }
 
-const registerTimeout = 5 * time.Second
+const (
+	// registerTimeout bounds Register.
+	registerTimeout = 5 * time.Second
+	// registerPause is the wait between two attempts.
+	registerPause = 100 * time.Millisecond
+)
 
-// Register lists a VM at a stand-in platform.
+// Register lists a VM at a stand-in platform. It waits a moment for a platform
+// that was started at the same time and doesn't listen yet; otherwise the
+// stand-in would end, and one sees a fleet without engines. Errors: ErrRegister.
 func Register(ctx context.Context, platformURL string, vm platform.VM) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	for {
+		err := register(ctx, platformURL, vm)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(registerPause):
+		}
+	}
+}
+
+func register(ctx context.Context, platformURL string, vm platform.VM) error {
 	body, err := json.Marshal(vm)
 	if err != nil {
 		return ErrRegister.Wrap(err)
