Admission: a stream can be taken up while its engine's owner is gone

Symptom, found by TestRouterKilledMidStream with engines spread over routers: the router that relays a stream is killed, the caller resumes at another one and is told "the stream can no longer be resumed", a final answer, while the engine goes on with the stream. Cause: callers are sent to the owner of their engine, so the router that is lost mostly is the owner too. Until the others know of the loss, Adopt asked a dead router to move the permit, and gave up; likewise a new owner whose book does not know the engine's incarnation yet. Ruled out: an answer that asks the caller to come again later, as the resume grace and the engine's memory of a stream run out meanwhile; waiting here for the loss to be found, for the same reason. Now the stream is read whatever the owner says: it adds no work, the engine's report counts it, holders' reports tell the next owner, and an engine that has no such stream refuses. The rule for released permits is part of this one.

--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -120,31 +119,28 @@
 		return nil, gone
 	}
 	c := choice{engine: e, owner: owner, inc: incarnation}
-	if owner.Name == a.opts.Self {
-		p, err := a.keeper.transfer(time.Now(), e.ID, permit.Request{ID: id, Holder: a.holder, Incarnation: incarnation})
-		if err != nil && !wasReleased(err) {
-			return nil, gone.WithCause(err)
-		}
-		c.decision.Weight = p.Weight
-		return l.grant(id, c, incarnation), nil
-	}
-	reply, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true})
-	if err != nil || reply.Verdict != Granted && reply.Verdict != Gone {
-		return nil, gone.WithRetryAfter(minRetryAfter).WithCause(err)
-	}
+	c.decision.Weight = l.moveHere(ctx, c, id)
 	return l.grant(id, c, incarnation), nil
 }
 
-// wasReleased reports a permit that had ended before its stream was taken up.
+// moveHere asks the engine's owner to move a permit to this router, and returns
+// its weight as far as it is known. The stream may be read whatever comes back.
 //
-// What goes wrong without it: a router relays the last chunks into a connection
-// that the path has forgotten, sees no error, and gives the permit back. The
-// caller notices the silence, comes back, and would be told that its answer is
-// gone, while the engine still has it. Reading what an engine has adds no work
-// to it; an engine that has forgotten the stream, or restarted, says so.
-func wasReleased(err error) bool {
-	var released *permit.ReleasedError
-	return errors.As(err, &released)
+// What goes wrong otherwise: a router is lost, and with it the owner of its
+// callers' engines. For the seconds until that is known, each of them would be
+// told that its answer is gone, while the engine still has it. Or a router has
+// relayed the rest into a connection that the path has forgotten, and given the
+// permit back. Reading what an engine has adds no work to it, its own report
+// counts it, and the next holder's report brings the owner's book up to date.
+// An engine that has no such stream, or was restarted, says so.
+func (l *lane) moveHere(ctx context.Context, c choice, id string) (weight int64) {
+	if c.owner.Name == l.a.opts.Self {
+		r := permit.Request{ID: id, Holder: l.a.holder, Incarnation: c.inc}
+		p, _ := l.a.keeper.transfer(time.Now(), c.engine.ID, r)
+		return p.Weight
+	}
+	_, _ = l.call(ctx, c, id, AcquireArgs{Incarnation: c.inc, Transfer: true})
+	return 0
 }
 
 // giveUp ends a permit whose caller did not come back, and reports whether it
