--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -131,35 +130,30 @@
 		return nil, gone
 	}
 	c := choice{engine: e, owner: owner, inc: incarnation}
-	if owner.Name == a.opts.Self {
-		p, err := a.keeper.transfer(time.Now(), e.ID, permit.Request{ID: id, Holder: a.holder, Incarnation: incarnation})
-		if err != nil && !wasReleased(err) {
-			return nil, gone.WithCause(err)
-		}
-		c.decision.Weight = p.Weight
-		return l.grant(id, c, incarnation), nil
-	}
-	// What goes wrong if this has to succeed: the router that died was the
-	// caller's and the engine's owner too, and for the seconds until that is
-	// noticed its streams can't be taken up, although the engines have them. The
-	// work is at the engine whoever counts it; the next report of what is held
-	// here tells the new owner.
-	if _, err := l.call(ctx, c, id, AcquireArgs{Incarnation: incarnation, Transfer: true}); err != nil {
-		a.Metrics.AdoptedUnasked.Add(1)
-	}
+	c.decision.Weight = l.moveHere(ctx, c, id)
 	return l.grant(id, c, incarnation), nil
 }
 
-// wasReleased reports a permit that had ended before its stream was taken up.
+// moveHere asks the engine's owner to move a permit to this router, and returns
+// its weight as far as it is known. The stream may be read whatever comes back.
 //
-// What goes wrong without it: a router relays the last chunks into a connection
-// that the path has forgotten, sees no error, and gives the permit back. The
-// caller notices the silence, comes back, and would be told that its answer is
-// gone, while the engine still has it. Reading what an engine has adds no work
-// to it; an engine that has forgotten the stream, or restarted, says so.
-func wasReleased(err error) bool {
-	var released *permit.ReleasedError
-	return errors.As(err, &released)
+// What goes wrong otherwise: a router is lost, and with it the owner of its
+// callers' engines. For the seconds until that is known, each of them would be
+// told that its answer is gone, while the engine still has it. Or a router has
+// relayed the rest into a connection that the path has forgotten, and given the
+// permit back. Reading what an engine has adds no work to it, its own report
+// counts it, and the next holder's report brings the owner's book up to date.
+// An engine that has no such stream, or was restarted, says so.
+func (l *lane) moveHere(ctx context.Context, c choice, id string) (weight int64) {
+	if c.owner.Name == l.a.opts.Self {
+		r := permit.Request{ID: id, Holder: l.a.holder, Incarnation: c.inc}
+		p, _ := l.a.keeper.transfer(time.Now(), c.engine.ID, r)
+		return p.Weight
+	}
+	if _, err := l.call(ctx, c, id, AcquireArgs{Incarnation: c.inc, Transfer: true}); err != nil {
+		l.a.Metrics.AdoptedUnasked.Add(1)
+	}
+	return 0
 }
 
 // giveUp ends a permit whose caller did not come back, and reports whether it
