--- a/client/conversation.go
+++ b/client/conversation.go
@@ -173,9 +173,12 @@
 		return Reply{}, true, refusal(resp)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || len(data) > maxBody {
+	if err != nil {
 		return Reply{}, true, ErrOutcomeUnknown.Wrap(err)
 	}
+	if len(data) > maxBody {
+		return Reply{}, true, ErrOutcomeUnknown.New("answer of more than %d bytes", maxBody)
+	}
 	return Reply{
 		Status:      resp.StatusCode,
 		ContentType: resp.Header.Get("Content-Type"),
--- a/client/stream.go
+++ b/client/stream.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -84,7 +86,7 @@
 	}
 	resp, err := s.v.c.http.Do(req)
 	if err != nil {
-		return ErrNoRouter.Wrap(err)
+		return unreached(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -94,6 +96,16 @@
 	return s.read(sse.NewReader(resp.Body, 0), idle)
 }
 
+// unreached says what a failed attempt proves: only where no connection was
+// made is it certain that nothing was sent.
+func unreached(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrNoRouter.Wrap(err)
+	}
+	return ErrOutcomeUnknown.Wrap(err)
+}
+
 func (s *stream) nextRequest(ctx context.Context, addr string) (*http.Request, error) {
 	if s.resume == "" {
 		return s.v.request(ctx, addr, s.requestID, s.body)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/prefix/evidence_test.go
+++ b/internal/prefix/evidence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -3,6 +3,7 @@
 package sse
 
 import (
+	"bytes"
 	"strconv"
 
 	"github.com/zeebo/errs"
@@ -25,11 +26,18 @@
 		dst = strconv.AppendInt(dst, int64(id), 10)
 		dst = append(dst, '\n')
 	}
-	dst = append(dst, "data: "...)
-	dst = append(dst, data...)
-	return append(dst, '\n', '\n')
+	// A line break within the data would end the event early, and the rest of
+	// it would be read as fields that nobody knows.
+	for line := range bytes.SplitSeq(data, newline) {
+		dst = append(dst, "data: "...)
+		dst = append(dst, line...)
+		dst = append(dst, '\n')
+	}
+	return append(dst, '\n')
 }
 
+var newline = []byte{'\n'}
+
 // ParseID reads the id of an event that AppendEvent wrote; ok is false where it
 // is missing or not a number of at most nine digits. It allocates nothing.
 func ParseID(b []byte) (id int, ok bool) {
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -95,3 +95,15 @@
 		}
 	}
 }
+
+// Symptom: a caller's event is cut, and its stream fails.
+// Sequence: an engine sends an event in several data lines; the reader joins
+// them with line breaks, and the writer writes them raw.
+func TestDataWithLineBreaksRoundTrips(t *testing.T) {
+	for _, data := range []string{"one", "one\ntwo", "one\n\nthree", "ends\n"} {
+		r := NewReader(bytes.NewReader(AppendEvent(nil, 7, []byte(data))), 0)
+		ev, err := r.Next()
+		require.NoError(t, err)
+		require.Equal(t, data, string(ev.Data))
+	}
+}
