--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -37,6 +37,17 @@
 	l.heard(now, e, st)
 }
 
+// EngineState takes in a report that does not name the unfinished requests.
+// Its count says nothing new: without the names it can't be told apart from
+// what has been released here since the report was made.
+func (a *Admission) EngineState(e *board.Engine, st wire.EngineStatus) {
+	l := a.laneOf(a.opts.Board.Snapshot(), e)
+	if l == nil || a.keeper.entry(e.ID) == nil {
+		return
+	}
+	l.heard(time.Now(), e, st)
+}
+
 // heard records the parts of a report that the book does not keep.
 func (l *lane) heard(now time.Time, e *board.Engine, st wire.EngineStatus) {
 	l.mu.Lock()
@@ -139,7 +150,9 @@
 		p, _ := l.a.keeper.transfer(time.Now(), c.engine.ID, r)
 		return p.Weight
 	}
-	_, _ = l.call(ctx, c, id, AcquireArgs{Incarnation: c.inc, Transfer: true})
+	if _, err := l.call(ctx, c, id, AcquireArgs{Incarnation: c.inc, Transfer: true}); err != nil {
+		l.a.Metrics.AdoptedUnasked.Add(1)
+	}
 	return 0
 }
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	_ "damaskrouter.example/damaskrouter/internal/testseed"
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -201,7 +202,8 @@
 		if now%(6*time.Hour) == 0 {
 			sweeper = NewSweeper(table, day)
 		}
-		require.NoError(t, sweeper.Step(ctx, now))
+		_, err := sweeper.Step(ctx, now)
+		require.NoError(t, err)
 		if _, err := s.Show(ctx, receipt); err != nil && gone == 0 {
 			gone = now
 		}
--- a/internal/controller/configs.go
+++ b/internal/controller/configs.go
@@ -9,6 +9,7 @@
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"github.com/charmbracelet/log"
 )
@@ -38,9 +39,10 @@
 	Board  *board.Board
 	Chain  *config.Chain
 	Caller *peer.Caller
-	Self   string
-	Site   string
-	Log    *log.Logger
+	// Self is this router's name, Site its data centre.
+	Self string
+	Site string
+	Log  *log.Logger
 	// Announce spreads the head to the other routers.
 	Announce func(membership.Item)
 	// InForce is told of each version put in force here.
@@ -48,8 +50,9 @@
 
 	mu       sync.Mutex
 	follower *config.Follower
-	newest   config.Head
-	wake     chan struct{}
+	// newest is the highest head heard of, in force here or not.
+	newest config.Head
+	wake   chan struct{}
 }
 
 // Provision makes the controller ready to run.
@@ -214,7 +217,7 @@
 // fromStore reads the version from the table service. Routers that hear of a
 // head at the same moment come a little apart, and most find a peer first.
 func (c *Configs) fromStore(ctx context.Context, want config.Head) {
-	if !c.readsHead() && !sleep(ctx, rand.N(fetchJitterMax)) {
+	if !c.readsHead() && !pause.For(ctx, rand.N(fetchJitterMax)) {
 		return
 	}
 	v, err := c.Chain.Load(ctx, want.Version)
--- a/internal/controller/loads.go
+++ b/internal/controller/loads.go
@@ -6,6 +6,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/admission"
 	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/charmbracelet/log"
 )
 
@@ -64,7 +65,7 @@
 		case <-l.Admission.OwnersMoved():
 			t.Stop()
 			// The new owner needs a moment to see that it is one.
-			sleep(ctx, moveSettle)
+			pause.For(ctx, moveSettle)
 		}
 	}
 }
@@ -75,7 +76,7 @@
 		if r.Instance != instance {
 			continue
 		}
-		if err := l.Admission.TakeDigest(r.Name, payload); err != nil {
+		if err := l.Admission.TakeDigest(payload); err != nil {
 			l.Log.Warn("load digest refused", "from", r.Name, "cause", err)
 		}
 		return
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/admission"
+	"damaskrouter.example/damaskrouter/internal/audit"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
@@ -34,6 +35,7 @@
 		DialTimeout: r.set.Timeouts.UpstreamConnect,
 		FirstChunk:  r.set.Timeouts.FirstByte,
 		IdleGap:     r.set.Timeouts.IdleGap,
+		OrderToken:  r.set.OrderBearer(),
 	})
 	facts, err := admission.NewFacts(admission.DefaultRecentChats, rng.Uint64())
 	if err != nil {
@@ -89,21 +91,15 @@
 }
 
 func (r *Router) openPlatform() {
-	rates := make(map[platform.Use]platform.Rates)
-	var total platform.Rates
-	for _, use := range []platform.Use{platform.UseClaim, platform.UseLease, platform.UseConfig, platform.UseAudit, platform.UseAdmin} {
-		b := r.set.Budgets.For(use)
-		rates[use] = platform.Rates{Reads: b.Reads, Writes: b.Writes}
-		total.Reads += b.Reads
-		total.Writes += b.Writes
-	}
+	budget := newStoreBudget(r.set.Budgets)
+	r.board.Subscribe(budget.share)
 	var objects platform.Objects
 	var vms platform.VMList
 	r.table, objects, vms, r.stats = platform.Open(platform.OpenOptions{
 		TableURL:   r.set.Platform.Table,
 		ObjectsURL: r.set.Platform.Objects,
 		VMsURL:     r.set.Platform.VMs,
-		Budget:     platform.NewBudget(platform.BudgetOptions{Total: total, PerUse: rates}),
+		Budget:     budget.Budget,
 	})
 	r.objects = objects
 	r.chain = config.NewChain(r.table, objects, time.Now)
@@ -122,12 +118,18 @@
 		Board: r.board, Upstream: r.upstream, Admission: r.admission, Facts: r.facts, Log: r.log,
 	}
 	r.drains = &controller.Drains{Board: r.board, Engines: r.engines}
+	r.ordered = controller.NewOrderLog(audit.New(r.table, r.chain, time.Now), r.set.Name, r.log)
 	r.leader = &controller.Leader{
 		Board: r.board, Configs: r.configs, Caller: r.caller, Drains: r.drains, Upstream: r.upstream,
 		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, controller.BootTime, rand.Float64),
-		Clock: controller.BootTime, Self: r.set.Name, Log: r.log,
+		Clock: controller.BootTime, Self: r.set.Name, Log: r.log, Record: r.ordered.Record,
+		HasOrderToken: r.set.OrderBearer() != "",
 	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
+	r.sweeper = &controller.Sweeper{
+		Board: r.board, Claims: claim.NewSweeper(r.table, r.set.ClaimRetention),
+		Clock: controller.BootTime, Log: r.log,
+	}
 	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
 }
 
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -15,6 +15,7 @@
 	DefaultIdleGap         = 10 * time.Second
 	DefaultLocateTTL       = 10 * time.Second
 	DefaultDrain           = 60 * time.Second
+	DefaultClaimRetention  = 72 * time.Hour
 )
 
 // DefaultBudgets is a process's share of a table service that takes several
@@ -30,12 +31,16 @@
 // Provision fills the defaults and reads the keys.
 func (s *Settings) Provision() error {
 	fill(&s.LogLevel, DefaultLogLevel)
+	fill(&s.ClaimRetention, DefaultClaimRetention)
 	s.provisionAddresses()
 	s.Timeouts.provision()
 	s.Budgets.provision()
 	var problems strictyaml.Problems
 	problems = append(problems, s.provisionKeys("fleet_keys", s.FleetKeys)...)
 	problems = append(problems, s.provisionKeys("hint_keys", s.HintKeys)...)
+	if err := s.provisionOrderToken(); err != nil {
+		problems = append(problems, s.at("order_token_file", "%v", err))
+	}
 	return problems.Err()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,15 @@
 	// administration API has issued are accepted.
 	AdminTokenHash string `yaml:"admin_token_hash" validate:"omitempty,len=64,hexadecimal,lowercase"`
 
+	// OrderToken is the bearer token that orders to engines carry, for the
+	// pools that the configuration says check their sender (checks_sender). It
+	// must be the same on all routers, since any of them can lead. A change
+	// needs a restart. The default is none.
+	OrderToken Secret `yaml:"order_token"`
+	// OrderTokenFile is a file that holds the token instead. The default is
+	// none.
+	OrderTokenFile string `yaml:"order_token_file"`
+
 	// LogLevel is the least severe level that is logged: debug, info, warn or
 	// error. The default is info.
 	LogLevel string `yaml:"log_level" validate:"oneof=debug info warn error"`
@@ -77,12 +86,20 @@
 	// Budgets bound what the process asks of the platform's table service.
 	Budgets Budgets `yaml:"budgets"`
 
+	// ClaimRetention is how long the record of a finished non-idempotent
+	// request is kept at least; a repetition with its key gets the stored
+	// answer for that long, and may run again later. It is deleted
+	// about an eighth later if the table service is up. Requests whose outcome is not known are kept until an operator settles them. It should
+	// be the same on all routers. The default is 72h.
+	ClaimRetention time.Duration `yaml:"claim_retention" validate:"gte=1h"`
+
 	// AllowInsecure lets the process run without TLS and without keys, for
 	// tests on one machine. The default is false.
 	AllowInsecure bool `yaml:"allow_insecure"`
 
-	source *strictyaml.Source
-	file   string
+	source     *strictyaml.Source
+	file       string
+	orderToken string
 }
 
 // Platform holds the base URLs of the platform's services, http or https.
@@ -139,7 +156,9 @@
 	Drain time.Duration `yaml:"drain" validate:"gt=0"`
 }
 
-// Budgets hold the process's share of the table service for each use.
+// Budgets hold the process's share of the table service for each use. They
+// are for a fleet of up to nine routers; in a larger one their sum is shared,
+// so that the fleet asks no more of the store than nine routers may.
 type Budgets struct {
 	// Claim is for non-idempotent requests. The default is 80 reads and 40
 	// writes a second.
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/apierr"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/httperr"
 	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/placement"
 	"damaskrouter.example/damaskrouter/internal/queue"
@@ -77,6 +78,7 @@
 	if refused != nil {
 		return resp, refused
 	}
+	// Returned as an error, a nil *apierr.Error would not equal nil.
 	return resp, nil
 }
 
@@ -95,7 +97,7 @@
 	k.accept = r.Header.Get("Accept")
 	k.key = r.Header.Get(wire.HeaderIdempotencyKey)
 	if len(k.key) > maxKeyLength {
-		return badRequest(wire.HeaderIdempotencyKey + " is too long")
+		return httperr.BadRequest(wire.HeaderIdempotencyKey + " is too long")
 	}
 	if !k.route.Idempotent && k.key == "" {
 		return apierr.New(apierr.CodeKeyMissing, http.StatusBadRequest,
@@ -121,7 +123,7 @@
 	case config.ErrMethod.Has(err):
 		return apierr.New(apierr.CodeMethod, http.StatusMethodNotAllowed, "method not allowed here").WithCause(err)
 	case config.ErrBadPath.Has(err):
-		return badRequest("malformed path").WithCause(err)
+		return httperr.BadRequest("malformed path").WithCause(err)
 	case err != nil:
 		return apierr.New(apierr.CodeNotFound, http.StatusNotFound, "no such route").WithCause(err)
 	}
@@ -217,21 +219,7 @@
 
 // attempt asks for a grant and sends the call once.
 func (k *call) attempt(ctx context.Context) (upstream.Response, error) {
-	pool, ok := k.who.config.Pool(k.service.Pool)
-	if !ok {
-		return upstream.Response{}, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
-			WithRetryAfter(time.Second)
-	}
-	id := uuid.NewString()
-	g, err := k.s.Admitter.Admit(ctx, &admission.Request{
-		ID:       id,
-		Account:  k.who.account,
-		Class:    k.who.class,
-		Pools:    []*config.Pool{pool},
-		Deadline: k.who.deadline,
-		Place:    placement.Request{OutputTokens: 1},
-		Avoid:    k.avoid,
-	})
+	g, err := k.admit(ctx)
 	if err != nil {
 		return upstream.Response{}, err
 	}
@@ -244,11 +232,39 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), onceTimeout)
 		defer cancel()
 	}
-	resp, err := k.s.Upstream.Do(ctx, upstream.Call{
+	resp, err := k.s.Upstream.Do(ctx, k.upstreamCall(g))
+	if err != nil && ctx.Err() == nil {
+		k.avoid = append(k.avoid, g.Engine.ID)
+		k.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
+	}
+	return resp, err
+}
+
+// admit waits for the right to send one attempt to one VM of the service.
+func (k *call) admit(ctx context.Context) (*admission.Grant, error) {
+	pool, ok := k.who.config.Pool(k.service.Pool)
+	if !ok {
+		return nil, apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "the service has no pool here").
+			WithRetryAfter(time.Second)
+	}
+	return k.s.Admitter.Admit(ctx, &admission.Request{
+		ID:       uuid.NewString(),
+		Account:  k.who.account,
+		Class:    k.who.class,
+		Pools:    []*config.Pool{pool},
+		Deadline: k.who.deadline,
+		Place:    placement.Request{OutputTokens: 1},
+		Avoid:    k.avoid,
+	})
+}
+
+// upstreamCall is the attempt that g allows.
+func (k *call) upstreamCall(g *admission.Grant) upstream.Call {
+	return upstream.Call{
 		Address:        g.Engine.Address,
 		Name:           g.Engine.Name,
 		Incarnation:    g.Incarnation,
-		RequestID:      id,
+		RequestID:      g.ID,
 		Method:         k.route.Route.Method,
 		Path:           k.route.Path,
 		Query:          k.query,
@@ -257,12 +273,7 @@
 		IdempotencyKey: k.upstreamKey(),
 		Idempotent:     k.route.Idempotent,
 		Body:           k.body,
-	})
-	if err != nil && ctx.Err() == nil {
-		k.avoid = append(k.avoid, g.Engine.ID)
-		k.s.Admitter.Observe(g.Engine.Name, admission.Observation{Kind: outlier.Failure})
 	}
-	return resp, err
 }
 
 // upstreamKey is the idempotency key as the service sees it. The account is
@@ -301,7 +312,7 @@
 			"the request ran, but its answer can't be shown again").
 			WithRan(apierr.RanYes).WithCause(err)
 	case claim.ErrBadKey.Has(err):
-		return badRequest("malformed " + wire.HeaderIdempotencyKey).WithCause(err)
+		return httperr.BadRequest("malformed " + wire.HeaderIdempotencyKey).WithCause(err)
 	}
 	return apierr.From(err)
 }
