fleet: the load of each engine, and no alarm about other routers' engines

Cause: run by hand as the README says, `fleet` showed "no report" for every engine that the asked router does not own, and running and queued counts that were those of the last change of state. Ruled out: passing reports on to all routers (only their loads travel). Now it shows the admitted requests as last heard, and misses a report only of an engine that the asked router owns. Before: p1 "no report", 0, 0. After: p1 "live", 0.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -34,6 +34,10 @@
 type Options struct {
 	// Board shows the fleet.
 	Board *board.Board
+	// Loads tells how many unfinished requests the owner of an engine has
+	// admitted, as last heard here; ok is false where nothing was heard. It may
+	// be nil.
+	Loads func(engine uint64) (admitted int, ok bool)
 	// Chain holds the configuration.
 	Chain *config.Chain
 	// Claims holds the claims of non-idempotent requests.
--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -226,16 +226,19 @@
 	Leaving bool   `json:"leaving"`
 	// Drained is set while the leader keeps the engine idle for an order.
 	Drained bool `json:"drained"`
-	// Known is false until a report has arrived; the fields after Owner are
-	// empty then.
-	Known bool `json:"known"`
-	// Owner is the router that keeps the engine's count of admitted work.
-	Owner       string `json:"owner,omitempty"`
+	// Owner is the router that keeps the engine's count of admitted work, and
+	// that the engine reports to.
+	Owner string `json:"owner,omitempty"`
+	// Known is set where the answering router is the owner and has had a
+	// report; Incarnation, Model and Version are empty elsewhere.
+	Known       bool   `json:"known"`
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	Model       string `json:"model,omitempty"`
 	Version     string `json:"version,omitempty"`
-	Running     int    `json:"running"`
-	Queued      int    `json:"queued"`
+	// Heard is set where the answering router has heard of the engine's load;
+	// Admitted is then the number of its unfinished requests.
+	Heard    bool `json:"heard"`
+	Admitted int  `json:"admitted"`
 }
 
 // ResolveRequest gives an operator's verdict on a claim.
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -89,13 +89,13 @@
 	}
 	for _, g := range snap.Groups() {
 		for i, e := range g.Engines {
-			f.Engines = append(f.Engines, engineOf(snap, e, g.Owners[i]))
+			f.Engines = append(f.Engines, s.engineOf(snap, e, g.Owners[i]))
 		}
 	}
 	return c.JSON(http.StatusOK, f)
 }
 
-func engineOf(snap *board.Snapshot, e board.Engine, owner int) api.Engine {
+func (s *Server) engineOf(snap *board.Snapshot, e board.Engine, owner int) api.Engine {
 	out := api.Engine{
 		Name: e.Name, Kind: e.Kind, Pool: e.Pool, Site: e.Site, Address: e.Address,
 		Leaving: e.Leaving, Drained: e.Drained, Known: e.Known,
@@ -106,7 +106,9 @@
 	if e.Known {
 		out.Incarnation = e.Status.Incarnation
 		out.Model, out.Version = e.Status.Model, e.Status.Version
-		out.Running, out.Queued = e.Status.Running, e.Status.Queued
+	}
+	if s.Loads != nil {
+		out.Admitted, out.Heard = s.Loads(e.ID)
 	}
 	return out
 }
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -115,6 +115,27 @@
 	return snap.Routers[g.Owners[best]], true
 }
 
+// Admitted is the number of an engine's admitted, unfinished requests, as its
+// owner told last; ok is false where nothing was heard.
+func (a *Admission) Admitted(engine uint64) (n int, ok bool) {
+	if load, own := a.keeper.load(time.Now(), engine); own {
+		return load.Count, true
+	}
+	for _, l := range a.allLanes() {
+		if k, heard := l.lastHeard(engine); heard {
+			return int(k.Count), true
+		}
+	}
+	return 0, false
+}
+
+func (l *lane) lastHeard(engine uint64) (known, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, ok := l.loads[engine]
+	return k, ok
+}
+
 // Adopt takes over the permit of a stream that is resumed at this router.
 func (a *Admission) Adopt(ctx context.Context, id, engine string, incarnation uint64) (*Grant, error) {
 	snap := a.opts.Board.Snapshot()
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 
 	"damaskrouter.example/damaskrouter/internal/admin/api"
 )
@@ -36,22 +37,32 @@
 	if err != nil {
 		return err
 	}
-	return table(out, true, "\nENGINE\tKIND\tPOOL\tSITE\tSTATE\tOWNER\tMODEL\tRUNNING\tQUEUED", func(w io.Writer) error {
+	return table(out, true, "\nENGINE\tKIND\tPOOL\tSITE\tSTATE\tOWNER\tMODEL\tADMITTED", func(w io.Writer) error {
 		for _, e := range f.Engines {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s %s\t%d\t%d\n", e.Name, e.Kind, e.Pool, e.Site, engineState(e),
-				e.Owner, e.Model, e.Version, e.Running, e.Queued)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s %s\t%s\n", e.Name, e.Kind, e.Pool, e.Site, engineState(f.SeenBy, e),
+				e.Owner, e.Model, e.Version, admitted(e))
 		}
 		return nil
 	})
 }
 
-func engineState(e api.Engine) string {
+// admitted is the number of unfinished requests, where it is known.
+func admitted(e api.Engine) string {
+	if !e.Heard {
+		return "?"
+	}
+	return strconv.Itoa(e.Admitted)
+}
+
+// engineState is the state as the asked router sees it. Only the owner gets the
+// engine's reports, so that their absence says nothing elsewhere.
+func engineState(seenBy string, e api.Engine) string {
 	switch {
 	case e.Leaving:
 		return "leaving"
 	case e.Drained:
 		return "drained"
-	case !e.Known:
+	case !e.Known && e.Owner == seenBy:
 		return "no report"
 	}
 	return "live"
