router: provision in steps

Cause: one function of 69 lines built everything, and a field was set twice because the caller did not exist when it was first needed.

--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -27,7 +27,24 @@
 	rng := rand.New(rand.NewPCG(r.opts.Seed, 0))
 	instance := rng.Uint64() | 1
 
+	r.provisionPeers()
 	r.openPlatform()
+	if err := r.provisionAdmission(rng, instance); err != nil {
+		return err
+	}
+	r.provisionControllers()
+	if err := r.provisionGossip(instance); err != nil {
+		return err
+	}
+	r.provisionTraffic()
+	if err := r.registerCalls(); err != nil {
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Router) provisionPeers() {
 	secure := r.secrets.PeerOptions()
 	r.caller = peer.NewCaller(r.set.Name, r.secrets.Fleet, &r.counters, secure...)
 	r.calls = peer.NewServer(r.set.Name, r.secrets.Fleet, &r.counters, secure...)
@@ -37,11 +54,19 @@
 		IdleGap:     r.set.Timeouts.IdleGap,
 		OrderToken:  r.set.OrderBearer(),
 	})
-	facts, err := admission.NewFacts(admission.DefaultRecentChats, rng.Uint64())
-	if err != nil {
+}
+
+func (r *Router) provisionAdmission(rng *rand.Rand, instance uint64) (err error) {
+	if r.facts, err = admission.NewFacts(admission.DefaultRecentChats, rng.Uint64()); err != nil {
 		return err
 	}
-	r.facts = facts
+	r.quota = quota.New(quota.Options{
+		Board:    r.board,
+		Caller:   r.caller,
+		Self:     r.set.Name,
+		Instance: instance,
+		Rand:     rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
+	})
 	r.admission = admission.New(admission.Options{
 		Board:       r.board,
 		Caller:      r.caller,
@@ -51,19 +76,12 @@
 		NewStrategy: r.opts.NewStrategy,
 		Rand:        rng,
 	})
-	r.quota = quota.New(quota.Options{
-		Board:    r.board,
-		Caller:   r.caller,
-		Self:     r.set.Name,
-		Instance: instance,
-		Rand:     rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
-	})
 	r.board.Subscribe(r.admission.Sync)
 	r.board.Subscribe(r.quota.Sync)
-	r.provisionControllers()
-	if err := r.provisionGossip(instance); err != nil {
-		return err
-	}
+	return nil
+}
+
+func (r *Router) provisionTraffic() {
 	r.traffic = traffic.New(traffic.Options{
 		Board:     r.board,
 		Admitter:  r.admission,
@@ -77,16 +95,20 @@
 		LocateTTL: r.set.Timeouts.LocateTTL,
 		IdleGap:   r.set.Timeouts.IdleGap,
 	})
-	if err := r.calls.Register(admission.ServiceName, r.admission.Service()); err != nil {
-		return err
-	}
-	if err := r.calls.Register(quota.ServiceName, r.quota.Service()); err != nil {
-		return err
-	}
-	if err := r.calls.Register(controller.FleetService, controller.NewFleet(r.vms, r.configs, r.drains)); err != nil {
-		return err
+}
+
+// registerCalls publishes what other routers may call here.
+func (r *Router) registerCalls() error {
+	services := map[string]any{
+		admission.ServiceName:   r.admission.Service(),
+		quota.ServiceName:       r.quota.Service(),
+		controller.FleetService: controller.NewFleet(r.vms, r.configs, r.drains),
+	}
+	for name, service := range services {
+		if err := r.calls.Register(name, service); err != nil {
+			return err
+		}
 	}
-	r.publish()
 	return nil
 }
 
@@ -108,7 +130,6 @@
 }
 
 func (r *Router) provisionControllers() {
-	r.vms.Caller = r.caller
 	r.configs = &controller.Configs{
 		Board: r.board, Chain: r.chain, Caller: r.caller,
 		Self: r.set.Name, Site: r.set.Site, Log: r.log,
