Streams to engines: smaller connection buffers

Cause: 2,000 open streams took 64.9 MiB beyond a bare server, over the goal of 64 MB (61 MiB); 8 KiB of a stream's 33 are the transport's two buffers. Ruled out: a pool of buffers (each is in use as long as its stream).

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,9 +70,16 @@
 		DisableCompression:  true,
 		IdleConnTimeout:     o.IdleConn,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
+		ReadBufferSize:      connBuffer,
+		WriteBufferSize:     connBuffer,
 	}
 }
 
+// connBuffer is the size of a connection's buffers, in bytes. A chunk is a few
+// hundred bytes long, and thousands of streams are open at a time; long bodies
+// pass the buffers by.
+const connBuffer = 1 << 10
+
 func (p *pool) transport() *http.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
