upstream: count the bytes of control calls by kind

Cause: polls of engines and services were in no figure. control_bytes holds datagrams and calls between routers only, so the goal for control traffic and probes was compared with a part of it.

Each connection carries the meter of the call that has it, set as the transport hands the connection to the call, and reads and writes are added to it. Kinds: status, events, orders, transfers of KV cache; published as upstream_bytes.

Ruled out: a pool of connections for control alone, since it would change what is measured; lengths of headers and bodies, since the transport adds headers and framing of its own; a difference of a connection's counters at both ends of a call, since the connection may be in use again before the second reading.

Left out: headers of TCP and IP, handshakes and acknowledgements, and streams and callers' calls to services.

--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -28,6 +28,7 @@
 		udp, tcp := r.ControlBytes()
 		return map[string]int64{"udp": udp, "tcp": tcp}
 	}))
+	r.vars.Set("upstream_bytes", expvar.Func(func() any { return r.upstream.Traffic() }))
 	r.vars.Set("config_version", expvar.Func(func() any { return r.board.Snapshot().ConfigVersion }))
 	r.vars.Set("routers_live", expvar.Func(func() any { return len(r.board.Snapshot().Live) }))
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -103,7 +103,7 @@
 // 400 and above become a *Failure, save for the plain replies of a service.
 func (c *Client) roundTrip(ctx context.Context, r request) (*reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracker := &sentTracker{}
+	tracker := &sentTracker{meter: c.meters.of(r.op)}
 	req, err := r.build(tracker.attach(ctx))
 	if err != nil {
 		cancel(nil)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,9 +66,10 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	opts  Options
-	pools *pools
-	fresh *http.Transport
+	opts   Options
+	pools  *pools
+	fresh  *http.Transport
+	meters meters
 }
 
 // New returns a Client. Close releases its connections.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // countedConn counts writes and can be sealed against further ones.
@@ -15,11 +16,22 @@
 // write was begun before the seal, or none ever will be.
 type countedConn struct {
 	net.Conn
+	// meter is of the call that has the connection; nil where none is counted.
+	meter  atomic.Pointer[meter]
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
 }
 
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if m := c.meter.Load(); m != nil {
+		m.in.Add(int64(n))
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -29,7 +41,7 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	return c.meter.Load().write(c.Conn, b)
 }
 
 func (c *countedConn) count() uint64 {
@@ -53,6 +65,8 @@
 // sentTracker follows one call through the transport and says afterwards
 // whether a byte of it was written. It is used by one call only.
 type sentTracker struct {
+	// meter takes the call's bytes; nil where they aren't counted.
+	meter  *meter
 	mu     sync.Mutex
 	conn   *countedConn
 	since  uint64
@@ -75,6 +89,7 @@
 		t.wrote = true
 		return
 	}
+	c.meter.Store(t.meter)
 	t.conn = c
 	t.since = c.count()
 }
