Fault matrix: frozen while versions go on; orders to engines that are gone

Cause: four cells had no test: propagate under freeze and thaw, order under a stale VM list, read back under a stale VM list and a used address.

Ruled out, on scratch copies: with the follower and the board taking any other version than their own, both freeze tests fail (version 3 goes back to 2, or ends at 2). With engines kept on the board that the list has dropped, both stale-list tests fail (the engine gets two more orders). With all checks of an upstream's name taken out, both used-address tests fail; with one of them left in, that one holds. The used-address test of the order passed without any check before, since the list was corrected before another order came; it now stays stale until after the second configuration.

The stale-list tests have four engines: of two that are left, the capacity floor of 0.66 lets none be taken out, as configured.

--- a/test/faults/config_test.go
+++ b/test/faults/config_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,7 +34,14 @@
 	lose, reorder, twice bool
 	// killFirst kills the first router that announces the new head.
 	killFirst bool
-	raced     atomic.Bool
+	// freezeFirst freezes it instead, while a further version is accepted.
+	freezeFirst bool
+	// holding holds announcements up in held; ended says that no more come.
+	holding, ended bool
+	held           []membership.Item
+	raced          atomic.Bool
+	// heard is the version that the hearer must get by announcements.
+	heard uint64
 	// hits counts the strikes at calls of the store.
 	hits atomic.Int32
 }
@@ -161,6 +169,40 @@
 	time.AfterFunc(ages, r.Gate.Thaw)
 }
 
+// passedBy freezes a router while a further change is accepted.
+func (s *change) passedBy(r *faultkit.Router) {
+	s.hits.Add(1)
+	r.Gate.Freeze()
+	time.AfterFunc(ages/2, func() { follow(s) })
+	time.AfterFunc(ages, r.Gate.Thaw)
+}
+
+// hearerPassedBy freezes the router that only hears of heads. What it is told
+// meanwhile waits for it, and is all that it hears.
+func hearerPassedBy(s *change) {
+	s.heard = 3
+	atOperator(commits, false, nil, func(s *change) {
+		s.passedBy(s.hearer)
+		s.set(func() { s.holding = true })
+		time.AfterFunc(ages, s.deliverHeld)
+	})(s)
+}
+
+// deliverHeld delivers the announcements that were held up, the oldest last.
+func (s *change) deliverHeld() {
+	s.set(func() { s.holding, s.ended = false, true })
+	for _, item := range slices.Backward(s.held) {
+		s.hearer.Configs.Heard(item)
+	}
+}
+
+// announcerPassedBy freezes the first router that announces the new head. Its
+// announcement comes when the next version is in force elsewhere.
+func announcerPassedBy(s *change) {
+	s.heard = 3
+	s.freezeFirst = true
+}
+
 var changeCells = []changeCell{
 	{faultkit.Kill, faultkit.ConfigRead, atOperator(readsHead, false, nil, operatorKilled), "process killed as it reads the head"},
 	{faultkit.Freeze, faultkit.ConfigRead, atOperator(readsHead, false, nil, operatorFrozen), "process frozen as it reads the head"},
@@ -199,6 +241,8 @@
 	{faultkit.LostDown, faultkit.Commit, atOperator(commits, true, outcomeLost, lostThenOutage), "commit takes effect, its reply is lost, the store goes down: unknown, then settled by the change id"},
 
 	{faultkit.Kill, faultkit.Propagate, func(s *change) { s.killFirst = true }, "router killed as it announces the head, before anybody hears of it; the other reader announces it"},
+	{faultkit.Freeze, faultkit.Propagate, hearerPassedBy, "router frozen while two versions are announced, then thawed: it ends at the newest"},
+	{faultkit.Freeze, faultkit.Propagate, announcerPassedBy, "router frozen as it announces the head; the announcement comes when the next version is in force"},
 	{faultkit.CutBoth, faultkit.Propagate, func(s *change) { s.lose = true }, "announcements lost for a while"},
 	{faultkit.Duplicate, faultkit.Propagate, func(s *change) { s.twice = true }, "announcements delivered twice"},
 	{faultkit.Reorder, faultkit.Propagate, func(s *change) { s.reorder = true }, "announcement of the earlier head delivered after the later one"},
@@ -245,7 +289,7 @@
 // back to what a late message names.
 func runChange(t *testing.T, c changeCell) {
 	inWorld(t, 3, faultkit.Options{}, func(t *testing.T, w *faultkit.World) {
-		s := &change{World: w, t: t, operator: w.NewOperator(), hearer: w.Routers[2]}
+		s := &change{World: w, t: t, operator: w.NewOperator(), hearer: w.Routers[2], heard: 2}
 		s.deafen()
 		s.OnAnnounce(s.spread)
 		s.set(func() { c.arm(s) })
@@ -270,7 +314,7 @@
 // where announcements go through.
 func (s *change) requireHeard(c changeCell) {
 	if c.step == faultkit.Propagate && !s.lose {
-		require.EqualValues(s.t, 2, s.hearer.Board.Snapshot().ConfigVersion)
+		require.Equal(s.t, s.heard, s.hearer.Board.Snapshot().ConfigVersion)
 	}
 }
 
@@ -290,9 +334,15 @@
 // spread carries an announcement to the router that only hears of heads.
 func (s *change) spread(from *faultkit.Router, item membership.Item) {
 	s.mu.Lock()
-	lose, twice, reorder := s.lose, s.twice, s.reorder
+	lose, twice, reorder := s.lose || s.ended, s.twice, s.reorder
+	if s.holding && from != s.hearer {
+		s.held = append(s.held, item)
+		lose = true
+	}
 	kill := s.killFirst && item.Version > 1
 	s.killFirst = s.killFirst && !kill
+	freeze := s.freezeFirst && item.Version > 1
+	s.freezeFirst = s.freezeFirst && !freeze
 	s.mu.Unlock()
 	if from == s.hearer || lose {
 		return
@@ -301,6 +351,12 @@
 		from.Gate.Kill()
 		return
 	}
+	if freeze {
+		s.passedBy(from)
+		// The announcement is under way, and is the last that gets through.
+		_ = from.Gate.Pass()
+		s.set(func() { s.ended = true })
+	}
 	s.hearer.Configs.Heard(item)
 	if twice {
 		s.hearer.Configs.Heard(item)
--- a/test/faults/leader_test.go
+++ b/test/faults/leader_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,13 @@
 	// ready is closed once a is set; the fault may strike before.
 	ready chan struct{}
 	hit   chan struct{}
+	// vanished is an engine whose VM is gone, had the orders that it had taken
+	// by then.
+	vanished string
+	had      int
+	// misled counts the orders that the engine at a used address took before
+	// the list named it.
+	misled atomic.Int64
 }
 
 const (
@@ -127,17 +135,36 @@
 	}()
 }
 
-// reused puts another engine at the address that the order goes to.
+// reused puts another engine at the address that the order goes to. The
+// leader's list names the old one until after the second configuration, which
+// would be ordered there.
 func reused(s *rollout, c *faultkit.Conn) {
 	for i := range rolloutEngines {
 		if c.To == fmt.Sprint("engine-", i) {
 			s.a.HoldVMs(true)
-			s.ReplaceEngine(i, "engine-9")
-			time.AfterFunc(term/2, func() { s.a.HoldVMs(false) })
+			next := s.ReplaceEngine(i, "engine-9")
+			time.AfterFunc(2*term, func() {
+				s.misled.Store(int64(len(next.Books().Orders)))
+				s.a.HoldVMs(false)
+			})
 		}
 	}
 }
 
+// vanish lets an engine's VM vanish while the leader's list goes on naming it.
+// Once the list has caught up, the process answers at its address again, as
+// one does that the platform has given up: it must get no order.
+func vanish(s *rollout, c *faultkit.Conn) {
+	s.vanished = c.To
+	e := s.Oracle.Engine(c.To)
+	s.a.HoldVMs(true)
+	s.Platform.DeleteVM(c.To)
+	e.Crash()
+	s.had = len(e.Books().Orders)
+	time.AfterFunc(term/2, func() { s.a.HoldVMs(false) })
+	time.AfterFunc(term/2+leaveSettle, e.Restart)
+}
+
 type rolloutCell struct {
 	fault       faultkit.Fault
 	at          rolloutPoint
@@ -150,6 +177,15 @@
 // that takes it. The state must then be mended, not prevented.
 func (c rolloutCell) copied() bool { return c.ignoreFence || c.fault == faultkit.Duplicate }
 
+// engines is how many there are. Of two that are left, the capacity floor lets
+// none be taken out for an order.
+func (c rolloutCell) engines() int {
+	if c.fault == faultkit.VMsStale {
+		return rolloutEngines + 1
+	}
+	return rolloutEngines
+}
+
 var rolloutCells = []rolloutCell{
 	{faultkit.Kill, leaseTakenOK, aKilled, false, "leader killed with its lease just taken; another takes over"},
 	{faultkit.Freeze, leaseTakenOK, aFrozen, false, "leader frozen with its lease just taken, thawed after it lapsed"},
@@ -186,6 +222,7 @@
 	{faultkit.StoreDown, orderSent, storeGone, false, "store down as an order is sent"},
 	{faultkit.Flap, orderSent, orderedFlaps, false, "engine restarts as an order arrives and has forgotten everything"},
 	{faultkit.IPReused, orderSent, reused, false, "another engine at the address refuses the order"},
+	{faultkit.VMsStale, orderSent, vanish, false, "list names an engine that is gone as it is ordered: the others are rolled out, and it gets no order when it answers again"},
 	{faultkit.ViewsDiff, orderReply, staleSuccessor, false, "next leader has an older configuration: it does not bring engines back to it"},
 	{faultkit.FreezeTake, orderSent, aFrozen, true, "leader frozen as it sends, another takes over, at engines that ignore fences"},
 
@@ -198,6 +235,8 @@
 	{faultkit.ReplyLate, stateRead, orderLate, false, "report later than its time-out"},
 	{faultkit.StoreDown, stateRead, storeGone, false, "store down as the report is read"},
 	{faultkit.Flap, stateRead, orderedFlaps, false, "engine restarts after the order: the plan is made anew from its report"},
+	{faultkit.VMsStale, stateRead, vanish, false, "engine gone as its report is read, still listed: the others are rolled out, and it gets no order when it answers again"},
+	{faultkit.IPReused, stateRead, reused, false, "another engine at the address as the report is read: it is not taken for the old one, and gets no order in that one's name"},
 }
 
 func leaderProofs() proofs {
@@ -220,7 +259,7 @@
 // Cause: a leader acts on a lease that it can't know to hold, or takes a reply
 // that is missing for an order that had no effect.
 func runRollout(t *testing.T, c rolloutCell) {
-	o := faultkit.Options{Engines: rolloutEngines, EngineVersion: oldVersion, Leaders: true, IgnoreFence: c.ignoreFence}
+	o := faultkit.Options{Engines: c.engines(), EngineVersion: oldVersion, Leaders: true, IgnoreFence: c.ignoreFence}
 	inWorld(t, 0, o, func(t *testing.T, w *faultkit.World) {
 		s := &rollout{World: w, t: t, ready: make(chan struct{}), hit: make(chan struct{})}
 		s.start(c)
@@ -313,6 +352,10 @@
 }
 
 func (s *rollout) requireRolledOut(c rolloutCell) {
+	require.Zero(s.t, s.misled.Load(), "orders meant for the engine that had the address before")
+	if s.vanished != "" {
+		require.Len(s.t, s.Oracle.Engine(s.vanished).Books().Orders, s.had, "no order to an engine that is gone")
+	}
 	for _, e := range s.Oracle.Engines() {
 		st := e.Status()
 		if s.gone(st.Name) {
