Fault matrix: a surge of claims leaves the lease and the configuration their share

Cause: no test had routers with a budget, so that nothing showed what a surge of claims does to the lease and to a change that go through the same share.

The routers of these tests have the budget of the default settings. 2400 receipts come at the leader in 36 s of virtual time, more than three times what it may write.

Ruled out, on a scratch copy: without the bound on claims all three tests fail (1186 claim writes in 20 s instead of at most 880; the lease lapses; the change is refused for the budget).

Conclusion: the default budgets hold; no fault was found.

--- a/internal/faultkit/router.go
+++ b/internal/faultkit/router.go
@@ -70,7 +70,7 @@
 // Taps are in place before it makes its first call of the table service.
 func (w *World) StartRouter(name, address string, taps ...StoreTap) (*Router, error) {
 	r := &Router{Name: name, Address: address, Gate: NewGate(), world: w, Board: board.New(name)}
-	r.store = &store{Table: w.Platform, gate: r.Gate}
+	r.store = &store{Table: w.table(), gate: r.Gate}
 	for _, t := range taps {
 		r.store.tap(t)
 	}
--- a/internal/faultkit/world.go
+++ b/internal/faultkit/world.go
@@ -37,6 +37,8 @@
 	IgnoreFence bool
 	// Leaders lets the routers seek the lease and give orders.
 	Leaders bool
+	// Budget bounds each router's calls of the table service; nil means no bound.
+	Budget *platform.BudgetOptions
 	// Seed drives the routers' random choices.
 	Seed uint64
 	// Bundle is the first configuration.
@@ -167,6 +169,14 @@
 	}
 }
 
+// table is a router's way to the table service, within its budget.
+func (w *World) table() platform.Table {
+	if w.opts.Budget == nil {
+		return w.Platform
+	}
+	return platform.Budgeted(w.Platform, platform.NewBudget(*w.opts.Budget))
+}
+
 // token returns a new claim token.
 func (w *World) token() string { return fmt.Sprint("token-", w.tokens.Add(1)) }
 
