--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -252,6 +252,7 @@
 	a.health.sync(now, snap)
 	a.moves.note(snap)
 	for _, l := range a.allLanes() {
+		l.prune(snap)
 		l.wake()
 	}
 }
--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -1,18 +1,13 @@
 package admission
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/board"
-	"github.com/zeebo/errs"
 )
 
-// ErrDigest is a load digest that can't be decoded.
-var ErrDigest = errs.Class("admission: load digest")
-
 // EngineLoad is what an engine's owner tells other routers.
 type EngineLoad struct {
 	// Engine is the engine's id.
@@ -49,8 +44,6 @@
 	// subscription is how long a router that asked for a permit is told of
 	// load changes.
 	subscription = 30 * time.Second
-	// digestVersion is the format of a digest.
-	digestVersion = 2
 	// maxDigest bounds the engines in one digest.
 	maxDigest = 32
 	// directListeners is how many routers are told directly. In a larger group
@@ -62,82 +55,6 @@
 	spreadLoads     = 8
 )
 
-// appendDigest encodes loads for a datagram.
-func appendDigest(dst []byte, loads []EngineLoad) []byte {
-	dst = append(dst, digestVersion, byte(len(loads)))
-	for _, l := range loads {
-		dst = binary.LittleEndian.AppendUint64(dst, l.Engine)
-		dst = binary.AppendUvarint(dst, l.Incarnation)
-		dst = binary.AppendVarint(dst, l.Weight)
-		dst = binary.AppendVarint(dst, int64(l.Count))
-		dst = binary.AppendVarint(dst, int64(l.MaxBatch))
-		dst = append(dst, l.Flags)
-		dst = binary.LittleEndian.AppendUint32(dst, l.Owner)
-		dst = binary.AppendUvarint(dst, uint64(l.Seq))
-	}
-	return dst
-}
-
-// decodeDigest reads what appendDigest wrote.
-func decodeDigest(p []byte) ([]EngineLoad, error) {
-	if len(p) < 2 || p[0] != digestVersion || p[1] > maxDigest {
-		return nil, ErrDigest.New("header")
-	}
-	n := int(p[1])
-	d := digestReader{rest: p[2:]}
-	loads := make([]EngineLoad, 0, n)
-	for range n {
-		loads = append(loads, EngineLoad{
-			Engine:      d.fixed(),
-			Incarnation: d.unsigned(),
-			Weight:      d.signed(),
-			Count:       int32(d.signed()),
-			MaxBatch:    int32(d.signed()),
-			Flags:       d.octet(),
-			Owner:       d.fixed32(),
-			Seq:         uint32(d.unsigned()),
-		})
-	}
-	if d.short || len(d.rest) > 0 {
-		return nil, ErrDigest.New("length")
-	}
-	return loads, nil
-}
-
-type digestReader struct {
-	rest  []byte
-	short bool
-}
-
-func (d *digestReader) take(n int) []byte {
-	if n <= 0 || n > len(d.rest) {
-		d.short = true
-		d.rest = nil
-		return make([]byte, 8)
-	}
-	p := d.rest[:n]
-	d.rest = d.rest[n:]
-	return p
-}
-
-func (d *digestReader) fixed() uint64 { return binary.LittleEndian.Uint64(d.take(8)) }
-
-func (d *digestReader) fixed32() uint32 { return binary.LittleEndian.Uint32(d.take(4)) }
-
-func (d *digestReader) octet() uint8 { return d.take(1)[0] }
-
-func (d *digestReader) unsigned() uint64 {
-	v, n := binary.Uvarint(d.rest)
-	d.take(n)
-	return v
-}
-
-func (d *digestReader) signed() int64 {
-	v, n := binary.Varint(d.rest)
-	d.take(n)
-	return v
-}
-
 // learn takes in what the owners of some engines said of them, directly or
 // passed on. The word of a router that does not own an engine any more is not
 // taken, nor one that is older than what is known. direct marks an owner's own
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -83,6 +84,18 @@
 	l.pool = p
 }
 
+// prune forgets the loads of engines that are gone.
+func (l *lane) prune(snap *board.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := func(id uint64) bool {
+		_, ok := snap.EngineByID(id)
+		return !ok
+	}
+	maps.DeleteFunc(l.loads, func(id uint64, _ known) bool { return gone(id) })
+	maps.DeleteFunc(l.told, func(id uint64, _ EngineLoad) bool { return gone(id) })
+}
+
 func (l *lane) wake() {
 	select {
 	case l.woken <- struct{}{}:
