bench: control bytes to and from upstreams, by kind

Cause: the bench printed the bytes between routers only; polls of upstreams count against the same few kilobytes a second.

The bench reads each router's upstream_bytes before and after the load.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"damaskrouter.example/damaskrouter/internal/settings"
 	"damaskrouter.example/damaskrouter/internal/standin"
 	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/internal/upstream"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
@@ -217,16 +218,44 @@
 }
 
 // Control is the control traffic of one router, sent and received, in bytes:
-// membership and load digests by UDP, calls between routers by TCP.
-type Control struct{ UDP, TCP int64 }
+// membership and load digests by UDP, calls between routers by TCP, and polls
+// of and orders to upstreams.
+type Control struct {
+	UDP, TCP int64
+	Upstream upstream.Traffic
+}
+
+// Since returns the traffic after an earlier reading.
+func (c Control) Since(earlier Control) Control {
+	return Control{
+		UDP:      c.UDP - earlier.UDP,
+		TCP:      c.TCP - earlier.TCP,
+		Upstream: c.Upstream.Since(earlier.Upstream),
+	}
+}
 
 // ControlBytes is each router's control traffic so far.
-func (f *Fleet) ControlBytes() []Control {
+func (f *Fleet) ControlBytes() ([]Control, error) {
 	out := make([]Control, len(f.Routers))
 	for i, r := range f.Routers {
 		out[i].UDP, out[i].TCP = r.ControlBytes()
+		if err := readVar(r, upstreamBytes, &out[i].Upstream); err != nil {
+			return nil, err
+		}
 	}
-	return out
+	return out, nil
+}
+
+// upstreamBytes is the metric of the traffic towards upstreams.
+const upstreamBytes = "upstream_bytes"
+
+// readVar decodes a router's metric into out.
+func readVar(r *router.Router, name string, out any) error {
+	v := r.Vars().Get(name)
+	if v == nil {
+		return Error.New("a router has no metric %q", name)
+	}
+	return Error.Wrap(json.Unmarshal([]byte(v.String()), out))
 }
 
 // Admission sums up the routers' counters of their decisions.
--- /dev/null
+++ b/internal/bench/run/control.go
@@ -0,0 +1,58 @@
+package run
+
+import (
+	"damaskrouter.example/damaskrouter/internal/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/upstream"
+)
+
+// ControlUpstream is the control traffic towards upstreams by kind, in bytes
+// per router and second, sent and received.
+type ControlUpstream struct {
+	// Status are polls of engines and services for their reports, Events polls
+	// of engines for cache events.
+	Status float64 `json:"status"`
+	Events float64 `json:"events"`
+	Orders float64 `json:"orders"`
+	// Transfers are KV caches; they go by the rate of planned leaves.
+	Transfers float64 `json:"transfers"`
+	// Busiest is the most that one router had of all kinds.
+	Busiest float64 `json:"busiest_router"`
+}
+
+// Polls is what goes on all the time.
+func (c *ControlUpstream) Polls() float64 { return c.Status + c.Events }
+
+// fillControl takes each router's traffic during the run.
+func (res *Result) fillControl(control []fleet.Control) {
+	var sum fleet.Control
+	var peak int64
+	for _, c := range control {
+		sum.UDP += c.UDP
+		sum.TCP += c.TCP
+		peak = max(peak, c.UDP+c.TCP)
+	}
+	perSecond := 1 / float64(len(control)) / res.Seconds
+	res.ControlUDP = float64(sum.UDP) * perSecond
+	res.ControlTCP = float64(sum.TCP) * perSecond
+	res.ControlBytes = res.ControlUDP + res.ControlTCP
+	res.ControlBytesPeak = float64(peak) / res.Seconds
+	res.ControlUpstream = controlUpstream(control, res.Seconds)
+}
+
+func controlUpstream(control []fleet.Control, seconds float64) ControlUpstream {
+	var out ControlUpstream
+	perSecond := 1 / float64(len(control)) / seconds
+	for _, c := range control {
+		u := &c.Upstream
+		out.Status += float64(u.Status.Total()) * perSecond
+		out.Events += float64(u.Events.Total()) * perSecond
+		out.Orders += float64(u.Orders.Total()) * perSecond
+		out.Transfers += float64(u.Transfers.Total()) * perSecond
+		out.Busiest = max(out.Busiest, float64(total(u))/seconds)
+	}
+	return out
+}
+
+func total(u *upstream.Traffic) int64 {
+	return u.Status.Total() + u.Events.Total() + u.Orders.Total() + u.Transfers.Total()
+}
--- a/internal/bench/run/result.go
+++ b/internal/bench/run/result.go
@@ -27,11 +27,13 @@
 	SkewShort    measure.Skew     `json:"skew_short"`
 	SkewRequests measure.Skew     `json:"skew_requests"`
 	SkewWindows  []measure.Window `json:"skew_windows"`
-	// ControlBytes is bytes per router and second, sent and received.
-	ControlBytes     float64 `json:"control_bytes_per_router_second"`
-	ControlBytesPeak float64 `json:"control_bytes_busiest_router_second"`
-	ControlUDP       float64 `json:"control_udp_bytes_per_router_second"`
-	ControlTCP       float64 `json:"control_tcp_bytes_per_router_second"`
+	// ControlBytes is bytes per router and second, sent and received, between
+	// routers; ControlUpstream has what goes to and from upstreams.
+	ControlBytes     float64         `json:"control_bytes_per_router_second"`
+	ControlBytesPeak float64         `json:"control_bytes_busiest_router_second"`
+	ControlUDP       float64         `json:"control_udp_bytes_per_router_second"`
+	ControlTCP       float64         `json:"control_tcp_bytes_per_router_second"`
+	ControlUpstream  ControlUpstream `json:"control_upstream_bytes_per_router_second"`
 	// Admission sums up the routers' own counters, to explain the rest.
 	Admission map[string]int64 `json:"admission"`
 	Counts
@@ -193,18 +195,3 @@
 }
 
 func pair(s fleet.Span) [2]time.Time { return [2]time.Time{s.From, s.To} }
-
-func (res *Result) fillControl(control []fleet.Control) {
-	var sum fleet.Control
-	var peak int64
-	for _, c := range control {
-		sum.UDP += c.UDP
-		sum.TCP += c.TCP
-		peak = max(peak, c.UDP+c.TCP)
-	}
-	perSecond := 1 / float64(len(control)) / res.Seconds
-	res.ControlUDP = float64(sum.UDP) * perSecond
-	res.ControlTCP = float64(sum.TCP) * perSecond
-	res.ControlBytes = res.ControlUDP + res.ControlTCP
-	res.ControlBytesPeak = float64(peak) / res.Seconds
-}
--- a/internal/bench/run/run.go
+++ b/internal/bench/run/run.go
@@ -118,7 +118,10 @@
 }
 
 func (r *runner) run(ctx context.Context) (*Result, error) {
-	before := r.fleet.ControlBytes()
+	before, err := r.fleet.ControlBytes()
+	if err != nil {
+		return nil, err
+	}
 	from := time.Now()
 	load, stop := context.WithTimeout(ctx, r.o.Length)
 	defer stop()
@@ -126,10 +129,12 @@
 	r.startLoad(load)
 	r.watch(load, from)
 	to := time.Now()
-	control := r.fleet.ControlBytes()
+	control, err := r.fleet.ControlBytes()
+	if err != nil {
+		return nil, err
+	}
 	for i := range control {
-		control[i].UDP -= before[i].UDP
-		control[i].TCP -= before[i].TCP
+		control[i] = control[i].Since(before[i])
 	}
 	if !r.waitEnd() {
 		return nil, Error.New("requests were still open %s after the end of the load", endTimeout)
--- a/internal/bench/run/run_test.go
+++ b/internal/bench/run/run_test.go
@@ -38,6 +38,8 @@
 	require.Positive(t, r.CacheReuse)
 	require.LessOrEqual(t, r.CacheReuse, r.ReuseBound)
 	require.Positive(t, r.ControlBytes)
+	require.Positive(t, r.ControlUpstream.Status)
+	require.Positive(t, r.ControlUpstream.Events)
 	require.Positive(t, r.Churn["leave"])
 
 	file := filepath.Join(t.TempDir(), "report.html")
