bench: compare calls and first tokens before a surge and during it

Cause: the goal is that the 99th percentile of key and booking checks is at most 1.1 times as high in a surge of ten times the usual dossiers; the bench had one percentile for the whole run, and its surges are of four and five times.

Requests are sorted by when they were sent: before the surge (after the ramp), its first second, and the rest of it.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -63,7 +63,9 @@
 
 	Engines  []*Engine
 	Services []*service.Service
-	Routers  []*router.Router
+	// serviceURLs are the services' own addresses.
+	serviceURLs []string
+	Routers     []*router.Router
 }
 
 // Start starts a fleet and waits until it serves.
@@ -124,6 +126,7 @@
 		return err
 	}
 	f.Services = append(f.Services, s)
+	f.serviceURLs = append(f.serviceURLs, "http://"+address)
 	f.platform.PutVM(platform.VM{
 		Name: name, Address: address, Site: siteOf(i), Pool: workload.ServicePool,
 		Kind: platform.KindService, State: platform.VMLive, Generation: 1,
@@ -217,6 +220,9 @@
 	return out
 }
 
+// ServiceURL is where a service answers without a router; n takes them in turn.
+func (f *Fleet) ServiceURL(n int) string { return f.serviceURLs[n%len(f.serviceURLs)] }
+
 // Control is the control traffic of one router, sent and received, in bytes:
 // membership and load digests by UDP, calls between routers by TCP, and polls
 // of and orders to upstreams.
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -73,6 +73,7 @@
 	times(out, "first token", r.FirstToken)
 	times(out, "next token", r.NextToken)
 	times(out, "call", r.Calls)
+	surge(out, r.Surge)
 	if len(r.Outcomes) > 0 {
 		fmt.Fprintf(out, "  failures by code and whether it ran: %v; engines lost %d requests in crashes\n", r.Outcomes, r.EngineLost)
 	}
@@ -89,6 +90,30 @@
 	}
 }
 
+// surge writes the comparison of before and during, if there was a surge.
+func surge(out io.Writer, s *run.Surge) {
+	if s == nil {
+		return
+	}
+	fmt.Fprintf(out, "  surge of %s, chats %g times the usual:\n", s.Account, s.Factor)
+	phases(out, "call", s.Calls)
+	phases(out, "first token", s.FirstToken)
+}
+
+func phases(out io.Writer, what string, byLabel map[string]run.Phases) {
+	for _, label := range slices.Sorted(maps.Keys(byLabel)) {
+		p := byLabel[label]
+		fmt.Fprintf(out, "    %s, %s: p99 %.2f times; %s; %s; %s\n", what, label, p.Ratio,
+			onePhase("before", p.Before, p.FailedBefore),
+			onePhase("first second", p.Settling, p.FailedSettling),
+			onePhase("then", p.During, p.FailedDuring))
+	}
+}
+
+func onePhase(name string, p measure.Percentiles, failed int) string {
+	return fmt.Sprintf("%s %d, p50 %.1f ms, p99 %.1f ms, max %.1f ms, %d failed", name, p.Count, p.P50, p.P99, p.Max, failed)
+}
+
 // JSON writes value to a file.
 func JSON(file string, value any) error {
 	data, err := json.MarshalIndent(value, "", "  ")
--- a/internal/bench/run/calls.go
+++ b/internal/bench/run/calls.go
@@ -72,10 +72,14 @@
 	start := time.Now()
 	cl := r.clients[c.Account]
 	reply, err := cl.Call(ctx, c.Method, workload.ServiceName, c.Target(id), key, []byte("{}"))
-	if err == nil {
-		r.calls.Add(c.Name, time.Since(start))
+	if err != nil {
+		r.callPhases.fail(c.Name, start)
+		return reply, err
 	}
-	return reply, err
+	took := time.Since(start)
+	r.calls.Add(c.Name, took)
+	r.callPhases.add(c.Name, start, took)
+	return reply, nil
 }
 
 // keyAtService is the idempotency key as the service sees it: routers put the
--- a/internal/bench/run/chats.go
+++ b/internal/bench/run/chats.go
@@ -115,6 +115,9 @@
 	turn, err := c.v.Say(ctx, text, nil)
 	v := judge(turn.Text, due, err)
 	c.r.tally.add(v, mark, err)
+	if v != answered {
+		c.r.firstPhases.fail(c.phaseLabel(), start)
+	}
 	if v == refused {
 		c.r.tally.refusedMark(mark)
 		return err
@@ -126,6 +129,10 @@
 	return err
 }
 
+func (c *conversation) phaseLabel() string {
+	return c.r.firstTokenLabel(c.plan.Account.Name, c.v.Priority)
+}
+
 // note records a turn that has run, or may have.
 func (c *conversation) note(start time.Time, i, tokens int, turn *client.Turn, v verdict) {
 	prompt := c.after + tokens
@@ -145,6 +152,7 @@
 		c.after = a.After
 		class := c.v.Priority
 		c.r.first.Add(class, turn.FirstToken)
+		c.r.firstPhases.add(c.phaseLabel(), start, turn.FirstToken)
 		c.r.gaps.Add(class, turn.Gaps...)
 	}
 	c.r.tally.access(a, turn.Resumes)
--- /dev/null
+++ b/internal/bench/run/phase_test.go
@@ -0,0 +1,68 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"github.com/stretchr/testify/require"
+)
+
+func surging() *workload.Workload {
+	return &workload.Workload{
+		Chats: workload.Chats{Ramp: 5 * time.Second},
+		Surge: workload.Surge{Account: "a", Factor: 10, Start: 20 * time.Second, Length: 20 * time.Second},
+	}
+}
+
+// TestPhasesAreApart: a percentile that holds the first chats' dossiers, or the
+// surge's own first moment, says nothing about either phase.
+func TestPhasesAreApart(t *testing.T) {
+	from := time.Unix(1000, 0)
+	table := newTimetable(surging(), from)
+	for _, c := range []struct {
+		after time.Duration
+		want  phase
+		in    bool
+	}{
+		{0, 0, false},
+		{4999 * time.Millisecond, 0, false},
+		{5 * time.Second, beforeSurge, true},
+		{19999 * time.Millisecond, beforeSurge, true},
+		{20 * time.Second, settling, true},
+		{20999 * time.Millisecond, settling, true},
+		{21 * time.Second, duringSurge, true},
+		{39999 * time.Millisecond, duringSurge, true},
+		{40 * time.Second, 0, false},
+	} {
+		got, in := table.at(from.Add(c.after))
+		require.Equal(t, c.in, in, c.after)
+		require.Equal(t, c.want, got, c.after)
+	}
+}
+
+func TestNoSurgeNoPhases(t *testing.T) {
+	table := newTimetable(&workload.Workload{}, time.Unix(1000, 0))
+	_, in := table.at(time.Unix(1000, 0))
+	require.False(t, in)
+}
+
+func TestPhasesAreComparedByTheTimeOfSending(t *testing.T) {
+	from := time.Unix(1000, 0)
+	p := newPhased(newTimetable(surging(), from))
+	early, late := from.Add(19*time.Second), from.Add(30*time.Second)
+	p.add("checks", early, 10*time.Millisecond) // a slow one that ends in the surge counts as before
+	p.add("checks", late, 20*time.Millisecond)
+	p.add("checks", from, time.Minute)
+	p.fail("checks", late)
+	p.fail("only-failed", early)
+
+	got := p.result()
+	require.EqualValues(t, 1, got["checks"].Before.Count)
+	require.EqualValues(t, 1, got["checks"].During.Count)
+	require.InDelta(t, 2, got["checks"].Ratio, 0.01)
+	require.Equal(t, 1, got["checks"].FailedDuring)
+	require.Zero(t, got["checks"].FailedBefore)
+	require.Equal(t, 1, got["only-failed"].FailedBefore)
+	require.Zero(t, got["only-failed"].Ratio)
+}
--- a/internal/bench/run/result.go
+++ b/internal/bench/run/result.go
@@ -45,6 +45,8 @@
 	FirstToken map[string]measure.Percentiles `json:"first_token"`
 	NextToken  map[string]measure.Percentiles `json:"next_token"`
 	Calls      map[string]measure.Percentiles `json:"calls"`
+	// Surge compares before and during; nil where the run had no surge.
+	Surge *Surge `json:"surge,omitempty"`
 	// Samples are some failures word for word.
 	Samples []string `json:"samples,omitempty"`
 }
@@ -80,6 +82,7 @@
 	res.FirstToken = r.first.Percentiles()
 	res.NextToken = r.gaps.Percentiles()
 	res.Calls = r.calls.Percentiles()
+	res.Surge = r.surge()
 	return res
 }
 
--- a/internal/bench/run/run.go
+++ b/internal/bench/run/run.go
@@ -61,8 +61,11 @@
 	first   *measure.Latency
 	gaps    *measure.Latency
 	calls   *measure.Latency
-	churned map[string]int
-	wg      sync.WaitGroup
+	// callPhases and firstPhases compare the time before a surge with the surge.
+	callPhases  *phased
+	firstPhases *phased
+	churned     map[string]int
+	wg          sync.WaitGroup
 }
 
 // Run carries one experiment out. It ends by itself, somewhat after the
@@ -123,6 +126,8 @@
 		return nil, err
 	}
 	from := time.Now()
+	table := newTimetable(r.w, from)
+	r.callPhases, r.firstPhases = newPhased(table), newPhased(table)
 	load, stop := context.WithTimeout(ctx, r.o.Length)
 	defer stop()
 	churned := r.startChurn(load)
@@ -171,6 +176,9 @@
 	for i := range r.w.Calls {
 		r.goRun(func() { r.caller(load, i) })
 	}
+	if r.w.Surge.Account != "" && len(r.w.Calls) > 0 {
+		r.goRun(func() { r.directCaller(load) })
+	}
 }
 
 func (r *runner) goRun(f func()) {
