--- a/internal/bench/run/run.go
+++ b/internal/bench/run/run.go
@@ -61,8 +61,11 @@
 	first   *measure.Latency
 	gaps    *measure.Latency
 	calls   *measure.Latency
-	churned map[string]int
-	wg      sync.WaitGroup
+	// callPhases and firstPhases compare the time before a surge with the surge.
+	callPhases  *phased
+	firstPhases *phased
+	churned     map[string]int
+	wg          sync.WaitGroup
 }
 
 // Run carries one experiment out. It ends by itself, somewhat after the
@@ -118,18 +121,25 @@
 }
 
 func (r *runner) run(ctx context.Context) (*Result, error) {
-	before := r.fleet.ControlBytes()
+	before, err := r.fleet.ControlBytes()
+	if err != nil {
+		return nil, err
+	}
 	from := time.Now()
+	table := newTimetable(r.w, from)
+	r.callPhases, r.firstPhases = newPhased(table), newPhased(table)
 	load, stop := context.WithTimeout(ctx, r.o.Length)
 	defer stop()
 	churned := r.startChurn(load)
 	r.startLoad(load)
 	r.watch(load, from)
 	to := time.Now()
-	control := r.fleet.ControlBytes()
+	control, err := r.fleet.ControlBytes()
+	if err != nil {
+		return nil, err
+	}
 	for i := range control {
-		control[i].UDP -= before[i].UDP
-		control[i].TCP -= before[i].TCP
+		control[i] = control[i].Since(before[i])
 	}
 	if !r.waitEnd() {
 		return nil, Error.New("requests were still open %s after the end of the load", endTimeout)
@@ -166,6 +176,9 @@
 	for i := range r.w.Calls {
 		r.goRun(func() { r.caller(load, i) })
 	}
+	if r.w.Surge.Account != "" && len(r.w.Calls) > 0 {
+		r.goRun(func() { r.directCaller(load) })
+	}
 }
 
 func (r *runner) goRun(f func()) {
