Fault matrix: wait out the longest pause before a record is tried again

Ruled out: shorter pauses in the router (an hour's outage would cost the store as many writes as claims wait).

--- a/test/faults/receipts_test.go
+++ b/test/faults/receipts_test.go
@@ -241,13 +241,17 @@
 		s.Receipt(s.b.Address, receiptKey)
 		s.heal()
 		<-first
-		time.Sleep(lull)
+		time.Sleep(recordedAgain)
 		runs := s.Oracle.Runs(receiptKey)
 		last := s.comeBack(t)
 		require.Equal(t, c.want, judgeReceipt(last, runs), "%v", last)
 	})
 }
 
+// recordedAgain is within which time a router that could not record an answer
+// has tried again; its longest wait is 45 s.
+const recordedAgain = time.Minute
+
 // heal ends the fault, after a time in which everything could lapse.
 func (s *receipt) heal() {
 	time.Sleep(ages)
