traffic: wait for requests in progress while newcomers arrive

Cause, found by reading: a draining router waits on a sync.WaitGroup while it still answers newcomers; a group whose count rises from zero during Wait is misuse, and may panic. Ruled out: counting newcomers apart (two counters that must agree). After: a counter of its own, and a test that adds while it is waited on passes under the race detector.

--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -7,7 +7,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -109,7 +108,7 @@
 	echo     *echo.Echo
 	lingerMu sync.Mutex
 	lingers  map[string]*linger
-	inflight sync.WaitGroup
+	inflight busy
 	// lateRecords has an entry for each record that waits for the store.
 	lateRecords chan struct{}
 	// refusing is set once newcomers are sent elsewhere.
@@ -207,19 +206,7 @@
 func (s *Server) Close() { s.cutNow() }
 
 // Wait returns once all requests in progress have ended, or ctx has.
-func (s *Server) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.inflight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (s *Server) Wait(ctx context.Context) error { return s.inflight.Wait(ctx) }
 
 // validID accepts what may safely stand in a header, a log line and a row key.
 func validID(id string) bool {
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -281,6 +282,28 @@
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 }
 
+// Symptom: a draining router panics.
+// Sequence: it waits for what is in progress; nothing is; a newcomer arrives to
+// be sent elsewhere.
+// Cause: a sync.WaitGroup must not rise from zero while it is waited on.
+func TestWaitingWhileNewcomersArrive(t *testing.T) {
+	var b busy
+	b.Add(1)
+	done := make(chan error, 1)
+	go func() { done <- b.Wait(context.Background()) }()
+	for range 1000 {
+		b.Add(1)
+		b.Done()
+	}
+	b.Done()
+	require.NoError(t, <-done)
+	require.NoError(t, b.Wait(context.Background()))
+	b.Add(1)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, b.Wait(gone), context.Canceled)
+}
+
 func TestDrainingRouterSendsNewcomersElsewhere(t *testing.T) {
 	h := newHarness(t, "e1")
 	h.board.UpdateWait(func(s *board.State) { s.Draining = true })
