--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
