Cache events are asked for in gzip

Ruled out: polling less often (the same events, later); evictions only (half). The request says Accept-Encoding: gzip; an engine may answer as before. Five cases of packed replies (bomb, garbage, cut, unasked, in order).

--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -9,6 +9,7 @@
 	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 )
 
 // Paths of the stand-in's own controls.
@@ -34,7 +35,7 @@
 	r.GET(wire.PathEngineStreams+":"+paramID, e.getStream)
 	r.DELETE(wire.PathEngineStreams+":"+paramID, e.deleteStream)
 	r.GET(wire.PathEngineStatus, e.getStatus)
-	r.GET(wire.PathEngineEvents, e.getEvents)
+	r.GET(wire.PathEngineEvents, e.getEvents, middleware.Gzip())
 	r.POST(wire.PathEngineOrders, e.postOrder)
 	r.POST(wire.PathEngineExport, e.postExport)
 	r.POST(wire.PathEngineImport, e.postImport)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -72,6 +72,8 @@
 	typ    string
 	token  string
 	pooled bool
+	// packed asks for a reply in gzip.
+	packed bool
 	// headers bounds the wait for the reply's headers.
 	headers time.Duration
 }
@@ -205,6 +207,9 @@
 	setHeader(h, wire.HeaderPriority, r.call.Priority)
 	setHeader(h, "Content-Type", r.typ)
 	setHeader(h, "Accept", r.accept)
+	if r.packed {
+		h.Set("Accept-Encoding", encodingGzip)
+	}
 	setHeader(h, protocol.HeaderName, r.call.Name)
 	if r.call.Incarnation != 0 {
 		setHeader(h, wire.HeaderIncarnation, strconv.FormatUint(r.call.Incarnation, 10))
@@ -251,7 +256,7 @@
 	if res.Header.Get(wire.HeaderRan) == ranNo {
 		f.Sent = RefusedBeforeExecuting
 	}
-	f.Code = refusalCode(res.Body)
+	f.Code = refusalCode(res)
 	f.Cause = refusalCause(f.Code, res.StatusCode)
 	return f
 }
@@ -271,8 +276,12 @@
 	}
 }
 
-func refusalCode(body io.Reader) protocol.Code {
+func refusalCode(res *http.Response) protocol.Code {
 	var p protocol.Refusal
+	body, err := unpacked(res)
+	if err != nil {
+		return ""
+	}
 	b, _ := io.ReadAll(io.LimitReader(body, maxRefusal))
 	if json.Unmarshal(b, &p) != nil {
 		return ""
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -58,6 +58,8 @@
 		query:  url.Values{protocol.QueryAfter: {strconv.FormatUint(after, 10)}}.Encode(),
 		call:   call,
 		pooled: true,
+		// A page of events is numbers in the same few words over and over.
+		packed: true,
 	}, &page.CacheEvents)
 	if err != nil {
 		return EventPage{}, err
--- a/internal/upstream/control_test.go
+++ b/internal/upstream/control_test.go
@@ -1,9 +1,11 @@
 package upstream_test
 
 import (
+	"compress/gzip"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/wire"
 	"github.com/stretchr/testify/require"
+	"github.com/zeebo/errs"
 )
 
 // Symptom: a caller loads a model, or reads another's stream.
@@ -314,3 +317,44 @@
 		require.Equal(t, 1, b.Deduplicated)
 	})
 }
+
+// Symptom: a router runs out of memory over one poll.
+// Sequence: an upstream answers with a small body that unpacks to a huge one.
+// Cause: the bound is on the bytes that came over the wire.
+func TestPackedReplyIsBoundedUnpacked(t *testing.T) {
+	for name, c := range map[string]struct {
+		coding string
+		body   func(w io.Writer)
+		class  *errs.Class
+	}{
+		"bomb":     {"gzip", func(w io.Writer) { pack(w, strings.Repeat(" ", 1<<20)) }, &upstream.ErrTooLarge},
+		"garbage":  {"gzip", func(w io.Writer) { _, _ = io.WriteString(w, "not gzip") }, &upstream.ErrMalformed},
+		"cut":      {"gzip", func(w io.Writer) { _, _ = w.Write([]byte{0x1f, 0x8b, 8, 0, 0, 0, 0, 0, 0, 255, 1}) }, &upstream.ErrIncomplete},
+		"unasked":  {"br", func(w io.Writer) { _, _ = io.WriteString(w, "{}") }, &upstream.ErrMalformed},
+		"in order": {"gzip", func(w io.Writer) { pack(w, `{"incarnation":1,"next":7}`) }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Encoding", c.coding)
+				w.Header().Set("Content-Type", "application/json")
+				c.body(w)
+			}))
+			defer srv.Close()
+			client := upstream.New(upstream.Options{MaxBody: 64 << 10})
+			defer client.Close()
+			page, err := client.Events(t.Context(), upstream.Call{Address: srv.Listener.Addr().String()}, 0)
+			if c.class == nil {
+				require.NoError(t, err)
+				require.EqualValues(t, 7, page.Next)
+				return
+			}
+			require.True(t, c.class.Has(err), "%v", err)
+		})
+	}
+}
+
+func pack(w io.Writer, text string) {
+	z := gzip.NewWriter(w)
+	_, _ = io.WriteString(z, text)
+	_ = z.Close()
+}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -147,7 +148,12 @@
 	if res.ContentLength < 0 && !slices.Contains(res.TransferEncoding, "chunked") {
 		return nil, ErrIncomplete.New("body without length")
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	body, err := unpacked(res)
+	if err != nil {
+		return nil, err
+	}
+	// The limit is on the unpacked body: a small packed one may hold a huge one.
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
 		return nil, ErrIncomplete.Wrap(err)
 	}
@@ -157,6 +163,25 @@
 	return b, nil
 }
 
+// encodingGzip is the one content coding that is asked for.
+const encodingGzip = "gzip"
+
+// unpacked is the reply's body without its content coding.
+func unpacked(res *http.Response) (io.Reader, error) {
+	switch coding := res.Header.Get("Content-Encoding"); coding {
+	case "", "identity":
+		return res.Body, nil
+	case encodingGzip:
+		z, err := gzip.NewReader(res.Body)
+		if err != nil {
+			return nil, ErrMalformed.Wrap(err)
+		}
+		return z, nil
+	default:
+		return nil, ErrMalformed.New("content coding %q", coding)
+	}
+}
+
 // serviceMethods are the methods that Do sends.
 var serviceMethods = []string{
 	http.MethodGet,
