--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -50,7 +50,7 @@
 	p.AdditionalHelpAppend = "\nStart with: damaskrouter demo"
 	p.ShowCompletion = false
 	commands := []*command{
-		serveCommand(), chatCommand(), callCommand(), locateCommand(),
+		serveCommand(), edgeCommand(), chatCommand(), callCommand(), locateCommand(),
 		configCommand(), accountsCommand(), sitesCommand(), servicesCommand(), poolsCommand(),
 		fleetCommand(), claimsCommand(), auditCommand(), operatorsCommand(), keysCommand(),
 		standinCommand(), checkCommand(), versionCommand(), benchCommand(), demoCommand(),
--- /dev/null
+++ b/internal/edge/choose/choose.go
@@ -0,0 +1,134 @@
+// Package choose picks the engine for a request. It is pure: what is known of
+// the engines, and the random source, are arguments.
+//
+// A request goes through three steps: Eligible engines are filtered, ranked by
+// the policy of the request's kind, and the first is taken. For prompts the
+// rank is a hash of the part of the prompt that other requests share, so that
+// all routers send the same prompt to the same engine without a message, and
+// the engine's cache holds it; a bound on the load sends the excess of a hot
+// prompt to the next engine of the same fixed order. Plain requests go to the
+// engine with the least load for its size.
+package choose
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"damaskrouter.example/damaskrouter/internal/rendezvous"
+)
+
+const (
+	// loadFactor and loadSlack bound what a prompted engine may have in
+	// flight: loadFactor times the mean over the service, and loadSlack.
+	// Below twice the mean and three, which the operators allow, they leave
+	// room for what other routers send before their loads are heard.
+	loadFactor = 1.5
+	loadSlack  = 2
+	// siteBonus is the load that a plain engine in another site must have
+	// less, as a share of its slots, to be taken: bytes between sites cost.
+	siteBonus = 0.1
+)
+
+// Engine is an engine as far as the choice depends on it.
+type Engine struct {
+	ID string
+	// Key is the engine's place in the hashed order.
+	Key uint64
+	// InFlight is how many requests the whole fleet has at it, as known.
+	InFlight int
+	// Slots is how many requests it executes at once; zero if not known.
+	Slots int
+	// Near engines are in the router's own site.
+	Near bool
+	// Share of its normal load that it may take, 0 to 1: less than 1 while it
+	// returns from an ejection, 0 while it is ejected.
+	Share float64
+}
+
+// Prompted picks an engine for a prompt whose shared part hashes to key, or -1
+// if there is none.
+func Prompted(engines []Engine, key uint64, rng *rand.Rand) int {
+	candidates := usable(engines)
+	if len(candidates) == 0 {
+		return -1
+	}
+	bound := loadBound(engines, candidates)
+	mixed := rendezvous.Mix(key)
+	slices.SortFunc(candidates, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(mixed.Score(engines[b].Key), mixed.Score(engines[a].Key)),
+			cmp.Compare(engines[a].ID, engines[b].ID))
+	})
+	for _, i := range candidates {
+		e := engines[i]
+		if float64(e.InFlight)+1 <= bound*e.Share && admitted(e.Share, rng) {
+			return i
+		}
+	}
+	return leastLoaded(engines, candidates, rng)
+}
+
+// Plain picks an engine for a request without a prompt, or -1 if there is none.
+func Plain(engines []Engine, rng *rand.Rand) int {
+	candidates := usable(engines)
+	if len(candidates) == 0 {
+		return -1
+	}
+	return leastLoaded(engines, candidates, rng)
+}
+
+// usable returns the engines that are not ejected; all of them if all are, since
+// then the fault is elsewhere and refusing everything would only add to it.
+func usable(engines []Engine) []int {
+	var in, all []int
+	for i, e := range engines {
+		all = append(all, i)
+		if e.Share > 0 {
+			in = append(in, i)
+		}
+	}
+	if len(in) == 0 {
+		return all
+	}
+	return in
+}
+
+func loadBound(engines []Engine, candidates []int) float64 {
+	total := 0
+	for _, i := range candidates {
+		total += engines[i].InFlight
+	}
+	mean := float64(total+1) / float64(len(candidates))
+	return math.Max(loadFactor*mean+loadSlack, 1)
+}
+
+// admitted lets through the share of requests that a returning engine may take.
+func admitted(share float64, rng *rand.Rand) bool {
+	return share >= 1 || rng.Float64() < share
+}
+
+func leastLoaded(engines []Engine, candidates []int, rng *rand.Rand) int {
+	best, bestLoad := -1, math.Inf(1)
+	offset := rng.IntN(len(candidates))
+	for k := range candidates {
+		i := candidates[(k+offset)%len(candidates)]
+		if load := weigh(engines[i]); load < bestLoad {
+			best, bestLoad = i, load
+		}
+	}
+	return best
+}
+
+// weigh is the load of an engine for its size, with what its site costs.
+func weigh(e Engine) float64 {
+	load := float64(e.InFlight+1) / float64(max(e.Slots, 1))
+	if e.Share > 0 {
+		load /= e.Share
+	}
+	if !e.Near {
+		load += siteBonus
+	}
+	return load
+}
--- /dev/null
+++ b/internal/edge/engineconn/conn.go
@@ -0,0 +1,110 @@
+package engineconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. Within a site it takes
+	// about two milliseconds; a lost packet costs a second, in which another
+	// engine would have answered.
+	dialTimeout = 300 * time.Millisecond
+	// unackedTimeout ends a connection whose other end acknowledges nothing.
+	// A VM without power neither answers nor resets, and without this the
+	// request would wait until its own time limit. It is shorter than the
+	// second after which packets of a healthy but lossy link are sent the
+	// third time.
+	unackedTimeout = 1200 * time.Millisecond
+	// Keep-alive probes find an engine that is gone while a request waits for
+	// its answer, when nothing is unacknowledged.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
+	// readBuffer holds the header of an answer and some events of a stream.
+	readBuffer = 4 << 10
+)
+
+// conn is one connection to an engine.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleSince is the boot time of its return to the pool.
+	idleSince time.Duration
+	// keep is how long it may stay idle.
+	keep time.Duration
+}
+
+// dial opens a connection. Errors: ErrNotSent.
+func dial(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: limitUnacked,
+	}
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err)
+	}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+}
+
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, setErr)
+}
+
+// clean says whether the idle connection is open and has nothing to read. An
+// engine may have closed it, or sent bytes that belong to no request, such as a
+// second answer to an earlier one.
+func (c *conn) clean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepFor reads how long an idle connection is kept by the other end, from a
+// Keep-Alive header; zero means that it doesn't say.
+func keepFor(header string) time.Duration {
+	for part := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return time.Duration(seconds) * time.Second
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/edge/engineconn/pool.go
@@ -0,0 +1,169 @@
+package engineconn
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+)
+
+const (
+	// defaultKeep is how long an idle connection is kept where the engine
+	// doesn't say.
+	defaultKeep = 8 * time.Second
+	// keepMargin is taken off what the engine says, so that a connection is
+	// not used at the moment at which the engine closes it.
+	keepMargin = time.Second
+	// maxIdle bounds the idle connections to one engine.
+	maxIdle = 16
+	// sweepAfter is how many sends pass between two looks for engines whose
+	// connections are all too old.
+	sweepAfter = 512
+)
+
+// Clock reads the time since the VM booted, suspends included.
+type Clock func() time.Duration
+
+// Request is what is sent to an engine.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// MaxIdle is the longest time that a kept connection may have been idle
+	// to be used. A connection that the engine has dropped loses what is sent
+	// on it, and the longer it was idle, the likelier that is.
+	MaxIdle time.Duration
+	// Own says whether an answer belongs to the request. An engine may send a
+	// second answer to an earlier request of the connection.
+	Own func(http.Header) bool
+}
+
+// Pool keeps connections to engines. It is safe for concurrent use.
+type Pool struct {
+	clock Clock
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	sends int
+	dials int
+}
+
+// NewPool returns an empty pool.
+func NewPool(clock Clock) *Pool {
+	return &Pool{clock: clock, idle: make(map[string][]*conn)}
+}
+
+// Dials is how many connections have been opened.
+func (p *Pool) Dials() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+// take returns a usable idle connection to the engine, or nil.
+func (p *Pool) take(engine string, maxIdle time.Duration) *conn {
+	for {
+		c, drop := p.pop(engine, maxIdle)
+		for _, old := range drop {
+			_ = old.Close()
+		}
+		if c == nil || c.clean() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// pop takes the connection that was used last, which is the least likely to
+// have been dropped, and those that have become too old.
+func (p *Pool) pop(engine string, maxIdle time.Duration) (c *conn, drop []*conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sends++
+	if p.sends%sweepAfter == 0 {
+		drop = p.sweep()
+	}
+	now := p.clock()
+	list := p.idle[engine]
+	if len(list) == 0 {
+		return nil, drop
+	}
+	c = list[len(list)-1]
+	idle := now - c.idleSince
+	if idle > c.keep {
+		// All others have been idle for longer.
+		delete(p.idle, engine)
+		return nil, append(drop, list...)
+	}
+	if idle > maxIdle {
+		return nil, drop
+	}
+	p.idle[engine] = list[:len(list)-1]
+	return c, drop
+}
+
+// sweep removes the connections that may not be used any more, such as those to
+// engines that have left. The caller holds the mutex and closes them.
+func (p *Pool) sweep() (drop []*conn) {
+	now := p.clock()
+	for engine, list := range p.idle {
+		list = slices.DeleteFunc(list, func(c *conn) bool {
+			old := now-c.idleSince > c.keep
+			if old {
+				drop = append(drop, c)
+			}
+			return old
+		})
+		if p.idle[engine] = list; len(list) == 0 {
+			delete(p.idle, engine)
+		}
+	}
+	return drop
+}
+
+// put keeps a connection for later.
+func (p *Pool) put(engine string, c *conn) {
+	c.idleSince = p.clock()
+	if c.keep == 0 {
+		c.keep = defaultKeep
+	}
+	p.mu.Lock()
+	list := p.idle[engine]
+	room := len(list) < maxIdle
+	if room {
+		p.idle[engine] = append(list, c)
+	}
+	p.mu.Unlock()
+	if !room {
+		_ = c.Close()
+	}
+}
+
+// open returns a kept connection, or a new one. Errors: ErrNotSent.
+func (p *Pool) open(ctx context.Context, e catalog.Engine, maxIdle time.Duration) (*conn, error) {
+	if c := p.take(e.ID, maxIdle); c != nil {
+		return c, nil
+	}
+	p.mu.Lock()
+	p.dials++
+	p.mu.Unlock()
+	return dial(ctx, e.Address)
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for engine, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+		delete(p.idle, engine)
+	}
+}
--- /dev/null
+++ b/internal/edge/feed/board.go
@@ -0,0 +1,108 @@
+// Package feed keeps a router's catalog current: one router reads the
+// platform's store, the others ask it, or one that asked it, for what changed
+// and how old that is. Who asks whom is decided in ParentOf.
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+)
+
+// updateQueue is how many updates may wait for the board's goroutine. Writers
+// wait when it is full; there are a handful of them.
+const updateQueue = 64
+
+// expiryInterval is how often engines in doubt are looked at.
+const expiryInterval = 100 * time.Millisecond
+
+// Clock reads the time since the VM booted, suspends included.
+type Clock func() time.Duration
+
+// Board owns the catalog. One goroutine applies updates and publishes
+// snapshots, which anyone may read.
+type Board struct {
+	clock    Clock
+	updates  chan func(*catalog.Snapshot) (*catalog.Snapshot, bool)
+	snapshot atomic.Pointer[catalog.Snapshot]
+	changed  atomic.Pointer[chan struct{}]
+}
+
+// NewBoard returns a board with an empty catalog. Run makes it work.
+func NewBoard(clock Clock) *Board {
+	b := &Board{
+		clock:   clock,
+		updates: make(chan func(*catalog.Snapshot) (*catalog.Snapshot, bool), updateQueue),
+	}
+	b.snapshot.Store(catalog.Empty())
+	changed := make(chan struct{})
+	b.changed.Store(&changed)
+	return b
+}
+
+// Snapshot returns the newest catalog.
+func (b *Board) Snapshot() *catalog.Snapshot { return b.snapshot.Load() }
+
+// Changed returns a channel that is closed at the next change of content;
+// confirmations of what was known already do not count.
+func (b *Board) Changed() <-chan struct{} { return *b.changed.Load() }
+
+// Run applies updates until the context ends.
+func (b *Board) Run(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case update := <-b.updates:
+			b.apply(update)
+		case <-ticker.C:
+			b.apply(b.expire)
+		}
+	}
+}
+
+func (b *Board) expire(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+	set, changed := s.Engines.Expire(b.clock())
+	if !changed {
+		return s, false
+	}
+	next := *s
+	next.Engines = set
+	return &next, true
+}
+
+func (b *Board) apply(update func(*catalog.Snapshot) (*catalog.Snapshot, bool)) {
+	next, changed := update(b.snapshot.Load())
+	b.snapshot.Store(next)
+	if !changed {
+		return
+	}
+	fresh := make(chan struct{})
+	close(*b.changed.Swap(&fresh))
+}
+
+// PutConfig hands over a configuration that was confirmed by a call sent at
+// asOf. It returns once the update is queued or the context has ended.
+func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, asOf time.Duration) {
+	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+		return s.WithConfig(c, asOf)
+	})
+}
+
+// PutEngines hands over an update of the engines; see PutConfig.
+func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, doubtUntil time.Duration) {
+	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+		return s.WithEngines(u, asOf, doubtUntil)
+	})
+}
+
+func (b *Board) put(ctx context.Context, update func(*catalog.Snapshot) (*catalog.Snapshot, bool)) {
+	select {
+	case b.updates <- update:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/edge/feed/follower.go
@@ -0,0 +1,146 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/pause"
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// pullWait is how long a pull is held. The age of what a router knows
+	// grows by it at each level of the tree, and the bounds on drains and
+	// configuration leave about two seconds for everything.
+	pullWait = 300 * time.Millisecond
+	// pullTimeout bounds a whole pull: its wait, and two lost packets of TCP.
+	pullTimeout = pullWait + 500*time.Millisecond
+	// distrustFor is how long a router that gave no answer, or an old one, is
+	// passed over. It covers a restart.
+	distrustFor = 2 * time.Second
+	// staleAfter is the age from which another parent is looked for. A tree
+	// that works keeps the age below the reader's wait and two pulls.
+	staleAfter = 1500 * time.Millisecond
+	// newParentGrace is how long a new parent may still give old answers: it
+	// may itself have to find out first that it is the one to read.
+	newParentGrace = 500 * time.Millisecond
+	// retryPause spaces pulls after a failure.
+	retryPause = 50 * time.Millisecond
+)
+
+// Call calls a method of another router.
+type Call func(ctx context.Context, to Peer, method string, args, reply any) error
+
+// Follower keeps the board current by asking the router's parent.
+type Follower struct {
+	Self  Peer
+	Board *Board
+	Loads *Loads
+	Clock Clock
+	Call  Call
+	// Live returns the routers that seem alive.
+	Live func() []Peer
+	Log  *log.Logger
+	// OnDoubt is told until when removals are in doubt.
+	OnDoubt func(until time.Duration)
+
+	distrust Distrust
+	parent   Peer
+	since    time.Duration
+	reading  atomic.Bool
+}
+
+// Reads says whether this router is the one to read the store.
+func (f *Follower) Reads() bool { return f.reading.Load() }
+
+// Run asks until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.distrust = make(Distrust)
+	for ctx.Err() == nil {
+		now := f.Clock()
+		f.distrust.Forget(now)
+		parent, ok := ParentOf(f.Self, f.Live(), f.distrust, now)
+		f.reading.Store(!ok)
+		if !ok {
+			f.follow(f.Self, now)
+			pause.For(ctx, retryPause)
+			continue
+		}
+		f.follow(parent, now)
+		f.pull(ctx, parent)
+	}
+}
+
+// follow notes a change of parent.
+func (f *Follower) follow(parent Peer, now time.Duration) {
+	if f.parent.Name == parent.Name {
+		return
+	}
+	s := f.Board.Snapshot()
+	f.Log.Info("catalog source changed", "from", f.parent.Name, "to", parent.Name,
+		"reads_store", parent.Name == f.Self.Name, "config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
+	f.parent = parent
+	f.since = now
+}
+
+func (f *Follower) pull(ctx context.Context, parent Peer) {
+	s := f.Board.Snapshot()
+	sent := f.Clock()
+	args := PullArgs{
+		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait, Loads: f.Loads.Below(sent),
+	}
+	if s.Config != nil {
+		args.ConfigVersion = s.Config.Version
+	}
+	var reply PullReply
+	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	err := f.Call(callCtx, parent, PullMethod, args, &reply)
+	cancel()
+	if err != nil {
+		f.suspect(parent, "no answer", err)
+		pause.For(ctx, retryPause)
+		return
+	}
+	f.take(ctx, reply, sent)
+	f.judge(parent, reply)
+}
+
+// take hands over what the parent said. Ages are counted back from the moment
+// at which the pull was sent: whatever the parent said, it said later.
+func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
+	f.Loads.FromParent(reply.Loads, f.Clock())
+	c := reply.Config
+	if c != nil {
+		c = catalog.NewConfig(*c)
+	} else if have := f.Board.Snapshot().Config; have != nil && have.Version == reply.ConfigVersion {
+		c = have
+	}
+	f.Board.PutConfig(ctx, c, sent-reply.ConfigAge)
+	if reply.Engines.Upto == 0 {
+		return
+	}
+	var doubtUntil time.Duration
+	if reply.DoubtFor > 0 {
+		doubtUntil = f.Clock() + reply.DoubtFor
+		f.OnDoubt(doubtUntil)
+	}
+	f.Board.PutEngines(ctx, reply.Engines, sent-reply.EnginesAge, doubtUntil)
+}
+
+// judge distrusts a parent whose knowledge has grown old.
+func (f *Follower) judge(parent Peer, reply PullReply) {
+	if max(reply.ConfigAge, reply.EnginesAge) <= staleAfter || f.Clock()-f.since <= newParentGrace {
+		return
+	}
+	f.suspect(parent, "stale", nil)
+}
+
+func (f *Follower) suspect(parent Peer, why string, cause error) {
+	now := f.Clock()
+	f.distrust.Until(parent.Name, now+distrustFor)
+	s := f.Board.Snapshot()
+	f.Log.Warn("catalog source distrusted", "router", parent.Name, "why", why, "cause", cause,
+		"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
+}
--- /dev/null
+++ b/internal/edge/feed/reader.go
@@ -0,0 +1,214 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/pause"
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// watchWait is how long the store holds a watch. It sets the age of a
+	// confirmation and the calls in quiet times; changes arrive at once.
+	watchWait = 800 * time.Millisecond
+	// watchTimeout bounds a watch: its wait, and a slow store or a lost packet.
+	// A watch on a connection that went silent ends by it.
+	watchTimeout = watchWait + 500*time.Millisecond
+	// watchGap is the least pause between two watches, so that a series of
+	// changes does not become a series of calls.
+	watchGap = 100 * time.Millisecond
+	// failurePause spaces calls to a store that refuses; it doubles up to
+	// maxFailurePause.
+	failurePause    = 250 * time.Millisecond
+	maxFailurePause = time.Second
+	// ownReadAfter is the age from which a router that is not the reader reads
+	// for itself, because no other router seems to be able to.
+	ownReadAfter = 2500 * time.Millisecond
+	// idlePause is how often a router that need not read looks again.
+	idlePause = 50 * time.Millisecond
+	// lapseAfter is how long an outage lasts before entries can have lapsed in
+	// it: engines renew them about every second, and three renewals are missed
+	// before an entry goes.
+	lapseAfter = 1500 * time.Millisecond
+	// doubtFor is how long after the store's return a missing entry says
+	// nothing about its engine: engines register again within this time.
+	doubtFor = 2 * time.Second
+)
+
+// Reader reads the store while this router is the one to do so, or has not
+// heard from any other router for too long.
+type Reader struct {
+	Board *Board
+	Store Store
+	Clock Clock
+	// Reads says whether this router is the one to read.
+	Reads func() bool
+	Log   *log.Logger
+
+	doubtUntil atomic.Int64
+	// downSince is the boot time of the first of a series of failures of each
+	// watch, or zero.
+	downSince [2]atomic.Int64
+	// configCursor is the store's version up to which the configuration was
+	// read here; zero asks for all of it. Only Run's goroutine uses it.
+	configCursor uint64
+}
+
+// The store is watched twice, for the configuration and for the engines.
+const (
+	watchesConfig = iota
+	watchesEngines
+)
+
+var watchNames = [...]string{"configuration", "engines"}
+
+// DoubtUntil is the boot time until which a missing entry says nothing.
+func (r *Reader) DoubtUntil() time.Duration { return time.Duration(r.doubtUntil.Load()) }
+
+// SetDoubt takes over from another router until when removals are in doubt.
+func (r *Reader) SetDoubt(until time.Duration) { r.doubtUntil.Store(int64(until)) }
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.loop(ctx, watchesEngines, r.watchEngines)
+	}()
+	r.loop(ctx, watchesConfig, r.watchConfig)
+	<-done
+}
+
+// loop calls watch while it is this router's turn.
+func (r *Reader) loop(ctx context.Context, which int, watch func(context.Context) error) {
+	wait := failurePause
+	for ctx.Err() == nil {
+		if !r.due(which) {
+			pause.For(ctx, idlePause)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+		err := watch(callCtx)
+		cancel()
+		if err == nil {
+			r.up(which)
+			wait = failurePause
+			pause.For(ctx, watchGap)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.lost(which, err)
+		pause.For(ctx, wait)
+		wait = min(2*wait, maxFailurePause)
+	}
+}
+
+func (r *Reader) due(which int) bool {
+	if r.Reads() {
+		return true
+	}
+	s := r.Board.Snapshot()
+	age := s.ConfigAge(r.Clock())
+	if which == watchesEngines {
+		age = s.EnginesAge(r.Clock())
+	}
+	return age > ownReadAfter
+}
+
+// up notes that the store answers.
+func (r *Reader) up(which int) {
+	if since := r.downSince[which].Swap(0); since != 0 {
+		r.Log.Info("store regained", "watch", watchNames[which], "down_for", r.Clock()-time.Duration(since))
+	}
+}
+
+// lost notes a failure. Once the store has been away for as long as an entry
+// can lapse in, missing entries are in doubt: their engines may be alive and
+// unable to renew them, and taking all of them for gone would end the service.
+func (r *Reader) lost(which int, err error) {
+	now := r.Clock()
+	if r.downSince[which].CompareAndSwap(0, int64(now)) {
+		s := r.Board.Snapshot()
+		r.Log.Warn("store lost", "watch", watchNames[which], "cause", err,
+			"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
+	}
+	if now-time.Duration(r.downSince[which].Load()) >= lapseAfter {
+		r.SetDoubt(now + maxFailurePause + doubtFor)
+	}
+}
+
+func (r *Reader) watchConfig(ctx context.Context) error {
+	sent := r.Clock()
+	read, err := r.readConfig(ctx)
+	if err != nil {
+		return err
+	}
+	c := read.Config
+	if c == nil {
+		c = r.Board.Snapshot().Config
+	} else {
+		r.logConfig(c, sent)
+	}
+	r.configCursor = read.Upto
+	r.Board.PutConfig(ctx, c, sent)
+	return nil
+}
+
+func (r *Reader) readConfig(ctx context.Context) (ConfigRead, error) {
+	if r.configCursor == 0 || r.Board.Snapshot().Config == nil {
+		return r.Store.ReadConfig(ctx)
+	}
+	read, err := r.Store.WatchConfig(ctx, r.configCursor, watchWait)
+	if ErrHistoryLost.Has(err) {
+		r.Log.Info("store's history lost; reading all", "watch", watchNames[watchesConfig], "since", r.configCursor)
+		r.configCursor = 0
+		return r.Store.ReadConfig(ctx)
+	}
+	return read, err
+}
+
+func (r *Reader) logConfig(c *catalog.Config, sent time.Duration) {
+	if have := r.Board.Snapshot().Config; have == nil || c.Version > have.Version {
+		r.Log.Info("configuration read", "version", c.Version, "routes", len(c.Routes),
+			"accounts", len(c.Accounts), "took", r.Clock()-sent)
+	}
+}
+
+func (r *Reader) watchEngines(ctx context.Context) error {
+	sent := r.Clock()
+	update, err := r.readEngines(ctx)
+	if err != nil {
+		return err
+	}
+	for _, e := range update.Present {
+		r.Log.Debug("engine entry", "engine", e.ID, "service", e.Service, "draining", e.Draining, "revision", e.Revision)
+	}
+	for _, removal := range update.Removed {
+		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision,
+			"doubt_for", max(0, r.DoubtUntil()-sent))
+	}
+	doubtUntil := r.DoubtUntil()
+	if doubtUntil <= r.Clock() {
+		doubtUntil = 0
+	}
+	r.Board.PutEngines(ctx, update, sent, doubtUntil)
+	return nil
+}
+
+func (r *Reader) readEngines(ctx context.Context) (catalog.EngineUpdate, error) {
+	since := r.Board.Snapshot().Engines.Upto
+	if since == 0 {
+		return r.Store.ReadEngines(ctx)
+	}
+	update, err := r.Store.WatchEngines(ctx, since, watchWait)
+	if ErrHistoryLost.Has(err) {
+		r.Log.Info("store's history lost; reading all", "watch", watchNames[watchesEngines], "since", since)
+		return r.Store.ReadEngines(ctx)
+	}
+	return update, err
+}
--- /dev/null
+++ b/internal/edge/feed/relay.go
@@ -0,0 +1,117 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+)
+
+// PullMethod is the name under which Relay.Pull is called.
+const PullMethod = relayName + ".Pull"
+
+const relayName = "Feed"
+
+// RelayName is the name to register a Relay under.
+const RelayName = relayName
+
+// maxPullWait bounds how long a pull may ask to be held.
+const maxPullWait = time.Second
+
+// PullArgs asks for what is newer than what the asker has.
+type PullArgs struct {
+	// From is the asker's name.
+	From string
+	// ConfigVersion and EnginesUpto are what the asker has; zero for nothing.
+	ConfigVersion uint64
+	EnginesUpto   uint64
+	// Wait is how long the answer may be held until there is something new.
+	Wait time.Duration
+	// Loads are the asker's loads, with those of the routers that ask it.
+	Loads LoadReport
+}
+
+// PullReply is what is newer, and how old all of it may be.
+type PullReply struct {
+	// Config is nil if the asker has the newest one.
+	Config        *catalog.Config
+	ConfigVersion uint64
+	// ConfigAge is the age of the last confirmation, as of the reply.
+	ConfigAge time.Duration
+	// Engines leads on from the asker's version.
+	Engines catalog.EngineUpdate
+	// EnginesAge is the age of the last confirmation, as of the reply.
+	EnginesAge time.Duration
+	// DoubtFor says for how long from the reply removed engines are to be
+	// kept in service; see Reader.
+	DoubtFor time.Duration
+	// Loads are those of the whole fleet without what the asker reported.
+	Loads LoadReport
+}
+
+// Relay answers the pulls of other routers from the board.
+type Relay struct {
+	board *Board
+	loads *Loads
+	clock Clock
+	// doubtUntil is the boot time until which removals are in doubt.
+	doubtUntil func() time.Duration
+	ctx        context.Context
+}
+
+// NewRelay returns a Relay that stops holding pulls when the context ends.
+func NewRelay(ctx context.Context, board *Board, loads *Loads, clock Clock, doubtUntil func() time.Duration) *Relay {
+	return &Relay{board: board, loads: loads, clock: clock, doubtUntil: doubtUntil, ctx: ctx}
+}
+
+// Pull answers once the board holds something newer, or after args.Wait. It is
+// called by net/rpc; the error is always nil.
+func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
+	r.loads.Heard(args.From, args.Loads, r.clock())
+	timer := time.NewTimer(min(args.Wait, maxPullWait))
+	defer timer.Stop()
+	for {
+		changed := r.board.Changed()
+		if r.news(args) {
+			break
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timer.C:
+		case <-r.ctx.Done():
+		}
+		break
+	}
+	*reply = r.reply(args)
+	return nil
+}
+
+// news says whether the board holds something that the asker lacks.
+func (r *Relay) news(args PullArgs) bool {
+	s := r.board.Snapshot()
+	if s.Config != nil && s.Config.Version > args.ConfigVersion {
+		return true
+	}
+	u := s.Engines.Since(args.EnginesUpto)
+	return s.Engines.Upto > 0 && (u.Full || len(u.Present)+len(u.Removed) > 0)
+}
+
+func (r *Relay) reply(args PullArgs) PullReply {
+	now := r.clock()
+	s := r.board.Snapshot()
+	out := PullReply{
+		ConfigAge:  s.ConfigAge(now),
+		EnginesAge: s.EnginesAge(now),
+		DoubtFor:   max(0, r.doubtUntil()-now),
+		Loads:      r.loads.Without(args.From, now),
+	}
+	if s.Config != nil {
+		out.ConfigVersion = s.Config.Version
+		if s.Config.Version > args.ConfigVersion {
+			out.Config = s.Config
+		}
+	}
+	out.Engines = s.Engines.Since(args.EnginesUpto)
+	return out
+}
--- /dev/null
+++ b/internal/edge/forward/budget.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/retry"
+)
+
+// BudgetLimits are what the whole fleet may send to one service beyond the
+// first send of each request.
+type BudgetLimits struct {
+	// Ratio is the allowed share of the requests of a window, and Slack what is
+	// allowed besides.
+	Ratio float64
+	Slack float64
+	// Window is the span in which arrivals are counted.
+	Window time.Duration
+}
+
+// budgetMargin is the part of the limits that the routers use: their counts do
+// not start and end with the windows of whoever checks them.
+const budgetMargin = 0.7
+
+// Budgets holds a router's part of the fleet's retry budget, one for each
+// service. Each router takes the ratio of its own requests and an equal part of
+// the slack, so that the sum stays within the limits however the traffic is
+// split, without a message. It is safe for concurrent use.
+type Budgets struct {
+	limits  BudgetLimits
+	routers func() int
+
+	mu       sync.Mutex
+	services map[string]*retry.Budget
+}
+
+// NewBudgets returns full budgets; routers returns how many routers share them.
+func NewBudgets(limits BudgetLimits, routers func() int) *Budgets {
+	return &Budgets{limits: limits, routers: routers, services: make(map[string]*retry.Budget)}
+}
+
+// Fresh counts the first send of a request.
+func (b *Budgets) Fresh(service string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service, now).Fresh(at(now))
+}
+
+// Spend takes one more send out of the budget and says whether there was one.
+func (b *Budgets) Spend(service string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service, now).Spend(at(now))
+}
+
+func (b *Budgets) of(service string, now time.Duration) *retry.Budget {
+	budget := b.services[service]
+	if budget == nil {
+		budget = retry.NewBudget(at(now), b.share())
+		b.services[service] = budget
+	}
+	return budget
+}
+
+// share is this router's part: half of its slack can be saved up, and the other
+// half comes evenly over a window, so that both together stay within it.
+func (b *Budgets) share() retry.BudgetConfig {
+	slack := budgetMargin * b.limits.Slack / float64(max(b.routers(), 1))
+	return retry.BudgetConfig{
+		Ratio:        budgetMargin * b.limits.Ratio,
+		MinPerSecond: slack / 2 / b.limits.Window.Seconds(),
+		Burst:        max(slack/2, 1),
+	}
+}
+
+// at turns a reading of the boot clock into a time for package retry, which
+// only looks at differences.
+func at(now time.Duration) time.Time { return time.Unix(0, int64(now)) }
--- /dev/null
+++ b/internal/edge/forward/forwarder.go
@@ -0,0 +1,252 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// defaultTimeout bounds a request for which neither the caller nor the
+	// route has a limit.
+	defaultTimeout = 30 * time.Second
+	// defaultMaxBody bounds a body where the configuration doesn't.
+	defaultMaxBody = 8 << 20
+	// writeGrace is how long a caller may take to read after the time limit,
+	// before its connection is given up.
+	writeGrace = 2 * time.Second
+	// freshFor is the age of the configuration up to which it is sure that a
+	// route or a key does not exist. Beyond it the newest version may have
+	// them, and a refusal that the caller takes for final would be wrong.
+	freshFor = 1800 * time.Millisecond
+)
+
+// Options set up a Forwarder.
+type Options struct {
+	Snapshot func() *catalog.Snapshot
+	// Clock reads the time since the VM booted, suspends included.
+	Clock   func() time.Duration
+	Codec   Codec
+	Conns   *engineconn.Pool
+	Engines *Engines
+	Budget  *Budgets
+	Log     *log.Logger
+	// KeyLease is how long after its last confirmation a configuration may
+	// be used for requests with API keys: a key may have been taken away
+	// since.
+	KeyLease time.Duration
+	Rand     *rand.Rand
+}
+
+// Forwarder is the handler of callers' requests.
+type Forwarder struct {
+	Options
+	leaving  atomic.Int32
+	inFlight atomic.Int64
+	stats    *Stats
+}
+
+// New returns a Forwarder.
+func New(o Options) *Forwarder {
+	return &Forwarder{Options: o, stats: newStats()}
+}
+
+// Stats returns the counters.
+func (f *Forwarder) Stats() *Stats { return f.stats }
+
+// InFlight is how many requests are being handled.
+func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
+
+// The steps of leaving.
+const (
+	serving int32 = iota
+	// closing answers requests and closes their connections.
+	closing
+	// refusing answers new requests with a refusal.
+	refusing
+)
+
+// StartLeaving makes callers go elsewhere: their connections are closed after
+// the next answer.
+func (f *Forwarder) StartLeaving() { f.leaving.Store(closing) }
+
+// RefuseNew refuses requests that arrive from now on. Nothing of them has run.
+func (f *Forwarder) RefuseNew() { f.leaving.Store(refusing) }
+
+// ServeHTTP carries one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	if f.leaving.Load() != serving {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{f: f, w: w, r: r, started: f.Clock()}
+	refusal := x.prepare()
+	if refusal == nil {
+		refusal = x.forward()
+	}
+	if refusal != nil {
+		x.refuse(refusal)
+	}
+	x.finish()
+}
+
+// exchange is one caller's request and its answer.
+type exchange struct {
+	f       *Forwarder
+	w       http.ResponseWriter
+	r       *http.Request
+	started time.Duration
+
+	req     Request
+	route   *catalog.Route
+	account *catalog.Account
+	// deadline is the boot time by which the caller has a final answer.
+	deadline time.Duration
+	body     []byte
+
+	snapshot *catalog.Snapshot
+	// executed counts the engines that may have executed the request, sends
+	// the times it was sent.
+	executed int
+	sends    int
+	avoid    map[string]bool
+	// answered is set once a byte of an answer has gone to the caller.
+	answered  bool
+	firstByte time.Duration
+	outcome   Reason
+	status    int
+	engine    string
+	aborted   bool
+}
+
+// prepare reads and admits the request.
+func (x *exchange) prepare() *Refusal {
+	x.snapshot = x.f.Snapshot()
+	var err error
+	x.req, err = x.f.Codec.Decode(x.r)
+	if err != nil {
+		return rejected(http.StatusBadRequest, ReasonMalformed)
+	}
+	if refusal := x.admit(x.snapshot); refusal != nil {
+		return refusal
+	}
+	limit := defaultTimeout
+	if x.route.Timeout > 0 {
+		limit = x.route.Timeout
+	}
+	if x.req.Timeout > 0 {
+		limit = min(limit, x.req.Timeout)
+	}
+	x.deadline = x.started + limit
+	if x.f.leaving.Load() == refusing {
+		return notRun(ReasonLeaving, retrySoon)
+	}
+	return x.readBody()
+}
+
+// admit finds the route and the account. It is asked again before each send:
+// the configuration may have grown too old while the request waited.
+func (x *exchange) admit(s *catalog.Snapshot) *Refusal {
+	if s.Config == nil {
+		return notRun(ReasonNoConfig, retrySoon)
+	}
+	age := s.ConfigAge(x.f.Clock())
+	x.route = s.Config.Match(x.r.Host, x.r.URL.EscapedPath())
+	if x.route == nil {
+		if age > freshFor {
+			return notRun(ReasonStaleConfig, retryStore)
+		}
+		return rejected(http.StatusNotFound, ReasonNoRoute)
+	}
+	if !s.Config.NeedsKey(x.route) {
+		return nil
+	}
+	if age > x.f.KeyLease {
+		return notRun(ReasonStaleConfig, retryStore)
+	}
+	x.account = s.Config.Account(x.req.Key)
+	if x.account == nil {
+		if age > freshFor {
+			return notRun(ReasonStaleConfig, retryStore)
+		}
+		return rejected(http.StatusUnauthorized, ReasonUnknownKey)
+	}
+	return nil
+}
+
+// readBody reads the whole body before anything is sent: an engine's slot is
+// not held by a slow caller, and the request can be sent again.
+func (x *exchange) readBody() *Refusal {
+	control := http.NewResponseController(x.w)
+	limit := x.snapshot.Config.Limits.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	left := x.remaining()
+	// The error says that the connection has no deadlines, as in a test.
+	_ = control.SetWriteDeadline(time.Now().Add(left + writeGrace))
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	_ = control.SetReadDeadline(time.Now().Add(left))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return rejected(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	case err != nil && x.remaining() <= 0:
+		x.w.Header().Set("Connection", "close")
+		return rejected(http.StatusRequestTimeout, ReasonSlowBody)
+	case err != nil:
+		x.w.Header().Set("Connection", "close")
+		return rejected(http.StatusBadRequest, ReasonMalformed)
+	}
+	x.body = body
+	return nil
+}
+
+func (x *exchange) remaining() time.Duration { return x.deadline - x.f.Clock() }
+
+// context ends at the time limit, or when the caller leaves. A request that
+// must not be repeated runs to its end once it was sent: cutting it off would
+// leave its outcome unknown, and save nothing.
+func (x *exchange) context() (context.Context, context.CancelFunc) {
+	ctx := x.r.Context()
+	if x.route.Kind == catalog.NonIdempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithTimeout(ctx, x.remaining())
+}
+
+func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil }
+
+// refuse sends a final answer of the router's own, unless an answer has begun:
+// then the connection is cut, so that the answer does not look complete.
+func (x *exchange) refuse(refusal *Refusal) {
+	x.outcome = refusal.Reason
+	if x.answered {
+		x.aborted = true
+		return
+	}
+	x.status = refusal.Status
+	refusal.write(x.w, x.f.Codec, x.req.ID)
+}
+
+func (x *exchange) finish() {
+	took := x.f.Clock() - x.started
+	x.f.stats.request(x, took)
+	x.log(took)
+	if x.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/edge/forward/request.go
@@ -0,0 +1,103 @@
+// Package forward carries a request from its caller to an engine and the
+// engine's answer back: route, account, placement, engine, relay.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/zeebo/errs"
+)
+
+// ErrRequest means that a caller's request lacks something, or contradicts
+// itself.
+var ErrRequest = errs.Class("request")
+
+// Part is a part of a prompt. Prompts share parts, and engines cache them.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is a caller's request as far as the router looks at it. Everything
+// else is passed on as it came.
+type Request struct {
+	// ID names this request; each attempt of a caller has its own.
+	ID string
+	// Key is the API key, or empty.
+	Key string
+	// Timeout is how long the caller waits; zero if it doesn't say.
+	Timeout time.Duration
+	// Prompt lists the parts of the prompt in order.
+	Prompt []Part
+	// LastEvent is the id after which the caller wants a stream to go on.
+	LastEvent string
+}
+
+// SharedPart is the hash key of the longest part of the prompt that other
+// requests have too; the last part is the request's or its session's own.
+func (r *Request) SharedPart() (string, bool) {
+	switch n := len(r.Prompt); n {
+	case 0:
+		return "", false
+	case 1:
+		return r.Prompt[0].ID, true
+	default:
+		return r.Prompt[n-2].ID, true
+	}
+}
+
+// Sending is what the router tells an engine beside the caller's own headers.
+type Sending struct {
+	Engine catalog.Engine
+	// Account is the caller's client account; empty on public routes.
+	Account string
+	// Remaining is the time that is left for an answer.
+	Remaining time.Duration
+	// Urgency ranks the request at the engine, 0 first.
+	Urgency int
+	// LastEvent is the id after which a stream goes on, or empty.
+	LastEvent string
+}
+
+// Reply is what an engine says in the header of its answer.
+type Reply struct {
+	// RequestID is the request that the answer belongs to.
+	RequestID string
+	// Sealed answers bear the engine's proof that the answer is its own.
+	Sealed bool
+	// NotExecuted is the engine's promise that it did not execute the request.
+	NotExecuted bool
+	// WrongEngine means that another engine has the address.
+	WrongEngine bool
+	// Encoded bodies are not what the engine made.
+	Encoded bool
+	// Leaving engines close the connection after the answer.
+	Leaving bool
+	// Load is what the engine says of its load; HasLoad says whether it does.
+	Load    Load
+	HasLoad bool
+}
+
+// Load is an engine's own count of its requests.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Codec translates between HTTP messages and what they mean. It is given by
+// the platform.
+type Codec interface {
+	// Decode reads a caller's request. Errors: ErrRequest.
+	Decode(r *http.Request) (Request, error)
+	// EngineHeader returns the header to send to an engine: the caller's
+	// own, without what concerns only its connection and what only the router
+	// may set.
+	EngineHeader(caller http.Header, r *Request, s Sending) http.Header
+	// Reply reads the header of an engine's answer.
+	Reply(status int, h http.Header) Reply
+	// CallerHeader writes the header of an engine's answer for the caller.
+	CallerHeader(dst http.Header, engine http.Header)
+	// Refusal writes the header of an answer of the router's own.
+	Refusal(dst http.Header, requestID string)
+}
--- /dev/null
+++ b/internal/edge/forward/send.go
@@ -0,0 +1,372 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
+	"damaskrouter.example/damaskrouter/internal/outlier"
+)
+
+const (
+	// maxUnsent is how many engines are tried that can't be reached.
+	maxUnsent = 4
+	// maxRefusals is how many engines may refuse before the caller is refused.
+	maxRefusals = 3
+	// maxIdleOnce is how long a connection may have been idle for a request
+	// that must not be sent twice; see engineconn.Request.MaxIdle.
+	maxIdleOnce = 300 * time.Millisecond
+	// maxIdleRepeatable is the same for one that may be.
+	maxIdleRepeatable = 4 * time.Second
+	// wholeAnswer bounds the answers that are read whole before they are
+	// passed on. Until then a broken answer can still become another
+	// engine's, or an honest failure.
+	wholeAnswer = 1 << 20
+)
+
+// verdict is what to do after a send.
+type verdict uint8
+
+const (
+	// done means that the caller has the answer.
+	done verdict = iota
+	// another means that the request goes to another engine.
+	another
+	// over means that the refusal is final.
+	over
+)
+
+// forward sends the request until an answer is on its way or nothing more may
+// be tried. It returns the refusal to send, or nil.
+func (x *exchange) forward() *Refusal {
+	x.avoid = make(map[string]bool)
+	unsent, refusals := 0, 0
+	last := notRun(ReasonNoEngine, retryLater)
+	for {
+		if refusal := x.mayGoOn(last); refusal != nil {
+			return refusal
+		}
+		e, ok := x.pick()
+		if !ok {
+			return last
+		}
+		result := x.send(e)
+		if result.verdict != another {
+			return result.refusal
+		}
+		x.avoid[e.ID] = true
+		last = result.refusal
+		switch {
+		case result.unsent:
+			unsent++
+		case result.refused:
+			refusals++
+		}
+		if unsent >= maxUnsent || refusals >= maxRefusals {
+			return last
+		}
+		if !result.unsent && !x.f.Budget.Spend(e.Service, x.f.Clock()) {
+			return last
+		}
+	}
+}
+
+// mayGoOn checks what may have changed while the request waited.
+func (x *exchange) mayGoOn(last *Refusal) *Refusal {
+	switch {
+	case x.callerLeft():
+		return x.gone()
+	case x.remaining() <= 0:
+		return x.timeUp()
+	case x.sends == 0 || x.executed > 0:
+		x.snapshot = x.f.Snapshot()
+	}
+	if age := x.snapshot.ConfigAge(x.f.Clock()); x.account != nil && age > x.f.KeyLease {
+		if x.executed > 0 {
+			return last
+		}
+		return notRun(ReasonStaleConfig, retryStore)
+	}
+	return nil
+}
+
+func (x *exchange) gone() *Refusal {
+	return &Refusal{Status: http.StatusBadGateway, Reason: ReasonCallerLeft}
+}
+
+// timeUp is the final answer at the time limit.
+func (x *exchange) timeUp() *Refusal {
+	if x.executed == 0 {
+		return notRun(ReasonTimeout, 0)
+	}
+	return failed(http.StatusGatewayTimeout, ReasonTimeout)
+}
+
+// pick chooses an engine of one of the route's services.
+func (x *exchange) pick() (catalog.Engine, bool) {
+	shared, prompted := x.req.SharedPart()
+	if !x.route.Prompted {
+		shared, prompted = "", false
+	}
+	for _, service := range x.services(shared, prompted) {
+		if e, ok := x.f.Engines.Pick(x.snapshot, service, shared, x.avoid, time.Now()); ok {
+			return e, true
+		}
+	}
+	return catalog.Engine{}, false
+}
+
+// services returns the route's services, the one to use first. Prompts that
+// share a part go to the same service, so that its engines' caches are used.
+func (x *exchange) services(shared string, prompted bool) []string {
+	backends := x.route.Backends
+	total := 0
+	for _, b := range backends {
+		total += b.Weight
+	}
+	key := x.req.ID
+	if prompted {
+		key = shared
+	}
+	point := pointOf(key, total)
+	var first string
+	var rest []string
+	for _, b := range backends {
+		if b.Weight <= 0 {
+			continue
+		}
+		if first == "" && point < b.Weight {
+			first = b.Service
+		} else {
+			rest = append(rest, b.Service)
+		}
+		point -= b.Weight
+	}
+	if first == "" {
+		return rest
+	}
+	return append([]string{first}, rest...)
+}
+
+// result is the end of one send.
+type result struct {
+	verdict verdict
+	// unsent means that nothing left the router, refused that the engine
+	// promised not to have executed the request.
+	unsent, refused bool
+	refusal         *Refusal
+}
+
+// send sends the request to an engine and relays its answer.
+func (x *exchange) send(e catalog.Engine) result {
+	defer x.f.Engines.Done(e.ID)
+	x.sends++
+	x.engine = e.ID
+	if x.sends == 1 {
+		x.f.Budget.Fresh(e.Service, x.f.Clock())
+	}
+	ctx, cancel := x.context()
+	defer cancel()
+	sent := x.f.Clock()
+	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(e, ""))
+	if err != nil {
+		return x.sendFailed(ctx, e, err, x.f.Clock()-sent)
+	}
+	defer answer.Close()
+	reply := x.f.Codec.Reply(answer.Status, answer.Header)
+	x.f.Engines.Heard(e.ID, reply)
+	if reply.NotExecuted {
+		return x.engineRefused(e, answer, reply)
+	}
+	x.executed++
+	if !reply.Sealed || reply.Encoded {
+		x.f.observe(e, outlier.Failure, 0)
+		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
+	}
+	x.f.observe(e, outlier.FirstToken, x.f.Clock()-sent)
+	if x.route.Kind == catalog.Streaming && answer.Status < http.StatusMultipleChoices {
+		return x.relayStream(ctx, e, answer)
+	}
+	return x.relayWhole(e, answer)
+}
+
+func (x *exchange) engineRequest(e catalog.Engine, lastEvent string) *engineconn.Request {
+	sending := Sending{
+		Engine: e, Remaining: x.remaining(), Urgency: x.urgency(), LastEvent: lastEvent,
+	}
+	if x.account != nil {
+		sending.Account = x.account.Name
+	}
+	maxIdle := maxIdleOnce
+	if x.route.Repeatable() {
+		maxIdle = maxIdleRepeatable
+	}
+	return &engineconn.Request{
+		Method: x.r.Method, Target: x.target(), Host: x.r.Host,
+		Header: x.f.Codec.EngineHeader(x.r.Header, &x.req, sending),
+		Body:   x.body, MaxIdle: maxIdle,
+		Own: func(h http.Header) bool {
+			id := x.f.Codec.Reply(0, h).RequestID
+			return id == "" || id == x.req.ID
+		},
+	}
+}
+
+// target is the path and query as they came; only a request to a proxy names
+// the host there too, and an engine is none.
+func (x *exchange) target() string {
+	if strings.HasPrefix(x.r.RequestURI, "/") {
+		return x.r.RequestURI
+	}
+	return x.r.URL.RequestURI()
+}
+
+// urgencyStep separates the priorities of accounts: the account's goes before
+// the route's.
+const urgencyStep = 3
+
+func (x *exchange) urgency() int {
+	if x.account == nil {
+		return x.route.Priority
+	}
+	return x.account.Priority*urgencyStep + min(x.route.Priority, urgencyStep-1)
+}
+
+// sendFailed decides after a send without an answer.
+func (x *exchange) sendFailed(ctx context.Context, e catalog.Engine, err error, waited time.Duration) result {
+	unsent := engineconn.ErrNotSent.Has(err)
+	if !unsent {
+		x.executed++
+	}
+	x.logAttempt(e, err, waited)
+	switch {
+	case x.callerLeft():
+		return result{verdict: over, refusal: x.gone()}
+	case ctx.Err() != nil:
+		x.f.observe(e, outlier.Stall, waited)
+		return result{verdict: over, refusal: x.timeUp()}
+	}
+	x.f.observe(e, outlier.Failure, 0)
+	if unsent {
+		refusal := notRun(ReasonUnreachable, retryLater)
+		if x.executed > 0 {
+			refusal = failed(http.StatusBadGateway, ReasonUnreachable)
+		}
+		return result{verdict: another, unsent: true, refusal: refusal}
+	}
+	reason := ReasonNoAnswer
+	if engineconn.ErrMalformed.Has(err) {
+		reason = ReasonBadAnswer
+	}
+	return x.mayRepeat(failed(http.StatusBadGateway, reason))
+}
+
+// mayRepeat decides after an attempt that may have executed the request.
+func (x *exchange) mayRepeat(refusal *Refusal) result {
+	if x.route.Repeatable() && x.executed < x.route.Attempts {
+		return result{verdict: another, refusal: refusal}
+	}
+	return result{verdict: over, refusal: refusal}
+}
+
+// engineRefused decides after an engine's promise that nothing ran.
+func (x *exchange) engineRefused(e catalog.Engine, answer *engineconn.Answer, reply Reply) result {
+	x.logAttempt(e, errEngineRefused.New("status %d", answer.Status), 0)
+	// The body is read so that the connection can be kept; what it says does
+	// not matter.
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, wholeAnswer))
+	if answer.Status == http.StatusBadRequest {
+		return result{verdict: over, refusal: rejected(http.StatusBadRequest, ReasonMalformed)}
+	}
+	refusal := notRun(ReasonRefused, retryLater)
+	if x.executed > 0 {
+		refusal = failed(http.StatusBadGateway, ReasonRefused)
+	}
+	return result{verdict: another, refused: true, refusal: refusal}
+}
+
+// relayWhole reads the whole answer and passes it on.
+func (x *exchange) relayWhole(e catalog.Engine, answer *engineconn.Answer) result {
+	body, err := io.ReadAll(io.LimitReader(answer, wholeAnswer))
+	if err == nil && len(body) == wholeAnswer {
+		return x.relayLong(answer, body)
+	}
+	if err != nil {
+		if x.callerLeft() {
+			return result{verdict: over, refusal: x.gone()}
+		}
+		if x.remaining() <= 0 {
+			return result{verdict: over, refusal: x.timeUp()}
+		}
+		x.f.observe(e, outlier.Failure, 0)
+		x.logAttempt(e, err, 0)
+		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		x.f.observe(e, outlier.Failure, 0)
+		next := x.mayRepeat(nil)
+		if next.verdict == another && x.f.Budget.Spend(e.Service, x.f.Clock()) {
+			if again, ok := x.sendElsewhere(e); ok {
+				return again
+			}
+		}
+	} else {
+		x.f.observe(e, outlier.Success, 0)
+	}
+	x.writeHeader(answer)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(answer.Status)
+	_, _ = x.w.Write(body)
+	return result{verdict: done}
+}
+
+// sendElsewhere sends the request to another engine after an engine's own
+// failure. If that comes to nothing, the failure at hand is the answer.
+func (x *exchange) sendElsewhere(failedAt catalog.Engine) (result, bool) {
+	x.avoid[failedAt.ID] = true
+	e, ok := x.pick()
+	if !ok {
+		return result{}, false
+	}
+	again := x.send(e)
+	return again, again.verdict == done
+}
+
+// relayLong passes on an answer that is too long to be held.
+func (x *exchange) relayLong(answer *engineconn.Answer, start []byte) result {
+	x.writeHeader(answer)
+	if answer.Length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	x.w.WriteHeader(answer.Status)
+	if _, err := x.w.Write(start); err != nil {
+		return result{verdict: over, refusal: x.gone()}
+	}
+	if _, err := io.Copy(x.w, answer); err != nil {
+		return result{verdict: over, refusal: failed(http.StatusBadGateway, ReasonBadAnswer)}
+	}
+	return result{verdict: done}
+}
+
+// writeHeader copies the engine's header for the caller.
+func (x *exchange) writeHeader(answer *engineconn.Answer) {
+	leaving := x.w.Header().Get("Connection")
+	x.f.Codec.CallerHeader(x.w.Header(), answer.Header)
+	if leaving != "" {
+		x.w.Header().Set("Connection", leaving)
+	}
+	x.answered = true
+	x.status = answer.Status
+	x.firstByte = x.f.Clock() - x.started
+}
+
+// isTimeout says whether the exchange ended by its own context.
+func isTimeout(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/edge/forward/stream.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
+	"damaskrouter.example/damaskrouter/internal/outlier"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// streamBuffer is how much of a stream is read at once.
+const streamBuffer = 8 << 10
+
+// eventEnd is the empty line after an event.
+var eventEnd = []byte("\n\n")
+
+// events splits a stream: it passes on whole events only, and remembers the id
+// of the last one. An engine may break off in the middle of an event; a piece
+// of it, followed by another engine's events, would spoil the answer.
+type events struct {
+	pending []byte
+	lastID  string
+}
+
+// add takes bytes of the stream and returns the whole events among all that is
+// pending. The slice is valid until the next call.
+func (v *events) add(b []byte) []byte {
+	v.pending = append(v.pending, b...)
+	end := bytes.LastIndex(v.pending, eventEnd)
+	if end < 0 {
+		return nil
+	}
+	whole := v.pending[:end+len(eventEnd)]
+	v.pending = append([]byte(nil), v.pending[len(whole):]...)
+	v.noteID(whole)
+	return whole
+}
+
+func (v *events) noteID(whole []byte) {
+	for line := range bytes.SplitSeq(whole, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			v.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// relayStream passes a stream on, event by event. Where the route allows it, a
+// stream that breaks goes on at another engine, after the last whole event.
+func (x *exchange) relayStream(ctx context.Context, e catalog.Engine, answer *engineconn.Answer) result {
+	split := &events{lastID: x.req.LastEvent}
+	for {
+		err := x.copyEvents(answer, split)
+		if err == nil {
+			x.f.observe(e, outlier.Success, 0)
+			return x.endStream(split)
+		}
+		if refusal := x.streamOver(ctx, e, err); refusal != nil {
+			return result{verdict: over, refusal: refusal}
+		}
+		if !x.answered {
+			return x.mayRepeat(failed(http.StatusBadGateway, ReasonStreamBroken))
+		}
+		split.pending = nil
+		next, nextAnswer, release := x.resume(ctx, e, split.lastID)
+		if nextAnswer == nil {
+			return result{verdict: over, refusal: failed(http.StatusBadGateway, ReasonStreamBroken)}
+		}
+		defer release()
+		e, answer = next, nextAnswer
+	}
+}
+
+// endStream checks that a stream which ended whole has no piece of an event
+// left.
+func (x *exchange) endStream(split *events) result {
+	if len(split.pending) > 0 || !x.answered {
+		return result{verdict: over, refusal: failed(http.StatusBadGateway, ReasonStreamBroken)}
+	}
+	return result{verdict: done}
+}
+
+// streamOver returns the refusal that ends the stream, or nil if it may go on
+// elsewhere.
+func (x *exchange) streamOver(ctx context.Context, e catalog.Engine, err error) *Refusal {
+	switch {
+	case errCallerLeft.Has(err) || x.callerLeft():
+		return x.gone()
+	case isTimeout(ctx):
+		return x.timeUp()
+	}
+	x.f.observe(e, outlier.Failure, 0)
+	x.logAttempt(e, err, 0)
+	return nil
+}
+
+// copyEvents passes on events until the stream ends. Errors: errCallerLeft,
+// engineconn.ErrCut, engineconn.ErrMalformed.
+func (x *exchange) copyEvents(answer *engineconn.Answer, split *events) error {
+	control := http.NewResponseController(x.w)
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := answer.Read(buf)
+		if whole := split.add(buf[:n]); len(whole) > 0 {
+			if !x.answered {
+				x.writeHeader(answer)
+				x.w.WriteHeader(answer.Status)
+			}
+			if _, writeErr := x.w.Write(whole); writeErr != nil {
+				return errCallerLeft.Wrap(writeErr)
+			}
+			if flushErr := control.Flush(); flushErr != nil {
+				return errCallerLeft.Wrap(flushErr)
+			}
+		}
+		if len(split.pending) > maxEvent {
+			return engineconn.ErrMalformed.New("an event of more than %d bytes", maxEvent)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// resume continues a broken stream at another engine, if the route allows it
+// and the budget has room.
+func (x *exchange) resume(ctx context.Context, broken catalog.Engine, lastID string) (catalog.Engine, *engineconn.Answer, func()) {
+	if !x.route.Repeatable() || x.executed >= x.route.Attempts || lastID == "" {
+		return catalog.Engine{}, nil, nil
+	}
+	x.avoid[broken.ID] = true
+	x.snapshot = x.f.Snapshot()
+	e, ok := x.pick()
+	if !ok {
+		return catalog.Engine{}, nil, nil
+	}
+	if !x.f.Budget.Spend(e.Service, x.f.Clock()) {
+		x.f.Engines.Done(e.ID)
+		return catalog.Engine{}, nil, nil
+	}
+	x.sends++
+	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(e, lastID))
+	if err != nil {
+		x.f.observe(e, outlier.Failure, 0)
+		x.logAttempt(e, err, 0)
+		x.f.Engines.Done(e.ID)
+		return catalog.Engine{}, nil, nil
+	}
+	x.executed++
+	reply := x.f.Codec.Reply(answer.Status, answer.Header)
+	if answer.Status != http.StatusOK || !reply.Sealed {
+		answer.Close()
+		x.f.Engines.Done(e.ID)
+		return catalog.Engine{}, nil, nil
+	}
+	return e, answer, func() {
+		answer.Close()
+		x.f.Engines.Done(e.ID)
+	}
+}
--- /dev/null
+++ b/internal/edge/node/node.go
@@ -0,0 +1,334 @@
+// Package node assembles a router that serves callers on a platform, and runs
+// its life cycle: start, serve, leave, stop.
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/bootclock"
+	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
+	"damaskrouter.example/damaskrouter/internal/edge/entry"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/forward"
+	"damaskrouter.example/damaskrouter/internal/edge/settings"
+	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/peer"
+	"github.com/charmbracelet/log"
+	"github.com/labstack/echo/v4"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of failures to start.
+var Error = errs.Class("router")
+
+const (
+	// addressTTL is how long callers may keep an answer about addresses. A
+	// router that leaves is out of use after it.
+	addressTTL = 2 * time.Second
+	// leaseMargin is taken off the bound for revoked keys: the check comes
+	// before the send, and clocks of VMs differ in speed by far less.
+	leaseMargin = 500 * time.Millisecond
+	// idleTimeout closes callers' connections that are idle. It is above the
+	// longest that operators allow a caller to reuse a connection after.
+	idleTimeout = 2 * time.Minute
+	// headerTimeout bounds how slowly a request's header may come.
+	headerTimeout = 5 * time.Second
+	// maxHeader bounds a request's header, in bytes.
+	maxHeader = 64 << 10
+	// reviewInterval is how often the engines are compared with one another.
+	reviewInterval = 500 * time.Millisecond
+	// memoryShare is the part of the VM's memory at which the garbage
+	// collector works harder; the rest is for buffers of the kernel.
+	memoryShare = 0.7
+)
+
+// Platform is what the platform's adapter provides.
+type Platform struct {
+	Codec          forward.Codec
+	Store          func(address string) feed.Store
+	MountDirectory func(*echo.Echo, func(entry.Question) entry.Answer)
+	MountReady     func(*echo.Echo, func() bool)
+}
+
+// Router is one running router.
+type Router struct {
+	set  *settings.Settings
+	log  *log.Logger
+	plat Platform
+
+	board     *feed.Board
+	loads     *feed.Loads
+	reader    *feed.Reader
+	follower  *feed.Follower
+	engines   *forward.Engines
+	forwarder *forward.Forwarder
+	gossip    *gossip.Driver
+	caller    *peer.Caller
+	calls     *peer.Server
+	counters  peer.Counters
+	self      feed.Peer
+
+	servers []*http.Server
+	leaving atomic.Bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// New assembles a router; Start makes it serve.
+func New(set *settings.Settings, plat Platform, logger *log.Logger) *Router {
+	r := &Router{set: set, plat: plat, log: logger.With("router", set.Name)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.self = feed.Peer{Name: set.Name, Site: set.Site, Address: r.peerAddress(set.Listen.Callers)}
+	r.assembleFeed()
+	r.assembleForwarder()
+	return r
+}
+
+// peerAddress is where the router of a VM answers other routers: the first free
+// port, which is the same on all VMs.
+func (r *Router) peerAddress(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(r.set.Listen.PortRange[0]))
+}
+
+// callersAddress is where the router behind a peer address serves callers.
+func (r *Router) callersAddress(peerAddress string) string {
+	host, _, err := net.SplitHostPort(peerAddress)
+	_, port, portErr := net.SplitHostPort(r.set.Listen.Callers)
+	if err != nil || portErr != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+func (r *Router) fleetKeys() []peer.FleetKey {
+	return []peer.FleetKey{{ID: 1, Secret: []byte(r.set.FleetKey)}}
+}
+
+func (r *Router) assembleFeed() {
+	r.board = feed.NewBoard(bootclock.Now)
+	r.loads = feed.NewLoads(func() map[string]int { return r.engines.Own() })
+	r.reader = &feed.Reader{
+		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
+		Reads: func() bool { return r.follower.Reads() },
+	}
+	r.caller = peer.NewCaller(r.set.Name, r.fleetKeys, &r.counters)
+	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
+	r.follower = &feed.Follower{
+		Self: r.self, Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log,
+		Live: r.live, OnDoubt: r.reader.SetDoubt,
+		Call: func(ctx context.Context, to feed.Peer, method string, args, reply any) error {
+			return r.caller.Call(ctx, peer.Target{Name: to.Name, Address: to.Address}, method, args, reply)
+		},
+	}
+}
+
+func (r *Router) assembleForwarder() {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r.engines = forward.NewEngines(r.set.Site, r.loads.Others, rng)
+	b := r.set.Bounds
+	r.forwarder = forward.New(forward.Options{
+		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
+		Conns: engineconn.NewPool(bootclock.Now), Engines: r.engines, Log: r.log,
+		KeyLease: time.Duration(b.Revoke) - leaseMargin,
+		Budget: forward.NewBudgets(forward.BudgetLimits{
+			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow),
+		}, func() int { return len(r.live()) }),
+	})
+}
+
+// live returns the routers that seem alive and stay.
+func (r *Router) live() []feed.Peer {
+	if r.gossip == nil {
+		return []feed.Peer{r.self}
+	}
+	var out []feed.Peer
+	for _, m := range r.gossip.Snapshot() {
+		if m.State == membership.StateAlive || m.State == membership.StateSuspect {
+			out = append(out, feed.Peer{Name: m.Name, Site: m.Site, Address: m.Address})
+		}
+	}
+	return out
+}
+
+// Start listens and begins to serve.
+func (r *Router) Start() error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(r.set.Limits.MemoryMB) * (1 << 20)))
+	if err := r.start(); err != nil {
+		r.Close()
+		return Error.Wrap(err)
+	}
+	r.log.Info("started", "site", r.set.Site, "callers", r.set.Listen.Callers, "peers", r.self.Address,
+		"seeds", r.set.Seeds, "store", r.set.Store)
+	return nil
+}
+
+func (r *Router) start() error {
+	if err := r.startPeers(); err != nil {
+		return err
+	}
+	r.goRun(r.board.Run)
+	r.goRun(r.reader.Run)
+	r.goRun(r.follower.Run)
+	r.goRun(r.review)
+	directory, ready, control := newEcho(), newEcho(), newEcho()
+	r.plat.MountDirectory(directory, r.addresses)
+	r.plat.MountReady(ready, r.ready)
+	r.mountMetrics(control)
+	return errors.Join(
+		r.serve("callers", r.set.Listen.Callers, r.forwarder),
+		r.serve("directory", r.set.Listen.Directory, directory),
+		r.serve("ready", r.set.Listen.Ready, ready),
+		r.serve("control", r.set.Listen.Control, control),
+	)
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+// startPeers joins the membership and answers other routers.
+func (r *Router) startPeers() error {
+	ln, err := net.Listen("tcp4", r.self.Address)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
+	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.reader.DoubtUntil)
+	if err := r.calls.Register(feed.RelayName, relay); err != nil {
+		return err
+	}
+	r.goRun(func(context.Context) { r.calls.Serve(ln) })
+	r.gossip, err = gossip.Listen(gossip.Config{
+		Listen: r.self.Address,
+		Self: membership.Member{
+			Name: r.self.Name, Address: r.self.Address, HTTP: r.set.Listen.Callers, Site: r.self.Site,
+		},
+		Options: r.gossipOptions(),
+		Keys:    gossip.Keys{Active: gossip.Key{ID: 1, Secret: []byte(r.set.FleetKey)}},
+		Log:     func(message string, keyvals ...any) { r.log.Warn(message, keyvals...) },
+	})
+	if err != nil {
+		return err
+	}
+	return r.gossip.OnEvent(r.logMember)
+}
+
+// contactPeriod is how often a seed that is no live member is asked. Routers
+// that start together must find one another within seconds.
+const contactPeriod = time.Second
+
+func (r *Router) gossipOptions() membership.Options {
+	opts := membership.DefaultOptions()
+	opts.ContactPeriod = contactPeriod
+	for _, seed := range r.set.Seeds {
+		opts.Seeds = append(opts.Seeds, r.peerAddress(seed))
+	}
+	return opts
+}
+
+func (r *Router) logMember(e membership.Event) {
+	r.log.Info("member "+e.Type.String(), "member", e.Member.Name, "site", e.Member.Site,
+		"incarnation", e.Member.Incarnation)
+}
+
+func (r *Router) goRun(f func(context.Context)) {
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		f(r.ctx)
+	}()
+}
+
+func (r *Router) serve(name, address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	r.servers = append(r.servers, server)
+	r.goRun(func(context.Context) {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			r.log.Error("listener failed", "serves", name, "cause", err)
+		}
+	})
+	return nil
+}
+
+// review compares the engines with one another.
+func (r *Router) review(ctx context.Context) {
+	for pause.For(ctx, reviewInterval) {
+		for _, e := range r.engines.Review(r.board.Snapshot(), time.Now()) {
+			r.log.Warn("engine ejected", "engine_key", e.Engine, "cause", e.Cause.String(), "repeat", e.Repeat)
+		}
+	}
+}
+
+// addresses answers a caller. A router that leaves sends callers to the others;
+// one that knows no other names itself.
+func (r *Router) addresses(q entry.Question) entry.Answer {
+	var routers []entry.Router
+	for _, p := range r.live() {
+		if p.Name == r.self.Name && r.leaving.Load() {
+			continue
+		}
+		routers = append(routers, entry.Router{Name: p.Name, Site: p.Site, Address: r.callersAddress(p.Address)})
+	}
+	if len(routers) == 0 {
+		routers = []entry.Router{{Name: r.self.Name, Site: r.self.Site, Address: r.set.Listen.Callers}}
+	}
+	return entry.Answers(routers, q, min(addressTTL, time.Duration(r.set.Bounds.MaxTTL)))
+}
+
+// ready says whether callers' requests can be served.
+func (r *Router) ready() bool {
+	s := r.board.Snapshot()
+	return !r.leaving.Load() && s.Config != nil && s.ConfigAge(bootclock.Now()) < r.forwarder.KeyLease
+}
+
+// mountMetrics serves the counters.
+func (r *Router) mountMetrics(e *echo.Echo) {
+	vars := r.forwarder.Stats().Vars()
+	vars.Set("latency_ms", expvar.Func(func() any { return r.forwarder.Stats().Latencies() }))
+	vars.Set("engine_connections", expvar.Func(func() any { return r.forwarder.Conns.Dials() }))
+	vars.Set("peer_calls", expvar.Func(func() any { return r.counters.Snapshot() }))
+	e.GET("/metrics", func(c echo.Context) error {
+		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte(vars.String()))
+	})
+}
+
+// Close stops at once; Leave comes first in a graceful shutdown.
+func (r *Router) Close() {
+	for _, s := range r.servers {
+		_ = s.Close()
+	}
+	r.cancel()
+	r.calls.Close()
+	r.caller.Close()
+	if r.gossip != nil {
+		r.gossip.Close()
+	}
+	r.forwarder.Conns.Close()
+	r.wg.Wait()
+}
--- /dev/null
+++ b/internal/edge/settings/settings.go
@@ -0,0 +1,159 @@
+// Package settings is what a router is told when it starts on a platform.
+package settings
+
+import (
+	"errors"
+	"net"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/zeebo/errs"
+)
+
+// Errors of Load.
+var (
+	// ErrRead means that the file can't be read, or is no YAML.
+	ErrRead = errs.Class("settings: read")
+	// ErrField means that a field is missing or malformed; the message names it.
+	ErrField = errs.Class("settings: field")
+)
+
+// Settings are the settings of one router. Fields that are not known here are
+// ignored, so that a newer template can serve an older router.
+type Settings struct {
+	// Name identifies the router within the fleet.
+	Name string `yaml:"name" validate:"required"`
+	// Site and Region are where its VM is.
+	Site   string `yaml:"site" validate:"required"`
+	Region string `yaml:"region"`
+
+	Listen Listen `yaml:"listen"`
+	// Seeds are control addresses of other routers, "ip:port". They may be out
+	// of date.
+	Seeds []string `yaml:"seeds" validate:"dive,hostport"`
+	// FleetKey is the secret by which routers know one another, 16 bytes or more.
+	FleetKey string `yaml:"fleet_key" validate:"min=16"`
+	// Store is the address of the platform's store, "ip:port".
+	Store string `yaml:"store" validate:"required,hostport"`
+
+	Limits Limits `yaml:"limits"`
+	Bounds Bounds `yaml:"bounds"`
+
+	// LogLevel is the least severe level that is logged. The default is info.
+	LogLevel string `yaml:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// Listen holds the addresses that the router serves, "ip:port".
+type Listen struct {
+	Callers   string `yaml:"callers" validate:"required,hostport"`
+	Ready     string `yaml:"ready" validate:"required,hostport"`
+	Directory string `yaml:"directory" validate:"required,hostport"`
+	Control   string `yaml:"control" validate:"required,hostport"`
+	// PortRange is the ports that are free for the traffic between routers,
+	// "first,last".
+	PortRange []int `yaml:"ports" validate:"len=2,dive,min=1,max=65535"`
+}
+
+// Limits are those of the VM.
+type Limits struct {
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int64 `yaml:"memory_mb" validate:"min=16"`
+	// MaxFiles is how many descriptors it may use.
+	MaxFiles int `yaml:"max_files" validate:"min=64"`
+	// LinkMbps is the bandwidth of its link, in megabits a second.
+	LinkMbps float64 `yaml:"link_mbps" validate:"gt=0"`
+	// CPUShare is the part of a core that it may use.
+	CPUShare float64 `yaml:"cpu_share" validate:"gt=0"`
+}
+
+// Bounds are the times and ratios that the fleet must keep.
+type Bounds struct {
+	// Revoke is how long a revoked API key may still be accepted.
+	Revoke Milliseconds `yaml:"revoke_ms" validate:"min=1000000"`
+	// Stop is how long the process has after it was told to stop.
+	Stop Seconds `yaml:"stop_s" validate:"min=1000000"`
+	// RetryRatio, RetrySlack and RetryWindow bound what a service may get
+	// beyond the first send of each request.
+	RetryRatio  float64 `yaml:"retry_ratio" validate:"min=0"`
+	RetrySlack  float64 `yaml:"retry_slack" validate:"min=0"`
+	RetryWindow Seconds `yaml:"retry_window_s" validate:"min=1000000"`
+	// MaxTTL is the longest time that callers keep an address.
+	MaxTTL Seconds `yaml:"max_ttl_s" validate:"min=1000000"`
+}
+
+// Milliseconds is a duration that is written as a number of milliseconds.
+type Milliseconds time.Duration
+
+// UnmarshalYAML implements yaml.InterfaceUnmarshaler.
+func (m *Milliseconds) UnmarshalYAML(unmarshal func(any) error) error {
+	return scaled(unmarshal, time.Millisecond, (*time.Duration)(m))
+}
+
+// Seconds is a duration that is written as a number of seconds.
+type Seconds time.Duration
+
+// UnmarshalYAML implements yaml.InterfaceUnmarshaler.
+func (s *Seconds) UnmarshalYAML(unmarshal func(any) error) error {
+	return scaled(unmarshal, time.Second, (*time.Duration)(s))
+}
+
+func scaled(unmarshal func(any) error, unit time.Duration, out *time.Duration) error {
+	var n float64
+	if err := unmarshal(&n); err != nil {
+		return err
+	}
+	*out = time.Duration(n * float64(unit))
+	return nil
+}
+
+// Load reads and checks a settings file. Errors: ErrRead, ErrField.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, ErrRead.Wrap(err)
+	}
+	return Parse(data)
+}
+
+// Parse checks settings. Errors: ErrRead, ErrField.
+func Parse(data []byte) (*Settings, error) {
+	s := Settings{LogLevel: "info"}
+	if err := yaml.Unmarshal(data, &s); err != nil {
+		return nil, ErrRead.Wrap(err)
+	}
+	var invalid validator.ValidationErrors
+	if err := newValidator().Struct(&s); errors.As(err, &invalid) {
+		return nil, fieldError(invalid)
+	} else if err != nil {
+		return nil, ErrField.Wrap(err)
+	}
+	return &s, nil
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New()
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		return name
+	})
+	// The tag is not empty and the function not nil, the only reasons to fail.
+	_ = v.RegisterValidation("hostport", func(f validator.FieldLevel) bool {
+		host, port, err := net.SplitHostPort(f.Field().String())
+		return err == nil && net.ParseIP(host) != nil && port != ""
+	})
+	return v
+}
+
+// fieldError names every field that is wrong, and the check that it fails.
+func fieldError(invalid validator.ValidationErrors) error {
+	var problems []string
+	for _, f := range invalid {
+		_, name, _ := strings.Cut(f.Namespace(), ".")
+		problems = append(problems, name+" fails the check "+f.ActualTag())
+	}
+	return ErrField.New("%s", strings.Join(problems, "; "))
+}
