--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -21,8 +21,9 @@
 	// passed over. It covers a restart.
 	distrustFor = 2 * time.Second
 	// staleAfter is the age from which another parent is looked for. A tree
-	// that works keeps the age below the reader's wait and two pulls.
-	staleAfter = 1500 * time.Millisecond
+	// that works keeps the age below the reader's wait and gap and two pulls,
+	// 1.7 s in all.
+	staleAfter = 2000 * time.Millisecond
 	// newParentGrace is how long a new parent may still give old answers: it
 	// may itself have to find out first that it is the one to read.
 	newParentGrace = 500 * time.Millisecond
@@ -108,8 +109,10 @@
 }
 
 // take hands over what the parent said. Ages are counted back from the moment
-// at which the pull was sent: whatever the parent said, it said later.
+// at which the pull was sent, and the time that the parent held it: whatever the
+// parent said, it said later.
 func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
+	said := sent + reply.Held
 	f.Loads.FromParent(reply.Loads, f.Clock())
 	c := reply.Config
 	if c != nil {
@@ -117,7 +120,7 @@
 	} else if have := f.Board.Snapshot().Config; have != nil && have.Version == reply.ConfigVersion {
 		c = have
 	}
-	f.Board.PutConfig(ctx, c, sent-reply.ConfigAge)
+	f.Board.PutConfig(ctx, c, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
 		return
 	}
@@ -126,7 +129,7 @@
 		doubtUntil = f.Clock() + reply.DoubtFor
 		f.OnDoubt(doubtUntil)
 	}
-	f.Board.PutEngines(ctx, reply.Engines, sent-reply.EnginesAge, doubtUntil)
+	f.Board.PutEngines(ctx, reply.Engines, said-reply.EnginesAge, doubtUntil)
 }
 
 // judge distrusts a parent whose knowledge has grown old.
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -13,7 +13,7 @@
 const (
 	// watchWait is how long the store holds a watch. It sets the age of a
 	// confirmation and the calls in quiet times; changes arrive at once.
-	watchWait = 800 * time.Millisecond
+	watchWait = time.Second
 	// watchTimeout bounds a watch: its wait, and a slow store or a lost packet.
 	// A watch on a connection that went silent ends by it.
 	watchTimeout = watchWait + 500*time.Millisecond
@@ -155,10 +155,20 @@
 		r.logConfig(c, sent)
 	}
 	r.configCursor = read.Upto
-	r.Board.PutConfig(ctx, c, sent)
+	r.Board.PutConfig(ctx, c, r.asOf(sent, read.Config == nil))
 	return nil
 }
 
+// asOf is the time for which a reply speaks. A watch that brought nothing was
+// held until its wait was over, and speaks for the time after it; anything else
+// may have been decided as soon as the call was sent.
+func (r *Reader) asOf(sent time.Duration, nothing bool) time.Duration {
+	if nothing && r.Clock()-sent >= watchWait {
+		return sent + watchWait
+	}
+	return sent
+}
+
 func (r *Reader) readConfig(ctx context.Context) (ConfigRead, error) {
 	if r.configCursor == 0 || r.Board.Snapshot().Config == nil {
 		return r.Store.ReadConfig(ctx)
@@ -196,7 +206,8 @@
 	if doubtUntil <= r.Clock() {
 		doubtUntil = 0
 	}
-	r.Board.PutEngines(ctx, update, sent, doubtUntil)
+	nothing := !update.Full && len(update.Present)+len(update.Removed) == 0
+	r.Board.PutEngines(ctx, update, r.asOf(sent, nothing), doubtUntil)
 	return nil
 }
 
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -45,6 +45,9 @@
 	// DoubtFor says for how long from the reply removed engines are to be
 	// kept in service; see Reader.
 	DoubtFor time.Duration
+	// Held is how long the reply was held. What it says is that much younger
+	// than the pull.
+	Held time.Duration
 	// Loads are those of the whole fleet without what the asker reported.
 	Loads LoadReport
 }
@@ -67,7 +70,8 @@
 // Pull answers once the board holds something newer, or after args.Wait. It is
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
-	r.loads.Heard(args.From, args.Loads, r.clock())
+	started := r.clock()
+	r.loads.Heard(args.From, args.Loads, started)
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
 	for {
@@ -84,6 +88,7 @@
 		break
 	}
 	*reply = r.reply(args)
+	reply.Held = r.clock() - started
 	return nil
 }
 
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -26,7 +26,7 @@
 	// freshFor is the age of the configuration up to which it is sure that a
 	// route or a key does not exist. Beyond it the newest version may have
 	// them, and a refusal that the caller takes for final would be wrong.
-	freshFor = 1800 * time.Millisecond
+	freshFor = 2000 * time.Millisecond
 )
 
 // Options set up a Forwarder.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -37,9 +37,11 @@
 	// addressTTL is how long callers may keep an answer about addresses. A
 	// router that leaves is out of use after it.
 	addressTTL = 2 * time.Second
-	// leaseMargin is taken off the bound for revoked keys: the check comes
-	// before the send, and clocks of VMs differ in speed by far less.
-	leaseMargin = 500 * time.Millisecond
+	// leaseShare is the part of the bound for revoked keys for which a
+	// configuration may be used after its last confirmation. The rest covers
+	// what lies between the check and the send, and watches of a store that
+	// hear late.
+	leaseShare = 0.7
 	// idleTimeout closes callers' connections that are idle. It is above the
 	// longest that operators allow a caller to reuse a connection after.
 	idleTimeout = 2 * time.Minute
@@ -146,7 +148,7 @@
 	r.forwarder = forward.New(forward.Options{
 		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
 		Conns: engineconn.NewPool(bootclock.Now), Engines: r.engines, Log: r.log,
-		KeyLease: time.Duration(b.Revoke) - leaseMargin,
+		KeyLease: time.Duration(leaseShare * float64(b.Revoke)),
 		Budget: forward.NewBudgets(forward.BudgetLimits{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow),
 		}, func() int { return len(r.live()) }),
