Placement: an engine that is new to a prompt fetches it from the likely holder

The request now names the engine that most likely holds the prompt: the first of the prompt's order if it is not the chosen one (it may be leaving), else the second, which was the first until the chosen one came. Ruled out: sharing who holds what between routers; the order tells it.

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -42,39 +42,87 @@
 	Slots int
 	// Near engines are in the router's own site.
 	Near bool
+	// Leaving engines get no new request; others can still fetch from their
+	// cache.
+	Leaving bool
 	// Share of its normal load that it may take, 0 to 1: less than 1 while it
 	// returns from an ejection, 0 while it is ejected.
 	Share float64
 }
 
-// Prompted picks an engine for a prompt whose shared part hashes to key, or -1
-// if there is none.
-func Prompted(engines []Engine, key uint64, rng *rand.Rand) int {
+// Placement is where a prompt goes.
+type Placement struct {
+	// Engine is the index of the chosen engine, or None.
+	Engine int
+	// Holder is the index of the engine that most likely holds the prompt in
+	// its cache, other than the chosen one, or None. An engine that leaves, or
+	// is too busy, can still be that.
+	Holder int
+	// Moved means that the prompt's own engine is not the chosen one.
+	Moved bool
+}
+
+// None is the index that stands for no engine.
+const None = -1
+
+// Prompted places a prompt whose shared part hashes to key.
+//
+// The engines stand in an order that depends only on the key and on who is
+// there: the first one that may take the prompt gets it. If it is not the very
+// first, that one is the holder. If it is, the second may have been the first
+// until the chosen one came.
+func Prompted(engines []Engine, key uint64, rng *rand.Rand) Placement {
+	order := ranked(engines, key)
 	candidates := usable(engines)
+	out := Placement{Engine: None, Holder: None}
 	if len(candidates) == 0 {
-		return -1
+		return out
+	}
+	out.Engine = within(engines, order, loadBound(engines, candidates), rng)
+	if out.Engine == None {
+		out.Engine = leastLoaded(engines, candidates, rng)
+	}
+	out.Moved = order[0] != out.Engine
+	for _, i := range order {
+		if i != out.Engine && (engines[i].Share > 0 || engines[i].Leaving) {
+			out.Holder = i
+			break
+		}
+	}
+	return out
+}
+
+// ranked returns the indexes of all engines in the order of the key.
+func ranked(engines []Engine, key uint64) []int {
+	order := make([]int, len(engines))
+	for i := range order {
+		order[i] = i
 	}
-	bound := loadBound(engines, candidates)
 	mixed := rendezvous.Mix(key)
-	slices.SortFunc(candidates, func(a, b int) int {
+	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(mixed.Score(engines[b].Key), mixed.Score(engines[a].Key)),
 			cmp.Compare(engines[a].ID, engines[b].ID))
 	})
-	for _, i := range candidates {
+	return order
+}
+
+// within returns the first engine in order that stays within the bound, or None.
+func within(engines []Engine, order []int, bound float64, rng *rand.Rand) int {
+	for _, i := range order {
 		e := engines[i]
-		if float64(e.InFlight)+1 <= bound*e.Share && admitted(e.Share, rng) {
+		if !e.Leaving && float64(e.InFlight)+1 <= bound*e.Share && admitted(e.Share, rng) {
 			return i
 		}
 	}
-	return leastLoaded(engines, candidates, rng)
+	return None
 }
 
-// Plain picks an engine for a request without a prompt, or -1 if there is none.
+// Plain picks an engine for a request without a prompt, or returns None.
 func Plain(engines []Engine, rng *rand.Rand) int {
 	candidates := usable(engines)
 	if len(candidates) == 0 {
-		return -1
+		return None
 	}
 	return leastLoaded(engines, candidates, rng)
 }
@@ -84,6 +132,9 @@
 func usable(engines []Engine) []int {
 	var in, all []int
 	for i, e := range engines {
+		if e.Leaving {
+			continue
+		}
 		all = append(all, i)
 		if e.Share > 0 {
 			in = append(in, i)
@@ -110,7 +161,7 @@
 }
 
 func leastLoaded(engines []Engine, candidates []int, rng *rand.Rand) int {
-	best, bestLoad := -1, math.Inf(1)
+	best, bestLoad := None, math.Inf(1)
 	offset := rng.IntN(len(candidates))
 	for k := range candidates {
 		i := candidates[(k+offset)%len(candidates)]
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -9,6 +9,7 @@
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
 	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Engines is what a router knows of the engines by its own requests: how many it
@@ -24,8 +25,21 @@
 	services map[string]*outlier.Detector
 	// joined holds the engines that their service's detector knows, by ID.
 	joined map[string]string
+	// sent remembers when this router last sent a prompt to an engine.
+	sent *lru.Cache[held, time.Time]
 }
 
+// held names a shared part of a prompt at an engine.
+type held struct{ engine, part string }
+
+const (
+	// maxHeld bounds the remembered prompts; an entry takes about 150 bytes.
+	maxHeld = 16384
+	// heldFor is how long an engine is taken to keep a prompt that was sent to
+	// it. Caches of today's engines turn over in about a minute.
+	heldFor = 30 * time.Second
+)
+
 // healthConfig are the thresholds at which an engine is taken out of service.
 // An outage of an engine lasts seconds, and a request's time limit is about as
 // long: two requests without an answer are enough, and the first return is soon.
@@ -47,7 +61,10 @@
 
 // NewEngines returns an Engines for a router in a site.
 func NewEngines(site string, others func() map[string]int, rng *rand.Rand) *Engines {
+	// The size is not negative, the only reason to fail.
+	sent, _ := lru.New[held, time.Time](maxHeld)
 	return &Engines{
+		sent: sent,
 		site: site, others: others, rng: rng,
 		own:      make(map[string]int),
 		services: make(map[string]*outlier.Detector),
@@ -66,24 +83,49 @@
 	return out
 }
 
+// Choice is where a request goes.
+type Choice struct {
+	Engine catalog.Engine
+	// FetchFrom is the address of an engine from whose cache the chosen one
+	// should fetch what it lacks of the prompt; empty for none. Fetching costs
+	// less than reading the prompt again, in time and in load.
+	FetchFrom string
+}
+
 // Pick chooses an engine of the service and counts a request to it until Done.
 // Engines in avoid are passed over. It returns false if there is none.
-func (p *Engines) Pick(s *catalog.Snapshot, service, sharedPart string, avoid map[string]bool, now time.Time) (catalog.Engine, bool) {
+func (p *Engines) Pick(s *catalog.Snapshot, service, sharedPart string, avoid map[string]bool, now time.Time) (Choice, bool) {
 	others := p.others()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	engines, candidates := p.candidates(s, service, avoid, others, now)
+	var choice Choice
 	var i int
-	if sharedPart != "" {
-		i = choose.Prompted(candidates, rendezvous.ID(sharedPart), p.rng)
-	} else {
+	if sharedPart == "" {
 		i = choose.Plain(candidates, p.rng)
+	} else {
+		at := choose.Prompted(candidates, rendezvous.ID(sharedPart), p.rng)
+		i = at.Engine
+		if i != choose.None && at.Holder != choose.None && p.newAt(engines[i].ID, sharedPart, now) {
+			choice.FetchFrom = engines[at.Holder].Address
+		}
 	}
-	if i < 0 {
-		return catalog.Engine{}, false
+	if i == choose.None {
+		return Choice{}, false
 	}
-	p.own[engines[i].ID]++
-	return engines[i], true
+	choice.Engine = engines[i]
+	p.own[choice.Engine.ID]++
+	return choice, true
+}
+
+// newAt notes that the prompt goes to the engine, and says whether this router
+// has not sent it there lately. An engine that has the prompt has nothing to
+// fetch, and asking costs a few milliseconds.
+func (p *Engines) newAt(engine, sharedPart string, now time.Time) bool {
+	key := held{engine, sharedPart}
+	last, ok := p.sent.Get(key)
+	p.sent.Add(key, now)
+	return !ok || now.Sub(last) > heldFor
 }
 
 func (p *Engines) candidates(s *catalog.Snapshot, service string, avoid map[string]bool, others map[string]int, now time.Time) ([]catalog.Engine, []choose.Engine) {
@@ -92,7 +134,7 @@
 	var out []choose.Engine
 	config := s.Config.Service(service)
 	for _, e := range s.Engines.Of(service) {
-		if e.Draining || avoid[e.ID] {
+		if avoid[e.ID] {
 			continue
 		}
 		p.join(det, e, now)
@@ -104,7 +146,7 @@
 		engines = append(engines, e)
 		out = append(out, choose.Engine{
 			ID: e.ID, Key: key, InFlight: p.own[e.ID] + others[e.ID], Slots: slots,
-			Near: e.Site == p.site, Share: det.Ramp(key, now),
+			Near: e.Site == p.site, Leaving: e.Draining, Share: det.Ramp(key, now),
 		})
 	}
 	return engines, out
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -59,6 +59,9 @@
 	Urgency int
 	// LastEvent is the id after which a stream goes on, or empty.
 	LastEvent string
+	// FetchFrom is the address of an engine whose cache holds the prompt, or
+	// empty.
+	FetchFrom string
 }
 
 // Reply is what an engine says in the header of its answer.
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -52,11 +52,12 @@
 		if refusal := x.mayGoOn(last); refusal != nil {
 			return refusal
 		}
-		e, ok := x.pick()
+		choice, ok := x.pick()
 		if !ok {
 			return last
 		}
-		result := x.send(e)
+		e := choice.Engine
+		result := x.send(choice)
 		if result.verdict != another {
 			return result.refusal
 		}
@@ -109,17 +110,17 @@
 }
 
 // pick chooses an engine of one of the route's services.
-func (x *exchange) pick() (catalog.Engine, bool) {
+func (x *exchange) pick() (Choice, bool) {
 	shared, prompted := x.req.SharedPart()
 	if !x.route.Prompted {
 		shared, prompted = "", false
 	}
 	for _, service := range x.services(shared, prompted) {
-		if e, ok := x.f.Engines.Pick(x.snapshot, service, shared, x.avoid, time.Now()); ok {
-			return e, true
+		if choice, ok := x.f.Engines.Pick(x.snapshot, service, shared, x.avoid, time.Now()); ok {
+			return choice, true
 		}
 	}
-	return catalog.Engine{}, false
+	return Choice{}, false
 }
 
 // services returns the route's services, the one to use first. Prompts that
@@ -164,7 +165,8 @@
 }
 
 // send sends the request to an engine and relays its answer.
-func (x *exchange) send(e catalog.Engine) result {
+func (x *exchange) send(choice Choice) result {
+	e := choice.Engine
 	defer x.f.Engines.Done(e.ID)
 	x.sends++
 	x.engine = e.ID
@@ -174,7 +176,7 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	sent := x.f.Clock()
-	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(e, ""))
+	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(choice, ""))
 	if err != nil {
 		return x.sendFailed(ctx, e, err, x.f.Clock()-sent)
 	}
@@ -196,9 +198,10 @@
 	return x.relayWhole(e, answer)
 }
 
-func (x *exchange) engineRequest(e catalog.Engine, lastEvent string) *engineconn.Request {
+func (x *exchange) engineRequest(choice Choice, lastEvent string) *engineconn.Request {
 	sending := Sending{
-		Engine: e, Remaining: x.remaining(), Urgency: x.urgency(), LastEvent: lastEvent,
+		Engine: choice.Engine, FetchFrom: choice.FetchFrom,
+		Remaining: x.remaining(), Urgency: x.urgency(), LastEvent: lastEvent,
 	}
 	if x.account != nil {
 		sending.Account = x.account.Name
@@ -330,11 +333,11 @@
 // failure. If that comes to nothing, the failure at hand is the answer.
 func (x *exchange) sendElsewhere(failedAt catalog.Engine) (result, bool) {
 	x.avoid[failedAt.ID] = true
-	e, ok := x.pick()
+	choice, ok := x.pick()
 	if !ok {
 		return result{}, false
 	}
-	again := x.send(e)
+	again := x.send(choice)
 	return again, again.verdict == done
 }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -139,16 +139,17 @@
 	}
 	x.avoid[broken.ID] = true
 	x.snapshot = x.f.Snapshot()
-	e, ok := x.pick()
+	choice, ok := x.pick()
 	if !ok {
 		return catalog.Engine{}, nil, nil
 	}
+	e := choice.Engine
 	if !x.f.Budget.Spend(e.Service, x.f.Clock()) {
 		x.f.Engines.Done(e.ID)
 		return catalog.Engine{}, nil, nil
 	}
 	x.sends++
-	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(e, lastID))
+	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(choice, lastID))
 	if err != nil {
 		x.f.observe(e, outlier.Failure, 0)
 		x.logAttempt(e, err, 0)
