feed: doubt about missing engines, and who reads the store, follow what the fleet knows

Doubt now follows from nobody having confirmed the engines for two of their renewals. A router that can't reach the store says so, and the next one reads.

--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -13,6 +13,8 @@
 	Engines    *EngineSet
 	// EnginesAsOf is the same for Engines.
 	EnginesAsOf time.Duration
+	// DoubtUntil is the boot time until which a missing entry says nothing.
+	DoubtUntil time.Duration
 }
 
 // ConfigAge is how old the configuration may be, at most, at now.
@@ -39,14 +41,31 @@
 	return &next, false
 }
 
+// doubtFor is how long after the store's return a missing entry says nothing:
+// engines that live register again within this time.
+const doubtFor = 2 * time.Second
+
 // WithEngines returns the snapshot after an update by a call sent at asOf, and
 // whether the engines changed.
-func (s *Snapshot) WithEngines(u EngineUpdate, asOf, doubtUntil time.Duration) (*Snapshot, bool) {
+//
+// If nobody could read the store for as long as lapse, entries may be missing
+// whose engines are alive: they could not renew them. Taking them for gone would
+// end the service with the first answer after an outage. They stay in service
+// until they had time to register again. An outage that only some routers see
+// is none: the others have confirmed the engines meanwhile.
+func (s *Snapshot) WithEngines(u EngineUpdate, asOf, lapse time.Duration) (*Snapshot, bool) {
 	if u.Upto < s.Engines.Upto || !s.Engines.Covers(u) {
 		return s, false
 	}
-	set, changed := s.Engines.Apply(u, doubtUntil)
 	next := *s
+	if s.Engines.Upto > 0 && asOf-s.EnginesAsOf >= lapse {
+		next.DoubtUntil = asOf + doubtFor
+	}
+	doubtUntil := next.DoubtUntil
+	if asOf >= doubtUntil {
+		doubtUntil = 0
+	}
+	set, changed := s.Engines.Apply(u, doubtUntil)
 	next.Engines = set
 	next.EnginesAsOf = max(asOf, s.EnginesAsOf)
 	return &next, changed
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -24,15 +24,24 @@
 // Board owns the catalog. One goroutine applies updates and publishes
 // snapshots, which anyone may read.
 type Board struct {
-	clock    Clock
+	clock Clock
+	// lapse is the shortest outage of the store in which an engine's entry
+	// can go although the engine lives.
+	lapse    time.Duration
 	updates  chan func(*catalog.Snapshot) (*catalog.Snapshot, bool)
 	snapshot atomic.Pointer[catalog.Snapshot]
 	changed  atomic.Pointer[chan struct{}]
 }
 
-// NewBoard returns a board with an empty catalog. Run makes it work.
-func NewBoard(clock Clock) *Board {
+// lapsedBeats is how many renewals of an entry an outage must cover, after which
+// the next one is the third that is missed.
+const lapsedBeats = 2
+
+// NewBoard returns a board with an empty catalog. Engines renew their entries
+// each beat. Run makes the board work.
+func NewBoard(clock Clock, beat time.Duration) *Board {
 	b := &Board{
+		lapse:   lapsedBeats * beat,
 		clock:   clock,
 		updates: make(chan func(*catalog.Snapshot) (*catalog.Snapshot, bool), updateQueue),
 	}
@@ -94,9 +103,9 @@
 }
 
 // PutEngines hands over an update of the engines; see PutConfig.
-func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, doubtUntil time.Duration) {
+func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf time.Duration) {
 	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
-		return s.WithEngines(u, asOf, doubtUntil)
+		return s.WithEngines(u, asOf, b.lapse)
 	})
 }
 
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -17,9 +17,6 @@
 	pullWait = 300 * time.Millisecond
 	// pullTimeout bounds a whole pull: its wait, and two lost packets of TCP.
 	pullTimeout = pullWait + 500*time.Millisecond
-	// distrustFor is how long a router that gave no answer, or an old one, is
-	// passed over. It covers a restart.
-	distrustFor = 2 * time.Second
 	// staleAfter is the age from which another parent is looked for. A tree
 	// that works keeps the age below the reader's wait and gap and two pulls,
 	// 1.7 s in all.
@@ -44,8 +41,8 @@
 	// Live returns the routers that seem alive.
 	Live func() []Peer
 	Log  *log.Logger
-	// OnDoubt is told until when removals are in doubt.
-	OnDoubt func(until time.Duration)
+	// StoreLost says whether this router reads the store and can't.
+	StoreLost func() bool
 
 	distrust Distrust
 	parent   Peer
@@ -62,6 +59,9 @@
 	for ctx.Err() == nil {
 		now := f.Clock()
 		f.distrust.Forget(now)
+		if f.reading.Load() && f.StoreLost() {
+			f.suspect(f.Self, "store lost", nil)
+		}
 		parent, ok := ParentOf(f.Self, f.Live(), f.distrust, now)
 		f.reading.Store(!ok)
 		if !ok {
@@ -124,26 +124,25 @@
 	if reply.Engines.Upto == 0 {
 		return
 	}
-	var doubtUntil time.Duration
-	if reply.DoubtFor > 0 {
-		doubtUntil = f.Clock() + reply.DoubtFor
-		f.OnDoubt(doubtUntil)
-	}
-	f.Board.PutEngines(ctx, reply.Engines, said-reply.EnginesAge, doubtUntil)
+	f.Board.PutEngines(ctx, reply.Engines, said-reply.EnginesAge)
 }
 
-// judge distrusts a parent whose knowledge has grown old.
+// judge distrusts a parent that can't reach the store, or whose knowledge has
+// grown old.
 func (f *Follower) judge(parent Peer, reply PullReply) {
-	if max(reply.ConfigAge, reply.EnginesAge) <= staleAfter || f.Clock()-f.since <= newParentGrace {
-		return
+	switch {
+	case f.Clock()-f.since <= newParentGrace:
+	case reply.StoreLost:
+		f.suspect(parent, "store lost", nil)
+	case max(reply.ConfigAge, reply.EnginesAge) > staleAfter:
+		f.suspect(parent, "stale", nil)
 	}
-	f.suspect(parent, "stale", nil)
 }
 
 func (f *Follower) suspect(parent Peer, why string, cause error) {
 	now := f.Clock()
-	f.distrust.Until(parent.Name, now+distrustFor)
+	f.distrust.Add(parent.Name, now)
 	s := f.Board.Snapshot()
-	f.Log.Warn("catalog source distrusted", "router", parent.Name, "why", why, "cause", cause,
+	f.Log.Warn("catalog source distrusted", "source", parent.Name, "why", why, "cause", cause,
 		"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
 }
--- a/internal/edge/feed/parent.go
+++ b/internal/edge/feed/parent.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -16,20 +15,48 @@
 	Address string
 }
 
+const (
+	// minDistrust is how long a router that gave no answer, or an old one, is
+	// passed over the first time. It covers a restart.
+	minDistrust = 2 * time.Second
+	// maxDistrust bounds the doubling for a router that fails each time it is
+	// asked again. Each new try costs the others some freshness.
+	maxDistrust = 8 * time.Second
+	// forgiveAfter is how long after a distrust has ended its length is
+	// remembered.
+	forgiveAfter = 10 * time.Second
+)
+
 // Distrust remembers which routers gave no answer, or only old ones, and until
 // when others are asked in their place. It is not safe for concurrent use.
-type Distrust map[string]time.Duration
+type Distrust map[string]distrusted
+
+type distrusted struct {
+	until  time.Duration
+	length time.Duration
+}
 
-// Until distrusts a router until a boot time.
-func (d Distrust) Until(name string, until time.Duration) { d[name] = until }
+// Add distrusts a router from now on, for twice as long as the last time.
+func (d Distrust) Add(name string, now time.Duration) {
+	if !d.trusted(name, now) {
+		return
+	}
+	length := minDistrust
+	if last, ok := d[name]; ok {
+		length = min(2*last.length, maxDistrust)
+	}
+	d[name] = distrusted{until: now + length, length: length}
+}
 
 // trusted says whether the router may be asked at now.
-func (d Distrust) trusted(name string, now time.Duration) bool { return now >= d[name] }
+func (d Distrust) trusted(name string, now time.Duration) bool {
+	return now >= d[name].until
+}
 
-// Forget drops what has ended.
+// Forget drops what is long over.
 func (d Distrust) Forget(now time.Duration) {
-	for name, until := range d {
-		if now >= until {
+	for name, entry := range d {
+		if now >= entry.until+forgiveAfter {
 			delete(d, name)
 		}
 	}
@@ -45,26 +72,28 @@
 // sites once for each site, and whoever is lost or stale is passed over without
 // an election. Routers whose views differ may ask one another in a circle; what
 // they hold then grows old, they distrust each other, and one of them reads.
+//
+// A router that can't reach the store distrusts itself, and asks the next one.
+// If none is trusted, each reads for itself.
 func ParentOf(self Peer, live []Peer, d Distrust, now time.Duration) (Peer, bool) {
 	site := first(self, live, d, now, func(p Peer) bool { return p.Site == self.Site })
 	if site.Name != self.Name {
 		return site, true
 	}
 	top := first(self, live, d, now, func(Peer) bool { return true })
-	if top.Name != self.Name {
-		return top, true
-	}
-	return Peer{}, false
+	return top, top.Name != self.Name
 }
 
+// first returns the first trusted router among those in, or self if there is
+// none.
 func first(self Peer, live []Peer, d Distrust, now time.Duration, in func(Peer) bool) Peer {
-	best := self
+	best, found := self, d.trusted(self.Name, now)
 	for _, p := range live {
-		if !in(p) || p.Name != self.Name && !d.trusted(p.Name, now) {
+		if p.Name == self.Name || !in(p) || !d.trusted(p.Name, now) {
 			continue
 		}
-		if before(p, best) {
-			best = p
+		if !found || before(p, best) {
+			best, found = p, true
 		}
 	}
 	return best
@@ -73,13 +102,3 @@
 func before(a, b Peer) bool {
 	return cmp.Or(cmp.Compare(xxh3.HashString(a.Name), xxh3.HashString(b.Name)), cmp.Compare(a.Name, b.Name)) < 0
 }
-
-// SortPeers orders routers as ParentOf ranks them.
-func SortPeers(peers []Peer) {
-	slices.SortFunc(peers, func(a, b Peer) int {
-		if before(a, b) {
-			return -1
-		}
-		return 1
-	})
-}
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -29,13 +29,9 @@
 	ownReadAfter = 2500 * time.Millisecond
 	// idlePause is how often a router that need not read looks again.
 	idlePause = 50 * time.Millisecond
-	// lapseAfter is how long an outage lasts before entries can have lapsed in
-	// it: engines renew them about every second, and three renewals are missed
-	// before an entry goes.
-	lapseAfter = 1500 * time.Millisecond
-	// doubtFor is how long after the store's return a missing entry says
-	// nothing about its engine: engines register again within this time.
-	doubtFor = 2 * time.Second
+	// lostAfter is how long the store fails before another router is let try.
+	// One lost packet or a moment of overload is not worth a change.
+	lostAfter = 400 * time.Millisecond
 )
 
 // Reader reads the store while this router is the one to do so, or has not
@@ -48,7 +44,6 @@
 	Reads func() bool
 	Log   *log.Logger
 
-	doubtUntil atomic.Int64
 	// downSince is the boot time of the first of a series of failures of each
 	// watch, or zero.
 	downSince [2]atomic.Int64
@@ -65,11 +60,17 @@
 
 var watchNames = [...]string{"configuration", "engines"}
 
-// DoubtUntil is the boot time until which a missing entry says nothing.
-func (r *Reader) DoubtUntil() time.Duration { return time.Duration(r.doubtUntil.Load()) }
-
-// SetDoubt takes over from another router until when removals are in doubt.
-func (r *Reader) SetDoubt(until time.Duration) { r.doubtUntil.Store(int64(until)) }
+// Lost says whether this router is to read the store, and can't.
+func (r *Reader) Lost() bool {
+	now := r.Clock()
+	for i := range r.downSince {
+		since := time.Duration(r.downSince[i].Load())
+		if since != 0 && now-since >= lostAfter {
+			return r.Reads()
+		}
+	}
+	return false
+}
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
@@ -127,9 +128,7 @@
 	}
 }
 
-// lost notes a failure. Once the store has been away for as long as an entry
-// can lapse in, missing entries are in doubt: their engines may be alive and
-// unable to renew them, and taking all of them for gone would end the service.
+// lost notes a failure.
 func (r *Reader) lost(which int, err error) {
 	now := r.Clock()
 	if r.downSince[which].CompareAndSwap(0, int64(now)) {
@@ -137,9 +136,6 @@
 		r.Log.Warn("store lost", "watch", watchNames[which], "cause", err,
 			"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
 	}
-	if now-time.Duration(r.downSince[which].Load()) >= lapseAfter {
-		r.SetDoubt(now + maxFailurePause + doubtFor)
-	}
 }
 
 func (r *Reader) watchConfig(ctx context.Context) error {
@@ -199,15 +195,10 @@
 		r.Log.Debug("engine entry", "engine", e.ID, "service", e.Service, "draining", e.Draining, "revision", e.Revision)
 	}
 	for _, removal := range update.Removed {
-		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision,
-			"doubt_for", max(0, r.DoubtUntil()-sent))
-	}
-	doubtUntil := r.DoubtUntil()
-	if doubtUntil <= r.Clock() {
-		doubtUntil = 0
+		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision)
 	}
 	nothing := !update.Full && len(update.Present)+len(update.Removed) == 0
-	r.Board.PutEngines(ctx, update, r.asOf(sent, nothing), doubtUntil)
+	r.Board.PutEngines(ctx, update, r.asOf(sent, nothing))
 	return nil
 }
 
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -42,9 +42,8 @@
 	Engines catalog.EngineUpdate
 	// EnginesAge is the age of the last confirmation, as of the reply.
 	EnginesAge time.Duration
-	// DoubtFor says for how long from the reply removed engines are to be
-	// kept in service; see Reader.
-	DoubtFor time.Duration
+	// StoreLost means that the one asked is to read the store, and can't.
+	StoreLost bool
 	// Held is how long the reply was held. What it says is that much younger
 	// than the pull.
 	Held time.Duration
@@ -57,14 +56,14 @@
 	board *Board
 	loads *Loads
 	clock Clock
-	// doubtUntil is the boot time until which removals are in doubt.
-	doubtUntil func() time.Duration
-	ctx        context.Context
+	// storeLost says whether this router is to read the store, and can't.
+	storeLost func() bool
+	ctx       context.Context
 }
 
 // NewRelay returns a Relay that stops holding pulls when the context ends.
-func NewRelay(ctx context.Context, board *Board, loads *Loads, clock Clock, doubtUntil func() time.Duration) *Relay {
-	return &Relay{board: board, loads: loads, clock: clock, doubtUntil: doubtUntil, ctx: ctx}
+func NewRelay(ctx context.Context, board *Board, loads *Loads, clock Clock, storeLost func() bool) *Relay {
+	return &Relay{board: board, loads: loads, clock: clock, storeLost: storeLost, ctx: ctx}
 }
 
 // Pull answers once the board holds something newer, or after args.Wait. It is
@@ -108,7 +107,7 @@
 	out := PullReply{
 		ConfigAge:  s.ConfigAge(now),
 		EnginesAge: s.EnginesAge(now),
-		DoubtFor:   max(0, r.doubtUntil()-now),
+		StoreLost:  r.storeLost(),
 		Loads:      r.loads.Without(args.From, now),
 	}
 	if s.Config != nil {
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -49,7 +49,8 @@
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
 	Options
-	leaving  atomic.Int32
+	// leaving is nil until the router is told to stop.
+	leaving  atomic.Pointer[leaving]
 	inFlight atomic.Int64
 	stats    *Stats
 }
@@ -65,27 +66,36 @@
 // InFlight is how many requests are being handled.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
-// The steps of leaving.
-const (
-	serving int32 = iota
-	// closing answers requests and closes their connections.
-	closing
-	// refusing answers new requests with a refusal.
-	refusing
-)
+// Leave makes callers go elsewhere: their connections are closed after the next
+// answer, and requests are taken only while they can end before stop, the time
+// until the process ends.
+func (f *Forwarder) Leave(stop time.Duration) {
+	f.leaving.Store(&leaving{since: f.Clock(), stop: stop})
+}
 
-// StartLeaving makes callers go elsewhere: their connections are closed after
-// the next answer.
-func (f *Forwarder) StartLeaving() { f.leaving.Store(closing) }
+// leaving is the state of a router that was told to stop.
+type leaving struct {
+	// since is the boot time at which it was told, stop how long it has.
+	since, stop time.Duration
+}
+
+// acceptShare is the part of the time to stop in which any request is still
+// taken: callers keep an old address for some seconds. A long stream that came
+// later would be cut.
+const acceptShare = 0.3
 
-// RefuseNew refuses requests that arrive from now on. Nothing of them has run.
-func (f *Forwarder) RefuseNew() { f.leaving.Store(refusing) }
+// accepts says whether a request that arrives at now and may take up to limit
+// is still taken.
+func (l *leaving) accepts(now, limit time.Duration) bool {
+	gone := now - l.since
+	return gone <= time.Duration(acceptShare*float64(l.stop)) || gone+limit <= l.stop
+}
 
 // ServeHTTP carries one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.leaving.Load() != serving {
+	if f.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{f: f, w: w, r: r, started: f.Clock()}
@@ -147,7 +157,7 @@
 		limit = min(limit, x.req.Timeout)
 	}
 	x.deadline = x.started + limit
-	if x.f.leaving.Load() == refusing {
+	if l := x.f.leaving.Load(); l != nil && !l.accepts(x.started, limit) {
 		return notRun(ReasonLeaving, retrySoon)
 	}
 	return x.readBody()
--- a/internal/edge/node/leave.go
+++ b/internal/edge/node/leave.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// acceptShare is the part of the time to stop in which new requests are
-	// still taken: callers keep an old address for a while. A request that
-	// came later could not be sure to end in time.
-	acceptShare = 0.6
+	// stayShare is the part of the time to stop for which the router stays at
+	// least: callers that still have its address are served, or told to go
+	// elsewhere, rather than find nobody.
+	stayShare = 0.7
 	// stopMargin is kept free at the end, for the process to exit.
 	stopMargin = 400 * time.Millisecond
 	// drainPoll is how often the requests in progress are counted.
@@ -26,14 +26,13 @@
 	started := bootclock.Now()
 	r.leaving.Store(true)
 	r.log.Info("leaving", "in_flight", r.forwarder.InFlight())
-	r.forwarder.StartLeaving()
+	stop := time.Duration(r.set.Bounds.Stop) - stopMargin
+	r.forwarder.Leave(stop)
 	if err := r.gossip.Leave(); err != nil {
 		r.log.Warn("leave not announced", "cause", err)
 	}
-	stop := time.Duration(r.set.Bounds.Stop)
-	pause.For(ctx, time.Duration(acceptShare*float64(stop)))
-	r.forwarder.RefuseNew()
-	for r.forwarder.InFlight() > 0 && bootclock.Now()-started < stop-stopMargin {
+	pause.For(ctx, time.Duration(stayShare*float64(stop)))
+	for r.forwarder.InFlight() > 0 && bootclock.Now()-started < stop {
 		if !pause.For(ctx, drainPoll) {
 			break
 		}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -124,7 +124,7 @@
 }
 
 func (r *Router) assembleFeed() {
-	r.board = feed.NewBoard(bootclock.Now)
+	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.set.Bounds.Beat))
 	r.loads = feed.NewLoads(func() map[string]int { return r.engines.Own() })
 	r.reader = &feed.Reader{
 		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
@@ -134,7 +134,7 @@
 	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
 	r.follower = &feed.Follower{
 		Self: r.self, Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log,
-		Live: r.live, OnDoubt: r.reader.SetDoubt,
+		Live: r.live, StoreLost: r.reader.Lost,
 		Call: func(ctx context.Context, to feed.Peer, method string, args, reply any) error {
 			return r.caller.Call(ctx, peer.Target{Name: to.Name, Address: to.Address}, method, args, reply)
 		},
@@ -214,7 +214,7 @@
 		return err
 	}
 	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
-	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.reader.DoubtUntil)
+	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.reader.Lost)
 	if err := r.calls.Register(feed.RelayName, relay); err != nil {
 		return err
 	}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -74,6 +74,8 @@
 type Bounds struct {
 	// Revoke is how long a revoked API key may still be accepted.
 	Revoke Milliseconds `yaml:"revoke_ms" validate:"min=1000000"`
+	// Beat is how often engines renew their entries in the store.
+	Beat Milliseconds `yaml:"beat_ms" validate:"min=1000000"`
 	// Stop is how long the process has after it was told to stop.
 	Stop Seconds `yaml:"stop_s" validate:"min=1000000"`
 	// RetryRatio, RetrySlack and RetryWindow bound what a service may get
