--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -129,6 +129,9 @@
 	executed int
 	sends    int
 	avoid    map[string]bool
+	// failure is an engine's own failure, which is the answer if no other
+	// engine gives a better one.
+	failure *wholeFailure
 	// answered is set once a byte of an answer has gone to the caller.
 	answered  bool
 	firstByte time.Duration
@@ -240,7 +243,8 @@
 
 func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil }
 
-// refuse sends a final answer of the router's own, unless an answer has begun:
+// refuse sends the final answer where no engine has served the request: an
+// engine's own failure if there is one, else the router's refusal, unless an answer has begun:
 // then the connection is cut, so that the answer does not look complete.
 func (x *exchange) refuse(refusal *Refusal) {
 	x.outcome = refusal.Reason
@@ -248,6 +252,10 @@
 		x.aborted = true
 		return
 	}
+	if x.failure != nil {
+		x.answerWhole(x.failure.status, x.failure.header, x.failure.body)
+		return
+	}
 	x.status = refusal.Status
 	refusal.write(x.w, x.f.Codec, x.req.ID)
 }
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -311,39 +311,35 @@
 		x.logAttempt(e, err, 0)
 		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
 	}
-	if answer.Status >= http.StatusInternalServerError {
-		x.f.observe(e, outlier.Failure, 0)
-		next := x.mayRepeat(nil)
-		if next.verdict == another && x.f.Budget.Spend(e.Service, x.f.Clock()) {
-			if again, ok := x.sendElsewhere(e); ok {
-				return again
-			}
-		}
-	} else {
+	if answer.Status < http.StatusInternalServerError {
 		x.f.observe(e, outlier.Success, 0)
+		x.answerWhole(answer.Status, answer.Header, body)
+		return result{verdict: done}
 	}
-	x.writeHeader(answer)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(answer.Status)
-	_, _ = x.w.Write(body)
-	return result{verdict: done}
+	x.f.observe(e, outlier.Failure, 0)
+	x.failure = &wholeFailure{answer.Status, answer.Header, body}
+	return x.mayRepeat(failed(http.StatusBadGateway, ReasonNoAnswer))
+}
+
+// wholeFailure is an engine's own answer that the request failed.
+type wholeFailure struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
-// sendElsewhere sends the request to another engine after an engine's own
-// failure. If that comes to nothing, the failure at hand is the answer.
-func (x *exchange) sendElsewhere(failedAt catalog.Engine) (result, bool) {
-	x.avoid[failedAt.ID] = true
-	choice, ok := x.pick()
-	if !ok {
-		return result{}, false
-	}
-	again := x.send(choice)
-	return again, again.verdict == done
+// answerWhole passes on an answer that was read whole.
+func (x *exchange) answerWhole(status int, header http.Header, body []byte) {
+	x.writeHeader(status, header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(status)
+	// A caller that has left needs no answer.
+	_, _ = x.w.Write(body)
 }
 
 // relayLong passes on an answer that is too long to be held.
 func (x *exchange) relayLong(answer *engineconn.Answer, start []byte) result {
-	x.writeHeader(answer)
+	x.writeHeader(answer.Status, answer.Header)
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
@@ -358,14 +354,14 @@
 }
 
 // writeHeader copies the engine's header for the caller.
-func (x *exchange) writeHeader(answer *engineconn.Answer) {
+func (x *exchange) writeHeader(status int, header http.Header) {
 	leaving := x.w.Header().Get("Connection")
-	x.f.Codec.CallerHeader(x.w.Header(), answer.Header)
+	x.f.Codec.CallerHeader(x.w.Header(), header)
 	if leaving != "" {
 		x.w.Header().Set("Connection", leaving)
 	}
 	x.answered = true
-	x.status = answer.Status
+	x.status = status
 	x.firstByte = x.f.Clock() - x.started
 }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -109,7 +109,7 @@
 		n, err := answer.Read(buf)
 		if whole := split.add(buf[:n]); len(whole) > 0 {
 			if !x.answered {
-				x.writeHeader(answer)
+				x.writeHeader(answer.Status, answer.Header)
 				x.w.WriteHeader(answer.Status)
 			}
 			if _, writeErr := x.w.Write(whole); writeErr != nil {
