--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -24,8 +24,8 @@
 	// flight: loadFactor times the mean over the service, and loadSlack.
 	// Below twice the mean and three, which the operators allow, they leave
 	// room for what other routers send before their loads are heard.
-	loadFactor = 1.5
-	loadSlack  = 2
+	loadFactor = 1.8
+	loadSlack  = 3
 	// siteBonus is the load that a plain engine in another site must have
 	// less, as a share of its slots, to be taken: bytes between sites cost.
 	siteBonus = 0.1
