feed: a circle of routers that ask one another is seen at once

Cause: of two routers that the store turned away, one asked the other back: it distrusted itself, and the other did not know. An answer names the chain it came through; an asker that finds itself in it distrusts its source. Besides, watches are held 0.6 s instead of 1 s, so that a reader whose watch hangs is passed over in time, and a second refusal within 0.1 s is enough. Ruled out: a second reader at all times, as many calls more, and its news would have to travel upwards.

--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,11 +20,11 @@
 	pullTimeout = pullWait + 500*time.Millisecond
 	// staleAfter is the age from which another parent is looked for. A tree
 	// that works keeps the age below the reader's wait and gap and two pulls,
-	// 1.7 s in all.
-	staleAfter = 2000 * time.Millisecond
+	// 1.3 s in all.
+	staleAfter = 1500 * time.Millisecond
 	// newParentGrace is how long a new parent may still give old answers: it
 	// may itself have to find out first that it is the one to read.
-	newParentGrace = 500 * time.Millisecond
+	newParentGrace = 400 * time.Millisecond
 	// retryPause spaces pulls after a failure.
 	retryPause = 50 * time.Millisecond
 )
@@ -48,11 +49,24 @@
 	parent   Peer
 	since    time.Duration
 	reading  atomic.Bool
+	// chain names the routers through which the catalog comes, the reader of
+	// the store last.
+	chain atomic.Pointer[[]string]
 }
 
 // Reads says whether this router is the one to read the store.
 func (f *Follower) Reads() bool { return f.reading.Load() }
 
+// Chain names the routers through which this one's catalog comes, itself first
+// and the reader of the store last.
+func (f *Follower) Chain() []string {
+	out := []string{f.Self.Name}
+	if rest := f.chain.Load(); rest != nil && !f.Reads() {
+		out = append(out, *rest...)
+	}
+	return out
+}
+
 // Run asks until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.distrust = make(Distrust)
@@ -114,6 +128,7 @@
 func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
 	said := sent + reply.Held
 	f.Loads.FromParent(reply.Loads, f.Clock())
+	f.chain.Store(&reply.Chain)
 	c := reply.Config
 	if c != nil {
 		c = catalog.NewConfig(*c)
@@ -127,10 +142,13 @@
 	f.Board.PutEngines(ctx, reply.Engines, said-reply.EnginesAge)
 }
 
-// judge distrusts a parent that can't reach the store, or whose knowledge has
-// grown old.
+// judge distrusts a parent that can't reach the store, whose knowledge has grown
+// old, or that asks this router, directly or through others: then none of them
+// reads. The last shows in the parent's chain.
 func (f *Follower) judge(parent Peer, reply PullReply) {
 	switch {
+	case slices.Contains(reply.Chain, f.Self.Name):
+		f.suspect(parent, "circle", nil)
 	case f.Clock()-f.since <= newParentGrace:
 	case reply.StoreLost:
 		f.suspect(parent, "store lost", nil)
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -13,16 +13,17 @@
 const (
 	// watchWait is how long the store holds a watch. It sets the age of a
 	// confirmation and the calls in quiet times; changes arrive at once.
-	watchWait = time.Second
+	watchWait = 600 * time.Millisecond
 	// watchTimeout bounds a watch: its wait, and a slow store or a lost packet.
-	// A watch on a connection that went silent ends by it.
-	watchTimeout = watchWait + 500*time.Millisecond
+	// A watch on a connection that went silent ends by it, and another router
+	// must then still hear of a change within two seconds of it.
+	watchTimeout = watchWait + 400*time.Millisecond
 	// watchGap is the least pause between two watches, so that a series of
 	// changes does not become a series of calls.
 	watchGap = 100 * time.Millisecond
 	// failurePause spaces calls to a store that refuses; it doubles up to
 	// maxFailurePause.
-	failurePause    = 250 * time.Millisecond
+	failurePause    = 150 * time.Millisecond
 	maxFailurePause = time.Second
 	// ownReadAfter is the age from which a router that is not the reader reads
 	// for itself, because no other router seems to be able to.
@@ -31,7 +32,7 @@
 	idlePause = 50 * time.Millisecond
 	// lostAfter is how long the store fails before another router is let try.
 	// One lost packet or a moment of overload is not worth a change.
-	lostAfter = 400 * time.Millisecond
+	lostAfter = 100 * time.Millisecond
 )
 
 // Reader reads the store while this router is the one to do so, or has not
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
@@ -44,6 +45,9 @@
 	EnginesAge time.Duration
 	// StoreLost means that the one asked is to read the store, and can't.
 	StoreLost bool
+	// Chain names the routers through which the answer came, the one asked
+	// first and the reader of the store last.
+	Chain []string
 	// Held is how long the reply was held. What it says is that much younger
 	// than the pull.
 	Held time.Duration
@@ -58,15 +62,17 @@
 	clock Clock
 	// storeLost says whether this router is to read the store, and can't.
 	storeLost func() bool
+	chain     func() []string
 	ctx       context.Context
 }
 
 // NewRelay returns a Relay that stops holding pulls when the context ends.
-func NewRelay(ctx context.Context, board *Board, loads *Loads, clock Clock, storeLost func() bool) *Relay {
-	return &Relay{board: board, loads: loads, clock: clock, storeLost: storeLost, ctx: ctx}
+func NewRelay(ctx context.Context, board *Board, loads *Loads, clock Clock, storeLost func() bool, chain func() []string) *Relay {
+	return &Relay{board: board, loads: loads, clock: clock, storeLost: storeLost, chain: chain, ctx: ctx}
 }
 
-// Pull answers once the board holds something newer, or after args.Wait. It is
+// Pull answers once the board holds something newer, or after args.Wait, and at
+// once where the asker is the source of what this router knows. It is
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
 	started := r.clock()
@@ -75,7 +81,7 @@
 	defer timer.Stop()
 	for {
 		changed := r.board.Changed()
-		if r.news(args) {
+		if r.news(args) || slices.Contains(r.chain(), args.From) {
 			break
 		}
 		select {
@@ -108,6 +114,7 @@
 		ConfigAge:  s.ConfigAge(now),
 		EnginesAge: s.EnginesAge(now),
 		StoreLost:  r.storeLost(),
+		Chain:      r.chain(),
 		Loads:      r.loads.Without(args.From, now),
 	}
 	if s.Config != nil {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -214,7 +214,7 @@
 		return err
 	}
 	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
-	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.reader.Lost)
+	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.reader.Lost, r.follower.Chain)
 	if err := r.calls.Register(feed.RelayName, relay); err != nil {
 		return err
 	}
