--- a/internal/edge/forward/budget.go
+++ b/internal/edge/forward/budget.go
@@ -22,6 +22,10 @@
 // not start and end with the windows of whoever checks them.
 const budgetMargin = 0.7
 
+// fewestRouters is how many routers are taken to share the slack at least: one
+// that knows fewer has most likely not heard of the others yet.
+const fewestRouters = 6
+
 // Budgets holds a router's part of the fleet's retry budget, one for each
 // service. Each router takes the ratio of its own requests and an equal part of
 // the slack, so that the sum stays within the limits however the traffic is
@@ -53,23 +57,28 @@
 	return b.of(service, now).Spend(at(now))
 }
 
+// of returns the service's budget, sized for the routers that share it now. A
+// router that has just started knows no other yet; were its part fixed then, it
+// would take the whole slack for itself.
 func (b *Budgets) of(service string, now time.Duration) *retry.Budget {
 	budget := b.services[service]
 	if budget == nil {
 		budget = retry.NewBudget(at(now), b.share())
 		b.services[service] = budget
+		return budget
 	}
+	budget.Configure(at(now), b.share())
 	return budget
 }
 
 // share is this router's part: half of its slack can be saved up, and the other
 // half comes evenly over a window, so that both together stay within it.
 func (b *Budgets) share() retry.BudgetConfig {
-	slack := budgetMargin * b.limits.Slack / float64(max(b.routers(), 1))
+	slack := budgetMargin * b.limits.Slack / float64(max(b.routers(), fewestRouters))
 	return retry.BudgetConfig{
 		Ratio:        budgetMargin * b.limits.Ratio,
 		MinPerSecond: slack / 2 / b.limits.Window.Seconds(),
-		Burst:        max(slack/2, 1),
+		Burst:        max(slack/2, 1.5),
 	}
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -33,6 +33,12 @@
 
 // NewBudget returns a full budget.
 func NewBudget(now time.Time, cfg BudgetConfig) *Budget {
+	cfg = cfg.withDefaults()
+	return &Budget{cfg: cfg, tokens: cfg.Burst, last: now}
+}
+
+// withDefaults replaces zero fields.
+func (cfg BudgetConfig) withDefaults() BudgetConfig {
 	if cfg.Ratio <= 0 {
 		cfg.Ratio = DefaultRatio
 	}
@@ -42,7 +48,15 @@
 	if cfg.Burst <= 0 {
 		cfg.Burst = DefaultBurst
 	}
-	return &Budget{cfg: cfg, tokens: cfg.Burst, last: now}
+	return cfg
+}
+
+// Configure changes the limits from now on. What was saved up is kept as far as
+// the new burst allows; a larger one fills as time goes by.
+func (b *Budget) Configure(now time.Time, cfg BudgetConfig) {
+	b.advance(now)
+	b.cfg = cfg.withDefaults()
+	b.tokens = min(b.tokens, b.cfg.Burst)
 }
 
 // Fresh counts a request that is sent for the first time.
