feed: the store is asked by few, at the start and while it is away

Each router reads once at its start and then waits a second for the others; six refused readers in a row mean that the store is away, after which one goes on trying; pauses of the others double; engines' changes are gathered for 0.3 s.

--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -52,6 +52,11 @@
 	// chain names the routers through which the catalog comes, the reader of
 	// the store last.
 	chain atomic.Pointer[[]string]
+	// upstreamLost means that the reader at the end of the chain can't reach
+	// the store.
+	upstreamLost atomic.Bool
+	// answered is the boot time at which another router last answered.
+	answered atomic.Int64
 }
 
 // Reads says whether this router is the one to read the store.
@@ -67,14 +72,32 @@
 	return out
 }
 
+// Lost says whether the reader of the store, this router or the one at the end
+// of its chain, can't reach the store.
+func (f *Follower) Lost() bool {
+	if f.Reads() {
+		return f.StoreLost()
+	}
+	return f.upstreamLost.Load()
+}
+
+// aloneAfter is how long without an answer of another router makes a router
+// alone.
+const aloneAfter = 1500 * time.Millisecond
+
+// Alone says whether no other router has answered lately.
+func (f *Follower) Alone() bool {
+	return f.Clock()-time.Duration(f.answered.Load()) > aloneAfter
+}
+
 // Run asks until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.distrust = make(Distrust)
 	for ctx.Err() == nil {
 		now := f.Clock()
 		f.distrust.Forget(now)
-		if f.reading.Load() && f.StoreLost() {
-			f.suspect(f.Self, "store lost", nil)
+		if f.reading.Load() && f.StoreLost() && f.distrust.trusted(f.Self.Name, now) {
+			f.suspect(f.Self, whyStoreLost, nil)
 		}
 		parent, ok := ParentOf(f.Self, f.Live(), f.distrust, now)
 		f.reading.Store(!ok)
@@ -114,7 +137,7 @@
 	err := f.Call(callCtx, parent, PullMethod, args, &reply)
 	cancel()
 	if err != nil {
-		f.suspect(parent, "no answer", err)
+		f.suspect(parent, whyNoAnswer, err)
 		pause.For(ctx, retryPause)
 		return
 	}
@@ -129,6 +152,8 @@
 	said := sent + reply.Held
 	f.Loads.FromParent(reply.Loads, f.Clock())
 	f.chain.Store(&reply.Chain)
+	f.upstreamLost.Store(reply.StoreLost)
+	f.answered.Store(int64(f.Clock()))
 	c := reply.Config
 	if c != nil {
 		c = catalog.NewConfig(*c)
@@ -148,18 +173,29 @@
 func (f *Follower) judge(parent Peer, reply PullReply) {
 	switch {
 	case slices.Contains(reply.Chain, f.Self.Name):
-		f.suspect(parent, "circle", nil)
+		f.suspect(parent, whyCircle, nil)
 	case f.Clock()-f.since <= newParentGrace:
+	case reply.StoreLost && len(reply.Chain) == 1:
+		f.suspect(parent, whyStoreLost, nil)
 	case reply.StoreLost:
-		f.suspect(parent, "store lost", nil)
+		// The parent's own source can't reach the store; it is for the parent
+		// to find another.
 	case max(reply.ConfigAge, reply.EnginesAge) > staleAfter:
-		f.suspect(parent, "stale", nil)
+		f.suspect(parent, whyStale, nil)
 	}
 }
 
+// Why a source is distrusted, as logged.
+const (
+	whyNoAnswer  = "no answer"
+	whyCircle    = "circle"
+	whyStoreLost = "store lost"
+	whyStale     = "stale"
+)
+
 func (f *Follower) suspect(parent Peer, why string, cause error) {
 	now := f.Clock()
-	f.distrust.Add(parent.Name, now)
+	f.distrust.Add(parent.Name, why == whyStoreLost, now)
 	s := f.Board.Snapshot()
 	f.Log.Warn("catalog source distrusted", "source", parent.Name, "why", why, "cause", cause,
 		"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
--- a/internal/edge/feed/parent.go
+++ b/internal/edge/feed/parent.go
@@ -22,6 +22,10 @@
 	// maxDistrust bounds the doubling for a router that fails each time it is
 	// asked again. Each new try costs the others some freshness.
 	maxDistrust = 8 * time.Second
+	// maxReaders is how many routers try the store one after the other before
+	// it is taken to be away. Each refused call costs; where a third of the
+	// routers are turned away, one in seven hundred times all of so many are.
+	maxReaders = 6
 	// forgiveAfter is how long after a distrust has ended its length is
 	// remembered.
 	forgiveAfter = 10 * time.Second
@@ -34,10 +38,13 @@
 type distrusted struct {
 	until  time.Duration
 	length time.Duration
+	// storeLost means that the router was passed over for the store's sake.
+	storeLost bool
 }
 
 // Add distrusts a router from now on, for twice as long as the last time.
-func (d Distrust) Add(name string, now time.Duration) {
+// StoreLost says that it is distrusted because it can't reach the store.
+func (d Distrust) Add(name string, storeLost bool, now time.Duration) {
 	if !d.trusted(name, now) {
 		return
 	}
@@ -45,7 +52,7 @@
 	if last, ok := d[name]; ok {
 		length = min(2*last.length, maxDistrust)
 	}
-	d[name] = distrusted{until: now + length, length: length}
+	d[name] = distrusted{until: now + length, length: length, storeLost: storeLost}
 }
 
 // trusted says whether the router may be asked at now.
@@ -62,6 +69,18 @@
 	}
 }
 
+// storeAway says whether so many routers can't reach the store that the store is
+// away, rather than turning some routers away.
+func (d Distrust) storeAway(now time.Duration) bool {
+	n := 0
+	for _, entry := range d {
+		if entry.storeLost && now < entry.until {
+			n++
+		}
+	}
+	return n >= maxReaders
+}
+
 // ParentOf returns whom self asks for the catalog, and false if self is the one
 // to read the store.
 //
@@ -74,8 +93,12 @@
 // they hold then grows old, they distrust each other, and one of them reads.
 //
 // A router that can't reach the store distrusts itself, and asks the next one.
-// If none is trusted, each reads for itself.
+// While the store is away for all, the order holds as if all were trusted: one
+// router goes on trying, and the others do not add to the calls.
 func ParentOf(self Peer, live []Peer, d Distrust, now time.Duration) (Peer, bool) {
+	if d.storeAway(now) {
+		d = nil
+	}
 	site := first(self, live, d, now, func(p Peer) bool { return p.Site == self.Site })
 	if site.Name != self.Name {
 		return site, true
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -18,16 +18,29 @@
 	// A watch on a connection that went silent ends by it, and another router
 	// must then still hear of a change within two seconds of it.
 	watchTimeout = watchWait + 400*time.Millisecond
-	// watchGap is the least pause between two watches, so that a series of
-	// changes does not become a series of calls.
-	watchGap = 100 * time.Millisecond
+	// configGap and enginesGap are the least pauses between two watches, so
+	// that a series of changes does not become a series of calls. Engines change
+	// all the time in a large fleet, and a change of the configuration is
+	// waited for by operators.
+	configGap  = 100 * time.Millisecond
+	enginesGap = 300 * time.Millisecond
 	// failurePause spaces calls to a store that refuses; it doubles up to
 	// maxFailurePause.
 	failurePause    = 150 * time.Millisecond
 	maxFailurePause = time.Second
-	// ownReadAfter is the age from which a router that is not the reader reads
-	// for itself, because no other router seems to be able to.
-	ownReadAfter = 2500 * time.Millisecond
+	// settleTime is how long after its start a router may find others before
+	// it takes itself for the one to read. It reads once at the start in any
+	// case, so that it can serve at once.
+	settleTime = time.Second
+	// aloneReadAfter is the age from which a router that no other answers reads
+	// for itself.
+	aloneReadAfter = 2 * time.Second
+	// ownReadAfter is the age from which any router does. Others are looked for
+	// first, and a store that is away is not to be asked by all.
+	ownReadAfter = 8 * time.Second
+	// maxOwnPause bounds the doubling of the pauses of a router that reads for
+	// itself while it is not the one to read.
+	maxOwnPause = 4 * time.Second
 	// idlePause is how often a router that need not read looks again.
 	idlePause = 50 * time.Millisecond
 	// lostAfter is how long the store fails before another router is let try.
@@ -43,6 +56,8 @@
 	Clock Clock
 	// Reads says whether this router is the one to read.
 	Reads func() bool
+	// Alone says whether no other router answers.
+	Alone func() bool
 	Log   *log.Logger
 
 	// downSince is the boot time of the first of a series of failures of each
@@ -51,6 +66,7 @@
 	// configCursor is the store's version up to which the configuration was
 	// read here; zero asks for all of it. Only Run's goroutine uses it.
 	configCursor uint64
+	started      time.Duration
 }
 
 // The store is watched twice, for the configuration and for the engines.
@@ -75,17 +91,18 @@
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
+	r.started = r.Clock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.loop(ctx, watchesEngines, r.watchEngines)
+		r.loop(ctx, watchesEngines, enginesGap, r.watchEngines)
 	}()
-	r.loop(ctx, watchesConfig, r.watchConfig)
+	r.loop(ctx, watchesConfig, configGap, r.watchConfig)
 	<-done
 }
 
 // loop calls watch while it is this router's turn.
-func (r *Reader) loop(ctx context.Context, which int, watch func(context.Context) error) {
+func (r *Reader) loop(ctx context.Context, which int, gap time.Duration, watch func(context.Context) error) {
 	wait := failurePause
 	for ctx.Err() == nil {
 		if !r.due(which) {
@@ -98,7 +115,7 @@
 		if err == nil {
 			r.up(which)
 			wait = failurePause
-			pause.For(ctx, watchGap)
+			pause.For(ctx, gap)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -106,18 +123,36 @@
 		}
 		r.lost(which, err)
 		pause.For(ctx, wait)
-		wait = min(2*wait, maxFailurePause)
+		wait = min(2*wait, r.maxPause())
 	}
 }
 
-func (r *Reader) due(which int) bool {
+// maxPause bounds the pauses after failures.
+func (r *Reader) maxPause() time.Duration {
 	if r.Reads() {
-		return true
+		return maxFailurePause
 	}
+	return maxOwnPause
+}
+
+// due says whether to call the store now.
+func (r *Reader) due(which int) bool {
 	s := r.Board.Snapshot()
-	age := s.ConfigAge(r.Clock())
+	now := r.Clock()
+	asOf := s.ConfigAsOf
 	if which == watchesEngines {
-		age = s.EnginesAge(r.Clock())
+		asOf = s.EnginesAsOf
+	}
+	age := now - asOf
+	switch {
+	case asOf == 0:
+		return true
+	case now-r.started < settleTime:
+		return false
+	case r.Reads():
+		return true
+	case r.Alone():
+		return age > aloneReadAfter
 	}
 	return age > ownReadAfter
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -129,6 +129,7 @@
 	r.reader = &feed.Reader{
 		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
 		Reads: func() bool { return r.follower.Reads() },
+		Alone: func() bool { return r.follower.Alone() },
 	}
 	r.caller = peer.NewCaller(r.set.Name, r.fleetKeys, &r.counters)
 	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
@@ -214,7 +215,7 @@
 		return err
 	}
 	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
-	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.reader.Lost, r.follower.Chain)
+	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.follower.Lost, r.follower.Chain)
 	if err := r.calls.Register(feed.RelayName, relay); err != nil {
 		return err
 	}
