--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -67,6 +67,10 @@
 	// read here; zero asks for all of it. Only Run's goroutine uses it.
 	configCursor uint64
 	started      time.Duration
+	// tried is set once the first call of each watch is made. What it brings
+	// does not matter: before the first configuration is written it brings
+	// nothing, and all routers would go on asking.
+	tried [2]atomic.Bool
 }
 
 // The store is watched twice, for the configuration and for the engines.
@@ -145,7 +149,7 @@
 	}
 	age := now - asOf
 	switch {
-	case asOf == 0:
+	case !r.tried[which].Swap(true):
 		return true
 	case now-r.started < settleTime:
 		return false
