feed: bad links between routers do not leave them stale

A router that had been passed over for the store's sake also distrusted those who still asked it, and old failures of a router that did not read any more counted as new. A parent is distrusted after two failures; a router whose knowledge is 1.7 s old reads for itself unless the others say that the store can't be reached; one that passed itself over waits in a circle.

--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -16,8 +16,9 @@
 	// grows by it at each level of the tree, and the bounds on drains and
 	// configuration leave about two seconds for everything.
 	pullWait = 300 * time.Millisecond
-	// pullTimeout bounds a whole pull: its wait, and two lost packets of TCP.
-	pullTimeout = pullWait + 500*time.Millisecond
+	// pullTimeout bounds a whole pull: its wait, and a packet that TCP sends
+	// again.
+	pullTimeout = pullWait + 350*time.Millisecond
 	// staleAfter is the age from which another parent is looked for. A tree
 	// that works keeps the age below the reader's wait and gap and two pulls,
 	// 1.3 s in all.
@@ -48,6 +49,8 @@
 	distrust Distrust
 	parent   Peer
 	since    time.Duration
+	// failures counts the pulls from the parent that failed in a row.
+	failures int
 	reading  atomic.Bool
 	// chain names the routers through which the catalog comes, the reader of
 	// the store last.
@@ -55,8 +58,6 @@
 	// upstreamLost means that the reader at the end of the chain can't reach
 	// the store.
 	upstreamLost atomic.Bool
-	// answered is the boot time at which another router last answered.
-	answered atomic.Int64
 }
 
 // Reads says whether this router is the one to read the store.
@@ -81,15 +82,6 @@
 	return f.upstreamLost.Load()
 }
 
-// aloneAfter is how long without an answer of another router makes a router
-// alone.
-const aloneAfter = 1500 * time.Millisecond
-
-// Alone says whether no other router has answered lately.
-func (f *Follower) Alone() bool {
-	return f.Clock()-time.Duration(f.answered.Load()) > aloneAfter
-}
-
 // Run asks until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.distrust = make(Distrust)
@@ -121,6 +113,7 @@
 		"reads_store", parent.Name == f.Self.Name, "config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
 	f.parent = parent
 	f.since = now
+	f.failures = 0
 }
 
 func (f *Follower) pull(ctx context.Context, parent Peer) {
@@ -137,12 +130,27 @@
 	err := f.Call(callCtx, parent, PullMethod, args, &reply)
 	cancel()
 	if err != nil {
-		f.suspect(parent, whyNoAnswer, err)
+		// What the old chain said of the store is no news any more.
+		f.upstreamLost.Store(false)
+		f.unanswered(parent, err)
 		pause.For(ctx, retryPause)
 		return
 	}
+	f.failures = 0
 	f.take(ctx, reply, sent)
-	f.judge(parent, reply)
+	f.judge(ctx, parent, reply)
+}
+
+// maxUnanswered is how many pulls in a row may fail before the parent is
+// distrusted: one may be due to a lost packet or a connection that was cut.
+const maxUnanswered = 2
+
+// unanswered counts a failed pull.
+func (f *Follower) unanswered(parent Peer, err error) {
+	f.failures++
+	if f.failures >= maxUnanswered {
+		f.suspect(parent, whyNoAnswer, err)
+	}
 }
 
 // take hands over what the parent said. Ages are counted back from the moment
@@ -153,7 +161,6 @@
 	f.Loads.FromParent(reply.Loads, f.Clock())
 	f.chain.Store(&reply.Chain)
 	f.upstreamLost.Store(reply.StoreLost)
-	f.answered.Store(int64(f.Clock()))
 	c := reply.Config
 	if c != nil {
 		c = catalog.NewConfig(*c)
@@ -170,10 +177,16 @@
 // judge distrusts a parent that can't reach the store, whose knowledge has grown
 // old, or that asks this router, directly or through others: then none of them
 // reads. The last shows in the parent's chain.
-func (f *Follower) judge(parent Peer, reply PullReply) {
+func (f *Follower) judge(ctx context.Context, parent Peer, reply PullReply) {
 	switch {
 	case slices.Contains(reply.Chain, f.Self.Name):
-		f.suspect(parent, whyCircle, nil)
+		// A router that has passed itself over waits for the others to do so
+		// too; whoever of the circle still trusts itself goes on alone.
+		if f.distrust.trusted(f.Self.Name, f.Clock()) {
+			f.suspect(parent, whyCircle, nil)
+		} else {
+			pause.For(ctx, retryPause)
+		}
 	case f.Clock()-f.since <= newParentGrace:
 	case reply.StoreLost && len(reply.Chain) == 1:
 		f.suspect(parent, whyStoreLost, nil)
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -32,12 +32,14 @@
 	// it takes itself for the one to read. It reads once at the start in any
 	// case, so that it can serve at once.
 	settleTime = time.Second
-	// aloneReadAfter is the age from which a router that no other answers reads
-	// for itself.
-	aloneReadAfter = 2 * time.Second
-	// ownReadAfter is the age from which any router does. Others are looked for
-	// first, and a store that is away is not to be asked by all.
-	ownReadAfter = 8 * time.Second
+	// ownReadAfter is the age from which a router reads for itself, because
+	// the others are silent or have nothing newer: links between them may be
+	// bad while the store is well.
+	ownReadAfter = 1700 * time.Millisecond
+	// lostReadAfter is the same while the others say that the store can't be
+	// reached. Six of them have tried then or are about to, and a store that
+	// is away is not to be asked by all.
+	lostReadAfter = 8 * time.Second
 	// maxOwnPause bounds the doubling of the pauses of a router that reads for
 	// itself while it is not the one to read.
 	maxOwnPause = 4 * time.Second
@@ -56,9 +58,10 @@
 	Clock Clock
 	// Reads says whether this router is the one to read.
 	Reads func() bool
-	// Alone says whether no other router answers.
-	Alone func() bool
-	Log   *log.Logger
+	// OthersLost says whether the router that reads for this one can't reach
+	// the store.
+	OthersLost func() bool
+	Log        *log.Logger
 
 	// downSince is the boot time of the first of a series of failures of each
 	// watch, or zero.
@@ -110,6 +113,8 @@
 	wait := failurePause
 	for ctx.Err() == nil {
 		if !r.due(which) {
+			// What failed when this router last read says nothing now.
+			r.downSince[which].Store(0)
 			pause.For(ctx, idlePause)
 			continue
 		}
@@ -155,8 +160,8 @@
 		return false
 	case r.Reads():
 		return true
-	case r.Alone():
-		return age > aloneReadAfter
+	case r.OthersLost():
+		return age > lostReadAfter
 	}
 	return age > ownReadAfter
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -128,8 +128,8 @@
 	r.loads = feed.NewLoads(func() map[string]int { return r.engines.Own() })
 	r.reader = &feed.Reader{
 		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
-		Reads: func() bool { return r.follower.Reads() },
-		Alone: func() bool { return r.follower.Alone() },
+		Reads:      func() bool { return r.follower.Reads() },
+		OthersLost: func() bool { return r.follower.Lost() },
 	}
 	r.caller = peer.NewCaller(r.set.Name, r.fleetKeys, &r.counters)
 	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
