--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -124,7 +124,19 @@
 	if len(candidates) == 0 {
 		return None
 	}
-	return leastLoaded(engines, candidates, rng)
+	return leastLoaded(engines, sample(candidates, rng), rng)
+}
+
+// sampled is how many engines are compared for a plain request. Loads of other
+// routers are heard late; if all routers took the engine that seemed best, it
+// would be the worst a moment later.
+const sampled = 2
+
+func sample(candidates []int, rng *rand.Rand) []int {
+	rng.Shuffle(len(candidates), func(i, j int) {
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	})
+	return candidates[:min(sampled, len(candidates))]
 }
 
 // usable returns the engines that are not ejected; all of them if all are, since
