health: engines are judged by the evidence of all routers

Cause: 67 routers that see a few requests each found a bad engine one by one. Each now reports how its requests ended, in sums that fade with a half-life of 1.5 s, along with its loads; an engine is compared with the rest of its service. Ruled out: sharing verdicts, which one router's bad link would spread.

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -78,7 +78,7 @@
 	if len(candidates) == 0 {
 		return out
 	}
-	out.Engine = within(engines, order, loadBound(engines, candidates), rng)
+	out.Engine = within(engines, order, loadBound(engines, candidates))
 	if out.Engine == None {
 		out.Engine = leastLoaded(engines, candidates, rng)
 	}
@@ -107,11 +107,16 @@
 	return order
 }
 
+// leastShare is the share from which on an engine takes its prompts. A smaller
+// load cannot be had by taking some of them: the rest would have to be read by
+// another engine.
+const leastShare = 0.5
+
 // within returns the first engine in order that stays within the bound, or None.
-func within(engines []Engine, order []int, bound float64, rng *rand.Rand) int {
+func within(engines []Engine, order []int, bound float64) int {
 	for _, i := range order {
 		e := engines[i]
-		if !e.Leaving && float64(e.InFlight)+1 <= bound*e.Share && admitted(e.Share, rng) {
+		if !e.Leaving && e.Share >= leastShare && float64(e.InFlight)+1 <= bound {
 			return i
 		}
 	}
@@ -167,11 +172,6 @@
 	return math.Max(loadFactor*mean+loadSlack, 1)
 }
 
-// admitted lets through the share of requests that a returning engine may take.
-func admitted(share float64, rng *rand.Rand) bool {
-	return share >= 1 || rng.Float64() < share
-}
-
 func leastLoaded(engines []Engine, candidates []int, rng *rand.Rand) int {
 	best, bestLoad := None, math.Inf(1)
 	offset := rng.IntN(len(candidates))
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/health"
 )
 
 // loadLifetime is how long another router's report of its loads counts. Pulls
@@ -10,17 +12,30 @@
 // gone, and its requests with it.
 const loadLifetime = 1500 * time.Millisecond
 
-// LoadReport is the number of requests that some routers have at each engine,
-// by the engine's ID.
+// EngineLoad is what some routers know of one engine by their own requests.
+type EngineLoad struct {
+	// InFlight is how many requests they have at it.
+	InFlight int
+	// Evidence is how their requests at it have ended lately.
+	Evidence health.Evidence
+}
+
+func (l EngineLoad) add(o EngineLoad) EngineLoad {
+	return EngineLoad{InFlight: l.InFlight + o.InFlight, Evidence: l.Evidence.Add(o.Evidence)}
+}
+
+// LoadReport is what some routers know of the engines, by the engine's ID.
 type LoadReport struct {
-	InFlight map[string]int
+	Engines map[string]EngineLoad
 	// Routers is how many routers the report speaks for.
 	Routers int
 }
 
-func (r *LoadReport) add(o LoadReport) {
-	for id, n := range o.InFlight {
-		r.InFlight[id] += n
+// add adds a report that was made age ago.
+func (r *LoadReport) add(o LoadReport, age time.Duration) {
+	for id, l := range o.Engines {
+		l.Evidence = l.Evidence.After(age)
+		r.Engines[id] = r.Engines[id].add(l)
 	}
 	r.Routers += o.Routers
 }
@@ -33,17 +48,17 @@
 // Loads joins this router's loads with those that other routers report. It is
 // safe for concurrent use.
 type Loads struct {
-	// own returns this router's present loads.
-	own func() map[string]int
+	// own returns this router's present loads, in a map of the caller's.
+	own func() map[string]EngineLoad
 
 	mu     sync.Mutex
 	below  map[string]heardReport
 	above  heardReport
-	others map[string]int
+	others map[string]EngineLoad
 }
 
 // NewLoads returns a Loads; own is called for each report.
-func NewLoads(own func() map[string]int) *Loads {
+func NewLoads(own func() map[string]EngineLoad) *Loads {
 	return &Loads{own: own, below: make(map[string]heardReport)}
 }
 
@@ -80,7 +95,7 @@
 
 // Others returns the load of all other routers, as last heard, by engine ID.
 // The map must not be modified.
-func (l *Loads) Others() map[string]int {
+func (l *Loads) Others() map[string]EngineLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.others
@@ -94,10 +109,7 @@
 }
 
 func (l *Loads) sum(without string, now time.Duration, above bool) LoadReport {
-	out := LoadReport{InFlight: make(map[string]int), Routers: 1}
-	for id, n := range l.own() {
-		out.InFlight[id] += n
-	}
+	out := LoadReport{Engines: l.own(), Routers: 1}
 	l.addOthers(&out, without, now, above)
 	return out
 }
@@ -108,16 +120,16 @@
 		case now-heard.at > loadLifetime:
 			delete(l.below, name)
 		case name != without:
-			out.add(heard.report)
+			out.add(heard.report, now-heard.at)
 		}
 	}
 	if above && now-l.above.at <= loadLifetime {
-		out.add(l.above.report)
+		out.add(l.above.report, now-l.above.at)
 	}
 }
 
 func (l *Loads) refresh(now time.Duration) {
-	out := LoadReport{InFlight: make(map[string]int)}
+	out := LoadReport{Engines: make(map[string]EngineLoad)}
 	l.addOthers(&out, "", now, true)
-	l.others = out.InFlight
+	l.others = out.Engines
 }
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -7,7 +7,8 @@
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
-	"damaskrouter.example/damaskrouter/internal/outlier"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/health"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	lru "github.com/hashicorp/golang-lru/v2"
 )
@@ -17,16 +18,22 @@
 type Engines struct {
 	site string
 	// others returns the other routers' loads by engine ID.
-	others func() map[string]int
+	others func() map[string]feed.EngineLoad
+	clock  func() time.Duration
 	rng    *rand.Rand
 
-	mu       sync.Mutex
-	own      map[string]int
-	services map[string]*outlier.Detector
-	// joined holds the engines that their service's detector knows, by ID.
-	joined map[string]string
+	mu  sync.Mutex
+	own map[string]*ownLoad
+	// ejected holds the engines that get no requests, by ID, for the log.
+	ejected map[string]bool
 	// sent remembers when this router last sent a prompt to an engine.
-	sent *lru.Cache[held, time.Time]
+	sent *lru.Cache[held, time.Duration]
+}
+
+// ownLoad is what this router knows of one engine by its own requests.
+type ownLoad struct {
+	inFlight int
+	record   health.Record
 }
 
 // held names a shared part of a prompt at an engine.
@@ -40,49 +47,39 @@
 	heldFor = 30 * time.Second
 )
 
-// healthConfig are the thresholds at which an engine is taken out of service.
-// An outage of an engine lasts seconds, and a request's time limit is about as
-// long: two requests without an answer are enough, and the first return is soon.
-var healthConfig = outlier.Config{
-	MaxEjected:   0.5,
-	Consecutive:  2,
-	SlowFactor:   4,
-	SlowFloor:    300 * time.Millisecond,
-	FailureShare: 0.4,
-	MinSamples:   8,
-	MinPeers:     3,
-	Smoothing:    0.15,
-	BaseEjection: 1500 * time.Millisecond,
-	MaxEjection:  6 * time.Second,
-	ForgetAfter:  10 * time.Second,
-	RampTime:     time.Second,
-	RampSteps:    4,
-}
-
 // NewEngines returns an Engines for a router in a site.
-func NewEngines(site string, others func() map[string]int, rng *rand.Rand) *Engines {
+func NewEngines(site string, others func() map[string]feed.EngineLoad, clock func() time.Duration, rng *rand.Rand) *Engines {
 	// The size is not negative, the only reason to fail.
-	sent, _ := lru.New[held, time.Time](maxHeld)
+	sent, _ := lru.New[held, time.Duration](maxHeld)
 	return &Engines{
-		sent: sent,
-		site: site, others: others, rng: rng,
-		own:      make(map[string]int),
-		services: make(map[string]*outlier.Detector),
-		joined:   make(map[string]string),
+		site: site, others: others, clock: clock, rng: rng, sent: sent,
+		own:     make(map[string]*ownLoad),
+		ejected: make(map[string]bool),
 	}
 }
 
-// Own returns how many requests this router has at each engine.
-func (p *Engines) Own() map[string]int {
+// Own returns what this router knows of the engines.
+func (p *Engines) Own() map[string]feed.EngineLoad {
+	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[string]int, len(p.own))
-	for id, n := range p.own {
-		out[id] = n
+	out := make(map[string]feed.EngineLoad, len(p.own))
+	for id, l := range p.own {
+		out[id] = feed.EngineLoad{InFlight: l.inFlight, Evidence: l.record.At(now)}
 	}
 	return out
 }
 
+// of returns the engine's load. The caller holds the mutex.
+func (p *Engines) of(engine string) *ownLoad {
+	l := p.own[engine]
+	if l == nil {
+		l = &ownLoad{}
+		p.own[engine] = l
+	}
+	return l
+}
+
 // Choice is where a request goes.
 type Choice struct {
 	Engine catalog.Engine
@@ -94,7 +91,8 @@
 
 // Pick chooses an engine of the service and counts a request to it until Done.
 // Engines in avoid are passed over. It returns false if there is none.
-func (p *Engines) Pick(s *catalog.Snapshot, service, sharedPart string, avoid map[string]bool, now time.Time) (Choice, bool) {
+func (p *Engines) Pick(s *catalog.Snapshot, service, sharedPart string, avoid map[string]bool) (Choice, bool) {
+	now := p.clock()
 	others := p.others()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,92 +112,101 @@
 		return Choice{}, false
 	}
 	choice.Engine = engines[i]
-	p.own[choice.Engine.ID]++
+	p.of(choice.Engine.ID).inFlight++
 	return choice, true
 }
 
 // newAt notes that the prompt goes to the engine, and says whether this router
 // has not sent it there lately. An engine that has the prompt has nothing to
 // fetch, and asking costs a few milliseconds.
-func (p *Engines) newAt(engine, sharedPart string, now time.Time) bool {
+func (p *Engines) newAt(engine, sharedPart string, now time.Duration) bool {
 	key := held{engine, sharedPart}
 	last, ok := p.sent.Get(key)
 	p.sent.Add(key, now)
-	return !ok || now.Sub(last) > heldFor
+	return !ok || now-last > heldFor
 }
 
-func (p *Engines) candidates(s *catalog.Snapshot, service string, avoid map[string]bool, others map[string]int, now time.Time) ([]catalog.Engine, []choose.Engine) {
-	det := p.detector(service)
+func (p *Engines) candidates(s *catalog.Snapshot, service string, avoid map[string]bool, others map[string]feed.EngineLoad, now time.Duration) ([]catalog.Engine, []choose.Engine) {
 	var engines []catalog.Engine
 	var out []choose.Engine
+	var evidence []health.Evidence
 	config := s.Config.Service(service)
 	for _, e := range s.Engines.Of(service) {
 		if avoid[e.ID] {
 			continue
 		}
-		p.join(det, e, now)
 		slots := e.Slots
 		if slots == 0 && config != nil {
 			slots = config.Slots
 		}
-		key := rendezvous.ID(e.ID)
+		load := others[e.ID]
+		if own := p.own[e.ID]; own != nil {
+			load.InFlight += own.inFlight
+			load.Evidence = load.Evidence.Add(own.record.At(now))
+		}
 		engines = append(engines, e)
+		evidence = append(evidence, load.Evidence)
 		out = append(out, choose.Engine{
-			ID: e.ID, Key: key, InFlight: p.own[e.ID] + others[e.ID], Slots: slots,
-			Near: e.Site == p.site, Leaving: e.Draining, Share: det.Ramp(key, now),
+			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
+			Near: e.Site == p.site, Leaving: e.Draining,
 		})
 	}
-	return engines, out
-}
-
-func (p *Engines) detector(service string) *outlier.Detector {
-	det := p.services[service]
-	if det == nil {
-		det = outlier.NewDetector(healthConfig)
-		p.services[service] = det
-	}
-	return det
-}
-
-func (p *Engines) join(det *outlier.Detector, e catalog.Engine, now time.Time) {
-	if _, known := p.joined[e.ID]; !known {
-		p.joined[e.ID] = e.Service
-		det.Join(rendezvous.ID(e.ID), now)
+	for i, share := range health.Shares(evidence) {
+		out[i].Share = share
 	}
+	return engines, out
 }
 
 // Done ends the count of a request.
 func (p *Engines) Done(engine string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.own[engine]--; p.own[engine] <= 0 {
-		delete(p.own, engine)
-	}
+	p.of(engine).inFlight--
 }
 
-// Observe notes how an engine did.
-func (p *Engines) Observe(e catalog.Engine, kind outlier.Kind, latency time.Duration, now time.Time) *outlier.Ejection {
+// Note adds how a request at an engine ended.
+func (p *Engines) Note(engine string, good bool) {
+	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.detector(e.Service).Observe(outlier.Observation{
-		Engine: rendezvous.ID(e.ID), Time: now, Kind: kind, Latency: latency,
-	})
+	p.of(engine).record.Note(good, now)
 }
 
-// Review compares the engines of each service, forgets those that have left,
-// and returns who was ejected. It is called about once a second.
-func (p *Engines) Review(s *catalog.Snapshot, now time.Time) []outlier.Ejection {
+// Verdict is a change of the judgement on an engine.
+type Verdict struct {
+	Engine, Service string
+	// Ejected engines get no requests.
+	Ejected  bool
+	Evidence health.Evidence
+}
+
+// Review forgets the engines that have left, and returns whose judgement has
+// changed since the last call.
+func (p *Engines) Review(s *catalog.Snapshot) []Verdict {
+	others := p.others()
+	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, service := range p.joined {
-		if _, present := s.Engines.ByID[id]; !present {
-			p.detector(service).Leave(rendezvous.ID(id), now)
-			delete(p.joined, id)
+	for id, l := range p.own {
+		if _, present := s.Engines.ByID[id]; !present && l.inFlight == 0 {
+			delete(p.own, id)
+			delete(p.ejected, id)
 		}
 	}
-	var out []outlier.Ejection
-	for _, det := range p.services {
-		out = append(out, det.Evaluate(now)...)
+	if s.Config == nil {
+		return nil
+	}
+	var out []Verdict
+	for i := range s.Config.Services {
+		service := s.Config.Services[i].Name
+		_, candidates := p.candidates(s, service, nil, others, now)
+		for _, c := range candidates {
+			if ejected := c.Share == 0; ejected != p.ejected[c.ID] {
+				p.ejected[c.ID] = ejected
+				evidence := others[c.ID].Evidence.Add(p.of(c.ID).record.At(now))
+				out = append(out, Verdict{Engine: c.ID, Service: service, Ejected: ejected, Evidence: evidence})
+			}
+		}
 	}
 	return out
 }
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/outlier"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"github.com/zeebo/errs"
 )
@@ -15,16 +14,6 @@
 	errEngineRefused = errs.Class("engine refused")
 )
 
-// observe tells the engines' health how a send went.
-func (f *Forwarder) observe(e catalog.Engine, kind outlier.Kind, latency time.Duration) {
-	ejection := f.Engines.Observe(e, kind, latency, time.Now())
-	if ejection == nil {
-		return
-	}
-	f.Log.Warn("engine ejected", "engine", e.ID, "service", e.Service, "cause", ejection.Cause.String(),
-		"for", time.Until(ejection.Until), "repeat", ejection.Repeat)
-}
-
 // logAttempt writes why one send came to nothing.
 func (x *exchange) logAttempt(e catalog.Engine, err error, waited time.Duration) {
 	now := x.f.Clock()
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -11,7 +11,6 @@
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
-	"damaskrouter.example/damaskrouter/internal/outlier"
 )
 
 const (
@@ -116,7 +115,7 @@
 		shared, prompted = "", false
 	}
 	for _, service := range x.services(shared, prompted) {
-		if choice, ok := x.f.Engines.Pick(x.snapshot, service, shared, x.avoid, time.Now()); ok {
+		if choice, ok := x.f.Engines.Pick(x.snapshot, service, shared, x.avoid); ok {
 			return choice, true
 		}
 	}
@@ -188,10 +187,9 @@
 	}
 	x.executed++
 	if !reply.Sealed || reply.Encoded {
-		x.f.observe(e, outlier.Failure, 0)
+		x.f.Engines.Note(e.ID, false)
 		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
 	}
-	x.f.observe(e, outlier.FirstToken, x.f.Clock()-sent)
 	if x.route.Kind == catalog.Streaming && answer.Status < http.StatusMultipleChoices {
 		return x.relayStream(ctx, e, answer)
 	}
@@ -252,10 +250,10 @@
 	case x.callerLeft():
 		return result{verdict: over, refusal: x.gone()}
 	case ctx.Err() != nil:
-		x.f.observe(e, outlier.Stall, waited)
+		x.f.Engines.Note(e.ID, false)
 		return result{verdict: over, refusal: x.timeUp()}
 	}
-	x.f.observe(e, outlier.Failure, 0)
+	x.f.Engines.Note(e.ID, false)
 	if unsent {
 		refusal := notRun(ReasonUnreachable, retryLater)
 		if x.executed > 0 {
@@ -307,16 +305,16 @@
 		if x.remaining() <= 0 {
 			return result{verdict: over, refusal: x.timeUp()}
 		}
-		x.f.observe(e, outlier.Failure, 0)
+		x.f.Engines.Note(e.ID, false)
 		x.logAttempt(e, err, 0)
 		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
 	}
 	if answer.Status < http.StatusInternalServerError {
-		x.f.observe(e, outlier.Success, 0)
+		x.f.Engines.Note(e.ID, true)
 		x.answerWhole(answer.Status, answer.Header, body)
 		return result{verdict: done}
 	}
-	x.f.observe(e, outlier.Failure, 0)
+	x.f.Engines.Note(e.ID, false)
 	x.failure = &wholeFailure{answer.Status, answer.Header, body}
 	return x.mayRepeat(failed(http.StatusBadGateway, ReasonNoAnswer))
 }
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -9,7 +9,6 @@
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
-	"damaskrouter.example/damaskrouter/internal/outlier"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -58,7 +57,7 @@
 	for {
 		err := x.copyEvents(answer, split)
 		if err == nil {
-			x.f.observe(e, outlier.Success, 0)
+			x.f.Engines.Note(e.ID, true)
 			return x.endStream(split)
 		}
 		if refusal := x.streamOver(ctx, e, err); refusal != nil {
@@ -95,7 +94,7 @@
 	case isTimeout(ctx):
 		return x.timeUp()
 	}
-	x.f.observe(e, outlier.Failure, 0)
+	x.f.Engines.Note(e.ID, false)
 	x.logAttempt(e, err, 0)
 	return nil
 }
@@ -151,7 +150,7 @@
 	x.sends++
 	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(choice, lastID))
 	if err != nil {
-		x.f.observe(e, outlier.Failure, 0)
+		x.f.Engines.Note(e.ID, false)
 		x.logAttempt(e, err, 0)
 		x.f.Engines.Done(e.ID)
 		return catalog.Engine{}, nil, nil
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -125,7 +125,7 @@
 
 func (r *Router) assembleFeed() {
 	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.set.Bounds.Beat))
-	r.loads = feed.NewLoads(func() map[string]int { return r.engines.Own() })
+	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.engines.Own() })
 	r.reader = &feed.Reader{
 		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
 		Reads:      func() bool { return r.follower.Reads() },
@@ -144,7 +144,7 @@
 
 func (r *Router) assembleForwarder() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	r.engines = forward.NewEngines(r.set.Site, r.loads.Others, rng)
+	r.engines = forward.NewEngines(r.set.Site, r.loads.Others, bootclock.Now, rng)
 	b := r.set.Bounds
 	r.forwarder = forward.New(forward.Options{
 		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
@@ -279,11 +279,12 @@
 	return nil
 }
 
-// review compares the engines with one another.
+// review logs the changes of the judgement on engines.
 func (r *Router) review(ctx context.Context) {
 	for pause.For(ctx, reviewInterval) {
-		for _, e := range r.engines.Review(r.board.Snapshot(), time.Now()) {
-			r.log.Warn("engine ejected", "engine_key", e.Engine, "cause", e.Cause.String(), "repeat", e.Repeat)
+		for _, v := range r.engines.Review(r.board.Snapshot()) {
+			r.log.Info("engine judged", "engine", v.Engine, "service", v.Service, "ejected", v.Ejected,
+				"good", v.Evidence.Good, "bad", v.Evidence.Bad)
 		}
 	}
 }
