--- a/internal/edge/engineconn/pool.go
+++ b/internal/edge/engineconn/pool.go
@@ -17,8 +17,6 @@
 	// keepMargin is taken off what the engine says, so that a connection is
 	// not used at the moment at which the engine closes it.
 	keepMargin = time.Second
-	// maxIdle bounds the idle connections to one engine.
-	maxIdle = 16
 	// sweepAfter is how many sends pass between two looks for engines whose
 	// connections are all too old.
 	sweepAfter = 512
@@ -39,6 +37,8 @@
 	// to be used. A connection that the engine has dropped loses what is sent
 	// on it, and the longer it was idle, the likelier that is.
 	MaxIdle time.Duration
+	// Keep is how many idle connections to the engine may be kept.
+	Keep int
 	// Own says whether an answer belongs to the request. An engine may send a
 	// second answer to an earlier request of the connection.
 	Own func(http.Header) bool
@@ -127,15 +127,15 @@
 	return drop
 }
 
-// put keeps a connection for later.
-func (p *Pool) put(engine string, c *conn) {
+// put keeps a connection for later, unless there are enough.
+func (p *Pool) put(engine string, c *conn, most int) {
 	c.idleSince = p.clock()
 	if c.keep == 0 {
 		c.keep = defaultKeep
 	}
 	p.mu.Lock()
 	list := p.idle[engine]
-	room := len(list) < maxIdle
+	room := len(list) < most
 	if room {
 		p.idle[engine] = append(list, c)
 	}
--- a/internal/edge/engineconn/send.go
+++ b/internal/edge/engineconn/send.go
@@ -33,6 +33,7 @@
 	engine string
 	unhook func() bool
 	sent   *sending
+	keep   int
 	whole  bool
 	reuse  bool
 }
@@ -81,7 +82,7 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		body: resp.Body, conn: c, pool: p, engine: e.ID, unhook: unhook, sent: out, reuse: !resp.Close,
+		body: resp.Body, conn: c, pool: p, engine: e.ID, unhook: unhook, sent: out, keep: r.Keep, reuse: !resp.Close,
 	}, nil
 }
 
@@ -194,7 +195,7 @@
 // the request was written whole, and the engine keeps it too.
 func (a *Answer) Close() {
 	if a.unhook() && a.whole && a.reuse && a.sent.finished() {
-		a.pool.put(a.engine, a.conn)
+		a.pool.put(a.engine, a.conn, a.keep)
 		return
 	}
 	_ = a.conn.Close()
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -43,7 +42,8 @@
 	// be used for requests with API keys: a key may have been taken away
 	// since.
 	KeyLease time.Duration
-	Rand     *rand.Rand
+	// Routers returns how many routers there are, at least one.
+	Routers func() int
 }
 
 // Forwarder is the handler of callers' requests.
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -211,7 +211,7 @@
 	return &engineconn.Request{
 		Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: x.f.Codec.EngineHeader(x.r.Header, &x.req, sending),
-		Body:   x.body, MaxIdle: maxIdle,
+		Body:   x.body, MaxIdle: maxIdle, Keep: x.keep(choice.Engine.Service),
 		Own: func(h http.Header) bool {
 			id := x.f.Codec.Reply(0, h).RequestID
 			return id == "" || id == x.req.ID
@@ -219,6 +219,26 @@
 	}
 }
 
+const (
+	// keptShare is the part of the connections that an engine accepts which
+	// all routers together may keep idle. The rest is for requests: an engine
+	// resets what is over its bound, and a request lost by that may have run.
+	keptShare = 0.5
+	// maxKept bounds the idle connections to one engine in any case.
+	maxKept = 16
+)
+
+// keep is how many idle connections this router may keep to an engine of the
+// service.
+func (x *exchange) keep(service string) int {
+	config := x.snapshot.Config.Service(service)
+	if config == nil || config.MaxConns == 0 {
+		return maxKept
+	}
+	share := keptShare * float64(config.MaxConns) / float64(x.f.Routers())
+	return min(max(int(share), 1), maxKept)
+}
+
 // target is the path and query as they came; only a request to a proxy names
 // the host there too, and an engine is none.
 func (x *exchange) target() string {
--- a/internal/edge/node/leave.go
+++ b/internal/edge/node/leave.go
@@ -13,8 +13,9 @@
 	// least: callers that still have its address are served, or told to go
 	// elsewhere, rather than find nobody.
 	stayShare = 0.7
-	// stopMargin is kept free at the end, for the process to exit.
-	stopMargin = 400 * time.Millisecond
+	// stopMargin is kept free at the end, for the process to exit: on a small
+	// part of a core that takes its time.
+	stopMargin = 900 * time.Millisecond
 	// drainPoll is how often the requests in progress are counted.
 	drainPoll = 50 * time.Millisecond
 )
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -152,10 +152,14 @@
 		KeyLease: time.Duration(leaseShare * float64(b.Revoke)),
 		Budget: forward.NewBudgets(forward.BudgetLimits{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow),
-		}, func() int { return len(r.live()) }),
+		}, r.routers),
+		Routers: r.routers,
 	})
 }
 
+// routers is how many routers there are, this one included.
+func (r *Router) routers() int { return max(len(r.live()), 1) }
+
 // live returns the routers that seem alive and stay.
 func (r *Router) live() []feed.Peer {
 	if r.gossip == nil {
