feed: routers are told that readers fail, and do not all try themselves

Cause: while the store was away, each router's knowledge grew old and each read for itself (133 routers' watches failed within a second of the outage). How long ago a reader failed travels with the answers of pulls; a router that knows it neither looks for another source nor reads.

--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -55,9 +55,9 @@
 	// chain names the routers through which the catalog comes, the reader of
 	// the store last.
 	chain atomic.Pointer[[]string]
-	// upstreamLost means that the reader at the end of the chain can't reach
-	// the store.
-	upstreamLost atomic.Bool
+	// lostAt is the boot time at which a reader, this router or another, was
+	// last known to fail to reach the store.
+	lostAt atomic.Int64
 }
 
 // Reads says whether this router is the one to read the store.
@@ -73,13 +73,23 @@
 	return out
 }
 
-// Lost says whether the reader of the store, this router or the one at the end
-// of its chain, can't reach the store.
-func (f *Follower) Lost() bool {
-	if f.Reads() {
-		return f.StoreLost()
+// lostMemory is how long a failure of a reader counts. The next reader has
+// failed too by then, or its news has arrived.
+const lostMemory = 2 * time.Second
+
+// LostAgo is how long ago a reader last failed to reach the store, as known.
+func (f *Follower) LostAgo() time.Duration {
+	return f.Clock() - time.Duration(f.lostAt.Load())
+}
+
+// Lost says whether what is old here is so because the store can't be reached.
+func (f *Follower) Lost() bool { return f.LostAgo() < lostMemory }
+
+// noteLost records a failure of a reader.
+func (f *Follower) noteLost(at time.Duration) {
+	if at > time.Duration(f.lostAt.Load()) {
+		f.lostAt.Store(int64(at))
 	}
-	return f.upstreamLost.Load()
 }
 
 // Run asks until the context ends.
@@ -88,9 +98,7 @@
 	for ctx.Err() == nil {
 		now := f.Clock()
 		f.distrust.Forget(now)
-		if f.reading.Load() && f.StoreLost() && f.distrust.trusted(f.Self.Name, now) {
-			f.suspect(f.Self, whyStoreLost, nil)
-		}
+		f.judgeSelf(now)
 		parent, ok := ParentOf(f.Self, f.Live(), f.distrust, now)
 		f.reading.Store(!ok)
 		if !ok {
@@ -103,6 +111,17 @@
 	}
 }
 
+// judgeSelf passes this router over if it is to read the store and can't.
+func (f *Follower) judgeSelf(now time.Duration) {
+	if !f.reading.Load() || !f.StoreLost() {
+		return
+	}
+	f.noteLost(now)
+	if f.distrust.trusted(f.Self.Name, now) {
+		f.suspect(f.Self, whyStoreLost, nil)
+	}
+}
+
 // follow notes a change of parent.
 func (f *Follower) follow(parent Peer, now time.Duration) {
 	if f.parent.Name == parent.Name {
@@ -130,8 +149,6 @@
 	err := f.Call(callCtx, parent, PullMethod, args, &reply)
 	cancel()
 	if err != nil {
-		// What the old chain said of the store is no news any more.
-		f.upstreamLost.Store(false)
 		f.unanswered(parent, err)
 		pause.For(ctx, retryPause)
 		return
@@ -160,7 +177,7 @@
 	said := sent + reply.Held
 	f.Loads.FromParent(reply.Loads, f.Clock())
 	f.chain.Store(&reply.Chain)
-	f.upstreamLost.Store(reply.StoreLost)
+	f.noteLost(said - reply.LostAgo)
 	c := reply.Config
 	if c != nil {
 		c = catalog.NewConfig(*c)
@@ -188,11 +205,11 @@
 			pause.For(ctx, retryPause)
 		}
 	case f.Clock()-f.since <= newParentGrace:
-	case reply.StoreLost && len(reply.Chain) == 1:
-		f.suspect(parent, whyStoreLost, nil)
 	case reply.StoreLost:
-		// The parent's own source can't reach the store; it is for the parent
-		// to find another.
+		f.suspect(parent, whyStoreLost, nil)
+	case f.Lost():
+		// Readers further up fail; it is for those next to them to find
+		// another.
 	case max(reply.ConfigAge, reply.EnginesAge) > staleAfter:
 		f.suspect(parent, whyStale, nil)
 	}
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -39,7 +39,7 @@
 	// lostReadAfter is the same while the others say that the store can't be
 	// reached. Six of them have tried then or are about to, and a store that
 	// is away is not to be asked by all.
-	lostReadAfter = 8 * time.Second
+	lostReadAfter = 20 * time.Second
 	// maxOwnPause bounds the doubling of the pauses of a router that reads for
 	// itself while it is not the one to read.
 	maxOwnPause = 4 * time.Second
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -45,6 +44,9 @@
 	EnginesAge time.Duration
 	// StoreLost means that the one asked is to read the store, and can't.
 	StoreLost bool
+	// LostAgo is how long ago a reader of the store last failed, as far as the
+	// one asked knows.
+	LostAgo time.Duration
 	// Chain names the routers through which the answer came, the one asked
 	// first and the reader of the store last.
 	Chain []string
@@ -57,49 +59,48 @@
 
 // Relay answers the pulls of other routers from the board.
 type Relay struct {
-	board *Board
-	loads *Loads
-	clock Clock
-	// storeLost says whether this router is to read the store, and can't.
-	storeLost func() bool
-	chain     func() []string
-	ctx       context.Context
-}
-
-// NewRelay returns a Relay that stops holding pulls when the context ends.
-func NewRelay(ctx context.Context, board *Board, loads *Loads, clock Clock, storeLost func() bool, chain func() []string) *Relay {
-	return &Relay{board: board, loads: loads, clock: clock, storeLost: storeLost, chain: chain, ctx: ctx}
+	Board *Board
+	Loads *Loads
+	Clock Clock
+	// StoreLost says whether this router is to read the store, and can't.
+	StoreLost func() bool
+	// LostAgo is how long ago a reader failed to reach the store, as known.
+	LostAgo func() time.Duration
+	// Chain names the routers through which this one's catalog comes.
+	Chain func() []string
+	// Done is closed when pulls are not to be held any more.
+	Done <-chan struct{}
 }
 
 // Pull answers once the board holds something newer, or after args.Wait, and at
 // once where the asker is the source of what this router knows. It is
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
-	started := r.clock()
-	r.loads.Heard(args.From, args.Loads, started)
+	started := r.Clock()
+	r.Loads.Heard(args.From, args.Loads, started)
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
 	for {
-		changed := r.board.Changed()
-		if r.news(args) || slices.Contains(r.chain(), args.From) {
+		changed := r.Board.Changed()
+		if r.news(args) || slices.Contains(r.Chain(), args.From) {
 			break
 		}
 		select {
 		case <-changed:
 			continue
 		case <-timer.C:
-		case <-r.ctx.Done():
+		case <-r.Done:
 		}
 		break
 	}
 	*reply = r.reply(args)
-	reply.Held = r.clock() - started
+	reply.Held = r.Clock() - started
 	return nil
 }
 
 // news says whether the board holds something that the asker lacks.
 func (r *Relay) news(args PullArgs) bool {
-	s := r.board.Snapshot()
+	s := r.Board.Snapshot()
 	if s.Config != nil && s.Config.Version > args.ConfigVersion {
 		return true
 	}
@@ -108,14 +109,15 @@
 }
 
 func (r *Relay) reply(args PullArgs) PullReply {
-	now := r.clock()
-	s := r.board.Snapshot()
+	now := r.Clock()
+	s := r.Board.Snapshot()
 	out := PullReply{
 		ConfigAge:  s.ConfigAge(now),
 		EnginesAge: s.EnginesAge(now),
-		StoreLost:  r.storeLost(),
-		Chain:      r.chain(),
-		Loads:      r.loads.Without(args.From, now),
+		StoreLost:  r.StoreLost(),
+		LostAgo:    r.LostAgo(),
+		Chain:      r.Chain(),
+		Loads:      r.Loads.Without(args.From, now),
 	}
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -219,7 +219,10 @@
 		return err
 	}
 	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
-	relay := feed.NewRelay(r.ctx, r.board, r.loads, bootclock.Now, r.follower.Lost, r.follower.Chain)
+	relay := &feed.Relay{
+		Board: r.board, Loads: r.loads, Clock: bootclock.Now, Done: r.ctx.Done(),
+		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Chain: r.follower.Chain,
+	}
 	if err := r.calls.Register(feed.RelayName, relay); err != nil {
 		return err
 	}
