--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -31,6 +31,32 @@
 	updates  chan func(*catalog.Snapshot) (*catalog.Snapshot, bool)
 	snapshot atomic.Pointer[catalog.Snapshot]
 	changed  atomic.Pointer[chan struct{}]
+	// past holds the configurations before the present one, oldest first.
+	past atomic.Pointer[[]*catalog.Config]
+}
+
+// maxPast is how many configurations are kept for routers that are behind. A
+// router that is further behind gets the whole.
+const maxPast = 16
+
+// Past returns an earlier configuration, or nil if it is not kept.
+func (b *Board) Past(version uint64) *catalog.Config {
+	for _, c := range *b.past.Load() {
+		if c.Version == version {
+			return c
+		}
+	}
+	return nil
+}
+
+// remember keeps a configuration that is being replaced.
+func (b *Board) remember(c *catalog.Config) {
+	kept := *b.past.Load()
+	if n := len(kept) + 1 - maxPast; n > 0 {
+		kept = kept[n:]
+	}
+	next := append(append([]*catalog.Config(nil), kept...), c)
+	b.past.Store(&next)
 }
 
 // lapsedBeats is how many renewals of an entry an outage must cover, after which
@@ -46,6 +72,7 @@
 		updates: make(chan func(*catalog.Snapshot) (*catalog.Snapshot, bool), updateQueue),
 	}
 	b.snapshot.Store(catalog.Empty())
+	b.past.Store(&[]*catalog.Config{})
 	changed := make(chan struct{})
 	b.changed.Store(&changed)
 	return b
@@ -85,7 +112,11 @@
 }
 
 func (b *Board) apply(update func(*catalog.Snapshot) (*catalog.Snapshot, bool)) {
-	next, changed := update(b.snapshot.Load())
+	last := b.snapshot.Load()
+	next, changed := update(last)
+	if last.Config != nil && next.Config != last.Config {
+		b.remember(last.Config)
+	}
 	b.snapshot.Store(next)
 	if !changed {
 		return
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -158,6 +158,19 @@
 	f.judge(ctx, parent, reply)
 }
 
+// config returns the configuration that the reply speaks of, nil for none, and
+// false if the reply leads on from one that this router does not have.
+func (f *Follower) config(reply PullReply) (*catalog.Config, bool) {
+	have := f.Board.Snapshot().Config
+	if reply.Config != nil {
+		return reply.Config.Apply(have)
+	}
+	if have != nil && have.Version == reply.ConfigVersion {
+		return have, true
+	}
+	return nil, true
+}
+
 // maxUnanswered is how many pulls in a row may fail before the parent is
 // distrusted: one may be due to a lost packet or a connection that was cut.
 const maxUnanswered = 2
@@ -178,11 +191,9 @@
 	f.Loads.FromParent(reply.Loads, f.Clock())
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
-	c := reply.Config
-	if c != nil {
-		c = catalog.NewConfig(*c)
-	} else if have := f.Board.Snapshot().Config; have != nil && have.Version == reply.ConfigVersion {
-		c = have
+	c, ok := f.config(reply)
+	if !ok {
+		f.Log.Warn("configuration update does not fit", "base", reply.Config.Base, "version", reply.Config.Version)
 	}
 	f.Board.PutConfig(ctx, c, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -33,8 +33,8 @@
 
 // PullReply is what is newer, and how old all of it may be.
 type PullReply struct {
-	// Config is nil if the asker has the newest one.
-	Config        *catalog.Config
+	// Config leads on from the asker's version; nil if it is the newest one.
+	Config        *catalog.ConfigUpdate
 	ConfigVersion uint64
 	// ConfigAge is the age of the last confirmation, as of the reply.
 	ConfigAge time.Duration
@@ -122,7 +122,8 @@
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
 		if s.Config.Version > args.ConfigVersion {
-			out.Config = s.Config
+			update := s.Config.UpdateFrom(r.Board.Past(args.ConfigVersion))
+			out.Config = &update
 		}
 	}
 	out.Engines = s.Engines.Since(args.EnginesUpto)
