--- /dev/null
+++ b/internal/edge/feed/feed_test.go
@@ -0,0 +1,438 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/health"
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+)
+
+func quiet() *log.Logger { return log.New(io.Discard) }
+
+func peers(sites ...string) []Peer {
+	var out []Peer
+	for i, site := range sites {
+		out = append(out, Peer{Name: string(rune('a' + i)), Site: site})
+	}
+	return out
+}
+
+// Whoever computes it, exactly one router reads the store, and every chain of
+// parents ends there.
+func TestOneRouterReadsAndAllChainsEndThere(t *testing.T) {
+	live := peers("x", "x", "y", "y", "z", "x", "z")
+	readers := 0
+	for _, self := range live {
+		at := self
+		for hops := 0; ; hops++ {
+			require.Less(t, hops, 3)
+			parent, ok := ParentOf(at, live, nil, 0)
+			if !ok {
+				break
+			}
+			at = parent
+		}
+		if _, ok := ParentOf(self, live, nil, 0); !ok {
+			readers++
+		}
+	}
+	require.Equal(t, 1, readers)
+}
+
+func TestDistrustedParentIsPassedOverAndComesBack(t *testing.T) {
+	live := peers("x", "x", "x")
+	var child Peer
+	var parent Peer
+	for _, p := range live {
+		if got, ok := ParentOf(p, live, nil, 0); ok {
+			child, parent = p, got
+		}
+	}
+	d := make(Distrust)
+	d.Add(parent.Name, false, time.Second)
+	other, _ := ParentOf(child, live, d, time.Second)
+	require.NotEqual(t, parent, other)
+	back, _ := ParentOf(child, live, d, time.Second+minDistrust)
+	require.Equal(t, parent, back)
+	d.Add(parent.Name, false, time.Second+minDistrust)
+	require.False(t, d.trusted(parent.Name, time.Second+minDistrust+2*minDistrust-1))
+	require.True(t, d.trusted(parent.Name, time.Second+minDistrust+2*minDistrust))
+}
+
+// Symptom: while the store is away for all, every router calls it. Sequence: the
+// readers fail one after the other. Cause handled: after some of them the store
+// counts as away, and the usual order holds again.
+func TestStoreAwayForAllRestoresTheOrder(t *testing.T) {
+	live := peers("x", "x", "x", "x", "x", "x", "x", "x", "x")
+	self := live[0]
+	want, _ := ParentOf(self, live, nil, 0)
+	d := make(Distrust)
+	n := 0
+	for _, p := range live {
+		if n < maxReaders {
+			d.Add(p.Name, true, 0)
+			n++
+		}
+	}
+	got, _ := ParentOf(self, live, d, time.Millisecond)
+	require.Equal(t, want, got)
+}
+
+// fakeStore is a store whose content and failures a test sets.
+type fakeStore struct {
+	mu      sync.Mutex
+	config  *catalog.Config
+	version uint64
+	engines []catalog.Engine
+	down    bool
+	silent  bool
+	// historyLost makes the next watches ask for a whole read.
+	historyLost bool
+	calls       atomic.Int64
+	changed     chan struct{}
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{version: 1, changed: make(chan struct{})} }
+
+func (s *fakeStore) update(f func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// answer applies the store's failures.
+func (s *fakeStore) answer(ctx context.Context) error {
+	s.calls.Add(1)
+	s.mu.Lock()
+	down, silent := s.down, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ErrUnavailable.Wrap(ctx.Err())
+	}
+	if down {
+		return ErrUnavailable.New("status 503")
+	}
+	return nil
+}
+
+func (s *fakeStore) ReadConfig(ctx context.Context) (ConfigRead, error) {
+	if err := s.answer(ctx); err != nil {
+		return ConfigRead{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConfigRead{Config: s.config, Upto: s.version}, nil
+}
+
+func (s *fakeStore) wait(ctx context.Context, since uint64, wait time.Duration) error {
+	if err := s.answer(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	version, changed, lost := s.version, s.changed, s.historyLost
+	s.mu.Unlock()
+	if lost {
+		return ErrHistoryLost.New("compacted")
+	}
+	if version > since {
+		return nil
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return ErrUnavailable.Wrap(ctx.Err())
+	}
+	return nil
+}
+
+func (s *fakeStore) WatchConfig(ctx context.Context, since uint64, wait time.Duration) (ConfigRead, error) {
+	if err := s.wait(ctx, since, wait); err != nil {
+		return ConfigRead{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == since {
+		return ConfigRead{Upto: since}, nil
+	}
+	return ConfigRead{Config: s.config, Upto: s.version}, nil
+}
+
+func (s *fakeStore) ReadEngines(ctx context.Context) (catalog.EngineUpdate, error) {
+	if err := s.answer(ctx); err != nil {
+		return catalog.EngineUpdate{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return catalog.EngineUpdate{Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
+}
+
+func (s *fakeStore) WatchEngines(ctx context.Context, since uint64, wait time.Duration) (catalog.EngineUpdate, error) {
+	if err := s.wait(ctx, since, wait); err != nil {
+		return catalog.EngineUpdate{}, err
+	}
+	return s.ReadEngines(ctx)
+}
+
+// errUnreachable is what a call to a router that is cut off returns.
+var errUnreachable = errors.New("unreachable")
+
+// fakeFleet is some routers that call one another in memory.
+type fakeFleet struct {
+	live   []Peer
+	cut    sync.Map
+	nodes  map[string]*fakeNode
+	origin time.Time
+}
+
+type fakeNode struct {
+	board    *Board
+	reader   *Reader
+	follower *Follower
+	relay    *Relay
+	store    *fakeStore
+}
+
+func (f *fakeFleet) clock() time.Duration { return time.Hour + time.Since(f.origin) }
+
+// start runs a router for each peer; stores may differ, as where the store
+// turns some routers away.
+func startFleet(ctx context.Context, live []Peer, stores map[string]*fakeStore) *fakeFleet {
+	f := &fakeFleet{live: live, nodes: make(map[string]*fakeNode), origin: time.Now()}
+	for _, p := range live {
+		f.nodes[p.Name] = f.node(ctx, p, stores[p.Name])
+	}
+	for _, n := range f.nodes {
+		go n.board.Run(ctx)
+		go n.reader.Run(ctx)
+		go n.follower.Run(ctx)
+	}
+	return f
+}
+
+func (f *fakeFleet) node(ctx context.Context, self Peer, store *fakeStore) *fakeNode {
+	n := &fakeNode{store: store, board: NewBoard(f.clock, 1200*time.Millisecond)}
+	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
+	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Log: quiet(),
+		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.Lost() }}
+	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Log: quiet(),
+		Live: func() []Peer { return f.live }, StoreLost: n.reader.Lost, Call: f.call(self)}
+	n.relay = &Relay{Board: n.board, Loads: loads, Clock: f.clock, Done: ctx.Done(),
+		StoreLost: n.reader.Lost, LostAgo: n.follower.LostAgo, Chain: n.follower.Chain}
+	return n
+}
+
+func (f *fakeFleet) call(from Peer) Call {
+	return func(ctx context.Context, to Peer, _ string, args, reply any) error {
+		if f.isCut(from.Name) || f.isCut(to.Name) {
+			<-ctx.Done()
+			return errUnreachable
+		}
+		return f.nodes[to.Name].relay.Pull(args.(PullArgs), reply.(*PullReply))
+	}
+}
+
+func (f *fakeFleet) isCut(name string) bool {
+	_, cut := f.cut.Load(name)
+	return cut
+}
+
+func sameStore(live []Peer, s *fakeStore) map[string]*fakeStore {
+	out := make(map[string]*fakeStore)
+	for _, p := range live {
+		out[p.Name] = s
+	}
+	return out
+}
+
+func (f *fakeFleet) requireVersion(t *testing.T, version uint64) {
+	t.Helper()
+	for name, n := range f.nodes {
+		c := n.board.Snapshot().Config
+		require.NotNil(t, c, name)
+		require.Equal(t, version, c.Version, name)
+	}
+}
+
+// inFleet runs a test with a fleet of nine routers in three sites, on a fake
+// clock.
+func inFleet(t *testing.T, stores func([]Peer, *fakeStore) map[string]*fakeStore, test func(*fakeFleet, *fakeStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		live := peers("x", "x", "x", "y", "y", "y", "z", "z", "z")
+		s := newFakeStore()
+		s.update(func(s *fakeStore) {
+			s.config = catalog.NewConfig(catalog.Config{Version: 1})
+			s.engines = []catalog.Engine{{ID: "e1", Service: "llm", Revision: 2}}
+		})
+		f := startFleet(ctx, live, stores(live, s))
+		time.Sleep(3 * time.Second)
+		test(f, s)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestChangeReachesAllRoutersAndFewCallTheStore(t *testing.T) {
+	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		f.requireVersion(t, 1)
+		before := s.calls.Load()
+		time.Sleep(10 * time.Second)
+		require.Less(t, s.calls.Load()-before, int64(40))
+		s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 7}) })
+		time.Sleep(time.Second)
+		f.requireVersion(t, 7)
+		for name, n := range f.nodes {
+			require.Less(t, n.board.Snapshot().ConfigAge(f.clock()), staleAfter, name)
+		}
+	})
+}
+
+// Symptom: a version is in force too late. Sequence: the store turns the reading
+// router away (or falls silent towards it) and serves the others; a change
+// follows. Cause handled: the reader says so, and the next one reads.
+func TestStoreTurnsTheReaderAway(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		bad := newFakeStore()
+		var reader string
+		split := func(live []Peer, good *fakeStore) map[string]*fakeStore {
+			out := sameStore(live, good)
+			for _, p := range live {
+				if _, ok := ParentOf(p, live, nil, 0); !ok {
+					reader = p.Name
+					out[p.Name] = bad
+				}
+			}
+			return out
+		}
+		inFleet(t, split, func(f *fakeFleet, s *fakeStore) {
+			bad.update(func(b *fakeStore) { b.down, b.silent = !silent, silent })
+			s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 7}) })
+			time.Sleep(3 * time.Second)
+			f.requireVersion(t, 7)
+			require.Contains(t, f.nodes, reader)
+		})
+	}
+}
+
+// Symptom: nobody reads the store for seconds. Sequence: two routers are turned
+// away; one passes itself over and asks the other, which still asks the first.
+// Cause handled: the answer names its chain, and whoever finds itself in it goes
+// on alone.
+func TestTwoRoutersThatAreTurnedAwayDoNotAskOneAnother(t *testing.T) {
+	bad := newFakeStore()
+	split := func(live []Peer, good *fakeStore) map[string]*fakeStore {
+		out := sameStore(live, good)
+		sorted := slices.Clone(live)
+		slices.SortFunc(sorted, func(a, b Peer) int {
+			if before(a, b) {
+				return -1
+			}
+			return 1
+		})
+		out[sorted[0].Name], out[sorted[1].Name] = bad, bad
+		return out
+	}
+	inFleet(t, split, func(f *fakeFleet, s *fakeStore) {
+		bad.update(func(b *fakeStore) { b.down = true })
+		time.Sleep(3 * time.Second)
+		s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 9}) })
+		time.Sleep(2 * time.Second)
+		f.requireVersion(t, 9)
+	})
+}
+
+// Symptom: an outage of the store becomes a storm of calls. Sequence: the store
+// refuses all for ten seconds. Cause handled: few try, and its return is noticed
+// within a second or two.
+func TestOutageOfTheStoreIsNotAStorm(t *testing.T) {
+	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		s.update(func(s *fakeStore) { s.down = true })
+		before := s.calls.Load()
+		time.Sleep(10 * time.Second)
+		require.Less(t, s.calls.Load()-before, int64(200))
+		s.update(func(s *fakeStore) {
+			s.down = false
+			s.config = catalog.NewConfig(catalog.Config{Version: 3})
+		})
+		time.Sleep(3 * time.Second)
+		f.requireVersion(t, 3)
+	})
+}
+
+// Symptom: an engine that left while history was dropped still gets requests.
+// Sequence: the watch is told that its history is gone. Cause handled: all is
+// read, and what is missing is gone.
+func TestHistoryLostInTheMiddleOfALeave(t *testing.T) {
+	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		s.update(func(s *fakeStore) {
+			s.historyLost = true
+			s.engines = nil
+			s.config = catalog.NewConfig(catalog.Config{Version: 5})
+		})
+		time.Sleep(2 * time.Second)
+		f.requireVersion(t, 5)
+		for name, n := range f.nodes {
+			require.Empty(t, n.board.Snapshot().Engines.ByID, name)
+		}
+	})
+}
+
+// Symptom: a router that other routers can't reach serves an old version.
+// Sequence: it is cut off from them, and reaches the store. Cause handled: it
+// reads for itself.
+func TestRouterCutOffFromOthersReadsForItself(t *testing.T) {
+	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		var leaf string
+		for _, p := range f.live {
+			if parent, ok := ParentOf(p, f.live, nil, 0); ok && parent.Site == p.Site {
+				leaf = p.Name
+			}
+		}
+		f.cut.Store(leaf, true)
+		time.Sleep(3 * time.Second)
+		s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 8}) })
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, uint64(8), f.nodes[leaf].board.Snapshot().Config.Version)
+	})
+}
+
+// Symptom: revoked keys are accepted too long. Sequence: a pull is held, the
+// parent's confirmation is old. Cause handled: the age counts from the sending of
+// the pull less what it was held, never from the arrival of the answer.
+func TestAgeOfRelayedConfirmationIsNeverTooYoung(t *testing.T) {
+	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		s.update(func(s *fakeStore) { s.down = true })
+		down := f.clock()
+		time.Sleep(8 * time.Second)
+		for name, n := range f.nodes {
+			require.LessOrEqual(t, n.board.Snapshot().ConfigAsOf, down, name)
+		}
+	})
+}
+
+func TestLoadsAddUpAndFadeOut(t *testing.T) {
+	l := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{"e": {InFlight: 1}} })
+	l.Heard("b", LoadReport{Routers: 2, Engines: map[string]EngineLoad{"e": {InFlight: 5, Evidence: health.Evidence{Bad: 4}}}}, 0)
+	l.FromParent(LoadReport{Routers: 3, Engines: map[string]EngineLoad{"e": {InFlight: 7}}}, 0)
+	require.Equal(t, 12, l.Others()["e"].InFlight)
+	require.Equal(t, 8, l.Without("b", 0).Engines["e"].InFlight)
+	require.Equal(t, 6, l.Below(0).Engines["e"].InFlight)
+	require.Equal(t, 6, l.Routers(0))
+	require.InDelta(t, 2, l.Below(1500*time.Millisecond).Engines["e"].Evidence.Bad, 1e-9)
+	require.Equal(t, 1, l.Below(2*time.Second).Engines["e"].InFlight)
+}
--- a/internal/edge/health/health.go
+++ b/internal/edge/health/health.go
@@ -43,8 +43,8 @@
 }
 
 // prior is the number of good ends that every engine is taken to have had. It
-// keeps one failure after a quiet time from condemning an engine.
-const prior = 1.0
+// keeps one failure after a quiet time from condemning an engine; two do.
+const prior = 2.0
 
 // badness is the share of bad ends, from 0 to 1.
 func (e Evidence) badness() float64 {
