feed: failures of readers are shared, so that all views of an outage agree

Cause: a test of an outage of ten seconds showed routers that were seconds late after its end: each had passed itself over for up to eight seconds, and those that wait in a circle for one another noticed nothing. Who failed to reach the store, and how long ago, travels with the answers; once six have failed the usual order holds, and its first goes on trying.

--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -59,12 +59,12 @@
 		}
 	}
 	d := make(Distrust)
-	d.Add(parent.Name, false, time.Second)
+	d.Add(parent.Name, time.Second)
 	other, _ := ParentOf(child, live, d, time.Second)
 	require.NotEqual(t, parent, other)
 	back, _ := ParentOf(child, live, d, time.Second+minDistrust)
 	require.Equal(t, parent, back)
-	d.Add(parent.Name, false, time.Second+minDistrust)
+	d.Add(parent.Name, time.Second+minDistrust)
 	require.False(t, d.trusted(parent.Name, time.Second+minDistrust+2*minDistrust-1))
 	require.True(t, d.trusted(parent.Name, time.Second+minDistrust+2*minDistrust))
 }
@@ -80,7 +80,7 @@
 	n := 0
 	for _, p := range live {
 		if n < maxReaders {
-			d.Add(p.Name, true, 0)
+			d.AddLost(p.Name, 0)
 			n++
 		}
 	}
@@ -185,7 +185,12 @@
 	if err := s.wait(ctx, since, wait); err != nil {
 		return catalog.EngineUpdate{}, err
 	}
-	return s.ReadEngines(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == since {
+		return catalog.EngineUpdate{Since: since, Upto: since}, nil
+	}
+	return catalog.EngineUpdate{Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
 }
 
 // errUnreachable is what a call to a router that is cut off returns.
@@ -232,7 +237,7 @@
 	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Log: quiet(),
 		Live: func() []Peer { return f.live }, StoreLost: n.reader.Lost, Call: f.call(self)}
 	n.relay = &Relay{Board: n.board, Loads: loads, Clock: f.clock, Done: ctx.Done(),
-		StoreLost: n.reader.Lost, LostAgo: n.follower.LostAgo, Chain: n.follower.Chain}
+		StoreLost: n.reader.Lost, LostAgo: n.follower.LostAgo, Failures: n.follower.Failures, Chain: n.follower.Chain}
 	return n
 }
 
@@ -281,9 +286,11 @@
 		})
 		f := startFleet(ctx, live, stores(live, s))
 		time.Sleep(3 * time.Second)
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
 		test(f, s)
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -307,9 +314,10 @@
 // follows. Cause handled: the reader says so, and the next one reads.
 func TestStoreTurnsTheReaderAway(t *testing.T) {
 	for _, silent := range []bool{false, true} {
-		bad := newFakeStore()
+		var bad *fakeStore
 		var reader string
 		split := func(live []Peer, good *fakeStore) map[string]*fakeStore {
+			bad = newFakeStore()
 			out := sameStore(live, good)
 			for _, p := range live {
 				if _, ok := ParentOf(p, live, nil, 0); !ok {
@@ -334,8 +342,9 @@
 // Cause handled: the answer names its chain, and whoever finds itself in it goes
 // on alone.
 func TestTwoRoutersThatAreTurnedAwayDoNotAskOneAnother(t *testing.T) {
-	bad := newFakeStore()
+	var bad *fakeStore
 	split := func(live []Peer, good *fakeStore) map[string]*fakeStore {
+		bad = newFakeStore()
 		out := sameStore(live, good)
 		sorted := slices.Clone(live)
 		slices.SortFunc(sorted, func(a, b Peer) int {
@@ -433,6 +442,6 @@
 	require.Equal(t, 8, l.Without("b", 0).Engines["e"].InFlight)
 	require.Equal(t, 6, l.Below(0).Engines["e"].InFlight)
 	require.Equal(t, 6, l.Routers(0))
-	require.InDelta(t, 2, l.Below(1500*time.Millisecond).Engines["e"].Evidence.Bad, 1e-9)
-	require.Equal(t, 1, l.Below(2*time.Second).Engines["e"].InFlight)
+	require.InDelta(t, 2, l.Below(1500 * time.Millisecond).Engines["e"].Evidence.Bad, 1e-9)
+	require.Equal(t, 1, l.Below(2 * time.Second).Engines["e"].InFlight)
 }
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -49,15 +49,17 @@
 	distrust Distrust
 	parent   Peer
 	since    time.Duration
-	// failures counts the pulls from the parent that failed in a row.
-	failures int
-	reading  atomic.Bool
+	// misses counts the pulls from the parent that failed in a row.
+	misses  int
+	reading atomic.Bool
 	// chain names the routers through which the catalog comes, the reader of
 	// the store last.
 	chain atomic.Pointer[[]string]
 	// lostAt is the boot time at which a reader, this router or another, was
 	// last known to fail to reach the store.
 	lostAt atomic.Int64
+	// known are the routers that can't reach the store, as of a boot time.
+	known atomic.Pointer[knownFailures]
 }
 
 // Reads says whether this router is the one to read the store.
@@ -92,6 +94,44 @@
 	}
 }
 
+// knownFailures are failures as of a boot time.
+type knownFailures struct {
+	at   time.Duration
+	list []Failure
+}
+
+// publish makes what is known of failures visible to the relay.
+func (f *Follower) publish(now time.Duration) {
+	f.known.Store(&knownFailures{at: now, list: f.distrust.Failures(now)})
+}
+
+// Failures returns which routers can't reach the store, as known.
+func (f *Follower) Failures() []Failure {
+	k := f.known.Load()
+	if k == nil {
+		return nil
+	}
+	passed := f.Clock() - k.at
+	var out []Failure
+	for _, failure := range k.list {
+		failure.Ago += passed
+		if failure.Ago < lostDistrust {
+			out = append(out, failure)
+		}
+	}
+	return out
+}
+
+// hear takes over what another router knows of failures as of a boot time.
+func (f *Follower) hear(failures []Failure, at time.Duration) {
+	for _, failure := range failures {
+		f.distrust.AddLost(failure.Router, at-failure.Ago)
+	}
+	if len(failures) > 0 {
+		f.publish(f.Clock())
+	}
+}
+
 // Run asks until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.distrust = make(Distrust)
@@ -132,7 +172,7 @@
 		"reads_store", parent.Name == f.Self.Name, "config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
 	f.parent = parent
 	f.since = now
-	f.failures = 0
+	f.misses = 0
 }
 
 func (f *Follower) pull(ctx context.Context, parent Peer) {
@@ -153,7 +193,7 @@
 		pause.For(ctx, retryPause)
 		return
 	}
-	f.failures = 0
+	f.misses = 0
 	f.take(ctx, reply, sent)
 	f.judge(ctx, parent, reply)
 }
@@ -177,8 +217,8 @@
 
 // unanswered counts a failed pull.
 func (f *Follower) unanswered(parent Peer, err error) {
-	f.failures++
-	if f.failures >= maxUnanswered {
+	f.misses++
+	if f.misses >= maxUnanswered {
 		f.suspect(parent, whyNoAnswer, err)
 	}
 }
@@ -191,6 +231,7 @@
 	f.Loads.FromParent(reply.Loads, f.Clock())
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
+	f.hear(reply.Failures, said)
 	c, ok := f.config(reply)
 	if !ok {
 		f.Log.Warn("configuration update does not fit", "base", reply.Config.Base, "version", reply.Config.Version)
@@ -212,9 +253,9 @@
 		// too; whoever of the circle still trusts itself goes on alone.
 		if f.distrust.trusted(f.Self.Name, f.Clock()) {
 			f.suspect(parent, whyCircle, nil)
-		} else {
-			pause.For(ctx, retryPause)
 		}
+		// The answer was not held, and the next one may not be either.
+		pause.For(ctx, retryPause)
 	case f.Clock()-f.since <= newParentGrace:
 	case reply.StoreLost:
 		f.suspect(parent, whyStoreLost, nil)
@@ -236,7 +277,12 @@
 
 func (f *Follower) suspect(parent Peer, why string, cause error) {
 	now := f.Clock()
-	f.distrust.Add(parent.Name, why == whyStoreLost, now)
+	if why == whyStoreLost {
+		f.distrust.AddLost(parent.Name, now)
+	} else {
+		f.distrust.Add(parent.Name, now)
+	}
+	f.publish(now)
 	s := f.Board.Snapshot()
 	f.Log.Warn("catalog source distrusted", "source", parent.Name, "why", why, "cause", cause,
 		"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
--- a/internal/edge/feed/parent.go
+++ b/internal/edge/feed/parent.go
@@ -26,6 +26,9 @@
 	// it is taken to be away. Each refused call costs; where a third of the
 	// routers are turned away, one in seven hundred times all of so many are.
 	maxReaders = 6
+	// lostDistrust is how long a router that can't reach the store is passed
+	// over.
+	lostDistrust = 4 * time.Second
 	// forgiveAfter is how long after a distrust has ended its length is
 	// remembered.
 	forgiveAfter = 10 * time.Second
@@ -42,9 +45,9 @@
 	storeLost bool
 }
 
-// Add distrusts a router from now on, for twice as long as the last time.
-// StoreLost says that it is distrusted because it can't reach the store.
-func (d Distrust) Add(name string, storeLost bool, now time.Duration) {
+// Add distrusts a router that gave no answer, or an old one, from now on, for
+// twice as long as the last time.
+func (d Distrust) Add(name string, now time.Duration) {
 	if !d.trusted(name, now) {
 		return
 	}
@@ -52,7 +55,35 @@
 	if last, ok := d[name]; ok {
 		length = min(2*last.length, maxDistrust)
 	}
-	d[name] = distrusted{until: now + length, length: length, storeLost: storeLost}
+	d[name] = distrusted{until: now + length, length: length}
+}
+
+// AddLost distrusts a router that could not reach the store at a boot time.
+func (d Distrust) AddLost(name string, at time.Duration) {
+	until := at + lostDistrust
+	if last := d[name]; last.until >= until {
+		return
+	}
+	d[name] = distrusted{until: until, length: minDistrust, storeLost: true}
+}
+
+// Failure is a router's failure to reach the store.
+type Failure struct {
+	Router string
+	// Ago is how long ago it was noticed.
+	Ago time.Duration
+}
+
+// Failures returns which routers can't reach the store, as known, for others to
+// hear: were each to find out by itself, all would try a store that is away.
+func (d Distrust) Failures(now time.Duration) []Failure {
+	var out []Failure
+	for name, entry := range d {
+		if entry.storeLost && now < entry.until {
+			out = append(out, Failure{Router: name, Ago: now - (entry.until - lostDistrust)})
+		}
+	}
+	return out
 }
 
 // trusted says whether the router may be asked at now.
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -47,6 +47,8 @@
 	// LostAgo is how long ago a reader of the store last failed, as far as the
 	// one asked knows.
 	LostAgo time.Duration
+	// Failures are the routers that can't reach the store, as known.
+	Failures []Failure
 	// Chain names the routers through which the answer came, the one asked
 	// first and the reader of the store last.
 	Chain []string
@@ -66,6 +68,8 @@
 	StoreLost func() bool
 	// LostAgo is how long ago a reader failed to reach the store, as known.
 	LostAgo func() time.Duration
+	// Failures returns which routers can't reach the store, as known.
+	Failures func() []Failure
 	// Chain names the routers through which this one's catalog comes.
 	Chain func() []string
 	// Done is closed when pulls are not to be held any more.
@@ -116,6 +120,7 @@
 		EnginesAge: s.EnginesAge(now),
 		StoreLost:  r.StoreLost(),
 		LostAgo:    r.LostAgo(),
+		Failures:   r.Failures(),
 		Chain:      r.Chain(),
 		Loads:      r.Loads.Without(args.From, now),
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -221,7 +221,8 @@
 	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
 	relay := &feed.Relay{
 		Board: r.board, Loads: r.loads, Clock: bootclock.Now, Done: r.ctx.Done(),
-		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Chain: r.follower.Chain,
+		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Failures: r.follower.Failures,
+		Chain: r.follower.Chain,
 	}
 	if err := r.calls.Register(feed.RelayName, relay); err != nil {
 		return err
