--- /dev/null
+++ b/internal/edge/forward/forward_test.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Symptom: a stream is cut at the end of a planned stop. Sequence: it was taken
+// seconds after the router was told to stop, and lasts longer than is left. Cause
+// handled: late requests are taken only if their time limit fits.
+func TestLeavingRouterTakesWhatCanEnd(t *testing.T) {
+	l := &leaving{since: 100 * time.Second, stop: 7 * time.Second}
+	for _, tc := range []struct {
+		after, limit time.Duration
+		want         bool
+	}{
+		{0, 15 * time.Second, true},
+		{2 * time.Second, 15 * time.Second, true},
+		{3 * time.Second, 15 * time.Second, false},
+		{3 * time.Second, time.Second, true},
+		{6500 * time.Millisecond, time.Second, false},
+	} {
+		require.Equal(t, tc.want, l.accepts(l.since+tc.after, tc.limit), "%v %v", tc.after, tc.limit)
+	}
+}
+
+// However a stream is cut into reads, only whole events come out, in order, and
+// the id of the last one is known.
+func TestEventsComeOutWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 6).Draw(t, "events")
+		var text strings.Builder
+		for i := range n {
+			fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", i+1, i+1)
+		}
+		whole := text.String()
+		rest := rapid.SampledFrom([]string{"", "id: 9\nda", "data: x\n"}).Draw(t, "rest")
+		input := whole + rest
+		v := &events{}
+		var out strings.Builder
+		for input != "" {
+			k := rapid.IntRange(1, len(input)).Draw(t, "cut")
+			out.Write(v.add([]byte(input[:k])))
+			input = input[k:]
+		}
+		require.Equal(t, whole, out.String())
+		require.Equal(t, rest, string(v.pending))
+		if n > 0 {
+			require.Equal(t, fmt.Sprint(n), v.lastID)
+		}
+	})
+}
+
+// Symptom: a service gets more repeated requests than the operators allow.
+// Sequence: traffic is split over the routers in any way, and all repeat whenever
+// they may, also right after a start at which they know no other router. Cause
+// handled: each router's part is sized for all of them.
+func TestBudgetOfAllRoutersHoldsForAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(6, 90).Draw(t, "routers")
+		limits := BudgetLimits{Ratio: 0.2, Slack: rapid.Float64Range(58, 216).Draw(t, "slack"), Window: 10 * time.Second}
+		known := 1
+		budgets := make([]*Budgets, n)
+		for i := range budgets {
+			budgets[i] = NewBudgets(limits, func() int { return known })
+			budgets[i].Fresh("s", 0)
+		}
+		known = n
+		requests, repeats := n, 0
+		for ms := time.Duration(0); ms < 10000; ms += 50 {
+			for _, b := range budgets {
+				for range rapid.IntRange(0, 1).Draw(t, "fresh") {
+					b.Fresh("s", ms*time.Millisecond)
+					requests++
+				}
+				for b.Spend("s", ms*time.Millisecond) {
+					repeats++
+				}
+			}
+		}
+		require.LessOrEqual(t, float64(repeats), limits.Ratio*float64(requests)+limits.Slack)
+	})
+}
+
+func TestSharedPartIsAllButTheRequestsOwn(t *testing.T) {
+	key, ok := (&Request{Prompt: []Part{{"a", 1}, {"b", 2}, {"own", 3}}}).SharedPart()
+	require.True(t, ok)
+	require.Equal(t, "b", key)
+	key, _ = (&Request{Prompt: []Part{{"a", 1}}}).SharedPart()
+	require.Equal(t, "a", key)
+	_, ok = (&Request{}).SharedPart()
+	require.False(t, ok)
+}
+
+// A route's traffic is split by weight, prompts that share a part stay together,
+// and a service with weight zero gets nothing.
+func TestSplitOverServices(t *testing.T) {
+	x := &exchange{route: &catalog.Route{Backends: []catalog.Backend{
+		{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0},
+	}}}
+	counts := map[string]int{}
+	for i := range 10000 {
+		shared := fmt.Sprint(i)
+		services := x.services(shared, true)
+		require.Equal(t, services, x.services(shared, true))
+		require.NotContains(t, services, "c")
+		require.Len(t, services, 2)
+		counts[services[0]]++
+	}
+	require.InDelta(t, 9000, counts["a"], 300)
+}
