logsink: one line a request, bounded, and never waiting for the reader

Cause: log lines were written to standard output from request handlers; a reader that stops would have stopped them, and a storm of failures had no bound. Requests that were served get a line too, at most 50 a second.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/logsink"
 	"damaskrouter.example/damaskrouter/internal/edge/node"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 	"damaskrouter.example/damaskrouter/platform"
@@ -40,7 +41,9 @@
 	if err != nil {
 		return ErrUsage.Wrap(err)
 	}
-	logger := newLogger(con.out, level)
+	sink := logsink.New(con.out)
+	defer sink.Close()
+	logger := newLogger(sink, level)
 	r := node.New(set, node.Platform{
 		Codec:          platform.Codec{},
 		Store:          func(address string) feed.Store { return platform.NewStore(address) },
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -52,12 +53,16 @@
 	// leaving is nil until the router is told to stop.
 	leaving  atomic.Pointer[leaving]
 	inFlight atomic.Int64
-	stats    *Stats
+	// servedLines bounds the log of requests that were simply served.
+	servedLines *rate.Limiter
+	stats       *Stats
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, stats: newStats()}
+	return &Forwarder{
+		Options: o, stats: newStats(), servedLines: rate.NewLimiter(servedPerSecond, servedPerSecond),
+	}
 }
 
 // Stats returns the counters.
@@ -138,6 +143,7 @@
 	outcome   Reason
 	status    int
 	engine    string
+	fetchFrom string
 	aborted   bool
 }
 
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -22,9 +22,15 @@
 		"engines_age", x.snapshot.EnginesAge(now), "cause", err)
 }
 
-// log writes the outcome of a request that was not simply answered.
+// servedPerSecond is how many lines a second about requests that were simply served are
+// written at most; failures are always written, within the bound of the log.
+const servedPerSecond = 50
+
+// log writes the outcome of a request: what decided it, how old that was, and
+// how it ended.
 func (x *exchange) log(took time.Duration) {
-	if x.outcome == "" || x.outcome == ReasonCallerLeft {
+	ok := x.outcome == ""
+	if ok && !x.f.servedLines.Allow() {
 		return
 	}
 	now := x.f.Clock()
@@ -35,9 +41,16 @@
 	if x.snapshot.Config != nil {
 		version = x.snapshot.Config.Version
 	}
-	x.f.Log.Warn("request not served", "request", x.req.ID, "route", route, "reason", x.outcome,
-		"status", x.status, "engine", x.engine, "sends", x.sends, "executed", x.executed, "took", took,
-		"config", version, "config_age", x.snapshot.ConfigAge(now), "engines_age", x.snapshot.EnginesAge(now))
+	fields := []any{
+		"request", x.req.ID, "route", route, "status", x.status, "engine", x.engine, "fetch_from", x.fetchFrom,
+		"sends", x.sends, "executed", x.executed, "took", took, "first_byte", x.firstByte,
+		"config", version, "config_age", x.snapshot.ConfigAge(now), "engines_age", x.snapshot.EnginesAge(now),
+	}
+	if ok {
+		x.f.Log.Info("request served", fields...)
+		return
+	}
+	x.f.Log.Warn("request not served", append(fields, "reason", x.outcome)...)
 }
 
 // pointOf maps a key evenly to 0 .. total-1.
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -169,6 +169,7 @@
 	defer x.f.Engines.Done(e.ID)
 	x.sends++
 	x.engine = e.ID
+	x.fetchFrom = choice.FetchFrom
 	if x.sends == 1 {
 		x.f.Budget.Fresh(e.Service, x.f.Clock())
 	}
