--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strconv"
 	"sync"
 	"time"
 
@@ -67,14 +68,14 @@
 
 // Latencies returns the quantiles of the time to the first byte, in
 // milliseconds, by kind of route.
-func (s *Stats) Latencies() map[string]map[float64]float64 {
+func (s *Stats) Latencies() map[string]map[string]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]map[float64]float64, len(s.routes))
+	out := make(map[string]map[string]float64, len(s.routes))
 	for kind, h := range s.routes {
-		out[kind] = make(map[float64]float64, len(quantiles))
+		out[kind] = make(map[string]float64, len(quantiles))
 		for _, q := range quantiles {
-			out[kind][q] = float64(h.ValueAtQuantile(q)) / 1000
+			out[kind][strconv.FormatFloat(q, 'f', -1, 64)] = float64(h.ValueAtQuantile(q)) / 1000
 		}
 	}
 	return out
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -198,6 +198,13 @@
 	r.plat.MountDirectory(directory, r.addresses)
 	r.plat.MountReady(ready, r.ready)
 	r.mountMetrics(control)
+	if r.set.Listen.Metrics != "" {
+		metrics := newEcho()
+		r.mountMetrics(metrics)
+		if err := r.serve("metrics", r.set.Listen.Metrics, metrics); err != nil {
+			return err
+		}
+	}
 	return errors.Join(
 		r.serve("callers", r.set.Listen.Callers, r.forwarder),
 		r.serve("directory", r.set.Listen.Directory, directory),
@@ -319,12 +326,26 @@
 	return !r.leaving.Load() && s.Config != nil && s.ConfigAge(bootclock.Now()) < r.forwarder.KeyLease
 }
 
-// mountMetrics serves the counters.
-func (r *Router) mountMetrics(e *echo.Echo) {
+// vars are the counters and latencies of this process.
+func (r *Router) vars() *expvar.Map {
 	vars := r.forwarder.Stats().Vars()
 	vars.Set("latency_ms", expvar.Func(func() any { return r.forwarder.Stats().Latencies() }))
+	vars.Set("in_flight", expvar.Func(func() any { return r.forwarder.InFlight() }))
 	vars.Set("engine_connections", expvar.Func(func() any { return r.forwarder.Conns.Dials() }))
 	vars.Set("peer_calls", expvar.Func(func() any { return r.counters.Snapshot() }))
+	vars.Set("routers", expvar.Func(func() any { return r.routers() }))
+	vars.Set("config_age_ms", expvar.Func(func() any {
+		return r.board.Snapshot().ConfigAge(bootclock.Now()).Milliseconds()
+	}))
+	vars.Set("engines_age_ms", expvar.Func(func() any {
+		return r.board.Snapshot().EnginesAge(bootclock.Now()).Milliseconds()
+	}))
+	return vars
+}
+
+// mountMetrics serves the counters and latencies.
+func (r *Router) mountMetrics(e *echo.Echo) {
+	vars := r.vars()
 	e.GET("/metrics", func(c echo.Context) error {
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte(vars.String()))
 	})
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -53,6 +53,9 @@
 	Ready     string `yaml:"ready" validate:"required,hostport"`
 	Directory string `yaml:"directory" validate:"required,hostport"`
 	Control   string `yaml:"control" validate:"required,hostport"`
+	// Metrics is where counters and latencies are served. The default is not
+	// to serve them.
+	Metrics string `yaml:"metrics" validate:"omitempty,hostport"`
 	// PortRange is the ports that are free for the traffic between routers,
 	// "first,last".
 	PortRange []int `yaml:"ports" validate:"len=2,dive,min=1,max=65535"`
