A fault soak: the real program as processes, faults from outside, books compared

Routers are processes that signals stop, pause, kill, restart and hang up; their links to the store and to engines go through proxies that delay, reset, deafen or silence; the store refuses, falls silent and forgets; engines are bad in eight ways, leave and are replaced; keys are taken away; all of it overlaps. Checked are whole answers, at most once, refusals that did not run, revoked keys, the time to stop, and that the system serves again.

--- /dev/null
+++ b/test/soak/world.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"damaskrouter.example/damaskrouter/platform/platformtest"
+)
+
+// Bounds that the settings give to the routers, and the checks hold them to.
+const (
+	revokeBound = 5 * time.Second
+	drainBound  = 2 * time.Second
+	stopTime    = 4 * time.Second
+)
+
+// world is the store, engines and routers of one run.
+type world struct {
+	dir     string
+	binary  string
+	store   *platformtest.Store
+	version int64
+
+	mu      sync.Mutex
+	engines []*engine
+	routers []*router
+	port    int
+}
+
+// engine is an engine behind a proxy.
+type engine struct {
+	*platformtest.Engine
+	proxy *proxy
+	// drainedAt is when the store took its leave; zero while it serves.
+	drainedAt time.Time
+}
+
+// router is one process, with a proxy of its own towards the store.
+type router struct {
+	name, ip string
+	store    *proxy
+	settings string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+const settingsText = `name: %s
+site: x
+listen: {callers: "%s:%d", ready: "%s:%d", directory: "%s:%d", control: "%s:%d", ports: [%d, %d]}
+seeds: ["%s:1"]
+fleet_key: 0123456789abcdef0123
+store: "%s"
+limits: {memory_mb: 256, max_files: 1000, link_mbps: 100, cpu_share: 1}
+bounds: {revoke_ms: %d, beat_ms: 1200, stop_s: %d, retry_ratio: 1, retry_slack: 1000, retry_window_s: 10, max_ttl_s: 5}
+`
+
+// newWorld starts a store with a configuration, engines and routers. The
+// routers' addresses are 127.0.NET.1 and on, so that runs can stand side by side.
+func newWorld(dir, binary string, network, routers, engines int) (*world, error) {
+	w := &world{dir: dir, binary: binary, store: platformtest.NewStore()}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.port = ln.Addr().(*net.TCPAddr).Port
+	if err := ln.Close(); err != nil {
+		return nil, err
+	}
+	if w.port > 65000 {
+		w.port -= 100
+	}
+	w.configure(nil)
+	for range engines {
+		w.addEngine()
+	}
+	for i := range routers {
+		if err := w.addRouter(i, network); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) configure(more []string) {
+	w.version++
+	w.store.PutConfig(w.version, more)
+}
+
+func (w *world) addEngine() *engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &engine{Engine: platformtest.NewEngine(fmt.Sprintf("engine-%d", len(w.engines)))}
+	e.proxy = newProxy(e.Address())
+	w.engines = append(w.engines, e)
+	w.store.PutEngine(e.Engine, e.proxy.address(), "ready")
+	return e
+}
+
+// serving returns the engines that have not left.
+func (w *world) serving() []*engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*engine
+	for _, e := range w.engines {
+		if e.drainedAt.IsZero() {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (w *world) addRouter(i, network int) error {
+	r := &router{name: fmt.Sprintf("router-%d", i), ip: fmt.Sprintf("127.0.%d.%d", network, i+1), store: newProxy(w.store.Address())}
+	r.settings = filepath.Join(w.dir, r.name+".yaml")
+	text := fmt.Sprintf(settingsText, r.name, r.ip, w.port, r.ip, w.port+1, r.ip, w.port+2, r.ip, w.port+3, w.port+4, w.port+9,
+		fmt.Sprintf("127.0.%d.1", network), r.store.address(), revokeBound.Milliseconds(), int(stopTime.Seconds()))
+	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	w.routers = append(w.routers, r)
+	return w.start(r)
+}
+
+func (w *world) address(r *router) string { return fmt.Sprintf("%s:%d", r.ip, w.port) }
+
+// start runs the router's process; its log is kept in the run's folder.
+func (w *world) start(r *router) error {
+	log, err := os.OpenFile(filepath.Join(w.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(w.binary, "edge", "--settings", r.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.cmd = cmd
+	r.mu.Unlock()
+	return log.Close()
+}
+
+// signal sends a signal to the router's process, by its id.
+func (r *router) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The process may have ended already.
+	_ = r.cmd.Process.Signal(s)
+}
+
+// wait waits for the process to end, and kills it if it takes too long.
+func (r *router) wait(limit time.Duration) (inTime bool) {
+	r.mu.Lock()
+	cmd := r.cmd
+	r.mu.Unlock()
+	timer := time.AfterFunc(limit, func() { _ = cmd.Process.Kill() })
+	// How it ended is not judged, only when.
+	_ = cmd.Wait()
+	return timer.Stop()
+}
+
+// close ends all that the world started.
+func (w *world) close() {
+	for _, r := range w.routers {
+		r.signal(syscall.SIGCONT)
+		r.signal(syscall.SIGKILL)
+		r.wait(time.Second)
+		r.store.close()
+	}
+	for _, e := range w.engines {
+		e.proxy.close()
+		e.Close()
+	}
+	w.store.Close()
+}
+
+// duration draws a time evenly between two bounds.
+func duration(rng *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rng.Int64N(int64(high-low)))
+}
