--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,7 +4,7 @@
 // The interfaces are what the rest of the program depends on; tests put small
 // fakes behind them. The HTTP clients in this package speak to the real
 // services (or to this repository's stand-ins) over the published protocol in
-// docs/PLATFORM.md.
+// docs/TABLE-SERVICE.md.
 package platform
 
 import (
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -2,7 +2,7 @@
 // service, object store, VM list and weight store. It keeps all state in
 // memory, limits its rates as the real store does, and fails on demand.
 //
-// It is for tests and trials on one machine; docs/PLATFORM.md is its protocol.
+// It is for tests and trials on one machine; docs/TABLE-SERVICE.md is its protocol.
 package platform
 
 import (
