cli: one way to drain on a signal, a check of the platform's settings, SIGHUP caught from the start

Cause: a SIGHUP that arrives before its handler is set ends the process; the drain on a signal stood twice; the boot clock stood twice.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -33,6 +33,11 @@
 	if file == "" {
 		return ErrUsage.New("edge needs --settings FILE or %s", settingsVariable)
 	}
+	sink := logsink.New(con.out)
+	defer sink.Close()
+	logger := newLogger(sink, log.InfoLevel)
+	// A SIGHUP that nobody catches ends the process, also while it starts.
+	defer onHangup(func() { reloadEdge(logger, file) })()
 	set, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -41,9 +46,7 @@
 	if err != nil {
 		return ErrUsage.Wrap(err)
 	}
-	sink := logsink.New(con.out)
-	defer sink.Close()
-	logger := newLogger(sink, level)
+	logger.SetLevel(level)
 	r := node.New(set, node.Platform{
 		Codec:          platform.Codec{},
 		Store:          func(address string) feed.Store { return platform.NewStore(address) },
@@ -54,11 +57,7 @@
 		return err
 	}
 	defer r.Close()
-	defer onHangup(func() { reloadEdge(logger, file) })()
-	<-ctx.Done()
-	again, stop := secondSignal()
-	defer stop()
-	r.Leave(again)
+	drainOnSignal(ctx, r.Leave)
 	return nil
 }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	edgesettings "damaskrouter.example/damaskrouter/internal/edge/settings"
 	"damaskrouter.example/damaskrouter/internal/router"
 	"damaskrouter.example/damaskrouter/internal/settings"
 	"github.com/charmbracelet/log"
@@ -41,10 +42,7 @@
 	}
 	defer r.Close()
 	defer onHangup(func() { reload(con, r) })()
-	<-ctx.Done()
-	again, stop := secondSignal()
-	defer stop()
-	r.Drain(again)
+	drainOnSignal(ctx, r.Drain)
 	return nil
 }
 
@@ -58,17 +56,35 @@
 
 func checkCommand() *command {
 	var file string
+	var edge bool
 	c := newCommand("check", "Check a settings file and say what is wrong with it.", func(_ context.Context, con *console) error {
 		if file == "" {
 			return ErrUsage.New("check needs --settings FILE")
 		}
-		set, err := settings.Load(file)
+		name, err := checkSettings(file, edge)
 		if err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(con.out, "%s: settings of %s are in order\n", file, set.Name)
+		_, err = fmt.Fprintf(con.out, "%s: settings of %s are in order\n", file, name)
 		return err
 	})
+	c.sub.Bool(&edge, "e", "edge", "The file is for the command edge.")
 	c.sub.String(&file, "s", "settings", "The settings file to check.")
 	return c
 }
+
+// checkSettings returns the name of the router that the settings are for.
+func checkSettings(file string, edge bool) (string, error) {
+	if edge {
+		set, err := edgesettings.Load(file)
+		if err != nil {
+			return "", err
+		}
+		return set.Name, nil
+	}
+	set, err := settings.Load(file)
+	if err != nil {
+		return "", err
+	}
+	return set.Name, nil
+}
--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -34,3 +34,12 @@
 func secondSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 }
+
+// drainOnSignal waits for the signal that ends ctx and drains; a second signal
+// ends the drain.
+func drainOnSignal(ctx context.Context, drain func(context.Context)) {
+	<-ctx.Done()
+	again, stop := secondSignal()
+	defer stop()
+	drain(again)
+}
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -6,6 +6,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/admission"
 	"damaskrouter.example/damaskrouter/internal/audit"
+	"damaskrouter.example/damaskrouter/internal/bootclock"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
@@ -142,14 +143,14 @@
 	r.ordered = controller.NewOrderLog(audit.New(r.table, r.chain, time.Now), r.set.Name, r.log)
 	r.leader = &controller.Leader{
 		Board: r.board, Configs: r.configs, Caller: r.caller, Drains: r.drains, Upstream: r.upstream,
-		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, controller.BootTime, rand.Float64),
-		Clock: controller.BootTime, Self: r.set.Name, Log: r.log, Record: r.ordered.Record,
+		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, bootclock.Now, rand.Float64),
+		Clock: bootclock.Now, Self: r.set.Name, Log: r.log, Record: r.ordered.Record,
 		HasOrderToken: r.set.OrderBearer() != "",
 	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
 	r.sweeper = &controller.Sweeper{
 		Board: r.board, Claims: claim.NewSweeper(r.table, r.set.ClaimRetention),
-		Clock: controller.BootTime, Log: r.log,
+		Clock: bootclock.Now, Log: r.log,
 	}
 	r.loads = &controller.Loads{Board: r.board, Admission: r.admission, Log: r.log}
 }
