edge: smaller files, what nobody reads is gone, a wrong engine counts against its address

forward/send.go and node/node.go are split by concern; the engines' own load, which nothing used, is not decoded any more. An engine whose address answers for another counts as failing until the store says so, so that not each request tries it.

--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -210,6 +210,3 @@
 	}
 	return out
 }
-
-// Heard takes what an engine says of itself in an answer.
-func (p *Engines) Heard(engine string, reply Reply) {}
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -76,16 +76,6 @@
 	WrongEngine bool
 	// Encoded bodies are not what the engine made.
 	Encoded bool
-	// Leaving engines close the connection after the answer.
-	Leaving bool
-	// Load is what the engine says of its load; HasLoad says whether it does.
-	Load    Load
-	HasLoad bool
-}
-
-// Load is an engine's own count of its requests.
-type Load struct {
-	Running, Waiting, Slots int
 }
 
 // Codec translates between HTTP messages and what they mean. It is given by
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -23,10 +21,6 @@
 	maxIdleOnce = 300 * time.Millisecond
 	// maxIdleRepeatable is the same for one that may be.
 	maxIdleRepeatable = 4 * time.Second
-	// wholeAnswer bounds the answers that are read whole before they are
-	// passed on. Until then a broken answer can still become another
-	// engine's, or an honest failure.
-	wholeAnswer = 1 << 20
 )
 
 // verdict is what to do after a send.
@@ -84,9 +78,8 @@
 		return x.gone()
 	case x.remaining() <= 0:
 		return x.timeUp()
-	case x.sends == 0 || x.executed > 0:
-		x.snapshot = x.f.Snapshot()
 	}
+	x.snapshot = x.f.Snapshot()
 	if age := x.snapshot.ConfigAge(x.f.Clock()); x.account != nil && age > x.f.KeyLease {
 		if x.executed > 0 {
 			return last
@@ -182,7 +175,6 @@
 	}
 	defer answer.Close()
 	reply := x.f.Codec.Reply(answer.Status, answer.Header)
-	x.f.Engines.Heard(e.ID, reply)
 	if reply.NotExecuted {
 		return x.engineRefused(e, answer, reply)
 	}
@@ -300,6 +292,10 @@
 // engineRefused decides after an engine's promise that nothing ran.
 func (x *exchange) engineRefused(e catalog.Engine, answer *engineconn.Answer, reply Reply) result {
 	x.logAttempt(e, errEngineRefused.New("status %d", answer.Status), 0)
+	if reply.WrongEngine {
+		// Until the store says so too, others need not try the address.
+		x.f.Engines.Note(e.ID, false)
+	}
 	// The body is read so that the connection can be kept; what it says does
 	// not matter.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, wholeAnswer))
@@ -312,79 +308,3 @@
 	}
 	return result{verdict: another, refused: true, refusal: refusal}
 }
-
-// relayWhole reads the whole answer and passes it on.
-func (x *exchange) relayWhole(e catalog.Engine, answer *engineconn.Answer) result {
-	body, err := io.ReadAll(io.LimitReader(answer, wholeAnswer))
-	if err == nil && len(body) == wholeAnswer {
-		return x.relayLong(answer, body)
-	}
-	if err != nil {
-		if x.callerLeft() {
-			return result{verdict: over, refusal: x.gone()}
-		}
-		if x.remaining() <= 0 {
-			return result{verdict: over, refusal: x.timeUp()}
-		}
-		x.f.Engines.Note(e.ID, false)
-		x.logAttempt(e, err, 0)
-		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
-	}
-	if answer.Status < http.StatusInternalServerError {
-		x.f.Engines.Note(e.ID, true)
-		x.answerWhole(answer.Status, answer.Header, body)
-		return result{verdict: done}
-	}
-	x.f.Engines.Note(e.ID, false)
-	x.failure = &wholeFailure{answer.Status, answer.Header, body}
-	return x.mayRepeat(failed(http.StatusBadGateway, ReasonNoAnswer))
-}
-
-// wholeFailure is an engine's own answer that the request failed.
-type wholeFailure struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// answerWhole passes on an answer that was read whole.
-func (x *exchange) answerWhole(status int, header http.Header, body []byte) {
-	x.writeHeader(status, header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(status)
-	// A caller that has left needs no answer.
-	_, _ = x.w.Write(body)
-}
-
-// relayLong passes on an answer that is too long to be held.
-func (x *exchange) relayLong(answer *engineconn.Answer, start []byte) result {
-	x.writeHeader(answer.Status, answer.Header)
-	if answer.Length >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
-	}
-	x.w.WriteHeader(answer.Status)
-	if _, err := x.w.Write(start); err != nil {
-		return result{verdict: over, refusal: x.gone()}
-	}
-	if _, err := io.Copy(x.w, answer); err != nil {
-		return result{verdict: over, refusal: failed(http.StatusBadGateway, ReasonBadAnswer)}
-	}
-	return result{verdict: done}
-}
-
-// writeHeader copies the engine's header for the caller.
-func (x *exchange) writeHeader(status int, header http.Header) {
-	leaving := x.w.Header().Get("Connection")
-	x.f.Codec.CallerHeader(x.w.Header(), header)
-	if leaving != "" {
-		x.w.Header().Set("Connection", leaving)
-	}
-	x.answered = true
-	x.status = status
-	x.firstByte = x.f.Clock() - x.started
-}
-
-// isTimeout says whether the exchange ended by its own context.
-func isTimeout(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.DeadlineExceeded)
-}
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -167,3 +167,8 @@
 		x.f.Engines.Done(e.ID)
 	}
 }
+
+// isTimeout says whether the exchange ended by its own context.
+func isTimeout(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -5,12 +5,10 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +20,6 @@
 	"damaskrouter.example/damaskrouter/internal/edge/forward"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/pause"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"github.com/charmbracelet/log"
@@ -99,36 +96,12 @@
 	return r
 }
 
-// peerAddress is where the router of a VM answers other routers: the first free
-// port, which is the same on all VMs.
-func (r *Router) peerAddress(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return ""
-	}
-	return net.JoinHostPort(host, strconv.Itoa(r.set.Listen.PortRange[0]))
-}
-
-// callersAddress is where the router behind a peer address serves callers.
-func (r *Router) callersAddress(peerAddress string) string {
-	host, _, err := net.SplitHostPort(peerAddress)
-	_, port, portErr := net.SplitHostPort(r.set.Listen.Callers)
-	if err != nil || portErr != nil {
-		return ""
-	}
-	return net.JoinHostPort(host, port)
-}
-
 // changeBound is how long a change of the configuration or of an engine may take
 // to be in force at all routers.
 func (r *Router) changeBound() time.Duration {
 	return time.Duration(min(r.set.Bounds.Config, r.set.Bounds.Drain))
 }
 
-func (r *Router) fleetKeys() []peer.FleetKey {
-	return []peer.FleetKey{{ID: 1, Secret: []byte(r.set.FleetKey)}}
-}
-
 func (r *Router) assembleFeed() {
 	timing := feed.TimingFor(r.changeBound())
 	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.set.Bounds.Beat))
@@ -166,23 +139,6 @@
 	})
 }
 
-// routers is how many routers there are, this one included.
-func (r *Router) routers() int { return max(len(r.live()), 1) }
-
-// live returns the routers that seem alive and stay.
-func (r *Router) live() []feed.Peer {
-	if r.gossip == nil {
-		return []feed.Peer{r.self}
-	}
-	var out []feed.Peer
-	for _, m := range r.gossip.Snapshot() {
-		if m.State == membership.StateAlive || m.State == membership.StateSuspect {
-			out = append(out, feed.Peer{Name: m.Name, Site: m.Site, Address: m.Address})
-		}
-	}
-	return out
-}
-
 // Start listens and begins to serve.
 func (r *Router) Start() error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(r.set.Limits.MemoryMB) * (1 << 20)))
@@ -228,55 +184,6 @@
 	return e
 }
 
-// startPeers joins the membership and answers other routers.
-func (r *Router) startPeers() error {
-	ln, err := net.Listen("tcp4", r.self.Address)
-	if err != nil {
-		return err
-	}
-	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
-	relay := &feed.Relay{
-		Board: r.board, Loads: r.loads, Clock: bootclock.Now, Done: r.ctx.Done(),
-		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Failures: r.follower.Failures,
-		Chain: r.follower.Chain,
-	}
-	if err := r.calls.Register(feed.RelayName, relay); err != nil {
-		return err
-	}
-	r.goRun(func(context.Context) { r.calls.Serve(ln) })
-	r.gossip, err = gossip.Listen(gossip.Config{
-		Listen: r.self.Address,
-		Self: membership.Member{
-			Name: r.self.Name, Address: r.self.Address, HTTP: r.set.Listen.Callers, Site: r.self.Site,
-		},
-		Options: r.gossipOptions(),
-		Keys:    gossip.Keys{Active: gossip.Key{ID: 1, Secret: []byte(r.set.FleetKey)}},
-		Log:     func(message string, keyvals ...any) { r.log.Warn(message, keyvals...) },
-	})
-	if err != nil {
-		return err
-	}
-	return r.gossip.OnEvent(r.logMember)
-}
-
-// contactPeriod is how often a seed that is no live member is asked. Routers
-// that start together must find one another within seconds.
-const contactPeriod = time.Second
-
-func (r *Router) gossipOptions() membership.Options {
-	opts := membership.DefaultOptions()
-	opts.ContactPeriod = contactPeriod
-	for _, seed := range r.set.Seeds {
-		opts.Seeds = append(opts.Seeds, r.peerAddress(seed))
-	}
-	return opts
-}
-
-func (r *Router) logMember(e membership.Event) {
-	r.log.Info("member "+e.Type.String(), "member", e.Member.Name, "site", e.Member.Site,
-		"incarnation", e.Member.Incarnation)
-}
-
 func (r *Router) goRun(f func(context.Context)) {
 	r.wg.Add(1)
 	go func() {
@@ -335,31 +242,6 @@
 	return !r.leaving.Load() && s.Config != nil && s.ConfigAge(bootclock.Now()) < r.forwarder.KeyLease
 }
 
-// vars are the counters and latencies of this process.
-func (r *Router) vars() *expvar.Map {
-	vars := r.forwarder.Stats().Vars()
-	vars.Set("latency_ms", expvar.Func(func() any { return r.forwarder.Stats().Latencies() }))
-	vars.Set("in_flight", expvar.Func(func() any { return r.forwarder.InFlight() }))
-	vars.Set("engine_connections", expvar.Func(func() any { return r.forwarder.Conns.Dials() }))
-	vars.Set("peer_calls", expvar.Func(func() any { return r.counters.Snapshot() }))
-	vars.Set("routers", expvar.Func(func() any { return r.routers() }))
-	vars.Set("config_age_ms", expvar.Func(func() any {
-		return r.board.Snapshot().ConfigAge(bootclock.Now()).Milliseconds()
-	}))
-	vars.Set("engines_age_ms", expvar.Func(func() any {
-		return r.board.Snapshot().EnginesAge(bootclock.Now()).Milliseconds()
-	}))
-	return vars
-}
-
-// mountMetrics serves the counters and latencies.
-func (r *Router) mountMetrics(e *echo.Echo) {
-	vars := r.vars()
-	e.GET("/metrics", func(c echo.Context) error {
-		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte(vars.String()))
-	})
-}
-
 // Close stops at once; Leave comes first in a graceful shutdown.
 func (r *Router) Close() {
 	for _, s := range r.servers {
--- /dev/null
+++ b/internal/edge/node/peers.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/bootclock"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/peer"
+)
+
+// peerAddress is where the router of a VM answers other routers: the first free
+// port, which is the same on all VMs.
+func (r *Router) peerAddress(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(r.set.Listen.PortRange[0]))
+}
+
+// callersAddress is where the router behind a peer address serves callers.
+func (r *Router) callersAddress(peerAddress string) string {
+	host, _, err := net.SplitHostPort(peerAddress)
+	_, port, portErr := net.SplitHostPort(r.set.Listen.Callers)
+	if err != nil || portErr != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+func (r *Router) fleetKeys() []peer.FleetKey {
+	return []peer.FleetKey{{ID: 1, Secret: []byte(r.set.FleetKey)}}
+}
+
+// routers is how many routers there are, this one included.
+func (r *Router) routers() int { return max(len(r.live()), 1) }
+
+// live returns the routers that seem alive and stay.
+func (r *Router) live() []feed.Peer {
+	if r.gossip == nil {
+		return []feed.Peer{r.self}
+	}
+	var out []feed.Peer
+	for _, m := range r.gossip.Snapshot() {
+		if m.State == membership.StateAlive || m.State == membership.StateSuspect {
+			out = append(out, feed.Peer{Name: m.Name, Site: m.Site, Address: m.Address})
+		}
+	}
+	return out
+}
+
+// startPeers joins the membership and answers other routers.
+func (r *Router) startPeers() error {
+	ln, err := net.Listen("tcp4", r.self.Address)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(r.ctx, func() { _ = ln.Close() })
+	relay := &feed.Relay{
+		Board: r.board, Loads: r.loads, Clock: bootclock.Now, Done: r.ctx.Done(),
+		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Failures: r.follower.Failures,
+		Chain: r.follower.Chain,
+	}
+	if err := r.calls.Register(feed.RelayName, relay); err != nil {
+		return err
+	}
+	r.goRun(func(context.Context) { r.calls.Serve(ln) })
+	r.gossip, err = gossip.Listen(gossip.Config{
+		Listen: r.self.Address,
+		Self: membership.Member{
+			Name: r.self.Name, Address: r.self.Address, HTTP: r.set.Listen.Callers, Site: r.self.Site,
+		},
+		Options: r.gossipOptions(),
+		Keys:    gossip.Keys{Active: gossip.Key{ID: 1, Secret: []byte(r.set.FleetKey)}},
+		Log:     func(message string, keyvals ...any) { r.log.Warn(message, keyvals...) },
+	})
+	if err != nil {
+		return err
+	}
+	return r.gossip.OnEvent(r.logMember)
+}
+
+// contactPeriod is how often a seed that is no live member is asked. Routers
+// that start together must find one another within seconds.
+const contactPeriod = time.Second
+
+func (r *Router) gossipOptions() membership.Options {
+	opts := membership.DefaultOptions()
+	opts.ContactPeriod = contactPeriod
+	for _, seed := range r.set.Seeds {
+		opts.Seeds = append(opts.Seeds, r.peerAddress(seed))
+	}
+	return opts
+}
+
+func (r *Router) logMember(e membership.Event) {
+	r.log.Info("member "+e.Type.String(), "member", e.Member.Name, "site", e.Member.Site,
+		"incarnation", e.Member.Incarnation)
+}
