--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -172,8 +172,8 @@
 	return x.readBody()
 }
 
-// admit finds the route and the account. It is asked again before each send:
-// the configuration may have grown too old while the request waited.
+// admit finds the route and the account. Whether the configuration has grown too
+// old meanwhile is checked again before each send; see mayGoOn.
 func (x *exchange) admit(s *catalog.Snapshot) *Refusal {
 	if s.Config == nil {
 		return notRun(ReasonNoConfig, retrySoon)
@@ -249,9 +249,9 @@
 
 func (x *exchange) callerLeft() bool { return x.r.Context().Err() != nil }
 
-// refuse sends the final answer where no engine has served the request: an
-// engine's own failure if there is one, else the router's refusal, unless an answer has begun:
-// then the connection is cut, so that the answer does not look complete.
+// refuse ends a request that no engine has served: by an engine's own failure if
+// there is one, else by the router's refusal. If an answer has begun, the
+// connection is cut, so that the answer does not look complete.
 func (x *exchange) refuse(refusal *Refusal) {
 	x.outcome = refusal.Reason
 	if x.answered {
