catalog: doubt about missing engines needs a reader that failed

Doubt now also needs a failed call of this router, or of one that reads for others. Ruled out: noting each router's own failures as the readers': one lost packet of an own read would have kept it from trying again.

--- a/internal/edge/catalog/catalog_test.go
+++ b/internal/edge/catalog/catalog_test.go
@@ -86,10 +86,10 @@
 func TestMissingEntryAfterOutageIsDoubtedForTwoSeconds(t *testing.T) {
 	const lapse = 2400 * time.Millisecond
 	s := Empty()
-	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{engine("a", 5), engine("b", 6)}}, 10*time.Second, lapse)
-	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 20}, 15*time.Second, lapse)
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{engine("a", 5), engine("b", 6)}}, 10*time.Second, lapse, 0)
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 20}, 15*time.Second, lapse, 0)
 	require.Len(t, s.Engines.ByID, 2)
-	s, _ = s.WithEngines(EngineUpdate{Since: 20, Upto: 21, Present: []Engine{engine("a", 21)}}, 16*time.Second, lapse)
+	s, _ = s.WithEngines(EngineUpdate{Since: 20, Upto: 21, Present: []Engine{engine("a", 21)}}, 16*time.Second, lapse, 0)
 	set, _ := s.Engines.Expire(17 * time.Second)
 	require.Contains(t, set.ByID, "a")
 	require.NotContains(t, set.ByID, "b")
@@ -102,11 +102,22 @@
 func TestNoDoubtWhereSomebodyCouldRead(t *testing.T) {
 	const lapse = 2400 * time.Millisecond
 	s := Empty()
-	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{engine("a", 5)}}, 10*time.Second, lapse)
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{engine("a", 5)}}, 10*time.Second, lapse, 0)
 	for at := 11 * time.Second; at <= 15*time.Second; at += time.Second {
-		s, _ = s.WithEngines(EngineUpdate{Since: 10, Upto: 10}, at, lapse)
+		s, _ = s.WithEngines(EngineUpdate{Since: 10, Upto: 10}, at, lapse, 0)
 	}
-	s, _ = s.WithEngines(EngineUpdate{Since: 10, Upto: 20, Removed: []Removal{{"a", 20}}}, 16*time.Second, lapse)
+	s, _ = s.WithEngines(EngineUpdate{Since: 10, Upto: 20, Removed: []Removal{{"a", 20}}}, 16*time.Second, lapse, 0)
+	require.Empty(t, s.Engines.ByID)
+}
+
+// Symptom: a request reaches an engine three seconds after it left. Sequence: a
+// router's link is full for some seconds, it hears nothing, then reads a removal.
+// Cause: that is its own trouble; no reader has failed to reach the store.
+func TestNoDoubtWhereOnlyThisRouterHeardNothing(t *testing.T) {
+	const lapse = 2400 * time.Millisecond
+	s := Empty()
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{engine("a", 5)}}, 10*time.Second, lapse, time.Hour)
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 20}, 15*time.Second, lapse, 20*time.Second)
 	require.Empty(t, s.Engines.ByID)
 }
 
@@ -115,8 +126,8 @@
 	s := Empty()
 	leaving := engine("a", 5)
 	leaving.Draining = true
-	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{leaving}}, 10*time.Second, time.Second)
-	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 20}, 15*time.Second, time.Second)
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 10, Present: []Engine{leaving}}, 10*time.Second, time.Second, 0)
+	s, _ = s.WithEngines(EngineUpdate{Full: true, Upto: 20}, 15*time.Second, time.Second, 0)
 	require.Empty(t, s.Engines.ByID)
 }
 
--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -52,13 +52,16 @@
 // whose engines are alive: they could not renew them. Taking them for gone would
 // end the service with the first answer after an outage. They stay in service
 // until they had time to register again. An outage that only some routers see
-// is none: the others have confirmed the engines meanwhile.
-func (s *Snapshot) WithEngines(u EngineUpdate, asOf, lapse time.Duration) (*Snapshot, bool) {
+// is none: the others have confirmed the engines meanwhile. Neither is a time in
+// which this router heard nothing while no reader failed, lostAgo being how long
+// ago one last did: then its own links were bad, and the store was well.
+func (s *Snapshot) WithEngines(u EngineUpdate, asOf, lapse, lostAgo time.Duration) (*Snapshot, bool) {
 	if u.Upto < s.Engines.Upto || !s.Engines.Covers(u) {
 		return s, false
 	}
 	next := *s
-	if s.Engines.Upto > 0 && asOf-s.EnginesAsOf >= lapse {
+	gap := asOf - s.EnginesAsOf
+	if s.Engines.Upto > 0 && gap >= lapse && lostAgo <= gap {
 		next.DoubtUntil = asOf + doubtFor
 	}
 	doubtUntil := next.DoubtUntil
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -133,10 +133,11 @@
 	})
 }
 
-// PutEngines hands over an update of the engines; see PutConfig.
-func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf time.Duration) {
+// PutEngines hands over an update of the engines; see PutConfig. LostAgo is how
+// long ago a reader last failed to reach the store, as known.
+func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, lostAgo time.Duration) {
 	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
-		return s.WithEngines(u, asOf, b.lapse)
+		return s.WithEngines(u, asOf, b.lapse, lostAgo)
 	})
 }
 
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -85,7 +85,7 @@
 // Lost says whether what is old here is so because the store can't be reached.
 func (f *Follower) Lost() bool { return f.LostAgo() < lostMemory }
 
-// noteLost records a failure of a reader.
+// noteLost records that a reader failed at a boot time.
 func (f *Follower) noteLost(at time.Duration) {
 	if at > time.Duration(f.lostAt.Load()) {
 		f.lostAt.Store(int64(at))
@@ -238,7 +238,7 @@
 	if reply.Engines.Upto == 0 {
 		return
 	}
-	f.Board.PutEngines(ctx, reply.Engines, said-reply.EnginesAge)
+	f.Board.PutEngines(ctx, reply.Engines, said-reply.EnginesAge, f.LostAgo())
 }
 
 // judge distrusts a parent that can't reach the store, whose knowledge has grown
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -50,6 +50,9 @@
 	Timing Timing
 	// Reads says whether this router is the one to read.
 	Reads func() bool
+	// LostAgo is how long ago a router that reads for others last failed to
+	// reach the store, as known.
+	LostAgo func() time.Duration
 	// OthersLost says whether the router that reads for this one can't reach
 	// the store.
 	OthersLost func() bool
@@ -58,6 +61,8 @@
 	// downSince is the boot time of the first of a series of failures of each
 	// watch, or zero.
 	downSince [2]atomic.Int64
+	// failedAt is the boot time at which a call of this router last failed.
+	failedAt atomic.Int64
 	// configCursor is the store's version up to which the configuration was
 	// read here; zero asks for all of it. Only Run's goroutine uses it.
 	configCursor uint64
@@ -168,6 +173,7 @@
 // lost notes a failure.
 func (r *Reader) lost(which int, err error) {
 	now := r.Clock()
+	r.failedAt.Store(int64(now))
 	if r.downSince[which].CompareAndSwap(0, int64(now)) {
 		s := r.Board.Snapshot()
 		r.Log.Warn("store lost", "watch", watchNames[which], "cause", err,
@@ -235,10 +241,16 @@
 		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision)
 	}
 	nothing := !update.Full && len(update.Present)+len(update.Removed) == 0
-	r.Board.PutEngines(ctx, update, r.asOf(sent, nothing))
+	r.Board.PutEngines(ctx, update, r.asOf(sent, nothing), r.failedAgo())
 	return nil
 }
 
+// failedAgo is how long ago this router, or one that reads for others, last
+// failed to reach the store.
+func (r *Reader) failedAgo() time.Duration {
+	return min(r.LostAgo(), r.Clock()-time.Duration(r.failedAt.Load()))
+}
+
 func (r *Reader) readEngines(ctx context.Context) (catalog.EngineUpdate, error) {
 	since := r.Board.Snapshot().Engines.Upto
 	if since == 0 {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -111,6 +111,7 @@
 		Timing:     timing,
 		Reads:      func() bool { return r.follower.Reads() },
 		OthersLost: func() bool { return r.follower.Lost() },
+		LostAgo:    func() time.Duration { return r.follower.LostAgo() },
 	}
 	r.caller = peer.NewCaller(r.set.Name, r.fleetKeys, &r.counters)
 	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,7 @@
 	cause string
 }{
 	{216, "a SIGHUP in the first milliseconds of a process, before it was caught, ended it; no one started it again"},
+	{3005, "the soak itself started a router twice, so that one of the two ended again and again"},
 }
 
 var (
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -174,6 +174,12 @@
 	}
 	w.endedByThemselves.Add(1)
 	time.Sleep(restartDelay)
+	r.mu.Lock()
+	replaced := r.cmd != cmd || r.stopping
+	r.mu.Unlock()
+	if replaced {
+		return
+	}
 	// A failure shows as a router that serves nothing.
 	_ = w.start(r)
 }
