feed: one constant for the relay's name

Cause: the name stood as two constants, one of them only an alias of the other. Nothing to measure: the value is the same. Ruled out: none. Tests of internal/edge and platform pass before and after.

--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -8,12 +8,10 @@
 )
 
 // PullMethod is the name under which Relay.Pull is called.
-const PullMethod = relayName + ".Pull"
-
-const relayName = "Feed"
+const PullMethod = RelayName + ".Pull"
 
 // RelayName is the name to register a Relay under.
-const RelayName = relayName
+const RelayName = "Feed"
 
 // maxPullWait bounds how long a pull may ask to be held.
 const maxPullWait = time.Second
