One client of the platform's store for both entries

Cause: `serve` spoke a protocol of its own to a stand-in of its own (rows, objects, VM list, weights), `edge` the platform's; two clients, two stand-ins, two memories of rows.

Change: platform.Store implements the project's Table and Objects over the published calls, with the old client's care kept (a write has its own connection and is sent once, errors sorted by what they prove, silent pooled connections dropped). The VM list is a table. platform/standin is the only stand-in store, used by tests of both entries, the soak, the demo and the trials; its weight store, which nobody read, is gone.

Ruled out: keeping the old protocol behind an adapter (two stand-ins to keep alike).

Tests that changed: versions are the store's counter, not a row's count from 1; 503, 429, 507 prove that nothing was done, as the published page says, without a header of ours; repeated transactions are seen by the count of writes, as the protocol has no ID; the VM list has no lag of its own and no entity tag any more (their tests went with them); settings' lines moved by two; the bound of an inline configuration and of a transaction fell to what the store takes.

Conclusion: one client, one stand-in.

--- a/internal/bench/fleet/engine.go
+++ b/internal/bench/fleet/engine.go
@@ -63,7 +63,7 @@
 	e.up = append(e.up, Span{From: now})
 	e.vm.State = platform.VMLive
 	e.vm.Generation++
-	e.fleet.platform.PutVM(e.vm)
+	e.fleet.putVM(e.vm)
 }
 
 // withdraw ends the time in which the engine is meant to take work.
@@ -78,14 +78,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	end(e.up)
-	e.fleet.platform.DeleteVM(e.vm.Name)
+	e.fleet.store.Remove(platform.TableVMs, e.vm.Name)
 }
 
 func (e *Engine) listLeaving() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.vm.State = platform.VMLeaving
-	e.fleet.platform.PutVM(e.vm)
+	e.fleet.putVM(e.vm)
 }
 
 func end(spans []Span) {
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -1,5 +1,5 @@
 // Package fleet starts a whole fleet in this process on loopback sockets: a
-// stand-in platform, stand-in engines and service VMs, and real routers.
+// stand-in store, stand-in engines and service VMs, and real routers.
 // Engines go and come back on demand.
 package fleet
 
@@ -22,6 +22,7 @@
 	"damaskrouter.example/damaskrouter/internal/standin"
 	"damaskrouter.example/damaskrouter/internal/standin/service"
 	"damaskrouter.example/damaskrouter/internal/upstream"
+	storestandin "damaskrouter.example/damaskrouter/platform/standin"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
@@ -55,11 +56,12 @@
 
 // Fleet is a running fleet. Close stops it.
 type Fleet struct {
-	opts     Options
-	platform *standin.Platform
-	url      string
-	servers  []*http.Server
-	wg       sync.WaitGroup
+	opts  Options
+	store *storestandin.Server
+	// storeAddress is where the store listens.
+	storeAddress string
+	servers      []*http.Server
+	wg           sync.WaitGroup
 
 	Engines  []*Engine
 	Services []*service.Service
@@ -73,7 +75,7 @@
 	if o.Log == nil {
 		o.Log = log.New(io.Discard)
 	}
-	f := &Fleet{opts: o, platform: standin.NewPlatform()}
+	f := &Fleet{opts: o, store: standin.NewStore()}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, Error.Wrap(err)
@@ -82,16 +84,16 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
-	address, err := f.serve(f.platform.Handler())
+	address, err := f.serve(f.store.Handler())
 	if err != nil {
 		return err
 	}
-	f.url = "http://" + address
+	f.storeAddress = address
 	b, err := f.opts.Workload.Bundle(f.opts.Bound)
 	if err != nil {
 		return err
 	}
-	if err := standin.Seed(ctx, f.url, b); err != nil {
+	if err := standin.Seed(ctx, address, b); err != nil {
 		return err
 	}
 	if err := f.startUpstreams(); err != nil {
@@ -118,6 +120,9 @@
 	return nil
 }
 
+// putVM lists a VM, or changes its entry.
+func (f *Fleet) putVM(vm platform.VM) { f.store.Put(platform.TableVMs, vm.Name, vm) }
+
 func (f *Fleet) startService(i int) error {
 	name := fmt.Sprintf("service-%d", i+1)
 	s := service.New(service.Options{Name: name, Latency: f.opts.Workload.Services.Latency})
@@ -127,7 +132,7 @@
 	}
 	f.Services = append(f.Services, s)
 	f.serviceURLs = append(f.serviceURLs, "http://"+address)
-	f.platform.PutVM(platform.VM{
+	f.putVM(platform.VM{
 		Name: name, Address: address, Site: siteOf(i), Pool: workload.ServicePool,
 		Kind: platform.KindService, State: platform.VMLive, Generation: 1,
 	})
@@ -158,7 +163,7 @@
 		// Advertised as well, so that the port that is found is told.
 		Listen: loopback, Advertise: loopback,
 		ControlListen: loopback, ControlAdvertise: loopback,
-		Platform:      settings.Platform{Table: f.url, Objects: f.url, VMs: f.url},
+		Platform:      settings.Platform{Store: f.storeAddress},
 		Timeouts:      settings.Timeouts{LocateTTL: locateTTL, Drain: drainTime},
 		AllowInsecure: true,
 	}
@@ -294,7 +299,7 @@
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
-	f.platform.Close()
+	f.store.Close()
 	f.wg.Wait()
 }
 
--- a/internal/capacity/store_test.go
+++ b/internal/capacity/store_test.go
@@ -21,10 +21,12 @@
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
 	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	api "damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
 	"damaskrouter.example/damaskrouter/internal/upstream"
 	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/platform"
+	"damaskrouter.example/damaskrouter/platform/standin"
 )
 
 // fleetStub answers as controller.Fleet does, from data that is given.
@@ -108,7 +110,7 @@
 func BenchmarkVMList(b *testing.B) {
 	perSize(b, func(b *testing.B, f *capacity.Fleet) {
 		vms := f.VMs()
-		data, err := json.Marshal(platform.VMsReply{VMs: vms})
+		data, err := json.Marshal(controller.VMsReply{VMs: vms})
 		require.NoError(b, err)
 		for name, etag := range map[string]uint64{"same": 7, "changed": 6} {
 			b.Run(name, func(b *testing.B) {
@@ -130,14 +132,13 @@
 // relay does every two seconds.
 func BenchmarkPlatformVMs(b *testing.B) {
 	perSize(b, func(b *testing.B, f *capacity.Fleet) {
-		data, err := json.Marshal(platform.VMsReply{VMs: f.VMs()})
-		require.NoError(b, err)
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(data)
-		}))
+		server := standin.NewServer(standin.Options{ReadRate: anyRate})
+		for _, vm := range f.VMs() {
+			server.Put(api.TableVMs, vm.Name, vm)
+		}
+		srv := httptest.NewServer(server.Handler())
 		b.Cleanup(srv.Close)
-		list := platform.NewHTTPVMList(srv.URL, platform.HTTPOptions{})
+		list := api.NewVMList(platform.NewStore(srv.Listener.Addr().String(), platform.Options{}))
 		cpu := processorTime(b)
 		for b.Loop() {
 			_, err := list.List(b.Context())
@@ -148,6 +149,9 @@
 	})
 }
 
+// anyRate is a rate that the benchmark does not reach, in reads a second.
+const anyRate = 1e6
+
 // countingConn counts the bytes of a connection.
 type countingConn struct {
 	net.Conn
@@ -261,14 +265,14 @@
 
 // slowTable is a table service whose commits take some time and are counted.
 type slowTable struct {
-	platform.Table
+	api.Table
 	delay   time.Duration
 	commits atomic.Int64
 	rows    atomic.Int64
 }
 
-// Commit implements platform.Table.
-func (t *slowTable) Commit(ctx context.Context, use platform.Use, writes ...platform.Write) ([]platform.Row, error) {
+// Commit implements api.Table.
+func (t *slowTable) Commit(ctx context.Context, use api.Use, writes ...api.Write) ([]api.Row, error) {
 	t.commits.Add(1)
 	t.rows.Add(int64(len(writes)))
 	time.Sleep(t.delay)
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -16,8 +16,9 @@
 	// roundsKept is the number of rounds that a finished claim outlives. With
 	// more rounds a sweeper needs to live less long to complete one.
 	roundsKept = 8
-	// sweepPage is the number of claims read, and at most written, in a step.
-	sweepPage = 100
+	// sweepPage is the number of claims read, and at most written, in a step: a
+	// transaction also writes the progress.
+	sweepPage = platform.MaxWrites - 1
 )
 
 // progress is the state of retention, shared by all sweepers.
@@ -123,10 +124,8 @@
 	return write, err == nil
 }
 
-// commit writes a page together with the progress row. A deleted row's
-// versions start again at 1, so a delete that is delivered twice could hit a
-// later claim of the same key. The progress row is never deleted: its version
-// has moved on by then, and the whole late transaction fails.
+// commit writes a page together with the progress row, whose version lets one
+// sweeper's page through: a page that is delivered late fails as a whole.
 func (s *Sweeper) commit(ctx context.Context, version int64, p progress, writes []platform.Write) (deleted int, err error) {
 	value, err := json.Marshal(p)
 	if err != nil {
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	con.log.SetLevel(log.ErrorLevel)
-	fmt.Fprintf(con.out, "Starting a stand-in platform, %d engines, %d service VMs and %d routers in this process.\n",
+	fmt.Fprintf(con.out, "Starting a stand-in store, %d engines, %d service VMs and %d routers in this process.\n",
 		w.Engines.Count, w.Services.Count, w.Routers)
 	fmt.Fprintf(con.out, "%d chats return for %s; receipts are issued; engines join and leave.\n", w.Chats.Open, w.Duration)
 	r, err := run.Run(ctx, run.Options{
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -49,7 +49,7 @@
 	logger.SetLevel(level)
 	r := node.New(set, node.Platform{
 		Codec:          platform.Codec{},
-		Store:          func(address string) feed.Store { return platform.NewStore(address) },
+		Store:          func(address string) feed.Store { return platform.NewStore(address, platform.WatchOptions()) },
 		MountDirectory: platform.MountDirectory,
 		MountReady:     platform.MountReady,
 	}, logger)
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -159,13 +159,14 @@
 // startRouters runs two routers over a stand-in platform, and returns where
 // operators reach the first, and the authority of its certificate.
 func startRouters(t *testing.T) (address, ca string) {
-	platform := standin.NewPlatform()
-	t.Cleanup(platform.Close)
-	server := httptest.NewServer(platform.Handler())
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
+	storeAddress := server.Listener.Addr().String()
 	b, err := config.ReadBundle(exampleDir+"/base.yaml", exampleDir+"/sites")
 	require.NoError(t, err)
-	require.NoError(t, standin.Seed(context.Background(), server.URL, b))
+	require.NoError(t, standin.Seed(context.Background(), storeAddress, b))
 	certs := t.TempDir()
 	require.NoError(t, keys.Generate(certs, keys.GenerateOptions{Routers: []string{"r1"}, Hosts: []string{"127.0.0.1"}, Now: time.Now()}))
 	files := keys.PathsIn(certs, "r1")
@@ -180,10 +181,10 @@
 admin_listen: 127.0.0.1:0
 admin_token_hash: %s
 tls: {cert: %s, key: %s}
-platform: {table: %q, objects: %q, vms: %q}
+platform: {store: %q}
 seeds: [%s]
 allow_insecure: true
-`, site, site, freeAddress(t), freeAddress(t), access.HashSecret(rootToken), files.Cert, files.Key, server.URL, server.URL, server.URL, seeds)))
+`, site, site, freeAddress(t), freeAddress(t), access.HashSecret(rootToken), files.Cert, files.Key, storeAddress, seeds)))
 		require.NoError(t, err)
 		r, err := router.New(set, log.New(io.Discard), router.Options{})
 		require.NoError(t, err)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -16,7 +16,7 @@
 // standinFlags are the flags of the stand-ins.
 type standinFlags struct {
 	listen   string
-	platform string
+	store    string
 	name     string
 	site     string
 	pool     string
@@ -32,12 +32,12 @@
 func standinCommand() *command {
 	f := &standinFlags{listen: "127.0.0.1:0", stepMS: 8}
 	c := &command{sub: flaggy.NewSubcommand("standin")}
-	c.sub.Description = "Run a stand-in for the platform, an engine or a plain service, for trials on one machine."
+	c.sub.Description = "Run a stand-in for the platform's store, an engine or a plain service, for trials on one machine."
 	kinds := map[string]func(context.Context, *console, *standinFlags) error{
-		"platform": standinPlatform, "engine": standinEngine, "service": standinService,
+		"store": standinStore, "engine": standinEngine, "service": standinService,
 	}
 	subs := make(map[string]*flaggy.Subcommand)
-	for _, kind := range []string{"platform", "engine", "service"} {
+	for _, kind := range []string{"store", "engine", "service"} {
 		sub := flaggy.NewSubcommand(kind)
 		sub.Description = "Run the stand-in " + kind + "."
 		f.add(sub, kind)
@@ -50,19 +50,19 @@
 				return kinds[kind](ctx, con, f)
 			}
 		}
-		return ErrUsage.New("say which stand-in to run: platform, engine or service")
+		return ErrUsage.New("say which stand-in to run: store, engine or service")
 	}
 	return c
 }
 
 func (f *standinFlags) add(sub *flaggy.Subcommand, kind string) {
 	sub.String(&f.listen, "l", "listen", "The address to listen on.")
-	if kind == "platform" {
+	if kind == "store" {
 		sub.String(&f.base, "b", "base", "The base configuration to accept as the first version.")
 		sub.String(&f.sites, "o", "overlays", "The folder with the sites' overlays.")
 		return
 	}
-	sub.String(&f.platform, "p", "platform", "The URL of the stand-in platform, to be listed there.")
+	sub.String(&f.store, "s", "store", "The address of the store, to be listed there.")
 	sub.String(&f.name, "n", "name", "The name in the VM list.")
 	sub.String(&f.site, "d", "site", "The data centre.")
 	sub.String(&f.pool, "o", "pool", "The pool.")
@@ -75,10 +75,10 @@
 	}
 }
 
-func standinPlatform(ctx context.Context, con *console, f *standinFlags) error {
-	p := standin.NewPlatform()
-	defer p.Close()
-	return listenAndServe(ctx, con, f.listen, "platform", p.Handler(), f.seed)
+func standinStore(ctx context.Context, con *console, f *standinFlags) error {
+	s := standin.NewStore()
+	defer s.Close()
+	return listenAndServe(ctx, con, f.listen, "store", s.Handler(), f.seed)
 }
 
 // seed accepts the first version of the configuration, if one is given.
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	return standin.Seed(ctx, "http://"+address, b)
+	return standin.Seed(ctx, address, b)
 }
 
 func standinEngine(ctx context.Context, con *console, f *standinFlags) error {
@@ -110,10 +110,10 @@
 // register returns a function that lists the stand-in in the VM list.
 func (f *standinFlags) register(kind string) func(ctx context.Context, address string) error {
 	return func(ctx context.Context, address string) error {
-		if f.platform == "" {
+		if f.store == "" {
 			return nil
 		}
-		return standin.Register(ctx, f.platform, platform.VM{
+		return standin.Register(ctx, f.store, platform.VM{
 			Name: f.name, Address: address, Site: f.site, Pool: f.pool, Kind: kind,
 			State: platform.VMLive, Generation: 1,
 		})
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -32,8 +32,9 @@
 	// MaxEncodedBytes bounds a bundle's canonical encoding.
 	MaxEncodedBytes = 16 << 20
 	// MaxInlineBytes bounds the compressed bundle that is kept in the version
-	// row itself; a larger one goes to the object store.
-	MaxInlineBytes = 128 << 10
+	// row itself; a larger one goes to the object store. A row holds 64 KB, and
+	// the bundle grows by a third when it is encoded.
+	MaxInlineBytes = 40 << 10
 )
 
 // AuditAccepted is the action of an audit entry for an accepted change.
--- a/internal/config/strictyaml/fields.go
+++ b/internal/config/strictyaml/fields.go
@@ -97,8 +97,6 @@
 		return "must be one of " + f.Param()
 	case "unique":
 		return "must not name the same thing twice"
-	case "http_url":
-		return "must be an http or https URL"
 	}
 	return "must satisfy " + f.Tag() + " " + f.Param()
 }
--- a/internal/controller/sweeper.go
+++ b/internal/controller/sweeper.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// sweepPeriod is the time between two steps: with 100 claims a step, about
+	// sweepPeriod is the time between two steps: with 49 claims a step, about
 	// a million claims in a round of nine hours, an eighth of three days.
-	sweepPeriod = 3 * time.Second
+	sweepPeriod = 1500 * time.Millisecond
 	// sweepPause replaces sweepPeriod after a step that failed: the store is
 	// down, or claims need what it can take.
 	sweepPause = 30 * time.Second
--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -13,6 +13,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/health"
+	"damaskrouter.example/damaskrouter/internal/platform"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 )
@@ -124,10 +125,10 @@
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return ErrUnavailable.Wrap(ctx.Err())
+		return platform.ErrUnavailable.Wrap(ctx.Err())
 	}
 	if down {
-		return ErrUnavailable.New("status 503")
+		return platform.ErrUnavailable.New("status 503")
 	}
 	return nil
 }
@@ -158,7 +159,7 @@
 	case <-changed:
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return ErrUnavailable.Wrap(ctx.Err())
+		return platform.ErrUnavailable.Wrap(ctx.Err())
 	}
 	return nil
 }
--- a/internal/edge/feed/store.go
+++ b/internal/edge/feed/store.go
@@ -13,8 +13,6 @@
 	// ErrHistoryLost means that changes since the given version are not to be
 	// had any more; the whole must be read.
 	ErrHistoryLost = errs.Class("store: history lost")
-	// ErrUnavailable means that the store refused, or gave no answer in time.
-	ErrUnavailable = errs.Class("store: unavailable")
 	// ErrMalformed means that the store holds something that can't be read.
 	ErrMalformed = errs.Class("store: malformed")
 )
@@ -27,7 +25,8 @@
 }
 
 // Store is where operators write the configuration and engines register
-// themselves. Errors: ErrHistoryLost, ErrUnavailable, ErrMalformed.
+// themselves. Errors: ErrHistoryLost,
+// ErrMalformed, platform.ErrUnavailable.
 type Store interface {
 	// ReadConfig returns the configuration.
 	ReadConfig(ctx context.Context) (ConfigRead, error)
--- a/internal/platform/counted.go
+++ b/internal/platform/counted.go
@@ -10,7 +10,6 @@
 // that this package doesn't list.
 const (
 	useObjects Use = "objects"
-	useVMs     Use = "vms"
 	useOther   Use = "other"
 )
 
@@ -98,7 +97,7 @@
 
 // counts returns the counts of a use. s.mu is held.
 func (s *Stats) counts(use Use) *UseCounts {
-	if _, listed := reserves[use]; !listed && use != useObjects && use != useVMs {
+	if _, listed := reserves[use]; !listed && use != useObjects && use != UseVMs {
 		use = useOther
 	}
 	if s.by == nil {
--- a/internal/platform/decorators_test.go
+++ b/internal/platform/decorators_test.go
@@ -263,16 +263,16 @@
 // Sequence: many objects are put. Cause: objects share the store's rates and
 // were not paid for.
 func TestObjectsPayFromTheBudget(t *testing.T) {
-	const nowhere = "http://127.0.0.1:1"
+	fake := platformtest.New()
+	fake.SetDown(true)
 	_, objects, vms, stats := platform.Open(platform.OpenOptions{
-		TableURL: nowhere, ObjectsURL: nowhere, VMsURL: nowhere,
-		Budget: platform.NewBudget(platform.BudgetOptions{}),
+		Table: fake, Objects: fake.Objects(), Budget: platform.NewBudget(platform.BudgetOptions{}),
 	})
 	require.Equal(t, budget, kindOf(t, objects.Put(t.Context(), "o", nil)))
 	_, err := objects.Get(t.Context(), "o")
 	require.Equal(t, budget, kindOf(t, err))
 	_, err = vms.List(t.Context())
-	require.Equal(t, unavailable, kindOf(t, err), "the VM list is another service")
+	require.Equal(t, unavailable, kindOf(t, err), "the VM list is outside the budget")
 	require.Equal(t, map[platform.Use]platform.UseCounts{
 		"objects": {Reads: platform.Counts{Budget: 1}, Writes: platform.Counts{Budget: 1}},
 		"vms":     {Reads: platform.Counts{Unavailable: 1}},
--- a/internal/standin/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -1,29 +1,47 @@
-// Package memory keeps tables, objects and VM entries in memory. The stand-in
-// servers and the in-process fakes share it, so that both decide conditions
-// and versions alike.
+// Package memory keeps tables and objects in memory. The stand-in server and the
+// in-process fake share it, so that both decide conditions and versions alike.
 //
 // It injects no faults and limits no rates; its users do.
 package memory
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 	"sync"
 
 	api "damaskrouter.example/damaskrouter/internal/platform"
 )
 
-// Store holds rows and objects. The zero value is not usable; call New.
-// All methods are safe for concurrent use.
+// Change is a row as a transaction left it.
+type Change struct {
+	api.Row
+	// Deleted is set if the transaction removed the row.
+	Deleted bool
+}
+
+// Store holds rows, the history of their changes, and objects. The zero value is
+// not usable; call New. All methods are safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
 	tables  map[string]map[string]api.Row
 	objects map[string][]byte
+	// version counts the transactions that changed something.
+	version int64
+	// history are the changes after floor, in order.
+	history []Change
+	floor   int64
+	// changed is closed and replaced by each change.
+	changed chan struct{}
 }
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{tables: map[string]map[string]api.Row{}, objects: map[string][]byte{}}
+	return &Store{
+		tables:  map[string]map[string]api.Row{},
+		objects: map[string][]byte{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Commit applies all writes or none. It returns the rows as written, a deleted
@@ -40,26 +58,30 @@
 			return nil, &api.ConflictError{Current: clone(cur)}
 		}
 	}
+	s.version++
 	out := make([]api.Row, 0, len(writes))
 	for _, w := range writes {
 		out = append(out, s.apply(w))
 	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 	return out, nil
 }
 
 // apply makes one write; its condition holds.
 func (s *Store) apply(w api.Write) api.Row {
-	row := s.row(w.Table, w.Key)
+	row := api.Row{Table: w.Table, Key: w.Key, Value: bytes.Clone(w.Value), Version: s.version}
 	if w.Delete {
 		delete(s.tables[w.Table], w.Key)
+		row.Value = nil
+		s.history = append(s.history, Change{Row: row, Deleted: true})
 		return api.Row{Table: w.Table, Key: w.Key}
 	}
-	row.Version++
-	row.Value = bytes.Clone(w.Value)
 	if s.tables[w.Table] == nil {
 		s.tables[w.Table] = map[string]api.Row{}
 	}
 	s.tables[w.Table][w.Key] = row
+	s.history = append(s.history, Change{Row: row})
 	return clone(row)
 }
 
@@ -103,6 +125,35 @@
 	return out[:min(limit, len(out))], nil
 }
 
+// Version is the newest version, 0 before the first change.
+func (s *Store) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Changes returns the changes of a table after a version, in order, the newest
+// version, and a channel that the next change closes. known is false if the
+// history does not reach back so far.
+func (s *Store) Changes(table string, after int64) (changes []Change, version int64, next <-chan struct{}, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.history {
+		if c.Table == table && c.Version > after {
+			changes = append(changes, Change{Row: clone(c.Row), Deleted: c.Deleted})
+		}
+	}
+	return changes, s.version, s.changed, after >= s.floor
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.floor = s.version
+}
+
 // PutObject stores an immutable object. Errors: platform.ErrInvalid,
 // *platform.ConflictError for other data under a name in use.
 func (s *Store) PutObject(name string, data []byte) error {
@@ -112,12 +163,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old, ok := s.objects[name]; ok && !bytes.Equal(old, data) {
-		return &api.ConflictError{Current: api.Row{Table: api.ObjectsTable, Key: name, Version: 1}}
+		return api.ObjectConflict(name)
 	}
-	s.objects[name] = bytes.Clone(data)
+	s.objects[name] = slices.Clone(data)
 	return nil
 }
 
+// HasObject reports whether there is an object of the name.
+func (s *Store) HasObject(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[name]
+	return ok
+}
+
 // GetObject reads an object. Errors: platform.ErrNotFound.
 func (s *Store) GetObject(name string) ([]byte, error) {
 	s.mu.Lock()
--- a/internal/platform/open.go
+++ b/internal/platform/open.go
@@ -4,39 +4,33 @@
 
 // OpenOptions configures Open. Zero fields take the defaults of their types.
 type OpenOptions struct {
-	// TableURL, ObjectsURL and VMsURL are the base URLs of the services.
-	TableURL, ObjectsURL, VMsURL string
-	HTTP                         HTTPOptions
-	// Budget bounds the calls to the table service and the object store
-	// together; nil means no bound.
+	// Table and Objects are the store's clients. They try each call once.
+	Table   Table
+	Objects Objects
+	// Budget bounds the calls to both together; nil means no bound.
 	Budget  *Budget
 	Breaker BreakerOptions
 	Retry   RetryOptions
 }
 
-// Open returns clients of the platform's services that the whole process
-// shares, and the counts of their calls.
+// Open returns what the whole process shares: the clients of the store behind
+// bounds and counts, and the list of VMs.
 //
 // The table's decorators, from the outside: retries of reads, so that each try
 // is counted and pays for itself; the counts; the breaker, so that calls it
-// keeps back cost no budget; the budget; the HTTP client. The breaker's own
-// probes are not counted.
+// keeps back cost no budget; the budget; the client. The breaker's own probes are
+// not counted. The list of VMs has the counts only.
 func Open(opts OpenOptions) (Table, Objects, VMList, *Stats) {
 	stats := &Stats{}
-	var table Table = NewHTTPTable(opts.TableURL, opts.HTTP)
+	table := opts.Table
 	if opts.Budget != nil {
 		table = Budgeted(table, opts.Budget)
 	}
 	table = NewBreaker(table, opts.Breaker)
 	table = Counted(table, stats)
 	table = WithRetry(table, opts.Retry)
-	objs := &guardedObjects{
-		next:   NewHTTPObjects(opts.ObjectsURL, opts.HTTP),
-		budget: opts.Budget,
-		stats:  stats,
-	}
-	vms := &countedVMs{next: NewHTTPVMList(opts.VMsURL, opts.HTTP), stats: stats}
-	return table, objs, vms, stats
+	objs := &guardedObjects{next: opts.Objects, budget: opts.Budget, stats: stats}
+	return table, objs, NewVMList(Counted(opts.Table, stats)), stats
 }
 
 // guardedObjects counts the calls of an object store and pays for them from
@@ -78,16 +72,3 @@
 	}
 	return o.next.Get(ctx, name)
 }
-
-// countedVMs counts the calls of a VM list.
-type countedVMs struct {
-	next  VMList
-	stats *Stats
-}
-
-// List implements VMList.
-func (l *countedVMs) List(ctx context.Context) ([]VM, error) {
-	vms, err := l.next.List(ctx)
-	l.stats.read(useVMs, err)
-	return vms, err
-}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,10 +1,10 @@
-// Package platform is the narrow door to what the platform provides: the
-// transactional table service, the object store and the list of VMs.
+// Package platform is the narrow door to what the platform's store provides: a
+// transactional table service, an object store and, in a table, the list of VMs.
 //
 // The interfaces are what the rest of the program depends on; tests put small
-// fakes behind them. The HTTP clients in this package speak to the real
-// services (or to this repository's stand-ins) over the published protocol in
-// docs/TABLE-SERVICE.md.
+// fakes behind them. The client of the real store is in the folder platform/ at
+// the repository's root; this package holds what stands between it and the
+// program: budget, breaker, retries, counts.
 package platform
 
 import (
@@ -38,8 +38,12 @@
 // ObjectsTable is the table that a ConflictError names for an object.
 const ObjectsTable = "objects"
 
-// MaxWrites bounds the writes of one transaction.
-const MaxWrites = 128
+// MaxWrites bounds the writes of one transaction. The store takes 100 entries,
+// and a write with a condition is two.
+const MaxWrites = 50
+
+// MaxName bounds a table's name and a row's key, in bytes; the store's own bound.
+const MaxName = 200
 
 // AnyVersion lets a write through whatever the row's version.
 const AnyVersion int64 = -1
@@ -49,7 +53,8 @@
 	Table string `json:"table"`
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Version counts the writes of this row, from 1. 0 means absent.
+	// Version is the store's version at the row's last write: it grows with each
+	// write, also when the row was deleted in between. 0 means absent.
 	Version int64 `json:"version"`
 }
 
@@ -90,6 +95,9 @@
 	// UseRetention deletes old claims. It spends the budget of UseClaim, and
 	// only what claims leave of it.
 	UseRetention Use = "retention"
+	// UseVMs reads the list of VMs. It is not bounded by the budget: without the
+	// list a router has no upstreams.
+	UseVMs Use = "vms"
 )
 
 // Table is the transactional table service. All methods are safe for
@@ -117,16 +125,16 @@
 	Get(ctx context.Context, name string) ([]byte, error)
 }
 
-// VMState is what the platform says of a VM.
+// VMState is what the list says of a VM.
 type VMState string
 
-// The states in the platform's list.
+// The states in the list.
 const (
 	VMLive    VMState = "live"
 	VMLeaving VMState = "leaving"
 )
 
-// VM is one entry of the platform's lagging list.
+// VM is one entry of the list of VMs.
 type VM struct {
 	Name    string  `json:"name"`
 	Address string  `json:"address"`
@@ -149,7 +157,7 @@
 	KindService = "service"
 )
 
-// VMList is the platform's list of live and leaving VMs. It lags.
+// VMList is the list of live and leaving VMs. It lags.
 type VMList interface {
 	// List returns all entries, by name. Errors: ErrUnavailable.
 	List(ctx context.Context) ([]VM, error)
--- a/internal/platform/platformtest/fake.go
+++ b/internal/platform/platformtest/fake.go
@@ -8,23 +8,21 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/standin/platform/memory"
+	"damaskrouter.example/damaskrouter/internal/platform/memory"
 )
 
 // Op names a method of the platform's interfaces.
 type Op string
 
-// The operations of Table, Objects and VMList.
+// The operations of Table and Objects.
 const (
 	OpCommit    Op = "commit"
 	OpGet       Op = "get"
 	OpScan      Op = "scan"
 	OpPutObject Op = "put_object"
 	OpGetObject Op = "get_object"
-	OpList      Op = "list"
 )
 
 // Fault is what happens to one call.
@@ -71,7 +69,6 @@
 // concurrent use.
 type Fake struct {
 	store *memory.Store
-	vms   *memory.VMs
 
 	mu      sync.Mutex
 	calls   int
@@ -87,11 +84,7 @@
 
 // New returns an empty Fake without faults.
 func New() *Fake {
-	return &Fake{
-		store:  memory.New(),
-		vms:    memory.NewVMs(time.Now, 0),
-		script: map[Op][]Fault{},
-	}
+	return &Fake{store: memory.New(), script: map[Op][]Fault{}}
 }
 
 // Script adds faults for the coming calls of op, one for each call.
@@ -211,14 +204,33 @@
 // Objects returns the fake object store.
 func (f *Fake) Objects() platform.Objects { return objects{f} }
 
-// VMList returns the fake list of VMs.
-func (f *Fake) VMList() platform.VMList { return vmList{f} }
+// VMList returns the list of VMs in the fake's table.
+func (f *Fake) VMList() platform.VMList { return platform.NewVMList(f) }
+
+// PutVM adds or replaces an entry of the list, past the faults. It panics on an
+// entry that can't be written.
+func (f *Fake) PutVM(vm platform.VM) {
+	f.must(platform.PutVM(context.Background(), direct{f}, vm))
+}
+
+// DeleteVM removes an entry of the list, past the faults.
+func (f *Fake) DeleteVM(name string) {
+	f.must(platform.DeleteVM(context.Background(), direct{f}, name))
+}
 
-// PutVM adds or replaces an entry of the list.
-func (f *Fake) PutVM(vm platform.VM) { f.vms.Put(vm) }
+func (f *Fake) must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
 
-// DeleteVM removes an entry of the list.
-func (f *Fake) DeleteVM(name string) { f.vms.Delete(name) }
+// direct is the fake's table without faults and history.
+type direct struct{ *Fake }
+
+// Commit implements platform.Table.
+func (d direct) Commit(_ context.Context, _ platform.Use, writes ...platform.Write) ([]platform.Row, error) {
+	return d.store.Commit(writes)
+}
 
 type objects struct{ f *Fake }
 
@@ -244,14 +256,3 @@
 	})
 	return data, err
 }
-
-type vmList struct{ f *Fake }
-
-func (l vmList) List(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
-	err := l.f.read(ctx, Call{Op: OpList}, func() error {
-		vms = l.f.vms.List()
-		return nil
-	})
-	return vms, err
-}
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -14,10 +14,11 @@
 	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	api "damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/quota"
 	"damaskrouter.example/damaskrouter/internal/traffic"
 	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/platform"
 )
 
 // provision builds the parts, from the platform towards the callers.
@@ -116,17 +117,13 @@
 func (r *Router) openPlatform() {
 	budget := newStoreBudget(r.set.Budgets)
 	r.board.Subscribe(budget.share)
-	var objects platform.Objects
-	var vms platform.VMList
-	r.table, objects, vms, r.stats = platform.Open(platform.OpenOptions{
-		TableURL:   r.set.Platform.Table,
-		ObjectsURL: r.set.Platform.Objects,
-		VMsURL:     r.set.Platform.VMs,
-		Budget:     budget.Budget,
+	store := platform.NewStore(r.set.Platform.Store, platform.Options{})
+	var vms api.VMList
+	r.table, r.objects, vms, r.stats = api.Open(api.OpenOptions{
+		Table: store, Objects: store.Objects(), Budget: budget.Budget,
 	})
-	r.objects = objects
-	r.chain = config.NewChain(r.table, objects, time.Now)
-	r.claims = claim.New(claim.NewBatcher(r.table, maxClaimBatch), objects, r.set.Name, newToken)
+	r.chain = config.NewChain(r.table, r.objects, time.Now)
+	r.claims = claim.New(claim.NewBatcher(r.table, maxClaimBatch), r.objects, r.set.Name, newToken)
 	r.vms = &controller.VMs{Board: r.board, List: vms, Caller: r.caller, Self: r.set.Name, Log: r.log}
 }
 
@@ -186,7 +183,7 @@
 func (r *Router) join() error {
 	members := &controller.Members{Board: r.board, Self: r.set.Name, ID: r.gossip.Self().ID}
 	r.loads.Send = r.gossip.SendTo
-	r.vms.Witness = func(vms []platform.VM) {
+	r.vms.Witness = func(vms []api.VM) {
 		if err := r.gossip.ObserveVMs(vms); err != nil {
 			r.log.Debug("VM list not passed to membership", "cause", err)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,14 +102,10 @@
 	orderToken string
 }
 
-// Platform holds the base URLs of the platform's services, http or https.
+// Platform says where the platform's services are.
 type Platform struct {
-	// Table is the URL of the transactional table service. It has no default.
-	Table string `yaml:"table" validate:"required,http_url"`
-	// Objects is the URL of the object store. It has no default.
-	Objects string `yaml:"objects" validate:"required,http_url"`
-	// VMs is the URL of the list of VMs. It has no default.
-	VMs string `yaml:"vms" validate:"required,http_url"`
+	// Store is the address of the store, "host:port". It has no default.
+	Store string `yaml:"store" validate:"required,reachable"`
 }
 
 // TLS names the PEM files for callers' connections.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,9 +25,7 @@
 listen: 127.0.0.1:8080
 control_listen: 127.0.0.1:9090
 platform:
-  table: http://127.0.0.1:1
-  objects: http://127.0.0.1:2
-  vms: http://127.0.0.1:3
+  store: 127.0.0.1:1
 allow_insecure: true
 `
 
@@ -75,28 +73,28 @@
 	}{
 		"unknown key":          {edit("region: r", "regoin: r"), `s.yaml:3: unknown key "regoin"`},
 		"missing":              {edit("region: r\n", ""), "s.yaml:1: region: is required"},
-		"bare duration":        {insecureText + "timeouts: {drain: 10}\n", `s.yaml:11: timeouts.drain: must be a duration with a unit, for example "10s"`},
-		"bad duration":         {insecureText + "timeouts: {drain: soon}\n", `s.yaml:11: timeouts.drain: must be a duration with a unit, for example "10s"`},
-		"negative duration":    {insecureText + "timeouts: {idle_gap: -1s}\n", "s.yaml:11: timeouts.idle_gap: must be more than 0"},
-		"drain within TTL":     {insecureText + "timeouts:\n  drain: 10s\n", "s.yaml:12: timeouts.drain: must be longer than locate_ttl, 10s"},
+		"bare duration":        {insecureText + "timeouts: {drain: 10}\n", `s.yaml:9: timeouts.drain: must be a duration with a unit, for example "10s"`},
+		"bad duration":         {insecureText + "timeouts: {drain: soon}\n", `s.yaml:9: timeouts.drain: must be a duration with a unit, for example "10s"`},
+		"negative duration":    {insecureText + "timeouts: {idle_gap: -1s}\n", "s.yaml:9: timeouts.idle_gap: must be more than 0"},
+		"drain within TTL":     {insecureText + "timeouts:\n  drain: 10s\n", "s.yaml:10: timeouts.drain: must be longer than locate_ttl, 10s"},
 		"host name":            {edit("127.0.0.1:8080", "localhost:8080"), "s.yaml:4: listen: must be an IP address and a port"},
 		"wildcard, advertised": {edit("127.0.0.1:8080", "0.0.0.0:8080"), "s.yaml:1: advertise: is required"},
-		"advertise wildcard":   {insecureText + "advertise: 0.0.0.0:1\n", "s.yaml:11: advertise: must be an IP address that others can connect to, and a port"},
-		"seed":                 {insecureText + "seeds: [\"10.0.0.1:5\", x]\n", "s.yaml:11: seeds[1]: must be an IP address that others can connect to, and a port"},
-		"URL":                  {edit("http://127.0.0.1:2", "ftp://x"), "s.yaml:8: platform.objects: must be an http or https URL"},
-		"log level":            {insecureText + "log_level: loud\n", "s.yaml:11: log_level: must be one of debug info warn error"},
-		"budget":               {insecureText + "budgets: {claim: {writes: -1}}\n", "s.yaml:11: budgets.claim.writes: must be more than 0"},
-		"token hash":           {insecureText + "admin_token_hash: ab\n", "s.yaml:11: admin_token_hash: must be 64 characters long"},
-		"short key":            {insecureText + "fleet_keys: [{id: a, key: YWJj}]\n", "s.yaml:11: fleet_keys[0]: must hold at least 32 bytes in base64"},
-		"broken key":           {insecureText + "hint_keys: [{id: a, key: \"%\"}]\n", "s.yaml:11: hint_keys[0]: settings: key: key a: illegal base64 data at input byte 0"},
-		"third key":            {insecureText + "hint_keys: [{id: a}, {id: b}, {id: c}]\n", "s.yaml:11: hint_keys: must be at most 2 entries"},
-		"same key id":          {insecureText + "hint_keys: [{id: a}, {id: a}]\n", "s.yaml:11: hint_keys: must not name the same thing twice"},
-		"order token":          {insecureText + "order_token: a b\n", "s.yaml:11: order_token: must hold printable ASCII characters without spaces only"},
-		"two order tokens":     {insecureText + "order_token: a\norder_token_file: /dev/null\n", "s.yaml:11: order_token: is given beside order_token_file"},
-		"empty order token":    {insecureText + "order_token_file: /dev/null\n", "s.yaml:11: order_token_file: names an empty file"},
+		"advertise wildcard":   {insecureText + "advertise: 0.0.0.0:1\n", "s.yaml:9: advertise: must be an IP address that others can connect to, and a port"},
+		"seed":                 {insecureText + "seeds: [\"10.0.0.1:5\", x]\n", "s.yaml:9: seeds[1]: must be an IP address that others can connect to, and a port"},
+		"store":                {edit("store: 127.0.0.1:1", "store: http://x"), "s.yaml:7: platform.store: must be an IP address that others can connect to, and a port"},
+		"log level":            {insecureText + "log_level: loud\n", "s.yaml:9: log_level: must be one of debug info warn error"},
+		"budget":               {insecureText + "budgets: {claim: {writes: -1}}\n", "s.yaml:9: budgets.claim.writes: must be more than 0"},
+		"token hash":           {insecureText + "admin_token_hash: ab\n", "s.yaml:9: admin_token_hash: must be 64 characters long"},
+		"short key":            {insecureText + "fleet_keys: [{id: a, key: YWJj}]\n", "s.yaml:9: fleet_keys[0]: must hold at least 32 bytes in base64"},
+		"broken key":           {insecureText + "hint_keys: [{id: a, key: \"%\"}]\n", "s.yaml:9: hint_keys[0]: settings: key: key a: illegal base64 data at input byte 0"},
+		"third key":            {insecureText + "hint_keys: [{id: a}, {id: b}, {id: c}]\n", "s.yaml:9: hint_keys: must be at most 2 entries"},
+		"same key id":          {insecureText + "hint_keys: [{id: a}, {id: a}]\n", "s.yaml:9: hint_keys: must not name the same thing twice"},
+		"order token":          {insecureText + "order_token: a b\n", "s.yaml:9: order_token: must hold printable ASCII characters without spaces only"},
+		"two order tokens":     {insecureText + "order_token: a\norder_token_file: /dev/null\n", "s.yaml:9: order_token: is given beside order_token_file"},
+		"empty order token":    {insecureText + "order_token_file: /dev/null\n", "s.yaml:9: order_token_file: names an empty file"},
 		"no TLS":               {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: tls.cert: is required unless allow_insecure is set"},
 		"no peer TLS":          {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: peer_tls.cert: is required unless allow_plain_peers or allow_insecure is set"},
-		"half of peer TLS":     {insecureText + "peer_tls: {cert: c.pem}\n", "s.yaml:11: peer_tls.key: is required when peer_tls has other files"},
+		"half of peer TLS":     {insecureText + "peer_tls: {cert: c.pem}\n", "s.yaml:9: peer_tls.key: is required when peer_tls has other files"},
 		"no fleet key":         {edit("allow_insecure: true", "log_level: info"), "s.yaml:1: fleet_keys: is required unless allow_insecure is set"},
 	}
 	for name, c := range cases {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,42 +1,32 @@
-// Package standin puts the stand-ins of this repository together: a platform,
+// Package standin puts the stand-ins of this repository together: a store,
 // engines and plain services that the router meets over their published
 // protocols, on one machine, in tests and trials.
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"net/http"
-	"net/url"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	api "damaskrouter.example/damaskrouter/internal/platform"
 	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	standinplatform "damaskrouter.example/damaskrouter/internal/standin/platform"
 	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/platform"
+	"damaskrouter.example/damaskrouter/platform/standin"
 	"github.com/zeebo/errs"
 )
 
 // ErrRegister means that a stand-in could not be listed in the VM list.
 var ErrRegister = errs.Class("standin: register")
 
-// Platform is the stand-in platform.
-type Platform struct{ *standinplatform.Server }
+// NewStore returns a stand-in for the platform's store.
+func NewStore() *standin.Server { return standin.NewServer(standin.Options{}) }
 
-// NewPlatform returns a platform that lists VMs without lag.
-func NewPlatform() *Platform {
-	return &Platform{Server: standinplatform.NewServer(standinplatform.Options{})}
-}
-
-// Seed accepts a bundle as the first version of the configuration of the
-// platform at the URL.
-func Seed(ctx context.Context, platformURL string, b config.Bundle) error {
-	table, objects, _, _ := platform.Open(platform.OpenOptions{
-		TableURL: platformURL, ObjectsURL: platformURL, VMsURL: platformURL,
-	})
-	_, err := config.NewChain(table, objects, time.Now).Accept(ctx, config.Change{
+// Seed accepts a bundle as the first version of the configuration in the store at
+// an address.
+func Seed(ctx context.Context, address string, b config.Bundle) error {
+	store := platform.NewStore(address, platform.Options{})
+	_, err := config.NewChain(store, store.Objects(), time.Now).Accept(ctx, config.Change{
 		Bundle: b, ChangeID: "standin-seed", Author: "standin", Comment: "first version",
 	})
 	return err
@@ -81,43 +71,22 @@
 	registerPause = 100 * time.Millisecond
 )
 
-// Register lists a VM at a stand-in platform. It waits a moment for a platform
+// Register lists a VM in the store at an address. It waits a moment for a store
 // that was started at the same time and doesn't listen yet; otherwise the
 // stand-in would end, and one sees a fleet without engines. Errors: ErrRegister.
-func Register(ctx context.Context, platformURL string, vm platform.VM) error {
+func Register(ctx context.Context, address string, vm api.VM) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	store := platform.NewStore(address, platform.Options{})
 	for {
-		err := register(ctx, platformURL, vm)
+		err := api.PutVM(ctx, store, vm)
 		if err == nil {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return err
+			return ErrRegister.Wrap(err)
 		case <-time.After(registerPause):
 		}
 	}
 }
-
-func register(ctx context.Context, platformURL string, vm platform.VM) error {
-	body, err := json.Marshal(vm)
-	if err != nil {
-		return ErrRegister.Wrap(err)
-	}
-	u := platformURL + "/v1/vms/" + url.PathEscape(vm.Name)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, u, bytes.NewReader(body))
-	if err != nil {
-		return ErrRegister.Wrap(err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return ErrRegister.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusBadRequest {
-		return ErrRegister.New("status %d", resp.StatusCode)
-	}
-	return nil
-}
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -274,7 +274,7 @@
 	portal := f.client(t, portalKey)
 	f.issue(t, portal, "before")
 	before := f.receipts(t)
-	f.platform.signal(t, syscall.SIGKILL)
+	f.store.signal(t, syscall.SIGKILL)
 
 	v := c.Conversation("no-platform", "dossier")
 	v.MaxTokens = 16
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -87,28 +87,27 @@
 // fleet is a platform, three engines without adapters, which the leader's
 // orders bring,, three service VMs and three routers.
 type fleet struct {
-	platform *process
-	engines  []*process
-	portals  []*process
-	routers  []*process
+	store   *process
+	engines []*process
+	portals []*process
+	routers []*process
 }
 
 func startFleet(t *testing.T) *fleet {
-	f := &fleet{platform: start(t, "standin", "platform", "--base", exampleDir+"/base.yaml", "--overlays", exampleDir+"/sites")}
-	url := "http://" + f.platform.address
+	f := &fleet{store: start(t, "standin", "store", "--base", exampleDir+"/base.yaml", "--overlays", exampleDir+"/sites")}
 	for i, site := range sites {
-		f.engines = append(f.engines, start(t, "standin", "engine", "--platform", url, "--name", fmt.Sprint("engine-", i),
+		f.engines = append(f.engines, start(t, "standin", "engine", "--store", f.store.address, "--name", fmt.Sprint("engine-", i),
 			"--site", site, "--pool", "language", "--model", "dossier", "--model-version", "2.0", "--step", "1"))
-		f.portals = append(f.portals, start(t, "standin", "service", "--platform", url, "--name", fmt.Sprint("portal-", i),
+		f.portals = append(f.portals, start(t, "standin", "service", "--store", f.store.address, "--name", fmt.Sprint("portal-", i),
 			"--site", site, "--pool", "portal"))
 	}
 	for i, site := range sites {
-		f.routers = append(f.routers, start(t, "serve", "--settings", f.settings(t, i, site, url)))
+		f.routers = append(f.routers, start(t, "serve", "--settings", f.settings(t, i, site)))
 	}
 	return f
 }
 
-func (f *fleet) settings(t *testing.T, i int, site, url string) string {
+func (f *fleet) settings(t *testing.T, i int, site string) string {
 	seeds := "[]"
 	if i > 0 {
 		seeds = fmt.Sprintf("[%q]", f.routers[0].control)
@@ -118,10 +117,10 @@
 region: ankara
 listen: %s
 control_listen: %s
-platform: {table: %q, objects: %q, vms: %q}
+platform: {store: %q}
 seeds: %s
 allow_insecure: true
-`, i, site, freeAddress(t), freeAddress(t), url, url, url, seeds)
+`, i, site, freeAddress(t), freeAddress(t), f.store.address, seeds)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	return file
--- a/test/e2e/leader_test.go
+++ b/test/e2e/leader_test.go
@@ -34,7 +34,7 @@
 type led struct {
 	t       *testing.T
 	dir     string
-	url     string
+	store   string
 	engines []*process
 	routers map[string]*ledRouter
 }
@@ -46,9 +46,9 @@
 
 func startLed(t *testing.T, version string) *led {
 	l := &led{t: t, dir: t.TempDir(), routers: make(map[string]*ledRouter)}
-	l.url = "http://" + start(t, "standin", "platform", "--base", l.base(version)).address
+	l.store = start(t, "standin", "store", "--base", l.base(version)).address
 	for i := range ledEngines {
-		l.engines = append(l.engines, start(t, "standin", "engine", "--platform", l.url, "--name", fmt.Sprint("engine-", i),
+		l.engines = append(l.engines, start(t, "standin", "engine", "--store", l.store, "--name", fmt.Sprint("engine-", i),
 			"--site", "cankaya", "--pool", "language", "--model", "dossier", "--model-version", version,
 			"--order-token", orderToken))
 	}
@@ -96,11 +96,11 @@
 control_listen: %s
 admin_listen: %s
 admin_token_hash: %s
-platform: {table: %q, objects: %q, vms: %q}
+platform: {store: %q}
 seeds: %s
 order_token: %s
 allow_insecure: true
-`, name, freeAddress(l.t), freeAddress(l.t), admin, access.HashSecret(operatorToken), l.url, l.url, l.url, seedList, orderToken))
+`, name, freeAddress(l.t), freeAddress(l.t), admin, access.HashSecret(operatorToken), l.store, seedList, orderToken))
 	l.routers[name] = &ledRouter{process: start(l.t, "serve", "--settings", file), admin: admin}
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/platform/platformtest"
+	"damaskrouter.example/damaskrouter/platform/standin"
 )
 
 // fault is one thing that goes wrong for a while.
@@ -19,7 +20,7 @@
 // Each list of modes and behaviours is what a proxy or an engine can do.
 var (
 	badLinks   = []mode{delayed, resetting, deaf, silent}
-	badStores  = []platformtest.Fault{platformtest.Busy, platformtest.Limited, platformtest.Silent}
+	badStores  = []standin.Fault{standin.Busy, standin.Limited, standin.Silent}
 	badEngines = []platformtest.Behaviour{
 		platformtest.Shed, platformtest.Broken, platformtest.Reset, platformtest.Mute,
 		platformtest.CutBody, platformtest.Unframed, platformtest.Extra, platformtest.Unsealed,
@@ -37,9 +38,9 @@
 	}},
 	{"store", func(w *world, rng *rand.Rand, d time.Duration) {
 		bad := pick(rng, badStores)
-		w.store.Fail(func(string) platformtest.Fault { return bad })
+		w.store.Fail(func(string) standin.Fault { return bad })
 		time.Sleep(d)
-		w.store.Fail(func(string) platformtest.Fault { return platformtest.Well })
+		w.store.Fail(func(string) standin.Fault { return standin.Well })
 	}},
 	{"store forgets", func(w *world, _ *rand.Rand, _ time.Duration) { w.store.Compact() }},
 	{"engine link", func(w *world, rng *rand.Rand, d time.Duration) {
