Nobody orders engines: leader, lease and orders go

Cause: on the platform engines register with what they serve and take no orders from the system. `serve` still elected a leader by a row in the store, which planned orders, drained engines for them and wrote their audit.

Ruled out: keeping the lease for other duties (retention needs none: its progress row lets one sweeper's page through); keeping the orders behind a setting (nobody would run them).

The path /v1/orders stays closed to callers.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -206,14 +206,11 @@
 
 // Fleet is the answering router's view of the fleet.
 type Fleet struct {
-	SeenBy        string `json:"seen_by"`
-	ConfigVersion uint64 `json:"config_version"`
-	// LeaderFence is the answering router's fencing number while it is
-	// leader, or 0.
-	LeaderFence uint64         `json:"leader_fence"`
-	Draining    bool           `json:"draining"`
-	Routers     []RouterStatus `json:"routers"`
-	Engines     []Engine       `json:"engines"`
+	SeenBy        string         `json:"seen_by"`
+	ConfigVersion uint64         `json:"config_version"`
+	Draining      bool           `json:"draining"`
+	Routers       []RouterStatus `json:"routers"`
+	Engines       []Engine       `json:"engines"`
 }
 
 // Engine is one engine, or one VM of a plain service.
@@ -224,8 +221,6 @@
 	Site    string `json:"site"`
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving"`
-	// Drained is set while the leader keeps the engine idle for an order.
-	Drained bool `json:"drained"`
 	// Owner is the router that keeps the engine's count of admitted work, and
 	// that the engine reports to.
 	Owner string `json:"owner,omitempty"`
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -82,7 +82,6 @@
 	f := api.Fleet{
 		SeenBy:        snap.Self,
 		ConfigVersion: snap.ConfigVersion,
-		LeaderFence:   snap.LeaderFence,
 		Draining:      snap.Draining,
 		Routers:       routersOf(snap),
 		Engines:       []api.Engine{},
@@ -98,7 +97,7 @@
 func (s *Server) engineOf(snap *board.Snapshot, e board.Engine, owner int) api.Engine {
 	out := api.Engine{
 		Name: e.Name, Kind: e.Kind, Pool: e.Pool, Site: e.Site, Address: e.Address,
-		Leaving: e.Leaving, Drained: e.Drained, Known: e.Known,
+		Leaving: e.Leaving, Known: e.Known,
 	}
 	if owner >= 0 {
 		out.Owner = snap.Routers[owner].Name
--- a/internal/admission/engines.go
+++ b/internal/admission/engines.go
@@ -68,9 +68,6 @@
 	if hasAdapters(l.pool, st) {
 		k.Flags |= flagAdapters
 	}
-	if e.Drained {
-		k.Flags &^= flagModel
-	}
 	k.at = now
 	l.loads[e.ID] = k
 	l.mu.Unlock()
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -262,7 +262,6 @@
 			out.MaxBatch = 0
 		}
 	}
-	out.Loaded = out.Loaded && !e.Drained
 	out.Ejected, out.Ramp = l.a.health.state(now, e)
 	return out
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -58,8 +58,6 @@
 	Since time.Time
 	// Joined is set for an engine that came after this router had a complete view.
 	Joined bool
-	// Drained is set while the leader keeps the engine idle for an order.
-	Drained bool
 }
 
 // State is the control state. Only the board's goroutine touches it.
@@ -74,8 +72,6 @@
 	Engines map[string]Engine
 	// Draining is set once this router is to stop.
 	Draining bool
-	// LeaderFence is this router's fencing number while it is leader, or 0.
-	LeaderFence uint64
 }
 
 // Group is the members of one pool in one region, in the order of their
@@ -105,8 +101,6 @@
 	LiveIDs  []uint64
 	Engines  map[string]Engine
 	Draining bool
-	// LeaderFence is this router's fencing number while it is leader, or 0.
-	LeaderFence uint64
 
 	groups    map[groupKey]*Group
 	byName    map[string]int
--- a/internal/board/snapshot.go
+++ b/internal/board/snapshot.go
@@ -15,7 +15,6 @@
 		ConfigVersion: st.ConfigVersion,
 		Engines:       maps.Clone(st.Engines),
 		Draining:      st.Draining,
-		LeaderFence:   st.LeaderFence,
 		byName:        make(map[string]int, len(st.Routers)),
 	}
 	s.addRouters(st.Routers)
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -25,9 +25,6 @@
 
 func printFleet(out io.Writer, f api.Fleet) error {
 	fmt.Fprintf(out, "seen by %s, configuration version %d\n", f.SeenBy, f.ConfigVersion)
-	if f.LeaderFence > 0 {
-		fmt.Fprintf(out, "it is leader with fencing number %d\n", f.LeaderFence)
-	}
 	err := table(out, true, "\nROUTER\tSITE\tSTATE\tADDRESS\tCONFIG", func(w io.Writer) error {
 		for _, r := range f.Routers {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", r.Name, r.Site, r.State, r.Address, r.ConfigVersion)
@@ -60,8 +57,6 @@
 	switch {
 	case e.Leaving:
 		return "leaving"
-	case e.Drained:
-		return "drained"
 	case !e.Known && e.Owner == seenBy:
 		return "no report"
 	}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -66,11 +66,6 @@
 	// CapacityFloor is the share of engines, 0 to 1, that orders must leave
 	// serving. Default 0.7.
 	CapacityFloor float64 `yaml:"capacity_floor,omitempty" json:"capacity_floor,omitempty" validate:"gte=0,lte=1"`
-	// ChecksFence says that the engines refuse orders with an old fencing number.
-	ChecksFence bool `yaml:"checks_fence,omitempty" json:"checks_fence,omitempty"`
-	// ChecksSender says that the engines authenticate who gives an order: they
-	// want the order_token of the routers' settings. The default is false.
-	ChecksSender bool `yaml:"checks_sender,omitempty" json:"checks_sender,omitempty"`
 	// Priority decides between pools that serve the same model; higher first.
 	Priority int `yaml:"priority,omitempty" json:"priority,omitempty" validate:"gte=-1000,lte=1000"`
 }
--- a/internal/controller/engines.go
+++ b/internal/controller/engines.go
@@ -138,38 +138,6 @@
 	return known && last.status.Incarnation != st.Incarnation
 }
 
-// Observed lists the engines that this router owns, for the leader.
-func (g *Engines) Observed() []ObservedEngine {
-	snap := g.Board.Snapshot()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []ObservedEngine
-	for _, e := range snap.Engines {
-		if e.Kind != platform.KindEngine || e.Leaving {
-			continue
-		}
-		if r, ok := snap.EngineOwner(e.ID); !ok || r.Name != snap.Self {
-			continue
-		}
-		h, known := g.reports[e.Name]
-		out = append(out, ObservedEngine{Name: e.Name, Pool: e.Pool, Site: e.Site, Known: known, Report: reportOf(h)})
-	}
-	return out
-}
-
-func reportOf(h heardReport) EngineReport {
-	return EngineReport{
-		Incarnation: h.status.Incarnation,
-		Model:       h.status.Model,
-		Version:     h.status.Version,
-		Role:        h.status.Role,
-		Adapters:    h.status.Adapters,
-		Running:     h.status.Running,
-		Queued:      h.status.Queued,
-		Age:         time.Since(h.at),
-	}
-}
-
 // note puts the report on the board where it says something new.
 func (g *Engines) note(e board.Engine, st wire.EngineStatus) {
 	generation := e.Generation
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -38,18 +38,11 @@
 type Fleet struct {
 	vms     *VMs
 	configs *Configs
-	drains  *Drains
 }
 
 // NewFleet returns the service.
-func NewFleet(vms *VMs, configs *Configs, drains *Drains) *Fleet {
-	return &Fleet{vms: vms, configs: configs, drains: drains}
-}
-
-// Observe answers the leader about the engines that this router owns.
-func (f *Fleet) Observe(args ObserveArgs, reply *ObserveReply) error {
-	*reply = f.drains.Observe(args)
-	return nil
+func NewFleet(vms *VMs, configs *Configs) *Fleet {
+	return &Fleet{vms: vms, configs: configs}
 }
 
 // VMs returns the VM list.
--- a/internal/controller/sweeper.go
+++ b/internal/controller/sweeper.go
@@ -7,7 +7,6 @@
 
 	"damaskrouter.example/damaskrouter/internal/board"
 	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/charmbracelet/log"
 )
@@ -43,7 +42,7 @@
 	Board  *board.Board
 	Claims *claim.Sweeper
 	// Clock is the monotonic time since some fixed moment.
-	Clock lease.Clock
+	Clock func() time.Duration
 	Log   *log.Logger
 
 	steps, failures, deleted atomic.Int64
--- a/internal/faultkit/callers.go
+++ b/internal/faultkit/callers.go
@@ -84,24 +84,6 @@
 	return &http.Transport{DialContext: w.Net.Dial(Caller, nil), DisableKeepAlives: true}
 }
 
-// Redeliver sends an order to an engine once more, as a copy arrives that the
-// network held back. It returns the status of the engine's reply.
-func (w *World) Redeliver(address string, o wire.Order) (int, error) {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return 0, ErrNoAnswer.Wrap(err)
-	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+wire.PathEngineOrders, bytes.NewReader(body))
-	if err != nil {
-		return 0, ErrNoAnswer.Wrap(err)
-	}
-	resp, err := w.transport().RoundTrip(req)
-	if err != nil {
-		return 0, ErrNoAnswer.Wrap(err)
-	}
-	return resp.StatusCode, resp.Body.Close()
-}
-
 // Locate asks one router which to use for a chat.
 func (w *World) Locate(address, chat string) (wire.Locate, error) {
 	var out wire.Locate
--- a/internal/faultkit/matrix.go
+++ b/internal/faultkit/matrix.go
@@ -67,11 +67,6 @@
 	Propagate  Step = "propagate"
 	Apply      Step = "apply"
 
-	LeaseTake Step = "lease take"
-	Renew     Step = "renew"
-	Order     Step = "order"
-	ReadBack  Step = "read back"
-
 	Join     Step = "join"
 	Leave    Step = "leave"
 	TakeOver Step = "take over"
@@ -87,7 +82,6 @@
 var Groups = []StepGroup{
 	{"Requests", []Step{Locate, Admit, Queue, Permit, Claim, Send, FirstByte, MidStream, End, Record, Answer}},
 	{"Configuration", []Step{ConfigRead, Check, Commit, Propagate, Apply}},
-	{"Leader", []Step{LeaseTake, Renew, Order, ReadBack}},
 	{"Membership", []Step{Join, Leave, TakeOver}},
 }
 
--- a/internal/faultkit/router.go
+++ b/internal/faultkit/router.go
@@ -16,7 +16,6 @@
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
-	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	"damaskrouter.example/damaskrouter/internal/quota"
@@ -54,8 +53,6 @@
 	Traffic   *traffic.Server
 	Claims    *claim.Store
 	Configs   *controller.Configs
-	// Lease is set if Options.Leaders is.
-	Lease *lease.Runner
 
 	world    *World
 	store    *store
@@ -63,8 +60,6 @@
 	upstream *upstream.Client
 	facts    *admission.Facts
 	quota    *quota.Quota
-	drains   *controller.Drains
-	leader   *controller.Leader
 	server   *http.Server
 	calls    *peer.Server
 	callers  []*peer.Caller
@@ -95,9 +90,6 @@
 			Name: name, ID: rendezvous.ID(name), Instance: 1, Address: address, Site: site,
 		}}
 	})
-	if w.opts.Leaders {
-		r.lead(ctx)
-	}
 	r.serve()
 	if err := r.serveCalls(); err != nil {
 		return nil, err
@@ -149,28 +141,14 @@
 		Board: r.Board, Upstream: r.upstream, Admission: r.Admission, Facts: r.facts, Log: quiet(),
 	}
 	r.vmsFollowed = vms
-	r.drains = &controller.Drains{Board: r.Board, Engines: engines}
 	handoff := &controller.Handoff{Board: r.Board, Upstream: r.upstream, Facts: r.facts, Log: quiet()}
 	for _, f := range []func(context.Context){
-		r.Board.Run, r.Configs.Run, vms.Run, engines.Run, r.quota.Run, handoff.Run, r.drains.Run,
+		r.Board.Run, r.Configs.Run, vms.Run, engines.Run, r.quota.Run, handoff.Run,
 	} {
 		r.wg.Go(func() { f(ctx) })
 	}
 }
 
-// lead starts the controller that seeks the lease and gives orders.
-func (r *Router) lead(ctx context.Context) {
-	started := time.Now()
-	clock := func() time.Duration { return time.Since(started) }
-	rng := rand.New(rand.NewPCG(seedOf(r.Name), r.world.Seed))
-	r.Lease = lease.NewRunner(r.store, r.Name, r.world.token(), lease.DefaultTTL, clock, rng.Float64)
-	r.leader = &controller.Leader{
-		Board: r.Board, Configs: r.Configs, Caller: r.newCaller(), Drains: r.drains, Upstream: r.upstream,
-		Lease: r.Lease, Clock: clock, Self: r.Name, Log: quiet(),
-	}
-	r.wg.Go(func() { r.leader.Run(ctx) })
-}
-
 func (r *Router) serve() {
 	ln := r.world.Net.Listen(r.Name, r.Address, r.Gate)
 	r.server = &http.Server{Handler: r.Traffic.Handler(), ErrorLog: quiet().StandardLog()}
@@ -200,7 +178,7 @@
 	err := errors.Join(
 		r.calls.Register(admission.ServiceName, r.Admission.Service()),
 		r.calls.Register(quota.ServiceName, r.quota.Service()),
-		r.calls.Register(controller.FleetService, controller.NewFleet(r.vmsFollowed, r.Configs, r.drains)),
+		r.calls.Register(controller.FleetService, controller.NewFleet(r.vmsFollowed, r.Configs)),
 	)
 	if err != nil {
 		return err
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -27,9 +27,8 @@
 // the bottom of this list upwards: the audit trail first, claims last.
 var reserves = map[Use]float64{
 	UseClaim:     0,
-	UseLease:     0.15,
-	UseConfig:    0.3,
-	UseAudit:     0.45,
+	UseConfig:    0.2,
+	UseAudit:     0.4,
 	UseAdmin:     0.6,
 	UseRetention: 0.75,
 }
@@ -59,7 +58,7 @@
 	Total Rates
 	// PerUse bounds single uses besides; a use that is not listed is bounded
 	// by the total alone. Without a bound on claims a flood of them would
-	// starve the lease.
+	// starve the configuration.
 	PerUse map[Use]Rates
 	// Burst is the length of the burst; DefaultBurst where zero.
 	Burst time.Duration
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -85,10 +85,9 @@
 type Use string
 
 // The uses of the store. When the store is short, claims go before the
-// lease, and the lease before the audit trail.
+// configuration, and the configuration before the audit trail.
 const (
 	UseClaim  Use = "claim"
-	UseLease  Use = "lease"
 	UseConfig Use = "config"
 	UseAudit  Use = "audit"
 	UseAdmin  Use = "admin"
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -20,8 +20,6 @@
 	r.vars.Set("traffic", r.traffic.Vars())
 	r.vars.Set("admission", r.admission.Vars())
 	r.vars.Set("claim_sweep", expvar.Func(func() any { return r.sweeper.Counts() }))
-	r.vars.Set("orders", expvar.Func(func() any { return r.leader.Counts() }))
-	r.vars.Set("orders_audit", expvar.Func(func() any { return r.ordered.Counts() }))
 	r.vars.Set("store", expvar.Func(func() any { return r.stats.Snapshot() }))
 	r.vars.Set("gossip", expvar.Func(func() any { return r.gossip.Counters() }))
 	r.vars.Set("control_bytes", expvar.Func(func() any {
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -13,7 +13,7 @@
 
 // storeUses are the uses that have a budget.
 var storeUses = []platform.Use{
-	platform.UseClaim, platform.UseLease, platform.UseConfig, platform.UseAudit, platform.UseAdmin,
+	platform.UseClaim, platform.UseConfig, platform.UseAudit, platform.UseAdmin,
 }
 
 // storeBudget is the router's share of the table service.
--- a/internal/router/provision.go
+++ b/internal/router/provision.go
@@ -5,13 +5,11 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/audit"
 	"damaskrouter.example/damaskrouter/internal/bootclock"
 	"damaskrouter.example/damaskrouter/internal/claim"
 	"damaskrouter.example/damaskrouter/internal/config"
 	"damaskrouter.example/damaskrouter/internal/controller"
 	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/lease"
 	"damaskrouter.example/damaskrouter/internal/membership"
 	"damaskrouter.example/damaskrouter/internal/peer"
 	api "damaskrouter.example/damaskrouter/internal/platform"
@@ -54,7 +52,6 @@
 		DialTimeout: r.set.Timeouts.UpstreamConnect,
 		FirstChunk:  r.set.Timeouts.FirstByte,
 		IdleGap:     r.set.Timeouts.IdleGap,
-		OrderToken:  r.set.OrderBearer(),
 	})
 }
 
@@ -104,7 +101,7 @@
 	services := map[string]any{
 		admission.ServiceName:   r.admission.Service(),
 		quota.ServiceName:       r.quota.Service(),
-		controller.FleetService: controller.NewFleet(r.vms, r.configs, r.drains),
+		controller.FleetService: controller.NewFleet(r.vms, r.configs),
 	}
 	for name, service := range services {
 		if err := r.calls.Register(name, service); err != nil {
@@ -136,14 +133,6 @@
 	r.engines = &controller.Engines{
 		Board: r.board, Upstream: r.upstream, Admission: r.admission, Facts: r.facts, Log: r.log,
 	}
-	r.drains = &controller.Drains{Board: r.board, Engines: r.engines}
-	r.ordered = controller.NewOrderLog(audit.New(r.table, r.chain, time.Now), r.set.Name, r.log)
-	r.leader = &controller.Leader{
-		Board: r.board, Configs: r.configs, Caller: r.caller, Drains: r.drains, Upstream: r.upstream,
-		Lease: lease.NewRunner(r.table, r.set.Name, newToken(), lease.DefaultTTL, bootclock.Now, rand.Float64),
-		Clock: bootclock.Now, Self: r.set.Name, Log: r.log, Record: r.ordered.Record,
-		HasOrderToken: r.set.OrderBearer() != "",
-	}
 	r.handoff = &controller.Handoff{Board: r.board, Upstream: r.upstream, Facts: r.facts, Log: r.log}
 	r.sweeper = &controller.Sweeper{
 		Board: r.board, Claims: claim.NewSweeper(r.table, r.set.ClaimRetention),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -88,10 +88,7 @@
 	engines *controller.Engines
 	loads   *controller.Loads
 	handoff *controller.Handoff
-	drains  *controller.Drains
-	leader  *controller.Leader
 	sweeper *controller.Sweeper
-	ordered *controller.OrderLog
 
 	http    *http.Server
 	vars    *expvar.Map
@@ -150,9 +147,6 @@
 	r.goRun(r.configs.Run)
 	r.goRun(r.engines.Run)
 	r.goRun(r.handoff.Run)
-	r.goRun(r.drains.Run)
-	r.goRun(r.ordered.Run)
-	r.goRun(r.leader.Run)
 	r.goRun(r.sweeper.Run)
 	r.goRun(r.loads.Run)
 	r.goRun(r.loads.RunReports)
@@ -191,7 +185,6 @@
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining")
 	r.board.UpdateWait(func(s *board.State) { s.Draining = true })
-	r.leader.Lease.Release()
 	if err := r.gossip.Leave(); err != nil {
 		r.log.Warn("leaving not announced", "cause", err)
 	}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -66,23 +66,6 @@
 	return nil
 }
 
-// OrderBearer returns the token itself, from wherever the settings have it;
-// empty where there is none. It is empty before Provision.
-func (s *Settings) OrderBearer() string { return s.orderToken }
-
-func (s *Settings) provisionOrderToken() error {
-	s.orderToken = string(s.OrderToken)
-	if s.OrderTokenFile == "" {
-		return nil
-	}
-	data, err := os.ReadFile(s.OrderTokenFile)
-	if err != nil {
-		return ErrRead.Wrap(err)
-	}
-	s.orderToken = strings.TrimSpace(string(data))
-	return nil
-}
-
 // KeySet is what of the settings may change while the process runs.
 type KeySet struct {
 	// Fleet and Hint are the keys that sign first and those that are only
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -22,7 +22,6 @@
 // hundred writes and two thousand reads a second, with nine routers.
 var DefaultBudgets = Budgets{
 	Claim:  Budget{Reads: 80, Writes: 40},
-	Lease:  Budget{Reads: 5, Writes: 2},
 	Config: Budget{Reads: 5, Writes: 2},
 	Audit:  Budget{Reads: 10, Writes: 5},
 	Admin:  Budget{Reads: 10, Writes: 5},
@@ -38,9 +37,6 @@
 	var problems strictyaml.Problems
 	problems = append(problems, s.provisionKeys("fleet_keys", s.FleetKeys)...)
 	problems = append(problems, s.provisionKeys("hint_keys", s.HintKeys)...)
-	if err := s.provisionOrderToken(); err != nil {
-		problems = append(problems, s.at("order_token_file", "%v", err))
-	}
 	return problems.Err()
 }
 
@@ -75,7 +71,6 @@
 
 func (b *Budgets) provision() {
 	b.Claim.provision(DefaultBudgets.Claim)
-	b.Lease.provision(DefaultBudgets.Lease)
 	b.Config.provision(DefaultBudgets.Config)
 	b.Audit.provision(DefaultBudgets.Audit)
 	b.Admin.provision(DefaultBudgets.Admin)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,15 +69,6 @@
 	// administration API has issued are accepted.
 	AdminTokenHash string `yaml:"admin_token_hash" validate:"omitempty,len=64,hexadecimal,lowercase"`
 
-	// OrderToken is the bearer token that orders to engines carry, for the
-	// pools that the configuration says check their sender (checks_sender). It
-	// must be the same on all routers, since any of them can lead. A change
-	// needs a restart. The default is none.
-	OrderToken Secret `yaml:"order_token"`
-	// OrderTokenFile is a file that holds the token instead. The default is
-	// none.
-	OrderTokenFile string `yaml:"order_token_file"`
-
 	// LogLevel is the least severe level that is logged: debug, info, warn or
 	// error. The default is info.
 	LogLevel string `yaml:"log_level" validate:"oneof=debug info warn error"`
@@ -97,9 +88,8 @@
 	// tests on one machine. The default is false.
 	AllowInsecure bool `yaml:"allow_insecure"`
 
-	source     *strictyaml.Source
-	file       string
-	orderToken string
+	source *strictyaml.Source
+	file   string
 }
 
 // Platform says where the platform's services are.
@@ -159,9 +149,6 @@
 	// Claim is for non-idempotent requests. The default is 80 reads and 40
 	// writes a second.
 	Claim Budget `yaml:"claim"`
-	// Lease is for the leader's lease. The default is 5 reads and 2 writes a
-	// second.
-	Lease Budget `yaml:"lease"`
 	// Config is for the fleet's configuration. The default is 5 reads and 2
 	// writes a second.
 	Config Budget `yaml:"config"`
@@ -187,8 +174,6 @@
 	switch use {
 	case platform.UseClaim:
 		return b.Claim
-	case platform.UseLease:
-		return b.Lease
 	case platform.UseConfig:
 		return b.Config
 	case platform.UseAudit:
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
 	"sync"
 
 	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
@@ -49,7 +48,6 @@
 	problems := s.source.Fields(fieldValidator(), s)
 	problems = append(problems, s.checkKeys("fleet_keys", s.FleetKeys)...)
 	problems = append(problems, s.checkKeys("hint_keys", s.HintKeys)...)
-	problems = append(problems, s.checkOrderToken()...)
 	problems = append(problems, s.checkDrain()...)
 	problems = append(problems, s.checkPeerTLS()...)
 	if !s.AllowInsecure {
@@ -79,23 +77,6 @@
 	return problems
 }
 
-// checkOrderToken refuses what no header can carry. Sent all the same, each
-// order would fail before it leaves, and engines stay on their old version.
-func (s *Settings) checkOrderToken() strictyaml.Problems {
-	if s.OrderToken != "" && s.OrderTokenFile != "" {
-		return strictyaml.Problems{s.at("order_token", "is given beside order_token_file")}
-	}
-	if s.OrderTokenFile != "" && s.orderToken == "" {
-		return strictyaml.Problems{s.at("order_token_file", "names an empty file")}
-	}
-	if strings.ContainsFunc(s.orderToken, notInToken) {
-		return strictyaml.Problems{s.at("order_token", "must hold printable ASCII characters without spaces only")}
-	}
-	return nil
-}
-
-func notInToken(r rune) bool { return r <= ' ' || r > '~' }
-
 // checkDrain makes sure that a graceful shutdown outlasts the addresses that
 // callers keep. Otherwise they connect to a process that has gone, and see
 // refused connections on every planned restart.
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -293,10 +293,6 @@
 	switch code {
 	case protocol.CodeWrongIdentity:
 		return ErrIdentity.New("another upstream or incarnation runs at the address")
-	case protocol.CodeStaleFence:
-		return ErrStaleFence.New("a newer order was seen")
-	case protocol.CodeSenderUnknown:
-		return ErrSender.New("sender not recognised")
 	default:
 		return ErrRefused.New("status %d, code %q", status, string(code))
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,8 +44,6 @@
 	MaxTransfer int64
 	// MaxEvent bounds one line and one event of a stream, in bytes.
 	MaxEvent int
-	// OrderToken is sent with orders to upstreams that check their sender.
-	OrderToken string
 }
 
 // Defaults of Options.
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -79,29 +79,6 @@
 	return false
 }
 
-// Order gives an engine an order and returns its report. It goes out once, on
-// its own connection: a copy sent again later could undo a newer order at an
-// engine that ignores fences.
-func (c *Client) Order(ctx context.Context, call Call, order wire.Order) (wire.EngineStatus, error) {
-	body, err := json.Marshal(order)
-	if err != nil {
-		return wire.EngineStatus{}, &Failure{Op: opOrder, Sent: NotSent, Cause: ErrCall.Wrap(err)}
-	}
-	reader, n := bytesBody(body)
-	var st wire.EngineStatus
-	err = c.control(ctx, request{
-		op:     opOrder,
-		method: http.MethodPost,
-		path:   wire.PathEngineOrders,
-		body:   reader,
-		length: n,
-		call:   call,
-		typ:    protocol.TypeJSON,
-		token:  c.opts.OrderToken,
-	}, &st)
-	return st, err
-}
-
 // Export fetches the KV cache of the prefix.
 func (c *Client) Export(ctx context.Context, call Call, prefix uint64) ([]byte, error) {
 	body, err := json.Marshal(protocol.ExportRequest{Prefix: prefix})
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -69,10 +69,6 @@
 	ErrIdentity = errs.Class("upstream identity")
 	// ErrRefused is a status of 400 or above.
 	ErrRefused = errs.Class("upstream refused")
-	// ErrStaleFence is an order refused because a newer leader has given one.
-	ErrStaleFence = errs.Class("upstream order fence stale")
-	// ErrSender is an order refused because its sender isn't recognised.
-	ErrSender = errs.Class("upstream order sender")
 	// ErrCanceled is a call that its caller gave up.
 	ErrCanceled = errs.Class("upstream call canceled")
 )
--- a/internal/upstream/protocol/protocol.go
+++ b/internal/upstream/protocol/protocol.go
@@ -12,8 +12,6 @@
 	CodeLeaving        Code = "leaving"
 	CodeWrongIdentity  Code = "wrong_identity"
 	CodeModelNotLoaded Code = "model_not_loaded"
-	CodeStaleFence     Code = "stale_fence"
-	CodeSenderUnknown  Code = "sender_unknown"
 	CodeUnknownStream  Code = "unknown_stream"
 	CodeUnknownPrefix  Code = "unknown_prefix"
 	CodeBadRequest     Code = "bad_request"
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -27,7 +27,6 @@
 	opService  = "service"
 	opStatus   = "status"
 	opEvents   = "events"
-	opOrder    = "order"
 	opExport   = "export"
 	opImport   = "import"
 )
--- a/internal/upstream/traffic.go
+++ b/internal/upstream/traffic.go
@@ -19,7 +19,6 @@
 type Traffic struct {
 	Status Bytes `json:"status"`
 	Events Bytes `json:"events"`
-	Orders Bytes `json:"orders"`
 	// Transfers are exports and imports of KV cache.
 	Transfers Bytes `json:"transfers"`
 }
@@ -29,7 +28,6 @@
 	return Traffic{
 		Status:    t.Status.since(earlier.Status),
 		Events:    t.Events.since(earlier.Events),
-		Orders:    t.Orders.since(earlier.Orders),
 		Transfers: t.Transfers.since(earlier.Transfers),
 	}
 }
@@ -47,7 +45,6 @@
 	return Traffic{
 		Status:    m.status.bytes(),
 		Events:    m.events.bytes(),
-		Orders:    m.orders.bytes(),
 		Transfers: m.transfers.bytes(),
 	}
 }
@@ -70,7 +67,7 @@
 func (m *meter) bytes() Bytes { return Bytes{In: m.in.Load(), Out: m.out.Load()} }
 
 // meters are the kinds that are counted.
-type meters struct{ status, events, orders, transfers meter }
+type meters struct{ status, events, transfers meter }
 
 // of returns the meter of an operation, or nil if it isn't counted.
 func (m *meters) of(op string) *meter {
@@ -79,8 +76,6 @@
 		return &m.status
 	case opEvents:
 		return &m.events
-	case opOrder:
-		return &m.orders
 	case opExport, opImport:
 		return &m.transfers
 	default:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -148,8 +148,6 @@
 	// CacheTokens is the capacity of the prefix cache, CachedTokens its use.
 	CacheTokens  int64 `json:"cache_tokens"`
 	CachedTokens int64 `json:"cached_tokens"`
-	// Fence is the highest fencing number seen in an order.
-	Fence uint64 `json:"fence"`
 	// RequestIDs are the unfinished requests, for reconciliation.
 	RequestIDs []string `json:"request_ids,omitempty"`
 	// ReportAgeMS is the age of the load figures, in milliseconds.
@@ -182,24 +180,3 @@
 	// one asked for is a gap.
 	Next uint64 `json:"next"`
 }
-
-// OrderKind names what an order changes.
-type OrderKind string
-
-// The kinds of order. Each is declarative and idempotent.
-const (
-	OrderLoadModel   OrderKind = "model"
-	OrderLoadAdapter OrderKind = "adapter"
-	OrderVersion     OrderKind = "version"
-	OrderRole        OrderKind = "role"
-)
-
-// Order tells an engine what it should be serving.
-type Order struct {
-	ID    string    `json:"id"`
-	Kind  OrderKind `json:"kind"`
-	Value string    `json:"value"`
-	// Fence is the leader's fencing number. Some engines refuse an old one;
-	// others ignore the number.
-	Fence uint64 `json:"fence"`
-}
