forward: prompts fetch from where their parts were sent

Cause: an engine that was new to a prompt was told to fetch from the second engine of the prompt's order, which had it only if the first was too busy.

Change: routers remember where they sent each shared part; the chosen engine fetches from there, else from the engine that had the prompt if the chosen one came lately, else from where a shorter part was sent.

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -47,6 +47,9 @@
 	// Leaving engines get no new request; others can still fetch from their
 	// cache.
 	Leaving bool
+	// Fresh engines came a short time ago: other engines hold the prompts that
+	// are theirs now.
+	Fresh bool
 	// Share of its normal load that it may take, 0 to 1: less than 1 while it
 	// returns from an ejection, 0 while it is ejected.
 	Share float64
@@ -60,7 +63,8 @@
 	// its cache, other than the chosen one, or None. An engine that leaves, or
 	// is too busy, can still be that.
 	Holder int
-	// Moved means that the prompt's own engine is not the chosen one.
+	// Moved means that the prompt has been at the holder, if anywhere: its own
+	// engine is not the chosen one, or came a short time ago.
 	Moved bool
 }
 
@@ -84,7 +88,7 @@
 	if out.Engine == None {
 		out.Engine = leastLoaded(engines, candidates, rng)
 	}
-	out.Moved = order[0] != out.Engine
+	out.Moved = order[0] != out.Engine || engines[out.Engine].Fresh
 	for _, i := range order {
 		if i != out.Engine && (engines[i].Share > 0 || engines[i].Leaving) {
 			out.Holder = i
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -10,7 +10,6 @@
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/health"
 	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // Engines is what a router knows of the engines by its own requests: how many it
@@ -26,8 +25,13 @@
 	own map[string]*ownLoad
 	// ejected holds the engines that get no requests, by ID, for the log.
 	ejected map[string]bool
-	// sent remembers when this router last sent a prompt to an engine.
-	sent *lru.Cache[held, time.Duration]
+	// holders is which engines hold which parts of prompts, as far as this router
+	// has sent them.
+	holders holders
+	// seen is when each engine was first among the engines, and since when this
+	// router knows any.
+	seen  map[string]time.Duration
+	since time.Duration
 }
 
 // ownLoad is what this router knows of one engine by its own requests.
@@ -36,24 +40,12 @@
 	record   health.Record
 }
 
-// held names a shared part of a prompt at an engine.
-type held struct{ engine, part string }
-
-const (
-	// maxHeld bounds the remembered prompts; an entry takes about 150 bytes.
-	maxHeld = 16384
-	// heldFor is how long an engine is taken to keep a prompt that was sent to
-	// it. Caches of today's engines turn over in about a minute.
-	heldFor = 30 * time.Second
-)
-
 // NewEngines returns an Engines for a router in a site.
 func NewEngines(site string, others func() map[string]feed.EngineLoad, clock func() time.Duration, rng *rand.Rand) *Engines {
-	// The size is not negative, the only reason to fail.
-	sent, _ := lru.New[held, time.Duration](maxHeld)
 	return &Engines{
-		site: site, others: others, clock: clock, rng: rng, sent: sent,
+		site: site, others: others, clock: clock, rng: rng, holders: newHolders(),
 		own:     make(map[string]*ownLoad),
+		seen:    make(map[string]time.Duration),
 		ejected: make(map[string]bool),
 	}
 }
@@ -90,40 +82,76 @@
 }
 
 // Pick chooses an engine of the service and counts a request to it until Done.
+// shared are the parts of the prompt that other requests may have too, in order.
 // Engines in avoid are passed over. It returns false if there is none.
-func (p *Engines) Pick(s *catalog.Snapshot, service, sharedPart string, avoid map[string]bool) (Choice, bool) {
+func (p *Engines) Pick(s *catalog.Snapshot, service string, shared []string, avoid map[string]bool) (Choice, bool) {
 	now := p.clock()
 	others := p.others()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	engines, candidates := p.candidates(s, service, avoid, others, now)
-	var choice Choice
-	var i int
-	if sharedPart == "" {
-		i = choose.Plain(candidates, p.rng)
-	} else {
-		at := choose.Prompted(candidates, rendezvous.ID(sharedPart), p.rng)
-		i = at.Engine
-		if i != choose.None && at.Holder != choose.None && p.newAt(engines[i].ID, sharedPart, now) {
-			choice.FetchFrom = engines[at.Holder].Address
-		}
+	if len(shared) == 0 {
+		return p.take(engines, choose.Plain(candidates, p.rng))
 	}
-	if i == choose.None {
+	at := choose.Prompted(candidates, rendezvous.ID(shared[len(shared)-1]), p.rng)
+	choice, ok := p.take(engines, at.Engine)
+	if !ok {
 		return Choice{}, false
 	}
-	choice.Engine = engines[i]
-	p.of(choice.Engine.ID).inFlight++
+	choice.FetchFrom = p.fetchFrom(engines, at, shared, now)
+	p.holders.note(choice.Engine.ID, shared, now)
 	return choice, true
 }
 
-// newAt notes that the prompt goes to the engine, and says whether this router
-// has not sent it there lately. An engine that has the prompt has nothing to
-// fetch, and asking costs a few milliseconds.
-func (p *Engines) newAt(engine, sharedPart string, now time.Duration) bool {
-	key := held{engine, sharedPart}
-	last, ok := p.sent.Get(key)
-	p.sent.Add(key, now)
-	return !ok || now-last > heldFor
+// take counts a request to an engine.
+func (p *Engines) take(engines []catalog.Engine, i int) (Choice, bool) {
+	if i == choose.None {
+		return Choice{}, false
+	}
+	p.of(engines[i].ID).inFlight++
+	return Choice{Engine: engines[i]}, true
+}
+
+// fetchFrom returns the address of the engine that holds most of the prompt, or
+// nothing if the chosen engine has it: asking costs a few milliseconds. What this
+// router has sent goes before what the order of the engines says, and that before
+// shorter parts.
+func (p *Engines) fetchFrom(engines []catalog.Engine, at choose.Placement, shared []string, now time.Duration) string {
+	chosen := engines[at.Engine].ID
+	longest := len(shared) - 1
+	if p.holders.has(chosen, shared[longest], now) {
+		return ""
+	}
+	if address, ok := p.addressOf(engines, chosen, shared[longest], now); ok {
+		return address
+	}
+	if at.Holder != choose.None && at.Moved {
+		return engines[at.Holder].Address
+	}
+	for i := longest - 1; i >= 0 && !p.holders.has(chosen, shared[i], now); i-- {
+		if address, ok := p.addressOf(engines, chosen, shared[i], now); ok {
+			return address
+		}
+	}
+	if at.Holder == choose.None {
+		return ""
+	}
+	return engines[at.Holder].Address
+}
+
+// addressOf returns the address of the engine, other than the chosen one, that this
+// router last sent the part to.
+func (p *Engines) addressOf(engines []catalog.Engine, chosen, part string, now time.Duration) (string, bool) {
+	holder, ok := p.holders.other(chosen, part, now)
+	if !ok {
+		return "", false
+	}
+	for _, e := range engines {
+		if e.ID == holder {
+			return e.Address, true
+		}
+	}
+	return "", false
 }
 
 func (p *Engines) candidates(s *catalog.Snapshot, service string, avoid map[string]bool, others map[string]feed.EngineLoad, now time.Duration) ([]catalog.Engine, []choose.Engine) {
@@ -148,7 +176,7 @@
 		evidence = append(evidence, load.Evidence)
 		out = append(out, choose.Engine{
 			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
-			Near: e.Site == p.site, Leaving: e.Draining,
+			Near: e.Site == p.site, Leaving: e.Draining, Fresh: p.fresh(e.ID, now),
 		})
 	}
 	for i, share := range health.Shares(evidence) {
@@ -157,6 +185,20 @@
 	return engines, out
 }
 
+// fresh says whether an engine came a short time ago, and not before this router
+// did. The caller holds the mutex.
+func (p *Engines) fresh(engine string, now time.Duration) bool {
+	if len(p.seen) == 0 {
+		p.since = now
+	}
+	first, ok := p.seen[engine]
+	if !ok {
+		first = now
+		p.seen[engine] = now
+	}
+	return first > p.since+settleTime && now-first <= heldFor
+}
+
 // Done ends the count of a request.
 func (p *Engines) Done(engine string) {
 	p.mu.Lock()
@@ -193,6 +235,11 @@
 			delete(p.ejected, id)
 		}
 	}
+	for id := range p.seen {
+		if _, ok := s.Engines.ByID[id]; !ok {
+			delete(p.seen, id)
+		}
+	}
 	if s.Config == nil {
 		return nil
 	}
--- a/internal/edge/forward/forward_test.go
+++ b/internal/edge/forward/forward_test.go
@@ -88,14 +88,10 @@
 	})
 }
 
-func TestSharedPartIsAllButTheRequestsOwn(t *testing.T) {
-	key, ok := (&Request{Prompt: []Part{{"a", 1}, {"b", 2}, {"own", 3}}}).SharedPart()
-	require.True(t, ok)
-	require.Equal(t, "b", key)
-	key, _ = (&Request{Prompt: []Part{{"a", 1}}}).SharedPart()
-	require.Equal(t, "a", key)
-	_, ok = (&Request{}).SharedPart()
-	require.False(t, ok)
+func TestSharedPartsAreAllButTheRequestsOwn(t *testing.T) {
+	require.Equal(t, []string{"a", "b"}, (&Request{Prompt: []Part{{"a", 1}, {"b", 2}, {"own", 3}}}).SharedParts())
+	require.Equal(t, []string{"a"}, (&Request{Prompt: []Part{{"a", 1}}}).SharedParts())
+	require.Empty(t, (&Request{}).SharedParts())
 }
 
 // A route's traffic is split by weight, prompts that share a part stay together,
@@ -106,9 +102,9 @@
 	}}}
 	counts := map[string]int{}
 	for i := range 10000 {
-		shared := fmt.Sprint(i)
-		services := x.services(shared, true)
-		require.Equal(t, services, x.services(shared, true))
+		shared := []string{fmt.Sprint(i)}
+		services := x.services(shared)
+		require.Equal(t, services, x.services(shared))
 		require.NotContains(t, services, "c")
 		require.Len(t, services, 2)
 		counts[services[0]]++
--- /dev/null
+++ b/internal/edge/forward/holders_test.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"github.com/stretchr/testify/require"
+)
+
+// placer places prompts that share their first part.
+type placer struct {
+	t       *testing.T
+	now     time.Duration
+	engines *Engines
+}
+
+func newPlacer(t *testing.T) *placer {
+	p := &placer{t: t, now: time.Minute}
+	nobody := func() map[string]feed.EngineLoad { return nil }
+	p.engines = NewEngines("site", nobody, func() time.Duration { return p.now }, rand.New(rand.NewPCG(1, 2)))
+	return p
+}
+
+func (p *placer) pick(s *catalog.Snapshot, dossier int) Choice {
+	choice, ok := p.engines.Pick(s, "llm", []string{"common", fmt.Sprint("dossier-", dossier)}, nil)
+	require.True(p.t, ok)
+	p.engines.Done(choice.Engine.ID)
+	return choice
+}
+
+// snapshotOf returns a snapshot with n engines of one service.
+func snapshotOf(n int) *catalog.Snapshot {
+	u := catalog.EngineUpdate{Full: true, Upto: uint64(n)}
+	for i := range n {
+		u.Present = append(u.Present, catalog.Engine{
+			ID: fmt.Sprint("e", i), Service: "llm", Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: 64, Revision: 1,
+		})
+	}
+	s, _ := catalog.Empty().WithEngines(u, 0, time.Second, 0)
+	s, _ = s.WithConfig(catalog.NewConfig(catalog.Config{Version: 1}), 0)
+	return s
+}
+
+// Symptom: a part that many prompts share is read again at each engine. Sequence: a
+// prompt is new, its first part is not. Cause: the engine was told to fetch from one
+// that never had anything of the prompt.
+func TestPromptFetchesItsFirstPart(t *testing.T) {
+	p := newPlacer(t)
+	s := snapshotOf(5)
+	sent := map[string]bool{p.pick(s, 0).Engine.Address: true}
+	for i := 1; i < 20; i++ {
+		choice := p.pick(s, i)
+		if !sent[choice.Engine.Address] {
+			require.True(t, sent[choice.FetchFrom], "prompt %d fetches from %q", i, choice.FetchFrom)
+		}
+		sent[choice.Engine.Address] = true
+		require.Empty(t, p.pick(s, i).FetchFrom, "the engine has the prompt")
+	}
+}
+
+// Symptom: prompts are read again when engines are added. Sequence: an engine comes
+// and takes over prompts of others, which this router has or has not sent. Cause: it
+// is not told who had them.
+func TestFreshEngineFetchesFromWhoHadThePrompt(t *testing.T) {
+	p := newPlacer(t)
+	before := snapshotOf(5)
+	had := make(map[int]Choice)
+	for i := range 40 {
+		had[i] = p.pick(before, i)
+	}
+	p.now += 10 * time.Second
+	after := snapshotOf(6)
+	other := newPlacer(t)
+	other.pick(before, 99)
+	other.now = p.now
+	taken := 0
+	for i := range 40 {
+		choice, unsent := p.pick(after, i), other.pick(after, i)
+		if choice.Engine.ID == had[i].Engine.ID {
+			continue
+		}
+		taken++
+		require.Equal(t, had[i].Engine.Address, choice.FetchFrom, "a router that sent it")
+		require.Equal(t, had[i].Engine.Address, unsent.FetchFrom, "a router that did not")
+	}
+	require.Positive(t, taken)
+}
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -35,17 +35,18 @@
 	LastEvent string
 }
 
-// SharedPart is the hash key of the longest part of the prompt that other
-// requests have too; the last part is the request's or its session's own.
-func (r *Request) SharedPart() (string, bool) {
-	switch n := len(r.Prompt); n {
-	case 0:
-		return "", false
-	case 1:
-		return r.Prompt[0].ID, true
-	default:
-		return r.Prompt[n-2].ID, true
+// SharedParts are the IDs of the parts of the prompt that other requests may have
+// too, in order; the last part of several is the request's or its session's own.
+func (r *Request) SharedParts() []string {
+	shared := r.Prompt
+	if len(shared) > 1 {
+		shared = shared[:len(shared)-1]
 	}
+	ids := make([]string, len(shared))
+	for i, part := range shared {
+		ids[i] = part.ID
+	}
+	return ids
 }
 
 // Sending is what the router tells an engine beside the caller's own headers.
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -103,11 +103,11 @@
 
 // pick chooses an engine of one of the route's services.
 func (x *exchange) pick() (Choice, bool) {
-	shared, prompted := x.req.SharedPart()
-	if !x.route.Prompted {
-		shared, prompted = "", false
+	var shared []string
+	if x.route.Prompted {
+		shared = x.req.SharedParts()
 	}
-	for _, service := range x.services(shared, prompted) {
+	for _, service := range x.services(shared) {
 		if choice, ok := x.f.Engines.Pick(x.snapshot, service, shared, x.avoid); ok {
 			return choice, true
 		}
@@ -117,15 +117,15 @@
 
 // services returns the route's services, the one to use first. Prompts that
 // share a part go to the same service, so that its engines' caches are used.
-func (x *exchange) services(shared string, prompted bool) []string {
+func (x *exchange) services(shared []string) []string {
 	backends := x.route.Backends
 	total := 0
 	for _, b := range backends {
 		total += b.Weight
 	}
 	key := x.req.ID
-	if prompted {
-		key = shared
+	if len(shared) > 0 {
+		key = shared[len(shared)-1]
 	}
 	point := pointOf(key, total)
 	var first string
