platform: an engine entry that can't be read hides no other

Cause: one such entry failed the whole read of engines: a router that started had none, and one that read all again kept what it had for as long as the entry stood.

Now it is named in a log line and passed over; what was known of the engine stays.

--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -40,6 +40,9 @@
 	Since, Upto uint64
 	Present     []Engine
 	Removed     []Removal
+	// Unreadable are the IDs of engines whose entries make no sense. What was known
+	// of them stays.
+	Unreadable []string
 }
 
 // EngineSet is an immutable set of engines as of one version of the store.
@@ -98,6 +101,9 @@
 		present[e.ID] = true
 		changed = next.put(e) || changed
 	}
+	for _, id := range u.Unreadable {
+		present[id] = true
+	}
 	for _, r := range u.Removed {
 		changed = next.remove(r, doubtUntil) || changed
 	}
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -237,6 +237,9 @@
 	for _, e := range update.Present {
 		r.Log.Debug("engine entry", "engine", e.ID, "service", e.Service, "draining", e.Draining, "revision", e.Revision)
 	}
+	for _, id := range update.Unreadable {
+		r.Log.Warn("engine entry not readable; passed over", "engine", id, "upto", update.Upto)
+	}
 	for _, removal := range update.Removed {
 		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision)
 	}
