Clean-ups: one way to end a broken answer, one sorting of the store's errors

relayWhole and the stream's relay ended a broken answer by the same three steps; the tests of the client and of the decorators sorted errors by two copies of one function; the count of routers in a load report was read by a test only. No change of behaviour: a stream that breaks at its time limit is told by the time that is left, like the others.

--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -441,12 +441,11 @@
 
 func TestLoadsAddUpAndFadeOut(t *testing.T) {
 	l := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{"e": {InFlight: 1}} })
-	l.Heard("b", LoadReport{Routers: 2, Engines: map[string]EngineLoad{"e": {InFlight: 5, Evidence: health.Evidence{Bad: 4}}}}, 0)
-	l.FromParent(LoadReport{Routers: 3, Engines: map[string]EngineLoad{"e": {InFlight: 7}}}, 0)
+	l.Heard("b", LoadReport{Engines: map[string]EngineLoad{"e": {InFlight: 5, Evidence: health.Evidence{Bad: 4}}}}, 0)
+	l.FromParent(LoadReport{Engines: map[string]EngineLoad{"e": {InFlight: 7}}}, 0)
 	require.Equal(t, 12, l.Others()["e"].InFlight)
 	require.Equal(t, 8, l.Without("b", 0).Engines["e"].InFlight)
 	require.Equal(t, 6, l.Below(0).Engines["e"].InFlight)
-	require.Equal(t, 6, l.Routers(0))
 	require.InDelta(t, 2, l.Below(1500 * time.Millisecond).Engines["e"].Evidence.Bad, 1e-9)
 	require.Equal(t, 1, l.Below(2 * time.Second).Engines["e"].InFlight)
 }
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -27,8 +27,6 @@
 // LoadReport is what some routers know of the engines, by the engine's ID.
 type LoadReport struct {
 	Engines map[string]EngineLoad
-	// Routers is how many routers the report speaks for.
-	Routers int
 }
 
 // add adds a report that was made age ago.
@@ -37,7 +35,6 @@
 		l.Evidence = l.Evidence.After(age)
 		r.Engines[id] = r.Engines[id].add(l)
 	}
-	r.Routers += o.Routers
 }
 
 type heardReport struct {
@@ -101,15 +98,8 @@
 	return l.others
 }
 
-// Routers is how many routers are known to carry traffic, this one included.
-func (l *Loads) Routers(now time.Duration) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.sum("", now, true).Routers
-}
-
 func (l *Loads) sum(without string, now time.Duration, above bool) LoadReport {
-	out := LoadReport{Engines: l.own(), Routers: 1}
+	out := LoadReport{Engines: l.own()}
 	l.addOthers(&out, without, now, above)
 	return out
 }
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -21,14 +21,9 @@
 		return x.relayLong(answer, body)
 	}
 	if err != nil {
-		if x.callerLeft() {
-			return result{verdict: over, refusal: x.gone()}
+		if refusal := x.brokeOff(e, err); refusal != nil {
+			return result{verdict: over, refusal: refusal}
 		}
-		if x.remaining() <= 0 {
-			return result{verdict: over, refusal: x.timeUp()}
-		}
-		x.f.Engines.Note(e.ID, false)
-		x.logAttempt(e, err, 0)
 		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
 	}
 	if answer.Status < http.StatusInternalServerError {
@@ -41,6 +36,20 @@
 	return x.mayRepeat(failed(http.StatusBadGateway, ReasonNoAnswer))
 }
 
+// brokeOff returns the refusal that ends a request whose answer broke off, or nil if
+// the engine is to blame and the request may go on elsewhere.
+func (x *exchange) brokeOff(e catalog.Engine, err error) *Refusal {
+	switch {
+	case errCallerLeft.Has(err) || x.callerLeft():
+		return x.gone()
+	case x.remaining() <= 0:
+		return x.timeUp()
+	}
+	x.f.Engines.Note(e.ID, false)
+	x.logAttempt(e, err, 0)
+	return nil
+}
+
 // wholeFailure is an engine's own answer that the request failed.
 type wholeFailure struct {
 	status int
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -60,7 +60,7 @@
 			x.f.Engines.Note(e.ID, true)
 			return x.endStream(split)
 		}
-		if refusal := x.streamOver(ctx, e, err); refusal != nil {
+		if refusal := x.brokeOff(e, err); refusal != nil {
 			return result{verdict: over, refusal: refusal}
 		}
 		if !x.answered {
@@ -85,20 +85,6 @@
 	return result{verdict: done}
 }
 
-// streamOver returns the refusal that ends the stream, or nil if it may go on
-// elsewhere.
-func (x *exchange) streamOver(ctx context.Context, e catalog.Engine, err error) *Refusal {
-	switch {
-	case errCallerLeft.Has(err) || x.callerLeft():
-		return x.gone()
-	case isTimeout(ctx):
-		return x.timeUp()
-	}
-	x.f.Engines.Note(e.ID, false)
-	x.logAttempt(e, err, 0)
-	return nil
-}
-
 // copyEvents passes on events until the stream ends. Errors: errCallerLeft,
 // engineconn.ErrCut, engineconn.ErrMalformed.
 func (x *exchange) copyEvents(answer *engineconn.Answer, split *events) error {
@@ -167,8 +153,3 @@
 		x.f.Engines.Done(e.ID)
 	}
 }
-
-// isTimeout says whether the exchange ended by its own context.
-func isTimeout(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.DeadlineExceeded)
-}
--- a/internal/platform/kinds_test.go
+++ b/internal/platform/kinds_test.go
@@ -1,44 +1,23 @@
 package platform_test
 
 import (
-	"errors"
-
-	"github.com/stretchr/testify/require"
-
 	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
 )
 
-type kind string
+// kind is what an error proves.
+type kind = platformtest.Kind
 
 const (
-	ok          kind = "ok"
-	conflict    kind = "conflict"
-	notFound    kind = "not found"
-	unavailable kind = "unavailable"
-	unknown     kind = "unknown"
-	budget      kind = "budget"
-	invalid     kind = "invalid"
+	ok          = platformtest.KindOK
+	conflict    = platformtest.KindConflict
+	notFound    = platformtest.KindNotFound
+	unavailable = platformtest.KindUnavailable
+	unknown     = platformtest.KindUnknown
+	budget      = platformtest.KindBudget
+	invalid     = platformtest.KindInvalid
 )
 
-// kindOf sorts an error, and fails where it belongs to two classes at once.
-func kindOf(t require.TestingT, err error) kind {
-	var c *platform.ConflictError
-	found := []kind{}
-	for k, is := range map[kind]bool{
-		ok:          err == nil,
-		conflict:    errors.As(err, &c),
-		notFound:    platform.ErrNotFound.Has(err),
-		unavailable: platform.ErrUnavailable.Has(err),
-		unknown:     platform.ErrOutcomeUnknown.Has(err),
-		budget:      platform.ErrBudget.Has(err),
-		invalid:     platform.ErrInvalid.Has(err),
-	} {
-		if is {
-			found = append(found, k)
-		}
-	}
-	require.Len(t, found, 1, "%v", err)
-	return found[0]
-}
+var kindOf = platformtest.KindOf
 
 var someWrite = platform.Write{Table: "t", Key: "k"}
