--- a/client/client.go
+++ b/client/client.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/zeebo/errs"
 )
 
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 )
 
--- a/client/conversation.go
+++ b/client/conversation.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/google/uuid"
 )
 
--- a/client/service.go
+++ b/client/service.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync/atomic"
 
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/google/uuid"
 )
 
--- a/client/stream.go
+++ b/client/stream.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/sse"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/sse"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // stream collects one answer over as many connections as it takes.
--- a/internal/cli/accounts.go
+++ b/internal/cli/accounts.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // listCommand makes a command that lists items of the configuration in force.
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/audit"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/audit"
 )
 
 func auditCommand() *command {
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/report"
-	"damaskrouter.example/damaskrouter/internal/bench/run"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/report"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/run"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
--- a/internal/cli/claims.go
+++ b/internal/cli/claims.go
@@ -6,8 +6,8 @@
 	"io"
 	"net/url"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
 	"github.com/integrii/flaggy"
 )
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,7 +8,7 @@
 	"os/signal"
 	"syscall"
 
-	"damaskrouter.example/damaskrouter/internal/version"
+	"damaskrouter.example/damaskrouter/internal/base/version"
 	"github.com/charmbracelet/log"
 	"github.com/integrii/flaggy"
 	"github.com/zeebo/errs"
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/integrii/flaggy"
 	"github.com/zeebo/errs"
 )
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	"damaskrouter.example/damaskrouter/internal/bench/report"
-	"damaskrouter.example/damaskrouter/internal/bench/run"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/report"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/run"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
 	"damaskrouter.example/damaskrouter/workloads"
 	"github.com/charmbracelet/log"
 )
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -6,7 +6,7 @@
 	"io"
 	"strconv"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
 )
 
 func fleetCommand() *command {
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -8,9 +8,9 @@
 	"os"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/keys"
-	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
 )
 
 // secretDirMode keeps generated keys from other users.
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -11,10 +11,10 @@
 	"strconv"
 	"text/tabwriter"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/admin/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/client"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"github.com/integrii/flaggy"
 )
 
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/admin/client"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/client"
 )
 
 func operatorsCommand() *command {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,8 +5,8 @@
 	"fmt"
 
 	edgesettings "damaskrouter.example/damaskrouter/internal/edge/settings"
-	"damaskrouter.example/damaskrouter/internal/router"
-	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/serve/router"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
 	"github.com/charmbracelet/log"
 )
 
--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -5,7 +5,7 @@
 	"os/signal"
 	"syscall"
 
-	"damaskrouter.example/damaskrouter/internal/hangup"
+	"damaskrouter.example/damaskrouter/internal/base/hangup"
 )
 
 // onHangup calls f for each SIGHUP until the returned function is called. An
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/standin"
+	"damaskrouter.example/damaskrouter/internal/lab/standin"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/integrii/flaggy"
 )
 
--- a/internal/outlier/outlier_test.go
+++ b/internal/decide/outlier/outlier_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/placement/baselines.go
+++ b/internal/decide/placement/baselines.go
@@ -3,7 +3,7 @@
 import (
 	"math/rand/v2"
 
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
 
 // The baselines pass the same filters as Picker, batch limit included, but
--- a/internal/placement/picker.go
+++ b/internal/decide/placement/picker.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
 
 // none is the index of no engine or candidate.
--- a/internal/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/prefix/evidence.go
+++ b/internal/decide/prefix/evidence.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
 )
 
 // Confidences estimate how likely it is that an engine still holds a prefix.
--- a/internal/prefix/evidence_test.go
+++ b/internal/decide/prefix/evidence_test.go
@@ -4,14 +4,14 @@
 	"testing"
 	"time"
 
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/token"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
--- a/internal/prefix/recent_test.go
+++ b/internal/decide/prefix/recent_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
 )
 
 func TestRecentAgainstModel(t *testing.T) {
--- a/internal/prefix/view.go
+++ b/internal/decide/prefix/view.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // maxStaleRun is the number of pages in a row of the previous incarnation after
--- a/internal/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -8,7 +8,7 @@
 	"math/rand/v2"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 // Known is what is certain about a failed attempt, weakest claim on the
--- a/internal/retry/retry_test.go
+++ b/internal/decide/retry/retry_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -16,7 +16,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
 
 const (
--- a/internal/edge/choose/choose_test.go
+++ b/internal/edge/choose/choose_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -13,7 +13,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/health"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/pause"
 	"github.com/charmbracelet/log"
 )
 
--- a/internal/edge/forward/budget.go
+++ b/internal/edge/forward/budget.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/retry"
+	"damaskrouter.example/damaskrouter/internal/decide/retry"
 )
 
 // BudgetLimits are what the whole fleet may send to one service beyond the
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/health"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
 )
 
 // Engines is what a router knows of the engines by its own requests: how many it
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 // Reason names a refusal or failure of the router's own.
--- a/internal/edge/node/leave.go
+++ b/internal/edge/node/leave.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bootclock"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/bootclock"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 )
 
 const (
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -4,7 +4,7 @@
 	"expvar"
 	"net/http"
 
-	"damaskrouter.example/damaskrouter/internal/bootclock"
+	"damaskrouter.example/damaskrouter/internal/base/bootclock"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bootclock"
+	"damaskrouter.example/damaskrouter/internal/base/bootclock"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
 )
 
 // peerAddress is where the router of a VM answers other routers: the first free
--- a/internal/gossip/codec.go
+++ b/internal/fleet/gossip/codec.go
@@ -6,7 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 // maxList bounds the updates and the items of one message.
--- a/internal/gossip/counters.go
+++ b/internal/fleet/gossip/counters.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 // packetOverhead is the IPv4 and UDP header of a packet, in bytes.
--- a/internal/gossip/decode_test.go
+++ b/internal/fleet/gossip/decode_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 func sampleMessages() []membership.Message {
--- a/internal/gossip/driver.go
+++ b/internal/fleet/gossip/driver.go
@@ -16,8 +16,8 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // tickInterval is how often the detector looks at its timers.
--- a/internal/gossip/endpoint.go
+++ b/internal/fleet/gossip/endpoint.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 // logInterval is the least time between two log lines about refused packets of
--- a/internal/gossip/fleet_test.go
+++ b/internal/fleet/gossip/fleet_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/gossip/simnet"
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip/simnet"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 // lan is the network between the data centres of the brief.
--- a/internal/gossip/packet_test.go
+++ b/internal/fleet/gossip/packet_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 func endpoint(t *testing.T, id uint64, keys gossip.Keys, log gossip.Logger) *gossip.Endpoint {
--- a/internal/gossip/seal.go
+++ b/internal/fleet/gossip/seal.go
@@ -6,7 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
 
 // Sizes of a packet, in bytes.
--- a/internal/gossip/simnet/simnet.go
+++ b/internal/fleet/gossip/simnet/simnet.go
@@ -8,7 +8,7 @@
 	"math/rand"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
 )
 
 // tickInterval is the virtual time between two ticks of a node.
--- a/internal/membership/detector_test.go
+++ b/internal/fleet/membership/detector_test.go
@@ -6,11 +6,11 @@
 	"testing"
 	"time"
 
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 func member(id uint64, name string) Member {
--- a/internal/membership/witness.go
+++ b/internal/fleet/membership/witness.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // vmKey names one use of a VM name.
--- a/internal/peer/helper_test.go
+++ b/internal/fleet/peer/helper_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/keys"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
 )
 
 // patience is how long a test waits for an event before it fails. Nothing is
--- a/internal/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/keys"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
 )
 
 // fleetDir returns a directory with certificates of r1, r2 and r3.
--- a/internal/peer/secure.go
+++ b/internal/fleet/peer/secure.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/keys"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
 )
 
 const (
--- a/internal/bench/fleet/churn.go
+++ b/internal/lab/bench/fleet/churn.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
 )
 
 const (
--- a/internal/bench/fleet/engine.go
+++ b/internal/lab/bench/fleet/engine.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // Engine is one stand-in engine and its entry in the VM list.
--- a/internal/bench/latency_test.go
+++ b/internal/lab/bench/latency_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/bench/fleet"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/sse"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/serve/sse"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/bench/measure/measure_test.go
+++ b/internal/lab/bench/measure/measure_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/bench/measure/skew.go
+++ b/internal/lab/bench/measure/skew.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
 )
 
 // EngineLoad is what one engine's own books say, and when the engine was
--- a/internal/bench/report/html.go
+++ b/internal/lab/bench/report/html.go
@@ -6,7 +6,7 @@
 	"html/template"
 	"os"
 
-	"damaskrouter.example/damaskrouter/internal/bench/run"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/run"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
--- a/internal/bench/report/table.go
+++ b/internal/lab/bench/report/table.go
@@ -11,8 +11,8 @@
 	"slices"
 	"text/tabwriter"
 
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
-	"damaskrouter.example/damaskrouter/internal/bench/run"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/run"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/bench/run/calls.go
+++ b/internal/lab/bench/run/calls.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
 )
 
 const (
--- a/internal/bench/run/chats.go
+++ b/internal/lab/bench/run/chats.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/bench/fleet"
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 const (
--- a/internal/bench/run/control.go
+++ b/internal/lab/bench/run/control.go
@@ -1,8 +1,8 @@
 package run
 
 import (
-	"damaskrouter.example/damaskrouter/internal/bench/fleet"
-	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
 )
 
 // ControlUpstream is the control traffic towards upstreams by kind, in bytes
--- a/internal/bench/run/direct.go
+++ b/internal/lab/bench/run/direct.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 )
 
 const (
--- a/internal/bench/run/judge_test.go
+++ b/internal/lab/bench/run/judge_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/bench/run/phase.go
+++ b/internal/lab/bench/run/phase.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
 )
 
 // surgeSettle is measured apart: all the surge's chats begin at one moment.
--- a/internal/bench/run/phase_test.go
+++ b/internal/lab/bench/run/phase_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/bench/run/result.go
+++ b/internal/lab/bench/run/result.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/fleet"
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
 )
 
 // Result is what one run measured.
--- a/internal/bench/run/run.go
+++ b/internal/lab/bench/run/run.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/bench/fleet"
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/fleet"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
--- a/internal/bench/run/strategy.go
+++ b/internal/lab/bench/run/strategy.go
@@ -4,9 +4,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/placement"
-	"damaskrouter.example/damaskrouter/internal/router"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/serve/router"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/bench/run/tally.go
+++ b/internal/lab/bench/run/tally.go
@@ -7,8 +7,8 @@
 	"sync"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/measure"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 // Counts are what callers saw, by request: one message sent once, or one call.
--- a/internal/bench/workload/bundle.go
+++ b/internal/lab/bench/workload/bundle.go
@@ -5,7 +5,7 @@
 	"encoding/hex"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"go.yaml.in/yaml/v3"
 )
 
--- a/internal/bench/workload/chat.go
+++ b/internal/lab/bench/workload/chat.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
 )
 
 // Plan is one chat, drawn in advance.
--- a/internal/bench/workload/workload.go
+++ b/internal/lab/bench/workload/workload.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/bench/workload/workload_test.go
+++ b/internal/lab/bench/workload/workload_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/bench/workload"
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/lab/bench/workload"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"damaskrouter.example/damaskrouter/workloads"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/capacity/board_test.go
+++ b/internal/lab/capacity/board_test.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/capacity"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/quota"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/lab/capacity"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/quota"
 )
 
 const self = "entry-000"
--- a/internal/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -11,11 +11,11 @@
 	"fmt"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/google/uuid"
 	"github.com/zeebo/errs"
 )
--- a/internal/capacity/fleet_test.go
+++ b/internal/lab/capacity/fleet_test.go
@@ -6,8 +6,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/capacity"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/lab/capacity"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // Symptom: a slope is measured on a fleet that no router would accept, or that
--- a/internal/capacity/gossip_test.go
+++ b/internal/lab/capacity/gossip_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/capacity"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/controller"
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/gossip/simnet"
-	"damaskrouter.example/damaskrouter/internal/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip/simnet"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/lab/capacity"
+	"damaskrouter.example/damaskrouter/internal/serve/controller"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // gossipFleet is routers on a simulated network under virtual time.
--- a/internal/capacity/measure_test.go
+++ b/internal/lab/capacity/measure_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/capacity"
-	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/lab/capacity"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 func fleetOf(b *testing.B, s capacity.Size) *capacity.Fleet {
--- a/internal/capacity/permits_test.go
+++ b/internal/lab/capacity/permits_test.go
@@ -11,15 +11,15 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/capacity"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/controller"
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/permit"
-	"damaskrouter.example/damaskrouter/internal/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/lab/capacity"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/controller"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // chatRequest is an ordinary turn of a chat.
--- a/internal/capacity/quota_test.go
+++ b/internal/lab/capacity/quota_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/capacity"
-	"damaskrouter.example/damaskrouter/internal/limit"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/quota"
+	"damaskrouter.example/damaskrouter/internal/decide/limit"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/lab/capacity"
+	"damaskrouter.example/damaskrouter/internal/serve/quota"
 )
 
 // BenchmarkAccountAsk is one ask of an account's owner over a real connection.
--- a/internal/faultkit/callers.go
+++ b/internal/lab/faultkit/callers.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/faultkit/operator.go
+++ b/internal/lab/faultkit/operator.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // Operator is a process through which an operator changes the configuration.
--- a/internal/faultkit/oracle.go
+++ b/internal/lab/faultkit/oracle.go
@@ -7,10 +7,10 @@
 	"slices"
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // Outcome is what a caller got for one attempt.
--- a/internal/faultkit/store.go
+++ b/internal/lab/faultkit/store.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // StoreCall is one call of a router to the table service.
--- a/internal/faultkit/world.go
+++ b/internal/lab/faultkit/world.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 )
 
 // The pools and the model of the example configuration.
--- a/internal/standin/engine/answer.go
+++ b/internal/lab/standin/engine/answer.go
@@ -4,8 +4,8 @@
 	"strconv"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 const (
--- a/internal/standin/engine/batch.go
+++ b/internal/lab/standin/engine/batch.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // accept queues j, or returns why it is refused before executing.
--- a/internal/standin/engine/cache.go
+++ b/internal/lab/standin/engine/cache.go
@@ -8,8 +8,8 @@
 	"math"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/zeebo/errs"
 )
--- a/internal/standin/engine/engine.go
+++ b/internal/lab/standin/engine/engine.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // Engine is the stand-in. It is safe for concurrent use.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/lab/standin/engine/engine_test.go
@@ -11,10 +11,10 @@
 	"testing/synctest"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/standin/engine/events.go
+++ b/internal/lab/standin/engine/events.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // eventPage bounds one answer to a request for cache events.
--- a/internal/standin/engine/http.go
+++ b/internal/lab/standin/engine/http.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"strconv"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 )
--- a/internal/standin/engine/job.go
+++ b/internal/lab/standin/engine/job.go
@@ -5,8 +5,8 @@
 	"strconv"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/chat"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/chat"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 type jobState int
--- a/internal/standin/engine/transfer.go
+++ b/internal/lab/standin/engine/transfer.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/standin/service/service_test.go
+++ b/internal/lab/standin/service/service_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/testseed/testseed_test.go
+++ b/internal/lab/testseed/testseed_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/internal/access/access_test.go
+++ b/internal/operate/access/access_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 var now = time.Unix(1_700_000_000, 0)
--- a/internal/access/account.go
+++ b/internal/operate/access/account.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // Accounts finds the client account of an API key. It is immutable; make a new
--- a/internal/admin/access_test.go
+++ b/internal/operate/admin/access_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/admin/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/client"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/admin/api/api.go
+++ b/internal/operate/admin/api/api.go
@@ -7,9 +7,9 @@
 	"time"
 	"unicode/utf8"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/admin/api/failure.go
+++ b/internal/operate/admin/api/failure.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // Failure is the error of every call: what apierr.Error says, and what an
--- a/internal/admin/audit.go
+++ b/internal/operate/admin/audit.go
@@ -3,10 +3,10 @@
 import (
 	"net/http"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/audit"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/audit"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 // maxAuditReads bounds the pages that are read to fill one of a filtered list.
--- a/internal/admin/catalog.go
+++ b/internal/operate/admin/catalog.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // catalog is the configuration in force at this router, decoded. It needs no
--- a/internal/admin/change.go
+++ b/internal/operate/admin/change.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strconv"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/httperr"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/serve/httperr"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // apply accepts a bundle as the next version.
--- a/internal/admin/charged.go
+++ b/internal/operate/admin/charged.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // charged is the Table of Charged.
--- a/internal/admin/claims.go
+++ b/internal/operate/admin/claims.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/audit"
-	"damaskrouter.example/damaskrouter/internal/claim"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/audit"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
 	"github.com/google/uuid"
 )
 
--- a/internal/admin/client/client.go
+++ b/internal/operate/admin/client/client.go
@@ -15,8 +15,8 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/admin/config.go
+++ b/internal/operate/admin/config.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // head shows which version is in force.
--- a/internal/admin/directory.go
+++ b/internal/operate/admin/directory.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
 )
--- a/internal/admin/doc_test.go
+++ b/internal/operate/admin/doc_test.go
@@ -11,7 +11,7 @@
 
 // TestDocumentation keeps docs/API.md complete: each code and each call is in it.
 func TestDocumentation(t *testing.T) {
-	doc, err := os.ReadFile("../../docs/API.md")
+	doc, err := os.ReadFile("../../../docs/API.md")
 	require.NoError(t, err)
 	source, err := os.ReadFile("../apierr/apierr.go")
 	require.NoError(t, err)
--- a/internal/admin/input.go
+++ b/internal/operate/admin/input.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/httperr"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/httperr"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/admin/operators.go
+++ b/internal/operate/admin/operators.go
@@ -9,11 +9,11 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/audit"
-	"damaskrouter.example/damaskrouter/internal/httperr"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/operate/audit"
+	"damaskrouter.example/damaskrouter/internal/serve/httperr"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/google/uuid"
 )
 
--- a/internal/admin/scope.go
+++ b/internal/operate/admin/scope.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // anywhere returns nil if op may take the action for the fleet or for any team
--- a/internal/admin/status.go
+++ b/internal/operate/admin/status.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/admin/api"
-	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 // status shows which routers have a version in force, as this one knows.
--- a/internal/audit/audit.go
+++ b/internal/operate/audit/audit.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/audit/audit_test.go
+++ b/internal/operate/audit/audit_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/audit/read.go
+++ b/internal/operate/audit/read.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // MaxPage bounds the entries of one page.
--- a/internal/audit/write.go
+++ b/internal/operate/audit/write.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // maxAttempts bounds how often a number is taken anew after another operation
--- a/internal/keys/keys_test.go
+++ b/internal/secure/keys/keys_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
 )
 
 func generate(t *testing.T, dir string, o GenerateOptions) {
--- a/internal/keys/ring.go
+++ b/internal/secure/keys/ring.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
 )
 
 // Ring is the fleet's signing keys, read from a file of one line per key: a
--- a/internal/secret/helper_test.go
+++ b/internal/secure/secret/helper_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
 )
 
 func echoAll(ln net.Listener) {
--- a/internal/secret/keyset.go
+++ b/internal/secure/secret/keyset.go
@@ -5,10 +5,10 @@
 	"crypto/sha256"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/settings"
-	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
 	"github.com/zeebo/xxh3"
 )
 
--- a/internal/secret/secret.go
+++ b/internal/secure/secret/secret.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/keys"
-	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/secret/secret_test.go
+++ b/internal/secure/secret/secret_test.go
@@ -17,12 +17,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/keys"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/settings"
-	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
 )
 
 const settingsText = `name: %s
--- a/internal/secret/status.go
+++ b/internal/secure/secret/status.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/keys"
+	"damaskrouter.example/damaskrouter/internal/secure/keys"
 )
 
 // Status is what may be shown of a Store: names and counts, never a secret.
--- a/internal/secret/use.go
+++ b/internal/secure/secret/use.go
@@ -4,9 +4,9 @@
 	"crypto/tls"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/token"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
 )
 
 // Fleet returns the fleet keys for calls between routers; it is a peer.Keys.
--- a/internal/admission/admission.go
+++ b/internal/serve/admission/admission.go
@@ -17,13 +17,13 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/permit"
-	"damaskrouter.example/damaskrouter/internal/placement"
-	"damaskrouter.example/damaskrouter/internal/queue"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // Request is what admission needs to know of a request.
--- a/internal/admission/digest.go
+++ b/internal/serve/admission/digest.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 // EngineLoad is what an engine's owner tells other routers.
--- a/internal/admission/engines.go
+++ b/internal/serve/admission/engines.go
@@ -6,13 +6,13 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/permit"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/google/uuid"
 )
 
--- a/internal/admission/facts.go
+++ b/internal/serve/admission/facts.go
@@ -4,15 +4,15 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/placement"
-	"damaskrouter.example/damaskrouter/internal/prefix"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/prefix"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 const (
 	// DefaultRecentChats bounds the table of recent chats. At 36.5 bytes each
-	// (go test -bench Memory ./internal/prefix) that is 1.8 MB.
+	// (go test -bench Memory ./internal/decide/prefix) that is 1.8 MB.
 	DefaultRecentChats = 50_000
 	// viewPrefixes bounds what is remembered of one engine's cache.
 	viewPrefixes = 20_000
--- a/internal/admission/health.go
+++ b/internal/serve/admission/health.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/outlier"
+	"damaskrouter.example/damaskrouter/internal/decide/outlier"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 // Observation is how an engine did on one request.
--- a/internal/admission/held.go
+++ b/internal/serve/admission/held.go
@@ -4,7 +4,7 @@
 	"sync"
 	"sync/atomic"
 
-	"damaskrouter.example/damaskrouter/internal/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
 )
 
 // held is a permit that this router holds.
--- a/internal/admission/keeper.go
+++ b/internal/serve/admission/keeper.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/permit"
-	"damaskrouter.example/damaskrouter/internal/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/admission/lane.go
+++ b/internal/serve/admission/lane.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/permit"
-	"damaskrouter.example/damaskrouter/internal/placement"
-	"damaskrouter.example/damaskrouter/internal/queue"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 type laneKey struct{ pool, region string }
--- a/internal/admission/metrics.go
+++ b/internal/serve/admission/metrics.go
@@ -4,7 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
-	"damaskrouter.example/damaskrouter/internal/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
 )
 
 // Metrics counts decisions.
--- a/internal/admission/moves.go
+++ b/internal/serve/admission/moves.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/board"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 // tellNothingUpTo is the size of the fleet up to which routers tell a new owner
--- a/internal/admission/outbox.go
+++ b/internal/serve/admission/outbox.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/permit"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 	"github.com/google/uuid"
 )
 
--- a/internal/admission/remote.go
+++ b/internal/serve/admission/remote.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/permit"
-	"damaskrouter.example/damaskrouter/internal/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 	"github.com/google/uuid"
 	"github.com/zeebo/errs"
 )
--- a/internal/admission/waiting.go
+++ b/internal/serve/admission/waiting.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/placement"
-	"damaskrouter.example/damaskrouter/internal/queue"
+	"damaskrouter.example/damaskrouter/internal/decide/placement"
+	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 // waiter is a request in a lane's queue.
--- a/internal/board/board.go
+++ b/internal/serve/board/board.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 // Router is one router as this one sees it.
--- a/internal/board/ownership.go
+++ b/internal/serve/board/ownership.go
@@ -4,7 +4,7 @@
 	"math"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
 
 // ownerLoadFactor bounds the engines of one router as a multiple of the mean.
--- a/internal/board/ownership_test.go
+++ b/internal/serve/board/ownership_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/chat/chat.go
+++ b/internal/serve/chat/chat.go
@@ -5,7 +5,7 @@
 import (
 	"encoding/binary"
 
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/cespare/xxhash/v2"
 )
 
--- a/internal/controller/configs.go
+++ b/internal/serve/controller/configs.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/peer"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/charmbracelet/log"
 )
 
--- a/internal/controller/configs_test.go
+++ b/internal/serve/controller/configs_test.go
@@ -10,12 +10,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 )
 
 const (
--- a/internal/controller/controller.go
+++ b/internal/serve/controller/controller.go
@@ -9,8 +9,8 @@
 	"math/rand/v2"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
 
 // every calls f now and then once a period, until ctx ends. The period is
--- a/internal/controller/engines.go
+++ b/internal/serve/controller/engines.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/upstream"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 )
 
--- a/internal/controller/fleet.go
+++ b/internal/serve/controller/fleet.go
@@ -1,8 +1,8 @@
 package controller
 
 import (
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // FleetService is the RPC name under which Fleet is registered.
--- a/internal/controller/handoff.go
+++ b/internal/serve/controller/handoff.go
@@ -6,12 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/prefix"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/decide/prefix"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
 )
--- a/internal/controller/loads.go
+++ b/internal/serve/controller/loads.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 	"github.com/charmbracelet/log"
 )
 
--- a/internal/controller/members.go
+++ b/internal/serve/controller/members.go
@@ -1,9 +1,9 @@
 package controller
 
 import (
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 // Members copies what membership knows to the board.
--- a/internal/controller/sweeper.go
+++ b/internal/serve/controller/sweeper.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
 	"github.com/charmbracelet/log"
 )
 
--- a/internal/controller/sweeper_test.go
+++ b/internal/serve/controller/sweeper_test.go
@@ -11,11 +11,11 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 )
 
 const testRetention = 24 * time.Hour
--- a/internal/controller/vms.go
+++ b/internal/serve/controller/vms.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/xxh3"
 )
--- a/internal/httperr/httperr_test.go
+++ b/internal/serve/httperr/httperr_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/labstack/echo/v4"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/quota/owner.go
+++ b/internal/serve/quota/owner.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/limit"
+	"damaskrouter.example/damaskrouter/internal/decide/limit"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
 )
 
 // GrantArgs asks the owner of an account for a batch.
--- a/internal/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -12,12 +12,12 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/limit"
-	"damaskrouter.example/damaskrouter/internal/peer"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/limit"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 const (
--- a/internal/router/admin.go
+++ b/internal/serve/router/admin.go
@@ -10,9 +10,9 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admin"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/operate/admin"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // publish collects the metrics of the parts.
--- a/internal/router/budget.go
+++ b/internal/serve/router/budget.go
@@ -1,9 +1,9 @@
 package router
 
 import (
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // budgetRouters is the size of the fleet that the budgets in the settings are
--- a/internal/router/secrets.go
+++ b/internal/serve/router/secrets.go
@@ -7,8 +7,8 @@
 	"net"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/secret"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/secure/secret"
 )
 
 // secretInterval is how often the files of keys and certificates are looked
--- a/internal/settings/provision.go
+++ b/internal/serve/settings/provision.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
 )
 
 // Defaults of the settings.
--- a/internal/settings/settings.go
+++ b/internal/serve/settings/settings.go
@@ -9,8 +9,8 @@
 
 	"github.com/zeebo/errs"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // ErrRead means that a settings file, or a file that it names, cannot be read.
--- a/internal/settings/settings_test.go
+++ b/internal/serve/settings/settings_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 var testKey = base64.StdEncoding.EncodeToString(make([]byte, MinKeyBytes))
--- a/internal/settings/validate.go
+++ b/internal/serve/settings/validate.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
 )
 
 // Constraints on addresses, beside those of strictyaml.
--- a/internal/traffic/account.go
+++ b/internal/serve/traffic/account.go
@@ -6,14 +6,14 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/access"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/httperr"
-	"damaskrouter.example/damaskrouter/internal/prefix"
-	"damaskrouter.example/damaskrouter/internal/queue"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/prefix"
+	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/operate/access"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/httperr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/config"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/traffic/again.go
+++ b/internal/serve/traffic/again.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/retry"
-	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/decide/retry"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
 )
 
 // retries is the router's one retry layer: a policy and the budget that all
--- a/internal/traffic/answer.go
+++ b/internal/serve/traffic/answer.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/outlier"
-	"damaskrouter.example/damaskrouter/internal/pause"
-	"damaskrouter.example/damaskrouter/internal/prefix"
-	"damaskrouter.example/damaskrouter/internal/token"
-	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/decide/outlier"
+	"damaskrouter.example/damaskrouter/internal/decide/prefix"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
 )
 
 const (
--- a/internal/traffic/harness_test.go
+++ b/internal/serve/traffic/harness_test.go
@@ -12,19 +12,19 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/admission"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
-	"damaskrouter.example/damaskrouter/internal/token"
-	"damaskrouter.example/damaskrouter/internal/upstream"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
+	"damaskrouter.example/damaskrouter/internal/secure/token"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -87,7 +87,7 @@
 }
 
 func (h *harness) configure() {
-	b, err := config.ReadBundle("../../examples/sebeke/base.yaml", "")
+	b, err := config.ReadBundle("../../../examples/sebeke/base.yaml", "")
 	require.NoError(h.t, err)
 	parsed, err := b.Parse()
 	require.NoError(h.t, err)
--- a/internal/traffic/linger.go
+++ b/internal/serve/traffic/linger.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/httperr"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/httperr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/traffic/locate.go
+++ b/internal/serve/traffic/locate.go
@@ -5,11 +5,11 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/httperr"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/httperr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/traffic/metrics.go
+++ b/internal/serve/traffic/metrics.go
@@ -4,7 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 )
 
 // metrics counts what happened to requests. The label sets are fixed: no
--- a/internal/traffic/record.go
+++ b/internal/serve/traffic/record.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
 )
 
 const (
--- a/internal/traffic/relay.go
+++ b/internal/serve/traffic/relay.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/sse"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/sse"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/labstack/echo/v4"
 )
 
--- a/internal/traffic/traffic_test.go
+++ b/internal/serve/traffic/traffic_test.go
@@ -6,12 +6,12 @@
 	"strings"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/upstream/call.go
+++ b/internal/serve/upstream/call.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // Call describes one request to an upstream.
--- a/internal/upstream/control.go
+++ b/internal/serve/upstream/control.go
@@ -7,8 +7,8 @@
 	"net/url"
 	"strconv"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // EventPage is a page of an engine's cache events.
--- a/internal/upstream/failure.go
+++ b/internal/serve/upstream/failure.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
 	"github.com/zeebo/errs"
 )
 
--- a/internal/upstream/fleet_test.go
+++ b/internal/serve/upstream/fleet_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/upstream/sent_test.go
+++ b/internal/serve/upstream/sent_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
-	"damaskrouter.example/damaskrouter/internal/upstream"
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 	"github.com/zeebo/errs"
 )
--- a/internal/upstream/service.go
+++ b/internal/serve/upstream/service.go
@@ -10,8 +10,8 @@
 	"slices"
 	"strings"
 
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // Response is a whole reply. Of the upstream's headers only the content type
--- a/internal/upstream/stream.go
+++ b/internal/serve/upstream/stream.go
@@ -13,9 +13,9 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/sse"
-	"damaskrouter.example/damaskrouter/internal/upstream/protocol"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/serve/sse"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
 
 // Names of the operations, as they appear in Failure.Op.
--- a/internal/upstream/stream_test.go
+++ b/internal/serve/upstream/stream_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/upstream"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 	"github.com/zeebo/errs"
 )
--- a/internal/upstream/traffic_test.go
+++ b/internal/serve/upstream/traffic_test.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/upstream"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream"
 	"github.com/stretchr/testify/require"
 )
 
--- a/internal/claim/claim_test.go
+++ b/internal/store/claim/claim_test.go
@@ -12,12 +12,12 @@
 	"testing/synctest"
 	"time"
 
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 var (
--- a/internal/claim/fake_test.go
+++ b/internal/store/claim/fake_test.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // fault is what happens to one call of the fake table.
--- a/internal/claim/operator.go
+++ b/internal/store/claim/operator.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // View is what operators see of a claim. It has no body and no answer.
--- a/internal/claim/record.go
+++ b/internal/store/claim/record.go
@@ -11,7 +11,7 @@
 	"encoding/hex"
 	"encoding/json"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // Table is the name of the claims' table.
--- a/internal/claim/store.go
+++ b/internal/store/claim/store.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 const (
--- a/internal/config/bundle.go
+++ b/internal/store/config/bundle.go
@@ -8,7 +8,7 @@
 	"path"
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
 )
 
 // Names of the files of a bundle, as problems report them.
--- a/internal/config/chain.go
+++ b/internal/store/config/chain.go
@@ -6,7 +6,7 @@
 	"regexp"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // commitAttempts is how often a transaction with an unknown outcome is sent.
--- a/internal/config/chain_test.go
+++ b/internal/store/config/chain_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 var testTime = time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
--- a/internal/config/config_test.go
+++ b/internal/store/config/config_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	examplesDir = "../../examples"
+	examplesDir = "../../../examples"
 	keyA        = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 )
 
--- a/internal/config/fake_test.go
+++ b/internal/store/config/fake_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // fault is what happens to one commit.
--- a/internal/config/validate.go
+++ b/internal/store/config/validate.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/config/strictyaml"
+	"damaskrouter.example/damaskrouter/internal/store/config/strictyaml"
 )
 
 // fieldValidator is built on first use: it compiles the struct tags.
--- a/internal/platform/backoff.go
+++ b/internal/store/platform/backoff.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/pause"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 )
 
 // Defaults of Backoff.
--- a/internal/platform/commit_once_test.go
+++ b/internal/store/platform/commit_once_test.go
@@ -10,13 +10,13 @@
 	"testing/synctest"
 	"time"
 
-	_ "damaskrouter.example/damaskrouter/internal/testseed"
+	_ "damaskrouter.example/damaskrouter/internal/lab/testseed"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 )
 
 // TestMain fixes the seed of the property tests; the flag overrides it.
--- a/internal/platform/decorators_test.go
+++ b/internal/store/platform/decorators_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 )
 
 // half is a source of "randomness" that always returns the middle.
--- a/internal/platform/kinds_test.go
+++ b/internal/store/platform/kinds_test.go
@@ -1,8 +1,8 @@
 package platform_test
 
 import (
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 )
 
 // kind is what an error proves.
--- a/internal/platform/memory/memory.go
+++ b/internal/store/platform/memory/memory.go
@@ -10,7 +10,7 @@
 	"sort"
 	"sync"
 
-	api "damaskrouter.example/damaskrouter/internal/platform"
+	api "damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // Change is a row as a transaction left it.
--- a/internal/platform/platformtest/fake.go
+++ b/internal/store/platform/platformtest/fake.go
@@ -9,8 +9,8 @@
 	"slices"
 	"sync"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/memory"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/memory"
 )
 
 // Op names a method of the platform's interfaces.
--- a/internal/platform/platformtest/faults.go
+++ b/internal/store/platform/platformtest/faults.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 )
 
 // write makes a call that has an effect, under its fault.
--- a/internal/platform/platformtest/kind.go
+++ b/internal/store/platform/platformtest/kind.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/standin/engine"
-	"damaskrouter.example/damaskrouter/internal/standin/service"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
+	"damaskrouter.example/damaskrouter/internal/lab/standin/service"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/chats_test.go
+++ b/test/faults/chats_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/client"
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/faultkit"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/flood_test.go
+++ b/test/faults/flood_test.go
@@ -9,11 +9,11 @@
 	"testing/synctest"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
-	"damaskrouter.example/damaskrouter/internal/settings"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/serve/settings"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/helper_test.go
+++ b/test/faults/helper_test.go
@@ -7,9 +7,9 @@
 	"testing/synctest"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/config"
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/store/config"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/matrix_test.go
+++ b/test/faults/matrix_test.go
@@ -10,7 +10,7 @@
 	"sync"
 	"testing"
 
-	"damaskrouter.example/damaskrouter/internal/faultkit"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/membership_test.go
+++ b/test/faults/membership_test.go
@@ -6,12 +6,12 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/gossip"
-	"damaskrouter.example/damaskrouter/internal/gossip/simnet"
-	"damaskrouter.example/damaskrouter/internal/membership"
-	"damaskrouter.example/damaskrouter/internal/platform"
-	"damaskrouter.example/damaskrouter/internal/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
+	"damaskrouter.example/damaskrouter/internal/fleet/gossip/simnet"
+	"damaskrouter.example/damaskrouter/internal/fleet/membership"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/permits_test.go
+++ b/test/faults/permits_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/permit"
+	"damaskrouter.example/damaskrouter/internal/decide/permit"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/receipts_test.go
+++ b/test/faults/receipts_test.go
@@ -6,10 +6,10 @@
 	"testing/synctest"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/claim"
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/platform/platformtest"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/store/claim"
+	"damaskrouter.example/damaskrouter/internal/store/platform/platformtest"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/unproved_test.go
+++ b/test/faults/unproved_test.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"damaskrouter.example/damaskrouter/internal/faultkit"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
 )
 
 // reason says why cells do not apply.
--- a/test/faults/upstreams_test.go
+++ b/test/faults/upstreams_test.go
@@ -10,9 +10,9 @@
 	"testing/synctest"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/apierr"
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/platform"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/serve/apierr"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/stretchr/testify/require"
 )
 
--- a/test/faults/views_test.go
+++ b/test/faults/views_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/board"
-	"damaskrouter.example/damaskrouter/internal/faultkit"
-	"damaskrouter.example/damaskrouter/internal/traffic"
-	"damaskrouter.example/damaskrouter/internal/wire"
+	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
+	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/traffic"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 )
 
