feed: a change is sent once to each router

Cause: a follower queued what its source sent and asked again before its board had taken it; the source answered at once with the same, until the board was through.

Ruled out: two followers at once (one goroutine), a base that was forgotten (it was the one asked from).

Before: TestChangeIsSentOnceToEachRouter with 2 to 33 copies.

--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -11,10 +11,6 @@
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 )
 
-// updateQueue is how many updates may wait for the board's goroutine. Writers
-// wait when it is full; there are a handful of them.
-const updateQueue = 64
-
 // expiryInterval is how often engines in doubt are looked at.
 const expiryInterval = 100 * time.Millisecond
 
@@ -28,7 +24,7 @@
 	// lapse is the shortest outage of the store in which an engine's entry
 	// can go although the engine lives.
 	lapse    time.Duration
-	updates  chan func(*catalog.Snapshot) (*catalog.Snapshot, bool)
+	updates  chan update
 	snapshot atomic.Pointer[catalog.Snapshot]
 	changed  atomic.Pointer[chan struct{}]
 	// past holds the configurations before the present one, oldest first.
@@ -69,7 +65,7 @@
 	b := &Board{
 		lapse:   lapsedBeats * beat,
 		clock:   clock,
-		updates: make(chan func(*catalog.Snapshot) (*catalog.Snapshot, bool), updateQueue),
+		updates: make(chan update),
 	}
 	b.snapshot.Store(catalog.Empty())
 	b.past.Store(&[]*catalog.Config{})
@@ -93,8 +89,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case update := <-b.updates:
-			b.apply(update)
+		case u := <-b.updates:
+			b.apply(u.change)
+			close(u.applied)
 		case <-ticker.C:
 			b.apply(b.expire)
 		}
@@ -126,7 +123,8 @@
 }
 
 // PutConfig hands over a configuration that was confirmed by a call sent at
-// asOf. It returns once the update is queued or the context has ended.
+// asOf. It returns once snapshots have it, or the context has ended: a writer that
+// went on at once would ask for the same again.
 func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, asOf time.Duration) {
 	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
 		return s.WithConfig(c, asOf)
@@ -141,9 +139,22 @@
 	})
 }
 
-func (b *Board) put(ctx context.Context, update func(*catalog.Snapshot) (*catalog.Snapshot, bool)) {
+// update is a change for the board's goroutine.
+type update struct {
+	change func(*catalog.Snapshot) (*catalog.Snapshot, bool)
+	// applied is closed once snapshots have the change.
+	applied chan struct{}
+}
+
+func (b *Board) put(ctx context.Context, change func(*catalog.Snapshot) (*catalog.Snapshot, bool)) {
+	u := update{change: change, applied: make(chan struct{})}
+	select {
+	case b.updates <- u:
+	case <-ctx.Done():
+		return
+	}
 	select {
-	case b.updates <- update:
+	case <-u.applied:
 	case <-ctx.Done():
 	}
 }
--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -206,6 +206,8 @@
 	cut    sync.Map
 	nodes  map[string]*fakeNode
 	origin time.Time
+	// sent counts the configurations that were sent to each router.
+	sent sync.Map
 }
 
 type fakeNode struct {
@@ -252,7 +254,13 @@
 			<-ctx.Done()
 			return errUnreachable
 		}
-		return f.nodes[to.Name].relay.Pull(args.(PullArgs), reply.(*PullReply))
+		got := reply.(*PullReply)
+		err := f.nodes[to.Name].relay.Pull(args.(PullArgs), got)
+		if got.Config != nil {
+			n, _ := f.sent.LoadOrStore(from.Name, new(atomic.Int64))
+			n.(*atomic.Int64).Add(1)
+		}
+		return err
 	}
 }
 
@@ -314,6 +322,22 @@
 	})
 }
 
+// Symptom: a large configuration fills the links of small routers twice. Sequence: a
+// router takes over what its source sent, and asks again before its own board has
+// it. Cause handled: handing over waits for the board.
+func TestChangeIsSentOnceToEachRouter(t *testing.T) {
+	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		f.sent.Clear()
+		s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 7}) })
+		time.Sleep(time.Second)
+		f.requireVersion(t, 7)
+		f.sent.Range(func(name, n any) bool {
+			require.EqualValues(t, 1, n.(*atomic.Int64).Load(), name)
+			return true
+		})
+	})
+}
+
 // Symptom: a version is in force too late. Sequence: the store turns the reading
 // router away (or falls silent towards it) and serves the others; a change
 // follows. Cause handled: the reader says so, and the next one reads.
