feed, platform: a large configuration gets through small links

Ruled out: zstd (its windows cost megabytes of memory on each router, which is priced; flate keeps 40 KB for reading).

Open: after the loss of half the fleet the next reader reads all again.

--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -243,7 +243,7 @@
 		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
 	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: testTiming, Log: quiet(),
 		Live: func() []Peer { return f.live }, StoreLost: n.reader.Lost, Call: f.call(self)}
-	n.relay = &Relay{Board: n.board, Loads: loads, Clock: f.clock, Done: ctx.Done(),
+	n.relay = &Relay{Board: n.board, Loads: loads, Clock: f.clock, Done: ctx.Done(), Log: quiet(),
 		StoreLost: n.reader.Lost, LostAgo: n.follower.LostAgo, Failures: n.follower.Failures, Chain: n.follower.Chain}
 	return n
 }
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -196,17 +196,25 @@
 	f.judge(ctx, parent, reply)
 }
 
-// config returns the configuration that the reply speaks of, nil for none, and
-// false if the reply leads on from one that this router does not have.
-func (f *Follower) config(reply PullReply) (*catalog.Config, bool) {
+// config returns the configuration that the reply speaks of, nil for none. Errors:
+// ErrMalformed, also if the reply leads on from one that this router does not have.
+func (f *Follower) config(reply PullReply) (*catalog.Config, error) {
 	have := f.Board.Snapshot().Config
-	if reply.Config != nil {
-		return reply.Config.Apply(have)
+	if reply.Config == nil {
+		if have != nil && have.Version == reply.ConfigVersion {
+			return have, nil
+		}
+		return nil, nil
+	}
+	update, err := reply.Config.unpack()
+	if err != nil {
+		return nil, err
 	}
-	if have != nil && have.Version == reply.ConfigVersion {
-		return have, true
+	c, ok := update.Apply(have)
+	if !ok {
+		return nil, ErrMalformed.New("update from version %d, which is not the one here", update.Base)
 	}
-	return nil, true
+	return c, nil
 }
 
 // maxUnanswered is how many pulls in a row may fail before the parent is
@@ -230,9 +238,9 @@
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
 	f.hear(reply.Failures, said)
-	c, ok := f.config(reply)
-	if !ok {
-		f.Log.Warn("configuration update does not fit", "base", reply.Config.Base, "version", reply.Config.Version)
+	c, err := f.config(reply)
+	if err != nil {
+		f.Log.Warn("configuration update not taken", "version", reply.ConfigVersion, "cause", err)
 	}
 	f.Board.PutConfig(ctx, c, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/charmbracelet/log"
 )
 
 // PullMethod is the name under which Relay.Pull is called.
@@ -32,7 +33,7 @@
 // PullReply is what is newer, and how old all of it may be.
 type PullReply struct {
 	// Config leads on from the asker's version; nil if it is the newest one.
-	Config        *catalog.ConfigUpdate
+	Config        *PackedConfig
 	ConfigVersion uint64
 	// ConfigAge is the age of the last confirmation, as of the reply.
 	ConfigAge time.Duration
@@ -72,6 +73,9 @@
 	Chain func() []string
 	// Done is closed when pulls are not to be held any more.
 	Done <-chan struct{}
+	Log  *log.Logger
+
+	packer packer
 }
 
 // Pull answers once the board holds something newer, or after args.Wait, and at
@@ -125,10 +129,20 @@
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
 		if s.Config.Version > args.ConfigVersion {
-			update := s.Config.UpdateFrom(r.Board.Past(args.ConfigVersion))
-			out.Config = &update
+			out.Config = r.update(s.Config, args.ConfigVersion)
 		}
 	}
 	out.Engines = s.Engines.Since(args.EnginesUpto)
 	return out
 }
+
+// update returns what leads from the asker's version to the newest one, or nil if it
+// can't be encoded; the asker then reads the store when it finds itself behind.
+func (r *Relay) update(c *catalog.Config, from uint64) *PackedConfig {
+	packed, err := r.packer.update(c, r.Board.Past(from))
+	if err != nil {
+		r.Log.Error("configuration update not encoded", "from", from, "version", c.Version, "cause", err)
+		return nil
+	}
+	return packed
+}
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -64,7 +64,7 @@
 	relay := &feed.Relay{
 		Board: r.board, Loads: r.loads, Clock: bootclock.Now, Done: r.ctx.Done(),
 		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Failures: r.follower.Failures,
-		Chain: r.follower.Chain,
+		Chain: r.follower.Chain, Log: r.log,
 	}
 	if err := r.calls.Register(feed.RelayName, relay); err != nil {
 		return err
