feed: the routers with the best links read the store and pass it on

Cause: the router that reads, and the first of each site, were any by hashing; on the grown sites that is a VM with 10 Mbit/s while two in each site have 200. After the loss of half the fleet the next reader took seconds for the whole configuration.

Change: membership tells each router's link; the order of readers puts better links first.

--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -30,6 +30,27 @@
 
 // Whoever computes it, exactly one router reads the store, and every chain of
 // parents ends there.
+// Symptom: changes are late, and routers refuse what they can't confirm. Sequence: a
+// configuration of thousands of routes goes out from a VM with a small link. Cause: the
+// router that reads, or the first of a site, was any of them.
+func TestBestLinksReadAndPassOn(t *testing.T) {
+	live := peers("x", "x", "x", "y", "y", "y")
+	live[1].Link, live[2].Link = 200, 10
+	live[4].Link, live[5].Link = 1000, 10
+	for _, self := range live {
+		parent, ok := ParentOf(self, live, nil, 0)
+		switch self.Name {
+		case live[4].Name:
+			require.False(t, ok, "reads the store")
+		case live[1].Name:
+			require.Equal(t, live[4].Name, parent.Name)
+		default:
+			require.Contains(t, []string{live[1].Name, live[4].Name}, parent.Name)
+			require.Equal(t, self.Site, parent.Site)
+		}
+	}
+}
+
 func TestOneRouterReadsAndAllChainsEndThere(t *testing.T) {
 	live := peers("x", "x", "y", "y", "z", "x", "z")
 	readers := 0
--- a/internal/edge/feed/parent.go
+++ b/internal/edge/feed/parent.go
@@ -13,6 +13,8 @@
 	Site string
 	// Address is where it answers calls of other routers, "ip:port".
 	Address string
+	// Link is the bandwidth of its link, in megabits a second, 0 if not known.
+	Link uint64
 }
 
 const (
@@ -116,7 +118,8 @@
 // to read the store.
 //
 // The routers form a tree of two levels: in each site the first trusted router,
-// in an order that all compute alike, is asked by the others of the site; the
+// in an order that all compute alike, is asked by the others of the site, which is
+// why those with the best links stand first; the
 // first of all sites reads the store and is asked by the first ones of the other
 // sites. So the store's calls do not grow with the fleet, a byte crosses between
 // sites once for each site, and whoever is lost or stale is passed over without
@@ -154,5 +157,5 @@
 }
 
 func before(a, b Peer) bool {
-	return cmp.Or(cmp.Compare(xxh3.HashString(a.Name), xxh3.HashString(b.Name)), cmp.Compare(a.Name, b.Name)) < 0
+	return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxh3.HashString(a.Name), xxh3.HashString(b.Name)), cmp.Compare(a.Name, b.Name)) < 0
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -90,7 +90,9 @@
 func New(set *settings.Settings, plat Platform, logger *log.Logger) *Router {
 	r := &Router{set: set, plat: plat, log: logger.With("router", set.Name)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	r.self = feed.Peer{Name: set.Name, Site: set.Site, Address: r.peerAddress(set.Listen.Callers)}
+	r.self = feed.Peer{
+		Name: set.Name, Site: set.Site, Address: r.peerAddress(set.Listen.Callers), Link: uint64(set.Limits.LinkMbps),
+	}
 	r.assembleFeed()
 	r.assembleForwarder()
 	return r
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -48,7 +48,7 @@
 	var out []feed.Peer
 	for _, m := range r.gossip.Snapshot() {
 		if m.State == membership.StateAlive || m.State == membership.StateSuspect {
-			out = append(out, feed.Peer{Name: m.Name, Site: m.Site, Address: m.Address})
+			out = append(out, feed.Peer{Name: m.Name, Site: m.Site, Address: m.Address, Link: m.Link})
 		}
 	}
 	return out
@@ -74,6 +74,7 @@
 		Listen: r.self.Address,
 		Self: membership.Member{
 			Name: r.self.Name, Address: r.self.Address, HTTP: r.set.Listen.Callers, Site: r.self.Site,
+			Link: r.self.Link,
 		},
 		Options: r.gossipOptions(),
 		Keys:    gossip.Keys{Active: gossip.Key{ID: 1, Secret: []byte(r.set.FleetKey)}},
--- a/internal/fleet/gossip/codec.go
+++ b/internal/fleet/gossip/codec.go
@@ -16,7 +16,7 @@
 // member is a verdict on an instance that the receiver knows.
 const (
 	compactFields = 3
-	fullFields    = 9
+	fullFields    = 10
 )
 
 // encodeMessage appends the message, without its From, to the buffer.
@@ -106,6 +106,7 @@
 	w.string(m.Site)
 	w.uint(m.Generation)
 	w.uint(m.ConfigVersion)
+	w.uint(m.Link)
 }
 
 func (w *writer) item(i membership.Item) {
@@ -281,6 +282,7 @@
 		m.Site = string(r.bytes(membership.MaxSite))
 		m.Generation = r.uint()
 		m.ConfigVersion = r.uint()
+		m.Link = r.uint()
 		if m.Name == "" {
 			r.keep(errDecode.New("full member without a name"))
 		}
--- a/internal/fleet/membership/member.go
+++ b/internal/fleet/membership/member.go
@@ -78,6 +78,8 @@
 	Site string
 	// Generation is the platform's generation of the VM, 0 if not known.
 	Generation uint64
+	// Link is the bandwidth of the VM's link, in megabits a second, 0 if not known.
+	Link uint64
 	// Incarnation is raised by the instance itself to refute a suspicion.
 	Incarnation uint64
 	State       State
@@ -108,7 +110,7 @@
 // encodedSize is an upper estimate of the encoded size in bytes, used to bound
 // packets before they are encoded.
 func (m Member) encodedSize() int {
-	const fixed = 36
+	const fixed = 39
 	return fixed + len(m.Name) + len(m.Address) + len(m.HTTP) + len(m.Site)
 }
 
