--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -202,7 +202,8 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	r.servers = append(r.servers, server)
 	r.goRun(func(context.Context) {
