forward: nothing is fetched from an ejected engine

Cause: the engine that this router sent a part to last was named as the one to fetch from also after it was ejected; the order of the engines had that check, the memory of sends did not. Found by reading; the test failed before.

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -55,6 +55,9 @@
 	Share float64
 }
 
+// CanGive says whether others may fetch from the engine's cache.
+func (e Engine) CanGive() bool { return e.Share > 0 || e.Leaving }
+
 // Placement is where a prompt goes.
 type Placement struct {
 	// Engine is the index of the chosen engine, or None.
@@ -90,7 +93,7 @@
 	}
 	out.Moved = order[0] != out.Engine || engines[out.Engine].Fresh
 	for _, i := range order {
-		if i != out.Engine && (engines[i].Share > 0 || engines[i].Leaving) {
+		if i != out.Engine && engines[i].CanGive() {
 			out.Holder = i
 			break
 		}
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -98,7 +98,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	choice.FetchFrom = p.fetchFrom(engines, at, shared, now)
+	choice.FetchFrom = p.fetchFrom(engines, candidates, at, shared, now)
 	p.holders.note(choice.Engine.ID, shared, now)
 	return choice, true
 }
@@ -116,20 +116,20 @@
 // nothing if the chosen engine has it: asking costs a few milliseconds. What this
 // router has sent goes before what the order of the engines says, and that before
 // shorter parts.
-func (p *Engines) fetchFrom(engines []catalog.Engine, at choose.Placement, shared []string, now time.Duration) string {
+func (p *Engines) fetchFrom(engines []catalog.Engine, candidates []choose.Engine, at choose.Placement, shared []string, now time.Duration) string {
 	chosen := engines[at.Engine].ID
 	longest := len(shared) - 1
 	if p.holders.has(chosen, shared[longest], now) {
 		return ""
 	}
-	if address, ok := p.addressOf(engines, chosen, shared[longest], now); ok {
+	if address, ok := p.addressOf(engines, candidates, chosen, shared[longest], now); ok {
 		return address
 	}
 	if at.Holder != choose.None && at.Moved {
 		return engines[at.Holder].Address
 	}
 	for i := longest - 1; i >= 0 && !p.holders.has(chosen, shared[i], now); i-- {
-		if address, ok := p.addressOf(engines, chosen, shared[i], now); ok {
+		if address, ok := p.addressOf(engines, candidates, chosen, shared[i], now); ok {
 			return address
 		}
 	}
@@ -140,15 +140,16 @@
 }
 
 // addressOf returns the address of the engine, other than the chosen one, that this
-// router last sent the part to.
-func (p *Engines) addressOf(engines []catalog.Engine, chosen, part string, now time.Duration) (string, bool) {
+// router last sent the part to, unless it is ejected: a request would wait for an
+// engine that gives nothing.
+func (p *Engines) addressOf(engines []catalog.Engine, candidates []choose.Engine, chosen, part string, now time.Duration) (string, bool) {
 	holder, ok := p.holders.other(chosen, part, now)
 	if !ok {
 		return "", false
 	}
-	for _, e := range engines {
+	for i, e := range engines {
 		if e.ID == holder {
-			return e.Address, true
+			return e.Address, candidates[i].CanGive()
 		}
 	}
 	return "", false
--- a/internal/edge/forward/holders_test.go
+++ b/internal/edge/forward/holders_test.go
@@ -89,3 +89,18 @@
 	}
 	require.Positive(t, taken)
 }
+
+// Symptom: requests hang at a healthy engine. Sequence: an engine that holds a prompt
+// fails and is ejected; the prompt goes to another. Cause: that one is told to fetch
+// from the engine that gives nothing.
+func TestNothingIsFetchedFromAnEjectedEngine(t *testing.T) {
+	p := newPlacer(t)
+	s := snapshotOf(5)
+	first := p.pick(s, 0)
+	for range 50 {
+		p.engines.Note(first.Engine.ID, false)
+	}
+	next := p.pick(s, 0)
+	require.NotEqual(t, first.Engine.ID, next.Engine.ID)
+	require.NotEqual(t, first.Engine.Address, next.FetchFrom)
+}
