feed: a new reader knows in half a second whether it reaches the store

Change: the first call of a router whose turn it has become is not held and has 0.5 s; failures double that up to 2 s, for a store that is slow for all. A pull that is held is answered once the one asked finds the store lost, in place of 0.3 s later.

Before: TestThreeReadersInARowAreCutOff failed in 2 of 3 runs.

--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -387,6 +387,36 @@
 	}
 }
 
+// Symptom: a request reaches an engine 3.2 s after it left, and requests with keys are
+// refused. Sequence: the router that reads the store is cut off from it, and so are the
+// next two in the order. Cause: each hung for the whole time of a watch before the next
+// one tried. Handled: the first call of a new reader is answered at once, or not at all.
+func TestThreeReadersInARowAreCutOff(t *testing.T) {
+	var bad *fakeStore
+	split := func(live []Peer, good *fakeStore) map[string]*fakeStore {
+		bad = newFakeStore()
+		bad.update(func(b *fakeStore) { b.config, b.engines = good.config, good.engines })
+		out := sameStore(live, good)
+		ordered := slices.Clone(live)
+		slices.SortFunc(ordered, func(a, b Peer) int {
+			if before(a, b) {
+				return -1
+			}
+			return 1
+		})
+		for _, p := range ordered[:3] {
+			out[p.Name] = bad
+		}
+		return out
+	}
+	inFleet(t, split, func(f *fakeFleet, s *fakeStore) {
+		bad.update(func(b *fakeStore) { b.silent = true })
+		s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 7}) })
+		time.Sleep(2800 * time.Millisecond)
+		f.requireVersion(t, 7)
+	})
+}
+
 // Symptom: nobody reads the store for seconds. Sequence: two routers are turned
 // away; one passes itself over and asks the other, which still asks the first.
 // Cause handled: the answer names its chain, and whoever finds itself in it goes
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -35,6 +35,14 @@
 	maxOwnPause = 4 * time.Second
 	// idlePause is how often a router that need not read looks again.
 	idlePause = 50 * time.Millisecond
+	// probeWait and probeTimeout are for the first call of a router whose turn it
+	// has become. It is answered at once where the store is well; a router that is
+	// cut off from it is known so in half the time of a watch, and several of them
+	// in a row do not add up to what a change may take. Each failure doubles the
+	// time, up to maxCallTimeout: the store may be slow for all.
+	probeWait      = time.Millisecond
+	probeTimeout   = 500 * time.Millisecond
+	maxCallTimeout = 2 * time.Second
 	// lostAfter is how long the store fails before another router is let try.
 	// One lost packet or a moment of overload is not worth a change.
 	lostAfter = 100 * time.Millisecond
@@ -106,21 +114,23 @@
 }
 
 // loop calls watch while it is this router's turn.
-func (r *Reader) loop(ctx context.Context, which int, gap time.Duration, watch func(context.Context) error) {
-	wait := failurePause
+func (r *Reader) loop(ctx context.Context, which int, gap time.Duration, watch func(ctx context.Context, hold time.Duration) error) {
+	c := newCadence()
 	for ctx.Err() == nil {
 		if !r.due(which) {
 			// What failed when this router last read says nothing now.
 			r.downSince[which].Store(0)
+			c = newCadence()
 			pause.For(ctx, idlePause)
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, r.Timing.Watch+watchSlack)
-		err := watch(callCtx)
+		hold, timeout := c.call(r.Timing)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		err := watch(callCtx, hold)
 		cancel()
 		if err == nil {
 			r.up(which)
-			wait = failurePause
+			c.succeeded()
 			pause.For(ctx, gap)
 			continue
 		}
@@ -128,11 +138,44 @@
 			return
 		}
 		r.lost(which, err)
-		pause.For(ctx, wait)
-		wait = min(2*wait, r.maxPause())
+		pause.For(ctx, c.failed(r.maxPause()))
 	}
 }
 
+// cadence is how a router that reads goes on after its last call.
+type cadence struct {
+	// reached means that the last call was answered.
+	reached bool
+	// timeout bounds the next call if it was not, pause is what follows its failure.
+	timeout, pause time.Duration
+}
+
+func newCadence() cadence { return cadence{timeout: probeTimeout, pause: failurePause} }
+
+// call returns how long the next call may be held, and its timeout.
+func (c *cadence) call(t Timing) (hold, timeout time.Duration) {
+	if c.reached {
+		return t.Watch, t.Watch + watchSlack
+	}
+	return probeWait, c.timeout
+}
+
+func (c *cadence) succeeded() {
+	*c = newCadence()
+	c.reached = true
+}
+
+// failed returns the pause before the next call.
+func (c *cadence) failed(maxPause time.Duration) time.Duration {
+	if !c.reached {
+		c.timeout = min(2*c.timeout, maxCallTimeout)
+	}
+	c.reached = false
+	wait := c.pause
+	c.pause = min(2*c.pause, maxPause)
+	return wait
+}
+
 // maxPause bounds the pauses after failures.
 func (r *Reader) maxPause() time.Duration {
 	if r.Reads() {
@@ -181,9 +224,9 @@
 	}
 }
 
-func (r *Reader) watchConfig(ctx context.Context) error {
+func (r *Reader) watchConfig(ctx context.Context, hold time.Duration) error {
 	sent := r.Clock()
-	read, err := r.readConfig(ctx)
+	read, err := r.readConfig(ctx, hold)
 	if err != nil {
 		return err
 	}
@@ -194,25 +237,25 @@
 		r.logConfig(c, sent)
 	}
 	r.configCursor = read.Upto
-	r.Board.PutConfig(ctx, c, r.asOf(sent, read.Config == nil))
+	r.Board.PutConfig(ctx, c, r.asOf(sent, hold, read.Config == nil))
 	return nil
 }
 
-// asOf is the time for which a reply speaks. A watch that brought nothing was
-// held until its wait was over, and speaks for the time after it; anything else
-// may have been decided as soon as the call was sent.
-func (r *Reader) asOf(sent time.Duration, nothing bool) time.Duration {
-	if nothing && r.Clock()-sent >= r.Timing.Watch {
-		return sent + r.Timing.Watch
+// asOf is the time for which a reply speaks. A watch that brought nothing was held
+// until its time was over, and speaks for the moment after it; anything else may have
+// been decided as soon as the call was sent.
+func (r *Reader) asOf(sent, hold time.Duration, nothing bool) time.Duration {
+	if nothing && r.Clock()-sent >= hold {
+		return sent + hold
 	}
 	return sent
 }
 
-func (r *Reader) readConfig(ctx context.Context) (ConfigRead, error) {
+func (r *Reader) readConfig(ctx context.Context, hold time.Duration) (ConfigRead, error) {
 	if r.configCursor == 0 || r.Board.Snapshot().Config == nil {
 		return r.Store.ReadConfig(ctx)
 	}
-	read, err := r.Store.WatchConfig(ctx, r.configCursor, r.Timing.Watch)
+	read, err := r.Store.WatchConfig(ctx, r.configCursor, hold)
 	if ErrHistoryLost.Has(err) {
 		r.Log.Info("store's history lost; reading all", "watch", watchNames[watchesConfig], "since", r.configCursor)
 		r.configCursor = 0
@@ -228,9 +271,9 @@
 	}
 }
 
-func (r *Reader) watchEngines(ctx context.Context) error {
+func (r *Reader) watchEngines(ctx context.Context, hold time.Duration) error {
 	sent := r.Clock()
-	update, err := r.readEngines(ctx)
+	update, err := r.readEngines(ctx, hold)
 	if err != nil {
 		return err
 	}
@@ -244,7 +287,7 @@
 		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision)
 	}
 	nothing := !update.Full && len(update.Present)+len(update.Removed) == 0
-	r.Board.PutEngines(ctx, update, r.asOf(sent, nothing), r.failedAgo())
+	r.Board.PutEngines(ctx, update, r.asOf(sent, hold, nothing), r.failedAgo())
 	return nil
 }
 
@@ -254,12 +297,12 @@
 	return min(r.LostAgo(), r.Clock()-time.Duration(r.failedAt.Load()))
 }
 
-func (r *Reader) readEngines(ctx context.Context) (catalog.EngineUpdate, error) {
+func (r *Reader) readEngines(ctx context.Context, hold time.Duration) (catalog.EngineUpdate, error) {
 	since := r.Board.Snapshot().Engines.Upto
 	if since == 0 {
 		return r.Store.ReadEngines(ctx)
 	}
-	update, err := r.Store.WatchEngines(ctx, since, r.Timing.Watch)
+	update, err := r.Store.WatchEngines(ctx, since, hold)
 	if ErrHistoryLost.Has(err) {
 		r.Log.Info("store's history lost; reading all", "watch", watchNames[watchesEngines], "since", since)
 		return r.Store.ReadEngines(ctx)
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -17,6 +17,10 @@
 // maxPullWait bounds how long a pull may ask to be held.
 const maxPullWait = time.Second
 
+// lostCheck is how often a router that holds a pull looks whether it can't reach the
+// store any more. The asker finds another source the sooner.
+const lostCheck = 50 * time.Millisecond
+
 // PullArgs asks for what is newer than what the asker has.
 type PullArgs struct {
 	// From is the asker's name.
@@ -86,6 +90,8 @@
 	r.Loads.Heard(args.From, args.Loads, started)
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
+	lost := time.NewTicker(lostCheck)
+	defer lost.Stop()
 	for {
 		changed := r.Board.Changed()
 		if r.news(args) || slices.Contains(r.Chain(), args.From) {
@@ -94,6 +100,10 @@
 		select {
 		case <-changed:
 			continue
+		case <-lost.C:
+			if !r.StoreLost() {
+				continue
+			}
 		case <-timer.C:
 		case <-r.Done:
 		}
