feed: a held pull tells at once that the store is lost

Change: a router that has not reached the store since its turn came is lost at once; a pull is answered as soon as the one asked is lost, unless the asker knows.

--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -48,8 +48,10 @@
 	parent   Peer
 	since    time.Duration
 	// misses counts the pulls from the parent that failed in a row.
-	misses  int
-	reading atomic.Bool
+	misses int
+	// parentLost means that the parent has said that it can't reach the store.
+	parentLost bool
+	reading    atomic.Bool
 	// chain names the routers through which the catalog comes, the reader of
 	// the store last.
 	chain atomic.Pointer[[]string]
@@ -171,6 +173,7 @@
 	f.parent = parent
 	f.since = now
 	f.misses = 0
+	f.parentLost = false
 }
 
 func (f *Follower) pull(ctx context.Context, parent Peer) {
@@ -178,6 +181,7 @@
 	sent := f.Clock()
 	args := PullArgs{
 		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait, Loads: f.Loads.Below(sent),
+		KnowsLost: f.parentLost || !f.distrust.trusted(parent.Name, sent),
 	}
 	if s.Config != nil {
 		args.ConfigVersion = s.Config.Version
@@ -192,6 +196,7 @@
 		return
 	}
 	f.misses = 0
+	f.parentLost = reply.StoreLost
 	f.take(ctx, reply, sent)
 	f.judge(ctx, parent, reply)
 }
@@ -241,6 +246,8 @@
 	c, err := f.config(reply)
 	if err != nil {
 		f.Log.Warn("configuration update not taken", "version", reply.ConfigVersion, "cause", err)
+		// The next answer would come at once, and be the same.
+		pause.For(ctx, retryPause)
 	}
 	f.Board.PutConfig(ctx, c, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -137,7 +137,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.lost(which, err)
+		r.lost(which, err, c.reached)
 		pause.For(ctx, c.failed(r.maxPause()))
 	}
 }
@@ -213,11 +213,16 @@
 	}
 }
 
-// lost notes a failure.
-func (r *Reader) lost(which int, err error) {
+// lost notes a failure. A router that has not reached the store since its turn came
+// need not wait for a second one.
+func (r *Reader) lost(which int, err error, reached bool) {
 	now := r.Clock()
 	r.failedAt.Store(int64(now))
-	if r.downSince[which].CompareAndSwap(0, int64(now)) {
+	since := now
+	if !reached {
+		since -= lostAfter
+	}
+	if r.downSince[which].CompareAndSwap(0, int64(since)) {
 		s := r.Board.Snapshot()
 		r.Log.Warn("store lost", "watch", watchNames[which], "cause", err,
 			"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -28,6 +28,9 @@
 	// ConfigVersion and EnginesUpto are what the asker has; zero for nothing.
 	ConfigVersion uint64
 	EnginesUpto   uint64
+	// KnowsLost means that the asker knows that the one asked can't reach the store,
+	// and asks because nobody can.
+	KnowsLost bool
 	// Wait is how long the answer may be held until there is something new.
 	Wait time.Duration
 	// Loads are the asker's loads, with those of the routers that ask it.
@@ -94,16 +97,14 @@
 	defer lost.Stop()
 	for {
 		changed := r.Board.Changed()
-		if r.news(args) || slices.Contains(r.Chain(), args.From) {
+		if r.news(args) || slices.Contains(r.Chain(), args.From) || !args.KnowsLost && r.StoreLost() {
 			break
 		}
 		select {
 		case <-changed:
 			continue
 		case <-lost.C:
-			if !r.StoreLost() {
-				continue
-			}
+			continue
 		case <-timer.C:
 		case <-r.Done:
 		}
