feed: reports of loads are rounded, and spaced out by their size

Change: evidence is rounded to sixteenths (18 bytes an entry in place of 34), entries that say nothing are left out, and beyond 150 engines a report goes with some pulls only, every 0.9 s at the most.

--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -49,6 +49,7 @@
 	since    time.Duration
 	// misses counts the pulls from the parent that failed in a row.
 	misses int
+	pacer  pacer
 	// parentLost means that the parent has said that it can't reach the store.
 	parentLost bool
 	reading    atomic.Bool
@@ -180,7 +181,7 @@
 	s := f.Board.Snapshot()
 	sent := f.Clock()
 	args := PullArgs{
-		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait, Loads: f.Loads.Below(sent),
+		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait, Loads: f.report(parent, sent),
 		KnowsLost: f.parentLost || !f.distrust.trusted(parent.Name, sent),
 	}
 	if s.Config != nil {
@@ -201,6 +202,16 @@
 	f.judge(ctx, parent, reply)
 }
 
+// report returns what this router and those that ask it know of the engines, or nil if
+// the parent was told lately.
+func (f *Follower) report(parent Peer, now time.Duration) *LoadReport {
+	if !f.pacer.due(parent.Name, f.Loads.Size(), now) {
+		return nil
+	}
+	loads := f.Loads.Below(now)
+	return &loads
+}
+
 // config returns the configuration that the reply speaks of, nil for none. Errors:
 // ErrMalformed, also if the reply leads on from one that this router does not have.
 func (f *Follower) config(reply PullReply) (*catalog.Config, error) {
@@ -239,7 +250,9 @@
 // parent said, it said later.
 func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
 	said := sent + reply.Held
-	f.Loads.FromParent(reply.Loads, f.Clock())
+	if reply.Loads != nil {
+		f.Loads.FromParent(*reply.Loads, f.Clock())
+	}
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
 	f.hear(reply.Failures, said)
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -90,6 +90,13 @@
 	return l.sum(asker, now, true)
 }
 
+// Size is how many engines a report speaks of, about.
+func (l *Loads) Size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.others)
+}
+
 // Others returns the load of all other routers, as last heard, by engine ID.
 // The map must not be modified.
 func (l *Loads) Others() map[string]EngineLoad {
@@ -101,9 +108,22 @@
 func (l *Loads) sum(without string, now time.Duration, above bool) LoadReport {
 	out := LoadReport{Engines: l.own()}
 	l.addOthers(&out, without, now, above)
+	out.coarsen()
 	return out
 }
 
+// coarsen drops what says nothing, and rounds: a report is half as long then.
+func (r *LoadReport) coarsen() {
+	for id, l := range r.Engines {
+		l.Evidence = l.Evidence.Coarse()
+		if l == (EngineLoad{}) {
+			delete(r.Engines, id)
+			continue
+		}
+		r.Engines[id] = l
+	}
+}
+
 func (l *Loads) addOthers(out *LoadReport, without string, now time.Duration, above bool) {
 	for name, heard := range l.below {
 		switch {
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -33,8 +33,9 @@
 	KnowsLost bool
 	// Wait is how long the answer may be held until there is something new.
 	Wait time.Duration
-	// Loads are the asker's loads, with those of the routers that ask it.
-	Loads LoadReport
+	// Loads are the asker's loads, with those of the routers that ask it; nil if
+	// the last ones still count.
+	Loads *LoadReport
 }
 
 // PullReply is what is newer, and how old all of it may be.
@@ -61,8 +62,9 @@
 	// Held is how long the reply was held. What it says is that much younger
 	// than the pull.
 	Held time.Duration
-	// Loads are those of the whole fleet without what the asker reported.
-	Loads LoadReport
+	// Loads are those of the whole fleet without what the asker reported; nil if the
+	// last ones still count.
+	Loads *LoadReport
 }
 
 // Relay answers the pulls of other routers from the board.
@@ -83,6 +85,7 @@
 	Log  *log.Logger
 
 	packer packer
+	pacer  pacer
 }
 
 // Pull answers once the board holds something newer, or after args.Wait, and at
@@ -90,7 +93,9 @@
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
 	started := r.Clock()
-	r.Loads.Heard(args.From, args.Loads, started)
+	if args.Loads != nil {
+		r.Loads.Heard(args.From, *args.Loads, started)
+	}
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
 	lost := time.NewTicker(lostCheck)
@@ -135,7 +140,10 @@
 		LostAgo:    r.LostAgo(),
 		Failures:   r.Failures(),
 		Chain:      r.Chain(),
-		Loads:      r.Loads.Without(args.From, now),
+	}
+	if r.pacer.due(args.From, r.Loads.Size(), now) {
+		loads := r.Loads.Without(args.From, now)
+		out.Loads = &loads
 	}
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
--- a/internal/edge/health/health.go
+++ b/internal/edge/health/health.go
@@ -42,6 +42,15 @@
 	return Evidence{Good: e.Good * f, Bad: e.Bad * f}
 }
 
+// coarse is the step that evidence is rounded to for other routers: a thirtieth of what
+// the prior weighs.
+const coarse = 1.0 / 16
+
+// Coarse returns the evidence rounded, which takes few bytes to send.
+func (e Evidence) Coarse() Evidence {
+	return Evidence{Good: math.Round(e.Good/coarse) * coarse, Bad: math.Round(e.Bad/coarse) * coarse}
+}
+
 // prior is the number of good ends that every engine is taken to have had. It
 // keeps one failure after a quiet time from condemning an engine; two do.
 const prior = 2.0
