admin: the test of the page finds the error codes again

Cause: it reads another package's source by a relative path, which the grouping of packages had moved.

--- a/internal/operate/admin/doc_test.go
+++ b/internal/operate/admin/doc_test.go
@@ -13,7 +13,7 @@
 func TestDocumentation(t *testing.T) {
 	doc, err := os.ReadFile("../../../docs/API.md")
 	require.NoError(t, err)
-	source, err := os.ReadFile("../apierr/apierr.go")
+	source, err := os.ReadFile("../../serve/apierr/apierr.go")
 	require.NoError(t, err)
 	codes := regexp.MustCompile(`Code = "(\w+)"`).FindAllStringSubmatch(string(source), -1)
 	require.NotEmpty(t, codes)
