--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -83,7 +83,7 @@
 	deadline := time.Now().Add(20 * time.Second)
 	for _, r := range w.routers {
 		for {
-			a := platformtest.Call{Address: w.address(r), Path: pathSafe}.Do(context.Background(), http.DefaultClient)
+			a := platformtest.Call{Address: w.address(r), Path: platformtest.PathSafe}.Do(context.Background(), http.DefaultClient)
 			if a.Status == http.StatusOK {
 				break
 			}
@@ -107,7 +107,7 @@
 			return
 		case <-time.After(duration(rng, 2*time.Millisecond, 40*time.Millisecond)):
 		}
-		e := entry{path: pick(rng, paths), key: pick(rng, []string{platformtest.FirstKey, "key-2", "key-3"}), sent: time.Now()}
+		e := entry{path: pick(rng, platformtest.Paths), key: pick(rng, []string{platformtest.FirstKey, "key-2", "key-3"}), sent: time.Now()}
 		e.answer = platformtest.Call{
 			Address: w.address(pick(rng, w.routers)), Path: e.path, Key: e.key, Body: "body", TimeoutMS: int(callTimeout.Milliseconds()),
 		}.Do(context.Background(), client)
