--- /dev/null
+++ b/internal/edge/feed/fleet_test.go
@@ -0,0 +1,231 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeStore is a store whose content and failures a test sets.
+type fakeStore struct {
+	mu      sync.Mutex
+	config  *catalog.Config
+	version uint64
+	engines []catalog.Engine
+	down    bool
+	silent  bool
+	// historyLost makes the next watches ask for a whole read.
+	historyLost bool
+	calls       atomic.Int64
+	changed     chan struct{}
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{version: 1, changed: make(chan struct{})} }
+
+func (s *fakeStore) update(f func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// answer applies the store's failures.
+func (s *fakeStore) answer(ctx context.Context) error {
+	s.calls.Add(1)
+	s.mu.Lock()
+	down, silent := s.down, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return platform.ErrUnavailable.Wrap(ctx.Err())
+	}
+	if down {
+		return platform.ErrUnavailable.New("status 503")
+	}
+	return nil
+}
+
+func (s *fakeStore) ReadConfig(ctx context.Context) (ConfigRead, error) {
+	if err := s.answer(ctx); err != nil {
+		return ConfigRead{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConfigRead{Config: s.config, Upto: s.version}, nil
+}
+
+func (s *fakeStore) wait(ctx context.Context, since uint64, wait time.Duration) error {
+	if err := s.answer(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	version, changed, lost := s.version, s.changed, s.historyLost
+	s.mu.Unlock()
+	if lost {
+		return ErrHistoryLost.New("compacted")
+	}
+	if version > since {
+		return nil
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return platform.ErrUnavailable.Wrap(ctx.Err())
+	}
+	return nil
+}
+
+func (s *fakeStore) WatchConfig(ctx context.Context, since uint64, wait time.Duration) (ConfigRead, error) {
+	if err := s.wait(ctx, since, wait); err != nil {
+		return ConfigRead{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == since {
+		return ConfigRead{Upto: since}, nil
+	}
+	return ConfigRead{Config: s.config, Upto: s.version}, nil
+}
+
+func (s *fakeStore) ReadEngines(ctx context.Context) (catalog.EngineUpdate, error) {
+	if err := s.answer(ctx); err != nil {
+		return catalog.EngineUpdate{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return catalog.EngineUpdate{Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
+}
+
+func (s *fakeStore) WatchEngines(ctx context.Context, since uint64, wait time.Duration) (catalog.EngineUpdate, error) {
+	if err := s.wait(ctx, since, wait); err != nil {
+		return catalog.EngineUpdate{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == since {
+		return catalog.EngineUpdate{Since: since, Upto: since}, nil
+	}
+	return catalog.EngineUpdate{Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
+}
+
+// errUnreachable is what a call to a router that is cut off returns.
+var errUnreachable = errors.New("unreachable")
+
+// fakeFleet is some routers that call one another in memory.
+type fakeFleet struct {
+	live   []Peer
+	cut    sync.Map
+	nodes  map[string]*fakeNode
+	origin time.Time
+	// sent counts the configurations that were sent to each router.
+	sent sync.Map
+}
+
+type fakeNode struct {
+	board    *Board
+	reader   *Reader
+	follower *Follower
+	relay    *Relay
+	store    *fakeStore
+}
+
+func (f *fakeFleet) clock() time.Duration { return time.Hour + time.Since(f.origin) }
+
+// start runs a router for each peer; stores may differ, as where the store
+// turns some routers away.
+func startFleet(ctx context.Context, live []Peer, stores map[string]*fakeStore) *fakeFleet {
+	f := &fakeFleet{live: live, nodes: make(map[string]*fakeNode), origin: time.Now()}
+	for _, p := range live {
+		f.nodes[p.Name] = f.node(ctx, p, stores[p.Name])
+	}
+	for _, n := range f.nodes {
+		go n.board.Run(ctx)
+		go n.reader.Run(ctx)
+		go n.follower.Run(ctx)
+	}
+	return f
+}
+
+func (f *fakeFleet) node(ctx context.Context, self Peer, store *fakeStore) *fakeNode {
+	n := &fakeNode{store: store, board: NewBoard(f.clock, 1200*time.Millisecond)}
+	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
+	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: testTiming, Log: quiet(),
+		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.Lost() },
+		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
+	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: testTiming, Log: quiet(),
+		Live: func() []Peer { return f.live }, StoreLost: n.reader.Lost, Call: f.call(self)}
+	n.relay = &Relay{Board: n.board, Loads: loads, Clock: f.clock, Done: ctx.Done(), Log: quiet(),
+		StoreLost: n.reader.Lost, LostAgo: n.follower.LostAgo, Failures: n.follower.Failures, Chain: n.follower.Chain}
+	return n
+}
+
+func (f *fakeFleet) call(from Peer) Call {
+	return func(ctx context.Context, to Peer, _ string, args, reply any) error {
+		if f.isCut(from.Name) || f.isCut(to.Name) {
+			<-ctx.Done()
+			return errUnreachable
+		}
+		got := reply.(*PullReply)
+		err := f.nodes[to.Name].relay.Pull(args.(PullArgs), got)
+		if got.Config != nil {
+			n, _ := f.sent.LoadOrStore(from.Name, new(atomic.Int64))
+			n.(*atomic.Int64).Add(1)
+		}
+		return err
+	}
+}
+
+func (f *fakeFleet) isCut(name string) bool {
+	_, cut := f.cut.Load(name)
+	return cut
+}
+
+func sameStore(live []Peer, s *fakeStore) map[string]*fakeStore {
+	out := make(map[string]*fakeStore)
+	for _, p := range live {
+		out[p.Name] = s
+	}
+	return out
+}
+
+func (f *fakeFleet) requireVersion(t *testing.T, version uint64) {
+	t.Helper()
+	for name, n := range f.nodes {
+		c := n.board.Snapshot().Config
+		require.NotNil(t, c, name)
+		require.Equal(t, version, c.Version, name)
+	}
+}
+
+// inFleet runs a test with a fleet of nine routers in three sites, on a fake
+// clock.
+func inFleet(t *testing.T, stores func([]Peer, *fakeStore) map[string]*fakeStore, test func(*fakeFleet, *fakeStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		live := peers("x", "x", "x", "y", "y", "y", "z", "z", "z")
+		s := newFakeStore()
+		s.update(func(s *fakeStore) {
+			s.config = catalog.NewConfig(catalog.Config{Version: 1})
+			s.engines = []catalog.Engine{{ID: "e1", Service: "llm", Revision: 2}}
+		})
+		f := startFleet(ctx, live, stores(live, s))
+		time.Sleep(3 * time.Second)
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		test(f, s)
+	})
+}
