--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -20,13 +20,13 @@
 )
 
 const (
-	// loadFactor and loadSlack bound what a prompted engine may have in flight
-	// when one more request is sent to it: loadFactor times the mean over the
-	// service, and loadSlack. Below twice the mean and three, which the operators
-	// allow, they leave room for what other routers send before their loads are
-	// heard. A tighter bound moves prompts between engines for nothing: 1.8 and
-	// the request itself counted moved 15 % more bytes of cache.
-	loadFactor = 1.9
+	// loadFactor and loadSlack bound what a prompted engine may have in
+	// flight: loadFactor times the mean over the service, and loadSlack.
+	// Below twice the mean and three, which the operators allow for 97 of 100
+	// requests, they leave room for what other routers send before their loads
+	// are heard: 67 routers that followed a bound of 1.9 without the request
+	// itself sent 3.1 of 100 beyond what is allowed.
+	loadFactor = 1.8
 	loadSlack  = 3
 	// siteBonus is the load that a plain engine in another site must have
 	// less, as a share of its slots, to be taken: bytes between sites cost.
@@ -125,7 +125,7 @@
 func within(engines []Engine, order []int, bound float64) int {
 	for _, i := range order {
 		e := engines[i]
-		if !e.Leaving && e.Share >= leastShare && float64(e.InFlight) <= bound {
+		if !e.Leaving && e.Share >= leastShare && float64(e.InFlight)+1 <= bound {
 			return i
 		}
 	}
--- a/internal/edge/choose/choose_test.go
+++ b/internal/edge/choose/choose_test.go
@@ -107,7 +107,7 @@
 		}
 		require.False(t, engines[p.Engine].Leaving)
 		mean := float64(total+1) / float64(in)
-		require.LessOrEqual(t, float64(engines[p.Engine].InFlight), loadFactor*mean+loadSlack)
+		require.LessOrEqual(t, float64(engines[p.Engine].InFlight)+1, loadFactor*mean+loadSlack)
 	})
 }
 
