--- a/internal/edge/choose/ranking_test.go
+++ b/internal/edge/choose/ranking_test.go
@@ -60,11 +60,10 @@
 
 // modelEngine is one engine of the model.
 type modelEngine struct {
-	cached  map[string]int
-	used    map[string]float64
-	total   int
-	freeAt  float64
-	running int
+	cached map[string]int
+	used   map[string]float64
+	total  int
+	freeAt float64
 }
 
 // read prefills what is not cached and returns the tokens read, and when that ends.
