--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -49,7 +49,8 @@
 	since    time.Duration
 	// misses counts the pulls from the parent that failed in a row.
 	misses int
-	pacer  pacer
+	// pacer spaces out what parents are told of loads.
+	pacer pacer
 	// parentLost means that the parent has said that it can't reach the store.
 	parentLost bool
 	reading    atomic.Bool
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -26,9 +26,8 @@
 	// case, so that it can serve at once.
 	settleTime = time.Second
 	// lostReadAfter is the age from which a router reads for itself while the
-	// others say that the store can't be
-	// reached. Six of them have tried then or are about to, and a store that
-	// is away is not to be asked by all.
+	// others say that the store can't be reached. Six of them have tried then or
+	// are about to, and a store that is away is not to be asked by all.
 	lostReadAfter = 20 * time.Second
 	// maxOwnPause bounds the doubling of the pauses of a router that reads for
 	// itself while it is not the one to read.
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -84,6 +84,8 @@
 	Done <-chan struct{}
 	Log  *log.Logger
 
+	// packer packs updates once for all askers, pacer spaces out what they are told
+	// of loads.
 	packer packer
 	pacer  pacer
 }
