--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -26,8 +26,7 @@
 }
 
 // mountMetrics serves the counters and latencies.
-func (r *Router) mountMetrics(e *echo.Echo) {
-	vars := r.vars()
+func mountMetrics(e *echo.Echo, vars *expvar.Map) {
 	e.GET("/metrics", func(c echo.Context) error {
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte(vars.String()))
 	})
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -165,10 +165,11 @@
 	directory, ready, control := newEcho(), newEcho(), newEcho()
 	r.plat.MountDirectory(directory, r.addresses)
 	r.plat.MountReady(ready, r.ready)
-	r.mountMetrics(control)
+	vars := r.vars()
+	mountMetrics(control, vars)
 	if r.set.Listen.Metrics != "" {
 		metrics := newEcho()
-		r.mountMetrics(metrics)
+		mountMetrics(metrics, vars)
 		if err := r.serve("metrics", r.set.Listen.Metrics, metrics); err != nil {
 			return err
 		}
