engineconn: a short request is written before its answer is read

The request was written by a goroutine; where the engine answered before that goroutine ran again, Answer.Close took the connection for one that was still being written to and closed it. Not only the test: each such request cost the engine a new connection.

Ruled out: waiting for the writer in Close (an engine may answer a long body early and read it later, or never); the test's timing (its clock is a fake one).

Change: requests of up to 8 KB are written in place, one goroutine less each. Longer ones as before.

TestConnectionOfAFastEngineIsKept failed before, passes now.

--- a/internal/edge/engineconn/send.go
+++ b/internal/edge/engineconn/send.go
@@ -86,9 +86,19 @@
 	}, nil
 }
 
-// write sends the request beside the reading of the answer: an engine may
-// answer a long request before it has read it, and neither end would go on if
-// both only wrote.
+// smallBody is sent together with the header, in one packet where it fits.
+const smallBody = 16 << 10
+
+// inPlace is the longest request that is written before the answer is read: it
+// fits the empty send buffer of a connection, so that the write does not wait for
+// the engine.
+const inPlace = 8 << 10
+
+// write sends the request. A long one is sent beside the reading of the answer: an
+// engine may answer it before it has read it, and neither end would go on if both
+// only wrote. A short one has been written when the answer comes, so that a fast
+// engine's connection isn't taken for one that is still being written to, and closed
+// instead of kept.
 func write(c *conn, r *Request) *sending {
 	head := header(r)
 	rest := r.Body
@@ -97,25 +107,29 @@
 		rest = nil
 	}
 	s := &sending{done: make(chan struct{})}
-	go func() {
-		defer close(s.done)
-		for _, part := range [][]byte{head, rest} {
-			if len(part) == 0 {
-				continue
-			}
-			n, err := c.Write(part)
-			s.written.Add(int64(n))
-			if err != nil {
-				s.err = err
-				return
-			}
-		}
-	}()
+	if len(head)+len(rest) <= inPlace {
+		s.write(c, head)
+		return s
+	}
+	go s.write(c, head, rest)
 	return s
 }
 
-// smallBody is sent together with the header, in one packet where it fits.
-const smallBody = 16 << 10
+// write writes the parts and ends the sending.
+func (s *sending) write(c *conn, parts ...[]byte) {
+	defer close(s.done)
+	for _, part := range parts {
+		if len(part) == 0 {
+			continue
+		}
+		n, err := c.Write(part)
+		s.written.Add(int64(n))
+		if err != nil {
+			s.err = err
+			return
+		}
+	}
+}
 
 func header(r *Request) []byte {
 	var b bytes.Buffer
--- a/internal/edge/engineconn/send_test.go
+++ b/internal/edge/engineconn/send_test.go
@@ -187,3 +187,17 @@
 	send()
 	require.Equal(t, 2, pool.Dials())
 }
+
+// Symptom: connections to fast engines are closed after one request, and each request
+// pays for a new one. Sequence: the answer is in and read before the goroutine that
+// wrote the request gets a processor again. Cause: a request that nobody had yet said
+// to be written whole was taken for one that was still being written.
+func TestConnectionOfAFastEngineIsKept(t *testing.T) {
+	p := newPeer(t, func(conn *net.TCPConn, _ int) {
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	c, err := dial(t.Context(), p.engine.Address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.True(t, write(c, request("r", 1)).finished())
+}
