--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -58,6 +58,11 @@
 // CanGive says whether others may fetch from the engine's cache.
 func (e Engine) CanGive() bool { return e.Share > 0 || e.Leaving }
 
+// HasRoom says whether the engine takes requests and has a free place.
+func (e Engine) HasRoom() bool {
+	return !e.Leaving && e.Share > 0 && e.InFlight < max(e.Slots, 1)
+}
+
 // Placement is where a prompt goes.
 type Placement struct {
 	// Engine is the index of the chosen engine, or None.
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,6 +201,16 @@
 	return first > p.since+settleTime && now-first <= heldFor
 }
 
+// HasRoom says whether an engine of the service, other than those in avoid, takes
+// requests and has a free place.
+func (p *Engines) HasRoom(s *catalog.Snapshot, service string, avoid map[string]bool) bool {
+	others := p.others()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, candidates := p.candidates(s, service, avoid, others, p.clock())
+	return slices.ContainsFunc(candidates, choose.Engine.HasRoom)
+}
+
 // Done ends the count of a request.
 func (p *Engines) Done(engine string) {
 	p.mu.Lock()
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -56,12 +56,13 @@
 	// servedLines bounds the log of requests that were simply served.
 	servedLines *rate.Limiter
 	stats       *Stats
+	paces       *paces
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
 	return &Forwarder{
-		Options: o, stats: newStats(), servedLines: rate.NewLimiter(servedPerSecond, servedPerSecond),
+		Options: o, stats: newStats(), paces: newPaces(), servedLines: rate.NewLimiter(servedPerSecond, servedPerSecond),
 	}
 }
 
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -65,7 +65,7 @@
 		if unsent >= maxUnsent || refusals >= maxRefusals {
 			return last
 		}
-		if !result.unsent && !x.f.Budget.Spend(e.Service, x.f.Clock()) {
+		if !result.unsent && !result.paid && !x.f.Budget.Spend(e.Service, x.f.Clock()) {
 			return last
 		}
 	}
@@ -153,7 +153,9 @@
 	// unsent means that nothing left the router, refused that the engine
 	// promised not to have executed the request.
 	unsent, refused bool
-	refusal         *Refusal
+	// paid means that the retry budget has granted the next send already.
+	paid    bool
+	refusal *Refusal
 }
 
 // send sends the request to an engine and relays its answer.
@@ -168,10 +170,13 @@
 	}
 	ctx, cancel := x.context()
 	defer cancel()
+	ctx, answered := x.watchSilence(ctx, e)
 	sent := x.f.Clock()
 	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(choice, ""))
+	answered()
+	waited := x.f.Clock() - sent
 	if err != nil {
-		return x.sendFailed(ctx, e, err, x.f.Clock()-sent)
+		return x.sendFailed(ctx, e, err, waited)
 	}
 	defer answer.Close()
 	reply := x.f.Codec.Reply(answer.Status, answer.Header)
@@ -179,6 +184,9 @@
 		return x.engineRefused(e, answer, reply)
 	}
 	x.executed++
+	if x.route.Kind != catalog.Streaming {
+		x.f.paces.note(e.Service, waited)
+	}
 	if !reply.Sealed || reply.Encoded {
 		x.f.Engines.Note(e.ID, false)
 		return x.mayRepeat(failed(http.StatusBadGateway, ReasonBadAnswer))
@@ -262,6 +270,8 @@
 	switch {
 	case x.callerLeft():
 		return result{verdict: over, refusal: x.gone()}
+	case wasSilent(ctx):
+		return x.gaveUp(e, unsent, waited)
 	case ctx.Err() != nil:
 		x.f.Engines.Note(e.ID, false)
 		return result{verdict: over, refusal: x.timeUp()}
@@ -281,6 +291,18 @@
 	return x.mayRepeat(failed(http.StatusBadGateway, reason))
 }
 
+// gaveUp decides after a send to an engine that stayed silent; see watchSilence.
+func (x *exchange) gaveUp(e catalog.Engine, unsent bool, waited time.Duration) result {
+	x.f.Engines.Note(e.ID, false)
+	x.f.paces.note(e.Service, waited)
+	x.f.stats.gaveUp()
+	refusal := failed(http.StatusBadGateway, ReasonNoAnswer)
+	if unsent && x.executed == 0 {
+		refusal = notRun(ReasonUnreachable, retryLater)
+	}
+	return result{verdict: another, unsent: unsent, paid: true, refusal: refusal}
+}
+
 // mayRepeat decides after an attempt that may have executed the request.
 func (x *exchange) mayRepeat(refusal *Refusal) result {
 	if x.route.Repeatable() && x.executed < x.route.Attempts {
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -63,6 +63,9 @@
 	_ = h.RecordValue(min(max(latency.Microseconds(), lowestLatency), highestLatency))
 }
 
+// gaveUp counts a send that was given up because its engine stayed silent.
+func (s *Stats) gaveUp() { s.vars.Add("given_up_silent", 1) }
+
 // Quantiles of the latency histograms that are served.
 var quantiles = []float64{50, 90, 99, 99.9}
 
