forward: a router that wakes up waits for its source before it refuses

Ruled out: waiting where the store is lost (nothing would come; TestNoLongWaitForALostStore); a longer key lease (a revoked key would run).

The admission moved to a file of its own. TestWakingRouterWaitsForItsSource failed before (503 at once).

--- /dev/null
+++ b/internal/edge/forward/admit.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+)
+
+const (
+	// catchUpWait is how long a request waits for a configuration that is too old,
+	// or missing, to be confirmed. A router that was suspended, or has just started,
+	// has the answer of its source within 20 to 100 ms; a refusal costs the caller a
+	// pause and a second connection.
+	catchUpWait = 150 * time.Millisecond
+	// catchUpPoll is how often the configuration is looked at meanwhile.
+	catchUpPoll = 5 * time.Millisecond
+)
+
+// admitOnce finds the route and the account by one snapshot. Whether the
+// configuration has grown too old meanwhile is checked again before each send; see
+// mayGoOn.
+func (x *exchange) admitOnce(s *catalog.Snapshot) *Refusal {
+	if s.Config == nil {
+		return notRun(ReasonNoConfig, retrySoon)
+	}
+	age := s.ConfigAge(x.f.Clock())
+	x.route = s.Config.Match(x.r.Host, x.r.URL.EscapedPath())
+	if x.route == nil {
+		if age > x.f.FreshFor {
+			return notRun(ReasonStaleConfig, retryStore)
+		}
+		return rejected(http.StatusNotFound, ReasonNoRoute)
+	}
+	if !s.Config.NeedsKey(x.route) {
+		return nil
+	}
+	if age > x.f.KeyLease {
+		return notRun(ReasonStaleConfig, retryStore)
+	}
+	x.account = s.Config.Account(x.req.Key)
+	if x.account == nil {
+		if age > x.f.FreshFor {
+			return notRun(ReasonStaleConfig, retryStore)
+		}
+		return rejected(http.StatusUnauthorized, ReasonUnknownKey)
+	}
+	return nil
+}
+
+// admit admits the request by the newest configuration. A router that wakes up finds
+// requests in its sockets and a configuration as old as its sleep; it would refuse all
+// of them although its source answers a moment later. So it waits for that moment,
+// unless the store is known to be lost: then waiting would not help.
+func (x *exchange) admit() *Refusal {
+	for {
+		x.snapshot = x.f.Snapshot()
+		refusal := x.admitOnce(x.snapshot)
+		if !x.mayCatchUp(refusal) {
+			return refusal
+		}
+		if !pause.For(x.r.Context(), catchUpPoll) {
+			return refusal
+		}
+	}
+}
+
+// mayCatchUp says whether the refusal may soon be needless.
+func (x *exchange) mayCatchUp(refusal *Refusal) bool {
+	if refusal == nil || refusal.Reason != ReasonNoConfig && refusal.Reason != ReasonStaleConfig {
+		return false
+	}
+	return x.f.Clock()-x.started < catchUpWait && !x.f.StoreLost()
+}
--- /dev/null
+++ b/internal/edge/forward/admit_test.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/stretchr/testify/require"
+)
+
+const keyLease = 3500 * time.Millisecond
+
+// arriving is an exchange at a router whose configuration was last confirmed at asOf,
+// and is confirmed again after some time; zero for never.
+func arriving(t *testing.T, asOf, confirmedAfter time.Duration, lost bool) *exchange {
+	started := time.Now()
+	clock := func() time.Duration { return time.Minute + time.Since(started) }
+	config := catalog.NewConfig(catalog.Config{
+		Version: 1, Routes: []catalog.Route{{Name: "r", Host: "h", Prefix: "/a/", Public: true}},
+	})
+	snapshot := func() *catalog.Snapshot {
+		s := catalog.Empty()
+		s.Config, s.ConfigAsOf = config, asOf
+		if confirmedAfter > 0 && clock() >= time.Minute+confirmedAfter {
+			s.ConfigAsOf = clock()
+		}
+		return s
+	}
+	f := &Forwarder{Options: Options{
+		Snapshot: snapshot, Clock: clock, KeyLease: keyLease, FreshFor: 2 * time.Second,
+		StoreLost: func() bool { return lost },
+	}}
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/missing/x", nil)
+	return &exchange{f: f, r: r, started: clock()}
+}
+
+// Symptom: a router that wakes up refuses hundreds of requests. Sequence: it is
+// suspended for seconds; requests wait in its sockets; it looks at them before it has
+// asked its source. Cause handled: it waits until it has asked.
+func TestWakingRouterWaitsForItsSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := arriving(t, time.Second, 60*time.Millisecond, false)
+		require.Equal(t, http.StatusNotFound, x.admit().Status)
+		require.Less(t, x.f.Clock()-x.started, 70*time.Millisecond)
+	})
+}
+
+// The wait is short, and there is none where the store is known to be lost.
+func TestNoLongWaitForALostStore(t *testing.T) {
+	for _, tc := range []struct {
+		lost bool
+		wait time.Duration
+	}{{false, catchUpWait}, {true, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			x := arriving(t, time.Second, 0, tc.lost)
+			refusal := x.admit()
+			require.Equal(t, http.StatusServiceUnavailable, refusal.Status)
+			require.Equal(t, ReasonStaleConfig, refusal.Reason)
+			require.Equal(t, tc.wait, x.f.Clock()-x.started)
+		})
+	}
+}
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -43,6 +43,9 @@
 	// route or a key does not exist. Beyond it the newest version may have
 	// them, and a refusal that the caller takes for final would be wrong.
 	FreshFor time.Duration
+	// StoreLost says whether a configuration is old because the store can't be
+	// reached, and not because this router has not asked yet.
+	StoreLost func() bool
 	// Routers returns how many routers there are, at least one.
 	Routers func() int
 }
@@ -156,7 +159,7 @@
 	if err != nil {
 		return rejected(http.StatusBadRequest, ReasonMalformed)
 	}
-	if refusal := x.admit(x.snapshot); refusal != nil {
+	if refusal := x.admit(); refusal != nil {
 		return refusal
 	}
 	limit := defaultTimeout
@@ -173,36 +176,6 @@
 	return x.readBody()
 }
 
-// admit finds the route and the account. Whether the configuration has grown too
-// old meanwhile is checked again before each send; see mayGoOn.
-func (x *exchange) admit(s *catalog.Snapshot) *Refusal {
-	if s.Config == nil {
-		return notRun(ReasonNoConfig, retrySoon)
-	}
-	age := s.ConfigAge(x.f.Clock())
-	x.route = s.Config.Match(x.r.Host, x.r.URL.EscapedPath())
-	if x.route == nil {
-		if age > x.f.FreshFor {
-			return notRun(ReasonStaleConfig, retryStore)
-		}
-		return rejected(http.StatusNotFound, ReasonNoRoute)
-	}
-	if !s.Config.NeedsKey(x.route) {
-		return nil
-	}
-	if age > x.f.KeyLease {
-		return notRun(ReasonStaleConfig, retryStore)
-	}
-	x.account = s.Config.Account(x.req.Key)
-	if x.account == nil {
-		if age > x.f.FreshFor {
-			return notRun(ReasonStaleConfig, retryStore)
-		}
-		return rejected(http.StatusUnauthorized, ReasonUnknownKey)
-	}
-	return nil
-}
-
 // readBody reads the whole body before anything is sent: an engine's slot is
 // not held by a slow caller, and the request can be sent again.
 func (x *exchange) readBody() *Refusal {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -133,8 +133,9 @@
 	r.forwarder = forward.New(forward.Options{
 		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
 		Conns: engineconn.NewPool(bootclock.Now), Engines: r.engines, Log: r.log,
-		FreshFor: r.changeBound(),
-		KeyLease: time.Duration(leaseShare * float64(b.Revoke)),
+		FreshFor:  r.changeBound(),
+		StoreLost: func() bool { return r.follower.Lost() || r.reader.Lost() },
+		KeyLease:  time.Duration(leaseShare * float64(b.Revoke)),
 		Budget: forward.NewBudgets(forward.BudgetLimits{
 			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow),
 		}, r.routers),
