feed: loads are reported as changes

Cause: each router was told the loads of all engines again and again: 24 KB a second down at 850 engines, of a control budget of 7 (docs/CAPACITY.md named it as what breaks first).

Ruled out: exact changes (at 94 requests an engine nearly all numbers change between two reports), rarer reports (they already go at the edge of their lifetime).

Change: a report leads on from the state that the other side says it has, and holds what differs by more than a tenth (evidence: half and a quarter). After a failed call, a new parent or a restart it is whole. The pacer and what was told are one type (teller).

TestReportsLeadToTheSameLoads, TestOnlyWhatChangedIsReported.

--- a/internal/edge/feed/capacity_test.go
+++ b/internal/edge/feed/capacity_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,28 +13,46 @@
 	"damaskrouter.example/damaskrouter/internal/edge/health"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
-// BenchmarkPull weighs one pull in quiet: what a router sends of its own loads, and
-// what it gets of the fleet's, when nothing else is new. Each router pulls three times
-// a second. Run with -bench Pull; it reports bytes as net/rpc sends them on a
+// BenchmarkPull weighs one pull under load: what a router sends of its own loads, and
+// what it gets of the fleet's, when no engine comes or goes. Each router pulls three
+// times a second. Run with -bench Pull; it reports bytes as net/rpc sends them on a
 // connection that has sent the types before.
 func BenchmarkPull(b *testing.B) {
 	for _, engines := range []int{9, 60, 850} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
 			now := time.Minute
+			fleet, own := newBusy(engines), newBusy(engines/10)
 			relay, args := quietRelay(engines, func() time.Duration { return now })
+			relay.Loads = NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
 			var sent, got bytes.Buffer
 			up, down := gob.NewEncoder(&sent), gob.NewEncoder(&got)
+			var asks teller
+			told := uint64(0)
 			pull := func() {
 				var reply PullReply
 				now += pullWait
-				relay.Loads.FromParent(LoadReport{Engines: engineLoads(engines)}, now)
+				fleet.pass(pullWait, now)
+				own.pass(pullWait, now)
+				relay.Loads.FromParent(LoadReport{Engines: fleet.loads(now)}, now)
+				args.Loads = asks.report("parent", told, engines, now, func() LoadReport {
+					return LoadReport{Engines: own.loads(now)}
+				})
 				require.NoError(b, relay.Pull(args, &reply))
 				require.NoError(b, up.Encode(args))
 				require.NoError(b, down.Encode(reply))
+				if args.Loads != nil {
+					told = reply.LoadsSeq
+				}
+				if reply.Loads != nil {
+					args.LoadsSeq = reply.Loads.Seq
+				}
+			}
+			for range 100 {
+				pull()
 			}
-			pull()
 			sent.Reset()
 			got.Reset()
 			for b.Loop() {
@@ -44,6 +64,55 @@
 	}
 }
 
+// What an engine of the fleet that is planned for has: 4,900 requests a second before
+// 850 engines, which last 16 s.
+const (
+	arrivalsPerSecond = 4900.0 / 850
+	requestLasts      = 16 * time.Second
+)
+
+// busy is some engines under load.
+type busy struct {
+	rng      *rand.Rand
+	inFlight []int
+	ends     []health.Record
+}
+
+func newBusy(engines int) *busy {
+	b := &busy{rng: rand.New(rand.NewPCG(1, 1)), inFlight: make([]int, engines), ends: make([]health.Record, engines)}
+	for i := range b.inFlight {
+		b.inFlight[i] = int(arrivalsPerSecond * requestLasts.Seconds())
+	}
+	return b
+}
+
+// pass lets requests come and end for d, in steps of a millisecond for the first.
+func (b *busy) pass(d, now time.Duration) {
+	perStep := arrivalsPerSecond / 1000
+	ends := d.Seconds() / requestLasts.Seconds()
+	for i, n := range b.inFlight {
+		for range d.Milliseconds() {
+			if b.rng.Float64() < perStep {
+				b.inFlight[i]++
+			}
+		}
+		for range n {
+			if b.rng.Float64() < ends {
+				b.inFlight[i]--
+				b.ends[i].Note(true, now)
+			}
+		}
+	}
+}
+
+func (b *busy) loads(now time.Duration) map[string]EngineLoad {
+	out := make(map[string]EngineLoad, len(b.inFlight))
+	for i, n := range b.inFlight {
+		out[fmt.Sprintf("i-%010x", i)] = EngineLoad{InFlight: n, Evidence: b.ends[i].At(now)}
+	}
+	return out
+}
+
 // quietRelay returns the relay of a router with engines under load, and the pull of one
 // that has sent requests to a tenth of them.
 func quietRelay(engines int, clock Clock) (*Relay, PullArgs) {
@@ -92,3 +161,69 @@
 		require.InDelta(t, want, told, 1, "%d engines", engines)
 	}
 }
+
+// Symptom: routers see loads that nobody has. Sequence: reports are lost, come twice,
+// or reach a router that has started anew, while loads change. Cause handled: a report
+// that leads on from another state is not taken, and the next one is whole.
+func TestReportsLeadToTheSameLoads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sender reported
+		var receiver heardReport
+		have := uint64(0)
+		present := map[string]EngineLoad{}
+		for range rapid.IntRange(1, 30).Draw(t, "reports") {
+			for range rapid.IntRange(0, 4).Draw(t, "changes") {
+				id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "engine")
+				present[id] = EngineLoad{InFlight: rapid.IntRange(0, 9).Draw(t, "in flight")}
+			}
+			report := LoadReport{Engines: maps.Clone(present)}
+			report.coarsen()
+			report = sender.next(have, report)
+			switch rapid.IntRange(0, 5).Draw(t, "fate") {
+			case 0:
+				continue // The report is lost.
+			case 1:
+				receiver, have = heardReport{}, 0
+			case 2:
+				sender = reported{}
+			}
+			if !receiver.take(report, 0) {
+				have = 0
+				continue
+			}
+			have = report.Seq
+			want := LoadReport{Engines: maps.Clone(present)}
+			want.coarsen()
+			require.Equal(t, want.Engines, receiver.report.Engines)
+		}
+	})
+}
+
+// Symptom: control traffic of a large fleet over its budget. Sequence: hundreds of
+// engines under even load, whose numbers change a little all the time. Cause handled:
+// only a change that matters is reported, and it is reported.
+func TestOnlyWhatChangedIsReported(t *testing.T) {
+	var sender reported
+	load := func(n int, good, bad float64) map[string]EngineLoad {
+		return map[string]EngineLoad{"e": {InFlight: n, Evidence: health.Evidence{Good: good, Bad: bad}}}
+	}
+	first := sender.next(0, LoadReport{Engines: load(100, 10, 0)})
+	require.Zero(t, first.Base)
+	for _, tc := range []struct {
+		engines  map[string]EngineLoad
+		reported bool
+	}{
+		{load(109, 14, 0), false},
+		{load(111, 14, 0), true},
+		{load(111, 14, 1), true},
+		{load(111, 25, 1), true},
+		{load(3, 25, 1), true},
+		{load(4, 25, 1), true},
+		{map[string]EngineLoad{}, true},
+		{map[string]EngineLoad{}, false},
+	} {
+		report := sender.next(sender.seq, LoadReport{Engines: maps.Clone(tc.engines)})
+		require.NotZero(t, report.Base)
+		require.Equal(t, tc.reported, len(report.Engines) > 0, "%v", tc.engines)
+	}
+}
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -49,8 +49,11 @@
 	since    time.Duration
 	// misses counts the pulls from the parent that failed in a row.
 	misses int
-	// pacer spaces out what parents are told of loads.
-	pacer pacer
+	// teller spaces out what parents are told of loads.
+	teller teller
+	// loadsHave is the state of the fleet's loads that the parent has told, and
+	// loadsTold the state of this router's that the parent has; zero for none.
+	loadsHave, loadsTold uint64
 	// parentLost means that the parent has said that it can't reach the store.
 	parentLost bool
 	reading    atomic.Bool
@@ -176,6 +179,7 @@
 	f.since = now
 	f.misses = 0
 	f.parentLost = false
+	f.loadsHave, f.loadsTold = 0, 0
 }
 
 func (f *Follower) pull(ctx context.Context, parent Peer) {
@@ -183,6 +187,7 @@
 	sent := f.Clock()
 	args := PullArgs{
 		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait, Loads: f.report(parent, sent),
+		LoadsSeq:  f.loadsHave,
 		KnowsLost: f.parentLost || !f.distrust.trusted(parent.Name, sent),
 	}
 	if s.Config != nil {
@@ -193,12 +198,17 @@
 	err := f.Call(callCtx, parent, PullMethod, args, &reply)
 	cancel()
 	if err != nil {
+		// Whether the parent got the report is not known; the next one is whole.
+		f.loadsTold = 0
 		f.unanswered(parent, err)
 		pause.For(ctx, retryPause)
 		return
 	}
 	f.misses = 0
 	f.parentLost = reply.StoreLost
+	if args.Loads != nil {
+		f.loadsTold = reply.LoadsSeq
+	}
 	f.take(ctx, reply, sent)
 	f.judge(ctx, parent, reply)
 }
@@ -206,11 +216,9 @@
 // report returns what this router and those that ask it know of the engines, or nil if
 // the parent was told lately.
 func (f *Follower) report(parent Peer, now time.Duration) *LoadReport {
-	if !f.pacer.due(parent.Name, f.Loads.Size(), now) {
-		return nil
-	}
-	loads := f.Loads.Below(now)
-	return &loads
+	return f.teller.report(parent.Name, f.loadsTold, f.Loads.Size(), now, func() LoadReport {
+		return f.Loads.Below(now)
+	})
 }
 
 // config returns the configuration that the reply speaks of, nil for none. Errors:
@@ -252,7 +260,10 @@
 func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
 	said := sent + reply.Held
 	if reply.Loads != nil {
-		f.Loads.FromParent(*reply.Loads, f.Clock())
+		f.loadsHave = 0
+		if f.Loads.FromParent(*reply.Loads, f.Clock()) {
+			f.loadsHave = reply.Loads.Seq
+		}
 	}
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"damaskrouter.example/damaskrouter/internal/edge/health"
 )
 
 // loadLifetime is how long another router's report of its loads counts. Pulls
@@ -12,36 +10,6 @@
 // gone, and its requests with it.
 const loadLifetime = 1500 * time.Millisecond
 
-// EngineLoad is what some routers know of one engine by their own requests.
-type EngineLoad struct {
-	// InFlight is how many requests they have at it.
-	InFlight int
-	// Evidence is how their requests at it have ended lately.
-	Evidence health.Evidence
-}
-
-func (l EngineLoad) add(o EngineLoad) EngineLoad {
-	return EngineLoad{InFlight: l.InFlight + o.InFlight, Evidence: l.Evidence.Add(o.Evidence)}
-}
-
-// LoadReport is what some routers know of the engines, by the engine's ID.
-type LoadReport struct {
-	Engines map[string]EngineLoad
-}
-
-// add adds a report that was made age ago.
-func (r *LoadReport) add(o LoadReport, age time.Duration) {
-	for id, l := range o.Engines {
-		l.Evidence = l.Evidence.After(age)
-		r.Engines[id] = r.Engines[id].add(l)
-	}
-}
-
-type heardReport struct {
-	report LoadReport
-	at     time.Duration
-}
-
 // Loads joins this router's loads with those that other routers report. It is
 // safe for concurrent use.
 type Loads struct {
@@ -49,31 +17,39 @@
 	own func() map[string]EngineLoad
 
 	mu     sync.Mutex
-	below  map[string]heardReport
+	below  map[string]*heardReport
 	above  heardReport
 	others map[string]EngineLoad
 }
 
 // NewLoads returns a Loads; own is called for each report.
 func NewLoads(own func() map[string]EngineLoad) *Loads {
-	return &Loads{own: own, below: make(map[string]heardReport)}
+	return &Loads{own: own, below: make(map[string]*heardReport)}
 }
 
-// Heard takes the report of a router that asks this one.
-func (l *Loads) Heard(from string, report LoadReport, now time.Duration) {
+// Heard takes the report of a router that asks this one. It returns false if a whole
+// report is needed.
+func (l *Loads) Heard(from string, report LoadReport, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.below[from] = heardReport{report, now}
+	heard := l.below[from]
+	if heard == nil {
+		heard = &heardReport{}
+		l.below[from] = heard
+	}
+	ok := heard.take(report, now)
 	l.refresh(now)
+	return ok
 }
 
 // FromParent takes what the router that this one asks says of the rest of the
-// fleet.
-func (l *Loads) FromParent(report LoadReport, now time.Duration) {
+// fleet. It returns false if a whole report is needed.
+func (l *Loads) FromParent(report LoadReport, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.above = heardReport{report, now}
+	ok := l.above.take(report, now)
 	l.refresh(now)
+	return ok
 }
 
 // Below is this router's load and that of the routers which ask it.
@@ -112,18 +88,6 @@
 	return out
 }
 
-// coarsen drops what says nothing, and rounds: a report is half as long then.
-func (r *LoadReport) coarsen() {
-	for id, l := range r.Engines {
-		l.Evidence = l.Evidence.Coarse()
-		if l == (EngineLoad{}) {
-			delete(r.Engines, id)
-			continue
-		}
-		r.Engines[id] = l
-	}
-}
-
 func (l *Loads) addOthers(out *LoadReport, without string, now time.Duration, above bool) {
 	for name, heard := range l.below {
 		switch {
--- a/internal/edge/feed/pace.go
+++ b/internal/edge/feed/pace.go
@@ -7,7 +7,8 @@
 
 // Reports of loads go with pulls, three a second to each router. One entry takes about
 // 18 bytes, so that the loads of 850 engines would take 50 KB a second, on a control
-// budget of 7. Beyond 150 engines a report therefore goes with some pulls only.
+// budget of 7. Beyond 150 engines a report therefore goes with some pulls only, and all
+// but the first say only what has changed.
 const (
 	// paceEntry is the time between two reports for each of their entries.
 	paceEntry = 2 * time.Millisecond
@@ -16,40 +17,51 @@
 	maxPace = 900 * time.Millisecond
 )
 
-// pacer says when a report is due. It is safe for concurrent use.
-type pacer struct {
-	mu sync.Mutex
-	// sent is when each router got its last report.
-	sent map[string]time.Duration
+// teller says when a report is due to each of some routers, and what is new for it. It
+// is safe for concurrent use.
+type teller struct {
+	mu   sync.Mutex
+	told map[string]*told
 }
 
-// due says whether a report of so many entries is to go to a router now, and notes it.
-func (p *pacer) due(to string, entries int, now time.Duration) bool {
+// told is what a router was told, and when.
+type told struct {
+	reported
+	at time.Duration
+}
+
+// report returns the report that is due to a router at now, or nil. The router has the
+// state have. Entries is how many a whole report has, about; present makes one.
+func (p *teller) report(to string, have uint64, entries int, now time.Duration, present func() LoadReport) *LoadReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.sent == nil {
-		p.sent = make(map[string]time.Duration)
+	last := p.told[to]
+	if last != nil && now-last.at < min(time.Duration(entries)*paceEntry, maxPace) {
+		return nil
 	}
-	last, known := p.sent[to]
-	if known && now-last < min(time.Duration(entries)*paceEntry, maxPace) {
-		return false
+	if last == nil {
+		last = p.add(to, now)
 	}
-	p.sent[to] = now
-	p.forget(now)
-	return true
+	last.at = now
+	out := last.next(have, present())
+	return &out
 }
 
-// maxPaced is how many routers are remembered before those are dropped that ask no
-// more: five times the routers that the fleet is planned for.
-const maxPaced = 2000
-
-func (p *pacer) forget(now time.Duration) {
-	if len(p.sent) <= maxPaced {
-		return
+func (p *teller) add(to string, now time.Duration) *told {
+	if p.told == nil {
+		p.told = make(map[string]*told)
 	}
-	for to, at := range p.sent {
-		if now-at > maxPace {
-			delete(p.sent, to)
+	p.forget(now)
+	added := &told{}
+	p.told[to] = added
+	return added
+}
+
+// forget drops the routers that ask no more.
+func (p *teller) forget(now time.Duration) {
+	for to, last := range p.told {
+		if now-last.at > loadLifetime {
+			delete(p.told, to)
 		}
 	}
 }
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -36,6 +36,9 @@
 	// Loads are the asker's loads, with those of the routers that ask it; nil if
 	// the last ones still count.
 	Loads *LoadReport
+	// LoadsSeq is the state of the fleet's loads that the asker has, from the one
+	// asked; zero for none.
+	LoadsSeq uint64
 }
 
 // PullReply is what is newer, and how old all of it may be.
@@ -65,6 +68,8 @@
 	// Loads are those of the whole fleet without what the asker reported; nil if the
 	// last ones still count.
 	Loads *LoadReport
+	// LoadsSeq is the state of the asker's loads that the one asked has; zero for none.
+	LoadsSeq uint64
 }
 
 // Relay answers the pulls of other routers from the board.
@@ -84,10 +89,10 @@
 	Done <-chan struct{}
 	Log  *log.Logger
 
-	// packer packs updates once for all askers, pacer spaces out what they are told
+	// packer packs updates once for all askers, teller spaces out what they are told
 	// of loads.
 	packer packer
-	pacer  pacer
+	teller teller
 }
 
 // Pull answers once the board holds something newer, or after args.Wait, and at
@@ -95,8 +100,8 @@
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
 	started := r.Clock()
-	if args.Loads != nil {
-		r.Loads.Heard(args.From, *args.Loads, started)
+	if args.Loads != nil && r.Loads.Heard(args.From, *args.Loads, started) {
+		reply.LoadsSeq = args.Loads.Seq
 	}
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
@@ -117,7 +122,9 @@
 		}
 		break
 	}
+	loadsSeq := reply.LoadsSeq
 	*reply = r.reply(args)
+	reply.LoadsSeq = loadsSeq
 	reply.Held = r.Clock() - started
 	return nil
 }
@@ -143,10 +150,9 @@
 		Failures:   r.Failures(),
 		Chain:      r.Chain(),
 	}
-	if r.pacer.due(args.From, r.Loads.Size(), now) {
-		loads := r.Loads.Without(args.From, now)
-		out.Loads = &loads
-	}
+	out.Loads = r.teller.report(args.From, args.LoadsSeq, r.Loads.Size(), now, func() LoadReport {
+		return r.Loads.Without(args.From, now)
+	})
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
 		if s.Config.Version > args.ConfigVersion {
