access, keys, audit: what nothing uses goes

Cause: a second way to read the fleet's signing keys (keys.Ring; secret.Store reads them), accounts looked up by access.Accounts (traffic looks them up in the configuration in force), actions for drains and orders of engines, which went with the orders, and four functions that not even a test called.

Ruled out: functions of the callers' library that only its users call; what tests use to look inside.

Tests: TestRing goes with the ring.

--- a/internal/decide/prefix/prefix.go
+++ b/internal/decide/prefix/prefix.go
@@ -16,9 +16,6 @@
 // ErrCapacity reports a table whose capacity is not positive.
 var ErrCapacity = errs.Class("prefix: capacity")
 
-// EngineID is the hash that names an engine in tables and hints.
-func EngineID(name string) uint64 { return xxh3.HashString(name) }
-
 // ModelID is the hash that names a model in hints.
 func ModelID(name string) uint64 { return xxh3.HashString(name) }
 
@@ -30,7 +27,7 @@
 
 // Place is where a prefix is, or was, cached.
 type Place struct {
-	// Engine is the EngineID.
+	// Engine is the hash of its name.
 	Engine uint64
 	// Incarnation is the engine's; a later one has an empty cache.
 	Incarnation uint64
--- a/internal/lab/faultkit/oracle.go
+++ b/internal/lab/faultkit/oracle.go
@@ -84,13 +84,6 @@
 	return slices.Collect(maps.Values(o.engines))
 }
 
-// Service returns a service by name.
-func (o *Oracle) Service(name string) *service.Service {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.services[name]
-}
-
 func (o *Oracle) allServices() []*service.Service {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/operate/access/access_test.go
+++ b/internal/operate/access/access_test.go
@@ -11,8 +11,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"damaskrouter.example/damaskrouter/internal/store/config"
 )
 
 var now = time.Unix(1_700_000_000, 0)
@@ -32,8 +30,6 @@
 		ActionReadAudit:    "editor admin breakglass",
 		ActionEditConfig:   "editor admin breakglass",
 		ActionIssueToken:   "admin breakglass",
-		ActionDrain:        "admin breakglass",
-		ActionOrder:        "admin breakglass",
 		ActionResolveClaim: "admin breakglass",
 		ActionOverride:     "breakglass",
 		"unheard.of":       "",
@@ -96,49 +92,39 @@
 	}
 }
 
-func TestAccounts(t *testing.T) {
-	first, firstHash := secret(t, PrefixAPIKey, 1)
-	second, secondHash := secret(t, PrefixAPIKey, 2)
-	operator, operatorHash := secret(t, PrefixOperator, 3)
-	accounts := []config.Account{
-		{Name: "acme", KeyHashes: []string{firstHash, operatorHash}, Models: []string{"large"}, Services: []string{"keys"}},
-		{Name: "bolt", KeyHashes: []string{secondHash}},
-	}
-	a, err := NewAccounts(accounts)
-	require.NoError(t, err)
-	for key, want := range map[string]string{
-		first: "acme", second: "bolt", "": "", PrefixAPIKey: "", first + "x": "", first[:10]: "", firstHash: "",
-		operator: "", PrefixAPIKey + strings.Repeat("x", maxSecret): "",
-	} {
-		got, err := a.Authenticate(key)
-		if want == "" {
-			assert.True(t, ErrUnauthenticated.Has(err), key)
-			continue
-		}
-		require.NoError(t, err)
-		assert.Equal(t, want, got.Name)
-	}
-	acme, bolt := &accounts[0], &accounts[1]
-	var denied *DeniedError
-	assert.NoError(t, AuthorizeModel(acme, "large"))
-	assert.NoError(t, AuthorizeModel(bolt, "large"))
-	assert.ErrorAs(t, AuthorizeModel(acme, "small"), &denied)
-	assert.NoError(t, AuthorizeService(acme, "keys"))
-	assert.ErrorAs(t, AuthorizeService(bolt, "keys"), &denied)
-}
-
-// Symptom: requests of one account count, and answer, as another's. Sequence:
-// two accounts are configured with one key. Cause: the first match wins.
-func TestInvalidAccounts(t *testing.T) {
-	_, h := secret(t, PrefixAPIKey, 1)
-	_, err := NewAccounts([]config.Account{{KeyHashes: []string{h}}, {KeyHashes: []string{strings.ToUpper(h)}}})
+// Symptom: an operator acts as another one. Sequence: two operators are stored with one
+// token. Cause: the first match wins.
+func TestInvalidHashes(t *testing.T) {
+	_, h := secret(t, PrefixOperator, 1)
+	kim, lee := Operator{Name: "kim", Role: RoleViewer, TokenHash: h}, Operator{Name: "lee", Role: RoleViewer, TokenHash: strings.ToUpper(h)}
+	_, err := NewOperators([]Operator{kim, lee})
 	assert.True(t, ErrDuplicate.Has(err))
 	for _, bad := range []string{"", "zz", h[2:], h + "00"} {
-		_, err = NewAccounts([]config.Account{{KeyHashes: []string{bad}}})
+		kim.TokenHash = bad
+		_, err = NewOperators([]Operator{kim})
 		assert.True(t, ErrHash.Has(err), bad)
 	}
 }
 
+// A secret is found by its whole text and prefix only.
+func TestOnlyTheWholeSecretIsFound(t *testing.T) {
+	token, tokenHash := secret(t, PrefixOperator, 1)
+	key, keyHash := secret(t, PrefixAPIKey, 2)
+	ops, err := NewOperators([]Operator{
+		{Name: "kim", Role: RoleViewer, TokenHash: tokenHash}, {Name: "lee", Role: RoleViewer, TokenHash: keyHash},
+	})
+	require.NoError(t, err)
+	for _, other := range []string{
+		"", PrefixOperator, token + "x", token[:10], tokenHash, key, PrefixOperator + strings.Repeat("x", maxSecret),
+	} {
+		_, err := ops.Authenticate(other, now)
+		assert.True(t, ErrUnauthenticated.Has(err), other)
+	}
+	op, err := ops.Authenticate(token, now)
+	require.NoError(t, err)
+	assert.Equal(t, "kim", op.Name)
+}
+
 func TestOperators(t *testing.T) {
 	token, hash := secret(t, PrefixOperator, 1)
 	ops, err := NewOperators([]Operator{{Name: "kim", TokenHash: hash, Role: RoleBreakGlass, Expires: now}})
@@ -171,15 +157,16 @@
 }
 
 func BenchmarkAuthenticate(b *testing.B) {
-	var accounts []config.Account
+	var operators []Operator
 	for i := range 410 {
-		accounts = append(accounts, config.Account{KeyHashes: []string{HashSecret(PrefixAPIKey + string(rune(i+1))).String()}})
+		hash := HashSecret(PrefixOperator + string(rune(i+1))).String()
+		operators = append(operators, Operator{Name: "kim", Role: RoleViewer, TokenHash: hash})
 	}
-	a, err := NewAccounts(accounts)
+	ops, err := NewOperators(operators)
 	require.NoError(b, err)
-	key := PrefixAPIKey + string(rune(200))
+	token := PrefixOperator + string(rune(200))
 	b.ReportAllocs()
 	for b.Loop() {
-		_, _ = a.Authenticate(key)
+		_, _ = ops.Authenticate(token, now)
 	}
 }
--- a/internal/operate/access/authorize.go
+++ b/internal/operate/access/authorize.go
@@ -17,10 +17,6 @@
 	ActionEditConfig Action = "config.edit"
 	// ActionIssueToken issues or revokes operator tokens and API keys.
 	ActionIssueToken Action = "token.issue"
-	// ActionDrain takes a router or an upstream out of service.
-	ActionDrain Action = "drain"
-	// ActionOrder gives an order to an engine.
-	ActionOrder Action = "engine.order"
 	// ActionResolveClaim gives a verdict on a non-idempotent request whose
 	// outcome is not known.
 	ActionResolveClaim Action = "claim.resolve"
@@ -28,12 +24,6 @@
 	ActionOverride Action = "safeguard.override"
 )
 
-// The actions of client accounts.
-const (
-	ActionUseModel    Action = "model.use"
-	ActionCallService Action = "service.call"
-)
-
 // FleetWide is the team of what belongs to no single team. Only an operator
 // whose scope is the whole fleet may act on it.
 const FleetWide = ""
@@ -51,8 +41,6 @@
 	ActionReadAudit:    {least: RoleEditor},
 	ActionEditConfig:   {least: RoleEditor},
 	ActionIssueToken:   {least: RoleAdmin},
-	ActionDrain:        {least: RoleAdmin},
-	ActionOrder:        {least: RoleAdmin},
 	ActionResolveClaim: {least: RoleAdmin},
 	ActionOverride:     {least: RoleBreakGlass},
 }
@@ -65,7 +53,6 @@
 	ReasonRole          Reason = "role"
 	ReasonScope         Reason = "scope"
 	ReasonUnknownAction Reason = "unknown_action"
-	ReasonNotListed     Reason = "not_listed"
 )
 
 // DeniedError reports an action that the principal may not take.
--- a/internal/operate/audit/write.go
+++ b/internal/operate/audit/write.go
@@ -35,7 +35,7 @@
 //
 // Errors: *platform.ConflictError for one of the writes, ErrContended, and
 // those of platform.CommitOnce. With ErrOutcomeUnknown the entry is returned as
-// it may have been written; see Written.
+// it may have been written.
 func (t *Trail) Record(ctx context.Context, e Entry, writes ...platform.Write) (Entry, error) {
 	if e.Time.IsZero() {
 		e.Time = t.now()
@@ -60,21 +60,6 @@
 	return conflict.Current.Table == TableHead || conflict.Current.Table == Table
 }
 
-// Written reports whether an entry that Record returned with an unknown outcome
-// is in the trail. Errors: ErrCorrupt, those of platform.Table.
-func (t *Trail) Written(ctx context.Context, e Entry) (bool, error) {
-	row, err := t.table.Get(ctx, platform.UseAudit, Table, key(e.Number))
-	if platform.ErrNotFound.Has(err) {
-		return false, nil
-	}
-	if err != nil {
-		return false, err
-	}
-	var found Entry
-	err = decode(row.Value, &found)
-	return found.ID == e.ID, err
-}
-
 // record takes the next number by compare-and-set.
 //
 // Numbers without gaps are what makes reading stable: with the time as key, a
--- a/internal/secure/keys/keys.go
+++ b/internal/secure/keys/keys.go
@@ -1,7 +1,7 @@
-// Package keys holds what the fleet proves itself with: the ring of signing
-// keys for hints and resume tokens, and the certificates of TLS towards callers
-// and between routers. Each is read from files and replaced in place when the
-// files change, without a restart and without cutting a connection.
+// Package keys holds the certificates of TLS towards callers and between routers.
+// They are read from files and replaced in place when the files change, without a
+// restart and without cutting a connection. The keys that sign hints and resume
+// tokens are in package secret.
 //
 // The package starts nothing: its owner calls Check at an interval of its own.
 package keys
--- a/internal/secure/keys/keys_test.go
+++ b/internal/secure/keys/keys_test.go
@@ -1,7 +1,6 @@
 package keys
 
 import (
-	"bytes"
 	"crypto/tls"
 	"io"
 	"net"
@@ -13,8 +12,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"damaskrouter.example/damaskrouter/internal/secure/token"
 )
 
 func generate(t *testing.T, dir string, o GenerateOptions) {
@@ -215,47 +212,6 @@
 	}
 }
 
-func TestRing(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "ring")
-	_, err := OpenRing(path)
-	assert.True(t, ErrFile.Has(err))
-	key := func(id byte) token.Key {
-		k, err := NewKey(bytes.NewReader(bytes.Repeat([]byte{id}, token.MinSecret)), id)
-		require.NoError(t, err)
-		return k
-	}
-	require.NoError(t, WriteRing(path, []token.Key{key(1)}))
-	r, err := OpenRing(path)
-	require.NoError(t, err)
-	hint := r.Codec().SealHint("acme", token.Hint{Chat: 1})
-
-	require.NoError(t, WriteRing(path, []token.Key{key(2), key(1)}))
-	changed, err := r.Check()
-	require.NoError(t, err)
-	assert.True(t, changed)
-	assert.Equal(t, []token.Key{key(2), key(1)}, r.Keys())
-	_, err = r.Codec().OpenHint("acme", hint)
-	assert.NoError(t, err, "signed with the first key")
-
-	secret := strings.Repeat("ab", token.MinSecret)
-	for name, text := range map[string]string{
-		"empty": "# nothing\n", "no id": secret, "id too large": "256 " + secret, "short": "1 abab",
-		"no hexadecimal": "1 " + secret + "zz", "id twice": "1 " + secret + "\n1 " + secret,
-		"three": "1 " + secret + "\n2 " + secret + "\n3 " + secret,
-	} {
-		require.NoError(t, writeFile(path, []byte(text), secretMode))
-		changed, err := r.Check()
-		assert.True(t, ErrInvalid.Has(err), name)
-		assert.NotContains(t, err.Error(), secret, "an error must not show secrets")
-		assert.False(t, changed)
-		assert.Len(t, r.Keys(), 2, name)
-	}
-	assert.Equal(t, Stats{Reloads: 1, Failures: 7}, r.Stats())
-	assert.True(t, ErrInvalid.Has(WriteRing(path, nil)))
-	_, err = NewKey(strings.NewReader("short"), 1)
-	assert.True(t, ErrInvalid.Has(err))
-}
-
 func TestGenerateRefusesNames(t *testing.T) {
 	dir := fleet(t)
 	for _, name := range []string{"", "ca", "../r1", "R1", "r.1", "-r", strings.Repeat("r", maxName+1)} {
--- a/internal/store/config/bundle.go
+++ b/internal/store/config/bundle.go
@@ -134,13 +134,3 @@
 	}
 	return doc, nil
 }
-
-// ParseOverlay decodes a site's overlay; file names it in problems.
-func ParseOverlay(file string, data []byte) (*Overlay, error) {
-	overlay := new(Overlay)
-	_, problems := strictyaml.Decode(file, data, overlay)
-	if len(problems) > 0 {
-		return nil, problems
-	}
-	return overlay, nil
-}
