soak: links between routers, a store that hears of no change, engines that left

Change: settings may name an address under which a VM is reached (listen.advertise, also for routers behind a translation of addresses); the soak puts a proxy there, for calls and for datagrams, and delays, resets, silences it or cuts it one way. The store may answer watches as if nothing had changed. Checked besides: an engine that left gets nothing once the faults are over.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -91,7 +91,7 @@
 	r := &Router{set: set, plat: plat, log: logger.With("router", set.Name)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.self = feed.Peer{
-		Name: set.Name, Site: set.Site, Address: r.peerAddress(set.Listen.Callers), Link: uint64(set.Limits.LinkMbps),
+		Name: set.Name, Site: set.Site, Address: r.peerAddress(r.advertised()), Link: uint64(set.Limits.LinkMbps),
 	}
 	r.assembleFeed()
 	r.assembleForwarder()
@@ -237,7 +237,7 @@
 		routers = append(routers, entry.Router{Name: p.Name, Site: p.Site, Address: r.callersAddress(p.Address)})
 	}
 	if len(routers) == 0 {
-		routers = []entry.Router{{Name: r.self.Name, Site: r.self.Site, Address: r.set.Listen.Callers}}
+		routers = []entry.Router{{Name: r.self.Name, Site: r.self.Site, Address: r.advertised()}}
 	}
 	return entry.Answers(routers, q, min(addressTTL, time.Duration(r.set.Bounds.MaxTTL)))
 }
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -23,6 +23,15 @@
 	return net.JoinHostPort(host, strconv.Itoa(r.set.Listen.PortRange[0]))
 }
 
+// advertised is where callers reach this router.
+func (r *Router) advertised() string {
+	_, port, err := net.SplitHostPort(r.set.Listen.Callers)
+	if r.set.Listen.Advertise == "" || err != nil {
+		return r.set.Listen.Callers
+	}
+	return net.JoinHostPort(r.set.Listen.Advertise, port)
+}
+
 // callersAddress is where the router behind a peer address serves callers.
 func (r *Router) callersAddress(peerAddress string) string {
 	host, _, err := net.SplitHostPort(peerAddress)
@@ -56,7 +65,8 @@
 
 // startPeers joins the membership and answers other routers.
 func (r *Router) startPeers() error {
-	ln, err := net.Listen("tcp4", r.self.Address)
+	listen := r.peerAddress(r.set.Listen.Callers)
+	ln, err := net.Listen("tcp4", listen)
 	if err != nil {
 		return err
 	}
@@ -71,9 +81,9 @@
 	}
 	r.goRun(func(context.Context) { r.calls.Serve(ln) })
 	r.gossip, err = gossip.Listen(gossip.Config{
-		Listen: r.self.Address,
+		Listen: listen,
 		Self: membership.Member{
-			Name: r.self.Name, Address: r.self.Address, HTTP: r.set.Listen.Callers, Site: r.self.Site,
+			Name: r.self.Name, Address: r.self.Address, HTTP: r.advertised(), Site: r.self.Site,
 			Link: r.self.Link,
 		},
 		Options: r.gossipOptions(),
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -53,6 +53,10 @@
 	Ready     string `yaml:"ready" validate:"required,hostport"`
 	Directory string `yaml:"directory" validate:"required,hostport"`
 	Control   string `yaml:"control" validate:"required,hostport"`
+	// Advertise is the IP address under which callers and other routers reach this VM,
+	// at the same ports. The default is the one at which callers are served; it differs
+	// behind a translation of addresses.
+	Advertise string `yaml:"advertise" validate:"omitempty,ip"`
 	// Metrics is where counters and latencies are served. The default is not
 	// to serve them.
 	Metrics string `yaml:"metrics" validate:"omitempty,hostport"`
--- a/test/soak/books.go
+++ b/test/soak/books.go
@@ -45,12 +45,14 @@
 	b.broken = append(b.broken, fmt.Sprintf(format, args...))
 }
 
-// check compares the books of both sides and returns the promises broken.
-func (b *books) check(w *world) []string {
+// check compares the books of both sides and returns the promises broken. Since calmFrom
+// nothing has gone wrong.
+func (b *books) check(w *world, calmFrom time.Time) []string {
 	runs := make(map[string][]platformtest.Run)
 	for _, e := range w.engines {
 		for _, r := range e.Runs() {
 			runs[r.RequestID] = append(runs[r.RequestID], r)
+			b.checkLeft(e, r, calmFrom)
 		}
 	}
 	for _, e := range b.entries {
@@ -66,3 +68,12 @@
 		b.fail("%s: key %s ran %v after it was taken away", e.answer.ID, e.key, e.sent.Sub(at))
 	}
 }
+
+// checkLeft: an engine that leaves gets no new request after the bound, once all routers
+// can know.
+func (b *books) checkLeft(e *engine, r platformtest.Run, calmFrom time.Time) {
+	if e.drainedAt.IsZero() || r.At.Before(calmFrom) || r.At.Before(e.drainedAt.Add(drainBound)) {
+		return
+	}
+	b.fail("%s: ran at %s %v after it began to leave", r.RequestID, e.ID, r.At.Sub(e.drainedAt))
+}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -20,7 +20,7 @@
 // Each list of modes and behaviours is what a proxy or an engine can do.
 var (
 	badLinks   = []mode{delayed, resetting, deaf, silent}
-	badStores  = []standin.Fault{standin.Busy, standin.Limited, standin.Silent}
+	badStores  = []standin.Fault{standin.Busy, standin.Limited, standin.Silent, standin.Hushed}
 	badEngines = []platformtest.Behaviour{
 		platformtest.Shed, platformtest.Broken, platformtest.Reset, platformtest.Mute,
 		platformtest.CutBody, platformtest.Unframed, platformtest.Extra, platformtest.Unsealed,
@@ -36,6 +36,12 @@
 		time.Sleep(d)
 		p.set(passing)
 	}},
+	{"router link", func(w *world, rng *rand.Rand, d time.Duration) {
+		l := pick(rng, w.routers).peers
+		l.set(pick(rng, badLinks))
+		time.Sleep(d)
+		l.set(passing)
+	}},
 	{"store", func(w *world, rng *rand.Rand, d time.Duration) {
 		bad := pick(rng, badStores)
 		w.store.Fail(func(string) standin.Fault { return bad })
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -39,13 +39,21 @@
 }
 
 func newProxy(target string) *proxy {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	p, err := newProxyAt("127.0.0.1:0", target)
 	if err != nil {
 		panic(err)
 	}
+	return p
+}
+
+func newProxyAt(listen, target string) (*proxy, error) {
+	ln, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return nil, err
+	}
 	p := &proxy{ln: ln, target: target, conns: make(map[net.Conn]bool)}
 	go p.serve()
-	return p
+	return p, nil
 }
 
 func (p *proxy) address() string { return p.ln.Addr().String() }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -179,7 +179,7 @@
 // result compares the books.
 func (b *books) result(w *world, calmFrom time.Time) Result {
 	out := Result{
-		Requests: len(b.entries), EndedByThemselves: w.endedByThemselves.Load(), Faults: b.faults, Broken: b.check(w),
+		Requests: len(b.entries), EndedByThemselves: w.endedByThemselves.Load(), Faults: b.faults, Broken: b.check(w, calmFrom),
 	}
 	for _, e := range b.entries {
 		served := e.answer.Status == http.StatusOK && e.answer.Err == nil
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -46,10 +46,12 @@
 	drainedAt time.Time
 }
 
-// router is one process, with a proxy of its own towards the store.
+// router is one process, with proxies of its own: towards the store, and from other
+// routers.
 type router struct {
 	name, ip string
 	store    *proxy
+	peers    *peerLink
 	settings string
 
 	mu  sync.Mutex
@@ -62,7 +64,7 @@
 
 const settingsText = `name: %s
 site: x
-listen: {callers: "%s:%d", ready: "%s:%d", directory: "%s:%d", control: "%s:%d", ports: [%d, %d]}
+listen: {callers: "%s:%d", ready: "%s:%d", directory: "%s:%d", control: "%s:%d", ports: [%d, %d], advertise: "%s"}
 seeds: ["%s:1"]
 fleet_key: 0123456789abcdef0123
 store: "%s"
@@ -70,8 +72,13 @@
 bounds: {revoke_ms: %d, beat_ms: 1200, config_ms: 2000, drain_ms: 2000, stop_s: %d, retry_ratio: 1, retry_slack: 1000, retry_window_s: 10, max_ttl_s: 5}
 `
 
+// advertisedOffset leads from a router's own address to the one of its proxy, in the
+// second number.
+const advertisedOffset = 1
+
 // newWorld starts a store with a configuration, engines and routers. The
-// routers' addresses are 127.0.NET.1 and on, so that runs can stand side by side.
+// routers' addresses are 127.0.NET.1 and on, so that runs can stand side by side; other
+// routers know them by 127.1.NET.1 and on, where their proxies are.
 func newWorld(dir, binary string, network, routers, engines int) (*world, error) {
 	w := &world{dir: dir, binary: binary, store: platformtest.NewStore()}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -127,9 +134,15 @@
 
 func (w *world) addRouter(i, network int) error {
 	r := &router{name: fmt.Sprintf("router-%d", i), ip: fmt.Sprintf("127.0.%d.%d", network, i+1), store: newProxy(w.store.Address())}
+	advertised := fmt.Sprintf("127.%d.%d.%d", advertisedOffset, network, i+1)
+	peers, err := newPeerLink(fmt.Sprintf("%s:%d", advertised, w.port+4), fmt.Sprintf("%s:%d", r.ip, w.port+4))
+	if err != nil {
+		return err
+	}
+	r.peers = peers
 	r.settings = filepath.Join(w.dir, r.name+".yaml")
-	text := fmt.Sprintf(settingsText, r.name, r.ip, w.port, r.ip, w.port+1, r.ip, w.port+2, r.ip, w.port+3, w.port+4, w.port+9,
-		fmt.Sprintf("127.0.%d.1", network), r.store.address(), revokeBound.Milliseconds(), int(stopTime.Seconds()))
+	text := fmt.Sprintf(settingsText, r.name, r.ip, w.port, r.ip, w.port+1, r.ip, w.port+2, r.ip, w.port+3, w.port+4, w.port+9, advertised,
+		fmt.Sprintf("127.%d.%d.1", advertisedOffset, network), r.store.address(), revokeBound.Milliseconds(), int(stopTime.Seconds()))
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -222,6 +235,7 @@
 		r.signal(syscall.SIGKILL)
 		r.wait(time.Second)
 		r.store.close()
+		r.peers.close()
 	}
 	for _, e := range w.engines {
 		e.proxy.close()
