feed: the word of a lost store counts only while its teller answers

A router that has heard "the store is lost" leaves the store alone for as long as that word counts, two seconds, also when nobody who said so answers any more; meanwhile it asks one dead router after the other.

Before: TestOldWordOfALostStoreKeepsNobodyFromReading fails (version 1 after 1.9 s). After: 30 runs of the feed's tests pass, the one against storms of calls included.

--- a/internal/edge/feed/feed_test.go
+++ b/internal/edge/feed/feed_test.go
@@ -23,8 +23,6 @@
 	return out
 }
 
-// Whoever computes it, exactly one router reads the store, and every chain of
-// parents ends there.
 // Symptom: changes are late, and routers refuse what they can't confirm. Sequence: a
 // configuration of thousands of routes goes out from a VM with a small link. Cause: the
 // router that reads, or the first of a site, was any of them.
@@ -46,6 +44,8 @@
 	}
 }
 
+// Whoever computes it, exactly one router reads the store, and every chain of
+// parents ends there.
 func TestOneRouterReadsAndAllChainsEndThere(t *testing.T) {
 	live := peers("x", "x", "y", "y", "z", "x", "z")
 	readers := 0
@@ -280,6 +280,46 @@
 	})
 }
 
+// Symptom: a router that reaches the store handles requests by a configuration that was
+// replaced more than two seconds ago. Sequence: the reader loses the store and says so;
+// a moment later it and the first router of each site are cut off; the configuration
+// changes. Cause: what was last heard of the store, that it is lost, kept routers from
+// reading it themselves while they asked one dead router after the other.
+func TestOldWordOfALostStoreKeepsNobodyFromReading(t *testing.T) {
+	var bad *fakeStore
+	var cut []string
+	split := func(live []Peer, good *fakeStore) map[string]*fakeStore {
+		bad = newFakeStore()
+		bad.update(func(b *fakeStore) { b.config, b.engines = good.config, good.engines })
+		out := sameStore(live, good)
+		for _, p := range live {
+			parent, ok := ParentOf(p, live, nil, 0)
+			if !ok {
+				out[p.Name] = bad
+			}
+			if !ok || parent.Site != p.Site {
+				cut = append(cut, p.Name)
+			}
+		}
+		return out
+	}
+	inFleet(t, split, func(f *fakeFleet, s *fakeStore) {
+		require.Len(t, cut, 3)
+		bad.update(func(b *fakeStore) { b.down = true })
+		time.Sleep(250 * time.Millisecond)
+		for _, name := range cut {
+			f.cut.Store(name, true)
+		}
+		s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: 9}) })
+		time.Sleep(1900 * time.Millisecond)
+		for name, n := range f.nodes {
+			if !f.isCut(name) {
+				require.Equal(t, uint64(9), n.board.Snapshot().Config.Version, name)
+			}
+		}
+	})
+}
+
 // Symptom: revoked keys are accepted too long. Sequence: a pull is held, the
 // parent's confirmation is old. Cause handled: the age counts from the sending of
 // the pull less what it was held, never from the arrival of the answer.
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -162,7 +162,7 @@
 	n := &fakeNode{store: store, board: NewBoard(f.clock, 1200*time.Millisecond)}
 	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
 	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: testTiming, Log: quiet(),
-		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.Lost() },
+		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.ToldLost() },
 		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
 	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: testTiming, Log: quiet(),
 		Live: func() []Peer { return f.live }, StoreLost: n.reader.Lost, Call: f.call(self)}
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -63,6 +63,8 @@
 	// lostAt is the boot time at which a reader, this router or another, was
 	// last known to fail to reach the store.
 	lostAt atomic.Int64
+	// answeredAt is the boot time at which another router last answered.
+	answeredAt atomic.Int64
 	// known are the routers that can't reach the store, as of a boot time.
 	known atomic.Pointer[knownFailures]
 }
@@ -92,6 +94,17 @@
 // Lost says whether what is old here is so because the store can't be reached.
 func (f *Follower) Lost() bool { return f.LostAgo() < lostMemory }
 
+// heardWithin is how long ago another router must have answered for its word on the
+// store to count: two pulls, one of which may be lost.
+const heardWithin = 2 * pullTimeout
+
+// ToldLost says whether other routers say that the store can't be reached, and still
+// answer. The word of one that has fallen silent is no reason to leave the store alone:
+// this router may be the only one left that could find out that it is back.
+func (f *Follower) ToldLost() bool {
+	return f.Lost() && f.Clock()-time.Duration(f.answeredAt.Load()) < heardWithin
+}
+
 // noteLost records that a reader failed at a boot time.
 func (f *Follower) noteLost(at time.Duration) {
 	if at > time.Duration(f.lostAt.Load()) {
@@ -205,6 +218,7 @@
 		return
 	}
 	f.misses = 0
+	f.answeredAt.Store(int64(f.Clock()))
 	f.parentLost = reply.StoreLost
 	if args.Loads != nil {
 		f.loadsTold = reply.LoadsSeq
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -112,7 +112,7 @@
 		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
 		Timing:     timing,
 		Reads:      func() bool { return r.follower.Reads() },
-		OthersLost: func() bool { return r.follower.Lost() },
+		OthersLost: func() bool { return r.follower.ToldLost() },
 		LostAgo:    func() time.Duration { return r.follower.LostAgo() },
 	}
 	r.caller = peer.NewCaller(r.set.Name, r.fleetKeys, &r.counters)
