upstream: both entries have one pool of connections to engines

Cause: two clients towards engines, net/http's Transport with a seal against its late writes in `serve`, a pool of our own in `edge` (the users ask for one of each). The first sends pooled calls again by itself, which no retry budget counts (docs/UPSTREAM.md listed it as a limit).

Ruled out: the Transport for both (it re-sends, and its writes run on in a goroutine of its own); merging the layers above (chats resume by the project's own protocol, forwarded requests by the platform's).

"Not sent" is said only if no write was begun or the kernel refused the first one; a write that is cut short here may have executed.

--- a/internal/edge/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,8 +15,8 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. Within a site it takes
-	// about two milliseconds; a lost packet costs a second, in which another
+	// dialTimeout bounds the opening of a connection, if Options don't. Within a site
+	// it takes about two milliseconds; a lost packet costs a second, in which another
 	// engine would have answered.
 	dialTimeout = 300 * time.Millisecond
 	// unackedTimeout ends a connection whose other end acknowledges nothing.
@@ -33,30 +34,72 @@
 	readBuffer = 4 << 10
 )
 
+// Traffic counts the bytes of some requests and their answers, as they pass the
+// connection.
+type Traffic struct{ In, Out atomic.Int64 }
+
 // conn is one connection to an engine.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleSince is the boot time of its return to the pool.
-	idleSince time.Duration
+	// traffic counts the bytes of the request that has the connection; nil for none.
+	traffic atomic.Pointer[Traffic]
+	// opened is the boot time at which it was opened, idleSince of its return to the
+	// pool.
+	opened, idleSince time.Duration
 	// keep is how long it may stay idle.
 	keep time.Duration
+	// reused means that an earlier request had it.
+	reused bool
 }
 
-// dial opens a connection. Errors: ErrNotSent.
-func dial(ctx context.Context, address string) (*conn, error) {
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if t := c.traffic.Load(); t != nil {
+		t.In.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It counts first: the answer may be read before the writer
+// goes on.
+func (c *conn) Write(b []byte) (int, error) {
+	t := c.traffic.Load()
+	if t == nil {
+		return c.Conn.Write(b)
+	}
+	t.Out.Add(int64(len(b)))
+	n, err := c.Conn.Write(b)
+	t.Out.Add(int64(n - len(b)))
+	return n, err
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTCP opens a connection on which an end that is gone is noticed.
+func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
 		Control: limitUnacked,
 	}
-	c, err := d.DialContext(ctx, "tcp4", address)
+	return d.DialContext(ctx, network, address)
+}
+
+// dial opens a connection. Errors: ErrNotSent.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	raw, err := p.opts.Dial(ctx, "tcp4", address)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	c := &conn{Conn: raw, opened: p.opts.Clock()}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
--- a/internal/edge/engineconn/errors.go
+++ b/internal/base/engineconn/errors.go
@@ -14,6 +14,9 @@
 	// ErrNoAnswer means that the request was sent, wholly or in part, and the
 	// connection ended or its deadline passed before an answer began.
 	ErrNoAnswer = errs.Class("engine: no answer")
+	// ErrReused is around ErrNoAnswer and ErrMalformed where the connection had carried
+	// another request before: it may have gone silent since, and others with it.
+	ErrReused = errs.Class("engine: on a connection used before")
 	// ErrMalformed means that what came back is not an answer to the request.
 	ErrMalformed = errs.Class("engine: malformed answer")
 	// ErrCut means that an answer ended before it was complete.
--- a/internal/edge/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 )
 
 const (
@@ -22,8 +20,36 @@
 	sweepAfter = 512
 )
 
-// Clock reads the time since the VM booted, suspends included.
-type Clock func() time.Duration
+// Options set up a Pool. Zero fields take the defaults.
+type Options struct {
+	// Clock reads the time since the VM booted, suspends included. It must be set.
+	Clock func() time.Duration
+	// Dial opens connections; the default dials TCP and notices ends that are gone.
+	Dial DialFunc
+	// DialTimeout bounds the opening of a connection. The default is 300 ms.
+	DialTimeout time.Duration
+	// MaxAge is how long after its opening a connection may be used again. The
+	// default is not to bound it.
+	MaxAge time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = dialTimeout
+	}
+	return o
+}
+
+// Target is the engine that a request goes to.
+type Target struct {
+	// ID names the engine; connections are kept for each.
+	ID string
+	// Address is where it listens, "ip:port".
+	Address string
+}
 
 // Request is what is sent to an engine.
 type Request struct {
@@ -35,18 +61,21 @@
 	Body   []byte
 	// MaxIdle is the longest time that a kept connection may have been idle
 	// to be used. A connection that the engine has dropped loses what is sent
-	// on it, and the longer it was idle, the likelier that is.
+	// on it, and the longer it was idle, the likelier that is. Less than zero asks
+	// for a new connection.
 	MaxIdle time.Duration
 	// Keep is how many idle connections to the engine may be kept.
 	Keep int
 	// Own says whether an answer belongs to the request. An engine may send a
 	// second answer to an earlier request of the connection.
 	Own func(http.Header) bool
+	// Traffic counts the bytes of the exchange; nil for not to count them.
+	Traffic *Traffic
 }
 
 // Pool keeps connections to engines. It is safe for concurrent use.
 type Pool struct {
-	clock Clock
+	opts Options
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -55,8 +84,8 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(clock Clock) *Pool {
-	return &Pool{clock: clock, idle: make(map[string][]*conn)}
+func NewPool(o Options) *Pool {
+	return &Pool{opts: o.withDefaults(), idle: make(map[string][]*conn)}
 }
 
 // Dials is how many connections have been opened.
@@ -89,15 +118,15 @@
 	if p.sends%sweepAfter == 0 {
 		drop = p.sweep()
 	}
-	now := p.clock()
+	now := p.opts.Clock()
 	list := p.idle[engine]
 	if len(list) == 0 {
 		return nil, drop
 	}
 	c = list[len(list)-1]
 	idle := now - c.idleSince
-	if idle > c.keep {
-		// All others have been idle for longer.
+	if idle > c.keep || p.aged(c, now) {
+		// All others have been idle for longer, and are about as old.
 		delete(p.idle, engine)
 		return nil, append(drop, list...)
 	}
@@ -108,10 +137,27 @@
 	return c, drop
 }
 
+// aged says whether the connection is too old to be used again.
+func (p *Pool) aged(c *conn, now time.Duration) bool {
+	return p.opts.MaxAge > 0 && now-c.opened >= p.opts.MaxAge
+}
+
+// Drop closes the idle connections to an engine: where one of them has fallen silent
+// the others most likely have too, and each would cost a request its time limit.
+func (p *Pool) Drop(engine string) {
+	p.mu.Lock()
+	list := p.idle[engine]
+	delete(p.idle, engine)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
 // sweep removes the connections that may not be used any more, such as those to
 // engines that have left. The caller holds the mutex and closes them.
 func (p *Pool) sweep() (drop []*conn) {
-	now := p.clock()
+	now := p.opts.Clock()
 	for engine, list := range p.idle {
 		list = slices.DeleteFunc(list, func(c *conn) bool {
 			old := now-c.idleSince > c.keep
@@ -129,7 +175,7 @@
 
 // put keeps a connection for later, unless there are enough.
 func (p *Pool) put(engine string, c *conn, most int) {
-	c.idleSince = p.clock()
+	c.idleSince = p.opts.Clock()
 	if c.keep == 0 {
 		c.keep = defaultKeep
 	}
@@ -146,14 +192,15 @@
 }
 
 // open returns a kept connection, or a new one. Errors: ErrNotSent.
-func (p *Pool) open(ctx context.Context, e catalog.Engine, maxIdle time.Duration) (*conn, error) {
-	if c := p.take(e.ID, maxIdle); c != nil {
+func (p *Pool) open(ctx context.Context, to Target, maxIdle time.Duration) (*conn, error) {
+	if c := p.take(to.ID, maxIdle); c != nil {
+		c.reused = true
 		return c, nil
 	}
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return dial(ctx, e.Address)
+	return p.dial(ctx, to.Address)
 }
 
 // Close closes the idle connections.
--- a/internal/edge/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -8,9 +8,10 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/zeebo/errs"
 )
 
 // maxStrays is how many answers that belong to no request are passed over on
@@ -26,6 +27,11 @@
 	Header http.Header
 	// Length of the body in bytes; -1 if it is not known in advance.
 	Length int64
+	// Framed bodies have an end of their own; without one, the end of the connection
+	// is taken for it.
+	Framed bool
+	// Reused means that the connection had carried another request before.
+	Reused bool
 
 	body   io.ReadCloser
 	conn   *conn
@@ -45,6 +51,21 @@
 	err     error
 }
 
+// nothingSent says that no byte of the request has left, nor will: no write was begun, or
+// the kernel refused the first one as a whole, as on a connection that the other end has
+// reset. A write that was cut short by closing the connection here may have handed bytes
+// over, whatever it says.
+func (s *sending) nothingSent() bool {
+	if s.written.Load() > 0 {
+		return false
+	}
+	var refused syscall.Errno
+	return errNotBegun.Has(s.err) || errors.As(s.err, &refused)
+}
+
+// errNotBegun is around the reason for which nothing was written.
+var errNotBegun = errs.Class("not begun")
+
 // finished says whether the whole request has been written.
 func (s *sending) finished() bool {
 	select {
@@ -59,21 +80,25 @@
 // in. Ending the context closes the connection, on which most engines stop
 // their work; it does so also while the answer is read. Errors: ErrNotSent,
 // ErrNoAnswer, ErrMalformed.
-func (p *Pool) Send(ctx context.Context, e catalog.Engine, r *Request) (*Answer, error) {
-	c, err := p.open(ctx, e, r.MaxIdle)
+func (p *Pool) Send(ctx context.Context, to Target, r *Request) (*Answer, error) {
+	c, err := p.open(ctx, to, r.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
+	c.traffic.Store(r.Traffic)
 	unhook := context.AfterFunc(ctx, func() { _ = c.Close() })
-	out := write(c, r)
+	out := write(ctx, c, r)
 	resp, err := readHeader(c, r)
 	if err != nil {
 		unhook()
 		_ = c.Close()
 		<-out.done
-		if out.written.Load() == 0 && out.err != nil {
+		if out.nothingSent() {
 			return nil, ErrNotSent.Wrap(out.err)
 		}
+		if c.reused {
+			return nil, ErrReused.Wrap(err)
+		}
 		return nil, err
 	}
 	c.keep = 0
@@ -82,7 +107,8 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		body: resp.Body, conn: c, pool: p, engine: e.ID, unhook: unhook, sent: out, keep: r.Keep, reuse: !resp.Close,
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Reused: c.reused,
+		body: resp.Body, conn: c, pool: p, engine: to.ID, unhook: unhook, sent: out, keep: r.Keep, reuse: !resp.Close,
 	}, nil
 }
 
@@ -99,7 +125,7 @@
 // only wrote. A short one has been written when the answer comes, so that a fast
 // engine's connection isn't taken for one that is still being written to, and closed
 // instead of kept.
-func write(c *conn, r *Request) *sending {
+func write(ctx context.Context, c *conn, r *Request) *sending {
 	head := header(r)
 	rest := r.Body
 	if len(rest) <= smallBody {
@@ -108,16 +134,20 @@
 	}
 	s := &sending{done: make(chan struct{})}
 	if len(head)+len(rest) <= inPlace {
-		s.write(c, head)
+		s.write(ctx, c, head)
 		return s
 	}
-	go s.write(c, head, rest)
+	go s.write(ctx, c, head, rest)
 	return s
 }
 
 // write writes the parts and ends the sending.
-func (s *sending) write(c *conn, parts ...[]byte) {
+func (s *sending) write(ctx context.Context, c *conn, parts ...[]byte) {
 	defer close(s.done)
+	if err := ctx.Err(); err != nil {
+		s.err = errNotBegun.Wrap(err)
+		return
+	}
 	for _, part := range parts {
 		if len(part) == 0 {
 			continue
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
 )
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
 )
 
 // wholeAnswer bounds the answers that are read whole before they are passed on,
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
 )
 
 const (
@@ -172,7 +172,7 @@
 	defer cancel()
 	ctx, answered := x.watchSilence(ctx, e)
 	sent := x.f.Clock()
-	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(choice, ""))
+	answer, err := x.f.Conns.Send(ctx, targetOf(e), x.engineRequest(choice, ""))
 	answered()
 	waited := x.f.Clock() - sent
 	if err != nil {
@@ -197,6 +197,10 @@
 	return x.relayWhole(e, answer)
 }
 
+func targetOf(e catalog.Engine) engineconn.Target {
+	return engineconn.Target{ID: e.ID, Address: e.Address}
+}
+
 func (x *exchange) engineRequest(choice Choice, lastEvent string) *engineconn.Request {
 	sending := Sending{
 		Engine: choice.Engine, FetchFrom: choice.FetchFrom,
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -7,8 +7,8 @@
 	"io"
 	"net/http"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
-	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -134,7 +134,7 @@
 		return catalog.Engine{}, nil, nil
 	}
 	x.sends++
-	answer, err := x.f.Conns.Send(ctx, e, x.engineRequest(choice, lastID))
+	answer, err := x.f.Conns.Send(ctx, targetOf(e), x.engineRequest(choice, lastID))
 	if err != nil {
 		x.f.Engines.Note(e.ID, false)
 		x.logAttempt(e, err, 0)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/bootclock"
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/base/pause"
-	"damaskrouter.example/damaskrouter/internal/edge/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/entry"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/forward"
@@ -132,7 +132,7 @@
 	b := r.set.Bounds
 	r.forwarder = forward.New(forward.Options{
 		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
-		Conns: engineconn.NewPool(bootclock.Now), Engines: r.engines, Log: r.log,
+		Conns: engineconn.NewPool(engineconn.Options{Clock: bootclock.Now}), Engines: r.engines, Log: r.log,
 		FreshFor:  r.changeBound(),
 		StoreLost: func() bool { return r.follower.Lost() || r.reader.Lost() },
 		KeyLease:  time.Duration(leaseShare * float64(b.Revoke)),
--- a/internal/serve/router/provision.go
+++ b/internal/serve/router/provision.go
@@ -49,6 +49,7 @@
 	r.caller = peer.NewCaller(r.set.Name, r.secrets.Fleet, &r.counters, secure...)
 	r.calls = peer.NewServer(r.set.Name, r.secrets.Fleet, &r.counters, secure...)
 	r.upstream = upstream.New(upstream.Options{
+		Clock:       bootclock.Now,
 		DialTimeout: r.set.Timeouts.UpstreamConnect,
 		FirstChunk:  r.set.Timeouts.FirstByte,
 		IdleGap:     r.set.Timeouts.IdleGap,
--- a/internal/serve/upstream/call.go
+++ b/internal/serve/upstream/call.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +12,7 @@
 	"strings"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
 	"damaskrouter.example/damaskrouter/internal/serve/wire"
 )
@@ -65,8 +65,7 @@
 	method string
 	path   string
 	query  string
-	body   io.Reader
-	length int64
+	body   []byte
 	call   Call
 	accept string
 	typ    string
@@ -80,71 +79,78 @@
 
 // reply is an HTTP response whose body is still to be read.
 type reply struct {
-	res    *http.Response
+	res *http.Response
+	// ctx ends with the exchange; its cause says why.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
-	reused bool
+	answer *engineconn.Answer
 }
 
+// close ends the exchange. The connection is kept if the body has been read to its end.
 func (r *reply) close() {
+	r.answer.Close()
 	r.cancel(nil)
-	_ = r.res.Body.Close()
-}
-
-// onceReader hides the concrete type of a body, so that net/http can't derive
-// GetBody from it and has nothing to send again.
-type onceReader struct{ io.Reader }
-
-func bytesBody(b []byte) (io.Reader, int64) {
-	if len(b) == 0 {
-		return nil, 0
-	}
-	return bytes.NewReader(b), int64(len(b))
 }
 
 // roundTrip sends r and returns the reply once its headers are in. Statuses of
 // 400 and above become a *Failure, save for the plain replies of a service.
 func (c *Client) roundTrip(ctx context.Context, r request) (*reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	tracker := &sentTracker{meter: c.meters.of(r.op)}
-	req, err := r.build(tracker.attach(ctx))
+	out, err := c.outgoing(r)
 	if err != nil {
 		cancel(nil)
 		return nil, &Failure{Op: r.op, Sent: NotSent, Cause: err}
 	}
 	timer := headerTimer(r.headers, cancel)
-	res, err := c.transportFor(r).RoundTrip(req)
+	answer, err := c.conns.Send(ctx, targetOf(r.call), out)
 	timer.Stop()
+	if err == nil && ctx.Err() != nil {
+		// It came after its time: whoever asked has been told so.
+		answer.Close()
+		err = engineconn.ErrNoAnswer.Wrap(ctx.Err())
+	}
 	if err != nil {
 		defer cancel(nil)
-		return nil, c.transportFailure(ctx, r, tracker, err)
+		return nil, c.transportFailure(ctx, r, err)
 	}
-	rep := &reply{res: res, cancel: cancel, reused: tracker.onReused()}
-	if f := refusal(r, res); f != nil {
+	rep := &reply{res: responseOf(answer), ctx: ctx, cancel: cancel, answer: answer}
+	if f := refusal(r, rep.res); f != nil {
 		rep.close()
 		return nil, f
 	}
 	return rep, nil
 }
 
+// targetOf names an upstream by its address: another one may stand there later, but
+// connections to the first do not lead to it.
+func targetOf(call Call) engineconn.Target {
+	return engineconn.Target{ID: call.Address, Address: call.Address}
+}
+
+// responseOf puts an answer in the form that replies are checked in.
+func responseOf(a *engineconn.Answer) *http.Response {
+	res := &http.Response{StatusCode: a.Status, Header: a.Header, ContentLength: a.Length, Body: io.NopCloser(a)}
+	if a.Framed && a.Length < 0 {
+		res.TransferEncoding = []string{"chunked"}
+	}
+	return res
+}
+
 func headerTimer(d time.Duration, cancel context.CancelCauseFunc) *time.Timer {
 	return time.AfterFunc(d, func() {
 		cancel(ErrTimeout.New("no reply headers within %v", d))
 	})
 }
 
-func (c *Client) transportFor(r request) *http.Transport {
-	if r.pooled {
-		return c.pools.at(r.call.Address).transport()
+// transportFailure classifies a failed exchange, and drops the upstream's other idle
+// connections where one that had been used before has gone silent.
+func (c *Client) transportFailure(ctx context.Context, r request, err error) *Failure {
+	f := &Failure{Op: r.op, Sent: SentNoReply, Cause: transportCause(ctx, err)}
+	if engineconn.ErrNotSent.Has(err) {
+		f.Sent = NotSent
 	}
-	return c.fresh
-}
-
-// transportFailure classifies a failed round trip and sheds the pool where a
-// reused connection is the suspect.
-func (c *Client) transportFailure(ctx context.Context, r request, t *sentTracker, err error) *Failure {
-	f := &Failure{Op: r.op, Sent: t.afterFailure(), Cause: transportCause(ctx, err)}
-	if t.onReused() && ErrTimeout.Has(f.Cause) {
-		c.pools.at(r.call.Address).shed()
+	if engineconn.ErrReused.Has(err) && ErrTimeout.Has(f.Cause) {
+		c.conns.Drop(r.call.Address)
 	}
 	return f
 }
@@ -165,41 +171,36 @@
 	}
 }
 
-func (r request) build(ctx context.Context) (*http.Request, error) {
+// outgoing is the request as it goes on the wire. Only pooled ones use a connection that
+// others have used, and leave it to them.
+func (c *Client) outgoing(r request) (*engineconn.Request, error) {
 	if _, err := netip.ParseAddrPort(r.call.Address); err != nil {
 		return nil, ErrCall.New("address %q is no IP and port", r.call.Address)
 	}
-	u := &url.URL{Scheme: "http", Host: r.call.Address, Path: r.path, RawQuery: r.query}
-	req := (&http.Request{
-		Method:     r.method,
-		URL:        u,
-		Host:       r.call.Address,
-		Header:     r.header(),
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
-	}).WithContext(ctx)
-	r.setBody(req)
-	return req, checkHeader(req.Header)
-}
-
-// setBody gives pooled requests a body that can be sent again where nothing
-// was written, and all others one that can't.
-func (r request) setBody(req *http.Request) {
-	if r.body == nil {
-		return
+	target := &url.URL{Path: r.path, RawQuery: r.query}
+	out := &engineconn.Request{
+		Method:  r.method,
+		Target:  target.RequestURI(),
+		Host:    r.call.Address,
+		Header:  r.header(),
+		Body:    r.body,
+		MaxIdle: neverReuse,
+		// Whose answer it is, is checked where the answer is read.
+		Own:     func(http.Header) bool { return true },
+		Traffic: c.meters.of(r.op),
 	}
-	req.Body = io.NopCloser(onceReader{r.body})
-	req.ContentLength = r.length
-	if b, ok := r.body.(*bytes.Reader); ok && r.pooled {
-		start := *b
-		req.GetBody = func() (io.ReadCloser, error) {
-			again := start
-			return io.NopCloser(&again), nil
-		}
+	if r.pooled {
+		out.MaxIdle = c.opts.IdleConn
+		out.Keep = c.opts.MaxIdlePerHost
+	} else {
+		out.Header.Set("Connection", "close")
 	}
+	return out, checkHeader(out.Header)
 }
 
+// neverReuse asks for a new connection; see engineconn.Request.MaxIdle.
+const neverReuse = -time.Second
+
 // header lists the only headers that ever leave for an upstream.
 func (r request) header() http.Header {
 	h := http.Header{"User-Agent": {userAgent}}
--- a/internal/serve/upstream/client.go
+++ b/internal/serve/upstream/client.go
@@ -1,23 +1,26 @@
 // Package upstream is the router's HTTP client towards engines and plain
 // services. It classifies every call by what is known about its execution,
-// reads streams without trusting them, and never lets the HTTP transport send
-// non-idempotent work twice.
+// reads streams without trusting them, and never sends anything twice by itself.
 package upstream
 
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
+
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 )
 
 // DialFunc opens a connection; tests put in-memory pipes here.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = engineconn.DialFunc
 
 // Options are the client's settings. The zero value of a field means its default.
 type Options struct {
 	// Dial opens connections. The default dials TCP.
 	Dial DialFunc
+	// Clock reads the time that ages of connections are counted by. The default
+	// counts from New, without the time for which the VM is suspended.
+	Clock func() time.Duration
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
 	// HeaderTimeout bounds the wait for a reply's headers, for streams and
@@ -34,7 +37,8 @@
 	IdleGap time.Duration
 	// IdleConn is how long an unused connection stays in the pool.
 	IdleConn time.Duration
-	// ConnAge is how long the pool hands out connections of one generation.
+	// ConnAge is how long after its opening a connection is used again. Something
+	// between router and upstream may have forgotten it, which shows only by a timeout.
 	ConnAge time.Duration
 	// MaxIdlePerHost bounds the unused connections to one upstream.
 	MaxIdlePerHost int
@@ -65,31 +69,29 @@
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	opts   Options
-	pools  *pools
-	fresh  *http.Transport
+	conns  *engineconn.Pool
 	meters meters
 }
 
 // New returns a Client. Close releases its connections.
 func New(opts Options) *Client {
 	opts = opts.withDefaults()
-	return &Client{
-		opts:  opts,
-		pools: newPools(opts),
-		fresh: freshTransport(opts),
-	}
+	return &Client{opts: opts, conns: engineconn.NewPool(engineconn.Options{
+		Clock: opts.Clock, Dial: opts.dial, DialTimeout: opts.DialTimeout, MaxAge: opts.ConnAge,
+	})}
 }
 
 // Close drops the pooled connections. Streams in progress go on.
-func (c *Client) Close() {
-	c.pools.close()
-	c.fresh.CloseIdleConnections()
-}
+func (c *Client) Close() { c.conns.Close() }
 
 func (o Options) withDefaults() Options {
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
+	if o.Clock == nil {
+		started := time.Now()
+		o.Clock = func() time.Duration { return time.Since(started) }
+	}
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.HeaderTimeout, DefaultHeaderTimeout)
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
@@ -112,27 +114,8 @@
 	}
 }
 
-func (o Options) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
-	defer cancel()
-	c, err := o.Dial(ctx, network, address)
-	if err != nil {
-		return nil, ErrDial.Wrap(err)
-	}
-	return &countedConn{Conn: c}, nil
-}
-
-// freshTransport opens a connection for each request and closes it afterwards.
-//
-// What goes wrong with a pooled one: on a reused connection that breaks before
-// the reply, net/http sends the request again by itself if it bears an
-// Idempotency-Key, so a receipt is issued twice. One notices two executions in
-// the service's books for one call. A connection that carries a single request
-// is never "reused", and net/http re-sends on reused connections only.
-func freshTransport(o Options) *http.Transport {
-	return &http.Transport{
-		DialContext:        o.dialCounted,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	}
+// dial marks failures to connect, which are told apart from broken connections.
+func (o Options) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := o.Dial(ctx, network, address)
+	return conn, ErrDial.Wrap(err)
 }
--- a/internal/serve/upstream/control.go
+++ b/internal/serve/upstream/control.go
@@ -96,13 +96,11 @@
 }
 
 func (c *Client) transfer(ctx context.Context, op, path, typ string, call Call, body []byte) (Response, error) {
-	reader, n := bytesBody(body)
 	return c.whole(ctx, request{
 		op:      op,
 		method:  http.MethodPost,
 		path:    path,
-		body:    reader,
-		length:  n,
+		body:    body,
 		call:    call,
 		typ:     typ,
 		headers: c.opts.TransferTimeout,
--- a/internal/serve/upstream/service.go
+++ b/internal/serve/upstream/service.go
@@ -40,14 +40,12 @@
 	if err := checkService(call); err != nil {
 		return Response{}, &Failure{Op: opService, Sent: NotSent, Cause: err}
 	}
-	body, n := bytesBody(call.Body)
 	r := request{
 		op:      opService,
 		method:  call.Method,
 		path:    call.Path,
 		query:   call.Query,
-		body:    body,
-		length:  n,
+		body:    call.Body,
 		call:    call,
 		typ:     call.ContentType,
 		accept:  call.Accept,
@@ -60,13 +58,11 @@
 // Complete runs a chat completion that is not streamed. The reply's request id
 // is checked in the header and in the body.
 func (c *Client) Complete(ctx context.Context, call Call) (Response, error) {
-	body, n := bytesBody(call.Body)
 	res, err := c.whole(ctx, request{
 		op:      opComplete,
 		method:  http.MethodPost,
 		path:    wire.PathChat,
-		body:    body,
-		length:  n,
+		body:    call.Body,
 		call:    call,
 		typ:     protocol.TypeJSON,
 		accept:  protocol.TypeJSON,
@@ -110,6 +106,9 @@
 		return Response{}, &Failure{Op: r.op, Sent: SentNoReply, Status: res.Status, Cause: err}
 	}
 	res.Body, err = readBounded(rep.res, limit)
+	if err == nil {
+		err = rep.ctx.Err()
+	}
 	if err != nil {
 		return Response{}, c.readFailure(r, rep, err)
 	}
@@ -131,12 +130,11 @@
 
 func (c *Client) readFailure(r request, rep *reply, err error) *Failure {
 	f := &Failure{Op: r.op, Sent: SentNoReply, Status: rep.res.StatusCode, Cause: err}
-	ctx := rep.res.Request.Context()
-	if !ErrTooLarge.Has(err) && ctx.Err() != nil {
-		f.Cause = transportCause(ctx, err)
+	if !ErrTooLarge.Has(err) && rep.ctx.Err() != nil {
+		f.Cause = transportCause(rep.ctx, err)
 	}
-	if rep.reused && ErrTimeout.Has(f.Cause) {
-		c.pools.at(r.call.Address).shed()
+	if rep.answer.Reused && ErrTimeout.Has(f.Cause) {
+		c.conns.Drop(r.call.Address)
 	}
 	return f
 }
--- a/internal/serve/upstream/stream.go
+++ b/internal/serve/upstream/stream.go
@@ -71,13 +71,11 @@
 
 // Stream starts a streamed chat completion.
 func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
-	body, n := bytesBody(call.Body)
 	return c.open(ctx, request{
 		op:      opStream,
 		method:  http.MethodPost,
 		path:    wire.PathChat,
-		body:    body,
-		length:  n,
+		body:    call.Body,
 		call:    call,
 		typ:     protocol.TypeJSON,
 		accept:  protocol.TypeEvents,
@@ -202,7 +200,7 @@
 		op:     r.op,
 		call:   r.call,
 		rep:    rep,
-		ctx:    rep.res.Request.Context(),
+		ctx:    rep.ctx,
 		events: sse.NewReader(rep.res.Body, c.opts.MaxEvent),
 		wait:   r.call.FirstChunk,
 		next:   from,
@@ -294,8 +292,8 @@
 // proves that the request did not run.
 func (s *Stream) fail(cause error) error {
 	s.err = &Failure{Op: s.op, Sent: SentNoReply, Status: s.rep.res.StatusCode, Cause: cause}
-	if s.rep.reused && ErrIdle.Has(cause) {
-		s.client.pools.at(s.call.Address).shed()
+	if s.rep.answer.Reused && ErrIdle.Has(cause) {
+		s.client.conns.Drop(s.call.Address)
 	}
 	s.rep.close()
 	return s.err
--- a/internal/serve/upstream/traffic.go
+++ b/internal/serve/upstream/traffic.go
@@ -1,9 +1,6 @@
 package upstream
 
-import (
-	"io"
-	"sync/atomic"
-)
+import "damaskrouter.example/damaskrouter/internal/base/engineconn"
 
 // Bytes is the traffic of one kind of call, in bytes.
 type Bytes struct {
@@ -43,34 +40,19 @@
 func (c *Client) Traffic() Traffic {
 	m := &c.meters
 	return Traffic{
-		Status:    m.status.bytes(),
-		Events:    m.events.bytes(),
-		Transfers: m.transfers.bytes(),
+		Status:    bytesOf(&m.status),
+		Events:    bytesOf(&m.events),
+		Transfers: bytesOf(&m.transfers),
 	}
 }
 
-// meter counts the bytes of one kind of call.
-type meter struct{ in, out atomic.Int64 }
-
-// write writes b to w and counts it; a nil meter only writes. It counts first,
-// since the reply may be read before the transport's writer goes on.
-func (m *meter) write(w io.Writer, b []byte) (int, error) {
-	if m == nil {
-		return w.Write(b)
-	}
-	m.out.Add(int64(len(b)))
-	n, err := w.Write(b)
-	m.out.Add(int64(n - len(b)))
-	return n, err
-}
-
-func (m *meter) bytes() Bytes { return Bytes{In: m.in.Load(), Out: m.out.Load()} }
-
 // meters are the kinds that are counted.
-type meters struct{ status, events, transfers meter }
+type meters struct{ status, events, transfers engineconn.Traffic }
+
+func bytesOf(t *engineconn.Traffic) Bytes { return Bytes{In: t.In.Load(), Out: t.Out.Load()} }
 
 // of returns the meter of an operation, or nil if it isn't counted.
-func (m *meters) of(op string) *meter {
+func (m *meters) of(op string) *engineconn.Traffic {
 	switch op {
 	case opStatus:
 		return &m.status
