forward: a broken stream goes on past an engine that refuses

Cause: read while looking for what stands twice: resuming a stream repeated the steps of a send and left some out. An engine's refusal counted as an execution and ended the stream, though the next engine could go on; the age of the configuration and the caller's leaving were not looked at again; a send that certainly had not left ended it too.

Ruled out: one function for first sends and resumptions; a first answer may still become another status, the rest of a stream can't.

--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -116,40 +116,69 @@
 	}
 }
 
-// resume continues a broken stream at another engine, if the route allows it
-// and the budget has room.
+// resume continues a broken stream at another engine, if the route allows it and the
+// budget has room. An engine that refuses leaves the stream to the next one.
 func (x *exchange) resume(ctx context.Context, broken catalog.Engine, lastID string) (catalog.Engine, *engineconn.Answer, func()) {
-	if !x.route.Repeatable() || x.executed >= x.route.Attempts || lastID == "" {
-		return catalog.Engine{}, nil, nil
-	}
 	x.avoid[broken.ID] = true
-	x.snapshot = x.f.Snapshot()
-	choice, ok := x.pick()
-	if !ok {
-		return catalog.Engine{}, nil, nil
+	for range maxRefusals {
+		if !x.mayResume(lastID) {
+			break
+		}
+		choice, ok := x.pick()
+		if !ok {
+			break
+		}
+		e := choice.Engine
+		answer, refused := x.sendRest(ctx, choice, lastID)
+		if answer != nil {
+			return e, answer, func() {
+				answer.Close()
+				x.f.Engines.Done(e.ID)
+			}
+		}
+		x.f.Engines.Done(e.ID)
+		x.avoid[e.ID] = true
+		if !refused {
+			break
+		}
 	}
+	return catalog.Engine{}, nil, nil
+}
+
+// mayResume says whether the stream may go on after the event at all.
+func (x *exchange) mayResume(lastID string) bool {
+	return x.route.Repeatable() && x.executed < x.route.Attempts && lastID != "" && x.mayGoOn(x.gone()) == nil
+}
+
+// sendRest asks an engine for what comes after an event. It returns nil if there is no
+// answer to relay, and whether the engine promised that it did not execute the request.
+func (x *exchange) sendRest(ctx context.Context, choice Choice, lastID string) (answer *engineconn.Answer, refused bool) {
 	e := choice.Engine
 	if !x.f.Budget.Spend(e.Service, x.f.Clock()) {
-		x.f.Engines.Done(e.ID)
-		return catalog.Engine{}, nil, nil
+		return nil, false
 	}
 	x.sends++
 	answer, err := x.f.Conns.Send(ctx, targetOf(e), x.engineRequest(choice, lastID))
 	if err != nil {
 		x.f.Engines.Note(e.ID, false)
 		x.logAttempt(e, err, 0)
-		x.f.Engines.Done(e.ID)
-		return catalog.Engine{}, nil, nil
+		unsent := engineconn.ErrNotSent.Has(err)
+		if !unsent {
+			x.executed++
+		}
+		return nil, unsent
 	}
-	x.executed++
 	reply := x.f.Codec.Reply(answer.Status, answer.Header)
-	if answer.Status != http.StatusOK || !reply.Sealed {
+	if reply.NotExecuted {
+		x.engineRefused(e, answer, reply)
 		answer.Close()
-		x.f.Engines.Done(e.ID)
-		return catalog.Engine{}, nil, nil
+		return nil, true
 	}
-	return e, answer, func() {
+	x.executed++
+	if answer.Status != http.StatusOK || !reply.Sealed || reply.Encoded {
+		x.f.Engines.Note(e.ID, false)
 		answer.Close()
-		x.f.Engines.Done(e.ID)
+		return nil, false
 	}
+	return answer, false
 }
