edge: an engine's own failure has a reason of its own, unheard things have no age

Cause: reading the logs of two incidents: a lookup that ended with its engine's 500 was logged as engine_gave_no_answer, though the caller got that answer; a router that had just started logged a configuration 22 hours old, which was the time since its VM booted.

Ruled out: changing what is answered. Only the log lines differ.

TestWhatWasNeverHeardHasNoAge.

--- a/internal/edge/catalog/catalog_test.go
+++ b/internal/edge/catalog/catalog_test.go
@@ -185,3 +185,11 @@
 	_, ok = v4.UpdateFrom(v3).Apply(nil)
 	require.False(t, ok)
 }
+
+// Symptom: the log of a router that has just started says that its configuration is 22
+// hours old. Cause: its age was counted from the boot of the VM.
+func TestWhatWasNeverHeardHasNoAge(t *testing.T) {
+	require.Equal(t, []any{"config_age", unheard, "engines_age", unheard}, Empty().AgeFields(time.Hour))
+	s, _ := Empty().WithConfig(NewConfig(Config{Version: 1}), time.Minute)
+	require.Equal(t, []any{"config_age", "1m0s", "engines_age", unheard}, s.AgeFields(2*time.Minute))
+}
--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -23,6 +23,21 @@
 // EnginesAge is how old the set of engines may be, at most, at now.
 func (s *Snapshot) EnginesAge(now time.Duration) time.Duration { return now - s.EnginesAsOf }
 
+// AgeFields are the ages at now for a log line. What was never heard has none.
+func (s *Snapshot) AgeFields(now time.Duration) []any {
+	return []any{"config_age", ageText(s.ConfigAsOf, now), "engines_age", ageText(s.EnginesAsOf, now)}
+}
+
+// unheard stands in log lines for the age of what was never heard.
+const unheard = "never confirmed"
+
+func ageText(asOf, now time.Duration) string {
+	if asOf == 0 {
+		return unheard
+	}
+	return (now - asOf).String()
+}
+
 // WithConfig returns the snapshot after a reader found c to be the newest
 // configuration by a call sent at asOf. Versions only go forward: a confirmation
 // of an older version than the one known says nothing. The flag is true where
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -187,8 +187,8 @@
 		return
 	}
 	s := f.Board.Snapshot()
-	f.Log.Info("catalog source changed", "from", f.parent.Name, "to", parent.Name,
-		"reads_store", parent.Name == f.Self.Name, "config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
+	fields := []any{"from", f.parent.Name, "to", parent.Name, "reads_store", parent.Name == f.Self.Name}
+	f.Log.Info("catalog source changed", append(fields, s.AgeFields(now)...)...)
 	f.parent = parent
 	f.since = now
 	f.misses = 0
@@ -337,6 +337,6 @@
 	}
 	f.publish(now)
 	s := f.Board.Snapshot()
-	f.Log.Warn("catalog source distrusted", "source", parent.Name, "why", why, "cause", cause,
-		"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
+	fields := []any{"source", parent.Name, "why", why, "cause", cause}
+	f.Log.Warn("catalog source distrusted", append(fields, s.AgeFields(now)...)...)
 }
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -223,8 +223,8 @@
 	}
 	if r.downSince[which].CompareAndSwap(0, int64(since)) {
 		s := r.Board.Snapshot()
-		r.Log.Warn("store lost", "watch", watchNames[which], "cause", err,
-			"config_age", s.ConfigAge(now), "engines_age", s.EnginesAge(now))
+		fields := []any{"watch", watchNames[which], "cause", err}
+		r.Log.Warn("store lost", append(fields, s.AgeFields(now)...)...)
 	}
 }
 
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -44,8 +44,9 @@
 	fields := []any{
 		"request", x.req.ID, "route", route, "status", x.status, "engine", x.engine, "fetch_from", x.fetchFrom,
 		"sends", x.sends, "executed", x.executed, "took", took, "first_byte", x.firstByte,
-		"config", version, "config_age", x.snapshot.ConfigAge(now), "engines_age", x.snapshot.EnginesAge(now),
+		"config", version,
 	}
+	fields = append(fields, x.snapshot.AgeFields(now)...)
 	if ok {
 		x.f.Log.Info("request served", fields...)
 		return
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -27,6 +27,7 @@
 	ReasonLeaving      Reason = "router_leaving"
 	ReasonTimeout      Reason = "time_limit"
 	ReasonNoAnswer     Reason = "engine_gave_no_answer"
+	ReasonFailure      Reason = "engine_answered_failure"
 	ReasonBadAnswer    Reason = "engine_answer_malformed"
 	ReasonCallerLeft   Reason = "caller_left"
 	ReasonStreamBroken Reason = "stream_broken"
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -33,7 +33,7 @@
 	}
 	x.f.Engines.Note(e.ID, false)
 	x.failure = &wholeFailure{answer.Status, answer.Header, body}
-	return x.mayRepeat(failed(http.StatusBadGateway, ReasonNoAnswer))
+	return x.mayRepeat(failed(http.StatusBadGateway, ReasonFailure))
 }
 
 // brokeOff returns the refusal that ends a request whose answer broke off, or nil if
