feed: reporter for teller; the asker's loads are heard in one place

Cause: read as a newcomer: a name that explains nothing, and a field of the reply that was saved around the call that fills the rest. No behaviour changes.

--- a/internal/edge/feed/capacity_test.go
+++ b/internal/edge/feed/capacity_test.go
@@ -29,7 +29,7 @@
 			relay.Loads = NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
 			var sent, got bytes.Buffer
 			up, down := gob.NewEncoder(&sent), gob.NewEncoder(&got)
-			var asks teller
+			var asks reporter
 			told := uint64(0)
 			pull := func() {
 				var reply PullReply
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -50,8 +50,8 @@
 	since    time.Duration
 	// misses counts the pulls from the parent that failed in a row.
 	misses int
-	// teller spaces out what parents are told of loads.
-	teller teller
+	// reporter spaces out what parents are told of loads.
+	reporter reporter
 	// loadsHave is the state of the fleet's loads that the parent has told, and
 	// loadsTold the state of this router's that the parent has; zero for none.
 	loadsHave, loadsTold uint64
@@ -231,7 +231,7 @@
 // report returns what this router and those that ask it know of the engines, or nil if
 // the parent was told lately.
 func (f *Follower) report(parent Peer, now time.Duration) *LoadReport {
-	return f.teller.report(parent.Name, f.loadsTold, f.Loads.Size(), now, func() LoadReport {
+	return f.reporter.report(parent.Name, f.loadsTold, f.Loads.Size(), now, func() LoadReport {
 		return f.Loads.Below(now)
 	})
 }
--- a/internal/edge/feed/pace.go
+++ b/internal/edge/feed/pace.go
@@ -17,9 +17,9 @@
 	maxPace = 900 * time.Millisecond
 )
 
-// teller says when a report is due to each of some routers, and what is new for it. It
+// reporter says when a report is due to each of some routers, and what is new for it. It
 // is safe for concurrent use.
-type teller struct {
+type reporter struct {
 	mu   sync.Mutex
 	told map[string]*told
 }
@@ -32,36 +32,36 @@
 
 // report returns the report that is due to a router at now, or nil. The router has the
 // state have. Entries is how many a whole report has, about; present makes one.
-func (p *teller) report(to string, have uint64, entries int, now time.Duration, present func() LoadReport) *LoadReport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := p.told[to]
+func (r *reporter) report(to string, have uint64, entries int, now time.Duration, present func() LoadReport) *LoadReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.told[to]
 	if last != nil && now-last.at < min(time.Duration(entries)*paceEntry, maxPace) {
 		return nil
 	}
 	if last == nil {
-		last = p.add(to, now)
+		last = r.add(to, now)
 	}
 	last.at = now
 	out := last.next(have, present())
 	return &out
 }
 
-func (p *teller) add(to string, now time.Duration) *told {
-	if p.told == nil {
-		p.told = make(map[string]*told)
+func (r *reporter) add(to string, now time.Duration) *told {
+	if r.told == nil {
+		r.told = make(map[string]*told)
 	}
-	p.forget(now)
+	r.forget(now)
 	added := &told{}
-	p.told[to] = added
+	r.told[to] = added
 	return added
 }
 
 // forget drops the routers that ask no more.
-func (p *teller) forget(now time.Duration) {
-	for to, last := range p.told {
+func (r *reporter) forget(now time.Duration) {
+	for to, last := range r.told {
 		if now-last.at > loadLifetime {
-			delete(p.told, to)
+			delete(r.told, to)
 		}
 	}
 }
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -89,10 +89,10 @@
 	Done <-chan struct{}
 	Log  *log.Logger
 
-	// packer packs updates once for all askers, teller spaces out what they are told
+	// packer packs updates once for all askers, reporter spaces out what they are told
 	// of loads.
-	packer packer
-	teller teller
+	packer   packer
+	reporter reporter
 }
 
 // Pull answers once the board holds something newer, or after args.Wait, and at
@@ -100,9 +100,7 @@
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
 	started := r.Clock()
-	if args.Loads != nil && r.Loads.Heard(args.From, *args.Loads, started) {
-		reply.LoadsSeq = args.Loads.Seq
-	}
+	heard := r.hear(args, started)
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
 	lost := time.NewTicker(lostCheck)
@@ -122,13 +120,20 @@
 		}
 		break
 	}
-	loadsSeq := reply.LoadsSeq
 	*reply = r.reply(args)
-	reply.LoadsSeq = loadsSeq
+	reply.LoadsSeq = heard
 	reply.Held = r.Clock() - started
 	return nil
 }
 
+// hear takes the asker's loads, and returns the state of them that this router has then.
+func (r *Relay) hear(args PullArgs, now time.Duration) uint64 {
+	if args.Loads == nil || !r.Loads.Heard(args.From, *args.Loads, now) {
+		return 0
+	}
+	return args.Loads.Seq
+}
+
 // news says whether the board holds something that the asker lacks.
 func (r *Relay) news(args PullArgs) bool {
 	s := r.Board.Snapshot()
@@ -150,7 +155,7 @@
 		Failures:   r.Failures(),
 		Chain:      r.Chain(),
 	}
-	out.Loads = r.teller.report(args.From, args.LoadsSeq, r.Loads.Size(), now, func() LoadReport {
+	out.Loads = r.reporter.report(args.From, args.LoadsSeq, r.Loads.Size(), now, func() LoadReport {
 		return r.Loads.Without(args.From, now)
 	})
 	if s.Config != nil {
