--- a/internal/edge/feed/pace.go
+++ b/internal/edge/feed/pace.go
@@ -7,8 +7,8 @@
 
 // Reports of loads go with pulls, six or seven a second to each router. One entry takes
 // about 18 bytes, so that the loads of 850 engines would take 100 KB a second, on a
-// control budget of 7. Beyond 150 engines a report therefore goes with some pulls only, and all
-// but the first say only what has changed.
+// control budget of 7. Beyond 75 engines a report therefore goes with some pulls only,
+// and all but the first say only what has changed.
 const (
 	// paceEntry is the time between two reports for each of their entries.
 	paceEntry = 2 * time.Millisecond
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -145,7 +145,8 @@
 	return catalog.Engine{}, nil, nil
 }
 
-// mayResume says whether the stream may go on after the event at all.
+// mayResume says whether the stream may go on after the event at all. Why not does not
+// matter: an answer that has begun is cut, whatever the refusal.
 func (x *exchange) mayResume(lastID string) bool {
 	return x.route.Repeatable() && x.executed < x.route.Attempts && lastID != "" && x.mayGoOn(x.gone()) == nil
 }
