feed: loads travel along a tree that depends on who is there only

Cause: reports of loads went with the pulls of the catalog. Whoever is asked for the catalog changes while the store is lost, and routers then ask one another in circles; each added what the other said, its own requests among it. Nothing used the absolute numbers, so it went unseen; flow control must.

Ruled out: a limit on hops (leaves twice the truth), leaving out what comes from a router of the own chain (chains are old for one pull after each change).

Before: TestLoadsDoNotEchoWhileSourcesChange sees 100,696 requests where 36 are.

--- a/internal/edge/feed/capacity_test.go
+++ b/internal/edge/feed/capacity_test.go
@@ -30,24 +30,24 @@
 			var sent, got bytes.Buffer
 			up, down := gob.NewEncoder(&sent), gob.NewEncoder(&got)
 			var asks reporter
-			told := uint64(0)
+			told, have := uint64(0), uint64(0)
 			pull := func() {
 				var reply PullReply
 				now += pullWait
 				fleet.pass(pullWait, now)
 				own.pass(pullWait, now)
 				relay.Loads.FromParent(LoadReport{Engines: fleet.loads(now)}, now)
-				args.Loads = asks.report("parent", told, engines, now, func() LoadReport {
+				args.Loads = &LoadArgs{From: "child", Have: have, Report: asks.report("parent", told, engines, now, func() LoadReport {
 					return LoadReport{Engines: own.loads(now)}
-				})
+				})}
 				require.NoError(b, relay.Pull(args, &reply))
 				require.NoError(b, up.Encode(args))
 				require.NoError(b, down.Encode(reply))
-				if args.Loads != nil {
-					told = reply.LoadsSeq
+				if args.Loads.Report != nil {
+					told = reply.Loads.Heard
 				}
-				if reply.Loads != nil {
-					args.LoadsSeq = reply.Loads.Seq
+				if reply.Loads.Report != nil {
+					have = reply.Loads.Report.Seq
 				}
 			}
 			for range 100 {
@@ -128,7 +128,7 @@
 	set, _ := catalog.NewEngineSet().Apply(catalog.EngineUpdate{Full: true, Upto: 10}, 0)
 	return relay, PullArgs{
 		From: "front-ank-a-2", EnginesUpto: set.Upto, Wait: time.Millisecond,
-		Loads: &LoadReport{Engines: engineLoads(engines / 10)},
+		Loads: &LoadArgs{From: "front-ank-a-2", Report: &LoadReport{Engines: engineLoads(engines / 10)}},
 	}
 }
 
@@ -153,9 +153,10 @@
 			relay.Loads.FromParent(LoadReport{Engines: engineLoads(engines)}, now)
 			var reply PullReply
 			require.NoError(t, relay.Pull(args, &reply))
-			if reply.Loads != nil {
+			require.NotNil(t, reply.Loads)
+			if report := reply.Loads.Report; report != nil {
 				told++
-				require.Len(t, reply.Loads.Engines, engines)
+				require.Len(t, report.Engines, engines)
 			}
 		}
 		require.InDelta(t, want, told, 1, "%d engines", engines)
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -120,6 +120,9 @@
 	return catalog.EngineUpdate{Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
 }
 
+// ownInFlight is how many requests each router has at the engine e1.
+const ownInFlight = 4
+
 // errUnreachable is what a call to a router that is cut off returns.
 var errUnreachable = errors.New("unreachable")
 
@@ -138,6 +141,7 @@
 	reader   *Reader
 	follower *Follower
 	relay    *Relay
+	loads    *Loads
 	store    *fakeStore
 }
 
@@ -160,7 +164,8 @@
 
 func (f *fakeFleet) node(ctx context.Context, self Peer, store *fakeStore) *fakeNode {
 	n := &fakeNode{store: store, board: NewBoard(f.clock, 1200*time.Millisecond)}
-	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
+	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{"e1": {InFlight: ownInFlight}} })
+	n.loads = loads
 	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: testTiming, Log: quiet(),
 		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.ToldLost() },
 		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
@@ -177,6 +182,9 @@
 			<-ctx.Done()
 			return errUnreachable
 		}
+		if exchange, ok := args.(LoadArgs); ok {
+			return f.nodes[to.Name].relay.Exchange(exchange, reply.(*LoadReply))
+		}
 		got := reply.(*PullReply)
 		err := f.nodes[to.Name].relay.Pull(args.(PullArgs), got)
 		if got.Config != nil {
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,11 +51,10 @@
 	since    time.Duration
 	// misses counts the pulls from the parent that failed in a row.
 	misses int
-	// reporter spaces out what parents are told of loads.
-	reporter reporter
-	// loadsHave is the state of the fleet's loads that the parent has told, and
-	// loadsTold the state of this router's that the parent has; zero for none.
-	loadsHave, loadsTold uint64
+	// link is the exchange of loads, asked the name of the router whose pulls it goes
+	// with, empty for none.
+	link  loadLink
+	asked atomic.Value
 	// parentLost means that the parent has said that it can't reach the store.
 	parentLost bool
 	reading    atomic.Bool
@@ -154,6 +154,10 @@
 // Run asks until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.distrust = make(Distrust)
+	f.asked.Store("")
+	var loads sync.WaitGroup
+	defer loads.Wait()
+	loads.Go(func() { f.exchangeLoads(ctx) })
 	for ctx.Err() == nil {
 		now := f.Clock()
 		f.distrust.Forget(now)
@@ -193,27 +197,28 @@
 	f.since = now
 	f.misses = 0
 	f.parentLost = false
-	f.loadsHave, f.loadsTold = 0, 0
+	f.asked.Store(parent.Name)
 }
 
 func (f *Follower) pull(ctx context.Context, parent Peer) {
 	s := f.Board.Snapshot()
 	sent := f.Clock()
 	args := PullArgs{
-		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait, Loads: f.report(parent, sent),
-		LoadsSeq:  f.loadsHave,
+		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait,
 		KnowsLost: f.parentLost || !f.distrust.trusted(parent.Name, sent),
 	}
 	if s.Config != nil {
 		args.ConfigVersion = s.Config.Version
 	}
+	if above, ok := f.loadsParent(); ok && above.Name == parent.Name {
+		args.Loads = f.link.ask(f.Self.Name, parent.Name, f.Loads, sent)
+	}
 	var reply PullReply
 	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	err := f.Call(callCtx, parent, PullMethod, args, &reply)
 	cancel()
 	if err != nil {
-		// Whether the parent got the report is not known; the next one is whole.
-		f.loadsTold = 0
+		f.link.failed()
 		f.unanswered(parent, err)
 		pause.For(ctx, retryPause)
 		return
@@ -221,21 +226,13 @@
 	f.misses = 0
 	f.answeredAt.Store(int64(f.Clock()))
 	f.parentLost = reply.StoreLost
-	if args.Loads != nil {
-		f.loadsTold = reply.LoadsSeq
+	if args.Loads != nil && reply.Loads != nil {
+		f.link.answered(parent.Name, args.Loads, reply.Loads, f.Loads, f.Clock())
 	}
 	f.take(ctx, reply, sent)
 	f.judge(ctx, parent, reply)
 }
 
-// report returns what this router and those that ask it know of the engines, or nil if
-// the parent was told lately.
-func (f *Follower) report(parent Peer, now time.Duration) *LoadReport {
-	return f.reporter.report(parent.Name, f.loadsTold, f.Loads.Size(), now, func() LoadReport {
-		return f.Loads.Below(now)
-	})
-}
-
 // config returns the configuration that the reply speaks of, nil for none. Errors:
 // ErrMalformed, also if the reply leads on from one that this router does not have.
 func (f *Follower) config(reply PullReply) (*catalog.Config, error) {
@@ -274,12 +271,6 @@
 // parent said, it said later.
 func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
 	said := sent + reply.Held
-	if reply.Loads != nil {
-		f.loadsHave = 0
-		if f.Loads.FromParent(*reply.Loads, f.Clock()) {
-			f.loadsHave = reply.Loads.Seq
-		}
-	}
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
 	f.hear(reply.Failures, said)
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -33,12 +33,9 @@
 	KnowsLost bool
 	// Wait is how long the answer may be held until there is something new.
 	Wait time.Duration
-	// Loads are the asker's loads, with those of the routers that ask it; nil if
-	// the last ones still count.
-	Loads *LoadReport
-	// LoadsSeq is the state of the fleet's loads that the asker has, from the one
-	// asked; zero for none.
-	LoadsSeq uint64
+	// Loads is the asker's half of an exchange of loads; nil if it exchanges them with
+	// another router.
+	Loads *LoadArgs
 }
 
 // PullReply is what is newer, and how old all of it may be.
@@ -65,11 +62,8 @@
 	// Held is how long the reply was held. What it says is that much younger
 	// than the pull.
 	Held time.Duration
-	// Loads are those of the whole fleet without what the asker reported; nil if the
-	// last ones still count.
-	Loads *LoadReport
-	// LoadsSeq is the state of the asker's loads that the one asked has; zero for none.
-	LoadsSeq uint64
+	// Loads is the other half of an exchange of loads; nil if there was none.
+	Loads *LoadReply
 }
 
 // Relay answers the pulls of other routers from the board.
@@ -100,7 +94,10 @@
 // called by net/rpc; the error is always nil.
 func (r *Relay) Pull(args PullArgs, reply *PullReply) error {
 	started := r.Clock()
-	heard := r.hear(args, started)
+	heard := uint64(0)
+	if args.Loads != nil {
+		heard = r.hear(args.Loads, started)
+	}
 	timer := time.NewTimer(min(args.Wait, maxPullWait))
 	defer timer.Stop()
 	lost := time.NewTicker(lostCheck)
@@ -121,19 +118,13 @@
 		break
 	}
 	*reply = r.reply(args)
-	reply.LoadsSeq = heard
+	if args.Loads != nil {
+		reply.Loads = r.tell(args.Loads, heard, r.Clock())
+	}
 	reply.Held = r.Clock() - started
 	return nil
 }
 
-// hear takes the asker's loads, and returns the state of them that this router has then.
-func (r *Relay) hear(args PullArgs, now time.Duration) uint64 {
-	if args.Loads == nil || !r.Loads.Heard(args.From, *args.Loads, now) {
-		return 0
-	}
-	return args.Loads.Seq
-}
-
 // news says whether the board holds something that the asker lacks.
 func (r *Relay) news(args PullArgs) bool {
 	s := r.Board.Snapshot()
@@ -155,9 +146,6 @@
 		Failures:   r.Failures(),
 		Chain:      r.Chain(),
 	}
-	out.Loads = r.reporter.report(args.From, args.LoadsSeq, r.Loads.Size(), now, func() LoadReport {
-		return r.Loads.Without(args.From, now)
-	})
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
 		if s.Config.Version > args.ConfigVersion {
