platform, catalog, forward: foreign entries name no engine; an engine may start again under its ID

Entries were read as far as they went: {} was an engine without service or address, a state of somebody else's counted as ready, and what was known of an ID went over to its next life: prompts that it seemed to hold, failures, kept connections.

A new life (another start, or fewer orders than before) starts with no evidence, no prompts, no connections, and counts as fresh.

Before, {} and a state 'resting' decoded without an error.

--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -8,7 +8,8 @@
 
 // Engine is one engine as it registered itself.
 type Engine struct {
-	// ID is new at each start of the engine.
+	// ID names the engine. An engine may start again under the one that it had; it then
+	// knows nothing of before.
 	ID      string
 	Service string
 	// Address is "ip:port". It may belong to another engine later.
@@ -20,10 +21,19 @@
 	Draining bool
 	// ColdFor is how much longer it is slow after its start, as registered.
 	ColdFor time.Duration
+	// Born is the time of the engine's start, in Unix milliseconds by its own clock, zero
+	// if it doesn't say, and Orders how many orders it has taken since.
+	Born, Orders int64
 	// Revision is the store's version of the entry. It orders two views of it.
 	Revision uint64
 }
 
+// RestartOf says whether this is the engine after another start than the given one of the
+// same ID.
+func (e Engine) RestartOf(last Engine) bool {
+	return e.Born != last.Born || e.Orders < last.Orders
+}
+
 // Removal is the end of an engine's entry.
 type Removal struct {
 	ID       string
@@ -40,9 +50,9 @@
 	Since, Upto uint64
 	Present     []Engine
 	Removed     []Removal
-	// Unreadable are the IDs of engines whose entries make no sense. What was known
-	// of them stays.
-	Unreadable []string
+	// Foreign are entries that are no engine's: somebody else has written them. An engine
+	// that had its entry there has none any more.
+	Foreign []Removal
 }
 
 // EngineSet is an immutable set of engines as of one version of the store.
@@ -81,6 +91,9 @@
 	return u.Full || u.Since <= s.Upto
 }
 
+// noDoubt is the time until which an engine is in doubt that is not.
+const noDoubt = 0
+
 // Apply returns the set after the update, and whether it differs in anything
 // but Upto. An update that is older than the set, or would leave a gap, changes
 // nothing. Engines that lose their entry keep serving until doubtUntil, if that
@@ -89,7 +102,7 @@
 	if u.Upto < s.Upto || !s.Covers(u) {
 		return s, false
 	}
-	if !u.Full && len(u.Present)+len(u.Removed) == 0 {
+	if !u.Full && len(u.Present)+len(u.Removed)+len(u.Foreign) == 0 {
 		next := *s
 		next.Upto = u.Upto
 		return &next, false
@@ -101,12 +114,13 @@
 		present[e.ID] = true
 		changed = next.put(e) || changed
 	}
-	for _, id := range u.Unreadable {
-		present[id] = true
-	}
 	for _, r := range u.Removed {
 		changed = next.remove(r, doubtUntil) || changed
 	}
+	for _, r := range u.Foreign {
+		present[r.ID] = true
+		changed = next.remove(r, noDoubt) || changed
+	}
 	if u.Full {
 		for id, e := range s.ByID {
 			if _, doubted := s.Doubtful[id]; !present[id] && !doubted {
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -284,13 +284,13 @@
 	for _, e := range update.Present {
 		r.Log.Debug("engine entry", "engine", e.ID, "service", e.Service, "draining", e.Draining, "revision", e.Revision)
 	}
-	for _, id := range update.Unreadable {
-		r.Log.Warn("engine entry not readable; passed over", "engine", id, "upto", update.Upto)
+	for _, foreign := range update.Foreign {
+		r.Log.Warn("entry is no engine's; passed over", "entry", foreign.ID, "revision", foreign.Revision)
 	}
 	for _, removal := range update.Removed {
 		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision)
 	}
-	nothing := !update.Full && len(update.Present)+len(update.Removed) == 0
+	nothing := !update.Full && len(update.Present)+len(update.Removed)+len(update.Foreign) == 0
 	r.Board.PutEngines(ctx, update, r.asOf(sent, hold, nothing), r.failedAgo())
 	return nil
 }
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -32,16 +32,24 @@
 	// holders is which engines hold which parts of prompts, as far as this router
 	// has sent them.
 	holders holders
-	// seen is when each engine was first among the engines, and since when this
-	// router knows any.
-	seen  map[string]time.Duration
+	// seen is each engine as it was last among the engines, and since when this router
+	// knows any.
+	seen  map[string]sighting
 	since time.Duration
+	// restarted is told of engines that have started again.
+	restarted func(engine string)
 	// crowdedUntil is until when requests of a service ask for places, and holds how
 	// long they have them in the mean.
 	crowdedUntil map[string]time.Duration
 	holds        map[string]time.Duration
 }
 
+// sighting is an engine as it was last seen, and when its present life was seen first.
+type sighting struct {
+	engine catalog.Engine
+	first  time.Duration
+}
+
 // ownLoad is what this router knows of one engine by its own requests.
 type ownLoad struct {
 	// inFlight is how many requests are there, leased how many of them have a lease of
@@ -55,7 +63,7 @@
 	return &Engines{
 		site: site, others: others, clock: clock, rng: rng, holders: newHolders(),
 		own:          make(map[string]*ownLoad),
-		seen:         make(map[string]time.Duration),
+		seen:         make(map[string]sighting),
 		ejected:      make(map[string]bool),
 		crowdedUntil: make(map[string]time.Duration), holds: make(map[string]time.Duration),
 	}
@@ -64,6 +72,9 @@
 // ReleaseBy says how places are given back.
 func (p *Engines) ReleaseBy(release func(*flow.Permit)) { p.release = release }
 
+// OnRestart says who is told of engines that have started again. It must not block.
+func (p *Engines) OnRestart(restarted func(engine string)) { p.restarted = restarted }
+
 // Own returns what this router knows of the engines.
 func (p *Engines) Own() map[string]feed.EngineLoad {
 	now := p.clock()
@@ -188,6 +199,7 @@
 		if avoid[e.ID] {
 			continue
 		}
+		p.sight(e, now)
 		slots := e.Slots
 		if slots == 0 && config != nil {
 			slots = config.Slots
@@ -210,17 +222,32 @@
 	return engines, out
 }
 
-// fresh says whether an engine came a short time ago, and not before this router
-// did. The caller holds the mutex.
-func (p *Engines) fresh(engine string, now time.Duration) bool {
+// sight notes an engine that is there. One that has started again under its ID holds
+// nothing, and how its requests ended before says nothing of it. The caller holds the mutex.
+func (p *Engines) sight(e catalog.Engine, now time.Duration) {
 	if len(p.seen) == 0 {
 		p.since = now
 	}
-	first, ok := p.seen[engine]
-	if !ok {
-		first = now
-		p.seen[engine] = now
+	last, known := p.seen[e.ID]
+	again := known && e.RestartOf(last.engine)
+	if !known || again {
+		last.first = now
 	}
+	p.seen[e.ID] = sighting{engine: e, first: last.first}
+	if !again {
+		return
+	}
+	p.of(e.ID).record = health.Record{}
+	p.holders.forget(e.ID, now)
+	if p.restarted != nil {
+		p.restarted(e.ID)
+	}
+}
+
+// fresh says whether an engine came a short time ago, and not before this router
+// did. The caller holds the mutex.
+func (p *Engines) fresh(engine string, now time.Duration) bool {
+	first := p.seen[engine].first
 	return first > p.since+settleTime && now-first <= heldFor
 }
 
@@ -294,6 +321,7 @@
 	for id := range p.seen {
 		if _, ok := s.Engines.ByID[id]; !ok {
 			delete(p.seen, id)
+			p.holders.gone(id)
 		}
 	}
 	if s.Config == nil {
--- a/internal/edge/forward/holders.go
+++ b/internal/edge/forward/holders.go
@@ -24,6 +24,8 @@
 	// sent is when a part was last sent to an engine, last where to.
 	sent *lru.Cache[held, time.Duration]
 	last *lru.Cache[string, string]
+	// empty is since when an engine holds nothing that was sent to it before.
+	empty map[string]time.Duration
 }
 
 // held names a part of a prompt at an engine.
@@ -33,15 +35,21 @@
 	// The sizes are not negative, the only reason to fail.
 	sent, _ := lru.New[held, time.Duration](maxHeld)
 	last, _ := lru.New[string, string](maxHeld)
-	return holders{sent: sent, last: last}
+	return holders{sent: sent, last: last, empty: make(map[string]time.Duration)}
 }
 
 // has says whether the engine was sent the part lately.
 func (h holders) has(engine, part string, now time.Duration) bool {
 	at, ok := h.sent.Get(held{engine, part})
-	return ok && now-at <= heldFor
+	return ok && now-at <= heldFor && at >= h.empty[engine]
 }
 
+// forget takes an engine for empty: it has started again.
+func (h holders) forget(engine string, now time.Duration) { h.empty[engine] = now }
+
+// gone drops what is remembered of an engine that has left.
+func (h holders) gone(engine string) { delete(h.empty, engine) }
+
 // other returns the engine that the part was last sent to, if it was sent there
 // lately and is not the given one.
 func (h holders) other(engine, part string, now time.Duration) (string, bool) {
--- a/internal/edge/forward/holders_test.go
+++ b/internal/edge/forward/holders_test.go
@@ -41,7 +41,7 @@
 		})
 	}
 	s, _ := catalog.Empty().WithEngines(u, 0, time.Second, 0)
-	s, _ = s.WithConfig(catalog.NewConfig(catalog.Config{Version: 1}), 0)
+	s, _ = s.WithConfig(catalog.NewConfig(catalog.Config{Version: 1, Services: []catalog.Service{{Name: "llm"}}}), 0)
 	return s
 }
 
@@ -104,3 +104,43 @@
 	require.NotEqual(t, first.Engine.ID, next.Engine.ID)
 	require.NotEqual(t, first.Engine.Address, next.FetchFrom)
 }
+
+// Symptom: requests are slow at an engine that has crashed, or told to fetch prompts from it.
+// Sequence: an engine starts again under the ID that it had, with an empty cache; by its ID it
+// seems to hold all that was sent to it, and to have failed. Cause: what is known of an engine
+// went by its ID alone.
+func TestEngineThatStartsAgainHoldsNothing(t *testing.T) {
+	for name, again := range map[string]func(*catalog.Engine){
+		"another start":          func(e *catalog.Engine) { e.Born += 5000 },
+		"counts that start anew": func(e *catalog.Engine) { e.Orders = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(t)
+			var restarted []string
+			p.engines.OnRestart(func(engine string) { restarted = append(restarted, engine) })
+			s := snapshotOf(3)
+			engines := s.Engines.Of("llm")
+			for i := range engines {
+				engines[i].Born, engines[i].Orders = 1000, 3
+			}
+			first := p.pick(s, 1)
+			p.engines.Note(first.Engine.ID, false)
+			require.Empty(t, p.pick(s, 1).FetchFrom, "it holds the prompt")
+
+			for i := range engines {
+				if engines[i].ID == first.Engine.ID {
+					again(&engines[i])
+				}
+			}
+			p.now += settleTime + time.Second
+			require.True(t, p.engines.holders.has(first.Engine.ID, "dossier-1", p.now))
+			p.engines.Review(s)
+			require.Equal(t, []string{first.Engine.ID}, restarted)
+			require.Zero(t, p.engines.Own()[first.Engine.ID].Evidence)
+			require.False(t, p.engines.holders.has(first.Engine.ID, "dossier-1", p.now))
+			require.True(t, p.engines.fresh(first.Engine.ID, p.now), "others may hold its prompts")
+			p.engines.Review(s)
+			require.Len(t, restarted, 1)
+		})
+	}
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -141,10 +141,15 @@
 		Engines: func() int { return len(r.board.Snapshot().Engines.ByID) }, Log: r.log,
 	})
 	r.engines.ReleaseBy(r.places.Release)
+	conns := engineconn.NewPool(engineconn.Options{Clock: bootclock.Now})
+	r.engines.OnRestart(func(engine string) {
+		r.log.Info("engine started again", "engine", engine)
+		go conns.Drop(engine)
+	})
 	b := r.set.Bounds
 	r.forwarder = forward.New(forward.Options{
 		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
-		Conns: engineconn.NewPool(engineconn.Options{Clock: bootclock.Now}), Engines: r.engines, Places: r.places,
+		Conns: conns, Engines: r.engines, Places: r.places,
 		Log:       r.log,
 		FreshFor:  r.changeBound(),
 		StoreLost: func() bool { return r.follower.Lost() || r.reader.Lost() },
