membership, gossip: routers exchange members along with calls

Cause: packets spread news of members at 2,000 bytes a second at most.

An exchange tells what has changed since the last one over the same link, compares tables with a router that is new to it, and never tells back what came from there. What calls bring is not spread by packets as well.

Nothing uses it yet.

--- a/internal/fleet/gossip/driver.go
+++ b/internal/fleet/gossip/driver.go
@@ -59,8 +59,12 @@
 	commands chan func()
 	stop     chan struct{}
 	stopOnce sync.Once
-	running  sync.WaitGroup
-	self     membership.Member
+	// ended is closed when the owner has ended.
+	ended   chan struct{}
+	running sync.WaitGroup
+	self    membership.Member
+	// links are the exchanges of members with other routers, by address; the owner's.
+	links map[string]*membership.RosterLink
 
 	snapshot atomic.Pointer[[]membership.Member]
 	revision uint64
@@ -111,7 +115,9 @@
 		packets:  make(chan received, receiveQueue),
 		commands: make(chan func(), commandQueue),
 		stop:     make(chan struct{}),
+		ended:    make(chan struct{}),
 		self:     self,
+		links:    make(map[string]*membership.RosterLink),
 	}
 	d.publish()
 	return d, nil
@@ -162,6 +168,7 @@
 // run owns the endpoint.
 func (d *Driver) run() {
 	defer d.running.Done()
+	defer close(d.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/fleet/membership/broadcast.go
+++ b/internal/fleet/membership/broadcast.go
@@ -107,7 +107,12 @@
 	return factor * int(math.Ceil(math.Log10(float64(n+1))))
 }
 
+// broadcastMember spreads a row by packets, unless a call has brought it and takes it further.
+// Own rows go by both.
 func (d *Detector) broadcastMember(id uint64) {
+	if d.learning != 0 && id != d.self.ID {
+		return
+	}
 	d.queue.add(broadcastKey{member: id})
 }
 
--- a/internal/fleet/membership/detector.go
+++ b/internal/fleet/membership/detector.go
@@ -29,6 +29,9 @@
 	suspicion *suspicion
 	// forgetAt is when a dead row is dropped.
 	forgetAt time.Duration
+	// changedAt is the revision at which what others are told of the row last changed, and
+	// learnedFrom the instance whose call brought that; zero if it came otherwise.
+	changedAt, learnedFrom uint64
 }
 
 // Detector is the membership state of one router.
@@ -73,6 +76,8 @@
 	snapshot []Member
 	// revision counts the changes that Snapshot shows.
 	revision uint64
+	// learning is the instance whose rows are being merged, zero for packets.
+	learning uint64
 	out      []Outgoing
 }
 
@@ -118,7 +123,7 @@
 	d.ticked = true
 	d.nextProbe = d.now + d.jitter(d.opts.Period)
 	d.nextSync = d.now + d.jitter(d.opts.SyncPeriod)
-	d.nextContact = d.now
+	d.nextContact = d.now + d.opts.ContactDelay
 	d.broadcastMember(d.self.ID)
 }
 
@@ -283,7 +288,7 @@
 		return
 	}
 	d.self.State = StateLeaving
-	d.changed()
+	d.stamp(d.self)
 	d.nextGossip = d.now
 	d.broadcastMember(d.self.ID)
 	d.emit(EventSelfLeaving, d.self.Member)
--- a/internal/fleet/membership/options.go
+++ b/internal/fleet/membership/options.go
@@ -32,6 +32,9 @@
 	// ContactPeriod is the time between two contacts with an address of the
 	// seeds or the VM list that belongs to no known live member.
 	ContactPeriod time.Duration
+	// ContactDelay is how long after the start the first of these is made. Zero is for
+	// routers that find others by packets only.
+	ContactDelay time.Duration
 	// DeadRetention is how long a dead instance is remembered.
 	DeadRetention time.Duration
 	// FreezeThreshold is the gap between two ticks after which the process
--- a/internal/fleet/membership/table.go
+++ b/internal/fleet/membership/table.go
@@ -10,6 +10,7 @@
 	d.ids = slices.Insert(d.ids, n, m.ID)
 	if m.State != StateDead {
 		d.live++
+		d.stamp(r)
 	}
 	d.changed()
 	return r
@@ -110,7 +111,7 @@
 		return
 	}
 	d.self.Incarnation = u.Incarnation + 1
-	d.changed()
+	d.stamp(d.self)
 	d.nextGossip = d.now
 	d.broadcastMember(d.self.ID)
 	d.emit(EventSelfRefuted, d.self.Member)
@@ -130,10 +131,13 @@
 
 // transition moves a row to a state at an incarnation and spreads it.
 func (d *Detector) transition(r *row, incarnation uint64, state State) {
-	was := r.State
+	was, wasIncarnation := r.State, r.Incarnation
 	r.Incarnation = incarnation
 	r.State = state
 	r.suspicion = nil
+	if was.settled() != state.settled() || wasIncarnation != incarnation {
+		d.stamp(r)
+	}
 	d.changed()
 	d.countLive(r, was)
 	d.broadcastMember(r.ID)
