feed: a list of contacts in the store, for routers whose seeds do not answer

A router whose seeds were all replaced never found the others.

The router that reads the store keeps a list of 16 routers there, spread over the sites, written anew when a quarter of it is gone. A router that hears from no seed within 40 ms reads the list and asks those; one that is listed reads the store itself. Where the whole fleet starts for the first time (a new setting) there is no list and no caller yet, and routers wait for their seeds for three seconds.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 
-	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/logsink"
 	"damaskrouter.example/damaskrouter/internal/edge/node"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
@@ -49,7 +48,7 @@
 	logger.SetLevel(level)
 	r := node.New(set, node.Platform{
 		Codec:          platform.Codec{},
-		Store:          func(address string) feed.Store { return platform.NewStore(address, platform.WatchOptions()) },
+		Store:          func(address string) node.Store { return platform.NewStore(address, platform.WatchOptions()) },
 		MountDirectory: platform.MountDirectory,
 		MountReady:     platform.MountReady,
 	}, logger)
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -42,8 +42,9 @@
 	Call   Call
 	// Start is how this router becomes one of the fleet, Roster who is there as far as it
 	// knows.
-	Start  *Start
-	Roster Roster
+	Start    *Start
+	Roster   Roster
+	Contacts Contacts
 	// Live returns the routers that seem alive.
 	Live func() []Peer
 	Log  *log.Logger
@@ -159,7 +160,6 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.distrust = make(Distrust)
 	f.asked.Store("")
-	f.Start.begin(f.Clock())
 	var others sync.WaitGroup
 	defer others.Wait()
 	others.Go(func() { f.exchangeLoads(ctx) })
@@ -207,10 +207,14 @@
 	f.asked.Store(parent.Name)
 }
 
-// pull asks the parent, and judges it by its answer.
+// pull asks the parent for what is new.
 func (f *Follower) pull(ctx context.Context, parent Peer) {
-	err := f.ask(ctx, parent, pullTimeout)
-	if err != nil {
+	a := answer{to: parent, sent: f.Clock()}
+	a.args = f.pullArgs(parent, a.sent)
+	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	a.err = f.Call(callCtx, parent, PullMethod, a.args, &a.reply)
+	cancel()
+	if err := f.answered(ctx, a); err != nil {
 		f.unanswered(parent, err)
 		pause.For(ctx, retryPause)
 		return
@@ -218,27 +222,21 @@
 	f.misses = 0
 }
 
-// ask asks another router for what is new, and takes that over.
-func (f *Follower) ask(ctx context.Context, to Peer, timeout time.Duration) error {
-	sent := f.Clock()
-	args := f.pullArgs(to, sent)
-	var reply PullReply
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	err := f.Call(callCtx, to, PullMethod, args, &reply)
-	cancel()
-	if err != nil {
-		f.Roster.RosterFailed(to.Address)
+// answered takes over what another router has told, and judges it.
+func (f *Follower) answered(ctx context.Context, a answer) error {
+	if a.err != nil {
+		f.Roster.RosterFailed(a.to.Address)
 		f.link.failed()
-		return err
+		return a.err
 	}
 	f.answeredAt.Store(int64(f.Clock()))
-	f.parentLost = reply.StoreLost
-	f.Roster.RosterReplied(to.Address, reply.Roster)
-	if args.Loads != nil && reply.Loads != nil {
-		f.link.answered(to.Name, args.Loads, reply.Loads, f.Loads, f.Clock())
+	f.parentLost = a.reply.StoreLost
+	f.Roster.RosterReplied(a.to.Address, a.reply.Roster)
+	if a.args.Loads != nil && a.reply.Loads != nil {
+		f.link.answered(a.to.Name, a.args.Loads, a.reply.Loads, f.Loads, f.Clock())
 	}
-	f.take(ctx, reply, sent)
-	f.judge(ctx, to, reply)
+	f.take(ctx, a.reply, a.sent)
+	f.judge(ctx, a.to, a.reply)
 	return nil
 }
 
@@ -326,7 +324,7 @@
 func (f *Follower) judge(ctx context.Context, parent Peer, reply PullReply) {
 	switch {
 	case parent.Name == "":
-		// A seed that was asked at the start; it is nobody's parent by that.
+		// It was asked at the start, and is nobody's parent by that.
 	case slices.Contains(reply.Chain, f.Self.Name):
 		// A router that has passed itself over waits for the others to do so
 		// too; whoever of the circle still trusts itself goes on alone.
--- a/internal/edge/feed/join.go
+++ b/internal/edge/feed/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,20 +12,31 @@
 )
 
 // A router that starts asks a seed for all that it lacks: the configuration, the engines, and
-// who else is there. It reads the store itself only if no seed can be reached. Three hundred
-// routers that start at once would otherwise call the store 4,000 times and know of one another
-// after 25 seconds; so they call it for as many of them as are seeds, and know one another
-// within a second.
+// who else is there. If no seed answers at once, it reads a list of contacts from the store,
+// and asks them. Seeds and contacts read the store themselves. Three hundred routers that start
+// at once would otherwise call the store 4,000 times and know of one another after 25 seconds;
+// so they know one another within a second.
 const (
-	// joinTimeout bounds one try at a seed: ten times what a seed takes that answers a
-	// hundred routers at once on the smallest VM.
+	// joinTimeout bounds one try: ten times what a router takes that answers a hundred
+	// others at once on the smallest VM.
 	joinTimeout = 300 * time.Millisecond
-	// joinPause spaces tries while seeds refuse connections: processes that start together
-	// are ready some tens of milliseconds apart.
+	// joinPause spaces tries at routers that refuse connections: processes that start
+	// together are ready some tens of milliseconds apart.
 	joinPause = 25 * time.Millisecond
-	// joinPatience is how long a router tries before it goes on alone: seeds may be gone,
-	// and requests wait meanwhile.
-	joinPatience = 600 * time.Millisecond
+	// silentAfter is how long a router may be silent before another one is asked too: one
+	// that is dark must not hold up those that are there. Sooner, each would ask all seeds
+	// of a fleet that starts, and make them slower still.
+	silentAfter = 100 * time.Millisecond
+	// maxTries is how many routers are asked at the same time.
+	maxTries = 6
+	// contactsAfter is how long seeds are asked before the contacts are read: four times
+	// what an answer takes, and little where requests wait.
+	contactsAfter = 40 * time.Millisecond
+	// joinPatience is how long a router tries before it goes on alone. Where the whole
+	// fleet starts for the first time there are no contacts, and no callers yet:
+	// firstPatience.
+	joinPatience  = 600 * time.Millisecond
+	firstPatience = 3 * time.Second
 	// meetFor is how long after its start a router goes on to ask seeds who else has come,
 	// and meetInterval how often: of those that start after it, it hears by its source in
 	// the tree, which it may not know yet.
@@ -36,41 +48,55 @@
 	settleTime = 500 * time.Millisecond
 )
 
-// Start is how a router becomes one of the fleet. It is safe for concurrent use.
-type Start struct {
+// StartOptions say how a router starts.
+type StartOptions struct {
 	// Seeds are the addresses of other routers to ask first.
 	Seeds []string
-	// First means that this router is a seed itself: others ask it before it has anybody
+	// Seed means that this router is a seed itself: others ask it before it has anybody
 	// to ask, so that it reads the store at once.
-	First bool
+	Seed bool
+	// FirstOfAll means that the whole fleet starts for the first time.
+	FirstOfAll bool
+}
 
-	began atomic.Int64
+// Start is how a router becomes one of the fleet. It is safe for concurrent use.
+type Start struct {
+	StartOptions
+	began time.Duration
 	state atomic.Int32
 }
 
+// NewStart returns the start of a router that began at a boot time.
+func NewStart(o StartOptions, began time.Duration) *Start {
+	s := &Start{StartOptions: o, began: began}
+	if s.Seed || len(s.Seeds) == 0 {
+		s.state.Store(reading)
+	}
+	return s
+}
+
 // The states of a start.
 const (
-	// joining routers ask seeds.
+	// joining routers ask others.
 	joining int32 = iota
-	// joined ones have an answer, or are seeds.
+	// joined ones have an answer.
 	joined
-	// alone ones have found no seed.
-	alone
+	// reading ones read the store without waiting for anybody: seeds, contacts, and those
+	// that found nobody.
+	reading
 )
 
-func (s *Start) begin(now time.Duration) {
-	s.began.Store(int64(now))
-	if s.First || len(s.Seeds) == 0 {
-		s.state.Store(joined)
+func (s *Start) age(now time.Duration) time.Duration { return now - s.began }
+
+func (s *Start) patience() time.Duration {
+	if s.FirstOfAll {
+		return firstPatience
 	}
+	return joinPatience
 }
 
-func (s *Start) age(now time.Duration) time.Duration { return now - time.Duration(s.began.Load()) }
-
 // readsFirst says whether this router is to read the store without waiting for anybody.
-func (s *Start) readsFirst() bool {
-	return s.First || len(s.Seeds) == 0 || s.state.Load() == alone
-}
+func (s *Start) readsFirst() bool { return s.state.Load() == reading }
 
 // settled says whether this router knows enough of the others to take itself for the one to
 // read the store.
@@ -78,24 +104,17 @@
 	return s.state.Load() != joining && s.age(now) >= settleTime
 }
 
-// shuffled returns the seeds in a random order, so that those that start together share them.
-func (s *Start) shuffled() []string {
-	out := append([]string(nil), s.Seeds...)
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
-}
-
-// join asks seeds until one has told all that there is, or patience is over.
+// join asks seeds and contacts until one has told all that there is, or patience is over.
 func (f *Follower) join(ctx context.Context) {
-	seeds := f.Start.shuffled()
-	for i := 0; !f.informed() && len(seeds) > 0 && !f.Start.First && ctx.Err() == nil; i++ {
-		if f.Start.age(f.Clock()) >= joinPatience {
-			break
-		}
-		f.joinBy(ctx, seeds[i%len(seeds)])
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if f.Start.readsFirst() {
+		return
 	}
-	if f.Start.state.CompareAndSwap(joining, alone) {
-		f.Log.Warn("no seed reached; reading the store", "seeds", f.Start.Seeds)
+	j := &join{f: f, queue: shuffled(f.Start.Seeds), answers: make(chan answer), contacts: make(chan []Contact, 1)}
+	j.run(ctx)
+	if f.Start.state.CompareAndSwap(joining, reading) {
+		f.Log.Warn("no router reached; reading the store", "seeds", f.Start.Seeds)
 	}
 }
 
@@ -105,18 +124,132 @@
 	return s.Config != nil && s.Engines.Upto > 0
 }
 
-func (f *Follower) joinBy(ctx context.Context, seed string) {
-	if err := f.ask(ctx, Peer{Address: seed}, joinTimeout); err != nil {
-		f.Log.Debug("seed not reached", "seed", seed, "cause", err)
-		pause.For(ctx, joinPause)
+// join is the state of a join.
+type join struct {
+	f *Follower
+	// queue are the addresses to ask, the next one first; asking is how many are being
+	// asked, the last one since asked.
+	queue    []string
+	asking   int
+	asked    time.Duration
+	answers  chan answer
+	contacts chan []Contact
+}
+
+// answer is the end of a question to another router.
+type answer struct {
+	to    Peer
+	args  PullArgs
+	sent  time.Duration
+	reply PullReply
+	err   error
+}
+
+func (j *join) run(ctx context.Context) {
+	start := j.f.Start
+	next := time.NewTicker(joinPause)
+	defer next.Stop()
+	patience := time.NewTimer(start.patience())
+	defer patience.Stop()
+	if !start.FirstOfAll {
+		read := time.AfterFunc(contactsAfter, func() { j.readContacts(ctx) })
+		defer read.Stop()
+	}
+	j.askNext(ctx)
+	for !start.readsFirst() && !j.f.informed() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-patience.C:
+			return
+		case <-next.C:
+			if j.asking == 0 || j.f.Clock()-j.asked >= silentAfter {
+				j.askNext(ctx)
+			}
+		case list := <-j.contacts:
+			j.take(list)
+			j.askNext(ctx)
+		case a := <-j.answers:
+			j.answered(ctx, a)
+		}
+	}
+}
+
+// askNext asks the next router.
+func (j *join) askNext(ctx context.Context) {
+	if j.asking >= maxTries || len(j.queue) == 0 {
+		return
+	}
+	to := Peer{Address: j.queue[0]}
+	j.queue = j.queue[1:]
+	j.asking++
+	j.asked = j.f.Clock()
+	a := answer{to: to, sent: j.f.Clock()}
+	a.args = j.f.pullArgs(to, a.sent)
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		defer cancel()
+		a.err = j.f.Call(callCtx, to, PullMethod, a.args, &a.reply)
+		select {
+		case j.answers <- a:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// answered takes an answer. Whoever has answered is asked again at once: it knows little as
+// yet, but more each time; one that has not is asked again after the others.
+func (j *join) answered(ctx context.Context, a answer) {
+	j.asking--
+	err := j.f.answered(ctx, a)
+	if err != nil {
+		j.f.Log.Debug("router not reached", "address", a.to.Address, "cause", err)
+		j.queue = append(j.queue, a.to.Address)
+		return
+	}
+	j.queue = slices.Insert(j.queue, 0, a.to.Address)
+	if j.f.Start.state.CompareAndSwap(joining, joined) {
+		now := j.f.Clock()
+		fields := []any{"by", a.to.Address, "after", j.f.Start.age(now), "routers", len(j.f.Live())}
+		j.f.Log.Info("joined", append(fields, j.f.Board.Snapshot().AgeFields(now)...)...)
+	}
+	j.askNext(ctx)
+}
+
+// readContacts reads the list of contacts if nobody has answered yet.
+func (j *join) readContacts(ctx context.Context) {
+	if j.f.Start.state.Load() != joining {
 		return
 	}
-	if !f.Start.state.CompareAndSwap(joining, joined) {
+	list, err := j.f.Contacts.Read(ctx)
+	if err != nil {
+		j.f.Log.Warn("list of contacts not read", "cause", err)
+		return
+	}
+	j.contacts <- list
+}
+
+// take asks the contacts before the seeds. A router that is a contact itself reads the store,
+// since others ask it; so does one that finds no list, as nobody has kept one.
+func (j *join) take(list []Contact) {
+	self := slices.ContainsFunc(list, func(c Contact) bool { return c.Name == j.f.Self.Name })
+	j.f.Log.Info("list of contacts read", "contacts", len(list), "self", self, "after", j.f.Start.age(j.f.Clock()))
+	if self || len(list) == 0 {
+		j.f.Start.state.Store(reading)
 		return
 	}
-	now := f.Clock()
-	fields := []any{"seed", seed, "after", f.Start.age(now), "routers", len(f.Live())}
-	f.Log.Info("joined", append(fields, f.Board.Snapshot().AgeFields(now)...)...)
+	var addresses []string
+	for _, c := range list {
+		addresses = append(addresses, c.Address)
+	}
+	j.queue = append(shuffled(addresses), j.queue...)
+}
+
+// shuffled returns addresses in a random order, so that those that start together share them.
+func shuffled(addresses []string) []string {
+	out := slices.Clone(addresses)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
 }
 
 // MeetMethod is the name under which Relay.Meet is called.
@@ -130,9 +263,9 @@
 
 // meet goes on to exchange members with seeds for a while.
 func (f *Follower) meet(ctx context.Context) {
-	seeds := f.Start.shuffled()
+	seeds := shuffled(f.Start.Seeds)
 	for i := 0; len(seeds) > 0 && f.Start.age(f.Clock()) < meetFor; i++ {
-		if i > 0 || f.Start.First {
+		if i > 0 || f.Start.Seed {
 			f.meetOne(ctx, seeds[i%len(seeds)])
 		}
 		if !pause.For(ctx, meetInterval) {
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -28,8 +28,10 @@
 	// maxOwnPause bounds the doubling of the pauses of a router that reads for
 	// itself while it is not the one to read.
 	maxOwnPause = 4 * time.Second
-	// idlePause is how often a router that need not read looks again.
-	idlePause = 50 * time.Millisecond
+	// idlePause is how often a router that need not read looks again, startPause the same
+	// while it starts: requests may wait for what it reads.
+	idlePause  = 50 * time.Millisecond
+	startPause = 5 * time.Millisecond
 	// probeWait and probeTimeout are for the first call of a router whose turn it
 	// has become. It is answered at once where the store is well; a router that is
 	// cut off from it is known so in half the time of a watch, and several of them
@@ -118,7 +120,7 @@
 			// What failed when this router last read says nothing now.
 			r.downSince[which].Store(0)
 			c = newCadence()
-			pause.For(ctx, idlePause)
+			pause.For(ctx, r.idle())
 			continue
 		}
 		hold, timeout := c.call(r.Timing)
@@ -139,6 +141,13 @@
 	}
 }
 
+func (r *Reader) idle() time.Duration {
+	if r.Start.settled(r.Clock()) {
+		return idlePause
+	}
+	return startPause
+}
+
 // cadence is how a router that reads goes on after its last call.
 type cadence struct {
 	// reached means that the last call was answered.
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -16,6 +16,7 @@
 	vars.Set("engine_connections", expvar.Func(func() any { return r.forwarder.Conns.Dials() }))
 	vars.Set("peer_calls", expvar.Func(func() any { return r.counters.Snapshot() }))
 	vars.Set("routers", expvar.Func(func() any { return r.routers() }))
+	vars.Set("engines", expvar.Func(func() any { return len(r.board.Snapshot().Engines.ByID) }))
 	vars.Set("config_age_ms", expvar.Func(func() any {
 		return r.board.Snapshot().ConfigAge(bootclock.Now()).Milliseconds()
 	}))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -23,6 +23,7 @@
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
 	"damaskrouter.example/damaskrouter/internal/fleet/peer"
+	storeplatform "damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
@@ -54,10 +55,17 @@
 	memoryShare = 0.7
 )
 
+// Store is the platform's store: what operators and engines keep there, and rows of the
+// project's own.
+type Store interface {
+	feed.Store
+	storeplatform.Table
+}
+
 // Platform is what the platform's adapter provides.
 type Platform struct {
 	Codec          forward.Codec
-	Store          func(address string) feed.Store
+	Store          func(address string) Store
 	MountDirectory func(*echo.Echo, func(entry.Question) entry.Answer)
 	MountReady     func(*echo.Echo, func() bool)
 }
@@ -72,6 +80,7 @@
 	loads     *feed.Loads
 	reader    *feed.Reader
 	follower  *feed.Follower
+	keeper    *feed.Keeper
 	engines   *forward.Engines
 	gates     *flow.Owner
 	places    *flow.Asker
@@ -112,10 +121,12 @@
 func (r *Router) assembleFeed() {
 	timing := feed.TimingFor(r.changeBound())
 	start := r.startOf()
+	store := r.plat.Store(r.set.Store)
+	contacts := feed.Contacts{Table: store}
 	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.set.Bounds.Beat))
 	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.engines.Own() })
 	r.reader = &feed.Reader{
-		Board: r.board, Store: r.plat.Store(r.set.Store), Clock: bootclock.Now, Log: r.log,
+		Board: r.board, Store: store, Clock: bootclock.Now, Log: r.log,
 		Timing:     timing,
 		Start:      start,
 		Reads:      func() bool { return r.follower.Reads() },
@@ -126,9 +137,10 @@
 	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
 	r.follower = &feed.Follower{
 		Self: r.self, Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log,
-		Timing: timing, Start: start, Live: r.live, StoreLost: r.reader.Lost,
+		Timing: timing, Start: start, Contacts: contacts, Live: r.live, StoreLost: r.reader.Lost,
 		Call: r.call,
 	}
+	r.keeper = &feed.Keeper{Contacts: contacts, Reads: r.follower.Reads, Live: r.live, Clock: bootclock.Now, Log: r.log}
 }
 
 // call calls a method of another router.
@@ -184,6 +196,7 @@
 	r.goRun(r.board.Run)
 	r.goRun(r.reader.Run)
 	r.goRun(r.follower.Run)
+	r.goRun(r.keeper.Run)
 	r.goRun(r.review)
 	r.goRun(r.gates.Run)
 	directory, ready, control := newEcho(), newEcho(), newEcho()
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -126,18 +126,18 @@
 	return opts
 }
 
-// start is how this router becomes one of the fleet.
+// startOf is how this router becomes one of the fleet.
 func (r *Router) startOf() *feed.Start {
-	out := &feed.Start{}
+	out := feed.StartOptions{FirstOfAll: r.set.FirstStart}
 	for _, seed := range r.set.Seeds {
 		address := r.peerAddress(seed)
 		if address == r.self.Address {
-			out.First = true
+			out.Seed = true
 			continue
 		}
 		out.Seeds = append(out.Seeds, address)
 	}
-	return out
+	return feed.NewStart(out, bootclock.Now())
 }
 
 func (r *Router) logMember(e membership.Event) {
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -35,6 +35,10 @@
 	// Seeds are control addresses of other routers, "ip:port". They may be out
 	// of date.
 	Seeds []string `yaml:"seeds" validate:"dive,hostport"`
+	// FirstStart means that the whole fleet starts for the first time. It has no callers
+	// yet; a router then waits longer for others before it reads the store itself. The
+	// default is false.
+	FirstStart bool `yaml:"first_start"`
 	// FleetKey is the secret by which routers know one another, 16 bytes or more.
 	FleetKey string `yaml:"fleet_key" validate:"min=16"`
 	// Store is the address of the platform's store, "ip:port".
--- a/internal/store/platform/platform.go
+++ b/internal/store/platform/platform.go
@@ -94,6 +94,8 @@
 	// UseRetention deletes old claims. It spends the budget of UseClaim, and
 	// only what claims leave of it.
 	UseRetention Use = "retention"
+	// UseFleet keeps a list of routers by which others find the fleet.
+	UseFleet Use = "fleet"
 	// UseVMs reads the list of VMs. It is not bounded by the budget: without the
 	// list a router has no upstreams.
 	UseVMs Use = "vms"
