settings, node: settings take effect while a router runs

Cause: a changed settings file was checked on SIGHUP and had no effect until a restart; one that changed without a signal was not seen at all, and nothing said which of its fields were in force.

The file is watched (SIGHUP, and each second); it is taken once it is whole and has stayed the same for 0.1 s, and checked before anything changes. A file that can't be used is said once, with file, line and field, and stays a metric until it is mended. Log level, bounds, store's address, seeds, fleet keys (a second one is accepted during a change of keys), memory, and all listeners but the callers' take effect at once; name, site, addresses of calls and the link at the next start, which is said a field at a time. A digest tells apart the settings that routers share; request lines carry it.

Measured: tests of half-written, replaced, mistaken and unchanged files; FuzzParse.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 
+	"damaskrouter.example/damaskrouter/internal/base/hangup"
 	"damaskrouter.example/damaskrouter/internal/edge/logsink"
 	"damaskrouter.example/damaskrouter/internal/edge/node"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
@@ -35,9 +36,7 @@
 	sink := logsink.New(con.out)
 	defer sink.Close()
 	logger := newLogger(sink, log.InfoLevel)
-	// A SIGHUP that nobody catches ends the process, also while it starts.
-	defer onHangup(func() { reloadEdge(logger, file) })()
-	set, err := settings.Load(file)
+	set, content, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
@@ -56,17 +55,7 @@
 		return err
 	}
 	defer r.Close()
+	go r.Watch(ctx, file, content, hangup.Signals())
 	drainOnSignal(ctx, r.Leave)
 	return nil
 }
-
-// reloadEdge checks a settings file that was changed. Addresses and bounds hold
-// from the start of the process to its end; a change of them is said to be so,
-// and nothing is interrupted.
-func reloadEdge(logger *log.Logger, file string) {
-	if _, err := settings.Load(file); err != nil {
-		logger.Warn("settings changed and are not usable; those of the start stay in force", "cause", err)
-		return
-	}
-	logger.Info("settings read again; those of the start stay in force until a restart")
-}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -76,7 +76,7 @@
 // checkSettings returns the name of the router that the settings are for.
 func checkSettings(file string, edge bool) (string, error) {
 	if edge {
-		set, err := edgesettings.Load(file)
+		set, _, err := edgesettings.Load(file)
 		if err != nil {
 			return "", err
 		}
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -23,7 +23,7 @@
 	clock Clock
 	// lapse is the shortest outage of the store in which an engine's entry
 	// can go although the engine lives.
-	lapse    time.Duration
+	lapse    atomic.Int64
 	updates  chan update
 	snapshot atomic.Pointer[catalog.Snapshot]
 	changed  atomic.Pointer[chan struct{}]
@@ -63,10 +63,10 @@
 // each beat. Run makes the board work.
 func NewBoard(clock Clock, beat time.Duration) *Board {
 	b := &Board{
-		lapse:   lapsedBeats * beat,
 		clock:   clock,
 		updates: make(chan update),
 	}
+	b.SetBeat(beat)
 	b.snapshot.Store(catalog.Empty())
 	b.past.Store(&[]*catalog.Config{})
 	changed := make(chan struct{})
@@ -74,6 +74,9 @@
 	return b
 }
 
+// SetBeat says how often engines renew their entries.
+func (b *Board) SetBeat(beat time.Duration) { b.lapse.Store(int64(lapsedBeats * beat)) }
+
 // Snapshot returns the newest catalog.
 func (b *Board) Snapshot() *catalog.Snapshot { return b.snapshot.Load() }
 
@@ -135,7 +138,7 @@
 // long ago a reader last failed to reach the store, as known.
 func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, lostAgo time.Duration) {
 	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
-		return s.WithEngines(u, asOf, b.lapse, lostAgo)
+		return s.WithEngines(u, asOf, time.Duration(b.lapse.Load()), lostAgo)
 	})
 }
 
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -229,10 +229,10 @@
 	}
 	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{"e1": {InFlight: ownInFlight}} })
 	n.loads = loads
-	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: testTiming, Start: start, Log: quiet(),
+	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: func() Timing { return testTiming }, Start: start, Log: quiet(),
 		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.ToldLost() },
 		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
-	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: testTiming, Log: quiet(),
+	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: func() Timing { return testTiming }, Log: quiet(),
 		Start: start, Roster: n.roster, Contacts: Contacts{Table: store}, Live: live, StoreLost: n.reader.Lost, Call: f.call(self)}
 	n.keeper = &Keeper{Contacts: Contacts{Table: store}, Reads: n.follower.Reads, Live: live, Clock: f.clock, Log: quiet()}
 	n.relay = &Relay{Board: n.board, Loads: loads, Roster: n.roster, Clock: f.clock, Done: ctx.Done(), Log: quiet(),
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -38,7 +38,7 @@
 	Loads *Loads
 	Clock Clock
 	// Timing follows from the bounds on changes.
-	Timing Timing
+	Timing func() Timing
 	Call   Call
 	// Start is how this router becomes one of the fleet, Roster who is there as far as it
 	// knows.
@@ -353,7 +353,7 @@
 	if reply.Engines.Upto == 0 {
 		enginesAge = waited
 	}
-	return max(configAge, enginesAge) > f.Timing.StaleAfter
+	return max(configAge, enginesAge) > f.Timing().StaleAfter
 }
 
 // Why a source is distrusted, as logged.
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -52,7 +52,7 @@
 	Store Store
 	Clock Clock
 	// Timing follows from the bounds on changes.
-	Timing Timing
+	Timing func() Timing
 	// Start is how this router becomes one of the fleet.
 	Start *Start
 	// Reads says whether this router is the one to read.
@@ -123,7 +123,7 @@
 			pause.For(ctx, r.idle())
 			continue
 		}
-		hold, timeout := c.call(r.Timing)
+		hold, timeout := c.call(r.Timing())
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err := watch(callCtx, hold)
 		cancel()
@@ -210,7 +210,7 @@
 	case r.OthersLost():
 		return age > lostReadAfter
 	}
-	return age > r.Timing.OwnReadAfter
+	return age > r.Timing().OwnReadAfter
 }
 
 // up notes that the store answers.
--- a/internal/edge/forward/admit.go
+++ b/internal/edge/forward/admit.go
@@ -34,7 +34,7 @@
 	age := s.ConfigAge(x.f.Clock())
 	x.route = s.Config.Match(x.r.Host, x.r.URL.EscapedPath())
 	if x.route == nil {
-		if age > x.f.FreshFor {
+		if age > x.f.FreshFor() {
 			return notRun(ReasonStaleConfig, retryStore)
 		}
 		return rejected(http.StatusNotFound, ReasonNoRoute)
@@ -42,12 +42,12 @@
 	if !s.Config.NeedsKey(x.route) {
 		return nil
 	}
-	if age > x.f.KeyLease {
+	if age > x.f.KeyLease() {
 		return notRun(ReasonStaleConfig, retryStore)
 	}
 	x.account = s.Config.Account(x.req.Key)
 	if x.account == nil {
-		if age > x.f.FreshFor {
+		if age > x.f.FreshFor() {
 			return notRun(ReasonStaleConfig, retryStore)
 		}
 		return rejected(http.StatusUnauthorized, ReasonUnknownKey)
--- a/internal/edge/forward/admit_test.go
+++ b/internal/edge/forward/admit_test.go
@@ -31,7 +31,8 @@
 		return s
 	}
 	f := &Forwarder{Options: Options{
-		Snapshot: snapshot, Clock: clock, KeyLease: keyLease, FreshFor: 2 * time.Second,
+		Snapshot: snapshot, Clock: clock, KeyLease: func() time.Duration { return keyLease },
+		FreshFor:  func() time.Duration { return 2 * time.Second },
 		StoreLost: func() bool { return lost },
 	}}
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/missing/x", nil)
--- a/internal/edge/forward/budget.go
+++ b/internal/edge/forward/budget.go
@@ -31,15 +31,16 @@
 // the slack, so that the sum stays within the limits however the traffic is
 // split, without a message. It is safe for concurrent use.
 type Budgets struct {
-	limits  BudgetLimits
+	limits  func() BudgetLimits
 	routers func() int
 
 	mu       sync.Mutex
 	services map[string]*retry.Budget
 }
 
-// NewBudgets returns full budgets; routers returns how many routers share them.
-func NewBudgets(limits BudgetLimits, routers func() int) *Budgets {
+// NewBudgets returns full budgets. Limits are those in force, routers is how many routers share
+// them.
+func NewBudgets(limits func() BudgetLimits, routers func() int) *Budgets {
 	return &Budgets{limits: limits, routers: routers, services: make(map[string]*retry.Budget)}
 }
 
@@ -74,10 +75,11 @@
 // share is this router's part: half of its slack can be saved up, and the other
 // half comes evenly over a window, so that both together stay within it.
 func (b *Budgets) share() retry.BudgetConfig {
-	slack := budgetMargin * b.limits.Slack / float64(max(b.routers(), fewestRouters))
+	limits := b.limits()
+	slack := budgetMargin * limits.Slack / float64(max(b.routers(), fewestRouters))
 	return retry.BudgetConfig{
-		Ratio:        budgetMargin * b.limits.Ratio,
-		MinPerSecond: slack / 2 / b.limits.Window.Seconds(),
+		Ratio:        budgetMargin * limits.Ratio,
+		MinPerSecond: slack / 2 / limits.Window.Seconds(),
 		Burst:        max(slack/2, 1.5),
 	}
 }
--- a/internal/edge/forward/forward_test.go
+++ b/internal/edge/forward/forward_test.go
@@ -68,7 +68,7 @@
 		known := 1
 		budgets := make([]*Budgets, n)
 		for i := range budgets {
-			budgets[i] = NewBudgets(limits, func() int { return known })
+			budgets[i] = NewBudgets(func() BudgetLimits { return limits }, func() int { return known })
 			budgets[i].Fresh("s", 0)
 		}
 		known = n
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -43,11 +43,13 @@
 	// KeyLease is how long after its last confirmation a configuration may
 	// be used for requests with API keys: a key may have been taken away
 	// since.
-	KeyLease time.Duration
+	KeyLease func() time.Duration
 	// FreshFor is the age of the configuration up to which it is sure that a
 	// route or a key does not exist. Beyond it the newest version may have
 	// them, and a refusal that the caller takes for final would be wrong.
-	FreshFor time.Duration
+	FreshFor func() time.Duration
+	// Settings names the settings in force, for log lines. The default is no name.
+	Settings func() string
 	// StoreLost says whether a configuration is old because the store can't be
 	// reached, and not because this router has not asked yet.
 	StoreLost func() bool
@@ -71,6 +73,9 @@
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
+	if o.Settings == nil {
+		o.Settings = func() string { return "" }
+	}
 	return &Forwarder{
 		Options: o, stats: newStats(), paces: newPaces(), servedLines: rate.NewLimiter(servedPerSecond, servedPerSecond),
 		overloads: overloads{random: rand.Float64, services: make(map[string]*gate.Overload)},
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -44,7 +44,7 @@
 	fields := []any{
 		"request", x.req.ID, "route", route, "status", x.status, "engine", x.engine, "fetch_from", x.fetchFrom,
 		"asks", x.asks, "predicted_wait", x.predicted, "late", x.late, "sends", x.sends, "executed", x.executed, "took", took, "first_byte", x.firstByte,
-		"config", version,
+		"config", version, "settings", x.f.Settings(),
 	}
 	fields = append(fields, x.snapshot.AgeFields(now)...)
 	if ok {
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -80,7 +80,7 @@
 		return x.timeUp()
 	}
 	x.snapshot = x.f.Snapshot()
-	if age := x.snapshot.ConfigAge(x.f.Clock()); x.account != nil && age > x.f.KeyLease {
+	if age := x.snapshot.ConfigAge(x.f.Clock()); x.account != nil && age > x.f.KeyLease() {
 		if x.executed > 0 {
 			return last
 		}
--- a/internal/edge/node/leave.go
+++ b/internal/edge/node/leave.go
@@ -34,7 +34,7 @@
 	started := bootclock.Now()
 	r.leaving.Store(true)
 	r.log.Info("leaving", "in_flight", r.forwarder.InFlight())
-	stop := timeToStop(time.Duration(r.set.Bounds.Stop))
+	stop := timeToStop(time.Duration(r.set().Bounds.Stop))
 	r.forwarder.Leave(stop)
 	if err := r.gossip.Leave(); err != nil {
 		r.log.Warn("leave not announced", "cause", err)
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -23,9 +23,28 @@
 	vars.Set("engines_age_ms", expvar.Func(func() any {
 		return r.board.Snapshot().EnginesAge(bootclock.Now()).Milliseconds()
 	}))
+	vars.Set("settings", expvar.Func(func() any { return r.settingsVars() }))
 	return vars
 }
 
+// settingsVars is what operators are told of the settings. Problem stays until the file is mended,
+// and WaitForRestart until the restart.
+type settingsVars struct {
+	Digest         string   `json:"digest"`
+	AgeMS          int64    `json:"age_ms"`
+	Problem        string   `json:"problem"`
+	WaitForRestart []string `json:"wait_for_restart"`
+}
+
+func (r *Router) settingsVars() settingsVars {
+	in := r.inForce.Load()
+	out := settingsVars{Digest: in.digest, AgeMS: (bootclock.Now() - in.since).Milliseconds(), WaitForRestart: in.waiting}
+	if w := r.watcher.Load(); w != nil {
+		out.Problem = w.Problem()
+	}
+	return out
+}
+
 // mountMetrics serves the counters and latencies.
 func mountMetrics(e *echo.Echo, vars *expvar.Map) {
 	e.GET("/metrics", func(c echo.Context) error {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -6,9 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +14,7 @@
 	"damaskrouter.example/damaskrouter/internal/base/bootclock"
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/base/version"
 	"damaskrouter.example/damaskrouter/internal/edge/entry"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
@@ -23,7 +22,6 @@
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
 	"damaskrouter.example/damaskrouter/internal/fleet/peer"
-	storeplatform "damaskrouter.example/damaskrouter/internal/store/platform"
 	"github.com/charmbracelet/log"
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
@@ -55,13 +53,6 @@
 	memoryShare = 0.7
 )
 
-// Store is the platform's store: what operators and engines keep there, and rows of the
-// project's own.
-type Store interface {
-	feed.Store
-	storeplatform.Table
-}
-
 // Platform is what the platform's adapter provides.
 type Platform struct {
 	Codec          forward.Codec
@@ -72,10 +63,14 @@
 
 // Router is one running router.
 type Router struct {
-	set  *settings.Settings
-	log  *log.Logger
-	plat Platform
+	// inForce are the settings that this router runs with.
+	inForce atomic.Pointer[inForce]
+	// watcher watches the settings file, nil where nobody does.
+	watcher atomic.Pointer[settings.Watcher]
+	log     *log.Logger
+	plat    Platform
 
+	store     *currentStore
 	board     *feed.Board
 	loads     *feed.Loads
 	start     *feed.Start
@@ -90,11 +85,12 @@
 	caller    *peer.Caller
 	calls     *peer.Server
 	counters  peer.Counters
+	mounts    []mount
 	self      feed.Peer
 	// peersAlive are the routers that seem alive and stay, nil until this one is a member.
 	peersAlive atomic.Pointer[[]feed.Peer]
 
-	servers []*http.Server
+	servers servers
 	leaving atomic.Bool
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -103,7 +99,8 @@
 
 // New assembles a router; Start makes it serve.
 func New(set *settings.Settings, plat Platform, logger *log.Logger) *Router {
-	r := &Router{set: set, plat: plat, log: logger.With("router", set.Name)}
+	r := &Router{plat: plat, log: logger.With("router", set.Name)}
+	r.inForce.Store(&inForce{set: set, digest: set.Digest(), since: bootclock.Now()})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.self = feed.Peer{
 		Name: set.Name, Site: set.Site, Address: r.peerAddress(r.advertised()), Link: uint64(set.Limits.LinkMbps),
@@ -116,29 +113,38 @@
 // changeBound is how long a change of the configuration or of an engine may take
 // to be in force at all routers.
 func (r *Router) changeBound() time.Duration {
-	return time.Duration(min(r.set.Bounds.Config, r.set.Bounds.Drain))
+	b := r.set().Bounds
+	return time.Duration(min(b.Config, b.Drain))
+}
+
+// keyLease is how long after its last confirmation a configuration may be used for requests
+// with API keys.
+func (r *Router) keyLease() time.Duration {
+	return time.Duration(leaseShare * float64(r.set().Bounds.Revoke))
 }
 
+// timing follows from the bounds on changes.
+func (r *Router) timing() feed.Timing { return feed.TimingFor(r.changeBound()) }
+
 func (r *Router) assembleFeed() {
-	timing := feed.TimingFor(r.changeBound())
 	r.start = r.startOf()
-	store := r.plat.Store(r.set.Store)
-	contacts := feed.Contacts{Table: store}
-	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.set.Bounds.Beat))
+	r.store = newCurrentStore(r.plat.Store, r.set().Store)
+	contacts := feed.Contacts{Table: r.store}
+	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.set().Bounds.Beat))
 	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.engines.Own() })
 	r.reader = &feed.Reader{
-		Board: r.board, Store: store, Clock: bootclock.Now, Log: r.log,
-		Timing:     timing,
+		Board: r.board, Store: r.store, Clock: bootclock.Now, Log: r.log,
+		Timing:     r.timing,
 		Start:      r.start,
 		Reads:      func() bool { return r.follower.Reads() },
 		OthersLost: func() bool { return r.follower.ToldLost() },
 		LostAgo:    func() time.Duration { return r.follower.LostAgo() },
 	}
-	r.caller = peer.NewCaller(r.set.Name, r.fleetKeys, &r.counters)
-	r.calls = peer.NewServer(r.set.Name, r.fleetKeys, &r.counters)
+	r.caller = peer.NewCaller(r.self.Name, r.fleetKeys, &r.counters)
+	r.calls = peer.NewServer(r.self.Name, r.fleetKeys, &r.counters)
 	r.follower = &feed.Follower{
 		Self: r.self, Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log,
-		Timing: timing, Start: r.start, Contacts: contacts, Live: r.live, StoreLost: r.reader.Lost,
+		Timing: r.timing, Start: r.start, Contacts: contacts, Live: r.live, StoreLost: r.reader.Lost,
 		Call: r.call,
 	}
 	r.keeper = &feed.Keeper{Contacts: contacts, Reads: r.follower.Reads, Live: r.live, Clock: bootclock.Now, Log: r.log}
@@ -151,7 +157,7 @@
 
 func (r *Router) assembleForwarder() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	r.engines = forward.NewEngines(r.set.Site, r.loads.Others, bootclock.Now, rng)
+	r.engines = forward.NewEngines(r.self.Site, r.loads.Others, bootclock.Now, rng)
 	r.gates = flow.NewOwner(bootclock.Now, r.engines.Known)
 	r.places = flow.NewAsker(flow.Options{
 		Self: r.self.Name, Owner: r.gates, Clock: bootclock.Now, Call: r.call, Live: r.live,
@@ -163,30 +169,34 @@
 		r.log.Info("engine started again", "engine", engine)
 		go conns.Drop(engine)
 	})
-	b := r.set.Bounds
 	r.forwarder = forward.New(forward.Options{
 		Snapshot: r.board.Snapshot, Clock: bootclock.Now, Codec: r.plat.Codec,
 		Conns: conns, Engines: r.engines, Places: r.places,
 		Log:       r.log,
-		FreshFor:  r.changeBound(),
+		FreshFor:  r.changeBound,
 		StoreLost: func() bool { return r.follower.Lost() || r.reader.Lost() },
-		KeyLease:  time.Duration(leaseShare * float64(b.Revoke)),
-		Budget: forward.NewBudgets(forward.BudgetLimits{
-			Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow),
-		}, r.routers),
-		Routers: r.routers,
+		KeyLease:  r.keyLease,
+		Settings:  func() string { return r.inForce.Load().digest },
+		Budget:    forward.NewBudgets(r.budgetLimits, r.routers),
+		Routers:   r.routers,
 	})
 }
 
+func (r *Router) budgetLimits() forward.BudgetLimits {
+	b := r.set().Bounds
+	return forward.BudgetLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow)}
+}
+
 // Start listens and begins to serve.
 func (r *Router) Start() error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(r.set.Limits.MemoryMB) * (1 << 20)))
+	r.limitMemory()
 	if err := r.listen(); err != nil {
 		r.Close()
 		return Error.Wrap(err)
 	}
-	r.log.Info("started", "site", r.set.Site, "callers", r.set.Listen.Callers, "peers", r.self.Address,
-		"seeds", r.set.Seeds, "store", r.set.Store)
+	set := r.set()
+	r.log.Info("started", "site", set.Site, "callers", set.Listen.Callers, "peers", r.self.Address,
+		"seeds", set.Seeds, "store", set.Store, "settings", r.inForce.Load().digest, "version", version.String())
 	return nil
 }
 
@@ -201,24 +211,51 @@
 	r.goRun(r.logFleet)
 	r.goRun(r.review)
 	r.goRun(r.gates.Run)
-	directory, ready, control := newEcho(), newEcho(), newEcho()
+	if err := r.servers.open(r, listenCallers, r.set().Listen.Callers, r.forwarder); err != nil {
+		return err
+	}
+	r.mounts = r.mount()
+	return r.openMounts()
+}
+
+// The listeners, as logged.
+const (
+	listenCallers   = "callers"
+	listenDirectory = "directory"
+	listenReady     = "ready"
+	listenControl   = "control"
+	listenMetrics   = "metrics"
+)
+
+// mount is a handler and where it is served, which settings may change.
+type mount struct {
+	name    string
+	handler http.Handler
+	address func(settings.Listen) string
+}
+
+func (r *Router) mount() []mount {
+	directory, ready, control, metrics := newEcho(), newEcho(), newEcho(), newEcho()
 	r.plat.MountDirectory(directory, r.addresses)
 	r.plat.MountReady(ready, r.ready)
 	vars := r.vars()
 	mountMetrics(control, vars)
-	if r.set.Listen.Metrics != "" {
-		metrics := newEcho()
-		mountMetrics(metrics, vars)
-		if err := r.serve("metrics", r.set.Listen.Metrics, metrics); err != nil {
-			return err
-		}
+	mountMetrics(metrics, vars)
+	return []mount{
+		{listenDirectory, directory, func(l settings.Listen) string { return l.Directory }},
+		{listenReady, ready, func(l settings.Listen) string { return l.Ready }},
+		{listenControl, control, func(l settings.Listen) string { return l.Control }},
+		{listenMetrics, metrics, func(l settings.Listen) string { return l.Metrics }},
 	}
-	return errors.Join(
-		r.serve("callers", r.set.Listen.Callers, r.forwarder),
-		r.serve("directory", r.set.Listen.Directory, directory),
-		r.serve("ready", r.set.Listen.Ready, ready),
-		r.serve("control", r.set.Listen.Control, control),
-	)
+}
+
+// openMounts serves each handler where the settings in force say.
+func (r *Router) openMounts() error {
+	var errs []error
+	for _, m := range r.mounts {
+		errs = append(errs, r.servers.open(r, m.name, m.address(r.set().Listen), m.handler))
+	}
+	return errors.Join(errs...)
 }
 
 func newEcho() *echo.Echo {
@@ -235,25 +272,6 @@
 	}()
 }
 
-func (r *Router) serve(name, address string, handler http.Handler) error {
-	ln, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}
-	r.servers = append(r.servers, server)
-	r.goRun(func(context.Context) {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			r.log.Error("listener failed", "serves", name, "cause", err)
-		}
-	})
-	return nil
-}
-
 // review logs the changes of the judgement on engines.
 func (r *Router) review(ctx context.Context) {
 	for pause.For(ctx, reviewInterval) {
@@ -277,20 +295,18 @@
 	if len(routers) == 0 {
 		routers = []entry.Router{{Name: r.self.Name, Site: r.self.Site, Address: r.advertised()}}
 	}
-	return entry.Answers(routers, q, min(addressTTL, time.Duration(r.set.Bounds.MaxTTL)))
+	return entry.Answers(routers, q, min(addressTTL, time.Duration(r.set().Bounds.MaxTTL)))
 }
 
 // ready says whether callers' requests can be served.
 func (r *Router) ready() bool {
 	s := r.board.Snapshot()
-	return !r.leaving.Load() && s.Config != nil && s.ConfigAge(bootclock.Now()) < r.forwarder.KeyLease
+	return !r.leaving.Load() && s.Config != nil && s.ConfigAge(bootclock.Now()) < r.keyLease()
 }
 
 // Close stops at once; Leave comes first in a graceful shutdown.
 func (r *Router) Close() {
-	for _, s := range r.servers {
-		_ = s.Close()
-	}
+	r.servers.close()
 	r.cancel()
 	r.calls.Close()
 	r.caller.Close()
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -13,7 +13,6 @@
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
 	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
 	"damaskrouter.example/damaskrouter/internal/fleet/membership"
-	"damaskrouter.example/damaskrouter/internal/fleet/peer"
 )
 
 // peerAddress is where the router of a VM answers other routers: the first free
@@ -23,32 +22,28 @@
 	if err != nil {
 		return ""
 	}
-	return net.JoinHostPort(host, strconv.Itoa(r.set.Listen.PortRange[0]))
+	return net.JoinHostPort(host, strconv.Itoa(r.set().Listen.PortRange[0]))
 }
 
 // advertised is where callers reach this router.
 func (r *Router) advertised() string {
-	_, port, err := net.SplitHostPort(r.set.Listen.Callers)
-	if r.set.Listen.Advertise == "" || err != nil {
-		return r.set.Listen.Callers
+	_, port, err := net.SplitHostPort(r.set().Listen.Callers)
+	if r.set().Listen.Advertise == "" || err != nil {
+		return r.set().Listen.Callers
 	}
-	return net.JoinHostPort(r.set.Listen.Advertise, port)
+	return net.JoinHostPort(r.set().Listen.Advertise, port)
 }
 
 // callersAddress is where the router behind a peer address serves callers.
 func (r *Router) callersAddress(peerAddress string) string {
 	host, _, err := net.SplitHostPort(peerAddress)
-	_, port, portErr := net.SplitHostPort(r.set.Listen.Callers)
+	_, port, portErr := net.SplitHostPort(r.set().Listen.Callers)
 	if err != nil || portErr != nil {
 		return ""
 	}
 	return net.JoinHostPort(host, port)
 }
 
-func (r *Router) fleetKeys() []peer.FleetKey {
-	return []peer.FleetKey{{ID: 1, Secret: []byte(r.set.FleetKey)}}
-}
-
 // routers is how many routers there are, this one included.
 func (r *Router) routers() int { return max(len(r.live()), 1) }
 
@@ -73,7 +68,7 @@
 
 // startPeers joins the membership and answers other routers.
 func (r *Router) startPeers() error {
-	listen := r.peerAddress(r.set.Listen.Callers)
+	listen := r.peerAddress(r.set().Listen.Callers)
 	ln, err := net.Listen("tcp4", listen)
 	if err != nil {
 		return err
@@ -86,7 +81,7 @@
 			Link: r.self.Link,
 		},
 		Options: r.gossipOptions(),
-		Keys:    gossip.Keys{Active: gossip.Key{ID: 1, Secret: []byte(r.set.FleetKey)}},
+		Keys:    r.gossipKeys(),
 		Log:     func(message string, keyvals ...any) { r.log.Warn(message, keyvals...) },
 	})
 	if err != nil {
@@ -121,17 +116,23 @@
 	opts := membership.DefaultOptions()
 	opts.ContactPeriod = contactPeriod
 	opts.ContactDelay = contactDelay
-	for _, seed := range r.set.Seeds {
-		opts.Seeds = append(opts.Seeds, r.peerAddress(seed))
-	}
+	opts.Seeds = r.seedAddresses()
 	return opts
 }
 
+// seedAddresses are where the seeds answer other routers.
+func (r *Router) seedAddresses() []string {
+	var out []string
+	for _, seed := range r.set().Seeds {
+		out = append(out, r.peerAddress(seed))
+	}
+	return out
+}
+
 // startOf is how this router becomes one of the fleet.
 func (r *Router) startOf() *feed.Start {
-	out := feed.StartOptions{FirstOfAll: r.set.FirstStart}
-	for _, seed := range r.set.Seeds {
-		address := r.peerAddress(seed)
+	out := feed.StartOptions{FirstOfAll: r.set().FirstStart}
+	for _, address := range r.seedAddresses() {
 		if address == r.self.Address {
 			out.Seed = true
 			continue
--- /dev/null
+++ b/internal/edge/node/servers.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// closeWithin is how long the answers under way at an address that is given up may take.
+const closeWithin = 5 * time.Second
+
+// servers are the listeners of a router, by what they serve. It is safe for concurrent use.
+type servers struct {
+	mu     sync.Mutex
+	byName map[string]*listening
+}
+
+// listening is a listener and where it listens.
+type listening struct {
+	address string
+	server  *http.Server
+}
+
+// open serves a handler at an address, and gives up the one where it was served before: answers
+// under way there are finished. An empty address is not to serve it. If the new address can't be
+// had, the old one stays.
+func (s *servers) open(r *Router, name, address string, handler http.Handler) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.byName[name]
+	if before != nil && before.address == address {
+		return nil
+	}
+	if s.byName == nil {
+		s.byName = make(map[string]*listening)
+	}
+	delete(s.byName, name)
+	if address != "" {
+		server, err := r.serve(name, address, handler)
+		if err != nil {
+			if before != nil {
+				s.byName[name] = before
+			}
+			return err
+		}
+		s.byName[name] = &listening{address: address, server: server}
+	}
+	if before != nil {
+		r.goRun(func(ctx context.Context) { giveUp(ctx, before.server) })
+	}
+	return nil
+}
+
+// giveUp stops listening and waits for the answers under way.
+func giveUp(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, closeWithin)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+// close stops all at once.
+func (s *servers) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.byName {
+		_ = l.server.Close()
+	}
+}
+
+func (r *Router) serve(name, address string, handler http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, Error.New("%s: %w", name, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	r.goRun(func(context.Context) {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			r.log.Error("listener failed", "serves", name, "cause", err)
+		}
+	})
+	return server, nil
+}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -2,7 +2,9 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"reflect"
@@ -24,12 +26,15 @@
 
 // Settings are the settings of one router. Fields that are not known here are
 // ignored, so that a newer template can serve an older router.
+//
+// A change takes effect while the router runs, but for fields tagged apply:"restart". Those
+// tagged scope:"own" differ from router to router; see Digest.
 type Settings struct {
 	// Name identifies the router within the fleet.
-	Name string `yaml:"name" validate:"required"`
+	Name string `yaml:"name" validate:"required" scope:"own" apply:"restart"`
 	// Site and Region are where its VM is.
-	Site   string `yaml:"site" validate:"required"`
-	Region string `yaml:"region"`
+	Site   string `yaml:"site" validate:"required" scope:"own" apply:"restart"`
+	Region string `yaml:"region" scope:"own" apply:"restart"`
 
 	Listen Listen `yaml:"listen"`
 	// Seeds are control addresses of other routers, "ip:port". They may be out
@@ -38,9 +43,13 @@
 	// FirstStart means that the whole fleet starts for the first time. It has no callers
 	// yet; a router then waits longer for others before it reads the store itself. The
 	// default is false.
-	FirstStart bool `yaml:"first_start"`
+	FirstStart bool `yaml:"first_start" scope:"own"`
 	// FleetKey is the secret by which routers know one another, 16 bytes or more.
-	FleetKey string `yaml:"fleet_key" validate:"min=16"`
+	FleetKey string `yaml:"fleet_key" validate:"min=16" secret:"yes"`
+	// OtherFleetKey is a second key that is accepted, while the fleet changes from one to
+	// another: first the new one is accepted by all, then used by all, then the old one
+	// dropped. The default is none.
+	OtherFleetKey string `yaml:"other_fleet_key" validate:"omitempty,min=16" secret:"yes"`
 	// Store is the address of the platform's store, "ip:port".
 	Store string `yaml:"store" validate:"required,hostport"`
 
@@ -53,32 +62,32 @@
 
 // Listen holds the addresses that the router serves, "ip:port".
 type Listen struct {
-	Callers   string `yaml:"callers" validate:"required,hostport"`
-	Ready     string `yaml:"ready" validate:"required,hostport"`
-	Directory string `yaml:"directory" validate:"required,hostport"`
-	Control   string `yaml:"control" validate:"required,hostport"`
+	Callers   string `yaml:"callers" validate:"required,hostport" scope:"own" apply:"restart"`
+	Ready     string `yaml:"ready" validate:"required,hostport" scope:"own"`
+	Directory string `yaml:"directory" validate:"required,hostport" scope:"own"`
+	Control   string `yaml:"control" validate:"required,hostport" scope:"own"`
 	// Advertise is the IP address under which callers and other routers reach this VM,
 	// at the same ports. The default is the one at which callers are served; it differs
 	// behind a translation of addresses.
-	Advertise string `yaml:"advertise" validate:"omitempty,ip"`
+	Advertise string `yaml:"advertise" validate:"omitempty,ip" scope:"own" apply:"restart"`
 	// Metrics is where counters and latencies are served. The default is not
 	// to serve them.
-	Metrics string `yaml:"metrics" validate:"omitempty,hostport"`
+	Metrics string `yaml:"metrics" validate:"omitempty,hostport" scope:"own"`
 	// PortRange is the ports that are free for the traffic between routers,
 	// "first,last".
-	PortRange []int `yaml:"ports" validate:"len=2,dive,min=1,max=65535"`
+	PortRange []int `yaml:"ports" validate:"len=2,dive,min=1,max=65535" apply:"restart"`
 }
 
 // Limits are those of the VM.
 type Limits struct {
 	// MemoryMB is the memory that the process may use, in megabytes.
-	MemoryMB int64 `yaml:"memory_mb" validate:"min=16"`
+	MemoryMB int64 `yaml:"memory_mb" validate:"min=16" scope:"own"`
 	// MaxFiles is how many descriptors it may use.
-	MaxFiles int `yaml:"max_files" validate:"min=64"`
+	MaxFiles int `yaml:"max_files" validate:"min=64" scope:"own"`
 	// LinkMbps is the bandwidth of its link, in megabits a second.
-	LinkMbps float64 `yaml:"link_mbps" validate:"gt=0"`
+	LinkMbps float64 `yaml:"link_mbps" validate:"gt=0" scope:"own" apply:"restart"`
 	// CPUShare is the part of a core that it may use.
-	CPUShare float64 `yaml:"cpu_share" validate:"gt=0"`
+	CPUShare float64 `yaml:"cpu_share" validate:"gt=0" scope:"own"`
 }
 
 // Bounds are the times and ratios that the fleet must keep.
@@ -110,6 +119,9 @@
 	return scaled(unmarshal, time.Millisecond, (*time.Duration)(m))
 }
 
+// String implements fmt.Stringer.
+func (m Milliseconds) String() string { return time.Duration(m).String() }
+
 // Seconds is a duration that is written as a number of seconds.
 type Seconds time.Duration
 
@@ -118,6 +130,9 @@
 	return scaled(unmarshal, time.Second, (*time.Duration)(s))
 }
 
+// String implements fmt.Stringer.
+func (s Seconds) String() string { return time.Duration(s).String() }
+
 func scaled(unmarshal func(any) error, unit time.Duration, out *time.Duration) error {
 	var n float64
 	if err := unmarshal(&n); err != nil {
@@ -127,13 +142,15 @@
 	return nil
 }
 
-// Load reads and checks a settings file. Errors: ErrRead, ErrField.
-func Load(file string) (*Settings, error) {
+// Load reads and checks a settings file, and returns its content as well. Errors: ErrRead,
+// ErrField.
+func Load(file string) (*Settings, []byte, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, ErrRead.Wrap(err)
+		return nil, nil, ErrRead.Wrap(err)
 	}
-	return Parse(data)
+	set, err := Parse(data)
+	return set, data, err
 }
 
 // Parse checks settings. Errors: ErrRead, ErrField.
@@ -144,7 +161,7 @@
 	}
 	var invalid validator.ValidationErrors
 	if err := newValidator().Struct(&s); errors.As(err, &invalid) {
-		return nil, fieldError(invalid)
+		return nil, fieldError(data, invalid)
 	} else if err != nil {
 		return nil, ErrField.Wrap(err)
 	}
@@ -165,12 +182,30 @@
 	return v
 }
 
-// fieldError names every field that is wrong, and the check that it fails.
-func fieldError(invalid validator.ValidationErrors) error {
+// fieldError names every field that is wrong, its line and the check that it fails.
+func fieldError(data []byte, invalid validator.ValidationErrors) error {
 	var problems []string
 	for _, f := range invalid {
 		_, name, _ := strings.Cut(f.Namespace(), ".")
-		problems = append(problems, name+" fails the check "+f.ActualTag())
+		check := f.ActualTag()
+		if f.Param() != "" {
+			check += "=" + f.Param()
+		}
+		problems = append(problems, fmt.Sprintf("%s%s fails the check %s", lineOf(data, name), name, check))
 	}
 	return ErrField.New("%s", strings.Join(problems, "; "))
 }
+
+// lineOf returns where a field stands in a file, as a prefix of a message; nothing if it is
+// missing there.
+func lineOf(data []byte, field string) string {
+	path, err := yaml.PathString("$." + field)
+	if err != nil {
+		return ""
+	}
+	node, err := path.ReadNode(bytes.NewReader(data))
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("line %d: ", node.GetToken().Position.Line)
+}
--- a/internal/edge/settings/settings_test.go
+++ b/internal/edge/settings/settings_test.go
@@ -40,8 +40,77 @@
 		require.True(t, ErrField.Has(err), tc.field)
 		require.ErrorContains(t, err, tc.field)
 	}
-	_, err := Parse([]byte("a: [1"))
+	_, err := Parse([]byte(strings.Replace(good, "revoke_ms: 5000", "revoke_ms: 0", 1)))
+	require.ErrorContains(t, err, "line 9: bounds.revoke_ms fails the check min=1000000")
+	_, err = Parse([]byte(strings.Replace(good, "memory_mb: 284", "memory_mb: [3", 1)))
+	require.ErrorContains(t, err, "[8:")
+	_, err = Parse([]byte("a: [1"))
 	require.True(t, ErrRead.Has(err))
-	_, err = Load("/nonexistent")
+	_, _, err = Load("/nonexistent")
 	require.True(t, ErrRead.Has(err))
 }
+
+// Every field can be told to operators, and says whether it takes effect at once.
+func TestFieldsAreNamedAndSecretsAreNotTold(t *testing.T) {
+	s, err := Parse([]byte(good))
+	require.NoError(t, err)
+	seen := make(map[string]Field)
+	for _, f := range s.Fields() {
+		require.NotContains(t, f.Value, "0123456789abcdef", f.Path)
+		seen[f.Path] = f
+	}
+	require.Equal(t, Field{Path: "bounds.stop_s", Value: "8s", Live: true}, seen["bounds.stop_s"])
+	require.Equal(t, Field{Path: "name", Value: "r1", Own: true}, seen["name"])
+	require.Equal(t, Field{Path: "fleet_key", Value: secretValue, Live: true}, seen["fleet_key"])
+}
+
+// Symptom: operators can't tell which routers run which settings. Cause handled: routers whose
+// shared settings are equal have one digest, whatever their names, addresses and VMs.
+func TestDigestIsOfWhatRoutersShare(t *testing.T) {
+	digest := func(old, new string) string {
+		s, err := Parse([]byte(strings.Replace(good, old, new, 1)))
+		require.NoError(t, err)
+		return s.Digest()
+	}
+	same := digest("", "")
+	require.Equal(t, same, digest("name: r1", "name: r2"))
+	require.Equal(t, same, digest("10.0.0.1:1", "10.0.0.7:1"))
+	require.Equal(t, same, digest("memory_mb: 284", "memory_mb: 536"))
+	require.Equal(t, same, digest("0123456789abcdef", "0123456789abcdefg"), "a secret is not in it")
+	require.NotEqual(t, same, digest("revoke_ms: 5000", "revoke_ms: 5001"))
+	require.NotEqual(t, same, digest("10.0.0.9:80", "10.0.0.9:81"))
+	require.NotEqual(t, same, digest("ports: [7340, 7355]", "ports: [7341, 7355]"))
+}
+
+// Symptom: a router is half changed: it says one thing and does another. Cause handled: what takes
+// effect at a restart only stays as it is, and is named.
+func TestWhatNeedsARestartIsNotInForce(t *testing.T) {
+	running, err := Parse([]byte(good))
+	require.NoError(t, err)
+	given, err := Parse([]byte(strings.NewReplacer("stop_s: 8", "stop_s: 9", "site: x", "site: y", "fleet_key: 0", "fleet_key: 9").Replace(good)))
+	require.NoError(t, err)
+	effective := Effective(running, given)
+	require.Equal(t, 9*time.Second, time.Duration(effective.Bounds.Stop))
+	require.Equal(t, "x", effective.Site)
+	require.Equal(t, "x", running.Site)
+	require.Equal(t, []Change{
+		{Path: "site", From: "x", To: "y"},
+		{Path: "fleet_key", From: secretValue, To: secretValue, Live: true},
+		{Path: "bounds.stop_s", From: "8s", To: "9s", Live: true},
+	}, Changes(running, given))
+	require.Equal(t, []Change{{Path: "site", From: "x", To: "y"}}, Changes(effective, given))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("a: [1"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse(data)
+		if err != nil {
+			require.True(t, ErrField.Has(err) || ErrRead.Has(err), "%v", err)
+			return
+		}
+		require.Equal(t, s.Digest(), Effective(s, s).Digest())
+		require.Empty(t, Changes(s, s))
+	})
+}
--- a/internal/fleet/gossip/driver.go
+++ b/internal/fleet/gossip/driver.go
@@ -344,6 +344,11 @@
 	return d.enqueue(func() { _ = d.end.SetKeys(keys) })
 }
 
+// SetSeeds replaces the addresses to contact that belong to no known live member. Errors: ErrBusy.
+func (d *Driver) SetSeeds(seeds []string) error {
+	return d.enqueue(func() { d.end.Detector().SetSeeds(seeds) })
+}
+
 // Leave marks this router as leaving; it is still probed and still answers.
 // Errors: ErrBusy.
 func (d *Driver) Leave() error {
--- a/internal/fleet/membership/witness.go
+++ b/internal/fleet/membership/witness.go
@@ -26,6 +26,9 @@
 	return witness{seeds: slices.Clone(seeds), marked: make(map[vmKey]uint64)}
 }
 
+// SetSeeds replaces the seeds of the options.
+func (d *Detector) SetSeeds(seeds []string) { d.witness.seeds = slices.Clone(seeds) }
+
 // ObserveVMs takes the platform's VM list as it is now. It may be called as
 // often as the list is read.
 //
