feed, node, cli: any router tells who runs which settings

Cause: with settings changing at many routers operators could not tell which router runs which; 'damaskrouter fleet' asks the other entry's administration only.

Each router says what it runs (digest of its settings and since when, fields that wait for a restart, mistakes in its file, configuration in force and its age, version, boot, state) with its pulls, if something has changed and every five seconds; the router at the top of the tree knows all, and any router answers for all at /fleet of its metrics and control addresses. Secrets are never told.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -11,7 +11,16 @@
 
 func fleetCommand() *command {
 	var f operatorFlags
-	c := newCommand("fleet", "Show the routers and engines, as the asked router sees them.", func(ctx context.Context, con *console) error {
+	var routers routersFlags
+	diff := diffCommand()
+	c := newCommand("fleet", "Show the routers: which run which settings and configuration, and the odd ones.", func(ctx context.Context, con *console) error {
+		if diff.sub.Used {
+			return diff.run(ctx, con)
+		}
+		if f.admin == "" && routers.address() != "" {
+			routers.json = f.json
+			return showRouters(ctx, con, &routers)
+		}
 		var fleet api.Fleet
 		printed, err := f.get(ctx, con, api.PathFleet, nil, &fleet)
 		if printed || err != nil {
@@ -20,6 +29,11 @@
 		return printFleet(con.out, fleet)
 	})
 	f.add(c.sub)
+	c.sub.String(&routers.router, "r", "router", "On the platform, the metrics address of any router, HOST:PORT. Default: "+envRouter+" from the environment.")
+	c.sub.String(&routers.site, "", "site", "Only routers of this site (with --router).")
+	c.sub.Bool(&routers.watch, "w", "watch", "Show it again every two seconds (with --router).")
+	c.sub.Bool(&routers.all, "", "all", "List every router, not only those that differ from most (with --router).")
+	c.sub.AttachSubcommand(diff.sub, 1)
 	return c
 }
 
--- /dev/null
+++ b/internal/cli/routers.go
@@ -0,0 +1,316 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/node"
+	"github.com/zeebo/errs"
+)
+
+// ErrRouter means that a router can't be asked, or answers something else.
+var ErrRouter = errs.Class("router")
+
+const (
+	// envRouter stands in for the flag --router.
+	envRouter = "DAMASKROUTER_ROUTER"
+	// routerTimeout bounds a question to a router: it may ask three others first.
+	routerTimeout = 5 * time.Second
+	// maxRouterReply bounds its answer, in bytes: 380 routers take 100 KB.
+	maxRouterReply = 8 << 20
+	// watchInterval is the time between two questions of --watch.
+	watchInterval = 2 * time.Second
+	// clearScreen moves a terminal's cursor to the top and clears what is below.
+	clearScreen = "\x1b[H\x1b[J"
+)
+
+// routersFlags are the flags for routers on a platform.
+type routersFlags struct {
+	router string
+	site   string
+	json   bool
+	watch  bool
+	all    bool
+}
+
+func (f *routersFlags) address() string {
+	if f.router == "" {
+		f.router = os.Getenv(envRouter)
+	}
+	return f.router
+}
+
+// ask asks a router at its address of metrics. Errors: ErrRouter.
+func (f *routersFlags) ask(ctx context.Context, path string, query url.Values) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, routerTimeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: f.address(), Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, ErrRouter.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, ErrRouter.Wrap(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRouterReply))
+	if err != nil {
+		return nil, ErrRouter.Wrap(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrRouter.New("%s answers %s: %s", f.address(), resp.Status, body)
+	}
+	return body, nil
+}
+
+// askInto asks and decodes the answer.
+func (f *routersFlags) askInto(ctx context.Context, path string, query url.Values, out any) ([]byte, error) {
+	body, err := f.ask(ctx, path, query)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return nil, ErrRouter.New("%s answers no JSON at %s: %w", f.address(), path, err)
+	}
+	return body, nil
+}
+
+// showRouters prints what the routers run, again and again with --watch.
+func showRouters(ctx context.Context, con *console, f *routersFlags) error {
+	for {
+		if err := showRoutersOnce(ctx, con, f); err != nil || !f.watch {
+			return err
+		}
+		if !pause.For(ctx, watchInterval) {
+			return nil
+		}
+		fmt.Fprint(con.out, clearScreen)
+	}
+}
+
+func showRoutersOnce(ctx context.Context, con *console, f *routersFlags) error {
+	var fleet feed.Fleet
+	body, err := f.askInto(ctx, node.PathFleet, nil, &fleet)
+	if err != nil {
+		return err
+	}
+	if f.json {
+		_, err := fmt.Fprintf(con.out, "%s\n", body)
+		return err
+	}
+	if f.site != "" {
+		fleet.Statuses = slices.DeleteFunc(fleet.Statuses, func(s feed.Status) bool { return s.Site != f.site })
+	}
+	return printRouters(con.out, fleet, f.all)
+}
+
+// group of routers that run the same settings.
+type settingsGroup struct {
+	digest  string
+	routers []feed.Status
+}
+
+// groups returns the routers by their settings, the largest group first; those that have not
+// been heard are none's.
+func groups(list []feed.Status) []settingsGroup {
+	byDigest := make(map[string][]feed.Status)
+	for _, s := range list {
+		if s.State != feed.StateUnheard {
+			byDigest[s.Settings] = append(byDigest[s.Settings], s)
+		}
+	}
+	var out []settingsGroup
+	for digest, routers := range byDigest {
+		out = append(out, settingsGroup{digest, routers})
+	}
+	slices.SortFunc(out, func(a, b settingsGroup) int {
+		return cmp.Or(len(b.routers)-len(a.routers), strings.Compare(a.digest, b.digest))
+	})
+	return out
+}
+
+func printRouters(out io.Writer, fleet feed.Fleet, all bool) error {
+	fmt.Fprintf(out, "seen by %s, told by %s, %d routers\n", fleet.SeenBy, fleet.ToldBy, len(fleet.Statuses))
+	grouped := groups(fleet.Statuses)
+	err := table(out, true, "\nSETTINGS\tROUTERS\tSITES\tSINCE\tCONFIG", func(w io.Writer) error {
+		for _, g := range grouped {
+			fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", g.digest, len(g.routers), sitesOf(g.routers), sinceOf(g.routers), configsOf(g.routers))
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	listed, heading := fleet.Statuses, "every router"
+	if !all {
+		listed, heading = oddOnes(fleet.Statuses, grouped), "routers that differ from most, or need a look"
+	}
+	fmt.Fprintf(out, "\n%s: %d\n", heading, len(listed))
+	if len(listed) == 0 {
+		return nil
+	}
+	return table(out, true, "ROUTER\tSITE\tSTATE\tSETTINGS\tSINCE\tCONFIG\tCONFIRMED\tUP\tVERSION\tHEARD\tNOTE", func(w io.Writer) error {
+		for _, s := range listed {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Router, s.Site, s.State, s.Settings, ago(s.SettingsAge),
+				s.Config, ago(s.ConfigAge), short(s.UpFor), s.Version, ago(s.Age), noteOf(s))
+		}
+		return nil
+	})
+}
+
+// oddOnes returns the routers that are not in the largest group, have another configuration than
+// the newest, or don't simply serve.
+func oddOnes(list []feed.Status, grouped []settingsGroup) []feed.Status {
+	newest := uint64(0)
+	for _, s := range list {
+		newest = max(newest, s.Config)
+	}
+	var out []feed.Status
+	for _, s := range list {
+		odd := len(grouped) > 0 && s.Settings != grouped[0].digest
+		if odd || s.Config != newest || s.State != feed.StateServing || noteOf(s) != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func noteOf(s feed.Status) string {
+	switch {
+	case s.Problem != "":
+		return "settings file: " + s.Problem
+	case len(s.Waiting) > 0:
+		return "wait for a restart: " + strings.Join(s.Waiting, ", ")
+	}
+	return ""
+}
+
+func sitesOf(list []feed.Status) string {
+	var sites []string
+	for _, s := range list {
+		sites = append(sites, s.Site)
+	}
+	slices.Sort(sites)
+	return strings.Join(slices.Compact(sites), " ")
+}
+
+// sinceOf is how long ago the settings took effect at the first and at the last of some routers.
+func sinceOf(list []feed.Status) string {
+	first, last := list[0].SettingsAge, list[0].SettingsAge
+	for _, s := range list {
+		first, last = max(first, s.SettingsAge), min(last, s.SettingsAge)
+	}
+	if short(first) == short(last) {
+		return ago(first)
+	}
+	return short(last) + " to " + ago(first)
+}
+
+func configsOf(list []feed.Status) string {
+	var versions []uint64
+	for _, s := range list {
+		versions = append(versions, s.Config)
+	}
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) == 1 {
+		return fmt.Sprint(versions[0])
+	}
+	return fmt.Sprintf("%d to %d", versions[0], versions[len(versions)-1])
+}
+
+func short(d time.Duration) string {
+	if d < time.Second {
+		return d.Round(time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
+
+func ago(d time.Duration) string { return short(d) + " ago" }
+
+// diffCommand shows which settings of two routers differ.
+func diffCommand() *command {
+	var f routersFlags
+	var a, b string
+	c := newCommand("diff", "Show which settings of two routers on the platform differ.", func(ctx context.Context, con *console) error {
+		return diffRouters(ctx, con, &f, a, b)
+	})
+	c.sub.AddPositionalValue(&a, "A", 1, true, "The name of a router.")
+	c.sub.AddPositionalValue(&b, "B", 2, true, "The name of another one.")
+	c.sub.String(&f.router, "r", "router", "The metrics address of any router, HOST:PORT. Default: "+envRouter+" from the environment.")
+	c.sub.Bool(&f.all, "", "own", "Show also what is each router's own: its name, site, addresses and VM.")
+	return c
+}
+
+// difference is a setting of two routers.
+type difference struct{ path, a, b string }
+
+func diffRouters(ctx context.Context, con *console, f *routersFlags, a, b string) error {
+	if f.address() == "" {
+		return ErrUsage.New("name a router with --router ADDRESS (or %s)", envRouter)
+	}
+	var replies [2]node.SettingsReply
+	var failures []error
+	for i, name := range []string{a, b} {
+		_, err := f.askInto(ctx, node.PathSettings, url.Values{node.QueryRouter: {name}}, &replies[i])
+		failures = append(failures, err)
+	}
+	if err := errors.Join(failures...); err != nil {
+		return err
+	}
+	list := differences(replies[0], replies[1], f.all)
+	if len(list) == 0 {
+		_, err := fmt.Fprintf(con.out, "%s and %s run the same settings, %s\n", a, b, replies[0].Digest)
+		return err
+	}
+	return table(con.out, true, "SETTING\t"+a+"\t"+b, func(w io.Writer) error {
+		for _, d := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", d.path, d.a, d.b)
+		}
+		return nil
+	})
+}
+
+// differences returns the settings that differ. One that a router of another version does not
+// have has no value there.
+func differences(a, b node.SettingsReply, own bool) []difference {
+	values := make(map[string]*difference)
+	var order []string
+	at := func(path string) *difference {
+		if values[path] == nil {
+			values[path] = &difference{path: path}
+			order = append(order, path)
+		}
+		return values[path]
+	}
+	for _, field := range a.Fields {
+		if own || !field.Own {
+			at(field.Path).a = field.Value
+		}
+	}
+	for _, field := range b.Fields {
+		if own || !field.Own {
+			at(field.Path).b = field.Value
+		}
+	}
+	var out []difference
+	for _, path := range order {
+		if d := values[path]; d.a != d.b {
+			out = append(out, *d)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cli/routers_test.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/node"
+	"damaskrouter.example/damaskrouter/internal/edge/settings"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeRouter answers what operators ask a router.
+func fakeRouter(t *testing.T, fleet feed.Fleet, replies map[string]node.SettingsReply) string {
+	mux := http.NewServeMux()
+	mux.HandleFunc(node.PathFleet, func(w http.ResponseWriter, _ *http.Request) {
+		require.NoError(t, json.NewEncoder(w).Encode(fleet))
+	})
+	mux.HandleFunc(node.PathSettings, func(w http.ResponseWriter, r *http.Request) {
+		reply, ok := replies[r.URL.Query().Get(node.QueryRouter)]
+		if !ok {
+			http.Error(w, "no such router", http.StatusNotFound)
+			return
+		}
+		require.NoError(t, json.NewEncoder(w).Encode(reply))
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// manyRouters are 295 routers, of which five of one site run older settings, one has a mistake in
+// its file, and one is not heard.
+func manyRouters() feed.Fleet {
+	out := feed.Fleet{SeenBy: "front-ank-a-1", ToldBy: "front-ank-b-2"}
+	for i := range 295 {
+		s := feed.Status{
+			Router: fmt.Sprintf("front-ank-%c-%d", 'a'+i%5, i/5+1), Site: fmt.Sprintf("ank-%c", 'a'+i%5), State: feed.StateServing,
+			Settings: "9f2c41aa73de0b65", SettingsAge: 20 * time.Second, Config: 48, ConfigAge: 400 * time.Millisecond,
+			Version: "development", UpFor: time.Hour, Age: time.Second,
+		}
+		if i%5 == 2 && i < 25 {
+			s.Settings, s.SettingsAge = "41aa0b659f2c73de", time.Hour
+		}
+		switch i {
+		case 100:
+			s.Problem = "settings: field: line 9: bounds.revoke_ms fails the check min=1000000"
+		case 101:
+			s = feed.Status{Router: s.Router, Site: s.Site, State: feed.StateUnheard}
+		}
+		out.Statuses = append(out.Statuses, s)
+	}
+	return out
+}
+
+// Symptom: operators can't tell which router runs which settings. Cause handled: any router is
+// asked, equal ones are counted, and those that differ are named.
+func TestFleetNamesTheOddOnes(t *testing.T) {
+	address := fakeRouter(t, manyRouters(), nil)
+	code, out, errs := execute("fleet", "--router", address)
+	require.Equal(t, exitOK, code, errs)
+	require.Contains(t, out, "seen by front-ank-a-1, told by front-ank-b-2, 295 routers")
+	require.Regexp(t, `9f2c41aa73de0b65 +289 +ank-a ank-b ank-c ank-d ank-e +20s ago +48`, out)
+	require.Regexp(t, `41aa0b659f2c73de +5 +ank-c +1h0m0s ago +48`, out)
+	require.Contains(t, out, "need a look: 7")
+	require.Regexp(t, `front-ank-c-1 +ank-c +serving +41aa0b659f2c73de`, out)
+	require.Contains(t, out, "line 9: bounds.revoke_ms")
+	require.Regexp(t, `front-ank-b-21 +ank-b +not heard`, out)
+	require.Less(t, strings.Count(out, "\n"), 20)
+
+	_, out, _ = execute("fleet", "--router", address, "--site", "ank-c", "--all")
+	require.Contains(t, out, "every router: 59")
+	_, out, _ = execute("fleet", "--router", address, "--json")
+	var fleet feed.Fleet
+	require.NoError(t, json.Unmarshal([]byte(out), &fleet))
+	require.Len(t, fleet.Statuses, 295)
+	require.Less(t, len(out), 1<<20)
+}
+
+func TestFleetDiffNamesTheFields(t *testing.T) {
+	reply := func(name, revoke string) node.SettingsReply {
+		return node.SettingsReply{Router: name, Digest: revoke, Fields: []settings.Field{
+			{Path: "name", Value: name, Own: true},
+			{Path: "fleet_key", Value: "(secret)"},
+			{Path: "bounds.revoke_ms", Value: revoke},
+		}}
+	}
+	address := fakeRouter(t, feed.Fleet{}, map[string]node.SettingsReply{"a": reply("a", "5s"), "b": reply("b", "6s"), "c": reply("c", "5s")})
+	code, out, errs := execute("fleet", "diff", "a", "b", "--router", address)
+	require.Equal(t, exitOK, code, errs)
+	require.Regexp(t, `bounds.revoke_ms +5s +6s`, out)
+	require.NotContains(t, out, "name ")
+	_, out, _ = execute("fleet", "diff", "a", "c", "--router", address)
+	require.Contains(t, out, "a and c run the same settings")
+	_, out, _ = execute("fleet", "diff", "a", "c", "--own", "--router", address)
+	require.Regexp(t, `name +a +c`, out)
+	code, _, errs = execute("fleet", "diff", "a", "nobody", "--router", address)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errs, "no such router")
+}
+
+func TestFleetSaysWhatIsWrong(t *testing.T) {
+	code, _, errs := execute("fleet", "--router", "127.0.0.1:1")
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errs, "router:")
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	code, _, errs = execute("fleet", "--router", strings.TrimPrefix(server.URL, "http://"))
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, errs, "404")
+	code, _, _ = execute("fleet", "diff", "a", "b")
+	require.Equal(t, exitUsage, code)
+}
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -187,6 +187,9 @@
 const oneWay = 500 * time.Microsecond
 
 type fakeNode struct {
+	// settings is the digest of the router's settings.
+	settings atomic.Value
+	statuses *Statuses
 	roster   *fakeRoster
 	keeper   *Keeper
 	board    *Board
@@ -221,6 +224,15 @@
 
 func (f *fakeFleet) node(ctx context.Context, self Peer, store *fakeStore) *fakeNode {
 	n := &fakeNode{store: store, board: NewBoard(f.clock, 1200*time.Millisecond), roster: newFakeRoster(self)}
+	n.settings.Store("a")
+	n.statuses = NewStatuses(func() Status {
+		s := n.board.Snapshot()
+		out := Status{Router: self.Name, Site: self.Site, State: StateServing, Settings: n.settings.Load().(string), Boot: 1}
+		if s.Config != nil {
+			out.Config, out.ConfigAge = s.Config.Version, s.ConfigAge(f.clock())
+		}
+		return out
+	}, f.clock)
 	live := f.known
 	start := NewStart(StartOptions{}, f.clock())
 	if f.seeds != nil {
@@ -233,9 +245,9 @@
 		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.ToldLost() },
 		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
 	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: func() Timing { return testTiming }, Log: quiet(),
-		Start: start, Roster: n.roster, Contacts: Contacts{Table: store}, Live: live, StoreLost: n.reader.Lost, Call: f.call(self)}
+		Start: start, Roster: n.roster, Contacts: Contacts{Table: store}, Statuses: n.statuses, Live: live, StoreLost: n.reader.Lost, Call: f.call(self)}
 	n.keeper = &Keeper{Contacts: Contacts{Table: store}, Reads: n.follower.Reads, Live: live, Clock: f.clock, Log: quiet()}
-	n.relay = &Relay{Board: n.board, Loads: loads, Roster: n.roster, Clock: f.clock, Done: ctx.Done(), Log: quiet(),
+	n.relay = &Relay{Board: n.board, Loads: loads, Roster: n.roster, Statuses: n.statuses, Clock: f.clock, Done: ctx.Done(), Log: quiet(),
 		StoreLost: n.reader.Lost, LostAgo: n.follower.LostAgo, Failures: n.follower.Failures, Chain: n.follower.Chain}
 	return n
 }
@@ -262,6 +274,8 @@
 		switch args := args.(type) {
 		case LoadArgs:
 			return node.relay.Exchange(args, reply.(*LoadReply))
+		case FleetArgs:
+			return node.relay.Fleet(args, reply.(*FleetReply))
 		case membership.RosterAsk:
 			return node.relay.Meet(args, reply.(*membership.RosterReply))
 		}
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -45,6 +45,7 @@
 	Start    *Start
 	Roster   Roster
 	Contacts Contacts
+	Statuses *Statuses
 	// Live returns the routers that seem alive.
 	Live func() []Peer
 	Log  *log.Logger
@@ -227,6 +228,7 @@
 	if a.err != nil {
 		f.Roster.RosterFailed(a.to.Address)
 		f.link.failed()
+		f.Statuses.failed()
 		return a.err
 	}
 	f.answeredAt.Store(int64(f.Clock()))
@@ -251,6 +253,9 @@
 		args.ConfigVersion = s.Config.Version
 	}
 	args.Loads = f.link.ask(f.Self.Name, to.Name, f.Loads, now)
+	if to.Name != "" {
+		args.Statuses = f.Statuses.due(to.Name)
+	}
 	return args
 }
 
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -36,6 +36,8 @@
 	Wait time.Duration
 	// Roster is the asker's half of an exchange of members.
 	Roster membership.RosterAsk
+	// Statuses are those of the asker and of the routers below it, as far as they are news.
+	Statuses []Status
 	// Loads is the asker's half of an exchange of loads; nil if it exchanges them with
 	// another router.
 	Loads *LoadArgs
@@ -74,10 +76,11 @@
 
 // Relay answers the pulls of other routers from the board.
 type Relay struct {
-	Board  *Board
-	Loads  *Loads
-	Roster Roster
-	Clock  Clock
+	Board    *Board
+	Loads    *Loads
+	Roster   Roster
+	Statuses *Statuses
+	Clock    Clock
 	// StoreLost says whether this router is to read the store, and can't.
 	StoreLost func() bool
 	// LostAgo is how long ago a reader failed to reach the store, as known.
@@ -105,6 +108,7 @@
 	if args.Loads != nil {
 		heard = r.hear(args.Loads, started)
 	}
+	r.Statuses.hear(args.Statuses)
 	roster := r.Roster.RosterAnswer(args.Roster)
 	timer := time.NewTimer(pullHold(args, roster))
 	defer timer.Stop()
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -3,8 +3,10 @@
 import (
 	"expvar"
 	"net/http"
+	"strconv"
 
 	"damaskrouter.example/damaskrouter/internal/base/bootclock"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"github.com/labstack/echo/v4"
 )
 
@@ -24,6 +26,7 @@
 		return r.board.Snapshot().EnginesAge(bootclock.Now()).Milliseconds()
 	}))
 	vars.Set("settings", expvar.Func(func() any { return r.settingsVars() }))
+	vars.Set("fleet", expvar.Func(func() any { return fleetVarsOf(r.statuses.All()) }))
 	return vars
 }
 
@@ -39,8 +42,25 @@
 func (r *Router) settingsVars() settingsVars {
 	in := r.inForce.Load()
 	out := settingsVars{Digest: in.digest, AgeMS: (bootclock.Now() - in.since).Milliseconds(), WaitForRestart: in.waiting}
-	if w := r.watcher.Load(); w != nil {
-		out.Problem = w.Problem()
+	out.Problem = r.settingsProblem()
+	return out
+}
+
+// fleetVars counts the routers that this one hears of, which are all at the first router of the
+// fleet, by what they run.
+type fleetVars struct {
+	Settings map[string]int `json:"settings"`
+	Config   map[string]int `json:"config"`
+	// OldestMS is the age of the oldest word.
+	OldestMS int64 `json:"oldest_ms"`
+}
+
+func fleetVarsOf(list []feed.Status) fleetVars {
+	out := fleetVars{Settings: make(map[string]int), Config: make(map[string]int)}
+	for _, s := range list {
+		out.Settings[s.Settings]++
+		out.Config[strconv.FormatUint(s.Config, 10)]++
+		out.OldestMS = max(out.OldestMS, s.Age.Milliseconds())
 	}
 	return out
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -70,12 +70,17 @@
 	log     *log.Logger
 	plat    Platform
 
+	// began is the boot time of the router's making, boot tells it from others of its name.
+	began time.Duration
+	boot  uint64
+
 	store     *currentStore
 	board     *feed.Board
 	loads     *feed.Loads
 	start     *feed.Start
 	reader    *feed.Reader
 	follower  *feed.Follower
+	statuses  *feed.Statuses
 	keeper    *feed.Keeper
 	engines   *forward.Engines
 	gates     *flow.Owner
@@ -99,7 +104,7 @@
 
 // New assembles a router; Start makes it serve.
 func New(set *settings.Settings, plat Platform, logger *log.Logger) *Router {
-	r := &Router{plat: plat, log: logger.With("router", set.Name)}
+	r := &Router{plat: plat, log: logger.With("router", set.Name), began: bootclock.Now(), boot: rand.Uint64()}
 	r.inForce.Store(&inForce{set: set, digest: set.Digest(), since: bootclock.Now()})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.self = feed.Peer{
@@ -142,9 +147,10 @@
 	}
 	r.caller = peer.NewCaller(r.self.Name, r.fleetKeys, &r.counters)
 	r.calls = peer.NewServer(r.self.Name, r.fleetKeys, &r.counters)
+	r.statuses = feed.NewStatuses(r.status, bootclock.Now)
 	r.follower = &feed.Follower{
 		Self: r.self, Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log,
-		Timing: r.timing, Start: r.start, Contacts: contacts, Live: r.live, StoreLost: r.reader.Lost,
+		Timing: r.timing, Start: r.start, Contacts: contacts, Statuses: r.statuses, Live: r.live, StoreLost: r.reader.Lost,
 		Call: r.call,
 	}
 	r.keeper = &feed.Keeper{Contacts: contacts, Reads: r.follower.Reads, Live: r.live, Clock: bootclock.Now, Log: r.log}
@@ -239,8 +245,10 @@
 	r.plat.MountDirectory(directory, r.addresses)
 	r.plat.MountReady(ready, r.ready)
 	vars := r.vars()
-	mountMetrics(control, vars)
-	mountMetrics(metrics, vars)
+	for _, e := range []*echo.Echo{control, metrics} {
+		mountMetrics(e, vars)
+		r.mountOperators(e)
+	}
 	return []mount{
 		{listenDirectory, directory, func(l settings.Listen) string { return l.Directory }},
 		{listenReady, ready, func(l settings.Listen) string { return l.Ready }},
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -89,7 +89,7 @@
 	}
 	r.follower.Roster = r.gossip
 	relay := &feed.Relay{
-		Board: r.board, Loads: r.loads, Roster: r.gossip, Clock: bootclock.Now, Done: r.ctx.Done(),
+		Board: r.board, Loads: r.loads, Roster: r.gossip, Statuses: r.statuses, Clock: bootclock.Now, Done: r.ctx.Done(),
 		StoreLost: r.reader.Lost, LostAgo: r.follower.LostAgo, Failures: r.follower.Failures,
 		Chain: r.follower.Chain, Log: r.log,
 	}
@@ -99,6 +99,9 @@
 	if err := r.calls.Register(flow.ServiceName, &flow.Service{Owner: r.gates}); err != nil {
 		return err
 	}
+	if err := r.calls.Register(operatorsName, &Operators{r}); err != nil {
+		return err
+	}
 	r.goRun(func(context.Context) { r.calls.Serve(ln) })
 	return errors.Join(r.gossip.OnChange(r.noteMembers), r.gossip.OnEvent(r.logMember))
 }
