entry: callers of a lost site are spread over all routers that are left

Cause: an answer holds 64 addresses, and each router named the same ones, the first by name. Where a site's routers are all off its callers were sent to the 64 first of the 236 others, all in one or two sites; in a site of more than 64 the rest were named to nobody.

Each router now draws its own 64 by rendezvous hashing: even over the fleet, and a router that comes or goes changes one address of an answer.

Ruled out: one draw per caller's site (a site's callers all at the same 64).

--- a/internal/edge/feed/capacity_test.go
+++ b/internal/edge/feed/capacity_test.go
@@ -122,6 +122,7 @@
 	relay := &Relay{
 		Board: board, Loads: NewLoads(func() map[string]EngineLoad { return engineLoads(engines / 10) }), Clock: clock,
 		Roster:    newFakeRoster(Peer{Name: "front-ank-a-1"}),
+		Statuses:  NewStatuses(func() Status { return Status{Router: "front-ank-a-1"} }, clock),
 		StoreLost: func() bool { return false }, LostAgo: func() time.Duration { return time.Hour },
 		Failures: func() []Failure { return nil }, Chain: func() []string { return []string{"front-ank-a-1", "front-ank-b-2"} },
 		Done: done, Log: log.New(new(bytes.Buffer)),
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -303,7 +303,7 @@
 	if len(routers) == 0 {
 		routers = []entry.Router{{Name: r.self.Name, Site: r.self.Site, Address: r.advertised()}}
 	}
-	return entry.Answers(routers, q, min(addressTTL, time.Duration(r.set().Bounds.MaxTTL)))
+	return entry.Answers(r.self.Name, routers, q, min(addressTTL, time.Duration(r.set().Bounds.MaxTTL)))
 }
 
 // ready says whether callers' requests can be served.
