soak: settings files change while routers run

The soak rewrites settings files (well, with a mistake, half written; with and without SIGHUP) while its other faults go on; after the last change each router must name all as serving, with the digest of their files and no problem. It also judges how a process ended that was not told to: with settings that can't be used (status 1) or by a hang-up before the program runs, not by a panic.

Ruled out: comparing the routers' digests with one another; each has its own store address.

--- a/test/soak/books.go
+++ b/test/soak/books.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,9 +60,20 @@
 		b.broken = append(b.broken, platformtest.Judge(e.path, e.answer, runs[e.answer.ID])...)
 		b.checkKey(e, runs[e.answer.ID])
 	}
+	b.checkEndings(w.ended())
 	return b.broken
 }
 
+// checkEndings: a router ends by itself only where it starts with settings that can't be used,
+// or where a hang-up comes before its program runs. A panic ends it with status 2.
+func (b *books) checkEndings(endings []string) {
+	for _, how := range endings {
+		if !strings.HasSuffix(how, "exit status 1") && !strings.HasSuffix(how, "signal: hangup") {
+			b.fail("a router ended by itself: %s", how)
+		}
+	}
+}
+
 // checkKey: no key of an account that lost it was served after the bound.
 func (b *books) checkKey(e entry, runs []platformtest.Run) {
 	if at, ok := b.revoked[e.key]; ok && e.sent.After(at.Add(revokeBound)) && len(runs) > 0 {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -32,9 +32,9 @@
 	Served   int
 	// Calm and CalmServed count the requests after the faults had ended.
 	Calm, CalmServed int
-	// EndedByThemselves counts the routers that ended without being told to.
-	EndedByThemselves int64
-	Faults            []string
+	// Endings says which routers ended without being told to, and how.
+	Endings []string
+	Faults  []string
 	// Broken are the promises that were broken.
 	Broken []string
 }
@@ -73,6 +73,7 @@
 	time.Sleep(settle)
 	calmFrom := time.Now()
 	time.Sleep(calm)
+	w.checkSettings(b)
 	close(stop)
 	wg.Wait()
 	return b.result(w, calmFrom), nil
@@ -126,6 +127,7 @@
 		func(rng *rand.Rand) { plague(w, rng, stop, b.note) },
 		func(rng *rand.Rand) { restarts(w, b, rng, end) },
 		func(rng *rand.Rand) { changes(w, b, rng, end) },
+		func(rng *rand.Rand) { rewrite(w, b, rng, end) },
 	}
 	for _, play := range series {
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -178,9 +180,7 @@
 
 // result compares the books.
 func (b *books) result(w *world, calmFrom time.Time) Result {
-	out := Result{
-		Requests: len(b.entries), EndedByThemselves: w.endedByThemselves.Load(), Faults: b.faults, Broken: b.check(w, calmFrom),
-	}
+	out := Result{Requests: len(b.entries), Endings: w.ended(), Faults: b.faults, Broken: b.check(w, calmFrom)}
 	for _, e := range b.entries {
 		served := e.answer.Status == http.StatusOK && e.answer.Err == nil
 		if served {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -50,8 +50,8 @@
 			Dir: dir, Binary: binary, Network: *network,
 		})
 		require.NoError(t, err)
-		t.Logf("seed %d: %d requests, %d served, %d of %d after the faults, %d faults, %d routers ended by themselves",
-			seed, result.Requests, result.Served, result.CalmServed, result.Calm, len(result.Faults), result.EndedByThemselves)
+		t.Logf("seed %d: %d requests, %d served, %d of %d after the faults, %d faults, ended by themselves: %v",
+			seed, result.Requests, result.Served, result.CalmServed, result.Calm, len(result.Faults), result.Endings)
 		ok := len(result.Broken) == 0 && float64(result.CalmServed) >= calmShare*float64(result.Calm) && result.Calm > 0
 		if !ok {
 			t.Errorf("seed %d broke promises; logs in %s\n%v\nfaults: %v", seed, dir, result.Broken, result.Faults)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -7,8 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,8 +29,11 @@
 	store   *platformtest.Store
 	version int64
 
-	// endedByThemselves counts the processes that ended without being told to.
-	endedByThemselves atomic.Int64
+	// endings says how processes ended that were not told to.
+	endings []string
+
+	// seed is the address of the router that the others are told to find first.
+	seed string
 
 	mu      sync.Mutex
 	engines []*engine
@@ -53,6 +56,8 @@
 	store    *proxy
 	peers    *peerLink
 	settings string
+	// advertised is the address under which other routers know this one.
+	advertised string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -69,7 +74,7 @@
 fleet_key: 0123456789abcdef0123
 store: "%s"
 limits: {memory_mb: 256, max_files: 1000, link_mbps: 100, cpu_share: 1}
-bounds: {revoke_ms: %d, beat_ms: 1200, config_ms: 2000, drain_ms: 2000, stop_s: %d, retry_ratio: 1, retry_slack: 1000, retry_window_s: 10, max_ttl_s: 5}
+bounds: {revoke_ms: %d, beat_ms: 1200, config_ms: 2000, drain_ms: 2000, stop_s: %d, retry_ratio: 1, retry_slack: %d, retry_window_s: 10, max_ttl_s: 5}
 `
 
 // advertisedOffset leads from a router's own address to the one of its proxy, in the
@@ -80,7 +85,9 @@
 // routers' addresses are 127.0.NET.1 and on, so that runs can stand side by side; other
 // routers know them by 127.1.NET.1 and on, where their proxies are.
 func newWorld(dir, binary string, network, routers, engines int) (*world, error) {
-	w := &world{dir: dir, binary: binary, store: platformtest.NewStore()}
+	w := &world{
+		dir: dir, binary: binary, store: platformtest.NewStore(), seed: fmt.Sprintf("127.%d.%d.1", advertisedOffset, network),
+	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -141,9 +148,8 @@
 	}
 	r.peers = peers
 	r.settings = filepath.Join(w.dir, r.name+".yaml")
-	text := fmt.Sprintf(settingsText, r.name, r.ip, w.port, r.ip, w.port+1, r.ip, w.port+2, r.ip, w.port+3, w.port+4, w.port+9, advertised,
-		fmt.Sprintf("127.%d.%d.1", advertisedOffset, network), r.store.address(), revokeBound.Milliseconds(), int(stopTime.Seconds()))
-	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+	r.advertised = advertised
+	if err := r.write(w.text(r, usualSlack), 0, 0); err != nil {
 		return err
 	}
 	w.routers = append(w.routers, r)
@@ -176,8 +182,7 @@
 }
 
 func (w *world) supervise(r *router, cmd *exec.Cmd, ended chan struct{}) {
-	// How it ended is not judged, only that it did.
-	_ = cmd.Wait()
+	err := cmd.Wait()
 	close(ended)
 	r.mu.Lock()
 	meant := r.stopping
@@ -185,7 +190,9 @@
 	if meant {
 		return
 	}
-	w.endedByThemselves.Add(1)
+	w.mu.Lock()
+	w.endings = append(w.endings, fmt.Sprintf("%s: %v", r.name, err))
+	w.mu.Unlock()
 	time.Sleep(restartDelay)
 	r.mu.Lock()
 	replaced := r.cmd != cmd || r.stopping
@@ -197,6 +204,13 @@
 	_ = w.start(r)
 }
 
+// ended says which processes ended that were not told to, and how.
+func (w *world) ended() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.endings)
+}
+
 // expectEnd says that the process is meant to end from now on.
 func (r *router) expectEnd() {
 	r.mu.Lock()
