settings: what is out of range is refused, and the message says what is allowed

Cause: "bounds.revoke_ms fails the check min=1000000" told operators neither the value nor, in the unit of the file, what is allowed. Ports after a colon were not looked at ("10.0.0.9:http"), a range of ports could be backwards, and a duration of 1e300 or NaN became some other number by the conversion, which may pass.

Messages: line, field, value, what is allowed; never the value of a secret.

TestProblemsNameTheirField wanted the old wording; it wants the new one, with value and range.

--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -2,14 +2,8 @@
 package settings
 
 import (
-	"bytes"
 	"errors"
-	"fmt"
-	"net"
 	"os"
-	"reflect"
-	"strings"
-	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
@@ -73,9 +67,9 @@
 	// Metrics is where counters and latencies are served. The default is not
 	// to serve them.
 	Metrics string `yaml:"metrics" validate:"omitempty,hostport" scope:"own"`
-	// PortRange is the ports that are free for the traffic between routers,
-	// "first,last".
-	PortRange []int `yaml:"ports" validate:"len=2,dive,min=1,max=65535" apply:"restart"`
+	// PortRange is the ports that are free for the traffic between routers, the first and
+	// the last one.
+	PortRange []int `yaml:"ports" validate:"portrange" apply:"restart"`
 }
 
 // Limits are those of the VM.
@@ -90,56 +84,25 @@
 	CPUShare float64 `yaml:"cpu_share" validate:"gt=0" scope:"own"`
 }
 
-// Bounds are the times and ratios that the fleet must keep.
+// Bounds are the times and ratios that the fleet must keep. Durations are from 1 ms to 24 h.
 type Bounds struct {
 	// Revoke is how long a revoked API key may still be accepted.
-	Revoke Milliseconds `yaml:"revoke_ms" validate:"min=1000000"`
+	Revoke Milliseconds `yaml:"revoke_ms" validate:"duration"`
 	// Config is how long a change of the configuration may take to be in
 	// force, and Drain how long a leaving engine may get new requests.
-	Config Milliseconds `yaml:"config_ms" validate:"min=1000000"`
-	Drain  Milliseconds `yaml:"drain_ms" validate:"min=1000000"`
+	Config Milliseconds `yaml:"config_ms" validate:"duration"`
+	Drain  Milliseconds `yaml:"drain_ms" validate:"duration"`
 	// Beat is how often engines renew their entries in the store.
-	Beat Milliseconds `yaml:"beat_ms" validate:"min=1000000"`
+	Beat Milliseconds `yaml:"beat_ms" validate:"duration"`
 	// Stop is how long the process has after it was told to stop.
-	Stop Seconds `yaml:"stop_s" validate:"min=1000000"`
+	Stop Seconds `yaml:"stop_s" validate:"duration"`
 	// RetryRatio, RetrySlack and RetryWindow bound what a service may get
 	// beyond the first send of each request.
 	RetryRatio  float64 `yaml:"retry_ratio" validate:"min=0"`
 	RetrySlack  float64 `yaml:"retry_slack" validate:"min=0"`
-	RetryWindow Seconds `yaml:"retry_window_s" validate:"min=1000000"`
+	RetryWindow Seconds `yaml:"retry_window_s" validate:"duration"`
 	// MaxTTL is the longest time that callers keep an address.
-	MaxTTL Seconds `yaml:"max_ttl_s" validate:"min=1000000"`
-}
-
-// Milliseconds is a duration that is written as a number of milliseconds.
-type Milliseconds time.Duration
-
-// UnmarshalYAML implements yaml.InterfaceUnmarshaler.
-func (m *Milliseconds) UnmarshalYAML(unmarshal func(any) error) error {
-	return scaled(unmarshal, time.Millisecond, (*time.Duration)(m))
-}
-
-// String implements fmt.Stringer.
-func (m Milliseconds) String() string { return time.Duration(m).String() }
-
-// Seconds is a duration that is written as a number of seconds.
-type Seconds time.Duration
-
-// UnmarshalYAML implements yaml.InterfaceUnmarshaler.
-func (s *Seconds) UnmarshalYAML(unmarshal func(any) error) error {
-	return scaled(unmarshal, time.Second, (*time.Duration)(s))
-}
-
-// String implements fmt.Stringer.
-func (s Seconds) String() string { return time.Duration(s).String() }
-
-func scaled(unmarshal func(any) error, unit time.Duration, out *time.Duration) error {
-	var n float64
-	if err := unmarshal(&n); err != nil {
-		return err
-	}
-	*out = time.Duration(n * float64(unit))
-	return nil
+	MaxTTL Seconds `yaml:"max_ttl_s" validate:"duration"`
 }
 
 // Load reads and checks a settings file, and returns its content as well. Errors: ErrRead,
@@ -167,45 +130,3 @@
 	}
 	return &s, nil
 }
-
-func newValidator() *validator.Validate {
-	v := validator.New()
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
-		return name
-	})
-	// The tag is not empty and the function not nil, the only reasons to fail.
-	_ = v.RegisterValidation("hostport", func(f validator.FieldLevel) bool {
-		host, port, err := net.SplitHostPort(f.Field().String())
-		return err == nil && net.ParseIP(host) != nil && port != ""
-	})
-	return v
-}
-
-// fieldError names every field that is wrong, its line and the check that it fails.
-func fieldError(data []byte, invalid validator.ValidationErrors) error {
-	var problems []string
-	for _, f := range invalid {
-		_, name, _ := strings.Cut(f.Namespace(), ".")
-		check := f.ActualTag()
-		if f.Param() != "" {
-			check += "=" + f.Param()
-		}
-		problems = append(problems, fmt.Sprintf("%s%s fails the check %s", lineOf(data, name), name, check))
-	}
-	return ErrField.New("%s", strings.Join(problems, "; "))
-}
-
-// lineOf returns where a field stands in a file, as a prefix of a message; nothing if it is
-// missing there.
-func lineOf(data []byte, field string) string {
-	path, err := yaml.PathString("$." + field)
-	if err != nil {
-		return ""
-	}
-	node, err := path.ReadNode(bytes.NewReader(data))
-	if err != nil {
-		return ""
-	}
-	return fmt.Sprintf("line %d: ", node.GetToken().Position.Line)
-}
--- a/internal/edge/settings/settings_test.go
+++ b/internal/edge/settings/settings_test.go
@@ -41,7 +41,7 @@
 		require.ErrorContains(t, err, tc.field)
 	}
 	_, err := Parse([]byte(strings.Replace(good, "revoke_ms: 5000", "revoke_ms: 0", 1)))
-	require.ErrorContains(t, err, "line 9: bounds.revoke_ms fails the check min=1000000")
+	require.ErrorContains(t, err, "line 9: bounds.revoke_ms is 0s, not between 1ms and 24h0m0s")
 	_, err = Parse([]byte(strings.Replace(good, "memory_mb: 284", "memory_mb: [3", 1)))
 	require.ErrorContains(t, err, "[8:")
 	_, err = Parse([]byte("a: [1"))
@@ -50,6 +50,33 @@
 	require.True(t, ErrRead.Has(err))
 }
 
+// Symptom: a router starts with settings that mean something else than was written, or says only
+// that a check failed. Cause handled: what is out of its range is refused, and the message has the
+// line, the field, its value and what is allowed; never that of a secret.
+func TestProblemsSayWhatIsAllowed(t *testing.T) {
+	for _, tc := range []struct{ old, new, problem string }{
+		{"name: r1", "", "name is missing"},
+		{`store: "10.0.0.9:80"`, `store: "10.0.0.9:http"`, `line 7: store is "10.0.0.9:http", not an IP address and a port`},
+		{`store: "10.0.0.9:80"`, `store: "10.0.0.9:0"`, "not an IP address and a port"},
+		{`store: "10.0.0.9:80"`, `store: "10.0.0.9:80000"`, "not an IP address and a port"},
+		{"ports: [7340, 7355]", "ports: [7355, 7340]", "listen.ports is [7355 7340], not the first and the last port"},
+		{"ports: [7340, 7355]", "ports: [7340]", "listen.ports is [7340], not the first and the last port"},
+		{"ports: [7340, 7355]", "ports: [0, 70000]", "listen.ports is [0 70000], not the first and the last port"},
+		{"revoke_ms: 5000", "revoke_ms: -1", "bounds.revoke_ms is -1ms, not between 1ms and 24h0m0s"},
+		{"revoke_ms: 5000", "revoke_ms: 90000000", "bounds.revoke_ms is 25h0m0s, not between 1ms and 24h0m0s"},
+		{"revoke_ms: 5000", "revoke_ms: 1e300", "1e+300 times 1ms is no duration"},
+		{"revoke_ms: 5000", "revoke_ms: .nan", "NaN times 1ms is no duration"},
+		{"stop_s: 8", "stop_s: .inf", "+Inf times 1s is no duration"},
+		{"memory_mb: 284", "memory_mb: 8", "limits.memory_mb is 8, less than 16"},
+		{"cpu_share: 0.4", "cpu_share: 0", "limits.cpu_share is 0, not more than 0"},
+		{"fleet_key: 0123456789abcdef", "fleet_key: short", "fleet_key is shorter than 16 bytes"},
+		{"name: r1", "name: r1\nlog_level: loud", `log_level is "loud", not one of debug info warn error`},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
+		require.ErrorContains(t, err, tc.problem)
+	}
+}
+
 // Every field can be told to operators, and says whether it takes effect at once.
 func TestFieldsAreNamedAndSecretsAreNotTold(t *testing.T) {
 	s, err := Parse([]byte(good))
