--- a/internal/edge/feed/pack_test.go
+++ b/internal/edge/feed/pack_test.go
@@ -55,16 +55,22 @@
 	require.True(t, ErrMalformed.Has(err), "%v", err)
 }
 
-// All engines are packed once for all that ask, and come out as they went in.
-func TestAllEnginesAreSmall(t *testing.T) {
+// manyEngines are n engines in five sites.
+func manyEngines(n int) catalog.EngineUpdate {
 	rng := rand.New(rand.NewPCG(1, 2))
-	update := catalog.EngineUpdate{Full: true, Upto: 500}
-	for i := range 262 {
-		update.Present = append(update.Present, catalog.Engine{
+	out := catalog.EngineUpdate{Full: true, Upto: uint64(2 * n)}
+	for i := range n {
+		out.Present = append(out.Present, catalog.Engine{
 			ID: fmt.Sprintf("i-%010x", rng.Uint64()>>24), Service: "zika60a", Address: fmt.Sprintf("10.%d.64.%d:8521", i%5, i/5),
 			Site: fmt.Sprint("ank-", i%5), Slots: 24, Born: 1774162335000 + rng.Int64N(1000), Revision: uint64(i),
 		})
 	}
+	return out
+}
+
+// All engines are packed once for all that ask, and come out as they went in.
+func TestAllEnginesAreSmall(t *testing.T) {
+	update := manyEngines(262)
 	set, _ := catalog.NewEngineSet().Apply(update, 0)
 	var p packer
 	packed, err := p.engines(set)
