flow: an ask has one end, also where its router dies

Cause: an ask that waited at the owner of a gate left the gate without a verdict when its router died (Gone), or gave it up and said so (Release). The call waited for the verdict for good: a goroutine and its memory for each such ask, with each router that dies under load.

TestAsksOfADeadRouterEnd hung before.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -216,6 +216,32 @@
 	})
 }
 
+// Symptom: the memory of an owner grows with each router that dies under load. Sequence: a
+// router's ask waits, and the router dies, or gives the ask up and says so. Cause: the ask left the
+// gate without a verdict, for which the call waited on for good. Handled: each ask has one end.
+func TestAsksOfADeadRouterEnd(t *testing.T) {
+	inFleet(t, func(f *fakeFleet, owner string, others []string) {
+		first, _, err := f.askers[owner].Ask(context.Background(), askFor(1, time.Second))
+		require.NoError(t, err)
+		for _, end := range []func(Ask){
+			func(Ask) { f.owners[owner].Gone(others[0]) },
+			func(a Ask) { f.owners[owner].Release(a.Engine, a.ID) },
+		} {
+			a := askFor(1, 5*time.Second)
+			a.ID, a.From = others[0]+"#1", others[0]
+			ended := make(chan Answer, 1)
+			go func() { ended <- f.owners[owner].Ask(context.Background(), a) }()
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, 1, f.owners[owner].Load().Waiting)
+			end(a)
+			time.Sleep(time.Millisecond)
+			require.Equal(t, Answer{}, <-ended)
+			require.Zero(t, f.owners[owner].Load().Waiting)
+		}
+		f.askers[owner].Release(first)
+	})
+}
+
 // All routers that see the same others agree on the owner, and one that goes takes few
 // engines along.
 func TestOwnersAreFewAndStable(t *testing.T) {
--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -215,12 +215,21 @@
 	g.mark(now)
 	if !g.Gate.Release(at(now), id) {
 		// The release of an ask that was given up overtakes its verdict.
-		delete(g.waiting, id)
 		g.Withdraw(at(now), id)
+		g.giveUp(id)
 	}
 	o.settle(engine, g, now)
 }
 
+// giveUp ends a waiting ask whose asker has gone on without it; whoever waits for the verdict here
+// would wait for good.
+func (g *owned) giveUp(id string) {
+	if w, ok := g.waiting[id]; ok {
+		delete(g.waiting, id)
+		w.verdict <- gate.Verdict{ID: id}
+	}
+}
+
 // Gone ends the leases and asks of a router that is gone.
 func (o *Owner) Gone(router string) {
 	o.mu.Lock()
@@ -228,6 +237,11 @@
 	now := o.clock()
 	for engine, g := range o.gates {
 		g.DropHolder(at(now), router)
+		for id, w := range g.waiting {
+			if w.ask.From == router {
+				g.giveUp(id)
+			}
+		}
 		o.settle(engine, g, now)
 	}
 }
