callers, node: callers' connections are bounded, the longest idle one ends first

Cause: callers that are refused come back on new connections and leave the old ones open.

Callers' connections may take four tenths of the descriptors. Beyond, the one that has been idle for longest is closed for each new one; connections with requests are never cut; where all are busy a new one is closed unread. A request that comes over a connection as it is closed does not run.

Ruled out: a shorter idle time for all (operators allow callers to reuse a connection for longer), a listener that stops accepting (callers would wait a second each and come back).

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -15,6 +15,7 @@
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/base/version"
+	"damaskrouter.example/damaskrouter/internal/edge/callers"
 	"damaskrouter.example/damaskrouter/internal/edge/entry"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
@@ -96,6 +97,8 @@
 	peersAlive atomic.Pointer[[]feed.Peer]
 
 	servers servers
+	// callers bounds the connections of callers.
+	callers *callers.Limit
 	leaving atomic.Bool
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -132,6 +135,7 @@
 func (r *Router) timing() feed.Timing { return feed.TimingFor(r.changeBound()) }
 
 func (r *Router) assembleFeed() {
+	r.callers = callers.New(r.mostCallers)
 	r.start = r.startOf()
 	r.store = newCurrentStore(r.plat.Store, r.set().Store)
 	contacts := feed.Contacts{Table: r.store}
--- a/internal/edge/node/servers.go
+++ b/internal/edge/node/servers.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// callersShare is the part of the descriptors that callers' connections may take. Each request has
+// one to an engine besides; what is left is for files, the store and other routers.
+const callersShare = 0.4
+
+// mostCallers is how many connections callers may have.
+func (r *Router) mostCallers() int { return int(callersShare * float64(r.set().Limits.MaxFiles)) }
+
 func (r *Router) serve(name, address string, handler http.Handler) (*http.Server, error) {
 	ln, err := net.Listen("tcp4", address)
 	if err != nil {
@@ -84,6 +91,9 @@
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
+	if name == listenCallers {
+		r.callers.Attach(server)
+	}
 	r.goRun(func(context.Context) {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			r.log.Error("listener failed", "serves", name, "cause", err)
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -76,7 +76,8 @@
 type Limits struct {
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=16" scope:"own"`
-	// MaxFiles is how many descriptors it may use.
+	// MaxFiles is how many descriptors it may use; callers' connections take four tenths of
+	// them at most.
 	MaxFiles int `yaml:"max_files" validate:"min=64" scope:"own"`
 	// LinkMbps is the bandwidth of its link, in megabits a second.
 	LinkMbps float64 `yaml:"link_mbps" validate:"gt=0" scope:"own" apply:"restart"`
