gate, membership, node, tests: what the change wrote twice stands once

orDefault; rosterRows takes whom it tells; Apply computes once; servers get their server made, so that the bound on callers' connections is attached where that listener is opened; the soak decodes feed.Fleet; fakeFleet.first and grown in tests. Behaviour and assertions are the same.

Ruled out: pairs of the same shape only (lists of constants and fields), and the model's own copy of the routers' policy (it plays them in virtual time without the code that does input and output).

--- a/internal/decide/gate/overload.go
+++ b/internal/decide/gate/overload.go
@@ -29,10 +29,7 @@
 		o.since = now
 	}
 	o.last = now
-	if objective <= 0 {
-		objective = DefaultObjective
-	}
-	wait := max(now-o.since, objective)
+	wait := max(now-o.since, orDefault(objective))
 	wait = min(wait, time.Duration(callerShare*float64(left)))
 	return time.Duration((1 - comeBackSpread + 2*comeBackSpread*random) * float64(wait))
 }
--- a/internal/decide/gate/patience.go
+++ b/internal/decide/gate/patience.go
@@ -13,13 +13,18 @@
 	DefaultObjective = time.Second
 )
 
+// orDefault is the objective of a route that may have none.
+func orDefault(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return DefaultObjective
+	}
+	return objective
+}
+
 // StartWithin is how long after it came a request on a route with an objective must have a
 // place to be on time.
 func StartWithin(objective time.Duration) time.Duration {
-	if objective <= 0 {
-		objective = DefaultObjective
-	}
-	return time.Duration(startShare * float64(objective))
+	return time.Duration(startShare * float64(orDefault(objective)))
 }
 
 // MaxWait is how long a request may wait at the i-th of n engines that are asked for a
@@ -29,9 +34,6 @@
 // to be fetched, over links that carry one prompt after the other; it goes there only if there
 // is a free place. Where all engines are full, moving from one to the other helps nobody.
 func MaxWait(prompted bool, i, n int, objective, age time.Duration) time.Duration {
-	if objective <= 0 {
-		objective = DefaultObjective
-	}
 	left := max(StartWithin(objective)-age, 0)
 	switch {
 	case prompted && i > 0:
@@ -39,5 +41,5 @@
 	case prompted || i == n-1:
 		return left
 	}
-	return min(left, time.Duration(plainShare*float64(objective)))
+	return min(left, time.Duration(plainShare*float64(orDefault(objective))))
 }
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -297,6 +297,16 @@
 	})
 }
 
+// first is the name of the router that none comes before.
+func (f *fakeFleet) first() (name string) {
+	for _, p := range f.live {
+		if _, ok := ParentOf(p, f.live, nil, 0); !ok {
+			name = p.Name
+		}
+	}
+	return name
+}
+
 func (f *fakeFleet) isCut(name string) bool {
 	_, cut := f.cut.Load(name)
 	return cut
--- a/internal/edge/feed/loads_test.go
+++ b/internal/edge/feed/loads_test.go
@@ -78,12 +78,7 @@
 // it from the others as well. Cause handled: what the one above told ends with it.
 func TestLoadsAreNotCountedTwiceWhenTheFirstRouterGoes(t *testing.T) {
 	inFleet(t, sameStore, func(f *fakeFleet, _ *fakeStore) {
-		var first string
-		for _, p := range f.live {
-			if _, ok := ParentOf(p, f.live, nil, 0); !ok {
-				first = p.Name
-			}
-		}
+		first := f.first()
 		f.cut.Store(first, true)
 		time.Sleep(time.Second)
 		f.gone.Store(first, true)
--- a/internal/edge/feed/status_test.go
+++ b/internal/edge/feed/status_test.go
@@ -74,12 +74,7 @@
 // handled: routers tell the next one, which is asked then.
 func TestListOfRoutersSurvivesTheFirst(t *testing.T) {
 	inFleet(t, sameStore, func(f *fakeFleet, _ *fakeStore) {
-		var first string
-		for _, p := range f.live {
-			if _, ok := ParentOf(p, f.live, nil, 0); !ok {
-				first = p.Name
-			}
-		}
+		first := f.first()
 		f.cut.Store(first, true)
 		time.Sleep(3 * time.Second)
 		f.gone.Store(first, true)
--- a/internal/edge/node/apply.go
+++ b/internal/edge/node/apply.go
@@ -39,7 +39,8 @@
 	before := r.inForce.Load()
 	next := &inForce{set: settings.Effective(before.set, given), since: before.since}
 	next.digest = next.set.Digest()
-	for _, c := range settings.Changes(next.set, given) {
+	waiting := settings.Changes(next.set, given)
+	for _, c := range waiting {
 		next.waiting = append(next.waiting, c.Path)
 	}
 	live := settings.Changes(before.set, next.set)
@@ -47,7 +48,7 @@
 		next.since = bootclock.Now()
 	}
 	r.inForce.Store(next)
-	r.logChanges(live, settings.Changes(next.set, given), next)
+	r.logChanges(live, waiting, next)
 	r.follow(live, next.set)
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -221,7 +221,9 @@
 	r.goRun(r.logFleet)
 	r.goRun(r.review)
 	r.goRun(r.gates.Run)
-	if err := r.servers.open(r, listenCallers, r.set().Listen.Callers, r.forwarder); err != nil {
+	forCallers := r.newServer(r.forwarder)
+	r.callers.Attach(forCallers)
+	if err := r.servers.open(r, listenCallers, r.set().Listen.Callers, forCallers); err != nil {
 		return err
 	}
 	r.mounts = r.mount()
@@ -265,7 +267,7 @@
 func (r *Router) openMounts() error {
 	var errs []error
 	for _, m := range r.mounts {
-		errs = append(errs, r.servers.open(r, m.name, m.address(r.set().Listen), m.handler))
+		errs = append(errs, r.servers.open(r, m.name, m.address(r.set().Listen), r.newServer(m.handler)))
 	}
 	return errors.Join(errs...)
 }
--- a/internal/edge/node/servers.go
+++ b/internal/edge/node/servers.go
@@ -26,10 +26,10 @@
 	server  *http.Server
 }
 
-// open serves a handler at an address, and gives up the one where it was served before: answers
-// under way there are finished. An empty address is not to serve it. If the new address can't be
-// had, the old one stays.
-func (s *servers) open(r *Router, name, address string, handler http.Handler) error {
+// open makes a new server serve at an address, and gives up the one where the same was served
+// before: answers under way there are finished. An empty address is not to serve it. If the new
+// address can't be had, the old one stays; if it is the old one, nothing changes.
+func (s *servers) open(r *Router, name, address string, server *http.Server) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.byName[name]
@@ -41,8 +41,7 @@
 	}
 	delete(s.byName, name)
 	if address != "" {
-		server, err := r.serve(name, address, handler)
-		if err != nil {
+		if err := r.serve(name, address, server); err != nil {
 			if before != nil {
 				s.byName[name] = before
 			}
@@ -81,23 +80,23 @@
 // mostCallers is how many connections callers may have.
 func (r *Router) mostCallers() int { return int(callersShare * float64(r.set().Limits.MaxFiles)) }
 
-func (r *Router) serve(name, address string, handler http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, Error.New("%s: %w", name, err)
-	}
-	server := &http.Server{
+func (r *Router) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     r.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	if name == listenCallers {
-		r.callers.Attach(server)
+}
+
+func (r *Router) serve(name, address string, server *http.Server) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return Error.New("%s: %w", name, err)
 	}
 	r.goRun(func(context.Context) {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			r.log.Error("listener failed", "serves", name, "cause", err)
 		}
 	})
-	return server, nil
+	return nil
 }
--- a/internal/fleet/membership/roster.go
+++ b/internal/fleet/membership/roster.go
@@ -50,13 +50,8 @@
 		out.Rows = []Member{pageRow(d.self.Member)}
 		return out
 	}
-	out.Rows = d.rosterRows(func(r *row) bool {
-		switch {
-		case r.ID == l.of && accuses(r.Member):
-			return true
-		case r.learnedFrom == l.of:
-			return false
-		case l.want&(1<<bucketOf(r.ID)) != 0:
+	out.Rows = d.rosterRows(l.of, func(r *row) bool {
+		if l.want&(1<<bucketOf(r.ID)) != 0 {
 			return d.sharedTombstone(r)
 		}
 		return r.changedAt > l.told
@@ -94,13 +89,8 @@
 	if !known {
 		out.Want = d.digest().differing(Digest{Members: ask.Members, Items: d.items.digest()})
 	}
-	out.Rows = d.rosterRows(func(r *row) bool {
-		switch {
-		case r.ID == ask.From && accuses(r.Member):
-			return true
-		case r.learnedFrom == ask.From:
-			return false
-		case known:
+	out.Rows = d.rosterRows(ask.From, func(r *row) bool {
+		if known {
 			return r.changedAt > ask.Since
 		}
 		return d.sharedTombstone(r) && out.Want&(1<<bucketOf(r.ID)) != 0
@@ -108,14 +98,25 @@
 	return out
 }
 
-// rosterRows returns the rows that pass, as they are told to others: a suspicion is this
-// router's own, and a death needs no description. A router that is held for dead is told so by
-// each exchange, so that it can refute it.
-func (d *Detector) rosterRows(pass func(*row) bool) []Member {
+// rosterRows returns the rows that are news to an instance, as they are told to others: a
+// suspicion is this router's own, and a death needs no description. A router that is held for
+// dead is told so by each exchange, so that it can refute it; nobody is told what came from there.
+func (d *Detector) rosterRows(to uint64, news func(*row) bool) []Member {
+	tell := func(r *row) bool {
+		switch {
+		case !r.described() && r.State != StateDead:
+			return false
+		case r.ID == to && accuses(r.Member):
+			return true
+		case r.learnedFrom == to:
+			return false
+		}
+		return news(r)
+	}
 	var out []Member
 	for _, id := range d.ids {
 		r := d.rows[id]
-		if !r.described() && r.State != StateDead || !pass(r) {
+		if !tell(r) {
 			continue
 		}
 		m := pageRow(r.Member)
--- a/internal/lab/model/surge_test.go
+++ b/internal/lab/model/surge_test.go
@@ -28,10 +28,15 @@
 // the traffic.
 func manySurveyors() setup {
 	engines, classes := Surveyors(60)
+	return grown("model engines, 89 routers", engines, classes, 3.3)
+}
+
+// grown is a setup with 89 routers and more traffic.
+func grown(name string, engines []EngineConfig, classes []Class, times float64) setup {
 	for i := range classes {
-		classes[i].PerSecond *= 3.3
+		classes[i].PerSecond *= times
 	}
-	return setup{"model engines, 89 routers", 89, engines, classes, 450 * time.Millisecond}
+	return setup{name, 89, engines, classes, 450 * time.Millisecond}
 }
 
 func office() setup {
@@ -41,10 +46,7 @@
 
 func manyOffice() setup {
 	engines, classes := Office(5)
-	for i := range classes {
-		classes[i].PerSecond *= 3.85
-	}
-	return setup{"plain engines, 89 routers", 89, engines, classes, 450 * time.Millisecond}
+	return grown("plain engines, 89 routers", engines, classes, 3.85)
 }
 
 const (
--- a/test/soak/settings.go
+++ b/test/soak/settings.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/node"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 )
 
@@ -65,14 +67,6 @@
 	}
 }
 
-// fleetRow is what a router tells of one of the fleet.
-type fleetRow struct {
-	Router   string `json:"router"`
-	State    string `json:"state"`
-	Settings string `json:"settings"`
-	Problem  string `json:"problem"`
-}
-
 // checkSettings asks each router who runs what: after the last change each runs what its file says.
 // They differ, since each has a store's address of its own.
 func (w *world) checkSettings(b *books) {
@@ -86,21 +80,19 @@
 		want[r.name] = set.Digest()
 	}
 	for _, asked := range w.routers {
-		resp, err := http.Get(fmt.Sprintf("http://%s:%d/fleet", asked.ip, w.port+3))
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", asked.ip, w.port+3, node.PathFleet))
 		if err != nil {
 			b.fail("%s does not tell who runs what: %v", asked.name, err)
 			continue
 		}
-		var fleet struct {
-			Routers []fleetRow `json:"routers"`
-		}
+		var fleet feed.Fleet
 		err = json.NewDecoder(resp.Body).Decode(&fleet)
 		_ = resp.Body.Close()
-		if err != nil || len(fleet.Routers) != len(w.routers) {
-			b.fail("%s tells of %d routers of %d, %v", asked.name, len(fleet.Routers), len(w.routers), err)
+		if err != nil || len(fleet.Statuses) != len(w.routers) {
+			b.fail("%s tells of %d routers of %d, %v", asked.name, len(fleet.Statuses), len(w.routers), err)
 		}
-		for _, row := range fleet.Routers {
-			if row.State != "serving" || row.Problem != "" || row.Settings != want[row.Router] {
+		for _, row := range fleet.Statuses {
+			if row.State != feed.StateServing || row.Problem != "" || row.Settings != want[row.Router] {
 				b.fail("%s tells that %s is %q, runs %s and not %s, problem %q", asked.name, row.Router, row.State,
 					row.Settings, want[row.Router], row.Problem)
 			}
