catalog, feed, flow, forward: evacuations of a site are honoured by all routers

Now the few that read the operators' table read the evacuations with it. They travel with the pulls of the configuration and are confirmed by the same calls, so that a router never has a configuration without them. An engine there counts as leaving on all paths: placement, repeats, resumed streams, gates; others still fetch from its cache. Whoever waits for a place there goes elsewhere at once, what runs ends in peace. Where a service has engines in evacuated sites only, requests are refused at once and truthfully: a request that is sent there breaks the order, and one that waits for its end would wait longer than callers do.

Ruled out: evacuations as part of the configuration (its version does not move with them), a second watch (calls to the store are priced).

--- a/internal/decide/gate/gate.go
+++ b/internal/decide/gate/gate.go
@@ -250,6 +250,16 @@
 	return out
 }
 
+// RefuseAll returns the refusals of all asks that wait: the engine takes no requests any more.
+func (g *Gate) RefuseAll(now time.Time) []Verdict {
+	for id := range g.asks {
+		g.queue.Remove(id)
+		g.settled = append(g.settled, Verdict{ID: id})
+	}
+	clear(g.asks)
+	return g.Settle(now)
+}
+
 // expire ends the leases whose time is over: their release was lost.
 func (g *Gate) expire(now time.Time) {
 	for id, l := range g.leases {
--- /dev/null
+++ b/internal/edge/catalog/evacuation.go
@@ -0,0 +1,121 @@
+package catalog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Evacuation is an operator's order to send nothing more to the engines of a site, or its end.
+type Evacuation struct {
+	Site string
+	// Active orders are in force; the others have been taken back.
+	Active bool
+	// Revision is the store's version of the change. It orders two views of it.
+	Revision uint64
+}
+
+// EvacuationUpdate is what a reader of the store, or another router, says about evacuations: all
+// of them, or what changed.
+type EvacuationUpdate struct {
+	// Full means that sites which are not in Changes are not evacuated as of Upto.
+	Full bool
+	// Upto is the store's version of a full update.
+	Upto    uint64
+	Changes []Evacuation
+}
+
+// Evacuations is an immutable set of evacuations, the recently ended ones included. The zero
+// value has none.
+type Evacuations struct {
+	// revision is the newest one of all changes.
+	revision uint64
+	bySite   map[string]Evacuation
+}
+
+// maxEnded bounds the remembered ends of evacuations. An end is needed only until all routers
+// have it.
+const maxEnded = 256
+
+// Active says whether the site is evacuated.
+func (e Evacuations) Active(site string) bool { return e.bySite[site].Active }
+
+// Of returns the newest change of a site, the zero value if none is known.
+func (e Evacuations) Of(site string) Evacuation { return e.bySite[site] }
+
+// Sites returns the evacuated sites in order.
+func (e Evacuations) Sites() []string {
+	var out []string
+	for site, evacuation := range e.bySite {
+		if evacuation.Active {
+			out = append(out, site)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Revision is the newest revision in the set, zero if nothing is known.
+func (e Evacuations) Revision() uint64 { return e.revision }
+
+// Since returns all that is known if any of it is newer than a revision, and an empty update
+// otherwise. It leads on from any set: ends are told as well.
+func (e Evacuations) Since(revision uint64) EvacuationUpdate {
+	if e.revision <= revision {
+		return EvacuationUpdate{}
+	}
+	u := EvacuationUpdate{Changes: slices.Collect(maps.Values(e.bySite))}
+	slices.SortFunc(u.Changes, func(a, b Evacuation) int { return cmp.Compare(a.Site, b.Site) })
+	return u
+}
+
+// Apply returns the set after an update, and whether another set of sites is evacuated. The
+// newest change of each site counts, in whatever order updates arrive: routers hear of the same
+// change on several ways, and a reader may start from an old version.
+func (e Evacuations) Apply(u EvacuationUpdate) (Evacuations, bool) {
+	next := Evacuations{revision: e.revision, bySite: maps.Clone(e.bySite)}
+	if next.bySite == nil {
+		next.bySite = make(map[string]Evacuation)
+	}
+	changed := false
+	listed := make(map[string]bool, len(u.Changes))
+	for _, change := range u.Changes {
+		listed[change.Site] = true
+		changed = next.put(change) || changed
+	}
+	if u.Full {
+		for site, have := range e.bySite {
+			if have.Active && !listed[site] {
+				changed = next.put(Evacuation{Site: site, Revision: u.Upto}) || changed
+			}
+		}
+	}
+	next.trim()
+	return next, changed
+}
+
+// put takes a change that is newer than what is known of its site, and says whether the site
+// is now evacuated and was not, or the reverse.
+func (e *Evacuations) put(change Evacuation) bool {
+	have := e.bySite[change.Site]
+	if change.Site == "" || change.Revision <= have.Revision {
+		return false
+	}
+	e.bySite[change.Site] = change
+	e.revision = max(e.revision, change.Revision)
+	return have.Active != change.Active
+}
+
+// trim forgets the oldest ends.
+func (e *Evacuations) trim() {
+	var ended []Evacuation
+	for _, evacuation := range e.bySite {
+		if !evacuation.Active {
+			ended = append(ended, evacuation)
+		}
+	}
+	slices.SortFunc(ended, func(a, b Evacuation) int { return cmp.Compare(b.Revision, a.Revision) })
+	for _, old := range ended[min(len(ended), maxEnded):] {
+		delete(e.bySite, old.Site)
+	}
+}
--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -10,7 +10,9 @@
 	// confirmed Config as the newest one. Counting from the sending makes the
 	// age an upper bound, however long the answer took.
 	ConfigAsOf time.Duration
-	Engines    *EngineSet
+	// Evacuations are confirmed along with Config, by the same calls.
+	Evacuations Evacuations
+	Engines     *EngineSet
 	// EnginesAsOf is the same for Engines.
 	EnginesAsOf time.Duration
 	// DoubtUntil is the boot time until which a missing entry says nothing.
@@ -56,6 +58,24 @@
 	return &next, false
 }
 
+// WithEvacuations returns the snapshot after an update of the evacuations, and whether another
+// set of sites is evacuated.
+func (s *Snapshot) WithEvacuations(u EvacuationUpdate) (*Snapshot, bool) {
+	if !u.Full && len(u.Changes) == 0 {
+		return s, false
+	}
+	next := *s
+	var changed bool
+	next.Evacuations, changed = s.Evacuations.Apply(u)
+	return &next, changed
+}
+
+// TakesRequests says whether new requests may be sent to the engine: it neither leaves nor is in
+// an evacuated site.
+func (s *Snapshot) TakesRequests(e Engine) bool {
+	return !e.Draining && !s.Evacuations.Active(e.Site)
+}
+
 // doubtFor is how long after the store's return a missing entry says nothing:
 // engines that live register again within this time.
 const doubtFor = 2 * time.Second
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -126,11 +126,13 @@
 }
 
 // PutConfig hands over a configuration that was confirmed by a call sent at
-// asOf. It returns once snapshots have it, or the context has ended: a writer that
+// asOf, and what the call said of evacuations. It returns once snapshots have it, or the context has ended: a writer that
 // went on at once would ask for the same again.
-func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, asOf time.Duration) {
+func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, evacuations catalog.EvacuationUpdate, asOf time.Duration) {
 	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
-		return s.WithConfig(c, asOf)
+		s, moved := s.WithEvacuations(evacuations)
+		s, replaced := s.WithConfig(c, asOf)
+		return s, moved || replaced
 	})
 }
 
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -245,7 +245,7 @@
 func (f *Follower) pullArgs(to Peer, now time.Duration) PullArgs {
 	s := f.Board.Snapshot()
 	args := PullArgs{
-		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Wait: pullWait,
+		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Evacuations: s.Evacuations.Revision(), Wait: pullWait,
 		KnowsLost: f.parentLost || !f.distrust.trusted(to.Name, now),
 		Roster:    f.Roster.RosterAsk(to.Address),
 	}
@@ -306,7 +306,7 @@
 		// The next answer would come at once, and be the same.
 		pause.For(ctx, retryPause)
 	}
-	f.Board.PutConfig(ctx, c, said-reply.ConfigAge)
+	f.Board.PutConfig(ctx, c, reply.Evacuations, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
 		return
 	}
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -29,6 +29,8 @@
 	// ConfigVersion and EnginesUpto are what the asker has; zero for nothing.
 	ConfigVersion uint64
 	EnginesUpto   uint64
+	// Evacuations is the newest revision of those that the asker has.
+	Evacuations uint64
 	// KnowsLost means that the asker knows that the one asked can't reach the store,
 	// and asks because nobody can.
 	KnowsLost bool
@@ -50,6 +52,8 @@
 	ConfigVersion uint64
 	// ConfigAge is the age of the last confirmation, as of the reply.
 	ConfigAge time.Duration
+	// Evacuations are all that are known, if there is news of one. ConfigAge is theirs too.
+	Evacuations catalog.EvacuationUpdate
 	// Engines leads on from the asker's version; if that can't be, AllEngines has all.
 	Engines    catalog.EngineUpdate
 	AllEngines *PackedEngines
@@ -157,6 +161,9 @@
 	if s.Config != nil && s.Config.Version > args.ConfigVersion {
 		return true
 	}
+	if s.Evacuations.Revision() > args.Evacuations {
+		return true
+	}
 	u := s.Engines.Since(args.EnginesUpto)
 	return s.Engines.Upto > 0 && (u.Full || len(u.Present)+len(u.Removed) > 0)
 }
@@ -165,12 +172,13 @@
 	now := r.Clock()
 	s := r.Board.Snapshot()
 	out := PullReply{
-		ConfigAge:  s.ConfigAge(now),
-		EnginesAge: s.EnginesAge(now),
-		StoreLost:  r.StoreLost(),
-		LostAgo:    r.LostAgo(),
-		Failures:   r.Failures(),
-		Chain:      r.Chain(),
+		ConfigAge:   s.ConfigAge(now),
+		Evacuations: s.Evacuations.Since(args.Evacuations),
+		EnginesAge:  s.EnginesAge(now),
+		StoreLost:   r.StoreLost(),
+		LostAgo:     r.LostAgo(),
+		Failures:    r.Failures(),
+		Chain:       r.Chain(),
 	}
 	if s.Config != nil {
 		out.ConfigVersion = s.Config.Version
--- a/internal/edge/feed/start_bench_test.go
+++ b/internal/edge/feed/start_bench_test.go
@@ -44,7 +44,7 @@
 	b.Cleanup(cancel)
 	relay.Board = NewBoard(relay.Clock, time.Second)
 	go relay.Board.Run(ctx)
-	relay.Board.PutConfig(ctx, configOf(1, routes), time.Minute)
+	relay.Board.PutConfig(ctx, configOf(1, routes), catalog.EvacuationUpdate{}, time.Minute)
 	relay.Board.PutEngines(ctx, manyEngines(engines), time.Minute, time.Hour)
 	roster := newFakeRoster(Peer{Name: "asked", Address: "asked", Site: "site-0"})
 	for _, p := range manyPeers(routers - 1) {
--- a/internal/edge/feed/store.go
+++ b/internal/edge/feed/store.go
@@ -17,21 +17,28 @@
 	ErrMalformed = errs.Class("store: malformed")
 )
 
-// ConfigRead is the newest configuration as of a version of the store.
+// ConfigRead is what operators have written as of a version of the store: the newest
+// configuration, and the evacuations.
 type ConfigRead struct {
 	// Config is nil if there is none yet, or none newer than asked for.
-	Config *catalog.Config
-	Upto   uint64
+	Config      *catalog.Config
+	Evacuations catalog.EvacuationUpdate
+	Upto        uint64
+}
+
+// nothing says whether the read brought nothing new.
+func (r ConfigRead) nothing() bool {
+	return r.Config == nil && !r.Evacuations.Full && len(r.Evacuations.Changes) == 0
 }
 
 // Store is where operators write the configuration and engines register
 // themselves. Errors: ErrHistoryLost,
 // ErrMalformed, platform.ErrUnavailable.
 type Store interface {
-	// ReadConfig returns the configuration.
+	// ReadConfig returns the configuration and all evacuations.
 	ReadConfig(ctx context.Context) (ConfigRead, error)
-	// WatchConfig returns as soon as the configuration is newer than the
-	// store's version since, or after wait.
+	// WatchConfig returns as soon as the configuration, or an evacuation, is newer
+	// than the store's version since, or after wait.
 	WatchConfig(ctx context.Context, since uint64, wait time.Duration) (ConfigRead, error)
 	// ReadEngines returns all engines.
 	ReadEngines(ctx context.Context) (catalog.EngineUpdate, error)
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -23,6 +23,8 @@
 	mu     sync.Mutex
 	silent map[string]bool
 	known  map[string]Known
+	// leaving are the engines that take no more requests.
+	leaving map[string]bool
 }
 
 var errCut = errors.New("cut")
@@ -50,14 +52,14 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		f := &fakeFleet{
 			origin: time.Now(), owners: map[string]*Owner{}, askers: map[string]*Asker{},
-			silent: map[string]bool{}, known: map[string]Known{},
+			silent: map[string]bool{}, known: map[string]Known{}, leaving: map[string]bool{},
 		}
 		for _, name := range []string{"a", "b", "c"} {
 			f.live = append(f.live, feed.Peer{Name: name})
 		}
 		var running sync.WaitGroup
 		for _, p := range f.live {
-			o := NewOwner(f.clock, func(engine string) Known { return f.known[engine] })
+			o := NewOwner(f.clock, func(engine string) Known { return f.known[engine] }, func(engine string) bool { return f.leaving[engine] })
 			f.owners[p.Name] = o
 			running.Go(func() { o.Run(ctx) })
 			f.askers[p.Name] = NewAsker(Options{
--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -45,6 +45,8 @@
 type Owner struct {
 	clock Clock
 	known func(engine string) Known
+	// leaves says whether an engine takes no more requests.
+	leaves func(engine string) bool
 
 	mu      sync.Mutex
 	gates   map[string]*owned
@@ -69,9 +71,10 @@
 	verdict chan gate.Verdict
 }
 
-// NewOwner returns an Owner; known is what reports say of an engine.
-func NewOwner(clock Clock, known func(engine string) Known) *Owner {
-	return &Owner{clock: clock, known: known, gates: make(map[string]*owned), busy: make(chan struct{}, 1)}
+// NewOwner returns an Owner; known is what reports say of an engine, and leaves whether it takes no
+// more requests.
+func NewOwner(clock Clock, known func(engine string) Known, leaves func(engine string) bool) *Owner {
+	return &Owner{clock: clock, known: known, leaves: leaves, gates: make(map[string]*owned), busy: make(chan struct{}, 1)}
 }
 
 // Ask asks for a place.
@@ -129,6 +132,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock()
+	if o.leaves(a.Engine) {
+		return gate.Verdict{ID: a.ID}, a.Late, nil
+	}
 	late = a.Late || o.refused.Late(a.Subject, a.Attempt, a.Slack, now)
 	g := o.of(a.Engine, now)
 	g.SetPlaces(a.Places)
@@ -249,7 +255,11 @@
 // settle delivers the verdicts of a gate. The caller holds the mutex.
 func (o *Owner) settle(engine string, g *owned, now time.Duration) {
 	o.heard(engine, g, now)
-	for _, v := range g.Settle(at(now)) {
+	settle := g.Settle
+	if o.leaves(engine) {
+		settle = g.RefuseAll
+	}
+	for _, v := range settle(at(now)) {
 		w, ok := g.waiting[v.ID]
 		if !ok {
 			continue
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -213,7 +213,7 @@
 		evidence = append(evidence, load.Evidence)
 		out = append(out, choose.Engine{
 			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
-			Near: e.Site == p.site, Leaving: e.Draining, Fresh: p.fresh(e.ID, now),
+			Near: e.Site == p.site, Leaving: !s.TakesRequests(e), Fresh: p.fresh(e.ID, now),
 		})
 	}
 	for i, share := range health.Shares(evidence) {
--- a/internal/edge/forward/place.go
+++ b/internal/edge/forward/place.go
@@ -7,6 +7,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
 )
 
@@ -45,10 +46,12 @@
 		x.late = x.late || answer.Late
 		refused = refused || flow.ErrRefused.Has(err)
 		switch {
-		case err == nil:
+		case err == nil && x.stillTakes(alternative.Choice.Engine):
 			choice := alternative.Choice
 			choice.permit = permit
 			return x.f.Engines.TakeLeased(choice, shared), nil
+		case err == nil:
+			x.f.Places.Release(permit)
 		case x.callerLeft():
 			return Choice{}, x.gone()
 		case x.remaining() <= 0:
@@ -67,6 +70,14 @@
 	return Choice{}, notRun(ReasonOverload, x.f.overloads.comeBack(service, x.route.Objective, x.remaining(), x.f.Clock()))
 }
 
+// stillTakes says whether requests may be sent to an engine by the newest knowledge: its site may
+// have been evacuated while a request waited for a place there.
+func (x *exchange) stillTakes(e catalog.Engine) bool {
+	x.snapshot = x.f.Snapshot()
+	now, known := x.snapshot.Engines.ByID[e.ID]
+	return known && x.snapshot.TakesRequests(now)
+}
+
 // noteLimit remembers the caller's time limit, if it is sure to be one that callers give:
 // while nobody is refused, nobody comes back.
 func (x *exchange) noteLimit(service string) {
@@ -88,8 +99,8 @@
 	return out
 }
 
-// unasked places a request for which no owner of a gate could be reached: without an
-// answer, what is known of the loads decides, as while there is room.
+// unasked places a request by what is known of the loads, as while there is room: no owner of a
+// gate could be reached.
 func (x *exchange) unasked() (Choice, *Refusal) {
 	if choice, ok := x.pick(); ok {
 		return choice, nil
--- a/internal/edge/forward/place_test.go
+++ b/internal/edge/forward/place_test.go
@@ -33,7 +33,7 @@
 		clock := func() time.Duration { return time.Minute + time.Since(started) }
 		c := &crowd{s: snapshotOf(n), others: make(map[string]feed.EngineLoad)}
 		engines := NewEngines("site", func() map[string]feed.EngineLoad { return c.others }, clock, rand.New(rand.NewPCG(1, 2)))
-		c.owner = flow.NewOwner(clock, engines.Known)
+		c.owner = flow.NewOwner(clock, engines.Known, func(string) bool { return false })
 		self := feed.Peer{Name: "self"}
 		places := flow.NewAsker(flow.Options{
 			Self: self.Name, Owner: c.owner, Clock: clock, Log: log.New(io.Discard),
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -118,11 +118,15 @@
 	return r
 }
 
-// changeBound is how long a change of the configuration or of an engine may take
+// changeBound is how long a change of the configuration, of an engine or of an evacuation may take
 // to be in force at all routers.
 func (r *Router) changeBound() time.Duration {
 	b := r.set().Bounds
-	return time.Duration(min(b.Config, b.Drain))
+	bound := min(b.Config, b.Drain)
+	if b.Evacuate > 0 {
+		bound = min(bound, b.Evacuate)
+	}
+	return time.Duration(bound)
 }
 
 // keyLease is how long after its last confirmation a configuration may be used for requests
@@ -168,7 +172,7 @@
 func (r *Router) assembleForwarder() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.engines = forward.NewEngines(r.self.Site, r.loads.Others, bootclock.Now, rng)
-	r.gates = flow.NewOwner(bootclock.Now, r.engines.Known)
+	r.gates = flow.NewOwner(bootclock.Now, r.engines.Known, r.leaves)
 	r.places = flow.NewAsker(flow.Options{
 		Self: r.self.Name, Owner: r.gates, Clock: bootclock.Now, Call: r.call, Live: r.live,
 		Engines: func() int { return len(r.board.Snapshot().Engines.ByID) }, Log: r.log,
@@ -192,6 +196,13 @@
 	})
 }
 
+// leaves says whether an engine is known to take no more requests.
+func (r *Router) leaves(engine string) bool {
+	s := r.board.Snapshot()
+	e, known := s.Engines.ByID[engine]
+	return known && !s.TakesRequests(e)
+}
+
 func (r *Router) budgetLimits() forward.BudgetLimits {
 	b := r.set().Bounds
 	return forward.BudgetLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow)}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -93,6 +93,9 @@
 	// force, and Drain how long a leaving engine may get new requests.
 	Config Milliseconds `yaml:"config_ms" validate:"duration"`
 	Drain  Milliseconds `yaml:"drain_ms" validate:"duration"`
+	// Evacuate is how long the engines of an evacuated site may get new requests. The
+	// default is as long as leaving ones.
+	Evacuate Milliseconds `yaml:"evacuate_ms" validate:"omitempty,duration"`
 	// Beat is how often engines renew their entries in the store.
 	Beat Milliseconds `yaml:"beat_ms" validate:"duration"`
 	// Stop is how long the process has after it was told to stop.
