gate, forward: cold engines are sent what they bear, by grants of the gate's owner

Now each request to a cold engine asks the owner of the engine's gate, also while the service is not crowded, and the gate spaces its grants. Who isn't granted a place within a tenth of the objective goes to a warm engine, at once also where no owner answers; where only cold engines are left, requests wait as in a crowd. Repeats and resumed streams go to warm engines only. An engine is cold as its entry says, and as long as a start takes after the evacuation of its site has ended.

Ruled out: shares of the rate by router (0.3 requests a second each: a part of the prompts could go nowhere), counts by reports of loads (0.2 to 0.6 s old, longer than a herd takes).

--- a/internal/decide/gate/gate.go
+++ b/internal/decide/gate/gate.go
@@ -69,6 +69,8 @@
 	// Hold is how long such a request holds a place in the mean, as far as the asker
 	// knows; it counts until the gate has seen some end.
 	Hold time.Duration
+	// Pace bounds how often the engine may be sent requests, as far as the asker knows.
+	Pace Pace
 }
 
 // Verdict is what a gate says of an ask.
@@ -95,6 +97,7 @@
 	asks    map[string]Ask
 	leases  map[string]lease
 	places  int
+	pacer   pacer
 	// others is how many requests are at the engine without a lease of this gate.
 	others int
 	// hold is the mean time and weight of leases that have ended.
@@ -135,7 +138,9 @@
 // Idle says whether the gate has nothing to remember.
 func (g *Gate) Idle() bool { return g.Held() == 0 && g.Waiting() == 0 }
 
-func (g *Gate) room() bool { return len(g.leases)+g.others < g.places }
+func (g *Gate) room(now time.Time) bool {
+	return len(g.leases)+g.others < g.places && g.pacer.allows(now)
+}
 
 // Ask grants a place, lets the ask wait, or refuses it. A verdict on a waiting ask comes out
 // of a later Settle.
@@ -143,11 +148,12 @@
 	if _, known := g.leases[a.ID]; known {
 		return Verdict{ID: a.ID, Granted: true}, false
 	}
-	if g.queue.Len() == 0 && g.room() {
+	g.pacer.set(now, a.Pace)
+	if g.queue.Len() == 0 && g.room(now) {
 		g.grant(now, a)
 		return Verdict{ID: a.ID, Granted: true}, false
 	}
-	g.queue.SetRate(g.rate(a))
+	g.queue.SetRate(g.rate(now, a))
 	item := queue.Item{ID: a.ID, Account: a.Account, Class: g.class(a), Weight: a.Weight, Deadline: a.Latest}
 	if err := g.queue.Push(now, item); err != nil {
 		return Verdict{ID: a.ID, Wait: g.queue.PredictWait(now, item)}, false
@@ -167,7 +173,14 @@
 
 // rate is how much work ends in a second if leases last as they did: the drain that a new
 // backlog is taken to have.
-func (g *Gate) rate(a Ask) float64 {
+func (g *Gate) rate(now time.Time, a Ask) float64 {
+	if perSecond, paced := g.pacer.perSecond(now); paced {
+		return min(g.unpacedRate(a), perSecond*float64(max(a.Weight, 1)))
+	}
+	return g.unpacedRate(a)
+}
+
+func (g *Gate) unpacedRate(a Ask) float64 {
 	hold, weight := g.hold, g.weight
 	if hold == 0 {
 		hold, weight = a.Hold, float64(max(a.Weight, 1))
@@ -179,6 +192,7 @@
 }
 
 func (g *Gate) grant(now time.Time, a Ask) {
+	g.pacer.granted(now)
 	g.leases[a.ID] = lease{holder: a.Holder, weight: max(a.Weight, 1), granted: now, until: a.Until}
 }
 
@@ -236,7 +250,7 @@
 		g.settled = append(g.settled, Verdict{ID: it.ID, Wait: g.queue.PredictWait(now, it)})
 		delete(g.asks, it.ID)
 	}
-	for g.room() {
+	for g.room(now) {
 		it, ok := g.queue.Pop(now)
 		if !ok {
 			break
--- a/internal/decide/gate/patience.go
+++ b/internal/decide/gate/patience.go
@@ -43,3 +43,13 @@
 	}
 	return min(left, time.Duration(plainShare*float64(orDefault(objective))))
 }
+
+// coldShare is the part of its objective for which a request waits for its turn at a cold engine,
+// while others would take it at once.
+const coldShare = 0.1
+
+// ColdWait is how long a request on a route with an objective may wait for a cold engine while
+// other engines are not.
+func ColdWait(objective time.Duration) time.Duration {
+	return time.Duration(coldShare * float64(orDefault(objective)))
+}
--- a/internal/edge/catalog/config.go
+++ b/internal/edge/catalog/config.go
@@ -91,6 +91,10 @@
 	Slots int
 	// CacheTokens is the memory for prompts of one model engine, in tokens.
 	CacheTokens int
+	// ColdStart is how long an engine is cold after its start, and ColdRate how many
+	// requests a second it bears meanwhile; zero for services whose engines bear any.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Account is a client account.
--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -31,6 +31,9 @@
 	// siteBonus is the load that a plain engine in another site must have
 	// less, as a share of its slots, to be taken: bytes between sites cost.
 	siteBonus = 0.1
+	// coldLoad is the load, as a share of its slots, that a cold engine counts for beside
+	// its own: it bears few requests, however empty it is.
+	coldLoad = 1
 )
 
 // Engine is an engine as far as the choice depends on it.
@@ -50,6 +53,8 @@
 	// Fresh engines came a short time ago: other engines hold the prompts that
 	// are theirs now.
 	Fresh bool
+	// Cold engines bear few requests a second: they get one only where it was granted.
+	Cold bool
 	// Share of its normal load that it may take, 0 to 1: less than 1 while it
 	// returns from an ejection, 0 while it is ejected.
 	Share float64
@@ -60,7 +65,7 @@
 
 // HasRoom says whether the engine takes requests and has a free place.
 func (e Engine) HasRoom() bool {
-	return !e.Leaving && e.Share > 0 && e.InFlight < max(e.Slots, 1)
+	return !e.Leaving && !e.Cold && e.Share > 0 && e.InFlight < max(e.Slots, 1)
 }
 
 // Placement is where a prompt goes.
@@ -226,6 +231,21 @@
 	return candidates[:min(sampled, len(candidates))]
 }
 
+// WithoutCold returns the engines with the cold ones as leaving: they get no request, and others
+// may fetch from them.
+func WithoutCold(engines []Engine) []Engine {
+	out := slices.Clone(engines)
+	for i := range out {
+		out[i].Leaving = out[i].Leaving || out[i].Cold
+	}
+	return out
+}
+
+// AnyWarm says whether an engine takes requests without a grant.
+func AnyWarm(engines []Engine) bool {
+	return slices.ContainsFunc(engines, func(e Engine) bool { return !e.Cold && !e.Leaving && e.Share > 0 })
+}
+
 // usable returns the engines that are not ejected; all of them if all are, since
 // then the fault is elsewhere and refusing everything would only add to it.
 func usable(engines []Engine) []int {
@@ -275,5 +295,8 @@
 	if !e.Near {
 		load += siteBonus
 	}
+	if e.Cold {
+		load += coldLoad
+	}
 	return load
 }
--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -100,6 +100,8 @@
 	// MaxWait is how long the request may wait, Lease how long it may then be there, and
 	// Hold how long such requests are there in the mean.
 	MaxWait, Lease, Hold time.Duration
+	// Pace bounds how often the engine may be sent requests, where it is cold.
+	Pace gate.Pace
 }
 
 // Answer is what the owner says.
@@ -142,6 +144,7 @@
 	verdict, waits := g.Ask(at(now), gate.Ask{
 		ID: a.ID, Holder: a.From, Account: a.Account, Class: queue.Class(min(max(a.Urgency, 0), Urgencies-1)),
 		Late: late, Weight: a.Weight, Latest: at(now + a.MaxWait), Until: at(now + a.MaxWait + a.Lease), Hold: a.Hold,
+		Pace: a.Pace,
 	})
 	g.mark(now)
 	if !waits {
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -38,18 +38,14 @@
 	since time.Duration
 	// restarted is told of engines that have started again.
 	restarted func(engine string)
+	// coldLimits bound the requests to cold engines.
+	coldLimits func() ColdLimits
 	// crowdedUntil is until when requests of a service ask for places, and holds how
 	// long they have them in the mean.
 	crowdedUntil map[string]time.Duration
 	holds        map[string]time.Duration
 }
 
-// sighting is an engine as it was last seen, and when its present life was seen first.
-type sighting struct {
-	engine catalog.Engine
-	first  time.Duration
-}
-
 // ownLoad is what this router knows of one engine by its own requests.
 type ownLoad struct {
 	// inFlight is how many requests are there, leased how many of them have a lease of
@@ -65,6 +61,7 @@
 		own:          make(map[string]*ownLoad),
 		seen:         make(map[string]sighting),
 		ejected:      make(map[string]bool),
+		coldLimits:   func() ColdLimits { return ColdLimits{} },
 		crowdedUntil: make(map[string]time.Duration), holds: make(map[string]time.Duration),
 	}
 }
@@ -113,25 +110,31 @@
 
 // Pick chooses an engine of the service and counts a request to it until Done.
 // shared are the parts of the prompt that other requests may have too, in order.
-// Engines in avoid are passed over. It returns false if there is none.
+// Engines in avoid are passed over, and cold ones, which need a grant. It returns false if there is
+// none.
 func (p *Engines) Pick(s *catalog.Snapshot, service string, shared []string, avoid map[string]bool) (Choice, bool) {
 	now := p.clock()
 	others := p.others()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	engines, candidates := p.candidates(s, service, avoid, others, now)
-	return p.pick(engines, candidates, shared, now)
+	candidates = choose.WithoutCold(candidates)
+	return p.settle(engines, candidates, p.placement(candidates, shared), shared, now)
 }
 
-// pick chooses among candidates. The caller holds the mutex.
-func (p *Engines) pick(engines []catalog.Engine, candidates []choose.Engine, shared []string, now time.Duration) (Choice, bool) {
+// placement chooses among candidates. The caller holds the mutex.
+func (p *Engines) placement(candidates []choose.Engine, shared []string) choose.Placement {
 	if len(shared) == 0 {
-		return p.take(engines, choose.Plain(candidates, p.rng), now)
+		return choose.Placement{Engine: choose.Plain(candidates, p.rng), Holder: choose.None}
 	}
-	at := choose.Prompted(candidates, rendezvous.ID(shared[len(shared)-1]), p.rng)
+	return choose.Prompted(candidates, rendezvous.ID(shared[len(shared)-1]), p.rng)
+}
+
+// settle takes a placement. The caller holds the mutex.
+func (p *Engines) settle(engines []catalog.Engine, candidates []choose.Engine, at choose.Placement, shared []string, now time.Duration) (Choice, bool) {
 	choice, ok := p.take(engines, at.Engine, now)
-	if !ok {
-		return Choice{}, false
+	if !ok || len(shared) == 0 {
+		return choice, ok
 	}
 	choice.FetchFrom = p.fetchFrom(engines, candidates, at, shared, now)
 	p.holders.note(choice.Engine.ID, shared, now)
@@ -199,7 +202,7 @@
 		if avoid[e.ID] {
 			continue
 		}
-		p.sight(e, now)
+		p.sight(s, e, now)
 		slots := e.Slots
 		if slots == 0 && config != nil {
 			slots = config.Slots
@@ -214,6 +217,7 @@
 		out = append(out, choose.Engine{
 			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
 			Near: e.Site == p.site, Leaving: !s.TakesRequests(e), Fresh: p.fresh(e.ID, now),
+			Cold: p.coldLeft(config, e.ID, now) > 0,
 		})
 	}
 	for i, share := range health.Shares(evidence) {
@@ -224,16 +228,20 @@
 
 // sight notes an engine that is there. One that has started again under its ID holds
 // nothing, and how its requests ended before says nothing of it. The caller holds the mutex.
-func (p *Engines) sight(e catalog.Engine, now time.Duration) {
+func (p *Engines) sight(s *catalog.Snapshot, e catalog.Engine, now time.Duration) {
 	if len(p.seen) == 0 {
 		p.since = now
 	}
 	last, known := p.seen[e.ID]
 	again := known && e.RestartOf(last.engine)
+	next := last
+	next.engine = e
 	if !known || again {
-		last.first = now
+		next.first = now
 	}
-	p.seen[e.ID] = sighting{engine: e, first: last.first}
+	news := !known || e.Revision > last.engine.Revision
+	next.chill(s, coldStartOf(s, e.Service), now, known, news)
+	p.seen[e.ID] = next
 	if !again {
 		return
 	}
--- a/internal/edge/forward/place.go
+++ b/internal/edge/forward/place.go
@@ -42,6 +42,9 @@
 	for i, alternative := range plan.Ask {
 		age := x.f.Clock() - x.started
 		maxWait := gate.MaxWait(x.route.Prompted, i, len(plan.Ask), x.route.Objective, age)
+		if plan.Warm {
+			maxWait = min(maxWait, gate.ColdWait(x.route.Objective))
+		}
 		permit, answer, err := x.f.Places.Ask(ctx, x.askFor(alternative, plan, maxWait))
 		x.late = x.late || answer.Late
 		refused = refused || flow.ErrRefused.Has(err)
@@ -64,7 +67,7 @@
 			break
 		}
 	}
-	if !refused {
+	if !refused || plan.Warm {
 		return x.unasked()
 	}
 	return Choice{}, notRun(ReasonOverload, x.f.overloads.comeBack(service, x.route.Objective, x.remaining(), x.f.Clock()))
@@ -92,6 +95,7 @@
 		Engine: a.Choice.Engine.ID, Places: a.Places, Urgency: x.urgency(), Weight: x.req.Work(),
 		MaxWait: maxWait, Lease: x.remaining(), Hold: plan.Hold,
 		Subject: x.req.Subject(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late,
+		Pace: a.Pace,
 	}
 	if x.account != nil {
 		out.Account = x.account.Name
@@ -100,7 +104,7 @@
 }
 
 // unasked places a request by what is known of the loads, as while there is room: no owner of a
-// gate could be reached.
+// gate could be reached, or only cold engines were asked.
 func (x *exchange) unasked() (Choice, *Refusal) {
 	if choice, ok := x.pick(); ok {
 		return choice, nil
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
@@ -21,6 +22,9 @@
 type Plan struct {
 	Choice Choice
 	Ask    []Alternative
+	// Warm means that the engines of Ask are cold and others are not: where these refuse,
+	// a request goes to the others without asking.
+	Warm bool
 	// Hold is how long requests of the service have a place in the mean.
 	Hold time.Duration
 }
@@ -30,6 +34,8 @@
 	Choice Choice
 	// Places is how many requests may be there at once.
 	Places int
+	// Pace bounds how often requests may be sent there, if it is cold.
+	Pace gate.Pace
 }
 
 // Plan chooses an engine of the service, or several to ask if the service is crowded, for a
@@ -41,25 +47,36 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	engines, candidates := p.candidates(s, service, avoid, others, now)
-	if !p.crowded(service, candidates, now) {
-		choice, ok := p.pick(engines, candidates, shared, now)
-		return Plan{Choice: choice}, ok
-	}
+	plan := Plan{Hold: p.holds[service]}
 	var order []int
-	if len(shared) == 0 {
-		order = choose.PlainCandidates(candidates, p.rng)
-	} else {
-		order = choose.Candidates(candidates, rendezvous.ID(shared[len(shared)-1]), p.rng)
+	switch at := p.placement(candidates, shared); {
+	case p.crowded(service, candidates, now), !choose.AnyWarm(candidates):
+		order = p.order(candidates, shared)
+	case at.Engine != choose.None && candidates[at.Engine].Cold:
+		plan.Warm = true
+		order = []int{at.Engine}
+	default:
+		choice, ok := p.settle(engines, candidates, at, shared, now)
+		return Plan{Choice: choice}, ok
 	}
-	plan := Plan{Hold: p.holds[service]}
+	config := s.Config.Service(service)
 	for _, i := range order {
 		plan.Ask = append(plan.Ask, Alternative{
 			Choice: p.choiceOf(engines, candidates, i, shared, now), Places: choose.Places(candidates, i),
+			Pace: p.paceOf(config, engines[i].ID, now),
 		})
 	}
 	return plan, len(plan.Ask) > 0
 }
 
+// order returns the engines to ask for a place, the first one first.
+func (p *Engines) order(candidates []choose.Engine, shared []string) []int {
+	if len(shared) == 0 {
+		return choose.PlainCandidates(candidates, p.rng)
+	}
+	return choose.Candidates(candidates, rendezvous.ID(shared[len(shared)-1]), p.rng)
+}
+
 // crowded says whether requests of the service ask for places. The caller holds the mutex.
 func (p *Engines) crowded(service string, candidates []choose.Engine, now time.Duration) bool {
 	if choose.Crowded(candidates) {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -172,6 +172,7 @@
 func (r *Router) assembleForwarder() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.engines = forward.NewEngines(r.self.Site, r.loads.Others, bootclock.Now, rng)
+	r.engines.SetColdLimits(r.coldLimits)
 	r.gates = flow.NewOwner(bootclock.Now, r.engines.Known, r.leaves)
 	r.places = flow.NewAsker(flow.Options{
 		Self: r.self.Name, Owner: r.gates, Clock: bootclock.Now, Call: r.call, Live: r.live,
@@ -203,6 +204,11 @@
 	return known && !s.TakesRequests(e)
 }
 
+func (r *Router) coldLimits() forward.ColdLimits {
+	b := r.set().Bounds
+	return forward.ColdLimits{Over: b.ColdOver, Slack: b.ColdSlack}
+}
+
 func (r *Router) budgetLimits() forward.BudgetLimits {
 	b := r.set().Bounds
 	return forward.BudgetLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: time.Duration(b.RetryWindow)}
--- a/internal/edge/settings/settings.go
+++ b/internal/edge/settings/settings.go
@@ -96,6 +96,10 @@
 	// Evacuate is how long the engines of an evacuated site may get new requests. The
 	// default is as long as leaving ones.
 	Evacuate Milliseconds `yaml:"evacuate_ms" validate:"omitempty,duration"`
+	// A cold engine gets at most ColdOver times the rate that its service names, and
+	// ColdSlack requests, in any second. The defaults are 1 and 0.
+	ColdOver  float64 `yaml:"cold_over" validate:"omitempty,min=0"`
+	ColdSlack float64 `yaml:"cold_slack" validate:"omitempty,min=0"`
 	// Beat is how often engines renew their entries in the store.
 	Beat Milliseconds `yaml:"beat_ms" validate:"duration"`
 	// Stop is how long the process has after it was told to stop.
