--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -95,7 +95,7 @@
 	if len(candidates) == 0 {
 		return Placement{Engine: None, Holder: None}
 	}
-	engine := within(engines, ranked(engines, key), loadBound(engines, candidates))
+	engine := within(engines, ranked(engines, key), loadBound(engines))
 	if engine == None {
 		engine = leastLoaded(engines, candidates, rng)
 	}
@@ -138,7 +138,7 @@
 // Places is how many requests may be at an engine at once: what it executes, and no more
 // than the bound on the load lets prompts have.
 func Places(engines []Engine, i int) int {
-	bound := loadBound(engines, usable(engines))
+	bound := loadBound(engines)
 	return max(1, min(engines[i].Slots+spare, int(bound)))
 }
 
@@ -157,7 +157,7 @@
 func Candidates(engines []Engine, key uint64, rng *rand.Rand) []int {
 	var out []int
 	usable := usable(engines)
-	if home := within(engines, ranked(engines, key), loadBound(engines, usable)); home != None {
+	if home := within(engines, ranked(engines, key), loadBound(engines)); home != None {
 		out = append(out, home)
 	}
 	return withAlternatives(out, engines, usable, rng)
@@ -181,10 +181,7 @@
 
 // ranked returns the indexes of all engines in the order of the key.
 func ranked(engines []Engine, key uint64) []int {
-	order := make([]int, len(engines))
-	for i := range order {
-		order[i] = i
-	}
+	order := indexes(engines)
 	mixed := rendezvous.Mix(key)
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(
@@ -265,13 +262,33 @@
 	return in
 }
 
-func loadBound(engines []Engine, candidates []int) float64 {
+// loadBound is how many requests a prompted engine may have, by the mean of the engines that take
+// requests, or of the whole service if that is less: operators count engines that leave as well,
+// and these empty while the others fill.
+func loadBound(engines []Engine) float64 {
+	taking := meanLoad(engines, usable(engines))
+	all := slices.DeleteFunc(indexes(engines), func(i int) bool { return engines[i].Share == 0 && !engines[i].Leaving })
+	if len(all) > 0 {
+		taking = min(taking, meanLoad(engines, all))
+	}
+	return math.Max(loadFactor*taking+loadSlack, 1)
+}
+
+// meanLoad is the mean load of some engines with one more request.
+func meanLoad(engines []Engine, of []int) float64 {
 	total := 0
-	for _, i := range candidates {
+	for _, i := range of {
 		total += engines[i].InFlight
 	}
-	mean := float64(total+1) / float64(len(candidates))
-	return math.Max(loadFactor*mean+loadSlack, 1)
+	return float64(total+1) / float64(len(of))
+}
+
+func indexes(engines []Engine) []int {
+	out := make([]int, len(engines))
+	for i := range out {
+		out[i] = i
+	}
+	return out
 }
 
 func leastLoaded(engines []Engine, candidates []int, rng *rand.Rand) int {
--- a/internal/edge/choose/choose_test.go
+++ b/internal/edge/choose/choose_test.go
@@ -132,3 +132,21 @@
 		require.Positive(t, n)
 	}
 }
+
+// Guards against a third of the engines that leave at once making the others take more than twice
+// the mean of their service.
+func TestBoundHoldsWhileManyEnginesLeave(t *testing.T) {
+	engines := fleet(60)
+	for i := range 20 {
+		engines[i].Leaving = true
+	}
+	rng := testRand()
+	for key := range uint64(400) {
+		at := Prompted(engines, key%23, rng)
+		engines[at.Engine].InFlight++
+	}
+	mean := 400.0 / 60
+	for _, e := range engines {
+		require.LessOrEqual(t, float64(e.InFlight), 2*mean+3, e.ID)
+	}
+}
