choose, forward: what moves when a site empties is fetched, not read again

Engines that come back after the evacuation of their site were taken to hold what they held before; they may have been emptied, and read it again. A fresh engine was told to fetch from the next one in order, which may have come back with it and be as empty.

Now engines of an evacuated site count as fresh when it ends, a fresh home fetches from whoever came two seconds or more before it, and the slack shrinks with the part of the service that takes requests.

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -15,6 +15,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
@@ -50,9 +51,10 @@
 	// Leaving engines get no new request; others can still fetch from their
 	// cache.
 	Leaving bool
-	// Fresh engines came a short time ago: other engines hold the prompts that
-	// are theirs now.
+	// Fresh engines came, or came back empty, a short time ago: other engines hold
+	// the prompts that are theirs now. Came is when, in a time that all share.
 	Fresh bool
+	Came  time.Duration
 	// Cold engines bear few requests a second: they get one only where it was granted.
 	Cold bool
 	// Share of its normal load that it may take, 0 to 1: less than 1 while it
@@ -63,6 +65,15 @@
 // CanGive says whether others may fetch from the engine's cache.
 func (e Engine) CanGive() bool { return e.Share > 0 || e.Leaving }
 
+// together is how far apart engines come that start at once.
+const together = 2 * time.Second
+
+// cameWith says whether the engine came along with another fresh one, or later: it has not held
+// prompts in between.
+func (e Engine) cameWith(other Engine) bool {
+	return e.Fresh && e.Came > other.Came-together
+}
+
 // HasRoom says whether the engine takes requests and has a free place.
 func (e Engine) HasRoom() bool {
 	return !e.Leaving && !e.Cold && e.Share > 0 && e.InFlight < max(e.Slots, 1)
@@ -106,16 +117,24 @@
 func At(engines []Engine, engine int, key uint64) Placement {
 	order := ranked(engines, key)
 	out := Placement{Engine: engine, Holder: None}
-	out.Moved = order[0] != engine || engines[engine].Fresh
-	for _, i := range order {
-		if i != engine && engines[i].CanGive() {
-			out.Holder = i
-			break
-		}
+	came := order[0] == engine && engines[engine].Fresh
+	out.Moved = order[0] != engine || came
+	gives := func(i int) bool { return i != engine && engines[i].CanGive() }
+	out.Holder = first(order, func(i int) bool { return gives(i) && !(came && engines[i].cameWith(engines[engine])) })
+	if out.Holder == None {
+		out.Holder = first(order, gives)
 	}
 	return out
 }
 
+// first returns the first index for which ok holds, or None.
+func first(order []int, ok func(int) bool) int {
+	if at := slices.IndexFunc(order, ok); at >= 0 {
+		return order[at]
+	}
+	return None
+}
+
 // crowdedShare is the part of a service's places from which on its requests ask for one
 // before they are sent. Reports of loads are a few tenths of a second old, in which a surge
 // can take as many places again; asking costs a message each way.
@@ -266,12 +285,15 @@
 // requests, or of the whole service if that is less: operators count engines that leave as well,
 // and these empty while the others fill.
 func loadBound(engines []Engine) float64 {
-	taking := meanLoad(engines, usable(engines))
+	taking := usable(engines)
 	all := slices.DeleteFunc(indexes(engines), func(i int) bool { return engines[i].Share == 0 && !engines[i].Leaving })
-	if len(all) > 0 {
-		taking = min(taking, meanLoad(engines, all))
+	mean, slack := meanLoad(engines, taking), float64(loadSlack)
+	if len(all) > len(taking) {
+		// Each engine gets more of what others send at the same time.
+		slack *= float64(len(taking)) / float64(len(all))
+		mean = min(mean, meanLoad(engines, all))
 	}
-	return math.Max(loadFactor*taking+loadSlack, 1)
+	return math.Max(loadFactor*mean+slack, 1)
 }
 
 // meanLoad is the mean load of some engines with one more request.
--- a/internal/edge/choose/choose_test.go
+++ b/internal/edge/choose/choose_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"github.com/stretchr/testify/require"
@@ -150,3 +151,17 @@
 		require.LessOrEqual(t, float64(e.InFlight), 2*mean+3, e.ID)
 	}
 }
+
+// Guards against prompts that are read again when a site's engines come back together: the next
+// one in order came back with the chosen one and is as empty, the one that served meanwhile is not.
+func TestEnginesThatComeTogetherDoNotFetchFromOneAnother(t *testing.T) {
+	engines := fleet(9)
+	order := ranked(engines, 42)
+	home, next, served := order[0], order[1], order[2]
+	for _, i := range []int{home, next} {
+		engines[i].Fresh, engines[i].Came = true, time.Minute
+	}
+	require.Equal(t, Placement{Engine: home, Holder: served, Moved: true}, Prompted(engines, 42, testRand()))
+	engines[home].Came = time.Minute + together
+	require.Equal(t, next, Prompted(engines, 42, testRand()).Holder, "it came before, and has served since")
+}
--- a/internal/edge/forward/cold.go
+++ b/internal/edge/forward/cold.go
@@ -23,17 +23,21 @@
 
 // chill notes how long an engine is cold: by its entry, and after the evacuation of its site has
 // ended, since engines may have been emptied meanwhile and tell so only later. known says whether
-// the engine was seen before: a router that starts knows nothing of when an evacuation ended.
-func (v *sighting) chill(s *catalog.Snapshot, start, now time.Duration, known, news bool) {
+// the engine was seen before: a router that starts knows nothing of when an evacuation ended. It
+// returns whether the engine may have been emptied.
+func (v *sighting) chill(s *catalog.Snapshot, start, now time.Duration, known, news bool) (emptied bool) {
 	if news {
 		v.coldUntil = max(v.coldUntil, now+v.engine.ColdFor)
 	}
 	evacuation := s.Evacuations.Of(v.engine.Site)
 	ended := evacuation.Revision > v.evacuation && !evacuation.Active
-	if known && ended {
+	emptied = known && ended
+	if emptied {
 		v.coldUntil = max(v.coldUntil, now+start)
+		v.first = now
 	}
 	v.evacuation = max(v.evacuation, evacuation.Revision)
+	return emptied
 }
 
 // SetColdLimits says what bounds the requests to cold engines. The default is the rate that their
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -217,6 +217,7 @@
 		out = append(out, choose.Engine{
 			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
 			Near: e.Site == p.site, Leaving: !s.TakesRequests(e), Fresh: p.fresh(e.ID, now),
+			Came: p.seen[e.ID].first,
 			Cold: p.coldLeft(config, e.ID, now) > 0,
 		})
 	}
@@ -240,8 +241,11 @@
 		next.first = now
 	}
 	news := !known || e.Revision > last.engine.Revision
-	next.chill(s, coldStartOf(s, e.Service), now, known, news)
+	emptied := next.chill(s, coldStartOf(s, e.Service), now, known, news)
 	p.seen[e.ID] = next
+	if emptied {
+		p.holders.forget(e.ID, now)
+	}
 	if !again {
 		return
 	}
--- a/internal/edge/forward/holders_test.go
+++ b/internal/edge/forward/holders_test.go
@@ -144,3 +144,23 @@
 		})
 	}
 }
+
+// Guards against prompts that are read again after an evacuation: the engines of the site may have
+// been emptied, and fetch from those that served meanwhile.
+func TestEngineFetchesAfterItsSiteWasEvacuated(t *testing.T) {
+	p := newPlacer(t)
+	s := coldSnapshot(6, 0, 5)
+	home := p.pick(s, 1).Engine
+	p.now += 10 * time.Second
+	s = evacuation(s, home.Site, true, 6)
+	meanwhile := p.pick(s, 1)
+	require.NotEqual(t, home.Site, meanwhile.Engine.Site)
+	require.Equal(t, home.Address, meanwhile.FetchFrom)
+	p.now += 3 * time.Second
+	s = evacuation(s, home.Site, false, 7)
+	p.pick(s, 2)
+	p.now += 4 * time.Second
+	back := p.pick(s, 1)
+	require.Equal(t, home.ID, back.Engine.ID)
+	require.Equal(t, meanwhile.Engine.Address, back.FetchFrom)
+}
