--- a/internal/cli/routers.go
+++ b/internal/cli/routers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
@@ -144,6 +145,7 @@
 
 func printRouters(out io.Writer, fleet feed.Fleet, all bool) error {
 	fmt.Fprintf(out, "seen by %s, told by %s, %d routers\n", fleet.SeenBy, fleet.ToldBy, len(fleet.Statuses))
+	printEvacuated(out, fleet.Statuses)
 	grouped := groups(fleet.Statuses)
 	err := table(out, true, "\nSETTINGS\tROUTERS\tSITES\tSINCE\tCONFIG", func(w io.Writer) error {
 		for _, g := range grouped {
@@ -171,6 +173,23 @@
 	})
 }
 
+// printEvacuated prints which sites are evacuated, and how many routers know it.
+func printEvacuated(out io.Writer, list []feed.Status) {
+	routers := make(map[string]int)
+	heard := 0
+	for _, s := range list {
+		if s.State != feed.StateUnheard {
+			heard++
+		}
+		for _, site := range s.Evacuated {
+			routers[site]++
+		}
+	}
+	for _, site := range slices.Sorted(maps.Keys(routers)) {
+		fmt.Fprintf(out, "evacuated: %s, known to %d of %d routers\n", site, routers[site], heard)
+	}
+}
+
 // oddOnes returns the routers that are not in the largest group, have another configuration than
 // the newest, or don't simply serve.
 func oddOnes(list []feed.Status, grouped []settingsGroup) []feed.Status {
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -306,6 +306,7 @@
 		// The next answer would come at once, and be the same.
 		pause.For(ctx, retryPause)
 	}
+	f.logEvacuations(reply.Evacuations)
 	f.Board.PutConfig(ctx, c, reply.Evacuations, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
 		return
@@ -321,6 +322,16 @@
 	f.Board.PutEngines(ctx, engines, said-reply.EnginesAge, f.LostAgo())
 }
 
+// logEvacuations logs what is news here.
+func (f *Follower) logEvacuations(u catalog.EvacuationUpdate) {
+	have := f.Board.Snapshot().Evacuations
+	for _, change := range u.Changes {
+		if change.Active != have.Active(change.Site) && change.Revision > have.Of(change.Site).Revision {
+			f.Log.Info("evacuation heard", "site", change.Site, "active", change.Active, "revision", change.Revision)
+		}
+	}
+}
+
 // judge distrusts a parent that can't reach the store, whose knowledge has grown
 // old, or that asks this router, directly or through others: then none of them
 // reads. The last shows in the parent's chain.
--- a/internal/edge/feed/status.go
+++ b/internal/edge/feed/status.go
@@ -40,6 +40,8 @@
 	// last confirmed; zero and zero for none.
 	Config    uint64        `json:"config"`
 	ConfigAge time.Duration `json:"config_age"`
+	// Evacuated are the sites whose engines get no requests from it by an operator's order.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Version is the program's, UpFor how long the process has run, and Boot tells it from
 	// others of the same name.
 	Version string        `json:"version"`
@@ -61,7 +63,8 @@
 // sameAs says whether it says the same as another one but for the time that has passed.
 func (s Status) sameAs(o Status) bool {
 	return s.Router == o.Router && s.Boot == o.Boot && s.State == o.State && s.Settings == o.Settings &&
-		s.Config == o.Config && s.Problem == o.Problem && slices.Equal(s.Waiting, o.Waiting)
+		s.Config == o.Config && s.Problem == o.Problem && slices.Equal(s.Waiting, o.Waiting) &&
+		slices.Equal(s.Evacuated, o.Evacuated)
 }
 
 const (
--- a/internal/edge/forward/cold.go
+++ b/internal/edge/forward/cold.go
@@ -53,6 +53,23 @@
 	return max(p.seen[engine].coldUntil-now, 0)
 }
 
+// Cold returns how much longer each cold engine is taken to be cold, by its ID.
+func (p *Engines) Cold(s *catalog.Snapshot) map[string]time.Duration {
+	now := p.clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]time.Duration)
+	for id, v := range p.seen {
+		if s.Config == nil {
+			break
+		}
+		if left := p.coldLeft(s.Config.Service(v.engine.Service), id, now); left > 0 {
+			out[id] = left
+		}
+	}
+	return out
+}
+
 // paceOf is the pace at which an engine may be sent requests. The caller holds the mutex.
 func (p *Engines) paceOf(service *catalog.Service, engine string, now time.Duration) gate.Pace {
 	left := p.coldLeft(service, engine, now)
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -47,6 +47,9 @@
 		"config", version, "settings", x.f.Settings(),
 	}
 	fields = append(fields, x.snapshot.AgeFields(now)...)
+	if sites := x.snapshot.Evacuations.Sites(); len(sites) > 0 {
+		fields = append(fields, "evacuated", sites)
+	}
 	if ok {
 		x.f.Log.Info("request served", fields...)
 		return
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -26,11 +26,22 @@
 	vars.Set("engines_age_ms", expvar.Func(func() any {
 		return r.board.Snapshot().EnginesAge(bootclock.Now()).Milliseconds()
 	}))
+	vars.Set("evacuated_sites", expvar.Func(func() any { return r.board.Snapshot().Evacuations.Sites() }))
+	vars.Set("cold_engines", expvar.Func(func() any { return r.coldVars() }))
 	vars.Set("settings", expvar.Func(func() any { return r.settingsVars() }))
 	vars.Set("fleet", expvar.Func(func() any { return fleetVarsOf(r.statuses.All()) }))
 	return vars
 }
 
+// coldVars is how long each cold engine is taken to be cold, in milliseconds, by its ID.
+func (r *Router) coldVars() map[string]int64 {
+	out := make(map[string]int64)
+	for id, left := range r.engines.Cold(r.board.Snapshot()) {
+		out[id] = left.Milliseconds()
+	}
+	return out
+}
+
 // settingsVars is what operators are told of the settings. Problem stays until the file is mended,
 // and WaitForRestart until the restart.
 type settingsVars struct {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -305,7 +305,9 @@
 
 // review logs the changes of the judgement on engines.
 func (r *Router) review(ctx context.Context) {
+	cold := map[string]time.Duration{}
 	for pause.For(ctx, reviewInterval) {
+		cold = r.logCold(cold)
 		for _, v := range r.engines.Review(r.board.Snapshot()) {
 			r.log.Info("engine judged", "engine", v.Engine, "service", v.Service, "ejected", v.Ejected,
 				"good", v.Evidence.Good, "bad", v.Evidence.Bad)
@@ -313,6 +315,22 @@
 	}
 }
 
+// logCold logs which engines are cold now and were not before, and the reverse.
+func (r *Router) logCold(before map[string]time.Duration) map[string]time.Duration {
+	now := r.engines.Cold(r.board.Snapshot())
+	for id, left := range now {
+		if _, was := before[id]; !was {
+			r.log.Info("engine cold", "engine", id, "for", left)
+		}
+	}
+	for id := range before {
+		if _, still := now[id]; !still {
+			r.log.Info("engine warm", "engine", id)
+		}
+	}
+	return now
+}
+
 // addresses answers a caller. A router that leaves sends callers to the others;
 // one that knows no other names itself.
 func (r *Router) addresses(q entry.Question) entry.Answer {
--- a/internal/edge/node/status.go
+++ b/internal/edge/node/status.go
@@ -28,7 +28,8 @@
 	out := feed.Status{
 		Router: r.self.Name, Site: r.self.Site, State: r.state(),
 		Settings: in.digest, SettingsAge: now - in.since, Waiting: in.waiting, Problem: r.settingsProblem(),
-		Version: version.String(), UpFor: now - r.began, Boot: r.boot,
+		Evacuated: s.Evacuations.Sites(),
+		Version:   version.String(), UpFor: now - r.began, Boot: r.boot,
 	}
 	if s.Config != nil {
 		out.Config, out.ConfigAge = s.Config.Version, s.ConfigAge(now)
