gate, forward: requests without prospects do not ask for places

Two of the three owners have links of 10 Mbit/s, which the questions fill: grants come late, and places stand granted and unused. At fourteen times owners give no answer at all, routers send without asking, and an engine of six places holds 250 requests.

Now each router forgets within half a second how its requests for places ended, by service, urgency and lateness, and asks for about twice what was granted; the rest is refused at once, with a time to come back (client-side throttling as site reliability engineers know it). While there is room nothing is refused.

What is left at fourteen times: 15,000 requests a second fill the routers' own links, and owners that give no answer still make routers send without asking.

Ruled out: an interval of 5 ms for waiting asks (settled at each release), and the length of the question alone (each router asks three owners a request).

--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -68,6 +68,7 @@
 	stats       *Stats
 	paces       *paces
 	overloads   overloads
+	throttles   throttles
 	limits      limits
 }
 
@@ -79,6 +80,7 @@
 	return &Forwarder{
 		Options: o, stats: newStats(), paces: newPaces(), servedLines: rate.NewLimiter(servedPerSecond, servedPerSecond),
 		overloads: overloads{random: rand.Float64, services: make(map[string]*gate.Overload)},
+		throttles: throttles{random: rand.Float64, of: make(map[throttleKey]*gate.Throttle)},
 		limits:    limits{routes: make(map[string]*gate.Usual)},
 	}
 }
--- a/internal/edge/forward/place.go
+++ b/internal/edge/forward/place.go
@@ -39,6 +39,10 @@
 	refused := false
 	x.noteLimit(service)
 	x.late = x.f.limits.late(x.route.Name, x.req.Timeout, x.route.Objective)
+	key := throttleKey{service: service, urgency: x.urgency(), late: x.late}
+	if !plan.Warm && x.f.throttles.refuses(key, x.f.Clock()) {
+		return Choice{}, x.overloaded(service)
+	}
 	for i, alternative := range plan.Ask {
 		age := x.f.Clock() - x.started
 		maxWait := gate.MaxWait(x.route.Prompted, i, len(plan.Ask), x.route.Objective, age)
@@ -52,6 +56,7 @@
 		case err == nil && x.stillTakes(alternative.Choice.Engine):
 			choice := alternative.Choice
 			choice.permit = permit
+			x.f.throttles.note(key, true, x.f.Clock())
 			return x.f.Engines.TakeLeased(choice, shared), nil
 		case err == nil:
 			x.f.Places.Release(permit)
@@ -70,7 +75,13 @@
 	if !refused || plan.Warm {
 		return x.unasked()
 	}
-	return Choice{}, notRun(ReasonOverload, x.f.overloads.comeBack(service, x.route.Objective, x.remaining(), x.f.Clock()))
+	x.f.throttles.note(key, false, x.f.Clock())
+	return Choice{}, x.overloaded(service)
+}
+
+// overloaded refuses a request for which there is no place in time, and says when to come back.
+func (x *exchange) overloaded(service string) *Refusal {
+	return notRun(ReasonOverload, x.f.overloads.comeBack(service, x.route.Objective, x.remaining(), x.f.Clock()))
 }
 
 // stillTakes says whether requests may be sent to an engine by the newest knowledge: its site may
