flow: routers with weak links own no gates while there are others

Cause: ten of sixteen owners on the shifted site have links of 10 Mbit/s; in a surge of six times the usual traffic each gate of the plain service is asked by the thousand a second, and on such a link grants are late.

Routers with less than a quarter of the best link own gates only where fewer than three others do.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -270,3 +270,22 @@
 	_, ok := OwnerOf("e", nil)
 	require.False(t, ok)
 }
+
+// Guards against gates whose owners' links are filled by the questions of a surge: routers with weak
+// links own none while there are others, and some do where there are none.
+func TestWeakLinksOwnNoGates(t *testing.T) {
+	var live []feed.Peer
+	for i := range 40 {
+		live = append(live, feed.Peer{Name: string(rune('A' + i)), Link: 10})
+	}
+	require.Len(t, Owners(live, 60), 15)
+	for i := range 5 {
+		live[8*i].Link = 200
+	}
+	owners := Owners(live, 60)
+	require.Len(t, owners, 5)
+	for _, o := range owners {
+		require.EqualValues(t, 200, o.Link)
+	}
+	require.Len(t, Owners(live[1:10], 60), leastOwners)
+}
--- a/internal/edge/flow/owners.go
+++ b/internal/edge/flow/owners.go
@@ -16,6 +16,11 @@
 	enginesPerOwner = 4
 	// ownersTTL is how long a list of owners is used.
 	ownersTTL = 100 * time.Millisecond
+	// weakLink is the part of the best link below which a router owns no gates while there
+	// are leastOwners others: in a surge questions come by thousands a second, and on a link
+	// that they fill grants are late.
+	weakLink    = 0.25
+	leastOwners = 3
 )
 
 // Owners returns the routers that own gates, out of those that are there, for a number of
@@ -24,6 +29,9 @@
 	n := min(max((engines+enginesPerOwner-1)/enginesPerOwner, 1), len(live))
 	sorted := slices.Clone(live)
 	slices.SortFunc(sorted, feed.ComparePeers)
+	for n > leastOwners && float64(sorted[n-1].Link) < weakLink*float64(sorted[0].Link) {
+		n--
+	}
 	return sorted[:n]
 }
 
