engineconn: a request that is given up is dropped, also on its way

An engine was cut off as a lookup was sent; the request was given up and its connection closed. The kernel went on sending what had not been acknowledged, and the engine ran the request six seconds later, when it was about to leave and the caller long gone.

Now a connection with bytes that were not acknowledged is reset, which drops them. Where all has arrived an ordinary close is better: it is sent again if lost, and tells the engine to stop.

Ruled out: a router that had not heard of the leave (it sent six seconds before), and the limit on unacknowledged bytes (it does not end what is closed).

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -75,6 +75,30 @@
 	return n, err
 }
 
+// abandon closes a connection whose request has no answer. Bytes that the other end has not
+// acknowledged are dropped: the kernel would go on sending them, and an engine that is cut off would
+// get the request seconds after everybody has given it up. Where all has arrived, an ordinary close
+// tells the engine to stop its work, also if packets are lost.
+func (c *conn) abandon() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if ok && c.unacknowledged(tcp) {
+		// The error says that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// unacknowledged says whether bytes are under way, or can't be told not to be.
+func (c *conn) unacknowledged(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued, queryErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { queued, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && (queryErr != nil || queued > 0)
+}
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -86,12 +86,12 @@
 		return nil, err
 	}
 	c.traffic.Store(r.Traffic)
-	unhook := context.AfterFunc(ctx, func() { _ = c.Close() })
+	unhook := context.AfterFunc(ctx, c.abandon)
 	out := write(ctx, c, r)
 	resp, err := readHeader(c, r)
 	if err != nil {
 		unhook()
-		_ = c.Close()
+		c.abandon()
 		<-out.done
 		if out.nothingSent() {
 			return nil, ErrNotSent.Wrap(out.err)
--- a/internal/base/engineconn/send_test.go
+++ b/internal/base/engineconn/send_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -239,3 +240,21 @@
 		require.False(t, ErrNotSent.Has(err), "%v", err)
 	})
 }
+
+// Guards against an engine that runs a request seconds after everybody has given it up: what it has
+// not acknowledged is dropped with the connection.
+func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	abandoned, got := make(chan struct{}), make(chan error, 1)
+	p := newPeer(t, func(conn *net.TCPConn, _ int) {
+		_, _ = io.ReadFull(conn, make([]byte, 1<<20))
+		cancel()
+		<-abandoned
+		_, err := io.Copy(io.Discard, conn)
+		got <- err
+	})
+	_, err := NewPool(Options{Clock: clock}).Send(ctx, p.engine, request("r", 32<<20))
+	require.True(t, ErrNoAnswer.Has(err), "%v", err)
+	close(abandoned)
+	require.ErrorIs(t, <-got, syscall.ECONNRESET)
+}
