soak: sites are evacuated while routers run, and engines come cold

Two promises more: no engine of a site that stays evacuated runs a request once the faults are over, and an engine that has just come gets no more in any second than it bears.

--- a/test/soak/books.go
+++ b/test/soak/books.go
@@ -54,7 +54,11 @@
 		for _, r := range e.Runs() {
 			runs[r.RequestID] = append(runs[r.RequestID], r)
 			b.checkLeft(e, r, calmFrom)
+			if e.Site == w.evacuated && r.At.After(calmFrom) {
+				b.fail("%s: ran at %s in the evacuated site", r.RequestID, e.ID)
+			}
 		}
+		b.checkCold(e)
 	}
 	for _, e := range b.entries {
 		b.broken = append(b.broken, platformtest.Judge(e.path, e.answer, runs[e.answer.ID])...)
@@ -81,6 +85,26 @@
 	}
 }
 
+// checkCold: an engine that has just come gets no more in any second than it bears.
+func (b *books) checkCold(e *engine) {
+	if e.ColdFor == 0 {
+		return
+	}
+	runs := e.Runs()
+	warm := e.added.Add(e.ColdFor)
+	for i, first := range runs {
+		n := 0
+		for _, r := range runs[i:] {
+			if r.At.Sub(first.At) < time.Second && r.At.Before(warm) {
+				n++
+			}
+		}
+		if n > platformtest.ColdPerSecond {
+			b.fail("%s: %d requests in a second while it was cold", e.ID, n)
+		}
+	}
+}
+
 // checkLeft: an engine that leaves gets no new request after the bound, once all routers
 // can know.
 func (b *books) checkLeft(e *engine, r platformtest.Run, calmFrom time.Time) {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -128,6 +128,7 @@
 		func(rng *rand.Rand) { restarts(w, b, rng, end) },
 		func(rng *rand.Rand) { changes(w, b, rng, end) },
 		func(rng *rand.Rand) { rewrite(w, b, rng, end) },
+		func(rng *rand.Rand) { evacuations(w, b, rng, end) },
 	}
 	for _, play := range series {
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -178,6 +179,23 @@
 	}
 }
 
+// evacuations evacuates a site again and again, and leaves it evacuated in half of the runs.
+func evacuations(w *world, b *books, rng *rand.Rand, end time.Time) {
+	site := pick(rng, sites)
+	for time.Now().Before(end) {
+		time.Sleep(duration(rng, 100*time.Millisecond, time.Second))
+		b.note("evacuation of " + site)
+		w.store.Put("op", "evacuate/"+site, struct{}{})
+		time.Sleep(duration(rng, 50*time.Millisecond, time.Second))
+		w.store.Remove("op", "evacuate/"+site)
+	}
+	if rng.IntN(2) == 0 {
+		b.note(site + " stays evacuated")
+		w.store.Put("op", "evacuate/"+site, struct{}{})
+		w.evacuated = site
+	}
+}
+
 // result compares the books.
 func (b *books) result(w *world, calmFrom time.Time) Result {
 	out := Result{Requests: len(b.entries), Endings: w.ended(), Faults: b.faults, Broken: b.check(w, calmFrom)}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -34,6 +34,10 @@
 
 	// seed is the address of the router that the others are told to find first.
 	seed string
+	// first is how many engines there are before the routers.
+	first int
+	// evacuated is the site that stays evacuated until the end, empty for none.
+	evacuated string
 
 	mu      sync.Mutex
 	engines []*engine
@@ -47,8 +51,13 @@
 	proxy *proxy
 	// drainedAt is when the store took its leave; zero while it serves.
 	drainedAt time.Time
+	// added is when it registered.
+	added time.Time
 }
 
+// sites are where engines are, one in each in turn.
+var sites = []string{"x", "y"}
+
 // router is one process, with proxies of its own: towards the store, and from other
 // routers.
 type router struct {
@@ -100,6 +109,7 @@
 		w.port -= 100
 	}
 	w.configure(nil)
+	w.first = engines
 	for range engines {
 		w.addEngine()
 	}
@@ -119,7 +129,11 @@
 func (w *world) addEngine() *engine {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e := &engine{Engine: platformtest.NewEngine(fmt.Sprintf("engine-%d", len(w.engines)))}
+	e := &engine{Engine: platformtest.NewEngine(fmt.Sprintf("engine-%d", len(w.engines))), added: time.Now()}
+	e.Site = sites[len(w.engines)%len(sites)]
+	if len(w.engines) >= w.first {
+		e.ColdFor = platformtest.ColdStart
+	}
 	e.proxy = newProxy(e.Address())
 	w.engines = append(w.engines, e)
 	w.store.PutEngine(e.Engine, e.proxy.address(), "ready")
@@ -183,10 +197,11 @@
 
 func (w *world) supervise(r *router, cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
-	close(ended)
 	r.mu.Lock()
 	meant := r.stopping
 	r.mu.Unlock()
+	// Whoever waits for the end may start the next process at once.
+	close(ended)
 	if meant {
 		return
 	}
