--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -155,9 +155,10 @@
 const spare = 3
 
 // Places is how many requests may be at an engine at once: what it executes, and no more
-// than the bound on the load lets prompts have.
+// than the bound on the load lets prompts have. An owner of a gate counts what is there, so that the
+// bound needs no room for what others send meanwhile.
 func Places(engines []Engine, i int) int {
-	bound := loadBound(engines)
+	bound := loadFactor*serviceMean(engines) + loadSlack
 	return max(1, min(engines[i].Slots+spare, int(bound)))
 }
 
@@ -283,17 +284,31 @@
 
 // loadBound is how many requests a prompted engine may have, by the mean of the engines that take
 // requests, or of the whole service if that is less: operators count engines that leave as well,
-// and these empty while the others fill.
+// and these empty while the others fill. The fewer take requests, the more each of them gets of what
+// other routers send before their loads are heard, and the more room the bound leaves for that.
 func loadBound(engines []Engine) float64 {
-	taking := usable(engines)
-	all := slices.DeleteFunc(indexes(engines), func(i int) bool { return engines[i].Share == 0 && !engines[i].Leaving })
-	mean, slack := meanLoad(engines, taking), float64(loadSlack)
-	if len(all) > len(taking) {
-		// Each engine gets more of what others send at the same time.
-		slack *= float64(len(taking)) / float64(len(all))
+	factor, slack := loadFactor, float64(loadSlack)
+	if taking, all := len(usable(engines)), len(inService(engines)); all > taking {
+		part := float64(taking) / float64(all)
+		factor = 1 + (loadFactor-1)*math.Sqrt(part)
+		slack *= part
+	}
+	return math.Max(factor*serviceMean(engines)+slack, 1)
+}
+
+// inService returns the engines that take requests or leave.
+func inService(engines []Engine) []int {
+	return slices.DeleteFunc(indexes(engines), func(i int) bool { return engines[i].Share == 0 && !engines[i].Leaving })
+}
+
+// serviceMean is the mean load of the engines that take requests, or of all in service if that is
+// less.
+func serviceMean(engines []Engine) float64 {
+	mean := meanLoad(engines, usable(engines))
+	if all := inService(engines); len(all) > 0 {
 		mean = min(mean, meanLoad(engines, all))
 	}
-	return math.Max(loadFactor*mean+slack, 1)
+	return mean
 }
 
 // meanLoad is the mean load of some engines with one more request.
--- a/internal/edge/choose/choose_test.go
+++ b/internal/edge/choose/choose_test.go
@@ -165,3 +165,17 @@
 	engines[home].Came = time.Minute + together
 	require.Equal(t, next, Prompted(engines, 42, testRand()).Holder, "it came before, and has served since")
 }
+
+// Guards against a small service that gives a third of its places while all of its engines but one
+// leave: the last one may hold what it executes.
+func TestLastEngineOfAServiceHasItsPlaces(t *testing.T) {
+	engines := fleet(3)
+	for i := range engines {
+		engines[i].Slots, engines[i].Leaving = 6, i > 0
+	}
+	for engines[0].InFlight < Places(engines, 0) {
+		engines[0].InFlight++
+	}
+	require.GreaterOrEqual(t, engines[0].InFlight, engines[0].Slots)
+	require.LessOrEqual(t, float64(engines[0].InFlight), 2*float64(engines[0].InFlight)/3+3)
+}
