choose, forward: the load bound in one pass; only cold engines, where they are

The bound went over the engines four times and made a list each time, for each request; it is one pass without a list now. And a service whose engines are all ejected, none of them cold, asked for places as if all were cold; it is served as before now (TestOnlyColdMeansCold).

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -158,7 +158,8 @@
 // than the bound on the load lets prompts have. An owner of a gate counts what is there, so that the
 // bound needs no room for what others send meanwhile.
 func Places(engines []Engine, i int) int {
-	bound := loadFactor*serviceMean(engines) + loadSlack
+	mean, _ := serviceLoad(engines)
+	bound := loadFactor*mean + loadSlack
 	return max(1, min(engines[i].Slots+spare, int(bound)))
 }
 
@@ -201,7 +202,10 @@
 
 // ranked returns the indexes of all engines in the order of the key.
 func ranked(engines []Engine, key uint64) []int {
-	order := indexes(engines)
+	order := make([]int, len(engines))
+	for i := range order {
+		order[i] = i
+	}
 	mixed := rendezvous.Mix(key)
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(
@@ -258,9 +262,19 @@
 	return out
 }
 
-// AnyWarm says whether an engine takes requests without a grant.
-func AnyWarm(engines []Engine) bool {
-	return slices.ContainsFunc(engines, func(e Engine) bool { return !e.Cold && !e.Leaving && e.Share > 0 })
+// OnlyCold says whether all engines that take requests are cold.
+func OnlyCold(engines []Engine) bool {
+	cold := false
+	for _, e := range engines {
+		if e.Leaving || e.Share == 0 {
+			continue
+		}
+		if !e.Cold {
+			return false
+		}
+		cold = true
+	}
+	return cold
 }
 
 // usable returns the engines that are not ejected; all of them if all are, since
@@ -287,47 +301,51 @@
 // and these empty while the others fill. The fewer take requests, the more each of them gets of what
 // other routers send before their loads are heard, and the more room the bound leaves for that.
 func loadBound(engines []Engine) float64 {
+	mean, part := serviceLoad(engines)
 	factor, slack := loadFactor, float64(loadSlack)
-	if taking, all := len(usable(engines)), len(inService(engines)); all > taking {
-		part := float64(taking) / float64(all)
+	if part < 1 {
 		factor = 1 + (loadFactor-1)*math.Sqrt(part)
 		slack *= part
 	}
-	return math.Max(factor*serviceMean(engines)+slack, 1)
-}
-
-// inService returns the engines that take requests or leave.
-func inService(engines []Engine) []int {
-	return slices.DeleteFunc(indexes(engines), func(i int) bool { return engines[i].Share == 0 && !engines[i].Leaving })
+	return math.Max(factor*mean+slack, 1)
 }
 
-// serviceMean is the mean load of the engines that take requests, or of all in service if that is
-// less.
-func serviceMean(engines []Engine) float64 {
-	mean := meanLoad(engines, usable(engines))
-	if all := inService(engines); len(all) > 0 {
-		mean = min(mean, meanLoad(engines, all))
+// serviceLoad returns the mean load, with one more request, of the engines that take requests, or
+// of these and the leaving ones if that is less; and which part of both takes requests. Where all
+// are ejected, all take requests.
+func serviceLoad(engines []Engine) (mean, part float64) {
+	var taking, leaving, ejected group
+	for _, e := range engines {
+		switch {
+		case e.Leaving:
+			leaving.add(e)
+		case e.Share > 0:
+			taking.add(e)
+		default:
+			ejected.add(e)
+		}
 	}
-	return mean
-}
-
-// meanLoad is the mean load of some engines with one more request.
-func meanLoad(engines []Engine, of []int) float64 {
-	total := 0
-	for _, i := range of {
-		total += engines[i].InFlight
+	if taking.n == 0 {
+		taking = ejected
 	}
-	return float64(total+1) / float64(len(of))
+	if taking.n == 0 {
+		return 0, 1
+	}
+	all := group{n: taking.n + leaving.n, load: taking.load + leaving.load}
+	return min(taking.mean(), all.mean()), float64(taking.n) / float64(all.n)
 }
 
-func indexes(engines []Engine) []int {
-	out := make([]int, len(engines))
-	for i := range out {
-		out[i] = i
-	}
-	return out
+// group is some engines and their requests.
+type group struct{ n, load int }
+
+func (g *group) add(e Engine) {
+	g.n++
+	g.load += e.InFlight
 }
 
+// mean is the mean load with one more request.
+func (g *group) mean() float64 { return float64(g.load+1) / float64(g.n) }
+
 func leastLoaded(engines []Engine, candidates []int, rng *rand.Rand) int {
 	best, bestLoad := None, math.Inf(1)
 	offset := rng.IntN(len(candidates))
--- a/internal/edge/choose/choose_test.go
+++ b/internal/edge/choose/choose_test.go
@@ -179,3 +179,17 @@
 	require.GreaterOrEqual(t, engines[0].InFlight, engines[0].Slots)
 	require.LessOrEqual(t, float64(engines[0].InFlight), 2*float64(engines[0].InFlight)/3+3)
 }
+
+// Guards against questions to gates where all engines of a service are ejected, and none is cold.
+func TestOnlyColdMeansCold(t *testing.T) {
+	engines := fleet(3)
+	require.False(t, OnlyCold(engines))
+	for i := range engines {
+		engines[i].Share = 0
+	}
+	require.False(t, OnlyCold(engines))
+	engines[0].Share, engines[0].Cold = 1, true
+	require.True(t, OnlyCold(engines))
+	engines[1].Share = 1
+	require.False(t, OnlyCold(engines))
+}
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -126,8 +126,8 @@
 }
 
 // PutConfig hands over a configuration that was confirmed by a call sent at
-// asOf, and what the call said of evacuations. It returns once snapshots have it, or the context has ended: a writer that
-// went on at once would ask for the same again.
+// asOf, and what the call said of evacuations. It returns once snapshots have it, or the
+// context has ended: a writer that went on at once would ask for the same again.
 func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, evacuations catalog.EvacuationUpdate, asOf time.Duration) {
 	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
 		s, moved := s.WithEvacuations(evacuations)
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -50,7 +50,7 @@
 	plan := Plan{Hold: p.holds[service]}
 	var order []int
 	switch at := p.placement(candidates, shared); {
-	case p.crowded(service, candidates, now), !choose.AnyWarm(candidates):
+	case p.crowded(service, candidates, now), choose.OnlyCold(candidates):
 		order = p.order(candidates, shared)
 	case at.Engine != choose.None && candidates[at.Engine].Cold:
 		plan.Warm = true
