feed, forward, node: log engine changes on every router, with their revision

A request that reached an engine after the engine had left could not be explained from the logs: only the router that reads the store logged removals, no line gave the store revision up to which a router knew the engines, and an engine kept as doubtful was not logged at all.

Every router now logs when an engine starts draining, loses its entry or is kept as doubtful, with the revision and the source: the router that reported the change, or the store. A full engine list has its own line when it is read from the store or received from another router. The lines for requests, failed attempts and catalog source changes include engines_revision, and the metrics include engines_revision and engines_doubtful. No decision changes.

The new lines are logged per engine change, not per request: at most one line per engine and change on each router.

--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -137,11 +137,22 @@
 }
 
 // PutEngines hands over an update of the engines; see PutConfig. LostAgo is how
-// long ago a reader last failed to reach the store, as known.
-func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, lostAgo time.Duration) {
-	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
-		return s.WithEngines(u, asOf, time.Duration(b.lapse.Load()), lostAgo)
+// long ago a reader last failed to reach the store, as known. It returns the changes that the
+// update made, or none if the context ended before it was applied.
+func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, lostAgo time.Duration) catalog.EngineChanges {
+	var changes catalog.EngineChanges
+	applied := b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+		next, changed := s.WithEngines(u, asOf, time.Duration(b.lapse.Load()), lostAgo)
+		if changed {
+			changes = s.Engines.ChangesTo(next.Engines)
+		}
+		return next, changed
 	})
+	if !applied {
+		// The board's goroutine may still be writing to changes.
+		return catalog.EngineChanges{}
+	}
+	return changes
 }
 
 // update is a change for the board's goroutine.
@@ -151,15 +162,19 @@
 	applied chan struct{}
 }
 
-func (b *Board) put(ctx context.Context, change func(*catalog.Snapshot) (*catalog.Snapshot, bool)) {
+// put waits until the change is applied and returns true. It returns false if the context ends
+// first; the change may still be applied after that.
+func (b *Board) put(ctx context.Context, change func(*catalog.Snapshot) (*catalog.Snapshot, bool)) bool {
 	u := update{change: change, applied: make(chan struct{})}
 	select {
 	case b.updates <- u:
 	case <-ctx.Done():
-		return
+		return false
 	}
 	select {
 	case <-u.applied:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- /dev/null
+++ b/internal/edge/feed/changes.go
@@ -0,0 +1,23 @@
+package feed
+
+import (
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/charmbracelet/log"
+)
+
+// sourceStore is the logged source of changes that this router read from the store itself.
+const sourceStore = "store"
+
+// logEngineChanges logs each engine that started draining, became doubtful or was removed, with the
+// source that reported it: sourceStore or another router.
+func logEngineChanges(l *log.Logger, source string, changes catalog.EngineChanges) {
+	for _, e := range changes.Draining {
+		l.Info("engine draining", "engine", e.ID, "revision", e.Revision, "source", source)
+	}
+	for _, r := range changes.Doubtful {
+		l.Info("engine entry missing; engine stays in service as doubtful", "engine", r.ID, "revision", r.Revision, "source", source)
+	}
+	for _, r := range changes.Removed {
+		l.Info("engine entry removed", "engine", r.ID, "revision", r.Revision, "source", source)
+	}
+}
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -199,7 +200,8 @@
 		return
 	}
 	s := f.Board.Snapshot()
-	fields := []any{"from", f.parent.Name, "to", parent.Name, "reads_store", parent.Name == f.Self.Name}
+	fields := []any{"from", f.parent.Name, "to", parent.Name, "reads_store", parent.Name == f.Self.Name,
+		"engines_revision", s.Engines.Upto}
 	f.Log.Info("catalog source changed", append(fields, s.AgeFields(now)...)...)
 	f.parent = parent
 	f.since = now
@@ -237,7 +239,7 @@
 	if a.args.Loads != nil && a.reply.Loads != nil {
 		f.link.answered(a.to.Name, a.args.Loads, a.reply.Loads, f.Loads, f.Clock())
 	}
-	f.take(ctx, a.reply, a.sent)
+	f.take(ctx, cmp.Or(a.to.Name, a.to.Address), a.reply, a.sent)
 	f.judge(ctx, a.to, a.reply)
 	return nil
 }
@@ -295,7 +297,7 @@
 // take hands over what the parent said. Ages are counted back from the moment
 // at which the pull was sent, and the time that the parent held it: whatever the
 // parent said, it said later.
-func (f *Follower) take(ctx context.Context, reply PullReply, sent time.Duration) {
+func (f *Follower) take(ctx context.Context, source string, reply PullReply, sent time.Duration) {
 	said := sent + reply.Held
 	f.chain.Store(&reply.Chain)
 	f.noteLost(said - reply.LostAgo)
@@ -319,7 +321,11 @@
 			return
 		}
 	}
-	f.Board.PutEngines(ctx, engines, said-reply.EnginesAge, f.LostAgo())
+	if engines.Full {
+		f.Log.Info("full engine list received", "source", source, "engines", len(engines.Present), "engines_revision", engines.Upto)
+	}
+	changes := f.Board.PutEngines(ctx, engines, said-reply.EnginesAge, f.LostAgo())
+	logEngineChanges(f.Log, source, changes)
 }
 
 // logEvacuations logs what is news here.
@@ -389,6 +395,6 @@
 	}
 	f.publish(now)
 	s := f.Board.Snapshot()
-	fields := []any{"source", parent.Name, "why", why, "cause", cause}
+	fields := []any{"source", parent.Name, "why", why, "cause", cause, "engines_revision", s.Engines.Upto}
 	f.Log.Warn("catalog source distrusted", append(fields, s.AgeFields(now)...)...)
 }
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -302,11 +302,12 @@
 	for _, foreign := range update.Foreign {
 		r.Log.Warn("entry is no engine's; passed over", "entry", foreign.ID, "revision", foreign.Revision)
 	}
-	for _, removal := range update.Removed {
-		r.Log.Info("engine entry removed", "engine", removal.ID, "revision", removal.Revision)
-	}
 	nothing := !update.Full && len(update.Present)+len(update.Removed)+len(update.Foreign) == 0
-	r.Board.PutEngines(ctx, update, r.asOf(sent, hold, nothing), r.failedAgo())
+	if update.Full {
+		r.Log.Info("full engine list read", "engines", len(update.Present), "engines_revision", update.Upto, "took", r.Clock()-sent)
+	}
+	changes := r.Board.PutEngines(ctx, update, r.asOf(sent, hold, nothing), r.failedAgo())
+	logEngineChanges(r.Log, sourceStore, changes)
 	return nil
 }
 
--- a/internal/edge/forward/record.go
+++ b/internal/edge/forward/record.go
@@ -19,7 +19,7 @@
 	now := x.f.Clock()
 	x.f.Log.Warn("attempt failed", "request", x.req.ID, "route", x.route.Name, "engine", e.ID,
 		"address", e.Address, "attempt", x.sends, "waited", waited, "left", x.remaining(),
-		"engines_age", x.snapshot.EnginesAge(now), "cause", err)
+		"engines_revision", x.snapshot.Engines.Upto, "engines_age", x.snapshot.EnginesAge(now), "cause", err)
 }
 
 // servedPerSecond is how many lines a second about requests that were simply served are
@@ -44,7 +44,7 @@
 	fields := []any{
 		"request", x.req.ID, "route", route, "status", x.status, "engine", x.engine, "fetch_from", x.fetchFrom,
 		"asks", x.asks, "predicted_wait", x.predicted, "late", x.late, "sends", x.sends, "executed", x.executed, "took", took, "first_byte", x.firstByte,
-		"config", version, "settings", x.f.Settings(),
+		"config", version, "engines_revision", x.snapshot.Engines.Upto, "settings", x.f.Settings(),
 	}
 	fields = append(fields, x.snapshot.AgeFields(now)...)
 	if sites := x.snapshot.Evacuations.Sites(); len(sites) > 0 {
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -20,6 +20,8 @@
 	vars.Set("peer_calls", expvar.Func(func() any { return r.counters.Snapshot() }))
 	vars.Set("routers", expvar.Func(func() any { return r.routers() }))
 	vars.Set("engines", expvar.Func(func() any { return len(r.board.Snapshot().Engines.ByID) }))
+	vars.Set("engines_doubtful", expvar.Func(func() any { return len(r.board.Snapshot().Engines.Doubtful) }))
+	vars.Set("engines_revision", expvar.Func(func() any { return r.board.Snapshot().Engines.Upto }))
 	vars.Set("config_age_ms", expvar.Func(func() any {
 		return r.board.Snapshot().ConfigAge(bootclock.Now()).Milliseconds()
 	}))
