feed, catalog: failing tests of a removal that a restarted router hides

One is of the set of engines alone: a router reads all engines after a removal, and answers a router with an older version with no change, up to the newer version; the other one keeps the engine. The other test is of nine routers on a fake clock: the first router of a site restarts while another one of the site is cut off for half a second, in which an engine's entry is removed. Two seconds after it is back that router still knows the engine: it has taken the version of its source for its own.

The fake store of these tests answered each watch with all engines, which the platform's store does not do.

--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -22,6 +22,8 @@
 	config  *catalog.Config
 	version uint64
 	engines []catalog.Engine
+	// removed are the engines whose entries are gone.
+	removed []catalog.Removal
 	down    bool
 	silent  bool
 	// historyLost makes the next watches ask for a whole read.
@@ -37,8 +39,14 @@
 func (s *fakeStore) update(f func(*fakeStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.engines
 	f(s)
 	s.version++
+	for _, e := range before {
+		if !slices.ContainsFunc(s.engines, func(o catalog.Engine) bool { return o.ID == e.ID }) {
+			s.removed = append(s.removed, catalog.Removal{ID: e.ID, Revision: s.version})
+		}
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -152,10 +160,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.version == since {
-		return catalog.EngineUpdate{Since: since, Upto: since}, nil
+	u := catalog.EngineUpdate{Since: since, Upto: s.version}
+	for _, e := range s.engines {
+		if e.Revision > since {
+			u.Present = append(u.Present, e)
+		}
 	}
-	return catalog.EngineUpdate{Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
+	for _, r := range s.removed {
+		if r.Revision > since {
+			u.Removed = append(u.Removed, r)
+		}
+	}
+	return u, nil
 }
 
 // ownInFlight is how many requests each router has at the engine e1.
@@ -166,6 +182,8 @@
 
 // fakeFleet is some routers that call one another in memory.
 type fakeFleet struct {
+	// ctx ends with the test.
+	ctx  context.Context
 	live []Peer
 	cut  sync.Map
 	// gone are the routers that all know to be gone.
@@ -198,6 +216,26 @@
 	relay    *Relay
 	loads    *Loads
 	store    *fakeStore
+	stop     context.CancelFunc
+}
+
+// stop ends a router, and all know that it is gone.
+func (f *fakeFleet) stop(name string) {
+	f.gone.Store(name, true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name].stop()
+	delete(f.nodes, name)
+}
+
+// startAgain starts a router that was stopped. It knows nothing of before.
+func (f *fakeFleet) startAgain(p Peer, store *fakeStore) {
+	n := f.node(f.ctx, p, store)
+	f.mu.Lock()
+	f.nodes[p.Name] = n
+	f.mu.Unlock()
+	f.gone.Delete(p.Name)
+	n.run(f.ctx)
 }
 
 func (f *fakeFleet) clock() time.Duration { return time.Hour + time.Since(f.origin) }
@@ -205,7 +243,7 @@
 // start runs a router for each peer; stores may differ, as where the store
 // turns some routers away.
 func startFleet(ctx context.Context, live []Peer, stores map[string]*fakeStore) *fakeFleet {
-	f := &fakeFleet{live: live, nodes: make(map[string]*fakeNode), origin: time.Now()}
+	f := &fakeFleet{ctx: ctx, live: live, nodes: make(map[string]*fakeNode), origin: time.Now()}
 	for _, p := range live {
 		f.nodes[p.Name] = f.node(ctx, p, stores[p.Name])
 	}
@@ -216,6 +254,7 @@
 }
 
 func (n *fakeNode) run(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
 	go n.board.Run(ctx)
 	go n.reader.Run(ctx)
 	go n.follower.Run(ctx)
