--- a/internal/edge/catalog/history_test.go
+++ b/internal/edge/catalog/history_test.go
@@ -6,15 +6,15 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against requests to an engine that has left: a router that read all engines after the
-// removal never knew the engine, and must not hide the removal from routers that did.
-func TestRouterThatReadAllEnginesPassesOnEarlierRemovals(t *testing.T) {
-	keep, gone := engine("keep", 5), engine("gone", 6)
-	behind, _ := NewEngineSet().Apply(EngineUpdate{Full: true, Upto: 9, Present: []Engine{keep, gone}}, 0)
-	restarted, _ := NewEngineSet().Apply(EngineUpdate{Full: true, Upto: 10, Present: []Engine{keep}}, 0)
+// Guards against keeping a removed engine: a set built from a full update does not list earlier
+// removals, and its changes must still remove the engine from an older set.
+func TestSinceAfterFullUpdateCoversEarlierRemovals(t *testing.T) {
+	kept, removed := engine("keep", 5), engine("gone", 6)
+	older, _ := NewEngineSet().Apply(EngineUpdate{Full: true, Upto: 9, Present: []Engine{kept, removed}}, 0)
+	newer, _ := NewEngineSet().Apply(EngineUpdate{Full: true, Upto: 10, Present: []Engine{kept}}, 0)
 
-	behind, _ = behind.Apply(restarted.Since(behind.Upto), 0)
-	require.EqualValues(t, 10, behind.Upto)
-	require.NotContains(t, behind.ByID, "gone")
-	require.Contains(t, behind.ByID, "keep")
+	older, _ = older.Apply(newer.Since(older.Upto), 0)
+	require.EqualValues(t, 10, older.Upto)
+	require.NotContains(t, older.ByID, "gone")
+	require.Contains(t, older.ByID, "keep")
 }
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -22,7 +22,7 @@
 	config  *catalog.Config
 	version uint64
 	engines []catalog.Engine
-	// removed are the engines whose entries are gone.
+	// removed holds the removals of engines, oldest first.
 	removed []catalog.Removal
 	down    bool
 	silent  bool
@@ -182,7 +182,7 @@
 
 // fakeFleet is some routers that call one another in memory.
 type fakeFleet struct {
-	// ctx ends with the test.
+	// ctx is canceled at the end of the test.
 	ctx  context.Context
 	live []Peer
 	cut  sync.Map
@@ -216,20 +216,20 @@
 	relay    *Relay
 	loads    *Loads
 	store    *fakeStore
-	stop     context.CancelFunc
+	cancel   context.CancelFunc
 }
 
-// stop ends a router, and all know that it is gone.
+// stop stops a router and marks it as gone for all others.
 func (f *fakeFleet) stop(name string) {
 	f.gone.Store(name, true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.nodes[name].stop()
+	f.nodes[name].cancel()
 	delete(f.nodes, name)
 }
 
-// startAgain starts a router that was stopped. It knows nothing of before.
-func (f *fakeFleet) startAgain(p Peer, store *fakeStore) {
+// restart starts a stopped router again, without its previous state.
+func (f *fakeFleet) restart(p Peer, store *fakeStore) {
 	n := f.node(f.ctx, p, store)
 	f.mu.Lock()
 	f.nodes[p.Name] = n
@@ -254,7 +254,7 @@
 }
 
 func (n *fakeNode) run(ctx context.Context) {
-	ctx, n.stop = context.WithCancel(ctx)
+	ctx, n.cancel = context.WithCancel(ctx)
 	go n.board.Run(ctx)
 	go n.reader.Run(ctx)
 	go n.follower.Run(ctx)
--- a/internal/edge/feed/restart_test.go
+++ b/internal/edge/feed/restart_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// requireEngines checks that all routers know just these engines.
+// requireEngines requires that the catalog of each router contains exactly these engines.
 func (f *fakeFleet) requireEngines(t *testing.T, want ...string) {
 	t.Helper()
 	for name, n := range f.nodes {
@@ -20,9 +20,9 @@
 	}
 }
 
-// siteHead returns a router that is not the reader of the store and that others of its site ask,
-// and one of those.
-func (f *fakeFleet) siteHead(t *testing.T) (head, other Peer) {
+// siteParent returns a router that is the parent of others of its site and does not read the store,
+// and one of its children.
+func (f *fakeFleet) siteParent(t *testing.T) (parent, child Peer) {
 	t.Helper()
 	for _, p := range f.live {
 		parent, ok := ParentOf(p, f.live, nil, 0)
@@ -30,31 +30,31 @@
 			return parent, p
 		}
 	}
-	require.Fail(t, "no site with a head of its own")
+	require.Fail(t, "no site whose parent does not read the store")
 	return Peer{}, Peer{}
 }
 
-// Guards against requests to an engine that has left: a router changes to a source that has just
-// started, and that has read the engines after the removal that the router has not heard of.
+// Guards against requests to a removed engine: a router that missed the removal switches to a parent
+// that has just restarted and received a full engine list without the engine.
 func TestRemovalReachesRouterWhoseSourceRestarted(t *testing.T) {
 	inFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
-		head, behind := f.siteHead(t)
+		parent, child := f.siteParent(t)
 		s.update(func(s *fakeStore) {
 			s.engines = append(s.engines, catalog.Engine{ID: "e2", Service: "llm", Revision: s.version + 1})
 		})
 		time.Sleep(time.Second)
 		f.requireEngines(t, "e1", "e2")
-		f.stop(head.Name)
+		f.stop(parent.Name)
 		time.Sleep(2 * time.Second)
 
-		f.cut.Store(behind.Name, true)
-		// A pull that is under way is answered.
+		f.cut.Store(child.Name, true)
+		// A pull sent before the cut is still answered.
 		time.Sleep(2 * pullWait)
 		s.update(func(s *fakeStore) { s.engines = s.engines[:1] })
 		time.Sleep(100 * time.Millisecond)
-		f.startAgain(head, s)
+		f.restart(parent, s)
 		time.Sleep(200 * time.Millisecond)
-		f.cut.Delete(behind.Name)
+		f.cut.Delete(child.Name)
 
 		time.Sleep(2 * time.Second)
 		f.requireEngines(t, "e1")
