catalog: never compute engine changes across a full update

Seen in a test only.

Only the set that applied the full update knew of the gap in its record of removals.

Fix: a full update raises Floor to its own version, so that a set returns changes only from versions at or after its last full update. Changes no longer span the gap. The alternative, sending the gap along with the changes, needs a new field in the protocol between routers for a rare case.

--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -66,11 +66,10 @@
 	// Removed are recent removals, oldest first, for routers that ask what
 	// changed.
 	Removed []Removal
-	// Floor is the version from which Removed is complete, except for the versions strictly
-	// between gapAfter and gapBefore: a full update does not list engines that were added and
-	// removed since the set's previous version.
-	Floor               uint64
-	gapAfter, gapBefore uint64
+	// Floor is the version up to which Removed may be incomplete; Since returns the whole set for
+	// older versions. A full update sets it to its own version, because it does not list removals
+	// of engines that this set never contained.
+	Floor uint64
 
 	byService map[string][]Engine
 }
@@ -132,29 +131,13 @@
 		}
 	}
 	if u.Full {
-		next.addGap(s.Upto, u.Upto)
+		next.Floor = max(next.Floor, u.Upto)
 	}
 	next.trim()
 	next.index()
 	return next, changed
 }
 
-// addGap records that Removed is incomplete for the versions strictly between after and before.
-// Only one gap is kept: Floor is raised to the end of an earlier one.
-func (s *EngineSet) addGap(after, before uint64) {
-	if before <= after+1 {
-		return
-	}
-	s.Floor = max(s.Floor, s.gapBefore)
-	s.gapAfter, s.gapBefore = after, before
-}
-
-// completeSince reports whether Removed contains all removals after version.
-func (s *EngineSet) completeSince(version uint64) bool {
-	inGap := version > s.gapAfter && version < s.gapBefore
-	return version > 0 && version >= s.Floor && !inGap
-}
-
 // Expire returns the set without the engines whose doubt has ended at now.
 func (s *EngineSet) Expire(now time.Duration) (*EngineSet, bool) {
 	expired := false
@@ -178,7 +161,7 @@
 // Since returns what changed after a version, or the whole set where that is
 // not known any more.
 func (s *EngineSet) Since(version uint64) EngineUpdate {
-	u := EngineUpdate{Since: version, Upto: s.Upto, Full: !s.completeSince(version)}
+	u := EngineUpdate{Since: version, Upto: s.Upto, Full: version < s.Floor || version == 0}
 	for id, e := range s.ByID {
 		if _, doubted := s.Doubtful[id]; !doubted && (u.Full || e.Revision > version) {
 			u.Present = append(u.Present, e)
@@ -196,7 +179,6 @@
 	next := &EngineSet{
 		Upto:     upto,
 		Floor:    s.Floor,
-		gapAfter: s.gapAfter, gapBefore: s.gapBefore,
 		ByID:     make(map[string]Engine, len(s.ByID)),
 		Doubtful: make(map[string]time.Duration, len(s.Doubtful)),
 		Removed:  slices.Clone(s.Removed),
