catalog: record removals of engines that the set never contained

Impact: a request is sent to an engine that has left. Seen in tests only.

Cause: a set recorded removals only of engines that it contained. An engine that is added and removed between two watches of a router, or while a router is cut off, is never in that router's set; the router adopted the version of the removal without recording it. A router that had seen the engine and queried this one with a version in between was told of no change and kept the engine.

Fix: every removal in an update is recorded, once. The record also keeps an outdated entry of the engine from adding it back.

Tests: TestSetMatchesStoreAtItsVersion is a property test of three sets that read, watch, query one another and restart in any order. It requires that each set equals the store's contents at the set's version.

--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -217,10 +217,18 @@
 
 func (s *EngineSet) remove(r Removal, doubtUntil time.Duration) bool {
 	have, known := s.ByID[r.ID]
-	if !known || have.Revision > r.Revision {
+	if known && have.Revision > r.Revision {
+		return false
+	}
+	if !slices.Contains(s.Removed, r) {
+		// Recorded even if the engine is not in the set: it may have been added after the set's
+		// previous version, and other routers may still hold it. The record also prevents put
+		// from adding the engine back from an outdated entry.
+		s.Removed = append(s.Removed, r)
+	}
+	if !known {
 		return false
 	}
-	s.Removed = append(s.Removed, r)
 	// An engine that announced its leave has left: its missing entry is no
 	// surprise that a store's outage could explain.
 	if doubtUntil > 0 && !have.Draining {
