catalog, feed: send all evacuations to routers that may have missed an end

Impact: a site whose evacuation the operator has ended stays evacuated on some routers. They send nothing to its engines until they restart or read the whole table; requests for these engines are sent elsewhere or refused. Seen in tests only. Found while checking everything that routers pass on for the cause of requests to removed engines.

Cause: the same as for removed engines. A set of evacuations that was built by a full read after an evacuation had ended has no record of that evacuation. When a router that holds the evacuation at an older version asked for news, such a set had nothing newer to return. Store versions are shared by all routers, so having nothing newer does not mean that the two sets agree.

Fix: a set records the version of its last full update. A router that asks with an older version receives all evacuations as a full update, which ends those that it lists as not active or does not list. Routers now ask with the version up to which they know the evacuations, instead of the revision of the newest change that they have. A pull is not answered early on this account, so that routers of earlier versions, which do not send that version, are not answered in a loop. A full update that lists an older end for a site did not end the site's evacuation before; it does now (found by the property test).

Logs: "evacuation heard" and "evacuation read" are written for sites whose state changes, including ends by a full update. Before, ends by a full update were not logged.

Ruled out elsewhere: configurations are sent whole, or as a difference from a version that must match; members use the revisions of the sending instance; loads use numbers kept per pair of routers; statuses expire.

--- a/internal/edge/catalog/evacuation.go
+++ b/internal/edge/catalog/evacuation.go
@@ -18,7 +18,7 @@
 // EvacuationUpdate is what a reader of the store, or another router, says about evacuations: all
 // of them, or what changed.
 type EvacuationUpdate struct {
-	// Full means that sites which are not in Changes are not evacuated as of Upto.
+	// Full means that sites not listed as active in Changes are not evacuated as of Upto.
 	Full bool
 	// Upto is the store's version of a full update.
 	Upto    uint64
@@ -30,7 +30,10 @@
 type Evacuations struct {
 	// revision is the newest one of all changes.
 	revision uint64
-	bySite   map[string]Evacuation
+	// floor is the store version of the latest full update. A site that is not in bySite was not
+	// evacuated at that version.
+	floor  uint64
+	bySite map[string]Evacuation
 }
 
 // maxEnded bounds the remembered ends of evacuations. An end is needed only until all routers
@@ -58,13 +61,21 @@
 // Revision is the newest revision in the set, zero if nothing is known.
 func (e Evacuations) Revision() uint64 { return e.revision }
 
-// Since returns all that is known if any of it is newer than a revision, and an empty update
-// otherwise. It leads on from any set: ends are told as well.
-func (e Evacuations) Since(revision uint64) EvacuationUpdate {
-	if e.revision <= revision {
+// Upto returns the store version up to which the set is current, zero if nothing is known.
+func (e Evacuations) Upto() uint64 { return max(e.revision, e.floor) }
+
+// Since returns all known evacuations, including ended ones, if the set is newer than the version,
+// and an empty update otherwise. For versions older than the latest full update, the result is a
+// full update, because the set may lack evacuations that ended before that update. The result can be
+// applied to any set.
+func (e Evacuations) Since(version uint64) EvacuationUpdate {
+	if e.Upto() <= version {
 		return EvacuationUpdate{}
 	}
 	u := EvacuationUpdate{Changes: slices.Collect(maps.Values(e.bySite))}
+	if version < e.floor {
+		u.Full, u.Upto = true, e.floor
+	}
 	slices.SortFunc(u.Changes, func(a, b Evacuation) int { return cmp.Compare(a.Site, b.Site) })
 	return u
 }
@@ -73,14 +84,14 @@
 // newest change of each site counts, in whatever order updates arrive: routers hear of the same
 // change on several ways, and a reader may start from an old version.
 func (e Evacuations) Apply(u EvacuationUpdate) (Evacuations, bool) {
-	next := Evacuations{revision: e.revision, bySite: maps.Clone(e.bySite)}
+	next := Evacuations{revision: e.revision, floor: e.floor, bySite: maps.Clone(e.bySite)}
 	if next.bySite == nil {
 		next.bySite = make(map[string]Evacuation)
 	}
 	changed := false
 	listed := make(map[string]bool, len(u.Changes))
 	for _, change := range u.Changes {
-		listed[change.Site] = true
+		listed[change.Site] = change.Active
 		changed = next.put(change) || changed
 	}
 	if u.Full {
@@ -89,11 +100,29 @@
 				changed = next.put(Evacuation{Site: site, Revision: u.Upto}) || changed
 			}
 		}
+		next.floor = max(next.floor, u.Upto)
 	}
 	next.trim()
 	return next, changed
 }
 
+// StateChanges returns the changes that start or end the evacuation of a site if the update is
+// applied, sorted by site.
+func (e Evacuations) StateChanges(u EvacuationUpdate) []Evacuation {
+	next, changed := e.Apply(u)
+	if !changed {
+		return nil
+	}
+	var out []Evacuation
+	for site, change := range next.bySite {
+		if change.Active != e.Active(site) {
+			out = append(out, change)
+		}
+	}
+	slices.SortFunc(out, func(a, b Evacuation) int { return cmp.Compare(a.Site, b.Site) })
+	return out
+}
+
 // put takes a change that is newer than what is known of its site, and says whether the site
 // is now evacuated and was not, or the reverse.
 func (e *Evacuations) put(change Evacuation) bool {
--- a/internal/edge/feed/changes.go
+++ b/internal/edge/feed/changes.go
@@ -21,3 +21,10 @@
 		l.Info("engine entry removed", "engine", r.ID, "revision", r.Revision, "source", source)
 	}
 }
+
+// logEvacuations logs each change that starts or ends the evacuation of a site.
+func logEvacuations(l *log.Logger, msg string, changes []catalog.Evacuation, fields ...any) {
+	for _, change := range changes {
+		l.Info(msg, append([]any{"site", change.Site, "active", change.Active, "revision", change.Revision}, fields...)...)
+	}
+}
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,8 +25,10 @@
 	engines []catalog.Engine
 	// removed holds the removals of engines, oldest first.
 	removed []catalog.Removal
-	down    bool
-	silent  bool
+	// evacuations holds the latest change of each site.
+	evacuations map[string]catalog.Evacuation
+	down        bool
+	silent      bool
 	// historyLost makes the next watches ask for a whole read.
 	historyLost bool
 	calls       atomic.Int64
@@ -108,7 +111,25 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ConfigRead{Config: s.config, Upto: s.version}, nil
+	u := catalog.EvacuationUpdate{Full: true, Upto: s.version}
+	for _, e := range s.evacuations {
+		if e.Active {
+			u.Changes = append(u.Changes, e)
+		}
+	}
+	return ConfigRead{Config: s.config, Evacuations: u, Upto: s.version}, nil
+}
+
+// setEvacuated starts or ends the evacuation of a site.
+func (s *fakeStore) setEvacuated(site string, active bool) {
+	s.update(func(s *fakeStore) {
+		next := maps.Clone(s.evacuations)
+		if next == nil {
+			next = make(map[string]catalog.Evacuation)
+		}
+		next[site] = catalog.Evacuation{Site: site, Active: active, Revision: s.version + 1}
+		s.evacuations = next
+	})
 }
 
 func (s *fakeStore) wait(ctx context.Context, since uint64, wait time.Duration) error {
@@ -142,7 +163,13 @@
 	if s.version == since {
 		return ConfigRead{Upto: since}, nil
 	}
-	return ConfigRead{Config: s.config, Upto: s.version}, nil
+	var u catalog.EvacuationUpdate
+	for _, e := range s.evacuations {
+		if e.Revision > since {
+			u.Changes = append(u.Changes, e)
+		}
+	}
+	return ConfigRead{Config: s.config, Evacuations: u, Upto: s.version}, nil
 }
 
 func (s *fakeStore) ReadEngines(ctx context.Context) (catalog.EngineUpdate, error) {
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -247,7 +247,7 @@
 func (f *Follower) pullArgs(to Peer, now time.Duration) PullArgs {
 	s := f.Board.Snapshot()
 	args := PullArgs{
-		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Evacuations: s.Evacuations.Revision(), Wait: pullWait,
+		From: f.Self.Name, EnginesUpto: s.Engines.Upto, Evacuations: s.Evacuations.Upto(), Wait: pullWait,
 		KnowsLost: f.parentLost || !f.distrust.trusted(to.Name, now),
 		Roster:    f.Roster.RosterAsk(to.Address),
 	}
@@ -308,7 +308,7 @@
 		// The next answer would come at once, and be the same.
 		pause.For(ctx, retryPause)
 	}
-	f.logEvacuations(reply.Evacuations)
+	logEvacuations(f.Log, "evacuation heard", f.Board.Snapshot().Evacuations.StateChanges(reply.Evacuations))
 	f.Board.PutConfig(ctx, c, reply.Evacuations, said-reply.ConfigAge)
 	if reply.Engines.Upto == 0 {
 		return
@@ -328,16 +328,6 @@
 	logEngineChanges(f.Log, source, changes)
 }
 
-// logEvacuations logs what is news here.
-func (f *Follower) logEvacuations(u catalog.EvacuationUpdate) {
-	have := f.Board.Snapshot().Evacuations
-	for _, change := range u.Changes {
-		if change.Active != have.Active(change.Site) && change.Revision > have.Of(change.Site).Revision {
-			f.Log.Info("evacuation heard", "site", change.Site, "active", change.Active, "revision", change.Revision)
-		}
-	}
-}
-
 // judge distrusts a parent that can't reach the store, whose knowledge has grown
 // old, or that asks this router, directly or through others: then none of them
 // reads. The last shows in the parent's chain.
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -249,17 +249,11 @@
 		r.logConfig(c, sent)
 	}
 	r.configCursor = read.Upto
-	r.logEvacuations(read.Evacuations, sent)
+	logEvacuations(r.Log, "evacuation read", r.Board.Snapshot().Evacuations.StateChanges(read.Evacuations), "took", r.Clock()-sent)
 	r.Board.PutConfig(ctx, c, read.Evacuations, r.asOf(sent, hold, read.nothing()))
 	return nil
 }
 
-func (r *Reader) logEvacuations(u catalog.EvacuationUpdate, sent time.Duration) {
-	for _, change := range u.Changes {
-		r.Log.Info("evacuation read", "site", change.Site, "active", change.Active, "revision", change.Revision, "took", r.Clock()-sent)
-	}
-}
-
 // asOf is the time for which a reply speaks. A watch that brought nothing was held
 // until its time was over, and speaks for the moment after it; anything else may have
 // been decided as soon as the call was sent.
--- a/internal/edge/feed/relay.go
+++ b/internal/edge/feed/relay.go
@@ -29,7 +29,8 @@
 	// ConfigVersion and EnginesUpto are what the asker has; zero for nothing.
 	ConfigVersion uint64
 	EnginesUpto   uint64
-	// Evacuations is the newest revision of those that the asker has.
+	// Evacuations is the store version up to which the asker's evacuations are current. Routers
+	// of earlier releases send the revision of their newest change instead.
 	Evacuations uint64
 	// KnowsLost means that the asker knows that the one asked can't reach the store,
 	// and asks because nobody can.
@@ -52,7 +53,8 @@
 	ConfigVersion uint64
 	// ConfigAge is the age of the last confirmation, as of the reply.
 	ConfigAge time.Duration
-	// Evacuations are all that are known, if there is news of one. ConfigAge is theirs too.
+	// Evacuations holds all known evacuations if the asker may lack any of them, and is empty
+	// otherwise. ConfigAge is also its age.
 	Evacuations catalog.EvacuationUpdate
 	// Engines leads on from the asker's version; if that can't be, AllEngines has all.
 	Engines    catalog.EngineUpdate
