soak: remove engine entries while routers restart

Its engines always announced that they were leaving, and an entry marked as draining has a new revision, with which it is passed on to other routers. A new series removes entries that were not marked as draining, each while a router is being restarted. The engine keeps serving, and a request that reaches it after the drain bound is reported as a violation, as before.

Two series may now choose the same router for a restart. A restart waits for an earlier one of the same router to finish. Two series may also choose the same engine; the bound counts from the first time.

The new series draws its random seed after all others, so that the other series of each seed stay the same.

Without flags, TestSoak now runs all regression seeds instead of only the first one. These are 216, 3005 and 501.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -70,24 +70,33 @@
 	{"hangup", func(w *world, rng *rand.Rand, _ time.Duration) { pick(rng, w.routers).signal(syscall.SIGHUP) }},
 }
 
-// restart ends a router by a signal and starts it again. It says whether the
+// restart stops a router with a signal, calls whileDown and starts the router again. It reports whether the
 // process ended within its time.
-func restart(w *world, r *router, s syscall.Signal) (inTime bool, err error) {
+func restart(w *world, r *router, s syscall.Signal, whileDown func()) (inTime bool, err error) {
+	r.restartMu.Lock()
+	defer r.restartMu.Unlock()
 	r.expectEnd()
 	r.signal(syscall.SIGCONT)
 	r.signal(s)
 	inTime = r.wait(stopTime + time.Second)
+	whileDown()
 	return inTime, w.start(r)
 }
 
+// removeWithoutDrain adds a new engine, then removes e's entry without marking it as draining first.
+// e continues to serve requests that reach it.
+func removeWithoutDrain(w *world, e *engine) {
+	w.addEngine()
+	w.store.RemoveEngine(e.Engine)
+	w.markLeft(e)
+}
+
 // drain announces that an engine leaves, lets a new one take its place, and
 // removes its entry later.
 func drain(w *world, e *engine) {
 	w.addEngine()
 	w.store.PutEngine(e.Engine, e.proxy.address(), "draining")
-	w.mu.Lock()
-	e.drainedAt = time.Now()
-	w.mu.Unlock()
+	w.markLeft(e)
 	time.Sleep(drainBound + time.Second)
 	w.store.RemoveEngine(e.Engine)
 }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -129,6 +129,7 @@
 		func(rng *rand.Rand) { changes(w, b, rng, end) },
 		func(rng *rand.Rand) { rewrite(w, b, rng, end) },
 		func(rng *rand.Rand) { evacuations(w, b, rng, end) },
+		func(rng *rand.Rand) { removalsDuringRestarts(w, b, rng, end) },
 	}
 	for _, play := range series {
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -149,7 +150,7 @@
 		time.Sleep(duration(rng, 300*time.Millisecond, 2*time.Second))
 		s := pick(rng, []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL})
 		b.note("restart by " + s.String())
-		inTime, err := restart(w, pick(rng, w.routers), s)
+		inTime, err := restart(w, pick(rng, w.routers), s, func() {})
 		if err != nil {
 			b.fail("restart: %v", err)
 		}
@@ -179,6 +180,19 @@
 	}
 }
 
+// removalsDuringRestarts removes engine entries that were not marked as draining, each while a router is
+// down. It guards against a restarted router, which reads the engines only after the removal, hiding the
+// removal from routers that have not received it yet and query the restarted one.
+func removalsDuringRestarts(w *world, b *books, rng *rand.Rand, end time.Time) {
+	for time.Now().Before(end) {
+		time.Sleep(duration(rng, 300*time.Millisecond, time.Second))
+		b.note("engine entry removed during a router restart")
+		if _, err := restart(w, pick(rng, w.routers), syscall.SIGKILL, func() { removeWithoutDrain(w, pick(rng, w.serving())) }); err != nil {
+			b.fail("restart: %v", err)
+		}
+	}
+}
+
 // evacuations evacuates a site again and again, and leaves it evacuated in half of the runs.
 func evacuations(w *world, b *books, rng *rand.Rand, end time.Time) {
 	site := pick(rng, sites)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"os"
 	"os/exec"
@@ -11,18 +12,19 @@
 	"github.com/stretchr/testify/require"
 )
 
-// regressions are the seeds that ever failed, and why; the first is CI's.
+// regressions are seeds that have failed, with the cause. TestSoak runs them unless a flag selects others.
 var regressions = []struct {
 	seed  uint64
 	cause string
 }{
 	{216, "a SIGHUP in the first milliseconds of a process, before it was caught, ended it; no one started it again"},
 	{3005, "the soak itself started a router twice, so that one of the two ended again and again"},
+	{501, "a router that had just started hid the removal of an engine from other routers, which continued to send requests to it"},
 }
 
 var (
-	firstSeed = flag.Uint64("soak.first", regressions[0].seed, "the first seed")
-	seeds     = flag.Int("soak.seeds", 1, "how many seeds to play, one after the other")
+	firstSeed = flag.Uint64("soak.first", 0, "the first seed; 0 is the first regression seed")
+	seeds     = flag.Int("soak.seeds", 0, "how many consecutive seeds to run; 0 runs soak.first, or all regression seeds if that is 0 too")
 	routers   = flag.Int("soak.routers", 4, "how many routers a run has")
 	network   = flag.Int("soak.network", 200, "the third number of the routers' addresses, for runs side by side")
 	faulty    = flag.Duration("soak.faulty", 4*time.Second, "how long faults are injected in a run")
@@ -32,6 +34,22 @@
 // over and the system has had time to recover.
 const calmShare = 0.9
 
+// selectedSeeds returns the seeds selected by the flags.
+func selectedSeeds() []uint64 {
+	var out []uint64
+	if *firstSeed == 0 && *seeds == 0 {
+		for _, r := range regressions {
+			out = append(out, r.seed)
+		}
+		return out
+	}
+	first := cmp.Or(*firstSeed, regressions[0].seed)
+	for i := range max(1, *seeds) {
+		out = append(out, first+uint64(i))
+	}
+	return out
+}
+
 // TestSoak plays seeds. A few dozen by hand:
 //
 //	go test ./test/soak -run TestSoak -soak.first 100 -soak.seeds 50 -timeout 30m
@@ -42,7 +60,7 @@
 	build := exec.Command("go", "build", "-o", binary, "../../cmd/damaskrouter")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
-	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+	for _, seed := range selectedSeeds() {
 		dir, err := os.MkdirTemp("", "soak-")
 		require.NoError(t, err)
 		result, err := Run(Options{
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -67,6 +67,8 @@
 	settings string
 	// advertised is the address under which other routers know this one.
 	advertised string
+	// restartMu serializes restarts, so that two series never start the router twice.
+	restartMu sync.Mutex
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -140,6 +142,16 @@
 	return e
 }
 
+// markLeft records that the store has marked an engine as draining or removed its entry. drainBound counts
+// from the first time.
+func (w *world) markLeft(e *engine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.drainedAt.IsZero() {
+		e.drainedAt = time.Now()
+	}
+}
+
 // serving returns the engines that have not left.
 func (w *world) serving() []*engine {
 	w.mu.Lock()
