--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -19,6 +19,7 @@
 }{
 	{216, "a SIGHUP in the first milliseconds of a process, before it was caught, ended it; no one started it again"},
 	{3005, "the soak itself started a router twice, so that one of the two ended again and again"},
+	{603, "the soak's own: replacements of engines went to other sites, until all engines were in the evacuated one"},
 	{501, "a router that had just started hid the removal of an engine from other routers, which continued to send requests to it"},
 }
 
