edge: log and count what engines state about themselves in responses

Lines of requests and attempts have engine_leaving and engine_retry_after now, and two counters tell how often. Nothing is decided by them yet.

--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -189,7 +189,9 @@
 	status    int
 	engine    string
 	fetchFrom string
-	aborted   bool
+	// reply is the header of the response to the last send; zero if there was none.
+	reply   Reply
+	aborted bool
 }
 
 // prepare decodes and admits the request, sets its deadline and reads its body.
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -104,6 +104,10 @@
 	WrongEngine bool
 	// Encoded means that the body has a content encoding and is not what the engine generated.
 	Encoded bool
+	// Leaving means that the engine announces that it will stop.
+	Leaving bool
+	// RetryAfter is the value of the Retry-After header as received, or empty.
+	RetryAfter string
 }
 
 // Codec translates between HTTP messages and their meaning. The platform provides it.
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -19,7 +19,7 @@
 	now := x.f.Clock()
 	x.f.Log.Warn("attempt failed", "request", x.req.ID, "route", x.route.Name, "engine", e.ID,
 		"address", e.Address, "attempt", x.sends, "waited", waited, "left", x.remaining(), "fingerprint", x.tracker.Fingerprint(),
-		"engines_revision", x.snapshot.Engines.Upto, "engines_age", x.snapshot.EnginesAge(now), "cause", err)
+		"engine_leaving", x.reply.Leaving, "engine_retry_after", x.reply.RetryAfter, "engines_revision", x.snapshot.Engines.Upto, "engines_age", x.snapshot.EnginesAge(now), "cause", err)
 }
 
 // servedLogsPerSecond limits the log lines about successful requests. Failures are always logged,
@@ -45,6 +45,7 @@
 		"request", x.req.ID, "route", route, "status", x.status, "engine", x.engine, "fetch_from", x.fetchFrom,
 		"asks", x.deniedPermits, "predicted_wait", x.predictedWait, "late", x.late, "sends", x.sends, "executed", x.executed, "took", took, "first_byte", x.firstByte,
 		"config", version, "engines_revision", x.snapshot.Engines.Upto, "settings", x.f.Settings(),
+		"engine_leaving", x.reply.Leaving,
 	}
 	fields = append(fields, x.snapshot.AgeFields(now)...)
 	if sites := x.snapshot.Evacuations.Sites(); len(sites) > 0 {
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -202,6 +202,7 @@
 	defer x.f.Engines.Done(choice)
 	x.sends++
 	x.engine = e.ID
+	x.reply = Reply{}
 	x.fetchFrom = choice.FetchFrom
 	if x.sends == 1 {
 		x.f.Budget.RecordRequest(e.Service, x.f.Clock())
@@ -218,6 +219,7 @@
 	}
 	defer response.Close()
 	reply := x.f.Codec.Reply(response.Status, response.Header)
+	x.recordSignals(e, response.Status, reply)
 	if reply.NotExecuted {
 		return x.handleEngineRefusal(e, response, reply)
 	}
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -67,6 +67,12 @@
 // recordCut counts a request that was cut because the connection to its engine broke.
 func (s *Stats) recordCut() { s.vars.Add("cut_by_engine", 1) }
 
+// recordLeaving counts a response in which an engine announced that it will stop.
+func (s *Stats) recordLeaving() { s.vars.Add("engine_leaving_responses", 1) }
+
+// recordPause counts a rejection in which an engine stated for how long it wants no requests.
+func (s *Stats) recordPause() { s.vars.Add("engine_pause_responses", 1) }
+
 // recordAttemptTimeout counts an attempt that timed out.
 func (s *Stats) recordAttemptTimeout() { s.vars.Add("given_up_silent", 1) }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -161,6 +161,7 @@
 		return nil, false
 	}
 	x.sends++
+	x.reply = Reply{}
 	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(choice, lastID))
 	if err != nil {
 		x.f.Engines.RecordOutcome(e.ID, false)
@@ -173,6 +174,7 @@
 		return nil, unsent
 	}
 	reply := x.f.Codec.Reply(response.Status, response.Header)
+	x.recordSignals(e, response.Status, reply)
 	if reply.NotExecuted {
 		x.handleEngineRefusal(e, response, reply)
 		response.Close()
