edge: engines that announce their leaving in responses get no new requests

Callers saw nothing: their requests were served by an engine that was about to stop, up to 3.2 s after it had said so in its answers (two seconds are allowed).

Cause: a router learned only from the store's entry that an engine leaves. While the store is away, or the entry lags, the engine's own announcement passed through the router unread.

A request that has waited for a permit or a new connection chooses anew. Routers pass announcements on with the load reports, which connect them also without the store, and at once. If all engines leave, the request is refused with engines_leaving.

--- a/internal/base/engineconn/errors.go
+++ b/internal/base/engineconn/errors.go
@@ -17,6 +17,8 @@
 var (
 	// ErrNotSent means that no byte of the request left the router.
 	ErrNotSent = errs.Class("engine: not sent")
+	// ErrWithdrawn means that Request.Withdrawn returned true. It is wrapped in ErrNotSent.
+	ErrWithdrawn = errs.Class("engine: request withdrawn")
 	// ErrNoResponse means that the request was sent, wholly or in part, and the
 	// connection ended or its deadline passed before a response began.
 	ErrNoResponse = errs.Class("engine: no answer")
--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -70,6 +70,9 @@
 	// Matches reports whether a response with the header belongs to the request. An
 	// engine may send a second response to an earlier request of the connection.
 	Matches func(http.Header) bool
+	// Withdrawn reports whether the request must not be sent any more. It is called once a new
+	// connection is open, which may take a while; nil means that the request is always sent.
+	Withdrawn func() bool
 	// Traffic counts the bytes of the exchange; nil disables counting.
 	Traffic *Traffic
 }
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -80,12 +80,17 @@
 // Send sends a request to an engine and returns the response once its header
 // has arrived. The end of the context closes the connection, also while the
 // body is read; most engines then stop working on the request. Errors:
-// ErrNotSent, ErrNoResponse, ErrMalformed.
+// ErrNotSent (with ErrWithdrawn if the request was withdrawn), ErrNoResponse,
+// ErrMalformed.
 func (p *Pool) Send(ctx context.Context, to Target, r *Request) (*Response, error) {
 	c, err := p.connect(ctx, to, r.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
+	if !c.reused && r.Withdrawn != nil && r.Withdrawn() {
+		p.putIdle(to.ID, c, r.MaxIdleConns)
+		return nil, ErrNotSent.Wrap(ErrWithdrawn.New("while the connection was opened"))
+	}
 	c.traffic.Store(r.Traffic)
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	w := startWrite(ctx, c, r)
--- a/internal/base/engineconn/send_test.go
+++ b/internal/base/engineconn/send_test.go
@@ -69,6 +69,30 @@
 	require.True(t, ErrNoResponse.Has(err) || ErrMalformed.Has(err), "%v", err)
 }
 
+// Guards against a request that reaches an engine which has stopped taking requests while the
+// connection was opened.
+func TestWithdrawnRequestIsNotSentOnNewConnection(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	e := newTestEngine(t, func(conn *net.TCPConn, _ int) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			arrived <- struct{}{}
+			writeResponse(conn, "r", "ok")
+		}
+	})
+	pool := NewPool(Options{Clock: clock})
+	r := request("r", 1)
+	withdrawn := true
+	r.Withdrawn = func() bool { return withdrawn }
+	_, err := pool.Send(t.Context(), e.target, r)
+	require.True(t, ErrNotSent.Has(err) && ErrWithdrawn.Has(err), "%v", err)
+	require.Empty(t, arrived)
+	withdrawn = false
+	resp, err := pool.Send(t.Context(), e.target, r)
+	require.NoError(t, err)
+	resp.Close()
+	require.True(t, resp.Reused, "the connection is kept")
+}
+
 // A connection that could not be opened proves that nothing was sent.
 func TestFailedDialIsReportedAsNotSent(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -19,6 +19,8 @@
 	// DoubtUntil is the reading of the boot clock until which engines whose entry is missing stay
 	// in service as doubtful.
 	DoubtUntil time.Duration
+	// Leaving holds the engines that have announced in responses that they will stop.
+	Leaving Leaving
 }
 
 // ConfigAge returns the maximum age of the configuration at now.
@@ -72,9 +74,9 @@
 }
 
 // TakesRequests reports whether new requests may be sent to the engine: it is neither draining nor
-// in an evacuated site.
+// in an evacuated site, and has not announced that it will stop.
 func (s *Snapshot) TakesRequests(e Engine) bool {
-	return !e.Draining && !s.Evacuations.Active(e.Site)
+	return !e.Draining && !s.Leaving.Has(e) && !s.Evacuations.Active(e.Site)
 }
 
 // doubtPeriod is the time after an outage of the store in which engines whose entry is missing stay
@@ -106,6 +108,7 @@
 	}
 	set, changed := s.Engines.Apply(u, doubtUntil)
 	next.Engines = set
+	next.Leaving = s.Leaving.withoutRestarted(s.Engines, set)
 	next.EnginesAsOf = max(asOf, s.EnginesAsOf)
 	return &next, changed
 }
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -105,7 +105,9 @@
 }
 
 func (b *Board) expire(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
-	set, changed := s.Engines.Expire(b.clock())
+	now := b.clock()
+	s = s.ReviewLeaving(now)
+	set, changed := s.Engines.Expire(now)
 	if !changed {
 		return s, false
 	}
@@ -159,6 +161,21 @@
 	return changes
 }
 
+// PutLeaving applies announcements of engines that they will stop, and returns those that were not
+// known; see PutConfig. It returns none if the context is canceled first.
+func (b *Board) PutLeaving(ctx context.Context, starts []catalog.LeavingStart) []catalog.LeavingStart {
+	var added []catalog.LeavingStart
+	applied := b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+		next, fresh := s.WithLeaving(starts)
+		added = fresh
+		return next, false
+	})
+	if !applied {
+		return nil
+	}
+	return added
+}
+
 // update is a change to be applied by the goroutine of the board.
 type update struct {
 	change func(*catalog.Snapshot) (*catalog.Snapshot, bool)
--- a/internal/edge/feed/exchange.go
+++ b/internal/edge/feed/exchange.go
@@ -71,7 +71,7 @@
 	if e.parent.Name == "" || e.parent.Name != parent {
 		return nil
 	}
-	report := e.reporter.report(parent, e.acked, loads.EngineCount(), now, func() LoadReport { return loads.Subtree(now) })
+	report := e.reporter.report(parent, e.acked, loads.EngineCount(), loads.LeavingChangedAt(), now, func() LoadReport { return loads.Subtree(now) })
 	return &LoadArgs{From: self, Report: report, Have: e.have}
 }
 
@@ -211,7 +211,7 @@
 
 // loadReply returns the reply to the requesting router, with a report if one is due.
 func (r *Relay) loadReply(args *LoadArgs, acked uint64, now time.Duration) *LoadReply {
-	report := r.reporter.report(args.From, args.Have, r.Loads.EngineCount(), now, func() LoadReport {
+	report := r.reporter.report(args.From, args.Have, r.Loads.EngineCount(), r.Loads.LeavingChangedAt(), now, func() LoadReport {
 		return r.Loads.WithoutChild(args.From, now)
 	})
 	return &LoadReply{Report: report, Heard: acked}
--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -244,6 +244,7 @@
 	follower *Follower
 	relay    *Relay
 	loads    *Loads
+	leaving  *LeavingRecorder
 	suspects *suspects.Set
 	store    *fakeStore
 	cancel   context.CancelFunc
@@ -309,8 +310,12 @@
 		live = n.roster.live
 		start = f.newStart(self)
 	}
-	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{"e1": {InFlight: ownInFlight}} })
+	loads := NewLoads(func() map[string]EngineLoad {
+		return n.leaving.AddTo(map[string]EngineLoad{"e1": {InFlight: ownInFlight}})
+	})
 	n.loads = loads
+	n.leaving = &LeavingRecorder{Board: n.board, Loads: loads, Clock: f.clock, Log: discardLogger()}
+	loads.OnLeaving = func(starts []catalog.LeavingStart, from string) { n.leaving.Record(ctx, starts, "from", from) }
 	n.suspects = suspects.NewSet(quarantine.DefaultLimits(), f.clock, discardLogger())
 	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: func() Timing { return testTiming }, Start: start, Log: discardLogger(),
 		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.ReportedStoreLost() },
--- /dev/null
+++ b/internal/edge/feed/leaving.go
@@ -0,0 +1,53 @@
+package feed
+
+import (
+	"context"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/charmbracelet/log"
+)
+
+// LeavingRecorder records engines that have announced in responses that they will stop, and shares
+// the announcements with the other routers. They travel with the load reports, which connect all
+// live routers also while the store is unavailable: a store that is away can't tell routers that an
+// engine leaves. Routers of earlier releases neither send nor pass them on.
+type LeavingRecorder struct {
+	Board *Board
+	Loads *Loads
+	Clock Clock
+	Log   *log.Logger
+}
+
+// Record records announcements and returns once snapshots contain them. source and name tell where
+// they come from, for the log.
+func (l *LeavingRecorder) Record(ctx context.Context, starts []catalog.LeavingStart, source, name string) {
+	known := l.Board.Snapshot().Leaving
+	fresh := make([]catalog.LeavingStart, 0, len(starts))
+	for _, start := range starts {
+		if !known.Has(catalog.Engine{ID: start.ID, Born: start.Born}) {
+			fresh = append(fresh, start)
+		}
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	added := l.Board.PutLeaving(ctx, fresh)
+	if len(added) == 0 {
+		return
+	}
+	l.Loads.LeavingChanged(l.Clock())
+	for _, start := range added {
+		l.Log.Info("engine announced leaving", "engine", start.ID, "born", start.Born, source, name)
+	}
+}
+
+// AddTo adds the known announcements of registered engines to the loads of this router.
+func (l *LeavingRecorder) AddTo(loads map[string]EngineLoad) map[string]EngineLoad {
+	snapshot := l.Board.Snapshot()
+	for _, start := range snapshot.Leaving.Registered(snapshot.Engines) {
+		load := loads[start.ID]
+		load.Leaving, load.LeavingBorn = true, start.Born
+		loads[start.ID] = load
+	}
+	return loads
+}
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -3,22 +3,32 @@
 import (
 	"sync"
 	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 )
 
 // loadLifetime is how long a load report of another router counts. Pulls arrive several times a
 // second. If three are missed, the router is considered dead and its requests ended.
 const loadLifetime = 1500 * time.Millisecond
 
+// parentName stands for the router that reports the loads of the rest of the fleet.
+const parentName = "parent"
+
 // Loads combines the loads of this router with those reported by others. It is safe for concurrent
 // use.
 type Loads struct {
 	// own returns the current loads of this router in a map that the caller may modify.
 	own func() map[string]EngineLoad
-
-	mu       sync.Mutex
-	children map[string]*receivedReport
-	parent   receivedReport
-	others   map[string]EngineLoad
+	// OnLeaving is called with the announcements in each report of another router and the name of
+	// that router, or parentName; nil for nothing. It must be set before the first report.
+	OnLeaving func(starts []catalog.LeavingStart, from string)
+
+	mu sync.Mutex
+	// leavingChangedAt is the time of the last new announcement.
+	leavingChangedAt time.Duration
+	children         map[string]*receivedReport
+	parent           receivedReport
+	others           map[string]EngineLoad
 }
 
 // NewLoads returns a Loads. own is called for each report and must return a new map.
@@ -29,6 +39,7 @@
 // FromChild applies the report of a router that pulls from this one. It returns false if a full
 // report is needed.
 func (l *Loads) FromChild(from string, report LoadReport, now time.Duration) bool {
+	l.notifyLeaving(report, from)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	child := l.children[from]
@@ -44,6 +55,7 @@
 // FromParent applies the report of the parent on the rest of the fleet. It returns false if a full
 // report is needed.
 func (l *Loads) FromParent(report LoadReport, now time.Duration) bool {
+	l.notifyLeaving(report, parentName)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ok := l.parent.apply(report, now)
@@ -51,6 +63,37 @@
 	return ok
 }
 
+// notifyLeaving passes on the announcements in a report. They hold whether or not its loads apply.
+func (l *Loads) notifyLeaving(report LoadReport, from string) {
+	if l.OnLeaving == nil {
+		return
+	}
+	var starts []catalog.LeavingStart
+	for id, load := range report.Engines {
+		if load.Leaving {
+			starts = append(starts, catalog.LeavingStart{ID: id, Born: load.LeavingBorn})
+		}
+	}
+	if len(starts) > 0 {
+		l.OnLeaving(starts, from)
+	}
+}
+
+// LeavingChanged records that an announcement became known at now, so that the next reports to other
+// routers are not delayed.
+func (l *Loads) LeavingChanged(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leavingChangedAt = now
+}
+
+// LeavingChangedAt returns the time of the last new announcement.
+func (l *Loads) LeavingChangedAt() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leavingChangedAt
+}
+
 // RemoveChild drops the report of a child.
 func (l *Loads) RemoveChild(from string, now time.Duration) {
 	l.mu.Lock()
--- a/internal/edge/feed/report.go
+++ b/internal/edge/feed/report.go
@@ -17,10 +17,27 @@
 	Leased int
 	// Evidence summarizes the recent outcomes of their requests at the engine.
 	Evidence health.Evidence
+	// Leaving means that a start of the engine has announced that it will stop; LeavingBorn is its
+	// catalog.LeavingStart.Born. Routers of earlier releases send neither.
+	Leaving     bool
+	LeavingBorn int64
+}
+
+// latestLeaving returns the announcement of the later start.
+func (l EngineLoad) latestLeaving(o EngineLoad) (leaving bool, born int64) {
+	switch {
+	case !o.Leaving:
+		return l.Leaving, l.LeavingBorn
+	case !l.Leaving:
+		return true, o.LeavingBorn
+	}
+	return true, max(l.LeavingBorn, o.LeavingBorn)
 }
 
 func (l EngineLoad) add(o EngineLoad) EngineLoad {
-	return EngineLoad{InFlight: l.InFlight + o.InFlight, Leased: l.Leased + o.Leased, Evidence: l.Evidence.Add(o.Evidence)}
+	out := EngineLoad{InFlight: l.InFlight + o.InFlight, Leased: l.Leased + o.Leased, Evidence: l.Evidence.Add(o.Evidence)}
+	out.Leaving, out.LeavingBorn = l.latestLeaving(o)
+	return out
 }
 
 const (
@@ -40,7 +57,8 @@
 
 // needsReport reports whether a load must be reported again after last was reported.
 func (l EngineLoad) needsReport(last EngineLoad) bool {
-	return exceedsChange(float64(l.InFlight), float64(last.InFlight), inFlightChange, 0) ||
+	return l.Leaving != last.Leaving || l.LeavingBorn != last.LeavingBorn ||
+		exceedsChange(float64(l.InFlight), float64(last.InFlight), inFlightChange, 0) ||
 		exceedsChange(float64(l.Leased), float64(last.Leased), inFlightChange, 0) ||
 		exceedsChange(l.Evidence.Good, last.Evidence.Good, goodChange, minOutcomeChange) ||
 		exceedsChange(l.Evidence.Bad, last.Evidence.Bad, badChange, minOutcomeChange)
--- a/internal/edge/feed/report_test.go
+++ b/internal/edge/feed/report_test.go
@@ -39,7 +39,7 @@
 				fleet.advance(pullWait, now)
 				own.advance(pullWait, now)
 				relay.Loads.FromParent(LoadReport{Engines: fleet.loads(now)}, now)
-				args.Loads = &LoadArgs{From: "child", Have: have, Report: childReporter.report("parent", acked, engines, now, func() LoadReport {
+				args.Loads = &LoadArgs{From: "child", Have: have, Report: childReporter.report("parent", acked, engines, 0, now, func() LoadReport {
 					return LoadReport{Engines: own.loads(now)}
 				})}
 				require.NoError(b, relay.Pull(args, &reply))
--- a/internal/edge/feed/reporter.go
+++ b/internal/edge/feed/reporter.go
@@ -31,13 +31,13 @@
 }
 
 // report returns the report due to a router at now, or nil for none. have is the sequence number
-// that the router holds, entries the approximate size of a full report. current builds a full
-// report.
-func (r *reporter) report(to string, have uint64, entries int, now time.Duration, current func() LoadReport) *LoadReport {
+// that the router holds, entries the approximate size of a full report. A report is due at once if
+// there was none since urgentAt. current builds a full report.
+func (r *reporter) report(to string, have uint64, entries int, urgentAt, now time.Duration, current func() LoadReport) *LoadReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := r.sent[to]
-	if last != nil && now-last.sentAt < min(time.Duration(entries)*intervalPerEntry, maxReportInterval) {
+	if last != nil && last.sentAt > urgentAt && now-last.sentAt < min(time.Duration(entries)*intervalPerEntry, maxReportInterval) {
 		return nil
 	}
 	if last == nil {
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -61,6 +61,9 @@
 	// Cut is called for each request whose connection to the engine broke while the engine may have
 	// been executing it. The default does nothing.
 	Cut func(catalog.Engine, crash.Cut)
+	// Leaving is called when an engine announces in the response to a request that it will stop. It
+	// returns once snapshots contain the announcement. The default does nothing.
+	Leaving func(start catalog.LeavingStart, requestID string)
 }
 
 // Forwarder is the http.Handler for callers' requests.
@@ -89,6 +92,9 @@
 	if o.Cut == nil {
 		o.Cut = func(catalog.Engine, crash.Cut) {}
 	}
+	if o.Leaving == nil {
+		o.Leaving = func(catalog.LeavingStart, string) {}
+	}
 	return &Forwarder{
 		Options: o, stats: newStats(), responseTimes: newResponseTimes(), servedLogLimiter: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		overloads:      overloads{random: rand.Float64, byService: make(map[string]*gate.Overload)},
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -7,7 +7,6 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
-	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
 )
 
@@ -24,14 +23,20 @@
 			x.recordTimeout(service)
 			return plan.Choice, nil
 		default:
-			return x.requestPermit(service, plan, q.Shared)
+			choice, refusal, again := x.requestPermit(service, plan, q.Shared)
+			if again {
+				return x.chooseFirst(last)
+			}
+			return choice, refusal
 		}
 	}
-	return Choice{}, last
+	return Choice{}, x.finalRefusal(last)
 }
 
-// requestPermit requests a permit for one candidate engine after the other until it gets one.
-func (x *exchange) requestPermit(service string, plan Plan, shared []string) (Choice, *Refusal) {
+// requestPermit requests a permit for one candidate engine after the other until it gets one. again
+// means that the engine of the permit takes no new requests any more, and that the engine must be
+// selected anew.
+func (x *exchange) requestPermit(service string, plan Plan, shared []string) (choice Choice, refusal *Refusal, again bool) {
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.remaining())
 	defer cancel()
 	refused := false
@@ -39,7 +44,7 @@
 	x.late = x.f.callerTimeouts.isLate(x.route.Name, x.req.Timeout, x.route.Objective)
 	key := throttleKey{service: service, urgency: x.urgency(), late: x.late}
 	if !plan.Warm && x.f.throttles.shouldRefuse(key, x.f.Clock()) {
-		return Choice{}, x.overloadRefusal(service)
+		return Choice{}, x.overloadRefusal(service), false
 	}
 	for i, candidate := range plan.Ask {
 		age := x.f.Clock() - x.started
@@ -51,17 +56,18 @@
 		x.late = x.late || reply.Late
 		refused = refused || flow.ErrRefused.Has(err)
 		switch {
-		case err == nil && x.stillAccepts(candidate.Choice.Engine):
+		case err == nil && !x.stopped(candidate.Choice.Engine):
 			choice := candidate.Choice
 			choice.permit = permit
 			x.f.throttles.record(key, true, x.f.Clock())
-			return x.f.Engines.StartLeased(choice, shared), nil
+			return x.f.Engines.StartLeased(choice, shared), nil, false
 		case err == nil:
 			x.f.Places.Release(permit)
+			return Choice{}, nil, true
 		case x.callerDisconnected():
-			return Choice{}, x.disconnectRefusal()
+			return Choice{}, x.disconnectRefusal(), false
 		case x.remaining() <= 0:
-			return Choice{}, x.timeoutRefusal()
+			return Choice{}, x.timeoutRefusal(), false
 		}
 		x.deniedPermits++
 		x.predictedWait = reply.Wait
@@ -72,10 +78,11 @@
 		}
 	}
 	if !refused || plan.Warm {
-		return x.chooseWithoutPermit()
+		choice, refusal = x.chooseWithoutPermit()
+		return choice, refusal, false
 	}
 	x.f.throttles.record(key, false, x.f.Clock())
-	return Choice{}, x.overloadRefusal(service)
+	return Choice{}, x.overloadRefusal(service), false
 }
 
 // overloadRefusal refuses a request that can't get a permit in time, and suggests when to retry.
@@ -83,14 +90,6 @@
 	return notExecuted(ReasonOverload, x.f.overloads.retryAfter(service, x.route.Objective, x.remaining(), x.f.Clock()))
 }
 
-// stillAccepts updates the snapshot and reports whether requests may be sent to the engine
-// according to it. The site may have been evacuated while the request waited for a permit.
-func (x *exchange) stillAccepts(e catalog.Engine) bool {
-	x.snapshot = x.f.Snapshot()
-	current, known := x.snapshot.Engines.ByID[e.ID]
-	return known && x.snapshot.TakesRequests(current)
-}
-
 // recordTimeout records the caller's timeout while the service refuses no requests. Without
 // refusals there are no retries, so the timeout is the full one that callers use.
 func (x *exchange) recordTimeout(service string) {
@@ -121,7 +120,7 @@
 	if choice, ok := x.pickEngine(); ok {
 		return choice, nil
 	}
-	return Choice{}, notExecuted(ReasonNoEngine, retryLater)
+	return Choice{}, x.finalRefusal(notExecuted(ReasonNoEngine, retryLater))
 }
 
 // callerTimeouts records the timeouts that callers of each route usually set. It is safe for
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -14,14 +14,16 @@
 
 // The reasons as sent in responses and written to logs.
 const (
-	ReasonMalformed     Reason = "malformed_request"
-	ReasonTooLarge      Reason = "body_too_large"
-	ReasonSlowBody      Reason = "body_too_slow"
-	ReasonNoConfig      Reason = "no_configuration"
-	ReasonStaleConfig   Reason = "configuration_not_confirmed"
-	ReasonNoRoute       Reason = "no_route"
-	ReasonUnknownKey    Reason = "unknown_key"
-	ReasonNoEngine      Reason = "no_engine"
+	ReasonMalformed   Reason = "malformed_request"
+	ReasonTooLarge    Reason = "body_too_large"
+	ReasonSlowBody    Reason = "body_too_slow"
+	ReasonNoConfig    Reason = "no_configuration"
+	ReasonStaleConfig Reason = "configuration_not_confirmed"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonUnknownKey  Reason = "unknown_key"
+	ReasonNoEngine    Reason = "no_engine"
+	// ReasonLeaving means that all engines have announced that they will stop.
+	ReasonLeaving       Reason = "engines_leaving"
 	ReasonUnreachable   Reason = "engines_unreachable"
 	ReasonRefused       Reason = "engines_refused"
 	ReasonOverload      Reason = "no_place_in_time"
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -69,10 +69,10 @@
 			refusals++
 		}
 		if unreachable >= maxUnreachable || refusals >= maxEngineRefusals {
-			return last
+			return x.finalRefusal(last)
 		}
 		if !result.unsent && !result.budgetSpent && !x.f.Budget.Spend(e.Service, x.f.Clock()) {
-			return last
+			return x.finalRefusal(last)
 		}
 	}
 }
@@ -130,7 +130,7 @@
 	if choice, ok := x.pickEngine(); ok {
 		return choice, nil
 	}
-	return Choice{}, last
+	return Choice{}, x.finalRefusal(last)
 }
 
 // pickEngine selects an engine of one of the route's services by the known loads.
@@ -219,7 +219,7 @@
 	}
 	defer response.Close()
 	reply := x.f.Codec.Reply(response.Status, response.Header)
-	x.recordSignals(e, response.Status, reply)
+	x.recordSignals(choice, response.Status, reply)
 	if reply.NotExecuted {
 		return x.handleEngineRefusal(e, response, reply)
 	}
@@ -257,6 +257,7 @@
 		Method: x.r.Method, Target: x.requestTarget(), Host: x.r.Host,
 		Header: x.f.Codec.EngineHeader(x.r.Header, &x.req, info),
 		Body:   x.body, MaxIdle: maxIdle, MaxIdleConns: x.idleConnLimit(choice.Engine.Service),
+		Withdrawn: func() bool { return x.stopped(choice.Engine) },
 		Matches: func(h http.Header) bool {
 			id := x.f.Codec.Reply(0, h).RequestID
 			return id == "" || id == x.req.ID
@@ -321,6 +322,8 @@
 	switch {
 	case x.callerDisconnected():
 		return sendResult{action: actionStop, refusal: x.disconnectRefusal()}
+	case engineconn.ErrWithdrawn.Has(err):
+		return sendResult{action: actionTryNext, unsent: true, refusal: x.unreachableRefusal()}
 	case attemptTimedOut(ctx):
 		return x.handleAttemptTimeout(e, unsent, waited)
 	case ctx.Err() != nil:
@@ -329,11 +332,7 @@
 	}
 	x.f.Engines.RecordOutcome(e.ID, false)
 	if unsent {
-		refusal := notExecuted(ReasonUnreachable, retryLater)
-		if x.executed > 0 {
-			refusal = maybeExecuted(http.StatusBadGateway, ReasonUnreachable)
-		}
-		return sendResult{action: actionTryNext, unsent: true, refusal: refusal}
+		return sendResult{action: actionTryNext, unsent: true, refusal: x.unreachableRefusal()}
 	}
 	reason := ReasonNoAnswer
 	if engineconn.ErrMalformed.Has(err) {
@@ -342,6 +341,14 @@
 	return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, reason))
 }
 
+// unreachableRefusal returns the refusal after a send of which nothing has left the router.
+func (x *exchange) unreachableRefusal() *Refusal {
+	if x.executed > 0 {
+		return maybeExecuted(http.StatusBadGateway, ReasonUnreachable)
+	}
+	return notExecuted(ReasonUnreachable, retryLater)
+}
+
 // handleAttemptTimeout decides what to do after an attempt that timed out; see withAttemptTimeout.
 func (x *exchange) handleAttemptTimeout(e catalog.Engine, unsent bool, waited time.Duration) sendResult {
 	x.f.Engines.RecordOutcome(e.ID, false)
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -163,6 +163,9 @@
 	x.sends++
 	x.reply = Reply{}
 	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(choice, lastID))
+	if engineconn.ErrWithdrawn.Has(err) {
+		return nil, true
+	}
 	if err != nil {
 		x.f.Engines.RecordOutcome(e.ID, false)
 		x.reportCut(ctx, e, err)
@@ -174,7 +177,7 @@
 		return nil, unsent
 	}
 	reply := x.f.Codec.Reply(response.Status, response.Header)
-	x.recordSignals(e, response.Status, reply)
+	x.recordSignals(choice, response.Status, reply)
 	if reply.NotExecuted {
 		x.handleEngineRefusal(e, response, reply)
 		response.Close()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -84,6 +84,7 @@
 	store            *storeProxy
 	board            *feed.Board
 	loads            *feed.Loads
+	leaving          *feed.LeavingRecorder
 	start            *feed.Start
 	reader           *feed.Reader
 	follower         *feed.Follower
@@ -154,7 +155,9 @@
 	r.store = newStoreProxy(r.platform.Store, r.settings().Store)
 	contacts := feed.Contacts{Table: r.store}
 	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.settings().Bounds.Beat))
-	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.engines.OwnLoads() })
+	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.leaving.AddTo(r.engines.OwnLoads()) })
+	r.leaving = &feed.LeavingRecorder{Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log}
+	r.loads.OnLeaving = func(starts []catalog.LeavingStart, from string) { r.leaving.Record(r.ctx, starts, "from", from) }
 	r.reader = &feed.Reader{
 		Board: r.board, Store: r.store, Clock: bootclock.Now, Log: r.log,
 		Timing:     r.timing,
@@ -212,6 +215,9 @@
 		Routers:   r.routerCount,
 		Suspects:  r.suspects,
 		Cut:       func(e catalog.Engine, c crash.Cut) { r.crashes.Report(r.ctx, e, c) },
+		Leaving: func(start catalog.LeavingStart, requestID string) {
+			r.leaving.Record(r.ctx, []catalog.LeavingStart{start}, "request", requestID)
+		},
 	})
 }
 
