serve: a refusal by a leaving or paused engine counts for the engine

leaving is recorded for the VM's generation at once, and Retry-After pauses the engine at this router as on the other entry; package backoff has one table for both. Neither is a failure for outlier detection. While all engines of a request are paused, the refusal states when the first of them is used again.

--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/backoff"
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
@@ -45,7 +46,7 @@
 	meanHolds      map[string]time.Duration
 	// pauses holds the engines that have asked this router for a pause, by ID, until the return of
 	// requests to them is complete. routers returns the number of routers in the fleet.
-	pauses  map[string]*enginePause
+	pauses  *backoff.Table[string]
 	routers func() int
 }
 
@@ -94,7 +95,7 @@
 		ejected:        make(map[string]bool),
 		coldLimits:     func() ColdLimits { return ColdLimits{} },
 		congestedUntil: make(map[string]time.Duration), meanHolds: make(map[string]time.Duration),
-		pauses:  make(map[string]*enginePause),
+		pauses:  backoff.NewTable[string](),
 		routers: func() int { return 1 },
 	}
 }
@@ -143,7 +144,7 @@
 	// startedAt is the reading of the boot clock when the request was counted at the engine.
 	startedAt time.Duration
 	// returning is set if the request is one of the first after a pause of the engine.
-	returning *returningRequest
+	returning *backoff.Return[string]
 }
 
 // Query describes a request for which an engine is selected.
@@ -212,7 +213,7 @@
 	load := p.load(engines[i].ID)
 	load.inFlight++
 	load.countSuspect(q.Isolate, 1)
-	return Choice{Engine: engines[i], isolate: q.Isolate, startedAt: now, returning: p.startReturn(engines[i])}, true
+	return Choice{Engine: engines[i], isolate: q.Isolate, startedAt: now, returning: p.pauses.Start(engines[i].ID, startOf(engines[i]))}, true
 }
 
 // fetchSource returns the address of the engine to fetch the prompt from. It returns an empty
@@ -356,7 +357,7 @@
 	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.endReturn(choice, false)
+	choice.returning.End(false, now)
 	load := p.load(choice.Engine.ID)
 	load.inFlight--
 	load.countSuspect(choice.isolate, -1)
--- a/internal/lab/standin/engine/faults.go
+++ b/internal/lab/standin/engine/faults.go
@@ -1,6 +1,10 @@
 package engine
 
-import "slices"
+import (
+	"slices"
+
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
+)
 
 // FaultKind is the kind of a fault.
 type FaultKind string
@@ -42,6 +46,10 @@
 	Count int `json:"count,omitempty"`
 	// Factor is the slowdown of FaultSlow.
 	Factor int `json:"factor,omitempty"`
+	// Code is the reason that FaultRefuse states; the default is protocol.CodeFault. RetryAfter is
+	// the value of its Retry-After header; empty sends none.
+	Code       protocol.Code `json:"code,omitempty"`
+	RetryAfter string        `json:"retry_after,omitempty"`
 }
 
 // Inject adds a fault.
--- a/internal/lab/standin/engine/http.go
+++ b/internal/lab/standin/engine/http.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -112,6 +113,7 @@
 		return refuse(c, refusalStatus(code), code)
 	}
 	if f, ok := e.takeFault(FaultRefuse, FaultErrorBefore); ok {
+		e.countRefusal()
 		return failBefore(c, f)
 	}
 	j := newJob(c.Request().Header.Get(wire.HeaderRequestID), c.Request().Header.Get(wire.HeaderPriority), req)
@@ -143,9 +145,18 @@
 	return req, ""
 }
 
+func (e *Engine) countRefusal() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recorder.stats.Refused++
+}
+
 func failBefore(c echo.Context, f Fault) error {
 	if f.Kind == FaultRefuse {
-		return refuse(c, http.StatusServiceUnavailable, protocol.CodeFault)
+		if f.RetryAfter != "" {
+			c.Response().Header().Set("Retry-After", f.RetryAfter)
+		}
+		return refuse(c, http.StatusServiceUnavailable, cmp.Or(f.Code, protocol.CodeFault))
 	}
 	return c.JSON(http.StatusInternalServerError, protocol.Refusal{Code: protocol.CodeFault})
 }
--- a/internal/serve/admission/admission.go
+++ b/internal/serve/admission/admission.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/backoff"
 	"damaskrouter.example/damaskrouter/internal/decide/permit"
 	"damaskrouter.example/damaskrouter/internal/decide/placement"
 	"damaskrouter.example/damaskrouter/internal/decide/queue"
@@ -61,12 +62,24 @@
 
 	a    *Admission
 	once sync.Once
+	// returning is set if the request is one of the first after a pause of the engine.
+	returning *backoff.Return[uint64]
+}
+
+// Accepted records that the engine has accepted the request.
+func (g *Grant) Accepted() {
+	if g.returning != nil {
+		g.a.pauses.end(g.returning, true)
+	}
 }
 
 // Release returns the permit. Only the first call of Release or Abort has an
 // effect.
 func (g *Grant) Release() {
-	g.once.Do(func() { g.a.releasePermit(g.ID) })
+	g.once.Do(func() {
+		g.a.pauses.end(g.returning, false)
+		g.a.releasePermit(g.ID)
+	})
 }
 
 // Abort ends the permit of a stream whose caller has disconnected. It reports
@@ -74,7 +87,10 @@
 // stream at another router, that router holds the permit and the stream
 // continues there.
 func (g *Grant) Abort(ctx context.Context) (wasHeld bool) {
-	g.once.Do(func() { wasHeld = g.a.abort(ctx, g.ID) })
+	g.once.Do(func() {
+		g.a.pauses.end(g.returning, false)
+		wasHeld = g.a.abort(ctx, g.ID)
+	})
 	return wasHeld
 }
 
@@ -122,6 +138,7 @@
 	held         *heldPermits
 	releases     *releaseQueue
 	health       *health
+	pauses       *pauses
 	ownerChanges *ownerChanges
 	Metrics      Metrics
 
@@ -151,6 +168,7 @@
 	a.held = newHeldPermits()
 	a.releases = newReleaseQueue(a)
 	a.health = newHealth()
+	a.pauses = newPauses()
 	a.ownerChanges = newOwnerChanges()
 	return a
 }
@@ -185,14 +203,20 @@
 	}
 	if queueAt == nil {
 		a.Metrics.NoEngine.Add(1)
-		return nil, noEngineError(last)
+		return nil, a.noEngineError(now, snap, req, last)
 	}
 	return queueAt.wait(ctx, now, req)
 }
 
-func noEngineError(cause error) *apierr.Error {
-	return apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "no engine in service can take the request").
-		WithRetryAfter(noEngineRetryAfter).WithCause(cause)
+// noEngineError refuses a request for which no engine is in service. If engines of its pools are
+// paused, the caller should retry once the first of them is used again.
+func (a *Admission) noEngineError(now time.Time, snap *board.Snapshot, req *Request, cause error) *apierr.Error {
+	refusal := apierr.New(apierr.CodeNoUpstream, http.StatusServiceUnavailable, "no engine in service can take the request").WithCause(cause)
+	resumeIn, paused := a.resumeIn(now, snap, req)
+	if !paused {
+		return refusal.WithRetryAfter(noEngineRetryAfter)
+	}
+	return refusal.WithRetryAfter(backoff.RetryAfter(resumeIn, int(req.Class), rand.Float64()))
 }
 
 // schedulerFor returns the scheduler of a pool in this router's region,
@@ -261,6 +285,7 @@
 	now := time.Now()
 	a.ledgers.sync(now, snap)
 	a.health.sync(now, snap)
+	a.pauses.prune(now, snap)
 	a.ownerChanges.update(snap)
 	for _, s := range a.allSchedulers() {
 		s.prune(snap)
--- a/internal/serve/admission/scheduler.go
+++ b/internal/serve/admission/scheduler.go
@@ -272,6 +272,9 @@
 		}
 	}
 	out.Ejected, out.Ramp = s.a.health.state(now, e)
+	if admitted, _ := s.a.pauses.admits(now, e.ID, out.Incarnation); !admitted {
+		out.Ejected = true
+	}
 	return out
 }
 
@@ -309,5 +312,8 @@
 	}
 	s.a.held.add(id, h)
 	s.a.Metrics.Selected[c.decision.Reason].Add(1)
-	return &Grant{ID: id, Engine: c.engine, Incarnation: incarnation, Decision: c.decision, a: s.a}
+	return &Grant{
+		ID: id, Engine: c.engine, Incarnation: incarnation, Decision: c.decision, a: s.a,
+		returning: s.a.pauses.start(c.engine.ID, incarnation),
+	}
 }
--- a/internal/serve/admission/waiting.go
+++ b/internal/serve/admission/waiting.go
@@ -156,7 +156,7 @@
 			continue
 		}
 		if !errors.Is(err, placement.ErrFull) {
-			s.deliver(w, outcome{err: noEngineError(err)})
+			s.deliver(w, outcome{err: s.a.noEngineError(now, s.a.opts.Board.Snapshot(), w.req, err)})
 			continue
 		}
 		s.returnToHead(w)
--- a/internal/serve/traffic/chat.go
+++ b/internal/serve/traffic/chat.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/decide/outlier"
 	"damaskrouter.example/damaskrouter/internal/decide/placement"
 	"damaskrouter.example/damaskrouter/internal/decide/prefix"
 	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
@@ -244,8 +243,8 @@
 		r.s.reportCut(&r.tracker, r.upstreamCall(grant), err)
 		r.s.cancelInBackground(r.upstreamCall(grant))
 	}
+	r.s.recordFailure(grant, err)
 	grant.Release()
-	r.s.Admitter.Observe(grant.Engine.Name, admission.Observation{Kind: outlier.Failure})
 	r.excluded = append(r.excluded, grant.Engine.ID)
 }
 
--- a/internal/serve/traffic/response.go
+++ b/internal/serve/traffic/response.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	r.grant.Accepted()
 	r.observe(outlier.FirstToken, time.Since(r.sentAt))
 	r.firstEvent = ev
 	r.firstData = append([]byte(nil), ev.Data...)
--- a/internal/serve/traffic/retry.go
+++ b/internal/serve/traffic/retry.go
@@ -9,9 +9,12 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/decide/outlier"
 	"damaskrouter.example/damaskrouter/internal/decide/retry"
+	"damaskrouter.example/damaskrouter/internal/serve/admission"
 	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"damaskrouter.example/damaskrouter/internal/serve/upstream"
+	"damaskrouter.example/damaskrouter/internal/serve/upstream/protocol"
 )
 
 // retrier is the router's only retry layer: a policy, and the budget that all
@@ -105,6 +108,19 @@
 	return time.Until(a.deadline)
 }
 
+// recordFailure records a failed attempt at an engine. An engine that states that it leaves or limits
+// its load is not failing.
+func (s *Server) recordFailure(grant *admission.Grant, err error) {
+	var f *upstream.Failure
+	if !errors.As(err, &f) || f.Code != protocol.CodeLeaving && f.RetryAfter == "" {
+		s.Admitter.Observe(grant.Engine.Name, admission.Observation{Kind: outlier.Failure})
+		return
+	}
+	refusal := admission.Refusal{Leaving: f.Code == protocol.CodeLeaving, RetryAfter: f.RetryAfter}
+	s.log.Info("engine refused", "engine", grant.Engine.Name, "request", grant.ID, "leaving", refusal.Leaving, "retry_after", refusal.RetryAfter)
+	s.Admitter.Refused(grant, refusal)
+}
+
 func outcomeFrom(s upstream.Sent) retry.Outcome {
 	switch s {
 	case upstream.NotSent:
--- a/internal/serve/traffic/server.go
+++ b/internal/serve/traffic/server.go
@@ -38,6 +38,8 @@
 	// Observe reports the outcome of a request at an engine, for outlier
 	// detection.
 	Observe(engine string, o admission.Observation)
+	// Refused records what an engine stated about itself as it refused a granted request.
+	Refused(g *admission.Grant, r admission.Refusal)
 }
 
 // Limiter enforces the limits of client accounts. *quota.Quota implements it.
--- a/internal/serve/traffic/services.go
+++ b/internal/serve/traffic/services.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/decide/outlier"
 	"damaskrouter.example/damaskrouter/internal/decide/placement"
 	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
 	"damaskrouter.example/damaskrouter/internal/decide/queue"
@@ -247,7 +246,10 @@
 			sc.s.reportCut(&sc.tracker, sc.upstreamCall(grant), err)
 		}
 		sc.excluded = append(sc.excluded, grant.Engine.ID)
-		sc.s.Admitter.Observe(grant.Engine.Name, admission.Observation{Kind: outlier.Failure})
+		sc.s.recordFailure(grant, err)
+	}
+	if err == nil {
+		grant.Accepted()
 	}
 	return resp, err
 }
--- a/internal/serve/upstream/call.go
+++ b/internal/serve/upstream/call.go
@@ -267,6 +267,7 @@
 		f.Sent = RefusedBeforeExecuting
 	}
 	f.Code = refusalCode(res)
+	f.RetryAfter = retryAfter(f.Code, res)
 	f.Cause = refusalCause(f.Code, res.StatusCode)
 	return f
 }
@@ -300,6 +301,16 @@
 	return p.Code
 }
 
+// retryAfter returns the Retry-After header of a refusal by which the upstream limits its load, or an
+// empty string.
+func retryAfter(code protocol.Code, res *http.Response) string {
+	limits := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
+	if !limits || code == protocol.CodeWrongIdentity {
+		return ""
+	}
+	return res.Header.Get("Retry-After")
+}
+
 func refusalCause(code protocol.Code, status int) error {
 	switch code {
 	case protocol.CodeWrongIdentity:
--- a/internal/serve/upstream/failure.go
+++ b/internal/serve/upstream/failure.go
@@ -86,6 +86,9 @@
 	Status int
 	// Code is the reason in the upstream's response, or empty.
 	Code protocol.Code
+	// RetryAfter is the value of the Retry-After header of a refusal by the upstream that was meant,
+	// or empty.
+	RetryAfter string
 	// Cause is of one of the classes above.
 	Cause error
 }
