--- a/internal/cli/routers.go
+++ b/internal/cli/routers.go
@@ -120,7 +120,41 @@
 	if f.site != "" {
 		fleet.Statuses = slices.DeleteFunc(fleet.Statuses, func(s feed.Status) bool { return s.Site != f.site })
 	}
-	return printRouters(con.out, fleet, f.all)
+	if err := printRouters(con.out, fleet, f.all); err != nil {
+		return err
+	}
+	return showEngines(ctx, con, f)
+}
+
+// showEngines prints the engines to which the router sends no new requests, or only few. Routers of
+// earlier releases don't list them.
+func showEngines(ctx context.Context, con *console, f *routersFlags) error {
+	var list node.EngineList
+	if _, err := f.fetchJSON(ctx, node.PathEngines, nil, &list); err != nil {
+		fmt.Fprintf(con.out, "\nengines are not listed: %v\n", err)
+		return nil
+	}
+	if f.site != "" {
+		list.Engines = slices.DeleteFunc(list.Engines, func(e node.EngineStatus) bool { return e.Site != f.site })
+	}
+	fmt.Fprintf(con.out, "\nengines that %s sends nothing or little: %d of %d\n", list.Router, len(list.Engines), list.Known)
+	if len(list.Engines) == 0 {
+		return nil
+	}
+	return table(con.out, true, "ENGINE\tSERVICE\tSITE\tSTATE\tFOR", func(w io.Writer) error {
+		for _, e := range list.Engines {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", e.Engine, e.Service, e.Site, e.State, stateDuration(e.ForMS))
+		}
+		return nil
+	})
+}
+
+// stateDuration returns for how long a state holds as text.
+func stateDuration(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return roundDuration(time.Duration(ms) * time.Millisecond)
 }
 
 // settingsGroup is a group of routers that run the same settings.
--- a/internal/cli/routers_test.go
+++ b/internal/cli/routers_test.go
@@ -116,3 +116,28 @@
 	code, _, _ = execute("fleet", "diff", "a", "b")
 	require.Equal(t, exitUsage, code)
 }
+
+// Guards against an operator who can't see why an engine gets no requests, and until when.
+func TestFleetListsEnginesWithoutRequests(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(node.PathFleet, func(w http.ResponseWriter, _ *http.Request) {
+		require.NoError(t, json.NewEncoder(w).Encode(feed.Fleet{}))
+	})
+	mux.HandleFunc(node.PathEngines, func(w http.ResponseWriter, _ *http.Request) {
+		require.NoError(t, json.NewEncoder(w).Encode(node.EngineList{Router: "front-a-1", Known: 12, Engines: []node.EngineStatus{
+			{Engine: "i-1", Service: "llm", Site: "a", State: node.EngineLeaving},
+			{Engine: "i-2", Service: "llm", Site: "b", State: node.EnginePaused, ForMS: 2400},
+		}}))
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	code, out, stderr := execute("fleet", "--router", strings.TrimPrefix(server.URL, "http://"))
+	require.Equal(t, exitOK, code, stderr)
+	require.Contains(t, out, "engines that front-a-1 sends nothing or little: 2 of 12")
+	require.Regexp(t, `i-1 +llm +a +leaving +-`, out)
+	require.Regexp(t, `i-2 +llm +b +paused +2s`, out)
+
+	code, out, _ = execute("fleet", "--router", fakeRouter(t, feed.Fleet{}, nil))
+	require.Equal(t, exitOK, code)
+	require.Contains(t, out, "engines are not listed")
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -307,6 +307,7 @@
 		mountMetrics(e, vars)
 		r.mountOperatorPaths(e)
 		r.mountQuarantine(e)
+		r.mountEngines(e)
 	}
 	r.mountQuarantineControl(control)
 	return []mount{
