soak: engines that announce leaving and engines that reject with Retry-After

A series lets engines announce their leaving in responses before the store learns of it, and lets one, some or all reject requests for a while, with values that are no number of seconds among them, beside restarts, pauses, cuts, evacuations and requests that crash engines. Checked in both directions: arrivals later than the bounds at each router that was told, unless it or the link was disturbed since, and engines that serve and get nothing after the recovery.

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -41,11 +41,12 @@
 
 	mu sync.Mutex
 	// crashes holds the times at which engines ended, by the body of the request that ended them.
-	crashes map[string][]time.Time
-	closed  bool
-	engines []*engine
-	routers []*router
-	port    int
+	crashes      map[string][]time.Time
+	disturbances []*disturbance
+	closed       bool
+	engines      []*engine
+	routers      []*router
+	port         int
 }
 
 // engine is an engine behind a proxy.
@@ -237,6 +238,7 @@
 	cl.mu.Lock()
 	cl.unexpectedExits = append(cl.unexpectedExits, fmt.Sprintf("%s: %v", r.name, err))
 	cl.mu.Unlock()
+	defer cl.disturb(r.name)()
 	time.Sleep(restartDelay)
 	r.mu.Lock()
 	replaced := r.cmd != cmd || r.stopping
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -51,19 +51,23 @@
 	}},
 	{"store history compacted", func(cl *cluster, _ *rand.Rand, _ time.Duration) { cl.store.Compact() }},
 	{"engine link", func(cl *cluster, rng *rand.Rand, d time.Duration) {
-		p := cl.pickServing(rng).proxy
+		e := cl.pickServing(rng)
+		defer cl.disturb(e.ID)()
+		p := e.proxy
 		p.set(pick(rng, badLinks))
 		time.Sleep(d)
 		p.set(passing)
 	}},
 	{"engine", func(cl *cluster, rng *rand.Rand, d time.Duration) {
 		e := cl.pickServing(rng)
+		defer cl.disturb(e.ID)()
 		e.Behave(pick(rng, badEngines))
 		time.Sleep(d)
 		e.Behave(platformtest.Serve)
 	}},
 	{"pause", func(cl *cluster, rng *rand.Rand, d time.Duration) {
 		r := pick(rng, cl.routers)
+		defer cl.disturb(r.name)()
 		r.signal(syscall.SIGSTOP)
 		time.Sleep(d)
 		r.signal(syscall.SIGCONT)
@@ -76,6 +80,7 @@
 func restart(cl *cluster, r *router, s syscall.Signal, whileDown func()) (inTime bool, err error) {
 	r.restartMu.Lock()
 	defer r.restartMu.Unlock()
+	defer cl.disturb(r.name)()
 	r.expectExit()
 	r.signal(syscall.SIGCONT)
 	r.signal(s)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -95,6 +95,7 @@
 	close(stop)
 	wg.Wait()
 	rec.checkCrashing(cl, faultsEnd)
+	rec.checkSignals(cl, recoveredAt)
 	return rec.result(cl, recoveredAt), nil
 }
 
@@ -128,8 +129,9 @@
 		case <-time.After(duration(rng, 2*time.Millisecond, 40*time.Millisecond)):
 		}
 		e := observation{path: pick(rng, platformtest.Paths), key: pick(rng, []string{platformtest.FirstKey, "key-2", "key-3"}), sent: time.Now()}
+		r := pick(rng, cl.routers)
 		e.response = platformtest.Call{
-			Address: cl.address(pick(rng, cl.routers)), Path: e.path, Key: e.key, Body: fmt.Sprint("body ", caller, " ", i), TimeoutMS: int(callTimeout.Milliseconds()),
+			Address: cl.address(r), Path: e.path + "?" + routerQuery + "=" + r.name, Key: e.key, Body: fmt.Sprint("body ", caller, " ", i), TimeoutMS: int(callTimeout.Milliseconds()),
 		}.Do(context.Background(), client)
 		rec.record(e)
 	}
@@ -149,6 +151,7 @@
 		func(rng *rand.Rand) { rewriteSettings(cl, rec, rng, end) },
 		func(rng *rand.Rand) { evacuateSites(cl, rec, rng, end) },
 		func(rng *rand.Rand) { removeDuringRestarts(cl, rec, rng, end) },
+		func(rng *rand.Rand) { signalEngines(cl, rec, rng, end) },
 	}
 	for _, run := range series {
 		childRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
