edge: send less to engines that reject the requests of other routers

Routers now add up what engines accept and reject with Retry-After, in the load reports, and a router that was not rejected itself sends such an engine its usual requests less the rejected share. If no other engine takes requests, it is sent them as before: it may accept this router.

--- a/internal/decide/backoff/table.go
+++ b/internal/decide/backoff/table.go
@@ -53,6 +53,10 @@
 	return e != nil && e.Backoff.Paused(now)
 }
 
+// Known reports whether a start of an engine has asked for a pause from which the return is not
+// complete.
+func (t *Table[ID]) Known(engine ID, start uint64) bool { return t.get(engine, start) != nil }
+
 // Return is a request to an engine to which requests return after a pause.
 type Return[ID comparable] struct {
 	table  *Table[ID]
--- a/internal/edge/feed/leaving_test.go
+++ b/internal/edge/feed/leaving_test.go
@@ -121,3 +121,17 @@
 	require.Equal(t, EngineLoad{InFlight: 1, Leaving: true, LeavingBorn: 1}, first.add(EngineLoad{InFlight: 1}))
 	require.True(t, first.needsReport(EngineLoad{}))
 }
+
+// Guards against reports of what engines accept while none rejects anything, and against an engine
+// that seems to reject everything because only routers that it rejected report what it accepts.
+func TestAcceptedRequestsAreReportedOnlyBesideRejections(t *testing.T) {
+	now := time.Minute
+	own := map[string]EngineLoad{}
+	loads := NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{"e1": own["e1"], "e2": own["e2"]} })
+	own["e1"], own["e2"] = EngineLoad{Accepted: 5}, EngineLoad{InFlight: 1, Accepted: 5}
+	require.Equal(t, map[string]EngineLoad{"e2": {InFlight: 1}}, loads.Subtree(now).Engines)
+	loads.FromParent(LoadReport{Engines: map[string]EngineLoad{"e1": {Rejected: 2}}}, now)
+	require.Equal(t, map[string]EngineLoad{"e1": {Accepted: 5}, "e2": {InFlight: 1}}, loads.Subtree(now).Engines)
+	own["e2"] = EngineLoad{Accepted: 5, Rejected: 1}
+	require.Equal(t, EngineLoad{Accepted: 5, Rejected: 1}, loads.Subtree(now).Engines["e2"])
+}
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/health"
 )
 
 // loadLifetime is how long a load report of another router counts. Pulls arrive several times a
@@ -141,10 +142,25 @@
 func (l *Loads) sum(exceptChild string, now time.Duration, withParent bool) LoadReport {
 	out := LoadReport{Engines: l.own()}
 	l.addOthers(&out, exceptChild, now, withParent)
+	l.dropUnneededLimits(&out)
 	out.round()
 	return out
 }
 
+// MinRejections is the decayed number of rejections of an engine below which none are known.
+const MinRejections = 1.0 / 8
+
+// dropUnneededLimits removes what engines have accepted from a report, except for engines of which
+// rejections are known: only in relation to these does it matter.
+func (l *Loads) dropUnneededLimits(out *LoadReport) {
+	for id, load := range out.Engines {
+		if load.Accepted > 0 && load.Rejected < MinRejections && l.others[id].Rejected < MinRejections {
+			load.SetLimits(health.Evidence{})
+			out.Engines[id] = load
+		}
+	}
+}
+
 func (l *Loads) addOthers(out *LoadReport, exceptChild string, now time.Duration, withParent bool) {
 	for name, child := range l.children {
 		switch {
--- a/internal/edge/feed/report.go
+++ b/internal/edge/feed/report.go
@@ -17,12 +17,25 @@
 	Leased int
 	// Evidence summarizes the recent outcomes of their requests at the engine.
 	Evidence health.Evidence
+	// Accepted and Rejected count their recent requests that the engine has accepted, and those that
+	// it has rejected asking for a pause, both decayed like Evidence. They are zero while no router
+	// knows of such rejections, and routers of earlier releases send neither. Plain numbers take no
+	// bytes while they are zero.
+	Accepted, Rejected float64
 	// Leaving means that a start of the engine has announced that it will stop; LeavingBorn is its
 	// catalog.LeavingStart.Born. Routers of earlier releases send neither.
 	Leaving     bool
 	LeavingBorn int64
 }
 
+// Limits returns Accepted and Rejected as evidence.
+func (l EngineLoad) Limits() health.Evidence {
+	return health.Evidence{Good: l.Accepted, Bad: l.Rejected}
+}
+
+// SetLimits sets Accepted and Rejected.
+func (l *EngineLoad) SetLimits(e health.Evidence) { l.Accepted, l.Rejected = e.Good, e.Bad }
+
 // latestLeaving returns the announcement of the later start.
 func (l EngineLoad) latestLeaving(o EngineLoad) (leaving bool, born int64) {
 	switch {
@@ -36,6 +49,7 @@
 
 func (l EngineLoad) add(o EngineLoad) EngineLoad {
 	out := EngineLoad{InFlight: l.InFlight + o.InFlight, Leased: l.Leased + o.Leased, Evidence: l.Evidence.Add(o.Evidence)}
+	out.SetLimits(l.Limits().Add(o.Limits()))
 	out.Leaving, out.LeavingBorn = l.latestLeaving(o)
 	return out
 }
@@ -60,8 +74,12 @@
 	return l.Leaving != last.Leaving || l.LeavingBorn != last.LeavingBorn ||
 		exceedsChange(float64(l.InFlight), float64(last.InFlight), inFlightChange, 0) ||
 		exceedsChange(float64(l.Leased), float64(last.Leased), inFlightChange, 0) ||
-		exceedsChange(l.Evidence.Good, last.Evidence.Good, goodChange, minOutcomeChange) ||
-		exceedsChange(l.Evidence.Bad, last.Evidence.Bad, badChange, minOutcomeChange)
+		evidenceChanged(l.Evidence, last.Evidence) || evidenceChanged(l.Limits(), last.Limits())
+}
+
+// evidenceChanged reports whether evidence must be reported again after last was reported.
+func evidenceChanged(e, last health.Evidence) bool {
+	return exceedsChange(e.Good, last.Good, goodChange, minOutcomeChange) || exceedsChange(e.Bad, last.Bad, badChange, minOutcomeChange)
 }
 
 // smallChangeDelay is how long a request count may differ slightly from the reported one. Sums pass
@@ -93,6 +111,7 @@
 func (r *LoadReport) add(o LoadReport, age time.Duration) {
 	for id, l := range o.Engines {
 		l.Evidence = l.Evidence.After(age)
+		l.SetLimits(l.Limits().After(age))
 		r.Engines[id] = r.Engines[id].add(l)
 	}
 }
@@ -101,6 +120,7 @@
 func (r *LoadReport) round() {
 	for id, l := range r.Engines {
 		l.Evidence = l.Evidence.Rounded()
+		l.SetLimits(l.Limits().Rounded())
 		if l == (EngineLoad{}) {
 			delete(r.Engines, id)
 			continue
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -56,6 +56,9 @@
 	// permit.
 	inFlight, leased int
 	record           health.Record
+	// limits records which requests the engine has accepted, and which it has rejected and asked for
+	// a pause.
+	limits health.Record
 	// suspects counts the requests in progress that may crash the engine, by their isolation key.
 	suspects map[uint64]int
 }
@@ -114,7 +117,9 @@
 	defer p.mu.Unlock()
 	out := make(map[string]feed.EngineLoad, len(p.ownLoads))
 	for id, l := range p.ownLoads {
-		out[id] = feed.EngineLoad{InFlight: l.inFlight, Leased: l.leased, Evidence: l.record.At(now)}
+		load := feed.EngineLoad{InFlight: l.inFlight, Leased: l.leased, Evidence: l.record.At(now)}
+		load.SetLimits(l.limits.At(now))
+		out[id] = load
 	}
 	return out
 }
@@ -268,6 +273,7 @@
 func (p *Balancer) candidates(s *catalog.Snapshot, service string, q Query, others map[string]feed.EngineLoad, now time.Duration) ([]catalog.Engine, []choose.Engine) {
 	var engines []catalog.Engine
 	var out []choose.Engine
+	var avoided []int
 	var evidence []health.Evidence
 	config := s.Config.Service(service)
 	for _, e := range s.Engines.ForService(service) {
@@ -283,6 +289,10 @@
 		if own := p.ownLoads[e.ID]; own != nil {
 			load.InFlight += own.inFlight
 			load.Evidence = load.Evidence.Add(own.record.At(now))
+			load.SetLimits(load.Limits().Add(own.limits.At(now)))
+		}
+		if p.avoids(e, load.Limits()) {
+			avoided = append(avoided, len(engines))
 		}
 		engines = append(engines, e)
 		evidence = append(evidence, load.Evidence)
@@ -297,7 +307,7 @@
 	for i, share := range health.LoadShares(evidence) {
 		out[i].Share = share
 	}
-	return engines, out
+	return engines, withoutAvoided(out, avoided)
 }
 
 // observe records an engine of the current snapshot. For an engine that has restarted under the
@@ -324,6 +334,7 @@
 		return
 	}
 	p.load(e.ID).record = health.Record{}
+	p.load(e.ID).limits = health.Record{}
 	p.promptCaches.markEmpty(e.ID, now)
 	if p.onRestart != nil {
 		p.onRestart(e.ID)
--- a/internal/edge/forward/pauses.go
+++ b/internal/edge/forward/pauses.go
@@ -1,9 +1,14 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/backoff"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/choose"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/health"
 )
 
 // SetRouters sets the function that returns the number of routers in the fleet. The default is one.
@@ -24,6 +29,7 @@
 	if state, known := p.states[e.ID]; known && state.engine.Born != e.Born {
 		return 0, false
 	}
+	p.load(e.ID).limits.Observe(false, now)
 	return p.pauses.Reject(e.ID, startOf(e), now, pause, routers, p.rng.Float64())
 }
 
@@ -33,6 +39,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	choice.returning.End(true, now)
+	p.load(choice.Engine.ID).limits.Observe(true, now)
+}
+
+// avoids reports whether the router does not send a request to the engine because of what the engine
+// rejects at other routers. A router that the engine has rejected itself goes by its own pause. The
+// caller holds the mutex.
+func (p *Balancer) avoids(e catalog.Engine, limits health.Evidence) bool {
+	if limits.Bad < feed.MinRejections || p.pauses.Known(e.ID, startOf(e)) {
+		return false
+	}
+	return p.rng.Float64() >= backoff.LoadShare(limits.Good, limits.Bad)
+}
+
+// withoutAvoided marks the avoided engines as taking no requests, unless no other engine takes any:
+// an engine that rejects other routers may accept this one.
+func withoutAvoided(engines []choose.Engine, avoided []int) []choose.Engine {
+	if len(avoided) == 0 {
+		return engines
+	}
+	out := slices.Clone(engines)
+	for _, i := range avoided {
+		out[i].Draining = true
+	}
+	if !slices.ContainsFunc(out, func(e choose.Engine) bool { return !e.Draining && e.Share > 0 }) {
+		return engines
+	}
+	return out
 }
 
 // admits reports whether a request may be sent to the engine as far as pauses are concerned. The
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -189,3 +190,69 @@
 	require.False(t, rejection.pauses("q", http.StatusInternalServerError))
 	require.False(t, rejection.pauses("other", http.StatusServiceUnavailable))
 }
+
+// countPicks selects engines n times and returns how often each was selected.
+func (p *pausedBalancer) countPicks(n int) map[string]int {
+	got := make(map[string]int)
+	for range n {
+		if choice, ok := p.pick(Query{}); ok {
+			got[choice.Engine.ID]++
+			p.Done(choice)
+		}
+	}
+	return got
+}
+
+// Guards against a large fleet in which each router has to be rejected itself by an engine that rejects
+// everything, and against an engine that gets nothing although it accepts most requests, or although
+// no other one is left.
+func TestEngineThatRejectsOtherRoutersGetsLess(t *testing.T) {
+	p := newPausedBalancer(3)
+	others := map[string]feed.EngineLoad{}
+	p.otherLoads = func() map[string]feed.EngineLoad { return others }
+	const n = 3000
+	even := p.countPicks(n)["e0"]
+	others["e0"] = feed.EngineLoad{Rejected: 9}
+	rejecting := p.countPicks(n)["e0"]
+	require.Less(t, rejecting, even/4)
+	require.Positive(t, rejecting, "the fleet must notice when it accepts requests again")
+	others["e0"] = feed.EngineLoad{Accepted: 20, Rejected: 1}
+	require.Greater(t, p.countPicks(n)["e0"], even*3/4)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		others[id] = feed.EngineLoad{Rejected: 99}
+	}
+	total := 0
+	for _, got := range p.countPicks(n) {
+		total += got
+	}
+	require.Equal(t, n, total, "they may accept this router")
+	p.Pause(p.engine("e0"), time.Second)
+	p.now += time.Second + 10*time.Millisecond
+	others["e1"], others["e2"] = feed.EngineLoad{}, feed.EngineLoad{}
+	require.Positive(t, p.countPicks(20)["e0"], "a router that was paused returns whatever others are told")
+}
+
+// BenchmarkPick measures the selection of an engine among those of a large service.
+func BenchmarkPick(b *testing.B) {
+	const engines = 256
+	for _, test := range []struct {
+		name            string
+		leaving, paused int
+	}{{"none", 0, 0}, {"leaving", 8, 0}, {"paused", 0, 85}} {
+		b.Run(test.name, func(b *testing.B) {
+			p := newPausedBalancer(engines)
+			for i := range test.leaving {
+				p.snapshot, _ = p.snapshot.WithLeaving([]catalog.LeavingStart{{ID: fmt.Sprint("e", i)}})
+			}
+			for i := range test.paused {
+				p.Pause(p.engine(fmt.Sprint("e", i)), time.Hour)
+			}
+			q := Query{Shared: []string{"dossier"}}
+			for b.Loop() {
+				choice, _ := p.pick(q)
+				p.Accepted(choice)
+				p.Done(choice)
+			}
+		})
+	}
+}
