--- a/internal/edge/feed/report_test.go
+++ b/internal/edge/feed/report_test.go
@@ -23,10 +23,12 @@
 // Run with -bench Pull. It reports the bytes that net/rpc sends on a connection on which the types
 // were sent before.
 func BenchmarkPull(b *testing.B) {
-	for _, engines := range []int{9, 60, 850} {
-		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+	for _, size := range []struct{ engines, rejecting int }{{9, 0}, {60, 0}, {256, 0}, {256, 85}, {850, 0}} {
+		engines := size.engines
+		b.Run(fmt.Sprintf("engines=%d/rejecting=%d", engines, size.rejecting), func(b *testing.B) {
 			now := time.Minute
 			fleet, own := newLoadedEngines(engines), newLoadedEngines(engines/10)
+			fleet.rejecting, own.rejecting = size.rejecting, size.rejecting/10
 			relay, args := newTestRelay(engines, func() time.Duration { return now })
 			relay.Loads = NewLoads(func() map[string]EngineLoad { return map[string]EngineLoad{} })
 			var sent, got bytes.Buffer
@@ -78,10 +80,13 @@
 	rng      *rand.Rand
 	inFlight []int
 	ends     []health.Record
+	// rejecting is the number of engines that reject some requests; limits counts these.
+	rejecting int
+	limits    []health.Record
 }
 
 func newLoadedEngines(engines int) *loadedEngines {
-	b := &loadedEngines{rng: rand.New(rand.NewPCG(1, 1)), inFlight: make([]int, engines), ends: make([]health.Record, engines)}
+	b := &loadedEngines{rng: rand.New(rand.NewPCG(1, 1)), inFlight: make([]int, engines), ends: make([]health.Record, engines), limits: make([]health.Record, engines)}
 	for i := range b.inFlight {
 		b.inFlight[i] = int(arrivalsPerSecond * requestDuration.Seconds())
 	}
@@ -96,6 +101,7 @@
 		for range d.Milliseconds() {
 			if b.rng.Float64() < perStep {
 				b.inFlight[i]++
+				b.limits[i].Observe(i >= b.rejecting || b.rng.IntN(2) == 0, now)
 			}
 		}
 		for range n {
@@ -110,7 +116,11 @@
 func (b *loadedEngines) loads(now time.Duration) map[string]EngineLoad {
 	out := make(map[string]EngineLoad, len(b.inFlight))
 	for i, n := range b.inFlight {
-		out[fmt.Sprintf("i-%010x", i)] = EngineLoad{InFlight: n, Evidence: b.ends[i].At(now)}
+		load := EngineLoad{InFlight: n, Evidence: b.ends[i].At(now)}
+		if i < b.rejecting {
+			load.SetLimits(b.limits[i].At(now))
+		}
+		out[fmt.Sprintf("i-%010x", i)] = load
 	}
 	return out
 }
