decide/gate: a pace of few requests a second is no longer without a bound

Cause: the share of each possible owner of a gate went to the burst, and a rate of zero means that there is no bound. One request of the share now stays for the rate.

--- a/internal/decide/gate/pace.go
+++ b/internal/decide/gate/pace.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Pace bounds the rate of requests to an engine that can serve only few, such as one that has just
 // started. The zero value sets no bound.
@@ -27,10 +30,16 @@
 const maxConcurrentOwners = 2
 
 // PaceFor returns the pace for one owner, such that in any window the engine receives at most
-// maxPerWindow requests granted by all owners together, slack of which may arrive at once.
+// maxPerWindow requests granted by all owners together, slack of which may arrive at once. A bound of
+// less than one request for each owner is kept on average only.
 func PaceFor(maxPerWindow, slack float64, duration time.Duration) Pace {
-	burst := max(int(slack/maxConcurrentOwners), 1)
-	steady := max(maxPerWindow/maxConcurrentOwners-float64(burst), 0)
+	share := maxPerWindow / maxConcurrentOwners
+	// One request of the share is left for the steady rate: a rate of zero means no bound.
+	burst := max(min(int(slack/maxConcurrentOwners), int(math.Ceil(share))-1), 1)
+	steady := share - float64(burst)
+	if steady <= 0 {
+		steady = min(share, 1)
+	}
 	return Pace{PerSecond: steady / ((1 + deliveryJitterShare) * rateWindow.Seconds()), Burst: burst, For: duration}
 }
 
--- a/internal/decide/gate/pace_test.go
+++ b/internal/decide/gate/pace_test.go
@@ -125,3 +125,33 @@
 	require.Equal(t, pace.Burst, grants(0, pace))
 	require.Equal(t, 30, grants(time.Second, Pace{}))
 }
+
+// Guards against a cold engine that can serve only few requests a second and gets any number: a pace
+// without a rate means no bound.
+func TestSmallColdRateIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maxPerWindow := rapid.Float64Range(2, 12).Draw(t, "bound")
+		pace := PaceFor(maxPerWindow, rapid.Float64Range(0, 12).Draw(t, "slack"), time.Minute)
+		owners := []*Gate{newGate(64), newGate(64)}
+		var arrivals []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(30, 200).Draw(t, "asks") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "gap")) * time.Millisecond
+			if owners[rapid.IntRange(0, 1).Draw(t, "owner")].acquireAndRelease(now, pace) == 1 {
+				arrivals = append(arrivals, now+time.Duration(rapid.IntRange(0, 200).Draw(t, "way"))*time.Millisecond)
+			}
+		}
+		require.LessOrEqual(t, float64(maxPerSecond(arrivals)), maxPerWindow)
+		require.NotEmpty(t, arrivals)
+	})
+}
+
+// A bound of less than one request a window and owner is kept on average.
+func TestPaceBelowOneRequestPerWindow(t *testing.T) {
+	g, pace, granted := newGate(64), PaceFor(0.5, 0, time.Hour), 0
+	for now := time.Duration(0); now < 100*time.Second; now += 50 * time.Millisecond {
+		granted += g.acquireAndRelease(now, pace)
+	}
+	require.Positive(t, granted)
+	require.LessOrEqual(t, granted, 25)
+}
