edge/feed: loads of routers that are gone no longer count for ever

What one saw: a router whose parent has ended and that has no children kept the loads of all others, so that engines seemed busy that had nothing to do, until a report arrived from somewhere (docs/FINDINGS.md: tried, not mended). Cause: expired reports were dropped only as another one arrived, and dropping the parent did not compute the sum anew. Now it does, and each exchange interval drops expired reports. TestLoadsOfLostParentExpire, TestLoadsAreDroppedWithTheParent and TestLastRouterForgetsLoadsOfOthers failed before (36 requests in flight at the last router of nine, five seconds after all others had stopped).

--- a/internal/edge/feed/exchange.go
+++ b/internal/edge/feed/exchange.go
@@ -118,6 +118,7 @@
 // catalog pulls do not carry the loads, until the context is canceled.
 func (f *Follower) exchangeLoads(ctx context.Context) {
 	for pause.For(ctx, pullWait) {
+		f.Loads.Expire(f.Clock())
 		parent, ok := f.updateLoadsParent(ctx)
 		if !ok || f.pulledFrom.Load() == parent.Name {
 			continue
@@ -144,7 +145,7 @@
 	}
 	previous, changed := f.parentExchange.setParent(parent)
 	if changed {
-		f.Loads.ClearParent()
+		f.Loads.ClearParent(f.Clock())
 	}
 	if changed && previous.Name != "" {
 		go f.notifyGone(ctx, previous)
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -30,6 +30,8 @@
 	children         map[string]*receivedReport
 	parent           receivedReport
 	others           map[string]EngineLoad
+	// refreshedAt is when others was computed.
+	refreshedAt time.Duration
 }
 
 // NewLoads returns a Loads. own is called for each report and must return a new map.
@@ -104,10 +106,34 @@
 }
 
 // ClearParent drops the report of the parent.
-func (l *Loads) ClearParent() {
+func (l *Loads) ClearParent(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.parent = receivedReport{}
+	l.refresh(now)
+}
+
+// Expire drops the reports that no longer count at now. Reports that arrive do the same, but a router
+// whose last neighbor has ended gets none.
+func (l *Loads) Expire(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hasExpired(now) {
+		l.refresh(now)
+	}
+}
+
+// hasExpired reports whether the loads of the others contain a report that no longer counts.
+func (l *Loads) hasExpired(now time.Duration) bool {
+	expired := func(r *receivedReport) bool {
+		return r.receivedAt >= l.refreshedAt-loadLifetime && now-r.receivedAt > loadLifetime
+	}
+	for _, child := range l.children {
+		if expired(child) {
+			return true
+		}
+	}
+	return expired(&l.parent)
 }
 
 // Subtree returns the load of this router and its descendants.
@@ -179,4 +205,5 @@
 	out := LoadReport{Engines: make(map[string]EngineLoad)}
 	l.addOthers(&out, "", now, true)
 	l.others = out.Engines
+	l.refreshedAt = now
 }
