--- a/internal/edge/feed/exchange.go
+++ b/internal/edge/feed/exchange.go
@@ -145,7 +145,7 @@
 	}
 	previous, changed := f.parentExchange.setParent(parent)
 	if changed {
-		f.Loads.ClearParent(f.Clock())
+		f.Loads.ClearParent()
 	}
 	if changed && previous.Name != "" {
 		go f.notifyGone(ctx, previous)
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -105,37 +105,24 @@
 	l.refresh(now)
 }
 
-// ClearParent drops the report of the parent.
-func (l *Loads) ClearParent(now time.Duration) {
+// ClearParent drops the report of the parent. Its loads count until the report of the next parent
+// arrives or they expire: without them all engines would seem to have little to do.
+func (l *Loads) ClearParent() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.parent = receivedReport{}
-	l.refresh(now)
 }
 
-// Expire drops the reports that no longer count at now. Reports that arrive do the same, but a router
-// whose last neighbor has ended gets none.
+// Expire drops the loads of others at now if no report has arrived for loadLifetime. Reports drop the
+// expired ones as they arrive, but a router whose last neighbor has ended gets none.
 func (l *Loads) Expire(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.hasExpired(now) {
+	if now-l.refreshedAt > loadLifetime {
 		l.refresh(now)
 	}
 }
 
-// hasExpired reports whether the loads of the others contain a report that no longer counts.
-func (l *Loads) hasExpired(now time.Duration) bool {
-	expired := func(r *receivedReport) bool {
-		return r.receivedAt >= l.refreshedAt-loadLifetime && now-r.receivedAt > loadLifetime
-	}
-	for _, child := range l.children {
-		if expired(child) {
-			return true
-		}
-	}
-	return expired(&l.parent)
-}
-
 // Subtree returns the load of this router and its descendants.
 func (l *Loads) Subtree(now time.Duration) LoadReport {
 	l.mu.Lock()
