soak: routers end with a soak that is stopped by a signal

Cause: three soaks that had been ended by SIGTERM left ten routers behind, which went on calling their store's address; an engine of a later run got that port.

--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -63,6 +65,7 @@
 		return Result{}, err
 	}
 	defer cl.close()
+	defer closeOnSignal(cl)()
 	rec := &recorder{revokedAt: make(map[string]time.Time)}
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	if err := cl.awaitReady(); err != nil {
@@ -99,6 +102,26 @@
 	return rec.result(cl, recoveredAt), nil
 }
 
+// closeOnSignal ends the routers if the test is stopped by a signal, until the returned function is
+// called. Routers that are left behind go on calling the store's address, which an engine of a later
+// run may get.
+func closeOnSignal(cl *cluster) (stop func()) {
+	signals, done := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+			cl.close()
+			os.Exit(1)
+		case <-done:
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 // awaitReady waits until each router has served a request, at most 20 s in all.
 func (cl *cluster) awaitReady() error {
 	deadline := time.Now().Add(20 * time.Second)
