--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -217,6 +217,9 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if cl.isClosed() {
+		return log.Close()
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -288,8 +291,17 @@
 	return false
 }
 
+func (cl *cluster) isClosed() bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.closed
+}
+
 // close stops everything that the cluster started.
 func (cl *cluster) close() {
+	cl.mu.Lock()
+	cl.closed = true
+	cl.mu.Unlock()
 	for _, r := range cl.routers {
 		r.expectExit()
 		r.signal(syscall.SIGCONT)
@@ -300,7 +312,6 @@
 	}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.closed = true
 	for _, e := range cl.engines {
 		e.proxy.close()
 		e.Close()
--- a/test/soak/crashes.go
+++ b/test/soak/crashes.go
@@ -83,10 +83,7 @@
 
 // ifOpen calls f unless the cluster is closed.
 func (cl *cluster) ifOpen(f func()) {
-	cl.mu.Lock()
-	closed := cl.closed
-	cl.mu.Unlock()
-	if !closed {
+	if !cl.isClosed() {
 		f()
 	}
 }
