edge: an announcement is looked up once, and outcomes decay only where rejections are known

Found by reading the diff again. Each selection decayed what each engine had accepted, also while nothing was rejected, in which case it has no effect. Behaviour is the same: without a rejection no engine is avoided and no random number is drawn.

--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -289,7 +289,9 @@
 		if own := p.ownLoads[e.ID]; own != nil {
 			load.InFlight += own.inFlight
 			load.Evidence = load.Evidence.Add(own.record.At(now))
-			load.SetLimits(load.Limits().Add(own.limits.At(now)))
+			if load.Rejected > 0 || own.limits.HasFailures() {
+				load.SetLimits(load.Limits().Add(own.limits.At(now)))
+			}
 		}
 		if p.avoids(e, load.Limits()) {
 			avoided = append(avoided, len(engines))
--- a/internal/edge/forward/signals.go
+++ b/internal/edge/forward/signals.go
@@ -34,7 +34,7 @@
 	x.reply = reply
 	if reply.Leaving && reply.isFrom(x.req.ID) {
 		x.f.stats.recordLeaving()
-		x.recordLeaving(choice.Engine)
+		x.f.Leaving(catalog.LeavingStart{ID: choice.Engine.ID, Born: choice.Engine.Born}, x.req.ID)
 	}
 	switch {
 	case reply.pauses(x.req.ID, status):
@@ -51,13 +51,6 @@
 	return x.reply.pauses(x.req.ID, status)
 }
 
-// recordLeaving records that an engine has announced that it will stop.
-func (x *exchange) recordLeaving(e catalog.Engine) {
-	if !x.f.Snapshot().Leaving.Has(e) {
-		x.f.Leaving(catalog.LeavingStart{ID: e.ID, Born: e.Born}, x.req.ID)
-	}
-}
-
 // recordPause records that an engine has rejected the request and asked for a pause.
 func (x *exchange) recordPause(e catalog.Engine, value string) {
 	pause, reading := backoff.ParseRetryAfter(value)
--- a/internal/edge/health/health.go
+++ b/internal/edge/health/health.go
@@ -69,6 +69,9 @@
 // At returns the evidence decayed to now.
 func (r *Record) At(now time.Duration) Evidence { return r.evidence.After(now - r.updatedAt) }
 
+// HasFailures reports whether any failure was ever observed.
+func (r *Record) HasFailures() bool { return r.evidence.Bad > 0 }
+
 // Observe adds the outcome of a request that ended at now.
 func (r *Record) Observe(good bool, now time.Duration) {
 	r.evidence = r.At(now)
--- a/test/faults/signals_test.go
+++ b/test/faults/signals_test.go
@@ -67,7 +67,7 @@
 	})
 }
 
-// Guards against chats that wait, or are told to come back too soon, while all engines are paused.
+// Guards against chats that wait, or are told to retry too soon, while all engines are paused.
 func TestChatIsRefusedWhileAllEnginesArePaused(t *testing.T) {
 	inCluster(t, 1, faultkit.Options{Engines: 2}, func(t *testing.T, cl *faultkit.Cluster) {
 		for _, e := range cl.Oracle.Engines() {
