edge: logs and metrics tell at which versions streams begin and go on

Now the entry's version reaches the catalog (logged and counted, no decision reads it), 'stream resumed' names both engines with their versions, 'request served' has engine_version, last_event and resumes, and metrics count engines by version, streams resumed at the same or another version, and streams that callers resume.

No change of logic; go test ./platform ./internal/edge/... passes.

--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -21,6 +21,10 @@
 	Draining bool
 	// ColdFor is the remaining time for which the engine is cold after its start, as registered.
 	ColdFor time.Duration
+	// Version is the version of the engine's software, which may differ between starts under the same
+	// ID. Versions are equal or not and have no order. It is empty if an earlier release of the router,
+	// which does not pass it on, supplied the entry.
+	Version string
 	// Born is the time of the engine's start by its own clock, in Unix milliseconds, zero if not
 	// reported. Orders is the number of orders executed since.
 	Born, Orders int64
@@ -128,6 +132,18 @@
 // ForService returns the engines of a service, sorted by ID. The caller must not modify the slice.
 func (s *EngineSet) ForService(service string) []Engine { return s.byService[service] }
 
+// Versions returns how many engines of each service run each version, by service and version.
+func (s *EngineSet) Versions() map[string]map[string]int {
+	out := make(map[string]map[string]int, len(s.byService))
+	for service, engines := range s.byService {
+		out[service] = make(map[string]int)
+		for _, e := range engines {
+			out[service][e.Version]++
+		}
+	}
+	return out
+}
+
 // Accepts reports whether the update is neither older than this set nor leaves a gap.
 func (s *EngineSet) Accepts(u EngineUpdate) bool {
 	switch u.Era.Compare(s.Era) {
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -208,8 +208,10 @@
 	firstByte time.Duration
 	outcome   Reason
 	status    int
-	engine    string
-	fetchFrom string
+	// engine is the engine of the last send, or the one that began the stream, and engineVersion the
+	// version of its software.
+	engine, engineVersion string
+	fetchFrom             string
 	// reply is the header of the response to the last send; zero if there was none.
 	reply   Reply
 	aborted bool
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -34,8 +34,9 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the maximum length of the
 	// response; zero if not stated.
 	PromptTokens, OutputTokens int
-	// LastEvent is the ID of the event after which the caller resumes a stream, or empty.
-	LastEvent string
+	// LastEvent is the ID of the event after which the caller resumes a stream, or empty. Resumes is
+	// then the ID of the request that brought the stream's first event, if the caller names it.
+	LastEvent, Resumes string
 }
 
 // SharedParts returns the IDs of the prompt parts that other requests may have too, in order: all
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -22,6 +22,13 @@
 		"engine_leaving", x.reply.Leaving, "engine_retry_after", x.reply.RetryAfter, "engines_revision", x.snapshot.Engines.Upto, "engines_age", x.snapshot.EnginesAge(now), "cause", err)
 }
 
+// logResumption logs and counts a stream that goes on at another engine within its response.
+func (x *exchange) logResumption(from, to catalog.Engine, lastID string) {
+	x.f.stats.recordResumption(from.Version == to.Version)
+	x.f.Log.Info("stream resumed", "request", x.req.ID, "route", x.route.Name, "after", lastID,
+		"from", from.ID, "from_version", from.Version, "to", to.ID, "to_version", to.Version)
+}
+
 // servedLogsPerSecond limits the log lines about successful requests. Failures are always logged,
 // within the limit of the log itself.
 const servedLogsPerSecond = 50
@@ -47,6 +54,12 @@
 		"config", version, "engines_revision", x.snapshot.Engines.Upto, "settings", x.f.Settings(),
 		"engine_leaving", x.reply.Leaving,
 	}
+	if x.engineVersion != "" {
+		fields = append(fields, "engine_version", x.engineVersion)
+	}
+	if x.req.LastEvent != "" {
+		fields = append(fields, "last_event", x.req.LastEvent, "resumes", x.req.Resumes)
+	}
 	if x.via != "" {
 		fields = append(fields, "via", x.via)
 	}
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -216,7 +216,7 @@
 	e := choice.Engine
 	defer x.f.Engines.Done(choice)
 	x.sends++
-	x.engine = e.ID
+	x.engine, x.engineVersion = e.ID, e.Version
 	x.reply = Reply{}
 	x.via = ""
 	x.fetchFrom = choice.FetchFrom
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -43,6 +43,12 @@
 	if x.outcome != "" {
 		s.vars.Add("failed_"+string(x.outcome), 1)
 	}
+	if x.req.LastEvent != "" {
+		s.vars.Add("streams_resumed_by_callers", 1)
+		if x.outcome != "" {
+			s.vars.Add("streams_resumed_by_callers_failed", 1)
+		}
+	}
 	if x.sends > 1 {
 		s.vars.Add("repeated_sends", int64(x.sends-1))
 	}
@@ -64,6 +70,16 @@
 	_ = h.RecordValue(min(max(latency.Microseconds(), lowestLatency), highestLatency))
 }
 
+// recordResumption counts a stream that went on at another engine within its response, at one of the
+// same version or not.
+func (s *Stats) recordResumption(sameVersion bool) {
+	if sameVersion {
+		s.vars.Add("streams_resumed", 1)
+		return
+	}
+	s.vars.Add("streams_resumed_at_other_version", 1)
+}
+
 // recordCut counts a request that was cut because the connection to its engine broke.
 func (s *Stats) recordCut() { s.vars.Add("cut_by_engine", 1) }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -73,6 +73,7 @@
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 		}
 		defer release()
+		x.logResumption(e, next, splitter.lastID)
 		e, response = next, nextResponse
 	}
 }
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -44,6 +44,7 @@
 	vars.Set("cold_engines", expvar.Func(func() any { return r.coldEngines() }))
 	vars.Set("engines_paused", expvar.Func(func() any { return milliseconds(r.engines.Pauses()) }))
 	vars.Set("engines_brittle", expvar.Func(func() any { return r.engines.BrittleEngines() }))
+	vars.Set("engine_versions", expvar.Func(func() any { return r.board.Snapshot().Engines.Versions() }))
 	vars.Set("engines_leaving", expvar.Func(func() any { return r.leavingEngines() }))
 	vars.Set("settings", expvar.Func(func() any { return r.settingsMetrics() }))
 	vars.Set("fleet", expvar.Func(func() any { return newFleetMetrics(r.statuses.All()) }))
