feed: the row of the quarantine is kept by code that other rows can use

What decides when a row of the store is read and written (reader for a second, era of the store, pause after a failure) is a rowKeeper of its own; the quarantine gives it a key, a value and what to do with the stored one. Same behaviour: go test ./internal/edge/feed passes unchanged.

--- a/internal/edge/feed/quarantinestore.go
+++ b/internal/edge/feed/quarantinestore.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/fleet/suspects"
@@ -19,21 +18,9 @@
 // JSON.
 const quarantineKey = "quarantine"
 
-const (
-	// quarantineCheckInterval is how often the router that reads the store compares the requests in
-	// quarantine with the stored ones.
-	quarantineCheckInterval = 500 * time.Millisecond
-	// quarantineCheckDelay is how long a router must have been the reader before it reads the stored
-	// requests. A starting fleet briefly has several readers.
-	quarantineCheckDelay = time.Second
-	// quarantineRetryPause is the pause after a failed call to the store.
-	quarantineRetryPause = 2 * time.Second
-	// quarantineTimeout bounds a read or write.
-	quarantineTimeout = time.Second
-	// maxStoredQuarantines bounds the row, which the store limits to 64 KB. If there are more
-	// requests in quarantine, those that entered it last are stored.
-	maxStoredQuarantines = 200
-)
+// maxStoredQuarantines bounds the row, which the store limits to 64 KB. If there are more requests in
+// quarantine, those that entered it last are stored.
+const maxStoredQuarantines = 200
 
 // storedQuarantine is a request in quarantine as stored. It has no times: those of a clock that
 // counts from the boot of a VM mean nothing to another one. A quarantine that is read back starts
@@ -60,97 +47,32 @@
 	Era   func() (era catalog.Era, returned bool)
 	Clock Clock
 	Log   *log.Logger
-
-	// era is the era in which stored was read or written.
-	era catalog.Era
-	// readerSince is when this router became the reader, on the boot clock, or zero if it is not
-	// the reader.
-	readerSince time.Duration
-	// stored is the value of the row; nil if it has not been read.
-	stored []byte
 }
 
 // Run stores the requests when needed until the context is canceled.
 func (k *QuarantineKeeper) Run(ctx context.Context) {
-	for pause.For(ctx, quarantineCheckInterval) {
-		if err := k.update(ctx); err != nil {
-			k.Log.Warn("quarantine not stored", "cause", err)
-			k.stored = nil
-			pause.For(ctx, quarantineRetryPause)
-		}
-	}
+	k.row().run(ctx, k.Clock, func(err error) { k.Log.Warn("quarantine not stored", "cause", err) })
 }
 
-func (k *QuarantineKeeper) update(ctx context.Context) error {
-	now := k.Clock()
-	if !k.Reads() {
-		k.readerSince, k.stored = 0, nil
-		return nil
-	}
-	if k.readerSince == 0 {
-		k.readerSince = now
+func (k *QuarantineKeeper) row() *rowKeeper {
+	era := k.Era
+	if era == nil {
+		era = func() (catalog.Era, bool) { return catalog.Era{}, false }
 	}
-	if now-k.readerSince < quarantineCheckDelay {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
-	defer cancel()
-	era, returned := k.storeEra()
-	if k.stored != nil && era != k.era || k.stored == nil && returned {
-		// The routers have shared the quarantine since before the return. The row is of the copy: an
-		// operator may have cleared requests that it holds.
-		k.stored = []byte{}
-	}
-	k.era = era
-	if k.stored == nil {
-		if err := k.load(ctx, now); err != nil {
-			return err
-		}
-	}
-	return k.save(ctx)
+	value := func() ([]byte, bool) { return encodeQuarantines(k.Suspects.Entries()), true }
+	return &rowKeeper{key: quarantineKey, table: k.Table, reads: k.Reads, storeEra: era, missing: encodeQuarantines(nil), load: k.load, value: value}
 }
 
-func (k *QuarantineKeeper) storeEra() (era catalog.Era, returned bool) {
-	if k.Era == nil {
-		return catalog.Era{}, false
-	}
-	return k.Era()
-}
-
-// load reads the stored requests and puts them in quarantine. A value that cannot be decoded is
-// replaced.
-func (k *QuarantineKeeper) load(ctx context.Context, now time.Duration) error {
-	row, err := k.Table.Get(ctx, platform.UseFleet, contactsTable, quarantineKey)
-	if platform.ErrNotFound.Has(err) {
-		k.stored = encodeQuarantines(nil)
-		return nil
+// load puts the stored requests in quarantine. A value that cannot be decoded is replaced.
+func (k *QuarantineKeeper) load(value []byte, now time.Duration) {
+	if value == nil {
+		return
 	}
-	if err != nil {
-		return err
-	}
-	entries, err := decodeQuarantines(row.Value, now)
+	entries, err := decodeQuarantines(value, now)
 	if err != nil {
 		k.Log.Warn("stored quarantine not read", "cause", err)
 	}
 	k.Suspects.Merge(entries, "")
-	k.stored = row.Value
-	return nil
-}
-
-// save replaces the stored requests if they differ.
-func (k *QuarantineKeeper) save(ctx context.Context) error {
-	value := encodeQuarantines(k.Suspects.Entries())
-	if bytes.Equal(value, k.stored) {
-		return nil
-	}
-	_, err := k.Table.Commit(ctx, platform.UseFleet, platform.Write{
-		Table: contactsTable, Key: quarantineKey, Value: value, IfVersion: platform.AnyVersion,
-	})
-	if err != nil {
-		return err
-	}
-	k.stored = value
-	return nil
 }
 
 // encodeQuarantines encodes the entries that are in quarantine.
