edge: a stream goes on only at the software version that began it

Cause: the entry's version was dropped at the platform's edge, so that a router resumed a broken stream at any engine of the service, and a router at which a caller resumed one knew nothing of its begin. The class: two runs are joined whose compatibility is known to neither place that joins them.

Why it works: the version is part of the catalog and of one start of an engine. Within an answer only engines of the stream's version are candidates. Over a caller's tries, three routers in different sites keep a record of each stream, sent while the engine reads the prompt; the router that is asked to resume asks them, and refuses at once if it can't tell. Without a record a stream goes on only if no other version can have begun it, which a history of versions tells; the history outlives all routers as a row of the store. While an engine may have been restarted in place (its connections are lost and no older one is open) its version is not relied on until its report or its entry proves it. Streams that are resumed go ahead of new requests for slots. Cached prompts are fetched from engines of the same version only.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -221,6 +221,27 @@
 	return err == nil && quiet
 }
 
+// open reports whether the peer has not closed the connection, as far as the kernel knows. It returns
+// false if there is data to read, behind which the end may be.
+func (c *conn) open() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	// Control, unlike Read, does not wait for a read that is in progress.
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, unix.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
 // parseKeepAlive returns the timeout of a Keep-Alive header, for which the peer
 // keeps an idle connection open. It returns zero if the header has no valid
 // timeout.
--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +34,11 @@
 	// MaxAge is how long after its opening a connection may be reused. The default
 	// is no bound.
 	MaxAge time.Duration
+	// Lost is called when an engine has closed a connection other than after a response that announced
+	// it, or refuses connections. The process that had the connection lived at aliveAt. Nil for nothing.
+	Lost func(engine string, aliveAt time.Duration)
+	// First is called when a connection to an engine was opened while there was no other. Nil for nothing.
+	First func(engine string)
 	// Stalled is called in a goroutine of its own when an engine has not acknowledged a request for
 	// stallTime, which may be due to the path to it. Nil for nothing.
 	Stalled func(address string)
@@ -89,15 +96,17 @@
 type Pool struct {
 	opts Options
 
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	sends int
-	dials int
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// active holds the connections with a request in progress, by engine.
+	active map[string]map[*conn]struct{}
+	sends  int
+	dials  int
 }
 
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
-	return &Pool{opts: o.withDefaults(), idle: make(map[string][]*conn)}
+	return &Pool{opts: o.withDefaults(), idle: make(map[string][]*conn), active: make(map[string]map[*conn]struct{})}
 }
 
 // Dials returns how many connections the pool has tried to open.
@@ -117,6 +126,9 @@
 		if c == nil || c.reusable() {
 			return c
 		}
+		if !c.open() {
+			p.lost(engine, c)
+		}
 		_ = c.Close()
 	}
 }
@@ -208,6 +220,44 @@
 	}
 }
 
+// Survives reports whether a connection to the engine is open that was opened before a time: the
+// process is still the one of then.
+func (p *Pool) Survives(engine string, openedBefore time.Duration) bool {
+	p.mu.Lock()
+	conns := slices.Clone(p.idle[engine])
+	for c := range p.active[engine] {
+		conns = append(conns, c)
+	}
+	p.mu.Unlock()
+	return slices.ContainsFunc(conns, func(c *conn) bool { return c.openedAt < openedBefore && c.open() })
+}
+
+// lost reports that the engine has closed a connection.
+func (p *Pool) lost(engine string, c *conn) {
+	if p.opts.Lost != nil {
+		p.opts.Lost(engine, max(c.openedAt, c.idleSince))
+	}
+}
+
+// begin notes that a connection carries a request to the engine, and end that it doesn't any more.
+func (p *Pool) begin(engine string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active[engine] == nil {
+		p.active[engine] = make(map[*conn]struct{})
+	}
+	p.active[engine][c] = struct{}{}
+}
+
+func (p *Pool) end(engine string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.active[engine], c)
+	if len(p.active[engine]) == 0 {
+		delete(p.active, engine)
+	}
+}
+
 // connect returns an idle connection, or opens a new one. Errors: ErrNotSent.
 func (p *Pool) connect(ctx context.Context, to Target, maxIdle time.Duration) (*conn, error) {
 	if c := p.takeIdle(to.ID, maxIdle); c != nil {
@@ -216,8 +266,16 @@
 	}
 	p.mu.Lock()
 	p.dials++
+	first := len(p.idle[to.ID])+len(p.active[to.ID]) == 0
 	p.mu.Unlock()
-	return p.dial(ctx, to.Address)
+	c, err := p.dial(ctx, to.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) && p.opts.Lost != nil:
+		p.opts.Lost(to.ID, p.opts.Clock())
+	case err == nil && first && p.opts.First != nil:
+		p.opts.First(to.ID)
+	}
+	return c, err
 }
 
 // Close closes the idle connections.
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -94,6 +95,7 @@
 		p.putIdle(to.ID, c, r.MaxIdleConns)
 		return nil, ErrNotSent.Wrap(ErrWithdrawn.New("while the connection was opened"))
 	}
+	p.begin(to.ID, c)
 	c.limitSilence(r.Repeatable)
 	c.traffic.Store(r.Traffic)
 	stopAbort := context.AfterFunc(ctx, c.abort)
@@ -102,7 +104,10 @@
 	resp, err := readHeader(c, r)
 	stopWatch()
 	if err != nil {
-		stopAbort()
+		if stopAbort() && !ErrMalformed.Has(err) {
+			p.lost(to.ID, c)
+		}
+		p.end(to.ID, c)
 		c.abort()
 		<-w.done
 		if w.nothingSent() {
@@ -288,6 +293,9 @@
 		a.complete = true
 		return n, io.EOF
 	}
+	if !errors.Is(err, net.ErrClosed) {
+		a.pool.lost(a.engine, a.conn)
+	}
 	return n, ErrTruncated.Wrap(err)
 }
 
@@ -295,6 +303,7 @@
 // was read to its end, the request was written completely, and the engine keeps
 // the connection open too.
 func (a *Response) Close() {
+	a.pool.end(a.engine, a.conn)
 	if a.stopAbort() && a.complete && a.keepAlive && a.write.finished() {
 		a.pool.putIdle(a.engine, a.conn, a.maxConns)
 		return
--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -144,6 +144,31 @@
 	return out
 }
 
+// LacksVersions reports whether entries came from a router of an earlier release, which does not pass
+// the versions on.
+func (s *EngineSet) LacksVersions() bool {
+	for _, e := range s.ByID {
+		if e.Version == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// WithVersions returns the set with the versions that it lacks, as far as the entries are the same.
+func (s *EngineSet) WithVersions(entries []Engine) *EngineSet {
+	next := s.clone(s.Upto)
+	for _, e := range entries {
+		known := next.ByID[e.ID]
+		if known.ID == e.ID && known.Version == "" && known.Revision == e.Revision && known.Born == e.Born {
+			known.Version = e.Version
+			next.ByID[e.ID] = known
+		}
+	}
+	next.index()
+	return next
+}
+
 // Accepts reports whether the update is neither older than this set nor leaves a gap.
 func (s *EngineSet) Accepts(u EngineUpdate) bool {
 	switch u.Era.Compare(s.Era) {
--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -41,6 +41,8 @@
 	ID string
 	// Key is the engine's key in the rendezvous hash.
 	Key uint64
+	// Version is the version of the engine's software. Engines of another one can't use its cache.
+	Version string
 	// InFlight is the known number of requests in flight at the engine from all routers.
 	InFlight int
 	// Slots is the number of requests that the engine executes concurrently; zero if unknown.
@@ -129,7 +131,9 @@
 	out := Placement{Engine: engine, Holder: NoEngine}
 	recentlyAdded := order[0] == engine && engines[engine].RecentlyAdded
 	out.Moved = order[0] != engine || recentlyAdded
-	canServe := func(i int) bool { return i != engine && engines[i].ServesCache() }
+	canServe := func(i int) bool {
+		return i != engine && engines[i].Version == engines[engine].Version && engines[i].ServesCache()
+	}
 	out.Holder = firstMatch(order, func(i int) bool {
 		return canServe(i) && !(recentlyAdded && engines[i].addedWithOrAfter(engines[engine]))
 	})
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -198,6 +198,15 @@
 	return changes
 }
 
+// PutVersions adds the versions of engines whose entries lack them; see PutConfig.
+func (b *Board) PutVersions(ctx context.Context, entries []catalog.Engine) {
+	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+		next := *s
+		next.Engines = s.Engines.WithVersions(entries)
+		return &next, true
+	})
+}
+
 // PutLeaving applies announcements of engines that they will stop, and returns those that were not
 // known; see PutConfig. It returns none if the context is canceled first.
 func (b *Board) PutLeaving(ctx context.Context, starts []catalog.LeavingStart) []catalog.LeavingStart {
--- /dev/null
+++ b/internal/edge/forward/doubts.go
@@ -0,0 +1,207 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+)
+
+const (
+	// entryDelay is how long after its start an engine's entry may still be that of the start before.
+	entryDelay = 1500 * time.Millisecond
+	// lossSpread is the time within which all connections of a process that ends are lost.
+	lossSpread = 5 * time.Millisecond
+	// maxQueries is how often an engine is asked for its start after a loss.
+	maxQueries = 3
+)
+
+// RestartDoubts tracks the engines that may have been restarted in place, under the same ID and address,
+// without their entries telling so yet: the new process may be of another version. A lost connection is
+// a sign of that, unless an older one is still open. The engine is asked then when it was started.
+// Engines that state no start in their entries have another ID after each. It is safe for concurrent
+// use.
+type RestartDoubts struct {
+	clock    func() time.Duration
+	snapshot func() *catalog.Snapshot
+	// survives reports whether a connection to the engine is open that was opened before a time.
+	survives func(engine string, openedBefore time.Duration) bool
+	// queryStart returns the time of the start that an engine states, as in its entry.
+	queryStart func(catalog.Engine) (born int64, err error)
+	// multiVersion reports whether more than one version of a service has served lately.
+	multiVersion func(service string) bool
+	// answered is called when an engine has stated its start.
+	answered func()
+
+	mu     sync.Mutex
+	losses map[string]loss
+}
+
+// loss is the loss of connections to an engine.
+type loss struct {
+	// engine is the entry that was known then.
+	engine catalog.Engine
+	// aliveAt is when the process of the first lost connection lived for certain, and last the time of the
+	// last loss, on the boot clock.
+	aliveAt, last time.Duration
+	// restarted is set if the engine has stated another start than the entry. queries counts how often it
+	// was asked, and querying is set while it is.
+	restarted bool
+	queries   int
+	querying  bool
+}
+
+// NewRestartDoubts returns a RestartDoubts.
+func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (int64, error), multiVersion func(service string) bool) *RestartDoubts {
+	return &RestartDoubts{clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss)}
+}
+
+// OnAnswer sets the function that is called when an engine has stated its start. It must be called before
+// the first request.
+func (d *RestartDoubts) OnAnswer(answered func()) { d.answered = answered }
+
+// Restarted reports whether the engine is known to have been restarted since its entry was written.
+func (d *RestartDoubts) Restarted(e catalog.Engine) bool {
+	if d == nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.losses[e.ID]
+	return l.restarted && !e.RestartOf(l.engine)
+}
+
+// Lose records that a connection to the engine was lost, whose process lived at aliveAt.
+func (d *RestartDoubts) Lose(engine string, aliveAt time.Duration) {
+	if e, ok := d.snapshot().Engines.ByID[engine]; ok {
+		d.doubt(e, aliveAt)
+	}
+}
+
+// Connect records that a connection to the engine was opened while there was no other, so that a
+// restart since the last one went unnoticed. That matters while several versions serve.
+func (d *RestartDoubts) Connect(engine string) {
+	if e, ok := d.snapshot().Engines.ByID[engine]; ok && d.multiVersion(e.Service) {
+		d.doubt(e, 0)
+		d.InDoubt(e)
+	}
+}
+
+func (d *RestartDoubts) doubt(e catalog.Engine, aliveAt time.Duration) {
+	if e.Born == 0 {
+		return
+	}
+	now := d.clock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.losses[e.ID]
+	if !ok || e.RestartOf(l.engine) {
+		l = loss{engine: e, aliveAt: aliveAt}
+	}
+	l.aliveAt = min(l.aliveAt, aliveAt)
+	l.last, l.queries = now, 0
+	d.losses[e.ID] = l
+}
+
+// InDoubt reports whether the engine may have been restarted with another version.
+func (d *RestartDoubts) InDoubt(e catalog.Engine) bool {
+	if d == nil {
+		return false
+	}
+	s := d.snapshot()
+	current, known := s.Engines.ByID[e.ID]
+	if known && current.RestartOf(e) {
+		// The entry was replaced since the engine was selected.
+		return true
+	}
+	d.mu.Lock()
+	l, ok := d.losses[e.ID]
+	d.mu.Unlock()
+	if !ok {
+		return false
+	}
+	now := d.clock()
+	switch {
+	case known && current.RestartOf(l.engine):
+		// The entry is that of the new start.
+	case l.restarted:
+		return true
+	case s.EnginesAsOf > l.last+entryDelay:
+	case now > l.last+lossSpread && d.survives(e.ID, l.aliveAt):
+	default:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.query(e.ID, d.losses[e.ID])
+		return true
+	}
+	d.clear(e.ID, l)
+	return false
+}
+
+// ask queries the engine for its start, unless that is in progress. The caller holds the mutex.
+func (d *RestartDoubts) query(engine string, l loss) {
+	if l.querying || l.queries >= maxQueries || l.engine.ID != engine {
+		return
+	}
+	l.querying = true
+	l.queries++
+	d.losses[engine] = l
+	go func() {
+		sent := d.clock()
+		born, err := d.queryStart(l.engine)
+		d.recordStart(l.engine, sent, born, err)
+		d.answered()
+	}()
+}
+
+// recordStart applies the reply of an engine that was asked at sent.
+func (d *RestartDoubts) recordStart(e catalog.Engine, sent time.Duration, born int64, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.losses[e.ID]
+	if !ok {
+		return
+	}
+	l.querying = false
+	switch {
+	case err != nil:
+	case born != l.engine.Born:
+		l.restarted = true
+	case sent >= l.last:
+		delete(d.losses, e.ID)
+		return
+	}
+	d.losses[e.ID] = l
+	if err == nil && !l.restarted {
+		// Another connection was lost or opened since.
+		d.query(e.ID, l)
+	}
+}
+
+// clear drops a loss, unless there was another one since.
+func (d *RestartDoubts) clear(engine string, l loss) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.losses[engine].last == l.last {
+		delete(d.losses, engine)
+	}
+}
+
+// Prune drops the losses of engines that are gone.
+func (d *RestartDoubts) Prune() {
+	engines := d.snapshot().Engines.ByID
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.losses {
+		if _, ok := engines[id]; !ok {
+			delete(d.losses, id)
+		}
+	}
+}
+
+// Count returns the number of engines with a loss that is not explained yet.
+func (d *RestartDoubts) Count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.losses)
+}
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -51,6 +51,9 @@
 	// brittle holds the engines that have stated in a response to this router that they are brittle,
 	// by ID.
 	brittle map[string]brittleStatement
+	// doubts tells which engines may run another version than their entries state; nil if all may be
+	// relied on.
+	doubts *RestartDoubts
 }
 
 // ownLoad is this router's requests at one engine and how they have ended.
@@ -169,6 +172,12 @@
 	// Shared holds the IDs of the prompt parts that other requests may have too, in order. It is
 	// empty for requests without a prompt.
 	Shared []string
+	// Version is the only version of the engines' software at which the request may be executed, as it
+	// resumes a stream; empty for any.
+	Version string
+	// Resumable is set for requests that begin a stream that can be resumed, which needs another engine
+	// of the same version.
+	Resumable bool
 	// Excluded holds the IDs of engines that are not selected.
 	Excluded map[string]bool
 	// Unadmitted means that no gate limits the request: it goes only to an engine that has room also if
@@ -274,9 +283,15 @@
 	if !ok {
 		return "", false
 	}
+	version := ""
+	for _, e := range engines {
+		if e.ID == selected {
+			version = e.Version
+		}
+	}
 	for i, e := range engines {
 		if e.ID == holder {
-			return e.Address, candidates[i].ServesCache()
+			return e.Address, e.Version == version && candidates[i].ServesCache()
 		}
 	}
 	return "", false
@@ -315,7 +330,7 @@
 		evidence = append(evidence, load.Evidence)
 		tolerance, stated := p.statedTolerance(e.ID, others[e.ID], now)
 		out = append(out, choose.Engine{
-			Brittle: stated, Tolerance: tolerance,
+			Brittle: stated, Tolerance: tolerance, Version: e.Version,
 			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
 			SameSite: e.Site == p.site, Draining: !s.TakesRequests(e) || !p.admits(e, now), RecentlyAdded: p.recentlyStarted(e.ID, now),
 			AddedAt:    p.states[e.ID].firstSeen,
@@ -326,7 +341,13 @@
 	for i, share := range health.LoadShares(evidence) {
 		out[i].Share = share
 	}
+	if q.Resumable && now >= p.congestedUntil[service] {
+		avoided = append(avoided, loneOfVersion(out)...)
+	}
 	out = withoutAvoided(out, avoided)
+	if q.Version != "" {
+		engines, out = p.onlyVersion(engines, out, q.Version)
+	}
 	if _, brittle := serviceTolerance(out); brittle && q.Unadmitted {
 		withHeadroom(out)
 	}
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -13,7 +13,9 @@
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/crash"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
+	"damaskrouter.example/damaskrouter/internal/edge/origins"
 	"damaskrouter.example/damaskrouter/internal/fleet/suspects"
 	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
@@ -59,6 +61,10 @@
 	// PathLost reports whether this router has lost its direct path to an address since a time. The
 	// default returns false.
 	PathLost func(address string, since time.Duration) bool
+	// Origins remembers which version began each stream. The default remembers those of this process.
+	Origins *origins.Registry
+	// Doubts tracks engines that may have been restarted in place.
+	Doubts *RestartDoubts
 	// Suspects holds the requests that may crash engines.
 	Suspects suspects.Source
 	// Cut is called for each request whose connection to the engine broke while the engine may have
@@ -92,6 +98,15 @@
 	if o.Suspects == nil {
 		o.Suspects = suspects.None{}
 	}
+	if o.Doubts == nil {
+		o.Doubts = NewRestartDoubts(o.Clock, o.Snapshot, func(string, time.Duration) bool { return true }, QueryStart(o.Conns, o.Codec), func(string) bool { return false })
+	}
+	if o.Origins == nil {
+		o.Origins = origins.New(origins.Options{
+			Clock: o.Clock, Snapshot: o.Snapshot, InDoubt: o.Doubts.InDoubt, FirstStart: true, Log: o.Log,
+			Live: func() []feed.Peer { return nil },
+		})
+	}
 	if o.PathLost == nil {
 		o.PathLost = func(string, time.Duration) bool { return false }
 	}
@@ -174,6 +189,8 @@
 	body     []byte
 
 	snapshot *catalog.Snapshot
+	// stream is the state of a stream that can be resumed, or is.
+	stream streamState
 	// executed counts the engines that may have executed the request, and sends the attempts to
 	// send it.
 	executed int
@@ -243,7 +260,10 @@
 		return refusal
 	}
 	x.trackSuspicion()
-	return x.checkSuspicion()
+	if refusal := x.checkSuspicion(); refusal != nil {
+		return refusal
+	}
+	return x.findOrigin()
 }
 
 // readBody reads the whole body before anything is sent, so that a slow caller does not occupy an
--- /dev/null
+++ b/internal/edge/forward/origin.go
@@ -0,0 +1,201 @@
+package forward
+
+import (
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/base/pause"
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/origins"
+)
+
+const (
+	// recordWait bounds the wait for the replicas of a stream's record. Only a stream whose request was
+	// sent to engines of two versions waits for them.
+	recordWait = 50 * time.Millisecond
+	// doubtWait is how long a stream waits for proof that an engine was not restarted, and doubtPoll how
+	// often it looks.
+	doubtWait = 20 * time.Millisecond
+	doubtPoll = 2 * time.Millisecond
+	// maxRequestID is the longest ID by which a stream can be resumed, in bytes.
+	maxRequestID = 256
+)
+
+// streamState is what a stream that can be resumed holds on to: a stream goes on only at engines of the
+// version that began it.
+type streamState struct {
+	// resumes is set if the request resumes a stream of an earlier one.
+	resumes bool
+	// service and version are those of the engine that began the stream. They are empty before the first
+	// event, and for a stream that may go on anywhere.
+	service, version string
+	// doubtful is set if the stream has begun at an engine that may have been restarted with another
+	// version. Its record tells whether that has been settled since.
+	doubtful bool
+
+	// id and seq distinguish this exchange and its records from others; sentTo is the version of the last
+	// record, and recorded the channel that is closed once its replicas have it.
+	id       uint64
+	seq      uint32
+	sentTo   string
+	recorded <-chan struct{}
+}
+
+// recordsOrigin reports whether the request begins a stream that can be resumed.
+func (x *exchange) recordsOrigin() bool {
+	return x.route.Kind == catalog.Streaming && x.route.Resumable && x.req.LastEvent == ""
+}
+
+// streamRecord returns the identity of the stream for its record.
+func (x *exchange) streamRecord() origins.Stream {
+	if x.stream.id == 0 {
+		x.stream.id = origins.NewExchange()
+	}
+	s := origins.Stream{ID: x.req.ID, Exchange: x.stream.id, Life: defaultTimeout}
+	if x.req.Timeout > 0 {
+		s.Life = x.req.Timeout
+	}
+	if x.stream.resumes {
+		s.ID = x.req.Resumes
+	}
+	if x.account != nil {
+		s.Account = x.account.Name
+	}
+	return s
+}
+
+// recordBegin records the version to which the request is about to be sent.
+func (x *exchange) recordBegin(e catalog.Engine) {
+	switch {
+	case x.stream.resumes && x.stream.version != "" && x.req.Resumes != "":
+		x.f.Origins.Renew(x.streamRecord(), x.stream.service, x.stream.version)
+	case x.recordsOrigin():
+		x.stream.seq++
+		recorded := x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, false)
+		if x.stream.sentTo != "" && x.stream.sentTo != e.Version {
+			x.stream.recorded = recorded
+		}
+		x.stream.sentTo = e.Version
+	}
+}
+
+// beginStream holds the stream to the version of the engine that sends the first event.
+func (x *exchange) beginStream(e catalog.Engine) {
+	if x.stream.resumes && x.stream.version != "" {
+		return
+	}
+	x.stream.service, x.stream.version = e.Service, e.Version
+	if x.f.Doubts.InDoubt(e) {
+		x.stream.doubtful = true
+		if x.recordsOrigin() {
+			x.stream.seq++
+			x.stream.recorded = x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, true)
+		}
+	}
+	if x.stream.recorded == nil {
+		return
+	}
+	// A replica may have the record of the send before.
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	select {
+	case <-x.stream.recorded:
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
+}
+
+// endOrigin drops the record of a stream that is complete.
+func (x *exchange) endOrigin() {
+	if x.recordsOrigin() {
+		x.f.Origins.End(x.streamRecord())
+	}
+}
+
+// holdVersion reports whether it is known at which version the stream that has begun goes on.
+func (x *exchange) holdVersion() bool {
+	if !x.stream.doubtful {
+		return x.stream.version != ""
+	}
+	return x.f.Origins.Known(x.streamRecord())
+}
+
+// confirmVersion reports whether the response of an engine is certainly of the version at which the
+// stream goes on. A request that begins a stream needs no certain version.
+func (x *exchange) confirmVersion(e catalog.Engine) bool {
+	if x.stream.version == "" {
+		return true
+	}
+	for waited := time.Duration(0); x.f.Doubts.InDoubt(e); waited += doubtPoll {
+		if waited >= doubtWait || !pause.For(x.r.Context(), doubtPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// findOrigin finds out at which version a stream goes on that the request resumes. If that can't be
+// told, the request is refused: the caller would get events that don't continue those it has.
+func (x *exchange) findOrigin() *Refusal {
+	if x.route.Kind != catalog.Streaming || x.req.LastEvent == "" {
+		return nil
+	}
+	x.stream.resumes = true
+	id := x.req.Resumes
+	if len(id) > maxRequestID || id == x.req.ID {
+		id = ""
+	}
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	found, err := x.f.Origins.Find(x.r.Context(), account, id, x.services())
+	if err != nil {
+		x.f.Log.Warn("stream not resumed", "request", x.req.ID, "route", x.route.Name, "resumes", x.req.Resumes, "after", x.req.LastEvent, "reason", ReasonOriginUnknown, "cause", err)
+		return notExecuted(ReasonOriginUnknown, retryLater)
+	}
+	x.stream.service, x.stream.version = found.Service, found.Version
+	x.f.Log.Info("stream resumed by its caller", "request", x.req.ID, "route", x.route.Name, "resumes", x.req.Resumes, "after", x.req.LastEvent,
+		"service", found.Service, "version", found.Version, "source", found.From, "age", found.Age)
+	if !x.versionServes() {
+		return notExecuted(ReasonVersionGone, retryLater)
+	}
+	return nil
+}
+
+// services returns the services to which the route sends requests.
+func (x *exchange) services() []string {
+	out := make([]string, 0, len(x.route.Backends))
+	for _, b := range x.route.Backends {
+		if b.Weight > 0 {
+			out = append(out, b.Service)
+		}
+	}
+	return out
+}
+
+// streamService returns the service at which the stream goes on, unless the route does not use it any
+// more.
+func (x *exchange) streamService() []string {
+	for _, service := range x.services() {
+		if service == x.stream.service {
+			return []string{service}
+		}
+	}
+	return nil
+}
+
+// versionServes reports whether an engine takes requests at which the stream may go on.
+func (x *exchange) versionServes() bool {
+	if x.stream.version == "" {
+		return true
+	}
+	x.snapshot = x.f.Snapshot()
+	for _, service := range x.streamService() {
+		for _, e := range x.snapshot.Engines.ForService(service) {
+			if e.Version == x.stream.version && x.snapshot.TakesRequests(e) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -70,14 +70,15 @@
 	defer cancel()
 	refused := false
 	x.recordTimeout(service)
-	x.late = x.f.callerTimeouts.isLate(x.route.Name, x.req.Timeout, x.route.Objective)
+	// A caller that resumes a stream has less time left than it began with, and is not late.
+	x.late = !x.stream.resumes && x.f.callerTimeouts.isLate(x.route.Name, x.req.Timeout, x.route.Objective)
 	key := throttleKey{service: service, urgency: x.urgency(), late: x.late}
-	if !plan.Warm && x.f.throttles.shouldRefuse(key, x.f.Clock()) {
+	if !plan.Warm && !x.stream.resumes && x.f.throttles.shouldRefuse(key, x.f.Clock()) {
 		return Choice{}, x.overloadRefusal(service), false
 	}
 	for i, candidate := range plan.Ask {
 		age := x.f.Clock() - x.started
-		maxWait := gate.MaxWait(x.route.Prompted, i, len(plan.Ask), x.route.Objective, age)
+		maxWait := gate.MaxWait(x.route.Prompted, i, len(plan.Ask), x.waitObjective(), age)
 		if plan.Warm {
 			maxWait = min(maxWait, gate.ColdWait(x.route.Objective))
 		}
@@ -88,7 +89,9 @@
 		case err == nil && !x.stopped(candidate.Choice.Engine):
 			choice := candidate.Choice
 			choice.permit = permit
-			x.f.throttles.record(key, true, x.f.Clock())
+			if !x.stream.resumes {
+				x.f.throttles.record(key, true, x.f.Clock())
+			}
 			return x.f.Engines.StartLeased(choice, shared), nil, false
 		case err == nil:
 			x.f.Places.Release(permit)
@@ -110,10 +113,24 @@
 		choice, refusal = x.chooseWithoutPermit()
 		return choice, refusal, false
 	}
-	x.f.throttles.record(key, false, x.f.Clock())
+	if !x.stream.resumes {
+		x.f.throttles.record(key, false, x.f.Clock())
+	}
 	return Choice{}, x.overloadRefusal(service), false
 }
 
+// resumptionObjective is the objective by which a request that resumes a stream waits for a slot, if the
+// route has a shorter one: callers stay for as long a gap in a stream.
+const resumptionObjective = 2 * time.Second
+
+// waitObjective returns the objective by which the request waits for a slot.
+func (x *exchange) waitObjective() time.Duration {
+	if x.stream.resumes {
+		return max(x.route.Objective, resumptionObjective)
+	}
+	return x.route.Objective
+}
+
 // overloadRefusal refuses a request that can't get a permit in time, and suggests when to retry.
 func (x *exchange) overloadRefusal(service string) *Refusal {
 	return notExecuted(ReasonOverload, x.f.overloads.retryAfter(service, x.route.Objective, x.remaining(), x.f.Clock()))
@@ -138,6 +155,11 @@
 	if x.account != nil {
 		out.Account = x.account.Name
 	}
+	if x.stream.resumes {
+		// Only engines of its version serve the request, so that it goes ahead of those that any engine
+		// can serve. What was refused to the same prompt before does not count.
+		out.Urgency, out.Subject = 0, 0
+	}
 	return out
 }
 
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -56,7 +56,7 @@
 	tolerance, isBrittle := serviceTolerance(candidates)
 	var order []int
 	switch placement := p.placement(candidates, q); {
-	case p.congested(service, candidates, now), isBrittle, choose.AllCold(candidates):
+	case p.congested(congestionKey(service, q.Version), candidates, now), isBrittle, choose.AllCold(candidates):
 		order = p.permitOrder(candidates, placement, q)
 	case placement.Engine != choose.NoEngine && candidates[placement.Engine].Cold:
 		plan.Warm = true
@@ -71,6 +71,10 @@
 			Choice: p.candidateChoice(engines, candidates, i, q, now), MaxInFlight: choose.MaxInFlight(candidates, i),
 			Pace: p.pace(config, engines[i].ID, now),
 		}
+		if q.Version == "" && fewOfVersion(candidates, i) {
+			// Streams that are resumed have only these engines. The room beyond the slots is for them.
+			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
+		}
 		if isBrittle {
 			candidate.Brittle, candidate.Tolerance = true, tolerance
 			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
@@ -94,12 +98,22 @@
 	return choose.PromptCandidates(candidates, placementKey(q.Shared), p.rng)
 }
 
-// congested reports whether requests of the service need a permit. The caller holds the mutex.
-func (p *Balancer) congested(service string, candidates []choose.Engine, now time.Duration) bool {
+// congested reports whether requests with a key of congestionKey need a permit. The caller holds the
+// mutex.
+func (p *Balancer) congested(key string, candidates []choose.Engine, now time.Duration) bool {
 	if choose.Crowded(candidates) {
-		p.congestedUntil[service] = now + congestedFor
+		p.congestedUntil[key] = now + congestedFor
+	}
+	return now < p.congestedUntil[key]
+}
+
+// congestionKey returns the key of the requests that the same engines serve: all of a service, or those
+// that resume streams of one version.
+func congestionKey(service, version string) string {
+	if version == "" {
+		return service
 	}
-	return now < p.congestedUntil[service]
+	return service + " " + version
 }
 
 // candidateChoice returns the choice of the i-th engine, to be used if a permit for it is granted.
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -36,6 +36,10 @@
 	ReasonBadAnswer     Reason = "engine_answer_malformed"
 	ReasonCallerLeft    Reason = "caller_left"
 	ReasonStreamBroken  Reason = "stream_broken"
+	// ReasonOriginUnknown means that it can't be told which version began the stream that the request
+	// resumes, and ReasonVersionGone that no engine of that version takes requests.
+	ReasonOriginUnknown Reason = "stream_origin_unknown"
+	ReasonVersionGone   Reason = "stream_version_gone"
 	// ReasonQuarantined means that several engines have ended while they executed the request, and
 	// ReasonHeld that it is being decided whether the request is the cause.
 	ReasonQuarantined Reason = "request_quarantined"
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -123,6 +123,10 @@
 	EngineHeader(caller http.Header, r *Request, s EngineRequestInfo) http.Header
 	// Reply reads the header of an engine's response.
 	Reply(status int, h http.Header) Reply
+	// StartRequest returns the request by which an engine states when it was started.
+	StartRequest(e catalog.Engine) (method, target string, header http.Header)
+	// StartOf reads the reply: the start as in the engine's entry. Errors: ErrRequest.
+	StartOf(status int, body []byte) (born int64, err error)
 	// CallerHeader writes the header of an engine's response to the caller's response.
 	CallerHeader(dst http.Header, engine http.Header)
 	// Refusal writes the header of a response that the router generates.
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -29,6 +29,12 @@
 		"from", from.ID, "from_version", from.Version, "to", to.ID, "to_version", to.Version)
 }
 
+// logNoResumption logs a stream that does not go on within its response.
+func (x *exchange) logNoResumption(from catalog.Engine, lastID string, reason Reason) {
+	x.f.Log.Warn("stream not resumed", "request", x.req.ID, "route", x.route.Name, "after", lastID,
+		"from", from.ID, "version", x.stream.version, "reason", reason, "engines", x.snapshot.Engines.Versions()[x.stream.service])
+}
+
 // servedLogsPerSecond limits the log lines about successful requests. Failures are always logged,
 // within the limit of the log itself.
 const servedLogsPerSecond = 50
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -161,7 +161,7 @@
 
 // query describes the request for the selection of an engine.
 func (x *exchange) query() Query {
-	q := Query{Excluded: x.excluded, Isolate: x.tracker.IsolationKey()}
+	q := Query{Excluded: x.excluded, Isolate: x.tracker.IsolationKey(), Version: x.stream.version, Resumable: x.recordsOrigin()}
 	if x.route.Prompted {
 		q.Shared = x.req.SharedParts()
 	}
@@ -171,6 +171,9 @@
 // serviceOrder returns the route's services in the order of preference. Prompts that share a part
 // prefer the same service, so that they find that part in the caches of its engines.
 func (x *exchange) serviceOrder(shared []string) []string {
+	if x.stream.service != "" {
+		return x.streamService()
+	}
 	backends := x.route.Backends
 	total := 0
 	for _, b := range backends {
@@ -226,6 +229,7 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	ctx, stopTimer := x.withAttemptTimeout(ctx, e)
+	x.recordBegin(e)
 	x.sentAt = x.f.Clock()
 	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(choice, ""))
 	stopTimer()
@@ -251,6 +255,9 @@
 		return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonBadAnswer))
 	}
 	if x.route.Kind == catalog.Streaming && response.Status < http.StatusMultipleChoices {
+		if !x.confirmVersion(e) {
+			return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonStreamBroken))
+		}
 		return x.relayStream(ctx, e, response)
 	}
 	return x.relayBuffered(ctx, e, response)
--- a/internal/edge/forward/signals.go
+++ b/internal/edge/forward/signals.go
@@ -96,6 +96,9 @@
 	if x.executed > 0 {
 		return last
 	}
+	if x.stream.resumes && !x.versionServes() {
+		return notExecuted(ReasonVersionGone, retryLater)
+	}
 	services := x.serviceOrder(x.query().Shared)
 	a := x.f.Engines.Availability(x.snapshot, services)
 	switch {
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -55,7 +55,7 @@
 func (x *exchange) relayStream(ctx context.Context, e catalog.Engine, response *engineconn.Response) sendResult {
 	splitter := &eventSplitter{lastID: x.req.LastEvent}
 	for {
-		err := x.copyEvents(response, splitter)
+		err := x.copyEvents(e, response, splitter)
 		if err == nil {
 			x.f.Engines.RecordOutcome(e.ID, true)
 			x.tracker.RecordCompletion()
@@ -84,18 +84,20 @@
 	if len(splitter.pending) > 0 || !x.responded {
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 	}
+	x.endOrigin()
 	return sendResult{action: actionDone}
 }
 
 // copyEvents relays events until the stream ends. Errors: errCallerLeft, engineconn.ErrTruncated,
 // engineconn.ErrMalformed.
-func (x *exchange) copyEvents(response *engineconn.Response, splitter *eventSplitter) error {
+func (x *exchange) copyEvents(e catalog.Engine, response *engineconn.Response, splitter *eventSplitter) error {
 	control := http.NewResponseController(x.w)
 	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := response.Read(buf)
 		if complete := splitter.add(buf[:n]); len(complete) > 0 {
 			if !x.responded {
+				x.beginStream(e)
 				x.writeHeader(response.Status, response.Header)
 				x.w.WriteHeader(response.Status)
 			}
@@ -127,8 +129,13 @@
 		if !x.mayResume(lastID) {
 			break
 		}
+		if !x.holdVersion() {
+			x.logNoResumption(truncated, lastID, ReasonOriginUnknown)
+			break
+		}
 		choice, ok := x.pickEngine()
 		if !ok {
+			x.logNoResumption(truncated, lastID, ReasonVersionGone)
 			break
 		}
 		e := choice.Engine
@@ -186,6 +193,10 @@
 		return nil, true
 	}
 	x.executed++
+	if !x.confirmVersion(e) {
+		response.Close()
+		return nil, true
+	}
 	if response.Status != http.StatusOK || !reply.Sealed || reply.Encoded {
 		x.f.Engines.RecordOutcome(e.ID, false)
 		response.Close()
--- a/internal/edge/node/leave.go
+++ b/internal/edge/node/leave.go
@@ -21,6 +21,8 @@
 	exitMarginShare = 0.125
 	// drainPollInterval is how often the requests in progress are counted.
 	drainPollInterval = 50 * time.Millisecond
+	// originsTimeout bounds the wait until other routers have the records of this router's streams.
+	originsTimeout = 300 * time.Millisecond
 )
 
 // drainTimeout returns how long requests may continue if the process is killed after stopTimeout.
@@ -42,7 +44,8 @@
 	if err := r.gossip.Leave(); err != nil {
 		r.log.Warn("failed to announce leaving", "cause", err)
 	}
-	pause.For(ctx, time.Duration(minDrainShare*float64(timeout)))
+	r.leaveOrigins(ctx)
+	pause.For(ctx, time.Duration(minDrainShare*float64(timeout))-(bootclock.Now()-start))
 	for (r.forwarder.InFlight() > 0 || r.relay.Stats().Tunnels > 0) && bootclock.Now()-start < timeout {
 		if !pause.For(ctx, drainPollInterval) {
 			break
@@ -50,5 +53,14 @@
 	}
 	// A request that arrived after the last check would be cut as the process ends.
 	r.servers.shutDown(ctx, listenerCallers, timeout-(bootclock.Now()-start))
+	r.leaveOrigins(ctx)
 	r.log.Info("stopped", "in_flight", r.forwarder.InFlight(), "took", bootclock.Now()-start)
 }
+
+// leaveOrigins sends the records of this router's streams to other routers: callers may resume the
+// streams there.
+func (r *Router) leaveOrigins(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, originsTimeout)
+	defer cancel()
+	r.origins.Leave(ctx)
+}
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -44,6 +44,8 @@
 	vars.Set("cold_engines", expvar.Func(func() any { return r.coldEngines() }))
 	vars.Set("engines_paused", expvar.Func(func() any { return milliseconds(r.engines.Pauses()) }))
 	vars.Set("engines_brittle", expvar.Func(func() any { return r.engines.BrittleEngines() }))
+	vars.Set("stream_origins", expvar.Func(func() any { return r.origins.Stats() }))
+	vars.Set("engines_in_doubt", expvar.Func(func() any { return r.doubts.Count() }))
 	vars.Set("engine_versions", expvar.Func(func() any { return r.board.Snapshot().Engines.Versions() }))
 	vars.Set("engines_leaving", expvar.Func(func() any { return r.leavingEngines() }))
 	vars.Set("settings", expvar.Func(func() any { return r.settingsMetrics() }))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -25,6 +25,7 @@
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
 	"damaskrouter.example/damaskrouter/internal/edge/forward"
+	"damaskrouter.example/damaskrouter/internal/edge/origins"
 	"damaskrouter.example/damaskrouter/internal/edge/reach"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
@@ -101,6 +102,9 @@
 	engines          *forward.Balancer
 	gateOwner        *flow.Owner
 	gateClient       *flow.Client
+	origins          *origins.Registry
+	doubts           *forward.RestartDoubts
+	versionsKeeper   *feed.VersionsKeeper
 	forwarder        *forward.Forwarder
 	paths            *reach.Table
 	dialer           *reach.Dialer
@@ -156,7 +160,7 @@
 // with API keys.
 func (r *Router) keyLease() time.Duration {
 	share := leaseShare
-	// Each request with a key asks for the lease; the clock is read only after a return of the store.
+	// Each request with a key queries for the lease; the clock is read only after a return of the store.
 	if s := r.board.Snapshot(); s.ConfigEraSince > 0 && s.ConfigSettling(bootclock.Now()) {
 		share = settlingLeaseShare
 	}
@@ -215,7 +219,10 @@
 	r.assembleDialer()
 	conns := engineconn.NewPool(engineconn.Options{
 		Clock: bootclock.Now, Dial: r.dialer.Dial, DialTimeout: reach.DialTimeout, Stalled: r.dialer.Stalled,
+		Lost:  func(engine string, aliveAt time.Duration) { r.doubts.Lose(engine, aliveAt) },
+		First: func(engine string) { r.doubts.Connect(engine) },
 	})
+	r.assembleOrigins(conns)
 	r.dialer.PathLost = func(address string) { r.pathChanged(conns, address, true) }
 	r.dialer.Silent = func(address string) { r.engineSilent(conns, address) }
 	r.dialer.PathBack = func(address string) { r.pathChanged(conns, address, false) }
@@ -240,6 +247,8 @@
 		Settings:  func() string { return r.active.Load().digest },
 		Budget:    forward.NewRetryBudgets(r.budgetLimits, r.routerCount),
 		Routers:   r.routerCount,
+		Origins:   r.origins,
+		Doubts:    r.doubts,
 		Suspects:  r.suspects,
 		PathLost:  r.paths.LostSince,
 		Cut:       func(e catalog.Engine, c crash.Cut) { r.crashes.Report(r.ctx, e, c) },
@@ -249,6 +258,21 @@
 	})
 }
 
+// assembleOrigins assembles what keeps a stream at the version of the engines that began it.
+func (r *Router) assembleOrigins(conns *engineconn.Pool) {
+	r.doubts = forward.NewRestartDoubts(bootclock.Now, r.board.Snapshot, conns.Survives, forward.QueryStart(conns, r.platform.Codec), func(service string) bool { return r.origins.MultiVersion(service) })
+	r.engines.SetDoubts(r.doubts)
+	r.origins = origins.New(origins.Options{
+		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
+		InDoubt: r.doubts.InDoubt, FirstStart: r.settings().FirstStart, Log: r.log,
+	})
+	r.doubts.OnAnswer(r.origins.ReviewDoubtful)
+	r.versionsKeeper = &feed.VersionsKeeper{
+		Table: r.store, Reads: r.follower.Reads, Era: r.board.Era, History: r.origins.History, Adopt: r.origins.AdoptHistory,
+		Clock: bootclock.Now, Log: r.log,
+	}
+}
+
 // recordEnd records an engine that ended unexpectedly.
 func (r *Router) recordEnd(end crash.End) {
 	if !end.Known {
@@ -296,6 +320,10 @@
 	r.goRun(r.follower.Run)
 	r.goRun(r.contactsUpdater.Run)
 	r.goRun(r.quarantineKeeper.Run)
+	r.goRun(r.versionsKeeper.Run)
+	r.goRun((&feed.VersionReader{Board: r.board, Store: r.store, Log: r.log}).Run)
+	r.goRun(r.origins.Run)
+	r.goRun(r.origins.FollowHistory)
 	r.goRun(r.logFleetSize)
 	r.goRun(r.reviewEngines)
 	r.goRun(r.dialer.Run)
@@ -378,6 +406,7 @@
 	cutOff := map[string]bool{}
 	for pause.For(ctx, reviewInterval) {
 		r.logCutOffServices(cutOff)
+		r.doubts.Prune()
 		cold = r.logColdEngines(cold)
 		for _, change := range r.engines.EjectionChanges(r.board.Snapshot()) {
 			r.log.Info("engine judged", "engine", change.Engine, "service", change.Service, "ejected", change.Ejected,
--- a/internal/edge/node/peers.go
+++ b/internal/edge/node/peers.go
@@ -11,6 +11,7 @@
 	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
+	"damaskrouter.example/damaskrouter/internal/edge/origins"
 	"damaskrouter.example/damaskrouter/internal/fleet/gossip"
 	"damaskrouter.example/damaskrouter/internal/fleet/membership"
 )
@@ -103,6 +104,9 @@
 	if err := r.peerServer.Register(flow.ServiceName, &flow.Service{Owner: r.gateOwner}); err != nil {
 		return err
 	}
+	if err := r.peerServer.Register(origins.ServiceName, &origins.Service{Registry: r.origins}); err != nil {
+		return err
+	}
 	if err := r.peerServer.Register(operatorServiceName, &OperatorService{r}); err != nil {
 		return err
 	}
