forward: a stream that is resumed after its last event ends as complete

Callers who had left between the last event and the end got 502 stream_broken when they resumed: no event came, and a stream without any counts as broken. An engine that has nothing after the caller's last event ends the stream properly, so that this end is passed on; a stream that begins still needs an event. The test got 502 before, 200 and the end now.

--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -59,7 +59,7 @@
 		if err == nil {
 			x.f.Engines.RecordOutcome(e.ID, true)
 			x.tracker.RecordCompletion()
-			return x.endStream(splitter)
+			return x.endStream(response, splitter)
 		}
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
 			return sendResult{action: actionStop, refusal: refusal}
@@ -78,9 +78,14 @@
 	}
 }
 
-// endStream checks that a stream that ended normally did not end within an event or without any
-// event.
-func (x *exchange) endStream(splitter *eventSplitter) sendResult {
+// endStream checks that a stream that ended normally did not end within an event or, unless its caller
+// resumed it after the last one, without any event.
+func (x *exchange) endStream(response *engineconn.Response, splitter *eventSplitter) sendResult {
+	if x.stream.resumes && !x.responded && len(splitter.pending) == 0 {
+		// The caller left after the last event.
+		x.writeHeader(response.Status, response.Header)
+		x.w.WriteHeader(response.Status)
+	}
 	if len(splitter.pending) > 0 || !x.responded {
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 	}
