feed: the stored versions are read at once after a loss of all routers

The row is read at once now while the history of versions is incomplete, and routers ask after 50, 100, 200 ms and so on. New tests: the row outlives all routers, and an incomplete history does not replace it.

--- a/internal/edge/feed/rowkeeper.go
+++ b/internal/edge/feed/rowkeeper.go
@@ -14,6 +14,8 @@
 	// rowCheckInterval is how often the router that reads the store compares what the routers share with
 	// the stored row.
 	rowCheckInterval = 500 * time.Millisecond
+	// rowUrgentInterval applies instead while the routers need the row.
+	rowUrgentInterval = 50 * time.Millisecond
 	// rowCheckDelay is how long a router must have been the reader before it reads the row. A starting
 	// fleet briefly has several readers.
 	rowCheckDelay = time.Second
@@ -34,6 +36,9 @@
 	storeEra func() (era catalog.Era, returned bool)
 	// missing is the value for which no row is needed.
 	missing []byte
+	// urgent reports whether the routers need the row at once: it is read without rowCheckDelay. Nil for
+	// never.
+	urgent func() bool
 	// load takes over the value of the row; nil if there is none.
 	load func(value []byte, now time.Duration)
 	// value returns the value that the row should have, or false if that is not known yet.
@@ -50,7 +55,7 @@
 
 // run updates the row when needed until the context is canceled.
 func (k *rowKeeper) run(ctx context.Context, clock Clock, failed func(error)) {
-	for pause.For(ctx, rowCheckInterval) {
+	for pause.For(ctx, k.interval()) {
 		if err := k.update(ctx, clock()); err != nil {
 			failed(err)
 			k.stored = nil
@@ -67,7 +72,7 @@
 	if k.readerSince == 0 {
 		k.readerSince = now
 	}
-	if now-k.readerSince < rowCheckDelay {
+	if now-k.readerSince < rowCheckDelay && !k.isUrgent() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
@@ -86,6 +91,15 @@
 	return k.save(ctx)
 }
 
+func (k *rowKeeper) isUrgent() bool { return k.urgent != nil && k.urgent() }
+
+func (k *rowKeeper) interval() time.Duration {
+	if k.isUrgent() {
+		return rowUrgentInterval
+	}
+	return rowCheckInterval
+}
+
 func (k *rowKeeper) read(ctx context.Context, now time.Duration) error {
 	row, err := k.table.Get(ctx, platform.UseFleet, contactsTable, k.key)
 	if platform.ErrNotFound.Has(err) {
--- a/internal/edge/feed/versionstore.go
+++ b/internal/edge/feed/versionstore.go
@@ -35,7 +35,13 @@
 }
 
 func (k *VersionsKeeper) row() *rowKeeper {
-	return &rowKeeper{key: versionsKey, table: k.Table, reads: k.Reads, storeEra: k.Era, load: k.load, value: k.value}
+	return &rowKeeper{key: versionsKey, table: k.Table, reads: k.Reads, storeEra: k.Era, urgent: k.incomplete, load: k.load, value: k.value}
+}
+
+// incomplete reports whether streams may be refused for want of the stored versions.
+func (k *VersionsKeeper) incomplete() bool {
+	_, complete := k.History()
+	return !complete
 }
 
 // load adopts the stored versions. A row that is missing or can't be read tells nothing.
--- /dev/null
+++ b/internal/edge/feed/versionstore_test.go
@@ -0,0 +1,65 @@
+package feed
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/store/platform"
+	"github.com/stretchr/testify/require"
+)
+
+// versionHistory is the history of a router.
+type versionHistory struct {
+	versions map[string][]string
+	complete bool
+}
+
+// newVersionsKeeper returns the keeper of a router that reads the store.
+func newVersionsKeeper(s *fakeStore, h *versionHistory) *VersionsKeeper {
+	start := time.Now()
+	return &VersionsKeeper{
+		Table: s, Reads: func() bool { return true }, Log: discardLogger(),
+		Era:     func() (catalog.Era, bool) { return catalog.Era{}, false },
+		History: func() (map[string][]string, bool) { return h.versions, h.complete },
+		Adopt:   func(versions map[string][]string) { h.versions, h.complete = versions, true },
+		Clock:   func() time.Duration { return time.Hour + time.Since(start) },
+	}
+}
+
+// Guards against a fleet that does not know after a loss of all routers which versions have served, and
+// refuses all streams that callers resume, or lets them go on anywhere.
+func TestVersionsOutliveAllRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		known := versionHistory{versions: map[string][]string{"svc": {"v1", "v2"}}, complete: true}
+		go newVersionsKeeper(s, &known).Run(t.Context())
+		time.Sleep(3 * time.Second)
+		calls := s.calls.Load()
+		time.Sleep(time.Minute)
+		require.Equal(t, calls, s.calls.Load(), "calls without a change")
+		var started versionHistory
+		go newVersionsKeeper(s, &started).Run(t.Context())
+		time.Sleep(2 * rowUrgentInterval)
+		require.Equal(t, known, started)
+	})
+}
+
+// Guards against a stored history that a router replaces which does not know all of it, and against a
+// row of other bytes that is taken for one.
+func TestIncompleteVersionsAreNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		_, err := s.Commit(t.Context(), platform.UseFleet, platform.Write{Key: versionsKey, Value: []byte("{")})
+		require.NoError(t, err)
+		partial := versionHistory{versions: map[string][]string{"svc": {"v2"}}}
+		go newVersionsKeeper(s, &partial).Run(t.Context())
+		time.Sleep(5 * time.Second)
+		require.False(t, partial.complete)
+		require.Equal(t, "{", string(s.rows[versionsKey]))
+		partial.complete = true
+		time.Sleep(time.Second)
+		require.JSONEq(t, `{"svc":["v2"]}`, string(s.rows[versionsKey]))
+	})
+}
--- a/internal/edge/origins/history.go
+++ b/internal/edge/origins/history.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// historyInterval is how often a router whose history is not complete asks for one, and
-	// historyTimeout bounds a call.
-	historyInterval = 300 * time.Millisecond
+	// minHistoryPause is the first pause between two calls of a router whose history is not complete;
+	// each further one is twice as long, up to maxHistoryPause. historyTimeout bounds a call.
+	minHistoryPause = 50 * time.Millisecond
+	maxHistoryPause = 2 * time.Second
 	historyTimeout  = time.Second
 )
 
@@ -34,10 +35,14 @@
 // FollowHistory asks for a complete history whenever that of this router is not, until the context
 // ends.
 func (r *Registry) FollowHistory(ctx context.Context) {
-	for pause.For(ctx, historyInterval) {
-		if !r.historyComplete() {
-			r.askHistory(ctx)
+	wait := minHistoryPause
+	for pause.For(ctx, wait) {
+		if r.historyComplete() {
+			wait = minHistoryPause
+			continue
 		}
+		r.askHistory(ctx)
+		wait = min(2*wait, maxHistoryPause)
 	}
 }
 
