forward: a restart in place that goes unnoticed for want of a connection

A stream that is resumed there waits for the engine's report; a stream that begins asks for it in parallel, always while several versions serve and else once a second at most.

--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -37,8 +37,9 @@
 	// Lost is called when an engine has closed a connection other than after a response that announced
 	// it, or refuses connections. The process that had the connection lived at aliveAt. Nil for nothing.
 	Lost func(engine string, aliveAt time.Duration)
-	// First is called when a connection to an engine was opened while there was no other. Nil for nothing.
-	First func(engine string)
+	// First is called when a connection to an engine was opened while there was no other, with
+	// Request.KnownStart. Nil for nothing.
+	First func(engine string, knownStart bool)
 	// Stalled is called in a goroutine of its own when an engine has not acknowledged a request for
 	// stallTime, which may be due to the path to it. Nil for nothing.
 	Stalled func(address string)
@@ -77,6 +78,8 @@
 	MaxIdle time.Duration
 	// Repeatable means that the request can go to another engine if this one does not respond.
 	Repeatable bool
+	// KnownStart means that it matters for the request of which start of the engine the process is.
+	KnownStart bool
 	// MaxIdleConns is the maximum number of idle connections to the engine.
 	MaxIdleConns int
 	// Matches reports whether a response with the header belongs to the request. An
@@ -259,8 +262,8 @@
 }
 
 // connect returns an idle connection, or opens a new one. Errors: ErrNotSent.
-func (p *Pool) connect(ctx context.Context, to Target, maxIdle time.Duration) (*conn, error) {
-	if c := p.takeIdle(to.ID, maxIdle); c != nil {
+func (p *Pool) connect(ctx context.Context, to Target, r *Request) (*conn, error) {
+	if c := p.takeIdle(to.ID, r.MaxIdle); c != nil {
 		c.reused = true
 		return c, nil
 	}
@@ -273,7 +276,7 @@
 	case errors.Is(err, syscall.ECONNREFUSED) && p.opts.Lost != nil:
 		p.opts.Lost(to.ID, p.opts.Clock())
 	case err == nil && first && p.opts.First != nil:
-		p.opts.First(to.ID)
+		p.opts.First(to.ID, r.KnownStart)
 	}
 	return c, err
 }
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -87,7 +87,7 @@
 // ErrNotSent (with ErrWithdrawn if the request was withdrawn), ErrNoResponse,
 // ErrMalformed.
 func (p *Pool) Send(ctx context.Context, to Target, r *Request) (*Response, error) {
-	c, err := p.connect(ctx, to, r.MaxIdle)
+	c, err := p.connect(ctx, to, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -14,6 +15,10 @@
 	lossSpread = 5 * time.Millisecond
 	// maxQueries is how often an engine is asked for its start after a loss.
 	maxQueries = 3
+	// beginQueriesPerSecond limits the queries for streams that begin while one version serves; a router
+	// that has just started opens a connection to each engine.
+	beginQueriesPerSecond = 1
+	beginQueryBurst       = 8
 )
 
 // RestartDoubts tracks the engines that may have been restarted in place, under the same ID and address,
@@ -30,11 +35,16 @@
 	queryStart func(catalog.Engine) (born int64, err error)
 	// multiVersion reports whether more than one version of a service has served lately.
 	multiVersion func(service string) bool
+	// begins limits the queries for streams that begin while one version serves.
+	begins *rate.Limiter
 	// answered is called when an engine has stated its start.
 	answered func()
 
 	mu     sync.Mutex
 	losses map[string]loss
+	// connectedAt is when a connection to an engine was opened while there was no other, as long as its
+	// entry may be that of a start before.
+	connectedAt map[string]time.Duration
 }
 
 // loss is the loss of connections to an engine.
@@ -53,7 +63,7 @@
 
 // NewRestartDoubts returns a RestartDoubts.
 func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (int64, error), multiVersion func(service string) bool) *RestartDoubts {
-	return &RestartDoubts{clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss)}
+	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connectedAt: make(map[string]time.Duration)}
 }
 
 // OnAnswer sets the function that is called when an engine has stated its start. It must be called before
@@ -79,9 +89,39 @@
 }
 
 // Connect records that a connection to the engine was opened while there was no other, so that a
-// restart since the last one went unnoticed. That matters while several versions serve.
-func (d *RestartDoubts) Connect(engine string) {
-	if e, ok := d.snapshot().Engines.ByID[engine]; ok && d.multiVersion(e.Service) {
+// restart since the last one went unnoticed. If knownStart is set, a stream that can be resumed uses it.
+func (d *RestartDoubts) Connect(engine string, knownStart bool) {
+	e, ok := d.snapshot().Engines.ByID[engine]
+	if !ok || e.Born == 0 {
+		return
+	}
+	d.mu.Lock()
+	d.connectedAt[engine] = d.clock()
+	d.mu.Unlock()
+	if knownStart {
+		d.VerifyBegin(e)
+	}
+}
+
+// VerifyBegin is Verify for a stream that begins at the engine. While one version serves, it is limited:
+// a restart that goes unnoticed matters only if it brings the first engine of another version.
+func (d *RestartDoubts) VerifyBegin(e catalog.Engine) {
+	d.mu.Lock()
+	_, unverified := d.connectedAt[e.ID]
+	d.mu.Unlock()
+	if unverified && (d.multiVersion(e.Service) || d.begins.Allow()) {
+		d.Verify(e)
+	}
+}
+
+// Verify puts the engine in doubt if a restart may have gone unnoticed.
+func (d *RestartDoubts) Verify(e catalog.Engine) {
+	asOf := d.snapshot().EnginesAsOf
+	d.mu.Lock()
+	at, ok := d.connectedAt[e.ID]
+	delete(d.connectedAt, e.ID)
+	d.mu.Unlock()
+	if ok && asOf <= at+entryDelay {
 		d.doubt(e, 0)
 		d.InDoubt(e)
 	}
@@ -187,7 +227,7 @@
 	}
 }
 
-// Prune drops the losses of engines that are gone.
+// Prune drops what is known of engines that are gone, or no longer matters.
 func (d *RestartDoubts) Prune() {
 	engines := d.snapshot().Engines.ByID
 	d.mu.Lock()
@@ -197,6 +237,12 @@
 			delete(d.losses, id)
 		}
 	}
+	asOf := d.snapshot().EnginesAsOf
+	for id, at := range d.connectedAt {
+		if _, ok := engines[id]; !ok || asOf > at+entryDelay {
+			delete(d.connectedAt, id)
+		}
+	}
 }
 
 // Count returns the number of engines with a loss that is not explained yet.
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -69,6 +69,7 @@
 	case x.stream.resumes && x.stream.version != "" && x.req.Resumes != "":
 		x.f.Origins.Renew(x.streamRecord(), x.stream.service, x.stream.version)
 	case x.recordsOrigin():
+		x.f.Doubts.VerifyBegin(e)
 		x.stream.seq++
 		recorded := x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, false)
 		if x.stream.sentTo != "" && x.stream.sentTo != e.Version {
@@ -125,6 +126,7 @@
 	if x.stream.version == "" {
 		return true
 	}
+	x.f.Doubts.Verify(e)
 	for waited := time.Duration(0); x.f.Doubts.InDoubt(e); waited += doubtPoll {
 		if waited >= doubtWait || !pause.For(x.r.Context(), doubtPoll) {
 			return false
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -282,7 +282,7 @@
 	return &engineconn.Request{
 		Method: x.r.Method, Target: x.requestTarget(), Host: x.r.Host,
 		Header: x.f.Codec.EngineHeader(x.r.Header, &x.req, info),
-		Body:   x.body, Repeatable: x.mayRepeat(), MaxIdle: maxIdle, MaxIdleConns: x.idleConnLimit(choice.Engine.Service),
+		Body:   x.body, Repeatable: x.mayRepeat(), KnownStart: x.recordsOrigin() || x.stream.version != "", MaxIdle: maxIdle, MaxIdleConns: x.idleConnLimit(choice.Engine.Service),
 		Withdrawn: func() bool { return x.stopped(choice.Engine) },
 		Waiting:   x.watchWait(choice),
 		Matches: func(h http.Header) bool {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -220,7 +220,7 @@
 	conns := engineconn.NewPool(engineconn.Options{
 		Clock: bootclock.Now, Dial: r.dialer.Dial, DialTimeout: reach.DialTimeout, Stalled: r.dialer.Stalled,
 		Lost:  func(engine string, aliveAt time.Duration) { r.doubts.Lose(engine, aliveAt) },
-		First: func(engine string) { r.doubts.Connect(engine) },
+		First: func(engine string, knownStart bool) { r.doubts.Connect(engine, knownStart) },
 	})
 	r.assembleOrigins(conns)
 	r.dialer.PathLost = func(address string) { r.pathChanged(conns, address, true) }
