soak: releases of versions, and callers that resume streams at other routers

Engines are replaced by and restarted in place as one of three versions, with entries that follow up to 0.5 s later, among all other faults; six callers leave streams at each event and resume them at random routers. Checked: events of one version, each once and in order; after the faults, streams are resumed at least as often as new ones begin.

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -40,6 +40,8 @@
 	evacuated string
 
 	mu sync.Mutex
+	// engineVersion is the version of the software of engines that are added.
+	engineVersion string
 	// crashes holds the times at which engines ended, by the body of the request that ended them.
 	crashes      map[string][]time.Time
 	disturbances []*disturbance
@@ -109,7 +111,7 @@
 // Other routers reach them through proxies at 127.1.NETWORK.1 and up.
 func newCluster(dir, binary string, network, routers, engines int) (*cluster, error) {
 	cl := &cluster{
-		dir: dir, binary: binary, store: platformtest.NewStore(), crashes: make(map[string][]time.Time), seed: fmt.Sprintf("127.%d.%d.1", advertisedOffset, network),
+		dir: dir, binary: binary, store: platformtest.NewStore(), engineVersion: versionName(0), crashes: make(map[string][]time.Time), seed: fmt.Sprintf("127.%d.%d.1", advertisedOffset, network),
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -144,7 +146,8 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	e := &engine{Engine: platformtest.NewEngine(fmt.Sprintf("engine-%d", len(cl.engines))), addedAt: time.Now()}
-	e.Site = site
+	e.Site, e.Version, e.Born = site, cl.engineVersion, time.Now().UnixMilli()
+	e.Stream(platformtest.StreamEvents, eventPause)
 	if len(cl.engines) >= cl.initialEngines {
 		e.ColdFor = platformtest.ColdStart
 	}
--- a/test/soak/recorder.go
+++ b/test/soak/recorder.go
@@ -25,6 +25,11 @@
 	// revokedAt is the time at which the store accepted a configuration without the key, by key.
 	revokedAt  map[string]time.Time
 	violations []string
+	// tries and streams are what callers received that resume streams. resumedAfter is how many were
+	// resumed after the faults, and how many were to be.
+	tries        []streamTry
+	streams      int
+	resumedAfter [2]int
 }
 
 func (rec *recorder) record(e observation) {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -42,6 +42,10 @@
 	// UnexpectedExits describes the routers that exited without a signal from the test.
 	UnexpectedExits []string
 	Faults          []string
+	// Streams counts the streams of callers that resume them, and Resumed how many of those were resumed
+	// after the faults, and how many were to be.
+	Streams int
+	Resumed [2]int
 	// Crashes is the number of engines that each crashing request ended.
 	Crashes map[string]int
 	// Violations describes the violated guarantees.
@@ -89,6 +93,13 @@
 			runCrasher(cl, path, body, rand.New(rand.NewPCG(o.Seed, uint64(1000+i))), stop)
 		}()
 	}
+	for i := range streamCallers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			runStreamCaller(cl, rec, rand.New(rand.NewPCG(o.Seed, uint64(3000+i))), stop)
+		}()
+	}
 	runFaults(cl, rec, rng, o.FaultDuration)
 	faultsEnd := time.Now()
 	cl.awaitCrashesStopped()
@@ -97,6 +108,7 @@
 	time.Sleep(measureTime)
 	measuredUntil := time.Now()
 	cl.checkSettings(rec)
+	rec.checkResumed(cl, recoveredAt, measuredUntil)
 	leaveAfterReturn(cl, rec, rand.New(rand.NewPCG(o.Seed, 2000)))
 	time.Sleep(measureTime)
 	close(stop)
@@ -182,6 +194,7 @@
 		func(rng *rand.Rand) { returnStore(cl, rec, rng, end) },
 		func(rng *rand.Rand) { cutRouters(cl, rec, rng, end) },
 		func(rng *rand.Rand) { weakenEngines(cl, rec, rng, end) },
+		func(rng *rand.Rand) { releaseVersions(cl, rec, rng, end) },
 	}
 	for _, run := range series {
 		childRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
@@ -265,7 +278,7 @@
 
 // result summarizes the run.
 func (rec *recorder) result(cl *cluster, recoveredAt time.Time) Result {
-	out := Result{Requests: len(rec.observations), UnexpectedExits: cl.exits(), Faults: rec.injected, Violations: rec.check(cl, recoveredAt), Crashes: make(map[string]int)}
+	out := Result{Requests: len(rec.observations), UnexpectedExits: cl.exits(), Faults: rec.injected, Violations: rec.check(cl, recoveredAt), Crashes: make(map[string]int), Streams: rec.streams, Resumed: rec.resumedAfter}
 	for body, times := range cl.crashes {
 		out.Crashes[body] = len(times)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -71,8 +71,8 @@
 			Dir: dir, Binary: binary, Network: *network,
 		})
 		require.NoError(t, err)
-		t.Logf("seed %d: %d requests, %d served, %d of %d after the faults, %d faults, crashes: %v, unexpected exits: %v",
-			seed, result.Requests, result.Served, result.AfterRecoveryServed, result.AfterRecovery, len(result.Faults), result.Crashes, result.UnexpectedExits)
+		t.Logf("seed %d: %d requests, %d served, %d of %d after the faults, %d faults, %d streams, %d of %d resumed after them, crashes: %v, unexpected exits: %v",
+			seed, result.Requests, result.Served, result.AfterRecoveryServed, result.AfterRecovery, len(result.Faults), result.Streams, result.Resumed[0], result.Resumed[1], result.Crashes, result.UnexpectedExits)
 		ok := len(result.Violations) == 0 && float64(result.AfterRecoveryServed) >= minServedShare*float64(result.AfterRecovery) && result.AfterRecovery > 0
 		if !ok {
 			t.Errorf("seed %d violated guarantees; logs in %s\n%v\nfaults: %v", seed, dir, result.Violations, result.Faults)
