--- a/internal/edge/origins/fleet_test.go
+++ b/internal/edge/origins/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,7 +42,11 @@
 	cut func(from, to string) bool
 	// dropSends drops records on their way; nil for none.
 	dropSends func(to string) bool
-	calls     int
+	// mu guards calls and serializes count.
+	mu    sync.Mutex
+	calls int
+	// count is called with each call; nil for nothing.
+	count func(from, to string, args any)
 }
 
 func newFleet(t *testing.T, routers int, versions ...string) *testFleet {
@@ -124,7 +129,12 @@
 }
 
 func (f *testFleet) call(ctx context.Context, from string, to feed.Peer, method string, args, reply any) error {
+	f.mu.Lock()
 	f.calls++
+	if f.count != nil {
+		f.count(from, to.Name, args)
+	}
+	f.mu.Unlock()
 	target := f.routers[to.Name]
 	switch {
 	case target == nil || !target.up:
