--- a/internal/cli/routers.go
+++ b/internal/cli/routers.go
@@ -137,6 +137,9 @@
 	if f.site != "" {
 		list.Engines = slices.DeleteFunc(list.Engines, func(e node.EngineStatus) bool { return e.Site != f.site })
 	}
+	if err := printVersions(con.out, list); err != nil {
+		return err
+	}
 	fmt.Fprintf(con.out, "\nengines that %s sends nothing or little: %d of %d\n", list.Router, len(list.Engines), list.Known)
 	if len(list.Engines) == 0 {
 		return nil
@@ -149,6 +152,20 @@
 	})
 }
 
+// printVersions prints the versions of the engines' software with the requests of one router.
+func printVersions(out io.Writer, list node.EngineList) error {
+	if len(list.Versions) == 0 {
+		return nil
+	}
+	fmt.Fprintf(out, "\nversions of engines, with the requests and resumed streams of %s\n", list.Router)
+	return table(out, true, "SERVICE\tVERSION\tENGINES\tTAKING\tREQUESTS\tFAILED\tRESUMED\tNOT RESUMED", func(w io.Writer) error {
+		for _, v := range list.Versions {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", v.Service, v.Version, v.Engines, v.Taking, v.Requests, v.Failed, v.Resumed, v.NotResumed)
+		}
+		return nil
+	})
+}
+
 // stateDuration returns for how long a state holds as text.
 func stateDuration(ms int64) string {
 	if ms == 0 {
--- a/internal/cli/routers_test.go
+++ b/internal/cli/routers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
+	"damaskrouter.example/damaskrouter/internal/edge/forward"
 	"damaskrouter.example/damaskrouter/internal/edge/node"
 	"damaskrouter.example/damaskrouter/internal/edge/settings"
 	"github.com/stretchr/testify/require"
@@ -127,13 +128,14 @@
 		require.NoError(t, json.NewEncoder(w).Encode(node.EngineList{Router: "front-a-1", Known: 12, Engines: []node.EngineStatus{
 			{Engine: "i-1", Service: "llm", Site: "a", State: node.EngineLeaving},
 			{Engine: "i-2", Service: "llm", Site: "b", State: node.EnginePaused, ForMS: 2400},
-		}}))
+		}, Versions: []node.VersionStatus{{Service: "llm", Version: "v1.1", Engines: 5, Taking: 4, VersionCounts: forward.VersionCounts{Requests: 90, Failed: 7, Resumed: 3, NotResumed: 2}}}}))
 	})
 	server := httptest.NewServer(mux)
 	defer server.Close()
 	code, out, stderr := execute("fleet", "--router", strings.TrimPrefix(server.URL, "http://"))
 	require.Equal(t, exitOK, code, stderr)
 	require.Contains(t, out, "engines that front-a-1 sends nothing or little: 2 of 12")
+	require.Regexp(t, `llm +v1.1 +5 +4 +90 +7 +3 +2`, out)
 	require.Regexp(t, `i-1 +llm +a +leaving +-`, out)
 	require.Regexp(t, `i-2 +llm +b +paused +2s`, out)
 
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -225,10 +225,11 @@
 	firstByte time.Duration
 	outcome   Reason
 	status    int
-	// engine is the engine of the last send, or the one that began the stream, and engineVersion the
+	// engine is the engine of the last send, or the one that began the stream, with its service and the
 	// version of its software.
-	engine, engineVersion string
-	fetchFrom             string
+	engine, engineService, engineVersion string
+
+	fetchFrom string
 	// reply is the header of the response to the last send; zero if there was none.
 	reply   Reply
 	aborted bool
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -219,7 +219,7 @@
 	e := choice.Engine
 	defer x.f.Engines.Done(choice)
 	x.sends++
-	x.engine, x.engineVersion = e.ID, e.Version
+	x.engine, x.engineService, x.engineVersion = e.ID, e.Service, e.Version
 	x.reply = Reply{}
 	x.via = ""
 	x.fetchFrom = choice.FetchFrom
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -24,10 +24,71 @@
 
 	mu     sync.Mutex
 	routes map[string]*hdrhistogram.Histogram
+	// versions counts the requests by service and version.
+	versions map[versionKey]*VersionCounts
+}
+
+type versionKey struct{ service, version string }
+
+// VersionCounts counts the requests at the engines of one version since the start of the router.
+type VersionCounts struct {
+	// Requests is the number of requests that were sent there last, and Failed of those that were not
+	// served.
+	Requests int64 `json:"requests"`
+	Failed   int64 `json:"failed"`
+	// Resumed is the number of streams that went on there, and NotResumed of those that did not, though
+	// the version was known.
+	Resumed    int64 `json:"resumed"`
+	NotResumed int64 `json:"not_resumed"`
+}
+
+// Version returns the counts of a version.
+func (s *Stats) Version(service, version string) VersionCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.versions[versionKey{service, version}]; c != nil {
+		return *c
+	}
+	return VersionCounts{}
+}
+
+// maxVersionCounts bounds the versions that are counted.
+const maxVersionCounts = 256
+
+// version returns the counts of a version to add to. The caller holds the mutex.
+func (s *Stats) version(service, version string) *VersionCounts {
+	key := versionKey{service, version}
+	c := s.versions[key]
+	if c == nil {
+		c = &VersionCounts{}
+		if len(s.versions) < maxVersionCounts {
+			s.versions[key] = c
+		}
+	}
+	return c
+}
+
+// recordVersion counts a finished request at the version of its last engine. The caller holds the mutex.
+func (s *Stats) recordVersion(x *exchange) {
+	if x.engineVersion != "" {
+		c := s.version(x.engineService, x.engineVersion)
+		c.Requests++
+		if x.outcome != "" {
+			c.Failed++
+		}
+	}
+	if !x.stream.resumes || x.stream.version == "" {
+		return
+	}
+	if c := s.version(x.stream.service, x.stream.version); x.outcome == "" || x.responded {
+		c.Resumed++
+	} else {
+		c.NotResumed++
+	}
 }
 
 func newStats() *Stats {
-	return &Stats{vars: new(expvar.Map).Init(), routes: make(map[string]*hdrhistogram.Histogram)}
+	return &Stats{vars: new(expvar.Map).Init(), routes: make(map[string]*hdrhistogram.Histogram), versions: make(map[versionKey]*VersionCounts)}
 }
 
 // Vars returns the counters by name.
@@ -52,6 +113,9 @@
 	if x.sends > 1 {
 		s.vars.Add("repeated_sends", int64(x.sends-1))
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordVersion(x)
 	if x.outcome != "" || x.route == nil {
 		return
 	}
@@ -59,8 +123,6 @@
 	if x.firstByte > 0 {
 		latency = x.firstByte
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	h := s.routes[kind]
 	if h == nil {
 		h = hdrhistogram.New(lowestLatency, highestLatency, latencyPrecision)
--- a/internal/edge/node/engines.go
+++ b/internal/edge/node/engines.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/forward"
 	"github.com/labstack/echo/v4"
 )
 
@@ -45,13 +47,61 @@
 	// Known is the number of engines that the router knows.
 	Known   int            `json:"known"`
 	Engines []EngineStatus `json:"engines"`
+	// Versions are the versions of the engines' software, also of those that have served lately. Routers
+	// of earlier releases list none.
+	Versions []VersionStatus `json:"versions"`
+}
+
+// VersionStatus describes a version of the engines' software of a service.
+type VersionStatus struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Engines is the number of engines that run it, and Taking of those that take new requests.
+	Engines int `json:"engines"`
+	Taking  int `json:"taking"`
+	forward.VersionCounts
+}
+
+// versionList returns the versions in the order of service and version.
+func (r *Router) versionList() []VersionStatus {
+	type key struct{ service, version string }
+	s := r.board.Snapshot()
+	byKey := make(map[key]*VersionStatus)
+	status := func(service, version string) *VersionStatus {
+		k := key{service, version}
+		if byKey[k] == nil {
+			byKey[k] = &VersionStatus{Service: service, Version: version, VersionCounts: r.forwarder.Stats().Version(service, version)}
+		}
+		return byKey[k]
+	}
+	history, _ := r.origins.History()
+	for service, versions := range history {
+		for _, version := range versions {
+			status(service, version)
+		}
+	}
+	for _, e := range s.Engines.ByID {
+		v := status(e.Service, e.Version)
+		v.Engines++
+		if s.TakesRequests(e) {
+			v.Taking++
+		}
+	}
+	out := make([]VersionStatus, 0, len(byKey))
+	for _, v := range byKey {
+		out = append(out, *v)
+	}
+	slices.SortFunc(out, func(a, b VersionStatus) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Version, b.Version))
+	})
+	return out
 }
 
 // engineList returns the engines that get no new requests from this router, or only few.
 func (r *Router) engineList() EngineList {
 	s := r.board.Snapshot()
 	paused, cold := r.engines.Pauses(), r.engines.ColdRemaining(s)
-	out := EngineList{Router: r.self.Name, Known: len(s.Engines.ByID), Engines: []EngineStatus{}}
+	out := EngineList{Router: r.self.Name, Known: len(s.Engines.ByID), Engines: []EngineStatus{}, Versions: r.versionList()}
 	for id, e := range s.Engines.ByID {
 		if state, left := engineState(s, e, paused[id], cold[id]); state != "" {
 			out.Engines = append(out.Engines, EngineStatus{Engine: id, Service: e.Service, Site: e.Site, State: state, ForMS: left.Milliseconds()})
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -46,7 +46,7 @@
 	vars.Set("engines_brittle", expvar.Func(func() any { return r.engines.BrittleEngines() }))
 	vars.Set("stream_origins", expvar.Func(func() any { return r.origins.Stats() }))
 	vars.Set("engines_in_doubt", expvar.Func(func() any { return r.doubts.Count() }))
-	vars.Set("engine_versions", expvar.Func(func() any { return r.board.Snapshot().Engines.Versions() }))
+	vars.Set("engine_versions", expvar.Func(func() any { return r.versionList() }))
 	vars.Set("engines_leaving", expvar.Func(func() any { return r.leavingEngines() }))
 	vars.Set("settings", expvar.Func(func() any { return r.settingsMetrics() }))
 	vars.Set("fleet", expvar.Func(func() any { return newFleetMetrics(r.statuses.All()) }))
