forward: tests of engines that may have been restarted

What puts an engine in doubt, what proves its start, and that the doubt ends: with its report, an older connection, its new entry or a younger list.

--- /dev/null
+++ b/internal/edge/forward/doubts_test.go
@@ -0,0 +1,161 @@
+package forward
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/stretchr/testify/require"
+)
+
+// doubtsFixture is a RestartDoubts of a router that knows one engine.
+type doubtsFixture struct {
+	*RestartDoubts
+	start    time.Time
+	snapshot *catalog.Snapshot
+	// openedAt is when the oldest open connection was opened; zero for none.
+	openedAt time.Duration
+	// running is the start of the engine that runs, and queryErr what a query for it fails with.
+	running      int64
+	queryErr     error
+	queries      int
+	multiVersion bool
+}
+
+func newDoubtsFixture() *doubtsFixture {
+	f := &doubtsFixture{start: time.Now(), running: 1}
+	f.list(1, 1)
+	f.RestartDoubts = NewRestartDoubts(f.now, func() *catalog.Snapshot { return f.snapshot },
+		func(_ string, before time.Duration) bool { return f.openedAt > 0 && f.openedAt < before },
+		func(catalog.Engine) (int64, error) {
+			f.queries++
+			time.Sleep(time.Millisecond)
+			return f.running, f.queryErr
+		},
+		func(string) bool { return f.multiVersion })
+	return f
+}
+
+func (f *doubtsFixture) now() time.Duration { return time.Hour + time.Since(f.start) }
+
+// list makes the router know the engine as of now, with the start and revision of its entry.
+func (f *doubtsFixture) list(born int64, revision uint64) {
+	s := catalog.NewSnapshot()
+	e := catalog.Engine{ID: "e", Service: "s", Version: "v1", Born: born, Revision: revision}
+	s.Engines, _ = s.Engines.Apply(catalog.EngineUpdate{Full: true, Upto: revision, Present: []catalog.Engine{e}}, 0)
+	s.EnginesAsOf = f.now()
+	f.snapshot = s
+}
+
+func (f *doubtsFixture) engine() catalog.Engine { return f.snapshot.Engines.ByID["e"] }
+
+// Guards against an engine whose version is relied on although its process may be another one than that
+// of its entry.
+func TestLostConnectionPutsEngineInDoubtUntilProved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Queries in progress end before the test.
+		defer time.Sleep(time.Second)
+		f := newDoubtsFixture()
+		require.False(t, f.InDoubt(f.engine()))
+		f.Lose("e", f.now())
+		time.Sleep(2 * lossSpread)
+		require.True(t, f.InDoubt(f.engine()))
+		time.Sleep(10 * time.Millisecond)
+		require.False(t, f.InDoubt(f.engine()), "it has stated the start of its entry")
+
+		f.running = 2
+		f.Lose("e", f.now())
+		require.True(t, f.InDoubt(f.engine()))
+		time.Sleep(10 * entryDelay)
+		f.list(1, 1)
+		require.True(t, f.InDoubt(f.engine()), "it has stated another start, however late the entry is")
+		require.True(t, f.Restarted(f.engine()))
+		before := f.engine()
+		f.list(2, 2)
+		require.False(t, f.InDoubt(f.engine()))
+		require.False(t, f.Restarted(f.engine()))
+		require.True(t, f.InDoubt(before), "a choice made before the entry was replaced")
+	})
+}
+
+func TestOlderConnectionProvesThatTheEngineWasNotRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Queries in progress end before the test.
+		defer time.Sleep(time.Second)
+		f := newDoubtsFixture()
+		f.openedAt = f.now()
+		time.Sleep(time.Second)
+		f.Lose("e", f.now())
+		time.Sleep(2 * lossSpread)
+		require.False(t, f.InDoubt(f.engine()))
+		require.Zero(t, f.queries)
+
+		// A connection opened after the last sign of life of the lost one may be to the new process.
+		aliveAt := f.now()
+		time.Sleep(time.Second)
+		f.openedAt = f.now()
+		f.running = 2
+		f.Lose("e", aliveAt)
+		time.Sleep(time.Second)
+		require.True(t, f.InDoubt(f.engine()))
+	})
+}
+
+// Guards against an engine that gets no resumed streams for good, since it does not state its start.
+func TestDoubtEndsWithAYoungerListOfEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Queries in progress end before the test.
+		defer time.Sleep(time.Second)
+		f := newDoubtsFixture()
+		f.queryErr = errors.New("no report")
+		f.Lose("e", f.now())
+		for range 10 {
+			time.Sleep(entryDelay)
+			require.True(t, f.InDoubt(f.engine()), "the list of engines is from before the loss")
+		}
+		require.LessOrEqual(t, f.queries, maxQueries)
+		f.list(1, 1)
+		require.False(t, f.InDoubt(f.engine()))
+		f.list(0, 2)
+		f.Lose("e", f.now())
+		require.False(t, f.InDoubt(f.engine()), "engines without a start get a new ID at each")
+	})
+}
+
+// Guards against an engine that was restarted while the router had no connection to it.
+func TestFirstConnectionIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Queries in progress end before the test.
+		defer time.Sleep(time.Second)
+		f := newDoubtsFixture()
+		f.running = 2
+		f.Connect("e", false)
+		require.False(t, f.InDoubt(f.engine()), "only streams need certainty")
+		f.Verify(f.engine())
+		require.True(t, f.InDoubt(f.engine()))
+
+		f = newDoubtsFixture()
+		for range 10 * beginQueryBurst {
+			f.Connect("e", true)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.queries, beginQueryBurst+1, "one version serves")
+		f.multiVersion = true
+		f.queries = 0
+		for range 10 {
+			f.Connect("e", true)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Equal(t, 10, f.queries)
+
+		f = newDoubtsFixture()
+		f.running = 2
+		f.Connect("e", false)
+		time.Sleep(2 * entryDelay)
+		f.list(1, 1)
+		f.Verify(f.engine())
+		require.False(t, f.InDoubt(f.engine()), "the list of engines is younger")
+	})
+}
