--- a/internal/edge/forward/doubts_test.go
+++ b/internal/edge/forward/doubts_test.go
@@ -51,24 +51,30 @@
 
 func (f *doubtsFixture) engine() catalog.Engine { return f.snapshot.Engines.ByID["e"] }
 
+// sleep waits and then until no query is in progress.
+func sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // Guards against an engine whose version is relied on although its process may be another one than that
 // of its entry.
 func TestLostConnectionPutsEngineInDoubtUntilProved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Queries in progress end before the test.
-		defer time.Sleep(time.Second)
+		defer sleep(time.Second)
 		f := newDoubtsFixture()
 		require.False(t, f.InDoubt(f.engine()))
 		f.Lose("e", f.now())
-		time.Sleep(2 * lossSpread)
+		sleep(2 * lossSpread)
 		require.True(t, f.InDoubt(f.engine()))
-		time.Sleep(10 * time.Millisecond)
+		sleep(10 * time.Millisecond)
 		require.False(t, f.InDoubt(f.engine()), "it has stated the start of its entry")
 
 		f.running = 2
 		f.Lose("e", f.now())
 		require.True(t, f.InDoubt(f.engine()))
-		time.Sleep(10 * entryDelay)
+		sleep(10 * entryDelay)
 		f.list(1, 1)
 		require.True(t, f.InDoubt(f.engine()), "it has stated another start, however late the entry is")
 		require.True(t, f.Restarted(f.engine()))
@@ -83,22 +89,22 @@
 func TestOlderConnectionProvesThatTheEngineWasNotRestarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Queries in progress end before the test.
-		defer time.Sleep(time.Second)
+		defer sleep(time.Second)
 		f := newDoubtsFixture()
 		f.openedAt = f.now()
-		time.Sleep(time.Second)
+		sleep(time.Second)
 		f.Lose("e", f.now())
-		time.Sleep(2 * lossSpread)
+		sleep(2 * lossSpread)
 		require.False(t, f.InDoubt(f.engine()))
 		require.Zero(t, f.queries)
 
 		// A connection opened after the last sign of life of the lost one may be to the new process.
 		aliveAt := f.now()
-		time.Sleep(time.Second)
+		sleep(time.Second)
 		f.openedAt = f.now()
 		f.running = 2
 		f.Lose("e", aliveAt)
-		time.Sleep(time.Second)
+		sleep(time.Second)
 		require.True(t, f.InDoubt(f.engine()))
 	})
 }
@@ -107,12 +113,12 @@
 func TestDoubtEndsWithAYoungerListOfEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Queries in progress end before the test.
-		defer time.Sleep(time.Second)
+		defer sleep(time.Second)
 		f := newDoubtsFixture()
 		f.queryErr = errors.New("no report")
 		f.Lose("e", f.now())
 		for range 10 {
-			time.Sleep(entryDelay)
+			sleep(entryDelay)
 			require.True(t, f.InDoubt(f.engine()), "the list of engines is from before the loss")
 		}
 		require.LessOrEqual(t, f.queries, maxQueries)
@@ -128,7 +134,7 @@
 func TestFirstConnectionIsNoProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Queries in progress end before the test.
-		defer time.Sleep(time.Second)
+		defer sleep(time.Second)
 		f := newDoubtsFixture()
 		f.running = 2
 		f.Connect("e", false)
@@ -139,21 +145,21 @@
 		f = newDoubtsFixture()
 		for range 10 * beginQueryBurst {
 			f.Connect("e", true)
-			time.Sleep(10 * time.Millisecond)
+			sleep(10 * time.Millisecond)
 		}
 		require.LessOrEqual(t, f.queries, beginQueryBurst+1, "one version serves")
 		f.multiVersion = true
 		f.queries = 0
 		for range 10 {
 			f.Connect("e", true)
-			time.Sleep(10 * time.Millisecond)
+			sleep(10 * time.Millisecond)
 		}
 		require.Equal(t, 10, f.queries)
 
 		f = newDoubtsFixture()
 		f.running = 2
 		f.Connect("e", false)
-		time.Sleep(2 * entryDelay)
+		sleep(2 * entryDelay)
 		f.list(1, 1)
 		f.Verify(f.engine())
 		require.False(t, f.InDoubt(f.engine()), "the list of engines is younger")
