--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -144,15 +144,16 @@
 	return out
 }
 
-// LacksVersions reports whether entries came from a router of an earlier release, which does not pass
-// the versions on.
-func (s *EngineSet) LacksVersions() bool {
-	for _, e := range s.ByID {
+// WithoutVersion returns the revisions of the entries that state no version, by engine. They came from a
+// router of an earlier release, which does not pass the versions on, or the engine states none.
+func (s *EngineSet) WithoutVersion() map[string]uint64 {
+	out := make(map[string]uint64)
+	for id, e := range s.ByID {
 		if e.Version == "" {
-			return true
+			out[id] = e.Revision
 		}
 	}
-	return false
+	return out
 }
 
 // WithVersions returns the set with the versions that it lacks, as far as the entries are the same.
--- a/internal/edge/feed/versionreader.go
+++ b/internal/edge/feed/versionreader.go
@@ -24,24 +24,43 @@
 		ReadEngines(ctx context.Context) (catalog.EngineUpdate, error)
 	}
 	Log *log.Logger
+
+	// read holds the revisions of entries without a version that were read.
+	read map[string]uint64
 }
 
 // Run reads versions when needed until the context is canceled.
 func (v *VersionReader) Run(ctx context.Context) {
 	for pause.For(ctx, versionReadInterval) {
-		if v.Board.Snapshot().Engines.LacksVersions() {
-			v.read(ctx)
+		lacking := v.Board.Snapshot().Engines.WithoutVersion()
+		if v.allRead(lacking) {
+			continue
+		}
+		if err := v.readVersions(ctx); err != nil {
+			v.Log.Warn("versions of engines not read", "cause", err)
+			continue
+		}
+		v.read = lacking
+	}
+}
+
+// allRead reports whether the store states no version for any of these entries.
+func (v *VersionReader) allRead(lacking map[string]uint64) bool {
+	for id, revision := range lacking {
+		if v.read[id] < revision {
+			return false
 		}
 	}
+	return true
 }
 
-func (v *VersionReader) read(ctx context.Context) {
+func (v *VersionReader) readVersions(ctx context.Context) error {
 	readCtx, cancel := context.WithTimeout(ctx, versionReadTimeout)
 	defer cancel()
 	update, err := v.Store.ReadEngines(readCtx)
 	if err != nil {
-		v.Log.Warn("versions of engines not read", "cause", err)
-		return
+		return err
 	}
 	v.Board.PutVersions(ctx, update.Present)
+	return nil
 }
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -145,11 +145,11 @@
 	}
 	found, err := x.f.Origins.Find(x.r.Context(), account, id, x.services())
 	if err != nil {
-		x.f.Log.Warn("stream not resumed", "request", x.req.ID, "route", x.route.Name, "resumes", x.req.Resumes, "after", x.req.LastEvent, "reason", ReasonOriginUnknown, "cause", err)
+		x.f.Log.Warn("stream not resumed", "request", x.req.ID, "route", x.route.Name, "resumes", clip(x.req.Resumes), "after", clip(x.req.LastEvent), "reason", ReasonOriginUnknown, "cause", err)
 		return notExecuted(ReasonOriginUnknown, retryLater)
 	}
 	x.stream.service, x.stream.version = found.Service, found.Version
-	x.f.Log.Info("stream resumed by its caller", "request", x.req.ID, "route", x.route.Name, "resumes", x.req.Resumes, "after", x.req.LastEvent,
+	x.f.Log.Info("stream resumed by its caller", "request", x.req.ID, "route", x.route.Name, "resumes", clip(x.req.Resumes), "after", clip(x.req.LastEvent),
 		"service", found.Service, "version", found.Version, "source", found.From, "age", found.Age)
 	if !x.versionServes() {
 		return notExecuted(ReasonVersionGone, retryLater)
@@ -157,6 +157,9 @@
 	return nil
 }
 
+// clip returns a value of a caller's header for a log line.
+func clip(value string) string { return value[:min(len(value), maxRequestID)] }
+
 // services returns the services to which the route sends requests.
 func (x *exchange) services() []string {
 	out := make([]string, 0, len(x.route.Backends))
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -64,7 +64,7 @@
 		fields = append(fields, "engine_version", x.engineVersion)
 	}
 	if x.req.LastEvent != "" {
-		fields = append(fields, "last_event", x.req.LastEvent, "resumes", x.req.Resumes)
+		fields = append(fields, "last_event", clip(x.req.LastEvent), "resumes", clip(x.req.Resumes))
 	}
 	if x.via != "" {
 		fields = append(fields, "via", x.via)
