--- a/internal/decide/origin/origin_test.go
+++ b/internal/decide/origin/origin_test.go
@@ -18,7 +18,7 @@
 	require.NotEqual(t, KeyOf("a1", "2"), KeyOf("a", "12"))
 }
 
-// Guards against a stream that goes on at a version although two requests with its ID began streams at
+// Guards against a stream that continues at a version although two requests with its ID began streams at
 // different versions, in whatever order their records arrive.
 func TestMerge(t *testing.T) {
 	record := func(writer uint64, seq uint32, version string) Record {
--- a/internal/decide/origin/record.go
+++ b/internal/decide/origin/record.go
@@ -1,7 +1,7 @@
 // Package origin decides what a fleet remembers of streams that may be resumed: which version of the
 // engines' software began each, and which routers keep that. It reads no clock and does no I/O.
 //
-// Events of two versions don't fit together, so that a stream may only go on at the version that
+// Events of two versions don't fit together, so that a stream may only continue at the version that
 // began it. A caller may resume it at any router, also when the one that began it is gone.
 package origin
 
--- a/internal/edge/feed/versionstore.go
+++ b/internal/edge/feed/versionstore.go
@@ -44,7 +44,7 @@
 	return !complete
 }
 
-// load adopts the stored versions. A row that is missing or can't be read tells nothing.
+// load adopts the stored versions. A row that is missing or can't be read says nothing.
 func (k *VersionsKeeper) load(value []byte, _ time.Duration) {
 	if value == nil {
 		return
--- a/internal/edge/feed/versionstore_test.go
+++ b/internal/edge/feed/versionstore_test.go
@@ -29,7 +29,7 @@
 }
 
 // Guards against a fleet that does not know after a loss of all routers which versions have served, and
-// refuses all streams that callers resume, or lets them go on anywhere.
+// refuses all streams that callers resume, or lets them continue anywhere.
 func TestVersionsOutliveAllRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -13,7 +13,7 @@
 	entryDelay = 1500 * time.Millisecond
 	// lossSpread is the time within which all connections of a process that ends are lost.
 	lossSpread = 5 * time.Millisecond
-	// maxQueries is how often an engine is asked for its start after a loss.
+	// maxQueries is how often an engine is queried for its start after a loss.
 	maxQueries = 3
 	// beginQueriesPerSecond limits the queries of a router for streams that begin while one version serves.
 	// With 295 routers and two such streams a second at each, an engine gets two queries a second.
@@ -22,8 +22,8 @@
 )
 
 // RestartDoubts tracks the engines that may have been restarted in place, under the same ID and address,
-// without their entries telling so yet: the new process may be of another version. A lost connection is
-// a sign of that, unless an older one is still open. The engine is asked then when it was started.
+// before their entries show it: the new process may be of another version. A lost connection is
+// a sign of that, unless an older one is still open. The engine is then queried for the time of its start.
 // Engines that state no start in their entries have another ID after each. It is safe for concurrent
 // use.
 type RestartDoubts struct {
@@ -55,7 +55,7 @@
 	// last loss, on the boot clock.
 	aliveAt, last time.Duration
 	// restarted is set if the engine has stated another start than the entry. queries counts how often it
-	// was asked, and querying is set while it is.
+	// was queried, and querying is set while it is.
 	restarted bool
 	queries   int
 	querying  bool
@@ -178,7 +178,7 @@
 	return false
 }
 
-// ask queries the engine for its start, unless that is in progress. The caller holds the mutex.
+// query asks the engine for its start, unless that is in progress. The caller holds the mutex.
 func (d *RestartDoubts) query(engine string, l loss) {
 	if l.querying || l.queries >= maxQueries || l.engine.ID != engine {
 		return
@@ -194,7 +194,7 @@
 	}()
 }
 
-// recordStart applies the reply of an engine that was asked at sent.
+// recordStart applies the reply of an engine that was queried at sent.
 func (d *RestartDoubts) recordStart(e catalog.Engine, sent time.Duration, born int64, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -20,13 +20,13 @@
 	maxRequestID = 256
 )
 
-// streamState is what a stream that can be resumed holds on to: a stream goes on only at engines of the
+// streamState is what a stream that can be resumed holds on to: a stream continues only at engines of the
 // version that began it.
 type streamState struct {
 	// resumes is set if the request resumes a stream of an earlier one.
 	resumes bool
 	// service and version are those of the engine that began the stream. They are empty before the first
-	// event, and for a stream that may go on anywhere.
+	// event, and for a stream that may continue anywhere.
 	service, version string
 	// doubtful is set if the stream has begun at an engine that may have been restarted with another
 	// version. Its record tells whether that has been settled since.
@@ -105,7 +105,7 @@
 	}
 }
 
-// holdVersion reports whether it is known at which version the stream that has begun goes on.
+// holdVersion reports whether it is known at which version the stream that has begun continues.
 func (x *exchange) holdVersion() bool {
 	if !x.stream.doubtful {
 		return x.stream.version != ""
@@ -114,7 +114,7 @@
 }
 
 // confirmVersion reports whether the response of an engine is certainly of the version at which the
-// stream goes on. A request that begins a stream needs no certain version.
+// stream continues. A request that begins a stream needs no certain version.
 func (x *exchange) confirmVersion(e catalog.Engine) bool {
 	if x.stream.version == "" {
 		return true
@@ -128,8 +128,8 @@
 	return true
 }
 
-// findOrigin finds out at which version a stream goes on that the request resumes. If that can't be
-// told, the request is refused: the caller would get events that don't continue those it has.
+// findOrigin determines at which version the stream continues that the request resumes. If it is not
+// known, the request is refused: the caller would get events that do not follow those it has.
 func (x *exchange) findOrigin() *Refusal {
 	if x.route.Kind != catalog.Streaming || x.req.LastEvent == "" {
 		return nil
@@ -171,7 +171,7 @@
 	return out
 }
 
-// streamService returns the service at which the stream goes on, unless the route does not use it any
+// streamService returns the service at which the stream continues, unless the route does not use it any
 // more.
 func (x *exchange) streamService() []string {
 	for _, service := range x.services() {
@@ -182,7 +182,7 @@
 	return nil
 }
 
-// versionServes reports whether an engine takes requests at which the stream may go on.
+// versionServes reports whether an engine takes requests at which the stream may continue.
 func (x *exchange) versionServes() bool {
 	if x.stream.version == "" {
 		return true
--- a/internal/edge/forward/startquery.go
+++ b/internal/edge/forward/startquery.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// queryTimeout bounds the time to ask an engine for its start.
+	// queryTimeout bounds the time to query an engine for its start.
 	queryTimeout = 300 * time.Millisecond
 	// maxStartReply is the longest reply, in bytes.
 	maxStartReply = 64 << 10
 )
 
-// QueryStart returns a function that queries an engine when it was started. It opens a connection of its own.
+// QueryStart returns a function that queries an engine for the time of its start. It opens a connection of its own.
 func QueryStart(conns *engineconn.Pool, codec Codec) func(catalog.Engine) (born int64, err error) {
 	return func(e catalog.Engine) (int64, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
--- a/internal/edge/forward/versions.go
+++ b/internal/edge/forward/versions.go
@@ -5,7 +5,7 @@
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
 )
 
-// SetDoubts sets what tells which engines may run another version than their entries state. It must be
+// SetDoubts sets what reports which engines may run another version than their entries state. It must be
 // called before the first request.
 func (p *Balancer) SetDoubts(doubts *RestartDoubts) { p.doubts = doubts }
 
--- a/internal/edge/origins/drill_test.go
+++ b/internal/edge/origins/drill_test.go
@@ -80,8 +80,8 @@
 
 func versionOf(i int) string { return fmt.Sprint("v", 1+i%2) }
 
-// share resumes every fifth stream at a random router that is up, and returns the share that goes on. A
-// stream that would go on at another version fails the test.
+// share resumes every fifth stream at a random router that is up, and returns the share that continues. A
+// stream that would continue at another version fails the test.
 func (f *testFleet) share(t *testing.T, rng *rand.Rand) float64 {
 	found, asked := 0, 0
 	for i := 0; i < drillRate*drillSeconds; i += 5 {
@@ -99,7 +99,7 @@
 }
 
 // TestDrillOfLargestFleet logs the cost of the records in a fleet of 295 routers, and which share of the streams
-// goes on after losses of routers.
+// continues after losses of routers.
 func TestDrillOfLargestFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(1, 1))
@@ -130,8 +130,8 @@
 	})
 }
 
-// TestDrillOfLosses logs which share of the streams goes on after routers of the largest fleet are lost at once, and
-// checks that none goes on at another version.
+// TestDrillOfLosses logs which share of the streams continues after routers of the largest fleet are lost at once, and
+// checks that none continues at another version.
 func TestDrillOfLosses(t *testing.T) {
 	for _, lost := range []int{1, 30, 98, 200} {
 		t.Run(fmt.Sprint(lost), func(t *testing.T) {
--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -11,13 +11,13 @@
 	"github.com/zeebo/errs"
 )
 
-// ErrUnknown means that the version that began a stream can't be told.
+// ErrUnknown means that the version that began a stream can't be determined.
 var ErrUnknown = errs.Class("origin of the stream unknown")
 
 const (
 	// findTimeout bounds the calls to one ring of replicas.
 	findTimeout = 150 * time.Millisecond
-	// maxRings is how many rings of replicas are asked. Those of the second may have been the replicas
+	// maxRings is how many rings of replicas are queried. Those of the second may have been the replicas
 	// before routers came or went.
 	maxRings = 2
 )
@@ -25,7 +25,7 @@
 // Found is the origin of a stream.
 type Found struct {
 	Service, Version string
-	// From is the router that has told it, or OnlyVersion.
+	// From is the router that reported it, or OnlyVersion.
 	From string
 	// Age is how long ago the record was written.
 	Age time.Duration
@@ -73,16 +73,16 @@
 	registry *Registry
 	args     FindArgs
 	own      FindReply
-	// replies are those of other routers, and asked the number of routers asked.
+	// replies are those of other routers, and queried the number of routers called.
 	replies []FindReply
-	asked   int
+	queried int
 	// record is what all records that were found state together; nil if there was none.
 	record *origin.Record
 	// alone is set if there is no other router that could keep the record.
 	alone bool
 }
 
-// run asks the replicas of the stream. It returns the first record that states a version.
+// run queries the replicas of the stream. It returns the first record that states a version.
 func (s *search) run(ctx context.Context, named bool) (Found, bool) {
 	r := s.registry
 	r.mu.Lock()
@@ -105,7 +105,7 @@
 		if n == 0 {
 			break
 		}
-		if out, ok := s.ask(ctx, ranked[:n], peers); ok {
+		if out, ok := s.query(ctx, ranked[:n], peers); ok {
 			return out, true
 		}
 		ranked = ranked[n:]
@@ -140,8 +140,8 @@
 	return s.record.Known()
 }
 
-// ask asks routers at once and returns the first record that states a version.
-func (s *search) ask(ctx context.Context, members []origin.Member, peers map[string]feed.Peer) (Found, bool) {
+// query calls routers at once and returns the first record that states a version.
+func (s *search) query(ctx context.Context, members []origin.Member, peers map[string]feed.Peer) (Found, bool) {
 	type result struct {
 		from  string
 		reply FindReply
@@ -160,7 +160,7 @@
 			results <- out
 		}()
 	}
-	s.asked += len(members)
+	s.queried += len(members)
 	for range members {
 		select {
 		case <-ctx.Done():
@@ -182,14 +182,14 @@
 }
 
 // onlyVersion returns the version that has begun the stream if no other one can have: all that this
-// router and those asked have seen lately is one version of one service, and one of them has seen
+// router and those queried have seen lately is one version of one service, and one of them has seen
 // everything. Errors: ErrUnknown.
 func (s *search) onlyVersion() (Found, error) {
 	if s.record != nil {
 		return Found{}, ErrUnknown.New("the record states no version")
 	}
 	if len(s.replies) == 0 && !s.alone {
-		return Found{}, ErrUnknown.New("none of %d routers replied", s.asked)
+		return Found{}, ErrUnknown.New("none of %d routers replied", s.queried)
 	}
 	complete := false
 	versions := make(map[string]map[string]bool)
--- a/internal/edge/origins/fleet_test.go
+++ b/internal/edge/origins/fleet_test.go
@@ -167,7 +167,7 @@
 	return Stream{Account: "a", ID: id, Exchange: NewExchange(), Life: 15 * time.Second}
 }
 
-// find returns the version at which a router lets a stream go on, or an empty string.
+// find returns the version at which a router lets a stream continue, or an empty string.
 func (f *testFleet) find(router, id string) string {
 	found, err := f.routers[router].registry.Find(f.t.Context(), "a", id, []string{"svc"})
 	if err != nil {
--- a/internal/edge/origins/history.go
+++ b/internal/edge/origins/history.go
@@ -32,7 +32,7 @@
 	r.history.Adopt(versions, r.Clock())
 }
 
-// FollowHistory asks for a complete history whenever that of this router is not, until the context
+// FollowHistory requests a complete history whenever that of this router is not, until the context
 // ends.
 func (r *Registry) FollowHistory(ctx context.Context) {
 	wait := minHistoryPause
@@ -41,7 +41,7 @@
 			wait = minHistoryPause
 			continue
 		}
-		r.askHistory(ctx)
+		r.requestHistory(ctx)
 		wait = min(2*wait, maxHistoryPause)
 	}
 }
@@ -52,9 +52,9 @@
 	return r.history.Complete(r.Clock())
 }
 
-// askHistory asks the router that precedes this one in the fleet for a complete history. The first one
+// requestHistory requests the history of the router that precedes this one in the fleet for a complete history. The first one
 // of the fleet reads it from the store.
-func (r *Registry) askHistory(ctx context.Context) {
+func (r *Registry) requestHistory(ctx context.Context) {
 	live := r.Live()
 	self := slices.IndexFunc(live, func(p feed.Peer) bool { return p.Name == r.Self })
 	if self < 0 {
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -140,7 +140,7 @@
 	})
 }
 
-// Guards against a request that was sent to engines of two versions before its first event, and goes on
+// Guards against a request that was sent to engines of two versions before its first event, and continues
 // at the first one.
 func TestLaterSendReplacesTheRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -198,7 +198,7 @@
 }
 
 // TestOriginNeverMistaken runs every case of four routers, of which one begins a stream: which of the others get
-// its record, which are killed afterwards, which routers the beginner and the one that is asked believe
+// its record, which are killed afterwards, which routers the beginner and the one that is queried believe
 // alive, and which versions the latter knows. What is found must be the stream's version, and must be
 // found if a replica of both views has the record.
 func TestOriginNeverMistaken(t *testing.T) {
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -3,7 +3,7 @@
 //
 // While one version serves, a router remembers its own streams only. Once there are several, each
 // router sends the records of its streams to a few others, while the engine reads the prompt: no event
-// waits for that. A router at which a caller resumes a stream asks them; if none knows, the stream goes
+// waits for that. A router at which a caller resumes a stream queries them; if none knows, the stream goes
 // on only if no other version can have begun it.
 package origins
 
@@ -27,14 +27,14 @@
 	// or gone.
 	reviewInterval = 50 * time.Millisecond
 	// freshFor is the age of the engine list up to which this router is taken to know all engines. An
-	// older one is as good while all routers are there, since one that knows more would tell.
+	// older one is as good while all routers are there, since one that knows more would report it.
 	freshFor = 2 * time.Second
 	// expireInterval is how often records are dropped whose time is over.
 	expireInterval = time.Second
 	// maxLife bounds how long a record is kept, and lifeMargin is how much longer than the caller waits.
 	maxLife    = 10 * time.Minute
 	lifeMargin = 5 * time.Second
-	// unsupportedFor is for how long a router of an earlier release, which keeps no records, is not asked
+	// unsupportedFor is for how long a router of an earlier release, which keeps no records, is not queried
 	// again.
 	unsupportedFor = 30 * time.Second
 )
@@ -47,7 +47,7 @@
 	// Live returns the routers that are believed alive, with this one unless it leaves.
 	Live     func() []feed.Peer
 	Snapshot func() *catalog.Snapshot
-	// InDoubt reports whether an engine may have been restarted without its entry telling so yet.
+	// InDoubt reports whether an engine may have been restarted before its entry shows it.
 	InDoubt func(catalog.Engine) bool
 	// FirstStart is set if the fleet starts for the first time, so that there were no streams before.
 	FirstStart bool
@@ -109,7 +109,7 @@
 	ID string
 	// Exchange is a random number that distinguishes this request from others with the same ID.
 	Exchange uint64
-	// Life is how long the caller may go on resuming the stream.
+	// Life is how long the caller may keep resuming the stream.
 	Life time.Duration
 }
 
--- a/internal/edge/origins/service.go
+++ b/internal/edge/origins/service.go
@@ -23,7 +23,7 @@
 // Empty is an empty reply.
 type Empty struct{}
 
-// FindArgs asks for the record of a stream.
+// FindArgs requests the record of a stream.
 type FindArgs struct {
 	Key origin.Key
 	// Services are those to which the stream's route sends requests.
@@ -40,7 +40,7 @@
 	Complete bool
 }
 
-// HistoryArgs asks for the versions that have served lately.
+// HistoryArgs requests the versions that have served lately.
 type HistoryArgs struct{}
 
 // HistoryReply is the reply to HistoryArgs.
--- a/test/soak/versions.go
+++ b/test/soak/versions.go
@@ -16,7 +16,7 @@
 	// maxVersions is the number of versions that releases draw from, so that later ones return to earlier
 	// ones.
 	maxVersions = 3
-	// maxEntryLag is the longest time after the start of an engine until its entry tells of it.
+	// maxEntryLag is the longest time after the start of an engine until its entry shows it.
 	maxEntryLag = 500 * time.Millisecond
 	// streamCallers is the number of callers that resume streams, and maxTries how often each resumes one.
 	streamCallers = 6
