origins: versions are remembered for as long as a resumable stream may last

Found by reading: a version that had left 30 s ago was forgotten, though a route may let streams last longer; a stream of it whose record is lost would have gone on at the version that is left.

--- a/internal/decide/origin/history.go
+++ b/internal/decide/origin/history.go
@@ -5,10 +5,13 @@
 	"time"
 )
 
-// Window is for how long a version that serves no more is remembered: a stream that it began may be
+// Window is for how long at least a version that serves no more is remembered: a stream that it began may be
 // resumed for as long.
 const Window = 30 * time.Second
 
+// maxWindow bounds SetWindow. What is adopted as complete is complete for any window.
+const maxWindow = time.Hour
+
 // maxObservationGap is the longest time between two observations after which none in between can have
 // been missed. A router that was suspended for longer begins anew.
 const maxObservationGap = 5 * time.Second
@@ -20,18 +23,24 @@
 	// completeSince is the reading of the boot clock since which all versions were seen.
 	completeSince time.Duration
 	observedAt    time.Duration
+	// window is for how long versions are remembered.
+	window time.Duration
 }
 
 // NewHistory returns an empty history that begins at now. If complete is set, there were no streams
 // before.
 func NewHistory(now time.Duration, complete bool) *History {
-	h := &History{seen: make(map[string]map[string]time.Duration), completeSince: now, observedAt: now}
+	h := &History{seen: make(map[string]map[string]time.Duration), completeSince: now, observedAt: now, window: Window}
 	if complete {
-		h.completeSince = now - Window
+		h.completeSince = now - maxWindow
 	}
 	return h
 }
 
+// SetWindow sets for how long versions are remembered, if that is longer than Window. A history that was
+// complete is complete again once it has lasted for the longer time.
+func (h *History) SetWindow(window time.Duration) { h.window = min(max(window, Window), maxWindow) }
+
 // Observe records the versions that serve at now.
 func (h *History) Observe(versions map[string][]string, now time.Duration) {
 	if now-h.observedAt > maxObservationGap {
@@ -41,7 +50,7 @@
 	h.see(versions, now)
 	for service, byVersion := range h.seen {
 		for version, at := range byVersion {
-			if now-at > Window {
+			if now-at > h.window {
 				delete(byVersion, version)
 			}
 		}
@@ -55,7 +64,7 @@
 // complete then too.
 func (h *History) Adopt(versions map[string][]string, now time.Duration) {
 	h.see(versions, now)
-	h.completeSince = min(h.completeSince, now-Window)
+	h.completeSince = min(h.completeSince, now-maxWindow)
 }
 
 func (h *History) see(versions map[string][]string, now time.Duration) {
@@ -71,10 +80,11 @@
 	}
 }
 
-// Complete reports whether the history contains all versions that have served within Window.
-func (h *History) Complete(now time.Duration) bool { return now-h.completeSince >= Window }
+// Complete reports whether the history contains all versions that have served within the
+// window.
+func (h *History) Complete(now time.Duration) bool { return now-h.completeSince >= h.window }
 
-// Versions returns the versions of a service that have served within Window, in order of their texts.
+// Versions returns the versions of a service that have served within the window, in order of their texts.
 func (h *History) Versions(service string) []string {
 	out := make([]string, 0, len(h.seen[service]))
 	for version := range h.seen[service] {
--- a/internal/decide/origin/origin_test.go
+++ b/internal/decide/origin/origin_test.go
@@ -160,4 +160,12 @@
 	}
 	require.Equal(t, []string{"v1"}, h.Versions("s"))
 	require.True(t, NewHistory(at, true).Complete(at))
+	h = NewHistory(at, false)
+	for range 20 {
+		at += Window / 10
+		h.Observe(one, at)
+	}
+	require.True(t, h.Complete(at))
+	h.SetWindow(3 * Window)
+	require.False(t, h.Complete(at), "a stream may be as old")
 }
--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -205,7 +205,7 @@
 		}
 	}
 	if !complete {
-		return Found{}, ErrUnknown.New("the versions of the last %s are not known", origin.Window)
+		return Found{}, ErrUnknown.New("the versions that have served lately are not known")
 	}
 	return single(versions)
 }
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -216,9 +216,11 @@
 
 // review records the versions that serve now, and sends records that now need replicas, or other ones.
 func (r *Registry) review(now time.Duration) {
-	versions := versionsOf(r.Snapshot())
+	snapshot := r.Snapshot()
+	versions := versionsOf(snapshot)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.history.SetWindow(streamTime(snapshot.Config))
 	r.history.Observe(versions, now)
 	r.updateMultiVersion(now)
 	r.reviewDoubtful(now)
@@ -227,6 +229,20 @@
 	}
 }
 
+// streamTime returns how long ago a stream may have begun that a caller resumes: it may be an attempt's
+// time in its second attempt.
+func streamTime(c *catalog.Config) (longest time.Duration) {
+	if c == nil {
+		return 0
+	}
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Kind == catalog.Streaming && r.Resumable {
+			longest = max(longest, 2*r.Timeout+lifeMargin)
+		}
+	}
+	return longest
+}
+
 // versionsOf returns the versions of the engines of each service.
 func versionsOf(s *catalog.Snapshot) map[string][]string {
 	out := make(map[string][]string)
