origins: the first stream at a new version is recorded at once

Found by reading: a router replicated the streams of a second version only from its next review on, up to 50 ms later. A caller that left at the first event and resumed the stream at a router that did not know the version yet was sent to the former one. TestFirstStreamOfANewVersionIsRecordedAtOnce: v1 in place of v2 before, v2 now.

--- a/internal/decide/origin/history.go
+++ b/internal/decide/origin/history.go
@@ -94,6 +94,12 @@
 	return out
 }
 
+// Has reports whether a version of a service has served within the window.
+func (h *History) Has(service, version string) bool {
+	_, ok := h.seen[service][version]
+	return ok
+}
+
 // All returns the versions of all services.
 func (h *History) All() map[string][]string {
 	out := make(map[string][]string, len(h.seen))
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -89,6 +89,24 @@
 	})
 }
 
+// Guards against a stream that began at a version that its caller's next router does not know yet, and
+// that continues there at the only one that it knows.
+func TestFirstStreamOfANewVersionIsRecordedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, "v1")
+		settle()
+		for i := range 20 {
+			f.begin("r0", fmt.Sprint("old ", i), "v1")
+		}
+		f.begin("r0", "1", "v2")
+		synctest.Wait()
+		for _, name := range f.names[1:] {
+			require.Equal(t, "v2", f.find(name, "1"), name)
+			require.Equal(t, "v1", f.find(name, "old 3"), name)
+		}
+	})
+}
+
 // Guards against a router that takes the only version it knows for that of every stream: it is cut off
 // from those that know more, or has just started.
 func TestRouterThatMayMissVersionsDoesNotGuess(t *testing.T) {
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -140,6 +140,11 @@
 	record := s.record(seq, e.Service, version)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.history.Has(e.Service, e.Version) {
+		// The first stream at a new version: other routers may not know of it yet.
+		r.history.Observe(map[string][]string{e.Service: {e.Version}}, now)
+		r.updateMultiVersion(now)
+	}
 	delete(r.doubtful, record.Key)
 	if inDoubt {
 		r.doubtful[record.Key] = begun{record: record, engine: e, until: now + record.Left}
