origins: a record that states no version yet is queried again

The record is queried again every 25 ms, four times at most. TestResumedStreamWaitsForAnUnsettledRecord: refused before, v1 now.

--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/decide/origin"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/fleet/peer"
@@ -17,6 +18,11 @@
 const (
 	// findTimeout bounds the calls to one ring of replicas.
 	findTimeout = 150 * time.Millisecond
+	// unsettledPause is the pause before replicas are queried again whose record states no version yet, and
+	// maxUnsettled how often that is done. unsettledAge is how old the record may be.
+	unsettledPause = 25 * time.Millisecond
+	maxUnsettled   = 4
+	unsettledAge   = time.Second
 	// maxRings is how many rings of replicas are queried. Those of the second may have been the replicas
 	// before routers came or went.
 	maxRings = 2
@@ -52,16 +58,24 @@
 
 func (r *Registry) find(ctx context.Context, account, id string, services []string) (Found, error) {
 	args := FindArgs{Key: origin.KeyOf(account, id), Services: services}
-	own := r.local(args)
-	if own.Found && own.Record.Known() {
-		return found(own.Record, r.Self), nil
-	}
-	search := search{registry: r, args: args, own: own}
-	search.merge(own)
-	if out, ok := search.run(ctx, id != ""); ok {
-		return out, nil
+	for range maxUnsettled {
+		s := search{registry: r, args: args, own: r.local(args)}
+		if s.merge(s.own) {
+			return found(*s.record, r.Self), nil
+		}
+		if out, ok := s.run(ctx, id != ""); ok {
+			return out, nil
+		}
+		if !s.unsettled() || !pause.For(ctx, unsettledPause) {
+			return s.onlyVersion()
+		}
 	}
-	return search.onlyVersion()
+	return Found{}, ErrUnknown.New("the record states no version")
+}
+
+// unsettled reports whether the router that began the stream may still find out at which version.
+func (s *search) unsettled() bool {
+	return s.record != nil && s.record.Version == "" && !s.record.Ambiguous && s.record.Age < unsettledAge
 }
 
 func found(record origin.Record, from string) Found {
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -200,6 +200,30 @@
 	})
 }
 
+// Guards against a stream that is refused although its router finds out its version a moment later.
+func TestResumedStreamWaitsForAnUnsettledRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, "v1", "v2")
+		settle()
+		r := f.routers["r0"]
+		r.inDoubt = true
+		s := streamOf("1")
+		r.registry.Begin(s, 1, engineOf("v1"), false)
+		<-r.registry.Begin(s, 2, engineOf("v1"), true)
+		time.AfterFunc(40*time.Millisecond, func() {
+			r.inDoubt = false
+			r.registry.ReviewDoubtful()
+		})
+		require.Equal(t, "v1", f.find("r1", "1"))
+		start := f.now()
+		r.inDoubt = true
+		s = streamOf("2")
+		<-r.registry.Begin(s, 1, engineOf("v1"), true)
+		require.Empty(t, f.find("r1", "2"))
+		require.LessOrEqual(t, f.now()-start, maxUnsettled*unsettledPause)
+	})
+}
+
 func TestRecordsEndWithTheirTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, "v1", "v2")
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,6 +23,7 @@
 	{603, "fault of the test: replacements of engines went to other sites, until all engines were in the evacuated one"},
 	{8001, "a router without a connection to an engine that was restarted in place took the version of the old entry for that of a stream"},
 	{8116, "the same, once the router had spent its one query a second for the start of an engine"},
+	{8507, "streams were refused although the router that began them found out their version a moment later"},
 	{501, "a router that had just started hid the removal of an engine from other routers, which continued to send requests to it"},
 }
 
