feed: routers that start after a store's return learn of ends without an entry

Cause: the store returned from a copy that lists an earlier start of an engine (m1, start 2) whose last start (7) was draining. Routers that knew start 7 dropped the copy's entry, so that the engine had no entry in their sets, and announcements were told only of engines with an entry. A router that started then read the copy itself and had nobody to tell it. Each router knew the end, none said so.

Now routers tell recorded ends also of engines without an entry, for ten minutes after a return or after their own start, and a router that has an entry of an earlier start than a recorded end takes it for outdated, until an entry is written in the new era. The limit ends the telling: without it routers would remind each other for good.

--- a/internal/edge/catalog/era_test.go
+++ b/internal/edge/catalog/era_test.go
@@ -59,7 +59,7 @@
 // apply returns the readers after one of them has applied an update.
 func (r readers) apply(i int, u EngineUpdate, leaving []LeavingStart) readers {
 	s, _ := r.snapshots[i].WithEngines(u, readTime, time.Hour, time.Hour)
-	s, _ = s.WithLeaving(leaving)
+	s, _ = s.WithLeaving(leaving, readTime)
 	r.snapshots[i] = s.ReviewLeaving(readTime)
 	return r
 }
@@ -76,7 +76,7 @@
 		for j, from := range r.snapshots {
 			if j != i && from.Engines.Upto > 0 {
 				to := r.snapshots[i].Engines
-				out = append(out, r.apply(i, from.Engines.SinceEra(to.Era, to.Upto), from.Leaving.Registered(from.Engines)))
+				out = append(out, r.apply(i, from.Engines.SinceEra(to.Era, to.Upto), from.SharedLeaving(readTime)))
 			}
 		}
 	}
--- a/internal/edge/catalog/leaving.go
+++ b/internal/edge/catalog/leaving.go
@@ -83,6 +83,28 @@
 	return out
 }
 
+// SharedLeaving returns the announcements that other routers need at now: those of engines in the set,
+// and for a while after a return of the store or the start of this router also the recorded ends of
+// engines that are not. The store may list an earlier start of such an engine, which a router that
+// starts later would take for one in service.
+func (s *Snapshot) SharedLeaving(now time.Duration) []LeavingStart {
+	out := s.Leaving.Registered(s.Engines)
+	if now-s.EnginesEraSince >= leavingRetention {
+		return out
+	}
+	for id, starts := range s.Leaving.starts {
+		if _, registered := s.Engines.ByID[id]; registered {
+			continue
+		}
+		for _, l := range starts {
+			if l.refutable || s.FollowedReturn {
+				out = append(out, LeavingStart{ID: id, Born: l.born, Refutable: true})
+			}
+		}
+	}
+	return out
+}
+
 // rewriteTime is the time after a return of the store from an older copy within which the engines
 // write again what it has lost. Until then an entry may be an earlier one that is written again
 // before the one that followed it.
@@ -178,8 +200,22 @@
 	return out
 }
 
-// WithLeaving returns the snapshot after announcements of engines, and those that are new.
-func (s *Snapshot) WithLeaving(starts []LeavingStart) (*Snapshot, []LeavingStart) {
+// withOutdated returns the set of announcements with the starts of entries that precede another start
+// whose end an earlier era recorded, unless the entry was written after that.
+func (s *Snapshot) withOutdated(now time.Duration) Leaving {
+	next := s.Leaving
+	for id, starts := range s.Leaving.starts {
+		e, registered := s.Engines.ByID[id]
+		precedes := slices.ContainsFunc(starts, func(l leavingStart) bool { return l.refutable && e.precedes(l.born) })
+		if registered && precedes && !s.refutes(e, now) {
+			next, _ = next.Add(LeavingStart{ID: id, Born: e.Born, Refutable: true})
+		}
+	}
+	return next
+}
+
+// WithLeaving returns the snapshot after announcements of engines at now, and those that are new.
+func (s *Snapshot) WithLeaving(starts []LeavingStart, now time.Duration) (*Snapshot, []LeavingStart) {
 	next := *s
 	var added []LeavingStart
 	for _, start := range starts {
@@ -191,6 +227,7 @@
 	if len(added) == 0 {
 		return s, nil
 	}
+	next.Leaving = next.withOutdated(now)
 	return &next, added
 }
 
--- a/internal/edge/catalog/leaving_test.go
+++ b/internal/edge/catalog/leaving_test.go
@@ -23,7 +23,7 @@
 			entry := Engine{ID: id, Service: "svc", Born: born[id], Revision: version + 1}
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
-				s, _ = s.WithLeaving([]LeavingStart{{ID: id, Born: born[id]}})
+				s, _ = s.WithLeaving([]LeavingStart{{ID: id, Born: born[id]}}, now)
 				announced[LeavingStart{ID: id, Born: born[id]}] = true
 			case 1:
 				version++
@@ -49,7 +49,7 @@
 // Guards against an announcement that is lost because the entry did not tell starts apart at first.
 func TestAnnouncementOfUnknownStartHoldsForRegisteredOne(t *testing.T) {
 	s := NewSnapshot()
-	s, _ = s.WithLeaving([]LeavingStart{{ID: "a"}})
+	s, _ = s.WithLeaving([]LeavingStart{{ID: "a"}}, time.Minute)
 	put := func(version uint64, born int64) Engine {
 		e := Engine{ID: "a", Service: "svc", Born: born, Revision: version}
 		s, _ = s.WithEngines(EngineUpdate{Since: version - 1, Upto: version, Present: []Engine{e}}, time.Minute, time.Second, 0)
@@ -64,7 +64,7 @@
 // Announcements outlive the entry for a while, since it may return, but not for good.
 func TestAnnouncementIsKeptWhileItsEntryMayReturn(t *testing.T) {
 	s := NewSnapshot()
-	s, added := s.WithLeaving([]LeavingStart{{ID: "a", Born: 1}, {ID: "a", Born: 1}})
+	s, added := s.WithLeaving([]LeavingStart{{ID: "a", Born: 1}, {ID: "a", Born: 1}}, time.Minute)
 	require.Len(t, added, 1)
 	engine := Engine{ID: "a", Born: 1}
 	s = s.ReviewLeaving(time.Minute)
@@ -84,7 +84,29 @@
 		return s.TakesRequests(s.Engines.ByID["a"])
 	}
 	require.True(t, put(1, 5))
-	s, _ = s.WithLeaving([]LeavingStart{{ID: "a"}})
+	s, _ = s.WithLeaving([]LeavingStart{{ID: "a"}}, time.Minute)
 	require.False(t, put(2, 6))
 	require.True(t, put(3, 0))
 }
+
+// Recorded ends of engines without an entry are shared for a while after the return of the store, and an
+// entry of an earlier start is not used until it is known to be written after the copy.
+func TestRecordedEndsAreSharedAndRefuted(t *testing.T) {
+	end := LeavingStart{ID: "a", Born: 2, Refutable: true}
+	now := time.Hour
+	s := NewSnapshot()
+	put := func(upto, revision uint64) {
+		e := Engine{ID: "a", Service: "svc", Born: 1, Revision: revision}
+		s, _ = s.WithEngines(EngineUpdate{Full: true, First: 5, Upto: upto, Present: []Engine{e}}, now, time.Hour, time.Hour)
+	}
+	s, _ = s.WithEngines(EngineUpdate{Full: true, First: 5, Upto: 5}, now, time.Hour, time.Hour)
+	s, _ = s.WithLeaving([]LeavingStart{end}, now)
+	require.Equal(t, []LeavingStart{end}, s.SharedLeaving(now))
+	require.Empty(t, s.SharedLeaving(now+leavingRetention))
+	put(6, 4)
+	require.False(t, s.TakesRequests(s.Engines.ByID["a"]), "the entry of the copy")
+	now += rewriteTime
+	put(7, 7)
+	s = s.ReviewLeaving(now)
+	require.True(t, s.TakesRequests(s.Engines.ByID["a"]), "written since")
+}
--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -190,6 +190,7 @@
 			next.Leaving, _ = next.Leaving.Add(start)
 		}
 	}
+	next.Leaving = next.withOutdated(asOf)
 	return &next, changed
 }
 
--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -214,7 +214,7 @@
 	applied := b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
 		now := b.clock()
 		needed := slices.DeleteFunc(slices.Clone(starts), func(start catalog.LeavingStart) bool { return !s.NeedsLeaving(start, now) })
-		next, fresh := s.WithLeaving(needed)
+		next, fresh := s.WithLeaving(needed, now)
 		added = fresh
 		return next, false
 	})
--- a/internal/edge/feed/leaving.go
+++ b/internal/edge/feed/leaving.go
@@ -39,10 +39,9 @@
 	}
 }
 
-// AddTo adds the known announcements of registered engines to the loads of this router.
+// AddTo adds the known announcements that other routers need to the loads of this router.
 func (l *LeavingRecorder) AddTo(loads map[string]EngineLoad) map[string]EngineLoad {
-	snapshot := l.Board.Snapshot()
-	for _, start := range snapshot.Leaving.Registered(snapshot.Engines) {
+	for _, start := range l.Board.Snapshot().SharedLeaving(l.Clock()) {
 		load := loads[start.ID]
 		load.addStart(start)
 		loads[start.ID] = load
--- a/internal/edge/feed/report.go
+++ b/internal/edge/feed/report.go
@@ -102,10 +102,10 @@
 // addStart adds an announcement to the load.
 func (l *EngineLoad) addStart(start catalog.LeavingStart) {
 	if start.Refutable {
-		l.RecordedLeaving, l.RecordedBorn = true, start.Born
+		l.RecordedLeaving, l.RecordedBorn = latestLeaving(l.RecordedLeaving, l.RecordedBorn, true, start.Born)
 		return
 	}
-	l.Leaving, l.LeavingBorn = true, start.Born
+	l.Leaving, l.LeavingBorn = latestLeaving(l.Leaving, l.LeavingBorn, true, start.Born)
 }
 
 func (l EngineLoad) add(o EngineLoad) EngineLoad {
--- a/internal/edge/feed/return_test.go
+++ b/internal/edge/feed/return_test.go
@@ -344,6 +344,36 @@
 	})
 }
 
+// Guards against a router that starts after the return, reads the copy itself, and uses an engine whose
+// earlier start is in the copy: the other routers know that a later one has left, and hold no entry.
+func TestRouterStartedAfterStoreReturnUsesNoOutdatedStart(t *testing.T) {
+	runFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		s.update(func(s *fakeStore) { s.era = catalog.StatedEra(0) })
+		time.Sleep(time.Second)
+		s.put(started("restarts", 1))
+		s.put(started("leaves", 1))
+		c := s.copyContent()
+		s.put(started("restarts", 2))
+		s.put(started("leaves", 2))
+		leaves := started("leaves", 2)
+		leaves.Draining = true
+		s.put(leaves)
+		time.Sleep(returnTime)
+		s.returnFrom(c, 500*time.Millisecond)
+		time.Sleep(time.Second)
+		s.put(started("restarts", 2))
+		time.Sleep(returnTime)
+		for _, p := range f.live {
+			f.stop(p.Name)
+			f.restart(p, s)
+			time.Sleep(returnTime)
+			require.Equal(t, []string{"e1", "restarts"}, f.takersAt(p.Name))
+		}
+		time.Sleep(12 * time.Second)
+		require.Equal(t, []string{"e1", "restarts"}, f.takers(t))
+	})
+}
+
 // returnModel draws what happens to a store and its routers, and knows what is true: which engines
 // are in service, whatever the store says.
 type returnModel struct {
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -242,7 +242,7 @@
 		b.Run(test.name, func(b *testing.B) {
 			p := newPausedBalancer(engines)
 			for i := range test.leaving {
-				p.snapshot, _ = p.snapshot.WithLeaving([]catalog.LeavingStart{{ID: fmt.Sprint("e", i)}})
+				p.snapshot, _ = p.snapshot.WithLeaving([]catalog.LeavingStart{{ID: fmt.Sprint("e", i)}}, 0)
 			}
 			for i := range test.paused {
 				p.Pause(p.engine(fmt.Sprint("e", i)), time.Hour)
