catalog: an evacuation that a return kept ends also at routers that started since

Cause: an order that only an earlier era recorded is kept for five seconds, counted from the return that the router has followed. A router that starts within these seconds receives the order from another one, has followed no return, and kept it for good. Nobody corrects it: the others have dropped the order without a revision of the store.

Ruled out: versions of the streams (records and entries were right), an operator's order (the store listed none; all routers were told of the same era).

Now each router counts from when it first held such an order.

Before: the new test and TestRoutersAgreeAfterAnyStoreReturns, which now also draws orders to evacuate (46th order), failed. After: both pass, 1,500 drawn orders.

--- a/internal/edge/catalog/evacuation.go
+++ b/internal/edge/catalog/evacuation.go
@@ -134,7 +134,7 @@
 	}
 	if u.Full {
 		for site, previous := range e.bySite {
-			if previous.Active && previous.Revision != keptRevision && !listed[site] {
+			if previous.Active && !previous.kept() && !listed[site] {
 				changed = next.put(Evacuation{Site: site, Revision: u.Upto}) || changed
 			}
 		}
@@ -161,18 +161,28 @@
 	return next, !slices.Equal(e.Sites(), next.Sites())
 }
 
-// ExpireKept returns the set in which evacuations that only an earlier era recorded have ended, and
-// whether there were any.
-func (e Evacuations) ExpireKept() (Evacuations, bool) {
-	expired := false
+// kept reports whether only an earlier era of the store recorded the order.
+func (e Evacuation) kept() bool { return e.Active && e.Revision == keptRevision }
+
+// hasKept reports whether the set has orders that only an earlier era recorded.
+func (e Evacuations) hasKept() bool {
+	for _, evacuation := range e.bySite {
+		if evacuation.kept() {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutKept returns the set in which orders that only an earlier era recorded have ended.
+func (e Evacuations) withoutKept() Evacuations {
 	next := Evacuations{era: e.era, revision: e.revision, floor: e.floor, bySite: maps.Clone(e.bySite)}
 	for site, evacuation := range e.bySite {
-		if evacuation.Active && evacuation.Revision == keptRevision {
+		if evacuation.kept() {
 			next.bySite[site] = Evacuation{Site: site, Revision: expiredRevision}
-			expired = true
 		}
 	}
-	return next, expired
+	return next
 }
 
 // StateChanges returns the changes that start or end the evacuation of a site if the update is
--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -19,6 +19,10 @@
 	// ConfigEraSince is the reading of the boot clock as of which Evacuations entered their era by a
 	// return of the store from an older copy; zero if there was none.
 	ConfigEraSince time.Duration
+	// KeptEvacuationsSince is the reading of the boot clock since which Evacuations has held orders that
+	// only an earlier era of the store recorded; zero if it holds none. A router that has followed no
+	// return receives them from another one.
+	KeptEvacuationsSince time.Duration
 	Engines        *EngineSet
 	// EnginesAsOf is the reading of the boot clock when the latest call that confirmed Engines was
 	// sent.
@@ -115,6 +119,12 @@
 		next.ConfigEraSince = asOf
 		next.FollowedReturn = true
 	}
+	switch {
+	case !next.Evacuations.hasKept():
+		next.KeptEvacuationsSince = 0
+	case s.KeptEvacuationsSince == 0 || next.Evacuations.era != s.Evacuations.era:
+		next.KeptEvacuationsSince = asOf
+	}
 	return &next, changed
 }
 
@@ -126,15 +136,12 @@
 // ExpireKeptEvacuations returns the snapshot without evacuations that only an earlier era recorded
 // longer than keptEvacuationTime ago, and whether there were any.
 func (s *Snapshot) ExpireKeptEvacuations(now time.Duration) (*Snapshot, bool) {
-	if s.ConfigEraSince == 0 || now < s.ConfigEraSince+keptEvacuationTime {
-		return s, false
-	}
-	evacuations, expired := s.Evacuations.ExpireKept()
-	if !expired {
+	if s.KeptEvacuationsSince == 0 || now < s.KeptEvacuationsSince+keptEvacuationTime {
 		return s, false
 	}
 	next := *s
-	next.Evacuations = evacuations
+	next.Evacuations = s.Evacuations.withoutKept()
+	next.KeptEvacuationsSince = 0
 	return &next, true
 }
 
--- a/internal/edge/feed/return_test.go
+++ b/internal/edge/feed/return_test.go
@@ -212,6 +212,24 @@
 	})
 }
 
+// Guards against a site that stays evacuated at routers that started while the others kept the order.
+func TestKeptEvacuationEndsAtRestartedRouters(t *testing.T) {
+	runReturn(t, func(t *testing.T, f *fakeFleet, s *fakeStore) {
+		c := s.copyContent()
+		s.setEvacuated("y", true)
+		time.Sleep(returnTime)
+		s.returnFrom(c, 500*time.Millisecond)
+		time.Sleep(returnTime)
+		for _, p := range f.live[:5] {
+			f.stop(p.Name)
+			f.restart(p, s)
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		f.requireEvacuated(t)
+	})
+}
+
 // Guards against a revoked key that is valid again: the configuration of the copy never replaces a
 // newer one, and what the copy shows does not confirm that the known one is the newest.
 func TestConfigDoesNotStepBackWithTheStore(t *testing.T) {
@@ -323,23 +341,30 @@
 	})
 }
 
-// Guards against routers that disagree, use an engine that has left, or do not use a sound one, after
-// any order of changes, returns of the store from copies of any age, restarts and cuts.
+// Guards against routers that disagree, use an engine that has left, do not use a sound one, or hold
+// another set of evacuated sites than the operator, after any order of changes, returns of the store from
+// copies of any age, restarts and cuts.
 func TestRoutersAgreeAfterAnyStoreReturns(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		steps := rapid.SliceOfN(rapid.IntRange(0, 99), 8, 24).Draw(r, "steps")
 		var want []string
+		var evacuated bool
 		got := make(map[string][]string)
+		sites := make(map[string][]string)
 		runFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
 			s.update(func(s *fakeStore) { s.era = catalog.StatedEra(0) })
 			time.Sleep(time.Second)
-			want = newReturnModel(f, s).run(steps)
+			m := newReturnModel(f, s)
+			want = m.run(steps)
+			evacuated = m.evacuated
 			for _, p := range f.notGone() {
 				got[p.Name] = f.takersAt(p.Name)
+				sites[p.Name] = f.nodes[p.Name].board.Snapshot().Evacuations.Sites()
 			}
 		})
 		for name, takes := range got {
 			require.Equal(r, want, takes, "router %s", name)
+			require.Equal(r, evacuated, slices.Equal(sites[name], []string{evacuatedSite}), "router %s: %v", name, sites[name])
 		}
 	})
 }
@@ -385,8 +410,14 @@
 	left   map[string]bool
 	cut    string
 	next   int64
+	// evacuated is set while the operator wants evacuatedSite to be evacuated.
+	evacuated bool
 }
 
+// evacuatedSite is a site without engines, so that only the evacuations of routers show whether it is
+// evacuated.
+const evacuatedSite = "y"
+
 func newReturnModel(f *fakeFleet, s *fakeStore) *returnModel {
 	return &returnModel{f: f, s: s, copies: []fakeCopy{s.copyContent()}, starts: map[string]int64{}, left: map[string]bool{}}
 }
@@ -427,6 +458,10 @@
 		}
 	case step < 60:
 		m.copies = append(m.copies, m.s.copyContent())
+		if step%3 == 0 {
+			m.evacuated = !m.evacuated
+			m.s.setEvacuated(evacuatedSite, m.evacuated)
+		}
 	case step < 80:
 		m.s.returnFrom(m.copies[step%len(m.copies)], time.Duration(step%5)*300*time.Millisecond)
 		m.rewrite()
@@ -449,4 +484,5 @@
 	for id, born := range m.starts {
 		m.s.put(started(id, born))
 	}
+	m.s.setEvacuated(evacuatedSite, m.evacuated)
 }
