forward: a resumed stream goes by the pauses of the engines of its version

Cause: a request waits for an engine that has got its first request after a pause, and is told how long pauses last, if no engine of the service takes requests. A resumed stream can use only the engines of its version, but all were counted: another version's open engine hid that its own were paused.

Ruled out: the record of the stream (found, right version), an evacuation (the engine served others), a restart in doubt (leaves the engine in).

Now only the engines of the version count. It waits up to half of the gap for which callers of streams stay, as for a permit.

Before: no_engine at once. After: served, or refused with engines_paused and the time of the pause.

--- a/internal/edge/catalog/snapshot.go
+++ b/internal/edge/catalog/snapshot.go
@@ -23,7 +23,7 @@
 	// only an earlier era of the store recorded; zero if it holds none. A router that has followed no
 	// return receives them from another one.
 	KeptEvacuationsSince time.Duration
-	Engines        *EngineSet
+	Engines              *EngineSet
 	// EnginesAsOf is the reading of the boot clock when the latest call that confirmed Engines was
 	// sent.
 	EnginesAsOf time.Duration
--- a/internal/edge/forward/pauses.go
+++ b/internal/edge/forward/pauses.go
@@ -115,15 +115,17 @@
 	Leaving int
 }
 
-// Availability describes the engines of the services.
-func (p *Balancer) Availability(s *catalog.Snapshot, services []string) Availability {
+// Availability describes the engines of the services, or only those of a version if that is not empty.
+func (p *Balancer) Availability(s *catalog.Snapshot, services []string, version string) Availability {
 	now := p.clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out Availability
 	for _, service := range services {
 		for _, e := range s.Engines.ForService(service) {
-			p.addTo(&out, s, e, now)
+			if version == "" || e.Version == version {
+				p.addTo(&out, s, e, now)
+			}
 		}
 	}
 	return out
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -282,6 +282,37 @@
 	})
 }
 
+// Guards against a resumed stream that is refused, without a reason that tells it when to return, while
+// the engines of its version are paused and others take requests.
+func TestResumedStreamWaitsForReturningEngineOfItsVersion(t *testing.T) {
+	withTestRouter(t, 2, func(tr *testRouter) {
+		e0, e1 := tr.snapshot.Engines.ByID["e0"], tr.snapshot.Engines.ByID["e1"]
+		e0.Version, e1.Version, e0.Revision, e1.Revision = "v1", "v2", 100, 100
+		tr.snapshot, _ = tr.snapshot.WithEngines(catalog.EngineUpdate{Full: true, Upto: 100, Present: []catalog.Engine{e0, e1}}, tr.f.Clock(), time.Hour, time.Hour)
+		resume := func() *exchange {
+			x := tr.newExchange(context.Background())
+			x.stream.resumes, x.stream.service, x.stream.version = true, "llm", "v1"
+			return x
+		}
+		last := notExecuted(ReasonNoEngine, retryLater)
+		tr.f.Engines.Pause(e0, time.Second)
+		_, refusal := resume().chooseFirst(last)
+		require.Equal(t, ReasonPaused, refusal.Reason)
+		require.GreaterOrEqual(t, refusal.RetryAfter, time.Second)
+		time.Sleep(1100 * time.Millisecond)
+		first, refusal := resume().chooseFirst(last)
+		require.Nil(t, refusal)
+		time.AfterFunc(40*time.Millisecond, func() {
+			tr.f.Engines.Accepted(first)
+			tr.f.Engines.Done(first)
+		})
+		second, refusal := resume().chooseFirst(last)
+		require.Nil(t, refusal)
+		require.Equal(t, "e0", second.Engine.ID)
+		tr.f.Engines.Done(second)
+	})
+}
+
 // Guards against a request that waits for longer than it can for an engine that does not respond to the
 // first one after its pause.
 func TestRequestDoesNotWaitForReturningEngineForLong(t *testing.T) {
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -38,8 +38,8 @@
 }
 
 const (
-	// returnWaitShare is the share of the route's objective for which a request waits for an engine to
-	// which requests return, and returnPoll is how often it looks.
+	// returnWaitShare is the share of its objective for which a request waits for an engine to which
+	// requests return, and returnPoll is how often it looks.
 	returnWaitShare = 0.5
 	returnPoll      = 5 * time.Millisecond
 )
@@ -47,15 +47,15 @@
 // awaitReturn waits while an engine of the route has got its first requests after a pause and has not
 // accepted them yet, and no other takes any. It returns true once one takes requests.
 func (x *exchange) awaitReturn() bool {
-	services := x.serviceOrder(x.query().Shared)
-	a := x.f.Engines.Availability(x.f.Snapshot(), services)
-	for a.Open == 0 && a.Returning > 0 && x.returnWait < time.Duration(returnWaitShare*float64(x.route.Objective)) {
+	x.snapshot = x.f.Snapshot()
+	a := x.availability()
+	for a.Open == 0 && a.Returning > 0 && x.returnWait < time.Duration(returnWaitShare*float64(x.waitObjective())) {
 		if x.remaining() <= returnPoll || !pause.For(x.r.Context(), returnPoll) {
 			return false
 		}
 		x.returnWait += returnPoll
 		x.snapshot = x.f.Snapshot()
-		if a = x.f.Engines.Availability(x.snapshot, services); a.Open > 0 {
+		if a = x.availability(); a.Open > 0 {
 			return true
 		}
 	}
--- a/internal/edge/forward/signals.go
+++ b/internal/edge/forward/signals.go
@@ -89,8 +89,13 @@
 	return !known || !x.snapshot.TakesRequests(current) || x.f.Engines.Paused(e)
 }
 
-// finalRefusal returns the refusal of a request that no engine has taken. If all engines of the
-// route are paused or leaving, it states that and when to retry; last is the result of the previous
+// availability describes the engines that may serve the request.
+func (x *exchange) availability() Availability {
+	return x.f.Engines.Availability(x.snapshot, x.serviceOrder(x.query().Shared), x.stream.version)
+}
+
+// finalRefusal returns the refusal of a request that no engine has taken. If all engines that may
+// serve it are paused or leaving, it states that and when to retry; last is the result of the previous
 // attempt otherwise, or if the request may have executed.
 func (x *exchange) finalRefusal(last *Refusal) *Refusal {
 	if x.executed > 0 {
@@ -99,8 +104,7 @@
 	if x.stream.resumes && !x.versionServes() {
 		return notExecuted(ReasonVersionGone, retryLater)
 	}
-	services := x.serviceOrder(x.query().Shared)
-	a := x.f.Engines.Availability(x.snapshot, services)
+	a := x.availability()
 	switch {
 	case a.Open > 0 || a.Paused+a.Leaving == 0:
 		return last
