--- a/test/soak/versions.go
+++ b/test/soak/versions.go
@@ -136,6 +136,7 @@
 		}
 	}
 	var began, resumed, sent, asked float64
+	var missed []string
 	rec.mu.Lock()
 	for _, t := range rec.tries {
 		switch {
@@ -149,12 +150,14 @@
 			asked++
 			if t.Events > 0 || t.Err == nil && t.Status == http.StatusOK {
 				resumed++
+				continue
 			}
+			missed = append(missed, fmt.Sprintf("%s %v after the recovery, of %s: status %d, error %v, %s", t.ID, t.Sent.Sub(recoveredAt), t.version, t.Status, t.Err, t.Body))
 		}
 	}
 	rec.resumedAfter = [2]int{int(resumed), int(asked)}
 	rec.mu.Unlock()
 	if asked >= minResumed && resumed/asked < began/sent {
-		rec.violation("%.0f of %.0f streams resumed after the faults, %.0f of %.0f new ones begun", resumed, asked, began, sent)
+		rec.violation("%.0f of %.0f streams resumed after the faults, %.0f of %.0f new ones begun; not resumed: %v", resumed, asked, began, sent, missed)
 	}
 }
