forward: an engine that was ejected for three seconds is tried by single requests

Cause: evidence halves in 1.5 s, and an engine is ejected until its failures have decayed to about two: the more fail at once, the longer (138: nine seconds). Nothing tries the engine meanwhile.

Weighed: a cap on the evidence of each router (the sum of 295 routers is not bounded by it); a shorter half-life (a dead engine would return sooner each time); a success that outweighs the failures known (an engine that fails half of its requests would be back after one).

Now, after three seconds, the evidence from before counts as little more than what lets the engine return, and each router sends it one request at a time until one has succeeded. A failure ejects it again for about a second. Reports of other routers decay between two updates also as they are read; the trial depends on that.

Ruled out on the way: reading the age of the reports under the Balancer's lock (a deadlock: reports of own loads are made under the other one). The first run of the platform's tests hung by it; the age is read with the reports now.

An engine that fails each request gets fewer than 35 tries in 30 s. All tests of internal/edge and platform pass.

--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -150,6 +150,13 @@
 	return l.others
 }
 
+// OthersAge returns the time at now since Others last changed.
+func (l *Loads) OthersAge(now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now - l.refreshedAt
+}
+
 func (l *Loads) sum(exceptChild string, now time.Duration, withParent bool) LoadReport {
 	out := LoadReport{Engines: l.own()}
 	l.addOthers(&out, exceptChild, now, withParent)
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -21,15 +21,17 @@
 	site string
 	// otherLoads returns the loads reported by the other routers, by engine ID.
 	otherLoads func() map[string]feed.EngineLoad
-	clock      func() time.Duration
-	rng        *rand.Rand
+	// reportAge returns the time since otherLoads was updated.
+	reportAge func(now time.Duration) time.Duration
+	clock     func() time.Duration
+	rng       *rand.Rand
 	// release returns a permit to its gate.
 	release func(*flow.Permit)
 
 	mu       sync.Mutex
 	ownLoads map[string]*ownLoad
-	// ejected holds the IDs of ejected engines, so that EjectionChanges returns only changes.
-	ejected map[string]bool
+	// ejections holds the engines that are ejected or on trial, by ID.
+	ejections map[string]*health.Ejection
 	// promptCaches records which prompt parts this router has sent to which engines.
 	promptCaches promptCaches
 	// states holds the last observation of each engine by ID. knownSince is the reading of the boot
@@ -103,7 +105,8 @@
 		site: site, otherLoads: others, clock: clock, rng: rng, promptCaches: newPromptCaches(),
 		ownLoads:       make(map[string]*ownLoad),
 		states:         make(map[string]engineState),
-		ejected:        make(map[string]bool),
+		ejections:      make(map[string]*health.Ejection),
+		reportAge:      func(time.Duration) time.Duration { return 0 },
 		coldLimits:     func() ColdLimits { return ColdLimits{} },
 		congestedUntil: make(map[string]time.Duration), meanHolds: make(map[string]time.Duration),
 		pauses:  backoff.NewTable[string](),
@@ -148,7 +151,7 @@
 // cold engines, which require a permit. It returns false if there is no engine left.
 func (p *Balancer) Pick(s *catalog.Snapshot, service string, q Query) (Choice, bool) {
 	now := p.clock()
-	others := p.otherLoads()
+	others := p.reported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	engines, candidates := p.candidates(s, service, q, others, now)
@@ -256,7 +259,7 @@
 // candidates returns the engines of the service that are not excluded, and the same engines in the
 // same order as package choose needs them. It calls observe for each of them. The caller holds the
 // mutex.
-func (p *Balancer) candidates(s *catalog.Snapshot, service string, q Query, others map[string]feed.EngineLoad, now time.Duration) ([]catalog.Engine, []choose.Engine) {
+func (p *Balancer) candidates(s *catalog.Snapshot, service string, q Query, others reportedLoads, now time.Duration) ([]catalog.Engine, []choose.Engine) {
 	var engines []catalog.Engine
 	var out []choose.Engine
 	var avoided []int
@@ -271,10 +274,9 @@
 		if slots == 0 && config != nil {
 			slots = config.Slots
 		}
-		load := others[e.ID]
+		load := others.byEngine[e.ID]
 		if own := p.ownLoads[e.ID]; own != nil {
 			load.InFlight += own.inFlight
-			load.Evidence = load.Evidence.Add(own.record.At(now))
 			if load.Rejected > 0 || own.limits.HasFailures() {
 				load.SetLimits(load.Limits().Add(own.limits.At(now)))
 			}
@@ -283,8 +285,8 @@
 			avoided = append(avoided, len(engines))
 		}
 		engines = append(engines, e)
-		evidence = append(evidence, load.Evidence)
-		tolerance, stated := p.statedTolerance(e.ID, others[e.ID], now)
+		evidence = append(evidence, p.judgedEvidence(e.ID, others, now))
+		tolerance, stated := p.statedTolerance(e.ID, load, now)
 		out = append(out, choose.Engine{
 			Brittle: stated, Tolerance: tolerance, Version: e.Version,
 			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
@@ -297,6 +299,7 @@
 	for i, share := range health.LoadShares(evidence) {
 		out[i].Share = share
 	}
+	p.limitTrials(out)
 	if q.Resumable && now >= p.congestedUntil[service] {
 		avoided = append(avoided, loneOfVersion(out)...)
 	}
@@ -335,6 +338,7 @@
 	}
 	p.load(e.ID).record = health.Record{}
 	p.load(e.ID).unanswered = health.Record{}
+	delete(p.ejections, e.ID)
 	delete(p.brittle, e.ID)
 	p.load(e.ID).limits = health.Record{}
 	p.promptCaches.markEmpty(e.ID, now)
@@ -354,7 +358,7 @@
 // HasFreeSlot reports whether any engine of the service, other than those in excluded, accepts
 // requests and has a free slot.
 func (p *Balancer) HasFreeSlot(s *catalog.Snapshot, service string, excluded map[string]bool) bool {
-	others := p.otherLoads()
+	others := p.reported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, candidates := p.candidates(s, service, Query{Excluded: excluded}, others, p.clock())
@@ -422,6 +426,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.load(engine).record.Observe(good, now)
+	if x := p.ejections[engine]; good && x != nil {
+		x.Succeed()
+	}
 }
 
 // RecordNoResponse records that an engine did not respond to a request, for which the path to it may
@@ -445,50 +452,3 @@
 	l.record.Discard(l.unanswered.At(now), now)
 	l.unanswered = health.Record{}
 }
-
-// EjectionChange reports that an engine was ejected or restored.
-type EjectionChange struct {
-	Engine, Service string
-	// Ejected engines get no requests.
-	Ejected  bool
-	Evidence health.Evidence
-}
-
-// EjectionChanges drops the state of removed engines, and returns the engines that were ejected or
-// restored since the last call.
-func (p *Balancer) EjectionChanges(s *catalog.Snapshot) []EjectionChange {
-	others := p.otherLoads()
-	now := p.clock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, l := range p.ownLoads {
-		if _, present := s.Engines.ByID[id]; !present && l.inFlight == 0 {
-			delete(p.ownLoads, id)
-			delete(p.ejected, id)
-		}
-	}
-	for id := range p.states {
-		if _, ok := s.Engines.ByID[id]; !ok {
-			delete(p.states, id)
-			delete(p.brittle, id)
-			p.promptCaches.remove(id)
-		}
-	}
-	p.forgetPauses(s, now)
-	if s.Config == nil {
-		return nil
-	}
-	var out []EjectionChange
-	for i := range s.Config.Services {
-		service := s.Config.Services[i].Name
-		_, candidates := p.candidates(s, service, Query{}, others, now)
-		for _, c := range candidates {
-			if ejected := c.Share == 0; ejected != p.ejected[c.ID] {
-				p.ejected[c.ID] = ejected
-				evidence := others[c.ID].Evidence.Add(p.load(c.ID).record.At(now))
-				out = append(out, EjectionChange{Engine: c.ID, Service: service, Ejected: ejected, Evidence: evidence})
-			}
-		}
-	}
-	return out
-}
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -48,7 +48,7 @@
 // engine left. If Ask is empty, Plan has counted the request, and Done must be called with Choice.
 func (p *Balancer) Plan(s *catalog.Snapshot, service string, q Query) (Plan, bool) {
 	now := p.clock()
-	others := p.otherLoads()
+	others := p.reported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	engines, candidates := p.candidates(s, service, q, others, now)
--- a/internal/edge/health/health.go
+++ b/internal/edge/health/health.go
@@ -34,7 +34,7 @@
 
 // After returns the evidence decayed by d. A negative d leaves it unchanged.
 func (e Evidence) After(d time.Duration) Evidence {
-	if d <= 0 {
+	if d <= 0 || e == (Evidence{}) {
 		return e
 	}
 	factor := math.Exp2(-float64(d) / float64(halfLife))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -208,6 +208,7 @@
 func (r *Router) assembleForwarder() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.engines = forward.NewBalancer(r.self.Site, r.loads.Others, bootclock.Now, rng)
+	r.engines.SetReportAge(r.loads.OthersAge)
 	r.engines.SetColdLimits(r.coldLimits)
 	r.engines.SetRouters(r.routerCount)
 	r.gateOwner = flow.NewOwner(bootclock.Now, r.engines.KnownLoad, r.refusesRequests)
