reach: the checks after stalls are forgotten after their interval

A router kept the time of the last check for each address that had ever stalled. Engines get new addresses, so the map grew for as long as the router ran. Each check now drops the entries that no longer limit anything.

Before: 1,000 entries after 1,000 addresses (the new test).

--- a/internal/edge/reach/dialer.go
+++ b/internal/edge/reach/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -55,7 +56,7 @@
 	Log     *log.Logger
 
 	mu sync.Mutex
-	// stalls holds when the path to an address was last checked after a stall.
+	// stalls holds when the path to an address was last checked after a stall, for stallInterval.
 	stalls map[string]time.Duration
 }
 
@@ -313,7 +314,8 @@
 	now := d.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if last, ok := d.stalls[address]; ok && now-last < stallInterval {
+	maps.DeleteFunc(d.stalls, func(_ string, last time.Duration) bool { return now-last >= stallInterval })
+	if _, checked := d.stalls[address]; checked {
 		return false
 	}
 	if d.stalls == nil {
--- a/internal/edge/reach/dialer_test.go
+++ b/internal/edge/reach/dialer_test.go
@@ -318,3 +318,16 @@
 		require.Positive(t, r.service.Stats().Total)
 	}
 }
+
+// Guards against an entry for each address that ever stalled, since engines get new addresses.
+func TestStallsAreForgotten(t *testing.T) {
+	now := time.Minute
+	d := &Dialer{Clock: func() time.Duration { return now }}
+	for i := range 1000 {
+		address := fmt.Sprint("10.0.0.1:", i)
+		require.True(t, d.mayCheckStall(address))
+		require.False(t, d.mayCheckStall(address))
+		now += stallInterval / 2
+	}
+	require.LessOrEqual(t, len(d.stalls), 2)
+}
