engineconn: a reused connection takes no further lock of the pool

Since streams go on only at one software version, the pool notes which connections are in use, under its lock, twice more a request. A connection is now noted as it leaves the idle ones and as it returns to them, where the lock is held anyway. One that is opened or closed still takes it once more.

Also one function for the peek at a socket that two had. Tests of the package pass with the race detector; internal/edge passes.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -213,9 +213,7 @@
 	}
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(peekErr, unix.EAGAIN)
+		quiet = isQuiet(fd)
 		return true
 	})
 	return err == nil && quiet
@@ -234,14 +232,17 @@
 	}
 	quiet := false
 	// Control, unlike Read, does not wait for a read that is in progress.
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(peekErr, unix.EAGAIN)
-	})
+	err = raw.Control(func(fd uintptr) { quiet = isQuiet(fd) })
 	return err == nil && quiet
 }
 
+// isQuiet reports whether a socket is open and has no data to read.
+func isQuiet(fd uintptr) bool {
+	var buf [1]byte
+	_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
 // parseKeepAlive returns the timeout of a Keep-Alive header, for which the peer
 // keeps an idle connection open. It returns zero if the header has no valid
 // timeout.
--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -119,7 +119,7 @@
 	return p.dials
 }
 
-// takeIdle returns a reusable idle connection to the engine, or nil.
+// takeIdle returns a reusable idle connection to the engine, which is active from then on, or nil.
 func (p *Pool) takeIdle(engine string, maxIdle time.Duration) *conn {
 	for {
 		c, expired := p.popIdle(engine, maxIdle)
@@ -129,6 +129,7 @@
 		if c == nil || c.reusable() {
 			return c
 		}
+		p.end(engine, c)
 		if !c.open() {
 			p.lost(engine, c)
 		}
@@ -136,9 +137,9 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, which is
-// the least likely to have been dropped, and the expired ones, which the caller
-// closes.
+// popIdle makes the most recently used idle connection active, which is the least
+// likely to have been dropped, and returns it and the expired ones, which the
+// caller closes.
 func (p *Pool) popIdle(engine string, maxIdle time.Duration) (c *conn, expired []*conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -163,6 +164,7 @@
 		return nil, expired
 	}
 	p.idle[engine] = conns[:len(conns)-1]
+	p.beginLocked(engine, c)
 	return c, expired
 }
 
@@ -204,14 +206,15 @@
 	return expired
 }
 
-// putIdle returns a connection to the pool, or closes it if the pool has
-// maxConns idle connections to the engine.
+// putIdle returns a connection to the pool, whether or not it was active, or
+// closes it if the pool has maxConns idle connections to the engine.
 func (p *Pool) putIdle(engine string, c *conn, maxConns int) {
 	c.idleSince = p.opts.Clock()
 	if c.idleTimeout == 0 {
 		c.idleTimeout = defaultIdleTimeout
 	}
 	p.mu.Lock()
+	p.endLocked(engine, c)
 	conns := p.idle[engine]
 	room := len(conns) < maxConns
 	if room {
@@ -246,15 +249,25 @@
 func (p *Pool) begin(engine string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.beginLocked(engine, c)
+}
+
+func (p *Pool) end(engine string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endLocked(engine, c)
+}
+
+// beginLocked is begin for a caller that holds the mutex.
+func (p *Pool) beginLocked(engine string, c *conn) {
 	if p.active[engine] == nil {
 		p.active[engine] = make(map[*conn]struct{})
 	}
 	p.active[engine][c] = struct{}{}
 }
 
-func (p *Pool) end(engine string, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// endLocked is end for a caller that holds the mutex.
+func (p *Pool) endLocked(engine string, c *conn) {
 	delete(p.active[engine], c)
 	if len(p.active[engine]) == 0 {
 		delete(p.active, engine)
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -91,11 +91,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if !c.reused && r.Withdrawn != nil && r.Withdrawn() {
-		p.putIdle(to.ID, c, r.MaxIdleConns)
-		return nil, ErrNotSent.Wrap(ErrWithdrawn.New("while the connection was opened"))
+	if !c.reused {
+		if r.Withdrawn != nil && r.Withdrawn() {
+			p.putIdle(to.ID, c, r.MaxIdleConns)
+			return nil, ErrNotSent.Wrap(ErrWithdrawn.New("while the connection was opened"))
+		}
+		p.begin(to.ID, c)
 	}
-	p.begin(to.ID, c)
 	c.limitSilence(r.Repeatable)
 	c.traffic.Store(r.Traffic)
 	stopAbort := context.AfterFunc(ctx, c.abort)
@@ -303,10 +305,10 @@
 // was read to its end, the request was written completely, and the engine keeps
 // the connection open too.
 func (a *Response) Close() {
-	a.pool.end(a.engine, a.conn)
 	if a.stopAbort() && a.complete && a.keepAlive && a.write.finished() {
 		a.pool.putIdle(a.engine, a.conn, a.maxConns)
 		return
 	}
+	a.pool.end(a.engine, a.conn)
 	_ = a.conn.Close()
 }
