--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -66,12 +66,16 @@
 		return Plan{Choice: choice}, ok
 	}
 	config := s.Config.Service(service)
+	var few map[string]bool
+	if q.Version == "" {
+		few = fewOfVersion(candidates)
+	}
 	for _, i := range order {
 		candidate := PermitCandidate{
 			Choice: p.candidateChoice(engines, candidates, i, q, now), MaxInFlight: choose.MaxInFlight(candidates, i),
 			Pace: p.pace(config, engines[i].ID, now),
 		}
-		if q.Version == "" && fewOfVersion(candidates, i) {
+		if few[candidates[i].Version] {
 			// Streams that are resumed have only these engines. The room beyond the slots is for them.
 			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
 		}
--- a/internal/edge/forward/versions.go
+++ b/internal/edge/forward/versions.go
@@ -56,18 +56,19 @@
 	return lone
 }
 
-// fewOfVersion reports whether fewer engines run the version of the i-th one than another version.
-func fewOfVersion(candidates []choose.Engine, i int) bool {
+// fewOfVersion returns the versions that fewer engines run than another version.
+func fewOfVersion(candidates []choose.Engine) map[string]bool {
 	count := make(map[string]int)
+	most := 0
 	for _, e := range candidates {
 		if !e.Draining {
 			count[e.Version]++
+			most = max(most, count[e.Version])
 		}
 	}
-	for _, n := range count {
-		if n > count[candidates[i].Version] {
-			return true
-		}
+	out := make(map[string]bool)
+	for _, e := range candidates {
+		out[e.Version] = count[e.Version] < most
 	}
-	return false
+	return out
 }
