--- a/internal/edge/feed/return_test.go
+++ b/internal/edge/feed/return_test.go
@@ -346,27 +346,36 @@
 // copies of any age, restarts and cuts.
 func TestRoutersAgreeAfterAnyStoreReturns(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 99), 8, 24).Draw(r, "steps")
-		var want []string
-		var evacuated bool
-		got := make(map[string][]string)
-		sites := make(map[string][]string)
-		runFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
-			s.update(func(s *fakeStore) { s.era = catalog.StatedEra(0) })
-			time.Sleep(time.Second)
-			m := newReturnModel(f, s)
-			want = m.run(steps)
-			evacuated = m.evacuated
-			for _, p := range f.notGone() {
-				got[p.Name] = f.takersAt(p.Name)
-				sites[p.Name] = f.nodes[p.Name].board.Snapshot().Evacuations.Sites()
-			}
-		})
-		for name, takes := range got {
-			require.Equal(r, want, takes, "router %s", name)
-			require.Equal(r, evacuated, slices.Equal(sites[name], []string{evacuatedSite}), "router %s: %v", name, sites[name])
+		requireAgreement(t, r, rapid.SliceOfN(rapid.IntRange(0, 99), 8, 24).Draw(r, "steps"))
+	})
+}
+
+// Orders for which routers have disagreed.
+func TestRoutersAgreeAfterDrawnStoreReturns(t *testing.T) {
+	requireAgreement(t, t, []int{1, 53, 1, 32, 19, 21, 72, 9, 23, 1, 0, 81, 25, 77, 99, 31, 3, 2})
+}
+
+// requireAgreement runs a returnModel, and reports to r what differs between the routers and what is true.
+func requireAgreement(t *testing.T, r require.TestingT, steps []int) {
+	var want []string
+	var evacuated bool
+	got := make(map[string][]string)
+	sites := make(map[string][]string)
+	runFleet(t, sameStore, func(f *fakeFleet, s *fakeStore) {
+		s.update(func(s *fakeStore) { s.era = catalog.StatedEra(0) })
+		time.Sleep(time.Second)
+		m := newReturnModel(f, s)
+		want = m.run(steps)
+		evacuated = m.evacuated
+		for _, p := range f.notGone() {
+			got[p.Name] = f.takersAt(p.Name)
+			sites[p.Name] = f.nodes[p.Name].board.Snapshot().Evacuations.Sites()
 		}
 	})
+	for name, takes := range got {
+		require.Equal(r, want, takes, "router %s", name)
+		require.Equal(r, evacuated, slices.Equal(sites[name], []string{evacuatedSite}), "router %s: %v", name, sites[name])
+	}
 }
 
 // Guards against a router that starts after the return, reads the copy itself, and uses an engine whose
