forward: a request that was left keeps its place at a brittle engine for a while

An engine that goes on with what was left, as the stand-in does, has no room for it and rejects it.

Now the permit of a request that ends before its response is kept until one and a half times the mean time that requests occupy an engine of the service have passed since its start, and its lease ends later than the caller's deadline by as much. Only for engines that state that they are brittle; such requests don't count for the mean. Costs room where engines do stop at once.

--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -301,6 +301,9 @@
 	return n, ErrTruncated.Wrap(err)
 }
 
+// Complete reports whether the body was read to its end.
+func (a *Response) Complete() bool { return a.complete }
+
 // Close ends the exchange. The connection returns to the pool if the response
 // was read to its end, the request was written completely, and the engine keeps
 // the connection open too.
--- a/internal/edge/forward/brittle.go
+++ b/internal/edge/forward/brittle.go
@@ -127,6 +127,26 @@
 	return out
 }
 
+// abandonedHolds is for how many times the mean hold a brittle engine is assumed to go on with a request
+// that the router has left.
+const abandonedHolds = 1.5
+
+// abandonedHold returns the time after its start for which the permit of an abandoned request is kept.
+func abandonedHold(mean time.Duration) time.Duration {
+	return time.Duration(abandonedHolds * float64(mean))
+}
+
+// Abandon records that the request of the choice has been left before the end of its response. A brittle
+// engine may not notice that: if another request got the place of this one at once, it might be rejected.
+func (p *Balancer) Abandon(choice Choice) {
+	if !choice.brittle {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice.hold.abandoned = true
+}
+
 // reject records at the permit of the request that the engine has rejected it.
 func (c Choice) reject() {
 	if c.permit != nil {
--- a/internal/edge/forward/choice.go
+++ b/internal/edge/forward/choice.go
@@ -24,12 +24,18 @@
 	// whether it still is.
 	startedAt time.Duration
 	hold      *hold
+	// brittle is set if the permit is for a brittle engine.
+	brittle bool
 	// returning is set if the request is one of the first after a pause of the engine.
 	returning *backoff.Return[string]
 }
 
 // hold is what a request occupies at its engine. The mutex of the Balancer guards it.
-type hold struct{ released bool }
+type hold struct {
+	released bool
+	// abandoned is set if the engine may go on with the request after its end here.
+	abandoned bool
+}
 
 // Query describes a request for which an engine is selected.
 type Query struct {
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -373,11 +373,19 @@
 	choice.returning.End(false, now)
 	p.load(choice.Engine.ID).countSuspect(choice.isolate, -1)
 	first := p.endHold(choice)
-	if first {
+	var left time.Duration
+	switch {
+	case first && choice.hold.abandoned:
+		left = choice.startedAt + abandonedHold(p.meanHolds[choice.Engine.Service]) - now
+	case first:
 		p.recordHold(choice.Engine.Service, now-choice.startedAt)
 	}
 	p.mu.Unlock()
-	if first && choice.permit != nil {
+	switch {
+	case !first || choice.permit == nil:
+	case left > 0:
+		time.AfterFunc(left, func() { p.release(choice.permit) })
+	default:
 		p.release(choice.permit)
 	}
 }
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -152,6 +152,10 @@
 		Subject: x.req.RetryKey(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late,
 		Pace: a.Pace, Brittle: a.Brittle, Tolerance: int(a.Tolerance),
 	}
+	if a.Brittle {
+		// The engine may go on with the request when its caller has left at its deadline.
+		out.Lease += abandonedHold(plan.Hold)
+	}
 	if x.account != nil {
 		out.Account = x.account.Name
 	}
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -81,6 +81,7 @@
 		}
 		if isBrittle {
 			candidate.Brittle, candidate.Tolerance = true, tolerance
+			candidate.Choice.brittle = true
 			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
 		}
 		plan.Ask = append(plan.Ask, candidate)
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -235,6 +235,9 @@
 	stopTimer()
 	waited := x.f.Clock() - x.sentAt
 	if err != nil {
+		if !engineconn.ErrNotSent.Has(err) {
+			x.f.Engines.Abandon(choice)
+		}
 		return x.handleSendError(ctx, e, err, waited)
 	}
 	defer response.Close()
@@ -245,6 +248,11 @@
 		return x.handleEngineRefusal(e, response, reply)
 	}
 	x.executed++
+	defer func() {
+		if !response.Complete() {
+			x.f.Engines.Abandon(choice)
+		}
+	}()
 	if x.route.Kind != catalog.Streaming {
 		x.f.responseTimes.record(e.Service, waited)
 	}
