forward: a pause outlives the late entry of the start that asked for it

Cause: the engine was restarted in place, and its new process rejected a request before the router knew of the start. 0.9 s later its entry showed the start, and the pause was dropped as one of the start before.

Now a rejection that comes after connections to the known start were lost counts for the next one. Without such a loss the pause ends with the restart, as before (TestPauseEndsWithRestart). The periodic review drops the pauses of earlier starts after it has seen the restarts, not before.

--- a/internal/decide/backoff/table.go
+++ b/internal/decide/backoff/table.go
@@ -9,6 +9,8 @@
 type entry struct {
 	Backoff
 	start uint64
+	// rejectedAt is the time of the last rejection that asked for a pause.
+	rejectedAt time.Duration
 }
 
 // NewTable returns an empty table.
@@ -33,10 +35,19 @@
 		e = &entry{start: start}
 		t.entries[engine] = e
 	}
+	e.rejectedAt = now
 	extended = e.Backoff.Reject(now, pause, routers, random)
 	return e.ResumeAt() - now, extended
 }
 
+// Restart records that an engine has restarted, at endedAt as far as is known. A pause that was asked for
+// since belongs to the next start.
+func (t *Table[ID]) Restart(engine ID, from, to uint64, endedAt time.Duration) {
+	if e := t.get(engine, from); e != nil && e.rejectedAt >= endedAt {
+		e.start = to
+	}
+}
+
 // Admits reports whether a request may be sent to a start of an engine at now, and if not, in what
 // time at the earliest.
 func (t *Table[ID]) Admits(engine ID, start uint64, now time.Duration) (ok bool, in time.Duration) {
--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -51,9 +51,9 @@
 type loss struct {
 	// engine is the entry that was known then.
 	engine catalog.Engine
-	// aliveAt is when the process of the first lost connection lived for certain, and last the time of the
-	// last loss, on the boot clock.
-	aliveAt, last time.Duration
+	// aliveAt is when the process of the first lost connection lived for certain, first and last are the
+	// times of the first loss and the last one, on the boot clock.
+	aliveAt, first, last time.Duration
 	// restarted is set if the engine has stated another start than the entry. queries counts how often it
 	// was queried, and querying is set while it is.
 	restarted bool
@@ -81,6 +81,18 @@
 	return l.restarted && !e.RestartOf(l.engine)
 }
 
+// LostAt returns when a connection to the engine was first lost that may show the end of the start that its
+// entry states, if one was.
+func (d *RestartDoubts) LostAt(e catalog.Engine) (at time.Duration, lost bool) {
+	if d == nil {
+		return 0, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.losses[e.ID]
+	return l.first, ok && !e.RestartOf(l.engine)
+}
+
 // Lose records that a connection to the engine was lost, whose process lived at aliveAt.
 func (d *RestartDoubts) Lose(engine string, aliveAt time.Duration) {
 	if e, ok := d.snapshot().Engines.ByID[engine]; ok {
@@ -136,7 +148,7 @@
 	defer d.mu.Unlock()
 	l, ok := d.losses[e.ID]
 	if !ok || e.RestartOf(l.engine) {
-		l = loss{engine: e, aliveAt: aliveAt}
+		l = loss{engine: e, aliveAt: aliveAt, first: now}
 	}
 	l.aliveAt = min(l.aliveAt, aliveAt)
 	l.last, l.queries = now, 0
--- a/internal/edge/forward/ejection.go
+++ b/internal/edge/forward/ejection.go
@@ -89,14 +89,14 @@
 			p.promptCaches.remove(id)
 		}
 	}
-	p.forgetPauses(s, now)
-	if s.Config == nil {
-		return nil
-	}
 	var out []EjectionChange
-	for i := range s.Config.Services {
-		out = append(out, p.reviewEjections(s, s.Config.Services[i].Name, others, now)...)
+	if s.Config != nil {
+		for i := range s.Config.Services {
+			out = append(out, p.reviewEjections(s, s.Config.Services[i].Name, others, now)...)
+		}
 	}
+	// The review has moved the pauses that outlive a restart.
+	p.forgetPauses(s, now)
 	return out
 }
 
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -365,3 +366,41 @@
 		require.Zero(t, tr.f.Engines.OwnLoads()["e0"].InFlight)
 	})
 }
+
+// restart replaces the entry of an engine by that of its next start.
+func (p *pausedBalancer) restart(id string) {
+	e := p.engine(id)
+	e.Born++
+	e.Revision = p.snapshot.Engines.Upto + 1
+	u := catalog.EngineUpdate{Since: p.snapshot.Engines.Upto, Upto: e.Revision, Present: []catalog.Engine{e}}
+	p.snapshot, _ = p.snapshot.WithEngines(u, p.now, time.Hour, time.Hour)
+	p.EjectionChanges(p.snapshot)
+}
+
+// Guards against a pause that is forgotten because the engine had restarted before it asked for it, and
+// its entry has shown that only afterwards.
+func TestPauseOutlivesLateEntryOfItsStart(t *testing.T) {
+	p := newPausedBalancer(2)
+	p.restart("e0")
+	p.restart("e1")
+	clock, snapshot := func() time.Duration { return p.now }, func() *catalog.Snapshot { return p.snapshot }
+	noOther := func(string, time.Duration) bool { return false }
+	unknown := func(catalog.Engine) (int64, error) { return 0, errors.New("no answer") }
+	p.SetDoubts(NewRestartDoubts(clock, snapshot, noOther, unknown, func(string) bool { return false }))
+	p.doubts.Lose("e0", p.now)
+	p.now += 100 * time.Millisecond
+	p.Pause(p.engine("e0"), 4*time.Second)
+	p.now += time.Second
+	p.doubts.Lose("e0", p.now)
+	p.restart("e0")
+	require.Zero(t, p.countPicks(20)["e0"])
+	p.now += 4 * time.Second
+	require.Positive(t, p.countPicks(20)["e0"])
+
+	p.Pause(p.engine("e1"), time.Minute)
+	p.now += 100 * time.Millisecond
+	p.doubts.Lose("e1", p.now)
+	p.now += time.Second
+	p.restart("e1")
+	require.Positive(t, p.countPicks(20)["e1"], "the next start has asked for nothing")
+}
