--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -89,9 +89,7 @@
 		case err == nil && !x.stopped(candidate.Choice.Engine):
 			choice := candidate.Choice
 			choice.permit = permit
-			if !x.stream.resumes {
-				x.f.throttles.record(key, true, x.f.Clock())
-			}
+			x.recordGrant(key, true)
 			return x.f.Engines.StartLeased(choice, shared), nil, false
 		case err == nil:
 			x.f.Places.Release(permit)
@@ -113,10 +111,16 @@
 		choice, refusal = x.chooseWithoutPermit()
 		return choice, refusal, false
 	}
+	x.recordGrant(key, false)
+	return Choice{}, x.overloadRefusal(service), false
+}
+
+// recordGrant records whether a request got a permit, by which later ones are refused early. Those that
+// resume a stream are not, and do not count.
+func (x *exchange) recordGrant(key throttleKey, granted bool) {
 	if !x.stream.resumes {
-		x.f.throttles.record(key, false, x.f.Clock())
+		x.f.throttles.record(key, granted, x.f.Clock())
 	}
-	return Choice{}, x.overloadRefusal(service), false
 }
 
 // resumptionObjective is the objective by which a request that resumes a stream waits for a slot, if the
