forward: an engine that returns by a restart is logged as judged

Operators saw `engine judged` with ejected, and no line that it was back: the restart dropped the state that the review compares with, since trials keep it. The new test fails without the change, and the tests of internal/edge/forward and health pass with it.

--- a/internal/edge/forward/ejection_test.go
+++ b/internal/edge/forward/ejection_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/health"
 	"github.com/stretchr/testify/require"
@@ -84,3 +85,20 @@
 		p.elapse(reports)
 	}
 }
+
+// Guards against a log in which an engine that has restarted stays ejected.
+func TestRestartEndsEjectionVisibly(t *testing.T) {
+	p := newPausedBalancer(3)
+	reports := map[string]feed.EngineLoad{}
+	p.otherLoads = func() map[string]feed.EngineLoad { return reports }
+	p.stall("e0", 38, 0, reports)
+	require.Zero(t, p.atOnce(t, 30, "e0"))
+	u := p.engine("e0")
+	u.Born, u.Revision = 1, p.snapshot.Engines.Upto+1
+	p.snapshot, _ = p.snapshot.WithEngines(catalog.EngineUpdate{Since: p.snapshot.Engines.Upto, Upto: u.Revision, Present: []catalog.Engine{u}}, p.now, time.Hour, time.Hour)
+	changes := p.EjectionChanges(p.snapshot)
+	require.Len(t, changes, 1)
+	require.Equal(t, "e0", changes[0].Engine)
+	require.False(t, changes[0].Ejected)
+	require.Greater(t, p.atOnce(t, 30, "e0"), 1)
+}
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -338,7 +338,9 @@
 	}
 	p.load(e.ID).record = health.Record{}
 	p.load(e.ID).unanswered = health.Record{}
-	delete(p.ejections, e.ID)
+	if x := p.ejections[e.ID]; x != nil {
+		x.Restart()
+	}
 	if lostAt, lost := p.doubts.LostAt(previous.engine); lost {
 		p.pauses.Restart(e.ID, startOf(previous.engine), startOf(e), lostAt)
 	}
--- a/internal/edge/health/ejection.go
+++ b/internal/edge/health/ejection.go
@@ -39,6 +39,10 @@
 // Succeed records that a request of this router has succeeded.
 func (x *Ejection) Succeed() { x.succeeded = true }
 
+// Restart records that the engine has restarted: what is known of it is discarded. Whether it is ejected
+// follows from the next review.
+func (x *Ejection) Restart() { *x = Ejection{ejected: x.ejected, since: x.since} }
+
 // Review updates the state at now from the engine's load share and its whole evidence. It returns false
 // once nothing is left to follow.
 func (x *Ejection) Review(share float64, e Evidence, now time.Duration) bool {
