origins: the routers that keep records are selected when the fleet changes

Each router selected them anew 20 times a second, with a hash, two maps and sorts of all routers, for the same result. It now compares the routers first. One place selects them before the first review, where two did. Also one garbled comment. Tests of the package pass unchanged.

--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -100,10 +100,7 @@
 func (s *search) run(ctx context.Context, named bool) (Found, bool) {
 	r := s.registry
 	r.mu.Lock()
-	if len(r.eligible) == 0 {
-		r.updateFleet(r.Clock())
-	}
-	ranked := slices.DeleteFunc(origin.Rank(s.args.Key, r.eligible), func(m origin.Member) bool { return m.Name == r.Self })
+	ranked := slices.DeleteFunc(origin.Rank(s.args.Key, r.recordRouters()), func(m origin.Member) bool { return m.Name == r.Self })
 	peers := make(map[string]feed.Peer, len(ranked))
 	for _, m := range ranked {
 		peers[m.Name] = r.peers[m.Name]
--- a/internal/edge/origins/history.go
+++ b/internal/edge/origins/history.go
@@ -52,8 +52,8 @@
 	return r.history.Complete(r.Clock())
 }
 
-// requestHistory requests the history of the router that precedes this one in the fleet for a complete history. The first one
-// of the fleet reads it from the store.
+// requestHistory requests a complete history from the router that precedes this one in the fleet. The
+// first one of the fleet reads it from the store.
 func (r *Registry) requestHistory(ctx context.Context) {
 	live := r.Live()
 	self := slices.IndexFunc(live, func(p feed.Peer) bool { return p.Name == r.Self })
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -67,7 +67,9 @@
 	history *origin.History
 	// doubtful holds the streams that began at an engine in doubt.
 	doubtful map[origin.Key]begun
-	// eligible is the routers that keep records, by name as of the last review.
+	// members is the routers that may keep records as of the last review, and eligible those that do, by
+	// name.
+	members     []origin.Member
 	eligible    []origin.Member
 	peers       map[string]feed.Peer
 	unsupported map[string]time.Duration
@@ -188,10 +190,15 @@
 
 // replicas returns the routers that keep the record of a stream. The caller holds the mutex.
 func (r *Registry) replicas(key origin.Key) []origin.Member {
+	return origin.Replicas(key, r.recordRouters())
+}
+
+// recordRouters returns the routers that keep records. The caller holds the mutex.
+func (r *Registry) recordRouters() []origin.Member {
 	if len(r.eligible) == 0 {
 		r.updateFleet(r.Clock())
 	}
-	return origin.Replicas(key, r.eligible)
+	return r.eligible
 }
 
 // send sends a record to the members, except this router. The channel is closed once they have it or
@@ -333,7 +340,10 @@
 	}
 	r.hadPeers = r.hadPeers || len(peers) > 1
 	previous, r.peers = r.eligible, peers
-	r.eligible = origin.Eligible(members)
+	if slices.Equal(members, r.members) {
+		return previous, false
+	}
+	r.members, r.eligible = members, origin.Eligible(members)
 	return previous, !slices.Equal(previous, r.eligible)
 }
 
