forward: one place names the account of a request, and cuts permits to the slots

The limit for engines of few versions and the one for brittle engines were the same line twice. Streams resumed within their answer told that they were left: they hold no permit, for which alone that matters, so that the calls did nothing. A comment on the lease of keys had its verb changed by mistake.

--- a/internal/edge/forward/cut.go
+++ b/internal/edge/forward/cut.go
@@ -13,10 +13,7 @@
 
 // trackSuspicion begins to follow the request as a possible cause of the end of engines.
 func (x *exchange) trackSuspicion() {
-	c := quarantine.Content{Method: x.r.Method, Host: x.r.Host, Target: x.requestTarget(), Body: x.body}
-	if x.account != nil {
-		c.Account = x.account.Name
-	}
+	c := quarantine.Content{Account: x.accountName(), Method: x.r.Method, Host: x.r.Host, Target: x.requestTarget(), Body: x.body}
 	x.tracker = suspects.NewTracker(x.f.Suspects, c, x.route.Name)
 }
 
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -299,6 +299,14 @@
 	return nil
 }
 
+// accountName returns the name of the client account, or an empty one on a public route.
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
 func (x *exchange) remaining() time.Duration { return x.deadline - x.f.Clock() }
 
 // context returns a context that ends at the deadline or when the caller disconnects.
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -50,16 +50,13 @@
 	if x.stream.id == 0 {
 		x.stream.id = origins.NewExchange()
 	}
-	s := origins.Stream{ID: x.req.ID, Exchange: x.stream.id, Life: defaultTimeout}
+	s := origins.Stream{Account: x.accountName(), ID: x.req.ID, Exchange: x.stream.id, Life: defaultTimeout}
 	if x.req.Timeout > 0 {
 		s.Life = x.req.Timeout
 	}
 	if x.stream.resumes {
 		s.ID = x.req.Resumes
 	}
-	if x.account != nil {
-		s.Account = x.account.Name
-	}
 	return s
 }
 
@@ -139,11 +136,7 @@
 	if len(id) > maxRequestID || id == x.req.ID {
 		id = ""
 	}
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	found, err := x.f.Origins.Find(x.r.Context(), account, id, x.services())
+	found, err := x.f.Origins.Find(x.r.Context(), x.accountName(), id, x.services())
 	if err != nil {
 		x.f.Log.Warn("stream not resumed", "request", x.req.ID, "route", x.route.Name, "resumes", clip(x.req.Resumes), "after", clip(x.req.LastEvent), "reason", ReasonOriginUnknown, "cause", err)
 		return notExecuted(ReasonOriginUnknown, retryLater)
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -154,15 +154,12 @@
 		Engine: a.Choice.Engine.ID, Places: a.MaxInFlight, Urgency: x.urgency(), Weight: x.req.Cost(),
 		MaxWait: maxWait, Lease: x.remaining(), Hold: plan.Hold,
 		Subject: x.req.RetryKey(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late,
-		Pace: a.Pace, Brittle: a.Brittle, Tolerance: int(a.Tolerance),
+		Pace: a.Pace, Brittle: a.Brittle, Tolerance: int(a.Tolerance), Account: x.accountName(),
 	}
 	if a.Brittle {
 		// The engine may go on with the request when its caller has left at its deadline.
 		out.Lease += abandonedHold(plan.Hold)
 	}
-	if x.account != nil {
-		out.Account = x.account.Name
-	}
 	if x.stream.resumes {
 		// Only engines of its version serve the request, so that it goes ahead of those that any engine
 		// can serve. What was refused to the same prompt before does not count.
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -75,13 +75,13 @@
 			Choice: p.candidateChoice(engines, candidates, i, q, now), MaxInFlight: choose.MaxInFlight(candidates, i),
 			Pace: p.pace(config, engines[i].ID, now),
 		}
-		if few[candidates[i].Version] {
-			// Streams that are resumed have only these engines. The room beyond the slots is for them.
-			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
-		}
 		if isBrittle {
 			candidate.Brittle, candidate.Tolerance = true, tolerance
 			candidate.Choice.brittle = true
+		}
+		if isBrittle || few[candidates[i].Version] {
+			// Streams that are resumed have only the engines of their version. The room beyond the slots
+			// is for them.
 			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
 		}
 		plan.Ask = append(plan.Ask, candidate)
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -277,12 +277,9 @@
 
 func (x *exchange) engineRequest(choice Choice, lastEvent string) *engineconn.Request {
 	info := EngineRequestInfo{
-		Engine: choice.Engine, FetchFrom: choice.FetchFrom,
+		Engine: choice.Engine, FetchFrom: choice.FetchFrom, Account: x.accountName(),
 		Remaining: x.remaining(), Urgency: engineUrgency, LastEvent: lastEvent,
 	}
-	if x.account != nil {
-		info.Account = x.account.Name
-	}
 	maxIdle := maxIdleNonRepeatable
 	if x.route.Repeatable() {
 		maxIdle = maxIdleRepeatable
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -146,9 +146,6 @@
 		response, refused := x.sendResume(ctx, choice, lastID)
 		if response != nil {
 			return e, response, func() {
-				if !response.Complete() {
-					x.f.Engines.Abandon(choice)
-				}
 				response.Close()
 				x.f.Engines.Done(choice)
 			}
@@ -189,7 +186,6 @@
 		unsent := engineconn.ErrNotSent.Has(err)
 		if !unsent {
 			x.executed++
-			x.f.Engines.Abandon(choice)
 		}
 		return nil, unsent
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -160,7 +160,7 @@
 // with API keys.
 func (r *Router) keyLease() time.Duration {
 	share := leaseShare
-	// Each request with a key queries for the lease; the clock is read only after a return of the store.
+	// Each request with a key asks for the lease; the clock is read only after a return of the store.
 	if s := r.board.Snapshot(); s.ConfigEraSince > 0 && s.ConfigSettling(bootclock.Now()) {
 		share = settlingLeaseShare
 	}
