tests: the callers of the soak and of brittle engines share their loops

Three callers of the soak had the same client, pause and stop, and the test of callers that leave repeated the rate loop and the set-up of its neighbours.

--- a/test/soak/crashes.go
+++ b/test/soak/crashes.go
@@ -90,18 +90,11 @@
 
 // runCrasher repeats a request that crashes engines, at random routers, until stop is closed.
 func runCrasher(cl *cluster, path, body string, rng *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: callTimeout}
-	defer client.CloseIdleConnections()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(duration(rng, 100*time.Millisecond, 500*time.Millisecond)):
-		}
+	callUntil(stop, rng, 100*time.Millisecond, 500*time.Millisecond, func(client *http.Client) {
 		platformtest.Call{
 			Address: cl.address(pick(rng, cl.routers)), Path: path, Body: body, TimeoutMS: int(callTimeout.Milliseconds()),
 		}.Do(context.Background(), client)
-	}
+	})
 }
 
 // crashingRequest returns the path and the body of the i-th crashing request.
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -159,20 +159,36 @@
 // runCaller sends requests to random routers until stop is closed. It keeps connections
 // open and reuses them.
 func runCaller(cl *cluster, rec *recorder, caller int, rng *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: callTimeout}
-	defer client.CloseIdleConnections()
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(duration(rng, 2*time.Millisecond, 40*time.Millisecond)):
-		}
+	i := 0
+	callUntil(stop, rng, minCallPause, maxCallPause, func(client *http.Client) {
 		e := observation{path: pick(rng, platformtest.Paths), key: pick(rng, []string{platformtest.FirstKey, "key-2", "key-3"}), sent: time.Now()}
 		r := pick(rng, cl.routers)
 		e.response = platformtest.Call{
 			Address: cl.address(r), Path: e.path + "?" + routerQuery + "=" + r.name, Key: e.key, Body: fmt.Sprint("body ", caller, " ", i), TimeoutMS: int(callTimeout.Milliseconds()),
 		}.Do(context.Background(), client)
 		rec.record(e)
+		i++
+	})
+}
+
+// minCallPause and maxCallPause bound the pause of a caller before each request.
+const (
+	minCallPause = 2 * time.Millisecond
+	maxCallPause = 40 * time.Millisecond
+)
+
+// callUntil calls f after a random pause, again and again, until stop is closed, with a client that keeps
+// connections open.
+func callUntil(stop <-chan struct{}, rng *rand.Rand, minPause, maxPause time.Duration, f func(*http.Client)) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: callTimeout}
+	defer client.CloseIdleConnections()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(duration(rng, minPause, maxPause)):
+		}
+		f(client)
 	}
 }
 
--- a/test/soak/versions.go
+++ b/test/soak/versions.go
@@ -78,14 +78,7 @@
 // runStreamCaller begins streams, leaves them after the first event, in the middle or before the last,
 // and resumes them at other routers, until stop is closed.
 func runStreamCaller(cl *cluster, rec *recorder, rng *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: callTimeout}
-	defer client.CloseIdleConnections()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(duration(rng, 2*time.Millisecond, 40*time.Millisecond)):
-		}
+	callUntil(stop, rng, minCallPause, maxCallPause, func(client *http.Client) {
 		stream := new(platformtest.Stream)
 		for try := 0; try < maxTries && !stream.Done; try++ {
 			leaveAfter := rng.IntN(platformtest.StreamEvents)
@@ -101,7 +94,7 @@
 			time.Sleep(duration(rng, 0, 20*time.Millisecond))
 		}
 		rec.recordStream(stream)
-	}
+	})
 }
 
 func (rec *recorder) recordTry(t streamTry) {
