edge: log the prompt parts of requests that an engine's end cut

On-call could see that engines ended one after the other and that no two of the requests shared a fingerprint, but not what they had in common: no line named the parts of a prompt, nor whether a request had begun to be answered. 'engine ended' now has the parts by the number of requests, and the time for which each request had been answered; 'attempt failed' and 'request not served' have both. Bounded: 16 parts (8 a request), 32 bytes of an ID.

--- a/internal/edge/crash/detector.go
+++ b/internal/edge/crash/detector.go
@@ -2,9 +2,14 @@
 package crash
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +40,10 @@
 type Cut struct {
 	RequestID string
 	Request   quarantine.Suspect
+	// Parts holds the IDs of the prompt parts that other requests may have too.
+	Parts []string
+	// Answered is the time since the engine began to answer the request; zero if it had not.
+	Answered time.Duration
 	// Completed is set once another engine has completed the request, which shows that the request
 	// crashes no engines. Nil means that it never will be.
 	Completed *atomic.Bool
@@ -222,12 +231,17 @@
 func (d *Detector) report(end End) {
 	e := end.Engine
 	d.Log.Warn("engine ended", "engine", e.ID, "address", e.Address, "service", e.Service, "site", e.Site,
-		"evidence", end.Evidence, "requests", requestIDs(end.Cuts), "fingerprints", fingerprints(end.Cuts))
+		"evidence", end.Evidence, "requests", requestIDs(end.Cuts), "fingerprints", fingerprints(end.Cuts),
+		"answered", answered(end.Cuts), "parts", partCounts(end.Cuts))
 	d.Ended(end)
 }
 
-// maxLogged limits the requests listed in a log line.
-const maxLogged = 16
+const (
+	// maxLogged limits the requests and the prompt parts listed in a log line.
+	maxLogged = 16
+	// maxLoggedID limits the logged ID of a prompt part, which the caller chooses, in bytes.
+	maxLoggedID = 32
+)
 
 func requestIDs(cuts []Cut) []string {
 	var out []string
@@ -237,6 +251,33 @@
 	return out
 }
 
+func answered(cuts []Cut) []time.Duration {
+	var out []time.Duration
+	for _, c := range cuts[:min(len(cuts), maxLogged)] {
+		out = append(out, c.Answered)
+	}
+	return out
+}
+
+// partCounts returns the prompt parts of the requests, those of most requests first, each with the
+// number of requests that have it.
+func partCounts(cuts []Cut) []string {
+	counts := make(map[string]int)
+	for _, c := range cuts {
+		for _, id := range c.Parts {
+			counts[id]++
+		}
+	}
+	ids := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(counts[b]-counts[a], strings.Compare(a, b))
+	})
+	var out []string
+	for _, id := range ids[:min(len(ids), maxLogged)] {
+		out = append(out, id[:min(len(id), maxLoggedID)]+":"+strconv.Itoa(counts[id]))
+	}
+	return out
+}
+
 func fingerprints(cuts []Cut) []string {
 	var out []string
 	for _, c := range cuts[:min(len(cuts), maxLogged)] {
--- a/internal/edge/crash/detector_test.go
+++ b/internal/edge/crash/detector_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -140,3 +142,16 @@
 		require.Equal(t, 1, f.dials)
 	})
 }
+
+// Guards against an end of an engine whose log line does not tell what its requests had in common.
+func TestLoggedPartsAreThoseOfMostRequests(t *testing.T) {
+	cuts := []Cut{{Parts: []string{"b", "a"}}, {Parts: []string{"a", "c"}}, {Parts: []string{"d", "a", "c"}}}
+	require.Equal(t, []string{"a:3", "c:2", "b:1", "d:1"}, partCounts(cuts))
+	many := Cut{}
+	for i := range 100 {
+		many.Parts = append(many.Parts, strings.Repeat("x", 100)+strconv.Itoa(i))
+	}
+	logged := partCounts([]Cut{many})
+	require.Len(t, logged, maxLogged)
+	require.LessOrEqual(t, len(logged[0]), maxLoggedID+len(":1"))
+}
--- a/internal/edge/forward/cut.go
+++ b/internal/edge/forward/cut.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
@@ -28,11 +29,28 @@
 	// An engine that was slow to respond may have ended after the attempt there timed out.
 	for _, ended := range append(x.timedOutAt, e) {
 		request, completed := x.tracker.Suspect()
-		x.f.Cut(ended, crash.Cut{RequestID: x.req.ID, Request: request, Completed: completed})
+		x.f.Cut(ended, crash.Cut{
+			RequestID: x.req.ID, Request: request, Completed: completed, Parts: x.req.SuspectParts(), Answered: x.answeredFor(),
+		})
 	}
 	x.timedOutAt = nil
 }
 
+// beginAnswer records that the engine of the last send has begun to answer.
+func (x *exchange) beginAnswer() {
+	if x.answeredAt == 0 {
+		x.answeredAt = x.f.Clock()
+	}
+}
+
+// answeredFor returns the time since the engine of the last send began to answer, or zero if it has not.
+func (x *exchange) answeredFor() time.Duration {
+	if x.answeredAt == 0 {
+		return 0
+	}
+	return x.f.Clock() - x.answeredAt
+}
+
 // checkSuspicion returns the refusal of a request that must not be sent to an engine, or nil. The
 // status of a quarantined request is one after which callers do not retry: it is refused for longer
 // than any of them waits.
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -197,8 +197,9 @@
 	sends    int
 	// via is the router through which the last response came; empty for a direct connection.
 	via string
-	// sentAt is the reading of the boot clock at the last send.
-	sentAt time.Duration
+	// sentAt is the reading of the boot clock at the last send, and answeredAt that at which its engine
+	// began to answer; zero if it has not.
+	sentAt, answeredAt time.Duration
 	// deniedPermits counts the permit requests that yielded no usable permit. predictedWait is the
 	// wait that the last reply to such a request predicted.
 	deniedPermits int
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -17,6 +17,7 @@
 
 // relayBuffered reads the complete response and relays it.
 func (x *exchange) relayBuffered(ctx context.Context, e catalog.Engine, response *engineconn.Response) sendResult {
+	x.beginAnswer()
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
 	if err == nil && len(body) == maxBufferedResponse {
 		return x.relayUnbuffered(ctx, e, response, body)
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -54,6 +54,15 @@
 	return ids
 }
 
+// SuspectParts returns the IDs of the prompt parts, in order, that may crash engines whatever else the
+// request holds: all but the last, which belongs to this request or its session.
+func (r *Request) SuspectParts() []string {
+	if len(r.Prompt) < 2 {
+		return nil
+	}
+	return r.SharedParts()
+}
+
 // RetryKey returns a key that is the same for all attempts at the request, or zero if there is
 // none. Attempts have different IDs, but the last part of the prompt is specific to the request or
 // its session.
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -19,7 +19,7 @@
 	now := x.f.Clock()
 	x.f.Log.Warn("attempt failed", "request", x.req.ID, "route", x.route.Name, "engine", e.ID,
 		"address", e.Address, "attempt", x.sends, "waited", waited, "left", x.remaining(), "fingerprint", x.tracker.Fingerprint(),
-		"engine_leaving", x.reply.Leaving, "engine_retry_after", x.reply.RetryAfter, "engines_revision", x.snapshot.Engines.Upto, "engines_age", x.snapshot.EnginesAge(now), "cause", err)
+		"parts", clipParts(x.req.SuspectParts()), "answered", x.answeredFor(), "engine_leaving", x.reply.Leaving, "engine_retry_after", x.reply.RetryAfter, "engines_revision", x.snapshot.Engines.Upto, "engines_age", x.snapshot.EnginesAge(now), "cause", err)
 }
 
 // logResumption logs and counts a stream that goes on at another engine within its response.
@@ -80,7 +80,23 @@
 		x.f.Log.Info("request served", fields...)
 		return
 	}
-	x.f.Log.Warn("request not served", append(fields, "reason", x.outcome, "fingerprint", x.tracker.Fingerprint())...)
+	x.f.Log.Warn("request not served", append(fields, "reason", x.outcome, "fingerprint", x.tracker.Fingerprint(), "parts", clipParts(x.req.SuspectParts()), "answered", x.answeredFor())...)
+}
+
+const (
+	// maxLoggedParts limits the prompt parts listed in a log line, and maxLoggedPartID the length of
+	// their IDs, which callers choose, in bytes.
+	maxLoggedParts  = 8
+	maxLoggedPartID = 32
+)
+
+// clipParts returns the first prompt parts for a log line.
+func clipParts(ids []string) []string {
+	out := make([]string, 0, maxLoggedParts)
+	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+		out = append(out, id[:min(len(id), maxLoggedPartID)])
+	}
+	return out
 }
 
 // hashMod maps a key uniformly to the range from 0 to total-1.
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -221,7 +221,7 @@
 	x.sends++
 	x.engine, x.engineService, x.engineVersion = e.ID, e.Service, e.Version
 	x.reply = Reply{}
-	x.via = ""
+	x.via, x.answeredAt = "", 0
 	x.fetchFrom = choice.FetchFrom
 	if x.sends == 1 {
 		x.f.Budget.RecordRequest(e.Service, x.f.Clock())
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -99,6 +99,9 @@
 	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := response.Read(buf)
+		if n > 0 {
+			x.beginAnswer()
+		}
 		if complete := splitter.add(buf[:n]); len(complete) > 0 {
 			if !x.responded {
 				x.beginStream(e)
@@ -174,7 +177,7 @@
 	}
 	x.sends++
 	x.reply = Reply{}
-	x.sentAt = x.f.Clock()
+	x.sentAt, x.answeredAt = x.f.Clock(), 0
 	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(choice, lastID))
 	if engineconn.ErrWithdrawn.Has(err) {
 		return nil, true
