forward: an answer without length or chunks is whole only if its engine goes on

What callers saw: an answer with neither length nor chunks that the end of its engine cut short reached them with status 200 as a whole one, on all four kinds of route; a stream of that kind that ended inside an event was broken off and never resumed, where it may be. Cause: such an answer ends with its connection, and the end of a process ends the connection in the same way. The reader took the end of the connection for the end of the answer. Now: when such an answer ends, the router opens a connection to the engine. If the port refuses it, the answer was cut: reported like any other cut, repeated or resumed where the route allows, else the caller's connection ends as broken. The connection is kept for the next request, which needs a new one in any case. If nothing is clear within 150 ms the answer is passed on, and speaks for nobody. A stream that ends inside an event is broken off, framed or not. Ruled out: other open connections as the sign of life; they end in any order, and a router may have none.

--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -280,6 +280,11 @@
 		c.reused = true
 		return c, nil
 	}
+	return p.open(ctx, to, r.KnownStart)
+}
+
+// open opens a connection to the engine. Errors: ErrNotSent.
+func (p *Pool) open(ctx context.Context, to Target, knownStart bool) (*conn, error) {
 	p.mu.Lock()
 	p.dials++
 	first := len(p.idle[to.ID])+len(p.active[to.ID]) == 0
@@ -289,11 +294,22 @@
 	case errors.Is(err, syscall.ECONNREFUSED) && p.opts.Lost != nil:
 		p.opts.Lost(to.ID, p.opts.Clock())
 	case err == nil && first && p.opts.First != nil:
-		p.opts.First(to.ID, r.KnownStart)
+		p.opts.First(to.ID, knownStart)
 	}
 	return c, err
 }
 
+// Open opens a connection to the engine, which shows that the engine runs, and keeps it for the next
+// request if there are fewer than maxConns. Errors: ErrNotSent.
+func (p *Pool) Open(ctx context.Context, to Target, maxConns int) error {
+	c, err := p.open(ctx, to, false)
+	if err != nil {
+		return err
+	}
+	p.putIdle(to.ID, c, maxConns)
+	return nil
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -216,6 +216,8 @@
 	// tracker follows the request as a possible cause of the end of engines, from when its content
 	// is known.
 	tracker suspects.Tracker
+	// endUnchecked is set if it is not known whether the answer ended, or its engine.
+	endUnchecked bool
 	// timedOutAt holds the engines at which an attempt timed out.
 	timedOutAt []catalog.Engine
 	// engineFailure is an engine's own error response. The caller gets it if no other engine serves
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
+	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
@@ -22,13 +25,16 @@
 	if err == nil && len(body) == maxBufferedResponse {
 		return x.relayUnbuffered(ctx, e, response, body)
 	}
+	if err == nil {
+		err = x.checkEnd(ctx, e, response, false)
+	}
 	if err != nil {
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
 			return sendResult{action: actionStop, refusal: refusal}
 		}
 		return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonBadAnswer))
 	}
-	x.tracker.RecordCompletion()
+	x.recordCompletion()
 	if response.Status < http.StatusInternalServerError {
 		x.f.Engines.RecordOutcome(e.ID, true)
 		x.writeResponse(response.Status, response.Header, body)
@@ -56,6 +62,42 @@
 	return nil
 }
 
+// checkEnd checks an answer that seems complete. One without a length or chunks ends with its
+// connection, as if the engine had ended: it is complete only if the engine still accepts connections,
+// and a stream only if it has not ended inside an event. Errors: engineconn.ErrTruncated.
+func (x *exchange) checkEnd(ctx context.Context, e catalog.Engine, response *engineconn.Response, insideEvent bool) error {
+	switch {
+	case response.Framed && insideEvent:
+		return engineconn.ErrTruncated.New("stream ended inside an event")
+	case insideEvent:
+		return engineconn.ErrTruncated.New("stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	case response.Framed:
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	err := x.f.Conns.Open(ctx, engineTarget(e), x.idleConnLimit(e.Service))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return engineconn.ErrTruncated.New("the engine has ended: %w", io.ErrUnexpectedEOF)
+	}
+	x.endUnchecked = err != nil
+	if err != nil {
+		x.f.Log.Debug("end of an answer without a length not checked", "request", x.req.ID, "engine", e.ID, "cause", err)
+	}
+	return nil
+}
+
+// endCheckTimeout bounds the check whether an engine has ended.
+const endCheckTimeout = 150 * time.Millisecond
+
+// recordCompletion records that an engine has completed the request, unless its answer may have been cut
+// short.
+func (x *exchange) recordCompletion() {
+	if !x.endUnchecked {
+		x.tracker.RecordCompletion()
+	}
+}
+
 // engineFailure is an engine's own error response.
 type engineFailure struct {
 	status int
@@ -82,13 +124,17 @@
 	if _, err := x.w.Write(start); err != nil {
 		return sendResult{action: actionStop, refusal: x.disconnectRefusal()}
 	}
-	if _, err := io.Copy(x.w, response); err != nil {
+	_, err := io.Copy(x.w, response)
+	if err == nil {
+		err = x.checkEnd(ctx, e, response, false)
+	}
+	if err != nil {
 		if engineconn.ErrTruncated.Has(err) {
 			x.reportCut(ctx, e, err)
 		}
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonBadAnswer)}
 	}
-	x.tracker.RecordCompletion()
+	x.recordCompletion()
 	return sendResult{action: actionDone}
 }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -56,10 +56,13 @@
 	splitter := &eventSplitter{lastID: x.req.LastEvent}
 	for {
 		err := x.copyEvents(e, response, splitter)
+		if err == nil {
+			err = x.checkEnd(ctx, e, response, len(splitter.pending) > 0)
+		}
 		if err == nil {
 			x.f.Engines.RecordOutcome(e.ID, true)
-			x.tracker.RecordCompletion()
-			return x.endStream(response, splitter)
+			x.recordCompletion()
+			return x.endStream(response)
 		}
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
 			return sendResult{action: actionStop, refusal: refusal}
@@ -78,15 +81,15 @@
 	}
 }
 
-// endStream checks that a stream that ended normally did not end within an event or, unless its caller
-// resumed it after the last one, without any event.
-func (x *exchange) endStream(response *engineconn.Response, splitter *eventSplitter) sendResult {
-	if x.stream.resumes && !x.responded && len(splitter.pending) == 0 {
+// endStream checks that a stream that ended normally did not end without any event, unless its caller
+// resumed it after the last one.
+func (x *exchange) endStream(response *engineconn.Response) sendResult {
+	if x.stream.resumes && !x.responded {
 		// The caller left after the last event.
 		x.writeHeader(response.Status, response.Header)
 		x.w.WriteHeader(response.Status)
 	}
-	if len(splitter.pending) > 0 || !x.responded {
+	if !x.responded {
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 	}
 	return sendResult{action: actionDone}
