--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -301,6 +301,10 @@
 	return n, ErrTruncated.Wrap(err)
 }
 
+// Open reports whether the engine has not closed the connection, as far as is known. It returns false if
+// there is more to read.
+func (a *Response) Open() bool { return a.conn.reader.Buffered() == 0 && a.conn.open() }
+
 // Complete reports whether the body was read to its end.
 func (a *Response) Complete() bool { return a.complete }
 
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
+	"slices"
 	"strings"
 
+	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
 	"damaskrouter.example/damaskrouter/internal/edge/node"
 )
 
@@ -19,7 +22,7 @@
 	var f routersFlags
 	var all bool
 	clear := quarantineClearCommand()
-	c := newCommand("quarantine", "Show the requests that are refused because they crash engines.", func(ctx context.Context, con *console) error {
+	c := newCommand("quarantine", "Show the requests, and the parts of prompts, that are refused because they crash engines.", func(ctx context.Context, con *console) error {
 		if clear.sub.Used {
 			return clear.run(ctx, con)
 		}
@@ -45,47 +48,72 @@
 		_, err := fmt.Fprintf(con.out, "%s\n", body)
 		return err
 	}
-	quarantined := 0
-	for _, s := range suspects {
-		if s.State == node.StateQuarantined {
-			quarantined++
-		}
+	isPart := func(s node.SuspectStatus) bool { return s.Part != "" }
+	requests := slices.DeleteFunc(slices.Clone(suspects), isPart)
+	fmt.Fprintf(con.out, "%d requests in quarantine, %d suspects\n", countQuarantined(requests), len(requests)-countQuarantined(requests))
+	if parts := slices.DeleteFunc(slices.Clone(suspects), func(s node.SuspectStatus) bool { return !isPart(s) }); len(parts) > 0 {
+		fmt.Fprintf(con.out, "%d parts of prompts in quarantine, %d suspects\n", countQuarantined(parts), len(parts)-countQuarantined(parts))
 	}
-	fmt.Fprintf(con.out, "%d requests in quarantine, %d suspects\n", quarantined, len(suspects)-quarantined)
 	if !all {
-		suspects = suspects[:quarantined]
+		suspects = suspects[:countQuarantined(suspects)]
 	}
 	if len(suspects) == 0 {
 		return nil
 	}
-	return table(con.out, true, "\nFINGERPRINT\tSTATE\tACCOUNT\tROUTE\tSINCE\tLAPSED\tENGINES", func(w io.Writer) error {
+	return table(con.out, true, "\nREQUEST OR PART\tSTATE\tACCOUNT\tROUTE\tSINCE\tLAPSED\tENGINES", func(w io.Writer) error {
 		for _, s := range suspects {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", s.Fingerprint, s.State, s.Account, s.Route, ago(s.Age), s.Lapsed, strings.Join(s.Engines, " "))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", s.ID(), s.State, s.Account, s.Route, ago(s.Age), s.Lapsed, strings.Join(s.Engines, " "))
 		}
 		return nil
 	})
 }
 
+func countQuarantined(suspects []node.SuspectStatus) int {
+	n := 0
+	for _, s := range suspects {
+		if s.State == node.StateQuarantined {
+			n++
+		}
+	}
+	return n
+}
+
 // quarantineClearCommand returns the command that ends the quarantine of a request.
 func quarantineClearCommand() *command {
 	var f routersFlags
-	var fingerprint string
-	c := newCommand("clear", "Discard what is held against a request, so that it is sent to engines again.", func(ctx context.Context, con *console) error {
-		return clearSuspect(ctx, con, &f, fingerprint)
+	var suspect string
+	c := newCommand("clear", "Discard what is held against a request or a part of prompts, so that it is sent to engines again.", func(ctx context.Context, con *console) error {
+		return clearSuspect(ctx, con, &f, suspect)
 	})
-	c.sub.AddPositionalValue(&fingerprint, "FINGERPRINT", 1, true, "The fingerprint of the request.")
+	c.sub.AddPositionalValue(&suspect, "SUSPECT", 1, true, "The fingerprint of the request, or the part as SERVICE/ID.")
 	c.sub.String(&f.router, "r", "router", "The control address of any router, HOST:PORT. Default: "+envRouter+" from the environment.")
 	return c
 }
 
-func clearSuspect(ctx context.Context, con *console, f *routersFlags, fingerprint string) error {
+// clearPath returns the path at which a suspect is cleared. Errors: ErrUsage.
+func clearPath(suspect string) (string, error) {
+	if !strings.Contains(suspect, "/") {
+		return node.PathQuarantine + "/" + url.PathEscape(suspect), nil
+	}
+	p, err := quarantine.ParsePart(suspect)
+	if err != nil {
+		return "", ErrUsage.Wrap(err)
+	}
+	return node.PathQuarantineParts + "/" + url.PathEscape(p.Service) + "/" + url.PathEscape(p.ID), nil
+}
+
+func clearSuspect(ctx context.Context, con *console, f *routersFlags, suspect string) error {
 	key := os.Getenv(envFleetKey)
 	if f.address() == "" || key == "" {
 		return ErrUsage.New("name a router with --router ADDRESS (or %s), and set %s to the fleet key", envRouter, envFleetKey)
 	}
+	path, err := clearPath(suspect)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, routerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+f.address()+node.PathQuarantine+"/"+fingerprint, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+f.address()+path, nil)
 	if err != nil {
 		return ErrUsage.Wrap(err)
 	}
@@ -102,6 +130,6 @@
 	if resp.StatusCode != http.StatusNoContent {
 		return ErrRouter.New("%s answers %s: %s", f.address(), resp.Status, body)
 	}
-	_, err = fmt.Fprintf(con.out, "%s is sent to engines again\n", fingerprint)
+	_, err = fmt.Fprintf(con.out, "%s is sent to engines again\n", suspect)
 	return err
 }
--- a/internal/cli/quarantine_test.go
+++ b/internal/cli/quarantine_test.go
@@ -17,6 +17,7 @@
 	mux.HandleFunc("GET "+node.PathQuarantine, func(w http.ResponseWriter, _ *http.Request) {
 		require.NoError(t, json.NewEncoder(w).Encode([]node.SuspectStatus{
 			{Fingerprint: "aa11", State: node.StateQuarantined, Account: "office", Route: "drafts", Engines: []string{"e1", "e2", "e3"}, Age: time.Minute},
+			{Part: "llm/5c1e07a2", State: node.StateQuarantined, Account: "*", Route: "drafts", Engines: []string{"e4", "e5"}},
 			{Fingerprint: "bb22", State: node.StateSuspect, Engines: []string{"e3"}},
 		}))
 	})
@@ -27,6 +28,11 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
+	cleared := ""
+	mux.HandleFunc("DELETE "+node.PathQuarantineParts+"/{service}/{id}", func(w http.ResponseWriter, r *http.Request) {
+		cleared = r.PathValue("service") + "/" + r.PathValue("id")
+		w.WriteHeader(http.StatusNoContent)
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
@@ -35,6 +41,8 @@
 	require.Equal(t, exitOK, code, stderr)
 	require.Contains(t, out, "1 requests in quarantine, 1 suspects")
 	require.Regexp(t, `aa11 +quarantined +office +drafts +1m0s ago +0 +e1 e2 e3`, out)
+	require.Contains(t, out, "1 parts of prompts in quarantine, 0 suspects")
+	require.Regexp(t, `llm/5c1e07a2 +quarantined +\* +drafts`, out)
 	require.NotContains(t, out, "bb22")
 	_, out, _ = execute("quarantine", "--router", address, "--all")
 	require.Contains(t, out, "bb22")
@@ -50,4 +58,10 @@
 	code, out, stderr = execute("quarantine", "clear", "aa11", "--router", address)
 	require.Equal(t, exitOK, code, stderr)
 	require.Contains(t, out, "aa11 is sent to engines again")
+	code, out, stderr = execute("quarantine", "clear", "llm/05C1E07A2", "--router", address)
+	require.Equal(t, exitOK, code, stderr)
+	require.Contains(t, out, "sent to engines again")
+	require.Equal(t, "llm/5c1e07a2", cleared)
+	code, _, _ = execute("quarantine", "clear", "llm/", "--router", address)
+	require.Equal(t, exitUsage, code)
 }
--- a/internal/decide/quarantine/fingerprint.go
+++ b/internal/decide/quarantine/fingerprint.go
@@ -1,11 +1,12 @@
 // Package quarantine decides which requests must no longer be sent to engines because they crash
-// them. It reads no clock and does no I/O: the time and what routers observe are arguments.
+// them, or because a part of their prompts does. It reads no clock and does no I/O: the time and what
+// routers observe are arguments.
 //
 // A caller that repeats such a request gives each attempt a new ID, so requests are identified by
-// their content. When an engine ends unexpectedly, all requests that it was executing are suspects.
-// A complete response clears a suspect; a suspect under which several engines have ended is
-// quarantined. Routers exchange suspects as entries that can be merged in any order, any number of
-// times.
+// their content. When an engine ends unexpectedly, all requests that it was executing are suspects, and
+// so are the parts of their prompts. Answers clear suspects; one under which several engines have ended
+// is quarantined, unless another suspect or chance explains that as well. Routers exchange suspects as
+// entries that can be merged in any order, any number of times.
 package quarantine
 
 import (
@@ -57,6 +58,9 @@
 	return uint32(xxh3.HashString(c.Target)) ^ uint32(xxh3.HashStringSeed(c.Account, uint64(len(c.Body))))
 }
 
+// hash returns the first bytes of the fingerprint.
+func (f Fingerprint) hash() uint64 { return binary.BigEndian.Uint64(f[:8]) }
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -20,21 +19,34 @@
 	// AccountEnds replaces Ends for an account with at least AccountQuarantined requests in
 	// quarantine.
 	AccountEnds, AccountQuarantined int
+	// PartEnds is the number of engines that must have ended under a part before it is quarantined, and
+	// PartSuspectEnds the number from which it is suspected: requests with it are sent to one engine only.
+	PartEnds, PartSuspectEnds int
+	// AccountPartEnds replaces PartEnds for a part of a single account with at least AccountQuarantined
+	// parts in quarantine.
+	AccountPartEnds int
+	// PartRequests is the number of different requests that it must take to explain the ends under a
+	// part before it is quarantined.
+	PartRequests int
+	// SuspectScore and GuiltyScore are the negative logarithms of the probability of chance below which
+	// a part is suspected, and quarantined.
+	SuspectScore, GuiltyScore float64
 	// Evidence is how long the end of an engine counts against the requests that it was executing.
 	Evidence time.Duration
 	// Quarantine is the duration of a request's first quarantine. Each further one lasts twice as
 	// long as the one before, up to MaxQuarantine.
 	Quarantine, MaxQuarantine time.Duration
-	// Entries is the maximum number of suspects.
-	Entries int
+	// Entries is the maximum number of suspected requests, and PartEntries that of suspected parts.
+	Entries, PartEntries int
 }
 
 // DefaultLimits returns the limits that routers use.
 func DefaultLimits() Limits {
 	return Limits{
 		Ends: 3, ChanceEnds: 5, ChanceWindow: 100 * time.Millisecond, SiteWindow: time.Second, AccountEnds: 2, AccountQuarantined: 3,
+		PartEnds: 4, PartSuspectEnds: 2, AccountPartEnds: 3, PartRequests: 3, SuspectScore: 7, GuiltyScore: 20,
 		Evidence: 10 * time.Minute, Quarantine: 10 * time.Minute, MaxQuarantine: 24 * time.Hour,
-		Entries: 1024,
+		Entries: 1024, PartEntries: 1024,
 	}
 }
 
@@ -63,6 +75,8 @@
 
 // The kinds of changes.
 const (
+	// Suspected means that requests with a part are sent to one engine only.
+	Suspected   ChangeKind = "suspected"
 	Quarantined ChangeKind = "quarantined"
 	Lapsed      ChangeKind = "lapsed"
 	Cleared     ChangeKind = "cleared"
@@ -71,9 +85,19 @@
 // Table holds the suspects. It is not safe for concurrent use.
 type Table struct {
 	limits  Limits
-	entries map[Fingerprint]*row
-	// revision is the revision of the last change.
-	revision uint64
+	entries map[Key]*row
+	// ends holds the ends under any suspect, by engine.
+	ends map[string]End
+	// quarantined indexes the suspects in quarantine; nil if it must be determined anew.
+	quarantined *quarantineIndex
+	// likely holds the engines that ended under a part that is likely to crash engines; nil if it must be
+	// determined anew.
+	likely map[string]bool
+	// now is the time of the last change or of Advance.
+	now time.Duration
+	// revision is the revision of the last change that other routers need to know, and viewRevision that
+	// of the last change of a status.
+	revision, viewRevision uint64
 }
 
 // row is an entry with the local history of its changes.
@@ -83,24 +107,28 @@
 	// current state, or empty if no single router did.
 	revision uint64
 	source   string
+	// status is that by the last judgement, and judged is set if nothing can have changed it since.
+	status Status
+	judged bool
 }
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, entries: make(map[Fingerprint]*row)}
+	return &Table{limits: limits, entries: make(map[Key]*row), ends: make(map[string]End)}
 }
 
 // Revision returns the revision of the last change.
 func (t *Table) Revision() uint64 { return t.revision }
 
-// Len returns the number of entries, including those that were cleared.
-func (t *Table) Len() int { return len(t.entries) }
+// ViewRevision returns the revision of the last change that a View shows.
+func (t *Table) ViewRevision() uint64 { return t.viewRevision }
 
-// Entries returns all entries, without those that were cleared.
+// Entries returns all entries, without those that were cleared and the parts of which answers have
+// refuted all ends.
 func (t *Table) Entries() []Entry {
 	var out []Entry
-	for _, r := range t.entries {
-		if len(r.Ends) > 0 {
+	for k, r := range t.entries {
+		if len(r.Ends) > 0 && (!k.IsPart() || r.Quarantined || r.Lapsed > 0 || r.countOpen() > 0) {
 			out = append(out, r.Entry)
 		}
 	}
@@ -131,21 +159,59 @@
 	return out
 }
 
+// Cut is a request that an engine was executing when it ended.
+type Cut struct {
+	Request Suspect
+	// Parts holds the parts of its prompt that may crash engines whatever else the request holds.
+	Parts []CutPart
+	// Answered is for how long the engine had answered the request, Exposure for how long it had had it.
+	Answered, Exposure time.Duration
+}
+
+// CutPart is a part of the prompt of a request that was cut.
+type CutPart struct {
+	Part
+	// CompletedAt is when the newest answer began that the router knows to be complete; zero for none.
+	CompletedAt time.Duration
+}
+
 // RecordEnd records that an engine ended at a time while it executed requests.
-func (t *Table) RecordEnd(end End, suspects []Suspect, now time.Duration) []Change {
-	var entries []Entry
-	for _, s := range suspects {
-		generation := uint32(0)
-		if r := t.entries[s.Fingerprint]; r != nil {
-			generation = r.Generation
+func (t *Table) RecordEnd(end End, cuts []Cut, now time.Duration) []Change {
+	byKey := make(map[Key]*Entry)
+	var entries []*Entry
+	add := func(s Suspect, end End) *Entry {
+		e := byKey[s.Key()]
+		if e == nil {
+			e = &Entry{Suspect: s, ChangedAt: now}
+			if r := t.entries[s.Key()]; r != nil {
+				e.Generation = r.Generation
+			}
+			byKey[s.Key()] = e
+			entries = append(entries, e)
+		}
+		e.mergeAccount(s.Account)
+		e.addEnd(end)
+		return e
+	}
+	for _, c := range cuts {
+		own := end
+		own.Answered, own.Exposure = c.Answered, c.Exposure
+		add(c.Request, own)
+		own.Requests = []uint64{c.Request.hash()}
+		for _, p := range c.Parts {
+			add(Suspect{Part: p.Part, Account: c.Request.Account, Route: c.Request.Route}, own).prove(p.CompletedAt, p.CompletedAt)
 		}
-		entries = append(entries, Entry{Suspect: s, Generation: generation, Ends: []End{end}, ChangedAt: now})
 	}
-	return t.Merge(entries, "", now)
+	out := make([]Entry, len(entries))
+	for i, e := range entries {
+		out[i] = *e
+	}
+	return t.Merge(out, "", now)
 }
 
 // Merge merges entries of another router, named by source.
 func (t *Table) Merge(entries []Entry, source string, now time.Duration) []Change {
+	t.now = max(t.now, now)
 	var out []Change
 	for _, e := range entries {
 		if now-e.ChangedAt > t.lifetime(&e) {
@@ -155,59 +221,149 @@
 			out = append(out, change)
 		}
 	}
+	out = append(out, t.judge()...)
 	t.evict()
 	return out
 }
 
-// mergeOne merges an entry, and returns a change if the request is in quarantine since then.
+// mergeOne merges an entry, and returns a change if the suspect is in quarantine since then.
 func (t *Table) mergeOne(e Entry, source string, now time.Duration) (Change, bool) {
-	r := t.entries[e.Fingerprint]
+	r := t.entries[e.Key()]
 	if r == nil {
 		r = &row{Entry: Entry{Suspect: e.Suspect}}
-		t.entries[e.Fingerprint] = r
+		t.entries[e.Key()] = r
 	}
 	before := r.Quarantined
 	if !r.merge(e) {
 		return Change{}, false
 	}
+	for _, end := range e.Ends {
+		if _, known := t.ends[end.Engine]; !known {
+			t.ends[end.Engine] = end
+		}
+	}
+	r.acquit(now)
 	r.source = ""
 	if sameState(r.Entry, e) {
 		r.source = source
 	}
-	if !r.Quarantined && len(r.Ends) >= t.limits.ChanceEnds+int(r.Lapsed) {
+	if !r.Key().IsPart() && !r.Quarantined && len(t.requestEnds(&r.Entry)) >= t.limits.ChanceEnds+int(r.Lapsed) {
 		r.quarantine(now)
 	}
 	t.touch(r)
 	return Change{Entry: r.Entry, Kind: Quarantined}, r.Quarantined && !before
 }
 
-// quarantine begins the quarantine of a request.
+// quarantine begins the quarantine of a suspect.
 func (r *row) quarantine(now time.Duration) {
 	r.Quarantined, r.QuarantinedAt, r.ChangedAt, r.source = true, now, now, ""
 }
 
+// judge brings the statuses up to date after changes, and returns the parts that are suspected or in
+// quarantine since then.
+func (t *Table) judge() []Change {
+	t.likely = nil
+	out := t.quarantineParts()
+	for _, r := range t.entries {
+		if r.judged {
+			continue
+		}
+		before := r.status
+		r.status, r.judged = t.statusOf(r), !t.undecided(r)
+		if !r.status.equal(before) {
+			t.viewRevision++
+		}
+		if r.status.Suspected && !before.Suspected {
+			out = append(out, Change{Entry: r.Entry, Kind: Suspected})
+		}
+	}
+	return out
+}
+
+// undecided reports whether the status of a suspect may change with time, or with what becomes of others.
+func (t *Table) undecided(r *row) bool {
+	return !r.Quarantined && r.countOpen() >= min(t.limits.PartSuspectEnds, t.limits.AccountEnds)
+}
+
+// quarantineParts puts the parts in quarantine that are to blame, and returns them. Each explains ends
+// that then no longer count against the others, so that the likeliest comes first: one that was not
+// answered lately, then the one under which most engines ended.
+func (t *Table) quarantineParts() []Change {
+	var out []Change
+	for {
+		var best *row
+		for _, r := range t.entries {
+			if !r.Key().IsPart() || r.Quarantined || r.judged || t.judgePart(&r.Entry, t.now) != guilty {
+				continue
+			}
+			if best == nil || r.likelierThan(best) {
+				best = r
+			}
+		}
+		if best == nil {
+			return out
+		}
+		best.quarantine(t.now)
+		t.touch(best)
+		out = append(out, Change{Entry: best.Entry, Kind: Quarantined})
+	}
+}
+
+// likelierThan orders parts of which each may be to blame.
+func (r *row) likelierThan(o *row) bool {
+	late := func(r *row) bool { return r.answeredLately() }
+	if late(r) != late(o) {
+		return late(o)
+	}
+	return cmp.Or(cmp.Compare(r.countOpen(), o.countOpen()), o.Key().Compare(r.Key())) > 0
+}
+
 // sameState reports whether an entry equals another one that was merged into it.
 func sameState(merged, e Entry) bool {
-	return merged.Generation == e.Generation && len(merged.Ends) == len(e.Ends) && merged.Lapsed == e.Lapsed && merged.Quarantined == e.Quarantined
+	return merged.Generation == e.Generation && len(merged.Ends) == len(e.Ends) && merged.Lapsed == e.Lapsed && merged.Quarantined == e.Quarantined &&
+		merged.Account == e.Account && merged.OutlivedAt == e.OutlivedAt && merged.CompletedAt == e.CompletedAt
 }
 
 // touch gives a row the next revision.
 func (t *Table) touch(r *row) {
 	t.revision++
+	t.viewRevision++
 	r.revision = t.revision
+	r.judged = false
+	if r.Quarantined || t.quarantined.contains(r) {
+		t.forgetQuarantined()
+	}
+}
+
+// forgetQuarantined notes that suspects have entered or left quarantine, by which all others are judged.
+func (t *Table) forgetQuarantined() {
+	t.quarantined = nil
+	for _, r := range t.entries {
+		r.judged = false
+	}
+}
+
+// requestEnds returns the ends that count against a request. Those that a part explains do not, and if
+// the request was answered lately, neither do those that another request explains.
+func (t *Table) requestEnds(e *Entry) []End {
+	return slices.DeleteFunc(e.openEnds(), func(end End) bool {
+		by := t.index().explanation(end.Engine, e)
+		return t.now < e.countsAt(end) || by != nil && (by.Key().IsPart() || e.countsAt(end) > end.At)
+	})
 }
 
 // decisionAt returns when the quarantine of a request is decided, or zero if it is not due.
 func (t *Table) decisionAt(e *Entry) time.Duration {
-	if e.Quarantined || len(e.Ends) < t.endsNeeded(e) {
+	ends := t.requestEnds(e)
+	if e.Quarantined || len(ends) < t.endsNeeded(e) {
 		return 0
 	}
 	last := time.Duration(0)
-	for _, end := range e.Ends {
+	for _, end := range ends {
 		last = max(last, end.At)
 	}
 	window := t.limits.ChanceWindow
-	if oneSite(e.Ends) {
+	if oneSite(ends) {
 		window = max(window, t.limits.SiteWindow)
 	}
 	return last + window + reportTime
@@ -221,24 +377,42 @@
 // endsNeeded returns the number of ends after which the quarantine of a request is decided.
 func (t *Table) endsNeeded(e *Entry) int {
 	needed := t.limits.Ends
-	if len(e.Ends) >= t.limits.AccountEnds && e.Account != "" && t.quarantined(e.Account) >= t.limits.AccountQuarantined {
+	if len(e.Ends) >= t.limits.AccountEnds && t.isOffender(e) {
 		needed = t.limits.AccountEnds
 	}
 	return needed + int(e.Lapsed)
 }
 
+// partEndsNeeded returns the number of ends after which a part is quarantined.
+func (t *Table) partEndsNeeded(e *Entry) int {
+	needed := t.limits.PartEnds
+	if len(e.Ends) >= t.limits.AccountPartEnds && t.isOffender(e) {
+		needed = t.limits.AccountPartEnds
+	}
+	return needed + int(e.Lapsed)
+}
+
+// isOffender reports whether many suspects of the same kind and account are in quarantine.
+func (t *Table) isOffender(e *Entry) bool {
+	if e.Account == "" || e.Account == AnyAccount {
+		return false
+	}
+	return t.index().offences[offender{e.Account, e.Key().IsPart()}] >= t.limits.AccountQuarantined
+}
+
 // shouldQuarantine decides on a request that was held.
 func (t *Table) shouldQuarantine(e *Entry) bool {
-	return len(e.Ends)-t.endsByChance(e) >= t.endsNeeded(e)
+	ends := t.requestEnds(e)
+	return len(ends)-t.endsByChance(e, ends) >= t.endsNeeded(e)
 }
 
-// endsByChance returns how many of the engines that ended under a request did so while others ended
-// without it.
-func (t *Table) endsByChance(e *Entry) int {
+// endsByChance returns how many of the ends under a request came while other engines ended without
+// it.
+func (t *Table) endsByChance(e *Entry, ends []End) int {
 	others := t.endsWithout(e)
-	inOneSite := oneSite(e.Ends)
+	inOneSite := oneSite(ends)
 	n := 0
-	for _, end := range e.Ends {
+	for _, end := range ends {
 		near, nearInSite := 0, 0
 		for _, other := range others {
 			distance := max(other.At-end.At, end.At-other.At)
@@ -256,61 +430,113 @@
 	return n
 }
 
-// endsWithout returns the ends of the engines that did not end under a request, by engine.
-func (t *Table) endsWithout(e *Entry) map[string]End {
-	out := make(map[string]End)
-	for _, r := range t.entries {
-		for _, end := range r.Ends {
-			out[end.Engine] = end
+// endsWithout returns the ends that did not come under a request and that no suspect in quarantine
+// explains.
+func (t *Table) endsWithout(e *Entry) []End {
+	var out []End
+	for _, end := range t.ends {
+		if !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil {
+			out = append(out, end)
 		}
 	}
-	for _, end := range e.Ends {
-		delete(out, end.Engine)
-	}
 	return out
 }
 
-// quarantined returns the number of an account's requests in quarantine.
-func (t *Table) quarantined(account string) int {
-	n := 0
-	for _, r := range t.entries {
-		if r.Quarantined && r.Account == account {
-			n++
-		}
-	}
-	return n
-}
-
-// Clear discards what is held against a request, because it was completed or at an operator's
-// order. It returns false if nothing is.
-func (t *Table) Clear(f Fingerprint, now time.Duration) (Change, bool) {
-	r := t.entries[f]
+// Clear discards what is held against a suspect, because the request was completed or at an
+// operator's order; with a part in quarantine also what is held against those that can't be told apart
+// from it. It returns false if nothing is.
+func (t *Table) Clear(k Key, now time.Duration) (Change, bool) {
+	t.now = max(t.now, now)
+	r := t.entries[k]
 	if r == nil || len(r.Ends) == 0 {
 		return Change{}, false
 	}
 	before := r.Entry
+	with := r.status.With
+	t.clearRow(r, now)
+	for _, p := range with {
+		if other := t.entries[Key{Part: p}]; other != nil {
+			t.clearRow(other, now)
+		}
+	}
+	t.judge()
+	return Change{Entry: before, Kind: Cleared}, true
+}
+
+func (t *Table) clearRow(r *row, now time.Duration) {
 	r.clear(now)
 	r.source = ""
 	t.touch(r)
-	return Change{Entry: before, Kind: Cleared}, true
+}
+
+// acquit clears a part whose quarantine, or a lapsed one, answers have refuted.
+func (r *row) acquit(now time.Duration) bool {
+	if !r.Key().IsPart() || !r.Quarantined && r.Lapsed == 0 || r.countOpen() > 0 {
+		return false
+	}
+	r.clear(now)
+	return true
+}
+
+// Prove records an answer that began at a time and has gone on for longer than Outlives; complete means
+// that it has ended as it should. The answer refutes earlier ends of engines under the suspects. A part
+// in quarantine, of which only single requests are tried, is cleared.
+func (t *Table) Prove(suspects []Key, began time.Duration, complete bool, now time.Duration) []Change {
+	t.now = max(t.now, now)
+	completed := time.Duration(0)
+	if complete {
+		completed = began
+	}
+	var out []Change
+	changed := false
+	for _, k := range suspects {
+		r := t.entries[k]
+		if r == nil || len(r.Ends) == 0 || !r.prove(began, completed) {
+			continue
+		}
+		before := r.Entry
+		if r.acquit(now) {
+			out = append(out, Change{Entry: before, Kind: Cleared})
+		}
+		r.source = ""
+		t.touch(r)
+		changed = true
+	}
+	if changed {
+		out = append(out, t.judge()...)
+	}
+	return out
 }
 
 // Advance decides on the requests that were held, ends the quarantines that have lapsed and drops
 // old entries. A request whose quarantine lapsed is quarantined again after one more engine has
 // ended under it.
 func (t *Table) Advance(now time.Duration) []Change {
+	t.now = max(t.now, now)
 	var out []Change
-	for f, r := range t.entries {
+	for k, r := range t.entries {
 		if kind, changed := t.advance(r, now); changed {
 			r.source = ""
 			t.touch(r)
 			out = append(out, Change{Entry: r.Entry, Kind: kind})
 		}
 		if now-r.ChangedAt > t.lifetime(&r.Entry) {
-			delete(t.entries, f)
+			delete(t.entries, k)
+			t.touchView()
 		}
 	}
-	return out
+	for id, end := range t.ends {
+		if now-end.At > t.limits.Evidence {
+			delete(t.ends, id)
+		}
+	}
+	return append(out, t.judge()...)
+}
+
+// touchView notes that rows were dropped.
+func (t *Table) touchView() {
+	t.viewRevision++
+	t.forgetQuarantined()
 }
 
 func (t *Table) advance(r *row, now time.Duration) (ChangeKind, bool) {
@@ -322,6 +548,9 @@
 		r.Lapsed++
 		return Lapsed, true
 	}
+	if r.Key().IsPart() {
+		return "", false
+	}
 	decision := t.decisionAt(&r.Entry)
 	if decision == 0 || now < decision || !t.shouldQuarantine(&r.Entry) {
 		return "", false
@@ -352,23 +581,42 @@
 	return t.limits.Evidence
 }
 
-// evict drops the entries that matter least while there are too many: requests in quarantine are
+// evict drops the entries that matter least while there are too many: suspects in quarantine are
 // kept longest, then those under which most engines ended, then the newest.
 func (t *Table) evict() {
-	excess := len(t.entries) - t.limits.Entries
+	requests, parts := 0, 0
+	for k := range t.entries {
+		if k.IsPart() {
+			parts++
+		} else {
+			requests++
+		}
+	}
+	t.evictKind(false, requests-t.limits.Entries)
+	t.evictKind(true, parts-t.limits.PartEntries)
+}
+
+func (t *Table) evictKind(parts bool, excess int) {
 	if excess <= 0 {
 		return
 	}
-	rows := slices.SortedFunc(maps.Values(t.entries), func(a, b *row) int {
+	var rows []*row
+	for k, r := range t.entries {
+		if k.IsPart() == parts {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *row) int {
 		return cmp.Or(
 			compareBools(a.Quarantined, b.Quarantined),
-			cmp.Compare(len(a.Ends), len(b.Ends)),
+			cmp.Compare(len(a.openEnds()), len(b.openEnds())),
 			cmp.Compare(a.ChangedAt, b.ChangedAt),
-			slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+			a.Key().Compare(b.Key()))
 	})
 	for _, r := range rows[:excess] {
-		delete(t.entries, r.Fingerprint)
+		delete(t.entries, r.Key())
 	}
+	t.touchView()
 }
 
 func compareBools(a, b bool) int {
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -18,8 +18,17 @@
 	return Suspect{Fingerprint: c.Fingerprint(), Hint: c.Hint(), Account: "a", Route: "r"}
 }
 
+// cuts returns requests that were cut as soon as they were sent.
+func cuts(requests ...Suspect) []Cut {
+	var out []Cut
+	for _, r := range requests {
+		out = append(out, Cut{Request: r})
+	}
+	return out
+}
+
 func (t *Table) entry(s Suspect) Entry {
-	if r := t.entries[s.Fingerprint]; r != nil {
+	if r := t.entries[s.Key()]; r != nil {
 		return r.Entry
 	}
 	return Entry{}
@@ -32,8 +41,8 @@
 	Quarantined        bool
 }
 
-func (t *Table) states() map[Fingerprint]state {
-	out := make(map[Fingerprint]state)
+func (t *Table) states() map[Key]state {
+	out := make(map[Key]state)
 	for f, r := range t.entries {
 		out[f] = state{r.Generation, r.Lapsed, fmt.Sprint(r.Engines()), r.Quarantined}
 	}
@@ -49,11 +58,11 @@
 		at := time.Duration(i+1) * 10 * time.Second
 		for range 2 {
 			// Both routers had a request with this content at the engine.
-			a.RecordEnd(End{fmt.Sprint("e", i), "site", at}, []Suspect{q}, at)
-			b.RecordEnd(End{fmt.Sprint("e", i), "site", at}, []Suspect{q}, at)
+			a.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site", At: at}, cuts(q), at)
+			b.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site", At: at}, cuts(q), at)
 			b.Merge(a.ChangedSince(0, ""), "a", at)
 		}
-		require.Equal(t, i == 2, b.decisionAt(&b.entries[q.Fingerprint].Entry) > 0, i)
+		require.Equal(t, i == 2, b.decisionAt(&b.entries[q.Key()].Entry) > 0, i)
 		b.Advance(at + decided)
 		require.Equal(t, i == 2, b.entry(q).Quarantined, i)
 	}
@@ -79,10 +88,10 @@
 			own := tables[router.Draw(t, "router")]
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0, 1:
-				end := End{fmt.Sprint("e", rapid.IntRange(0, 12).Draw(t, "engine")), "site", now}
-				own.RecordEnd(end, rapid.SliceOfDistinct(rapid.SampledFrom(suspects), func(s Suspect) Fingerprint { return s.Fingerprint }).Draw(t, "suspects"), now)
+				end := End{Engine: fmt.Sprint("e", rapid.IntRange(0, 12).Draw(t, "engine")), Site: "site", At: now}
+				own.RecordEnd(end, cuts(rapid.SliceOfDistinct(rapid.SampledFrom(suspects), Suspect.Key).Draw(t, "suspects")...), now)
 			case 2:
-				own.Clear(rapid.SampledFrom(suspects).Draw(t, "cleared").Fingerprint, now)
+				own.Clear(rapid.SampledFrom(suspects).Draw(t, "cleared").Key(), now)
 				own.Advance(now)
 			default:
 				entries := own.ChangedSince(uint64(rapid.IntRange(0, 5).Draw(t, "since")), "")
@@ -129,7 +138,7 @@
 					ended = append(ended, requests[i].suspect)
 				}
 			}
-			table.RecordEnd(End{fmt.Sprint("e", e), "site", at(e)}, ended, at(e))
+			table.RecordEnd(End{Engine: fmt.Sprint("e", e), Site: "site", At: at(e)}, cuts(ended...), at(e))
 			table.Advance(at(e))
 		}
 		table.Advance(at(engines) + time.Minute)
@@ -149,9 +158,9 @@
 		for i := range limits.ChanceEnds {
 			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond
 			for j := range rapid.IntRange(0, 5).Draw(t, "others") {
-				table.RecordEnd(End{fmt.Sprint("other", i, j), "site", now}, []Suspect{suspect(fmt.Sprint(i, j))}, now)
+				table.RecordEnd(End{Engine: fmt.Sprint("other", i, j), Site: "site", At: now}, cuts(suspect(fmt.Sprint(i, j))), now)
 			}
-			table.RecordEnd(End{fmt.Sprint("e", i), "site", now}, []Suspect{q}, now)
+			table.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site", At: now}, cuts(q), now)
 		}
 		require.True(t, table.entry(q).Quarantined)
 	})
@@ -162,17 +171,17 @@
 func TestCompletedRequestIsCleared(t *testing.T) {
 	a, b := NewTable(DefaultLimits()), NewTable(DefaultLimits())
 	s := suspect("s")
-	a.RecordEnd(End{"e1", "site", 1}, []Suspect{s}, 1)
-	a.RecordEnd(End{"e2", "site", 2}, []Suspect{s}, 2)
+	a.RecordEnd(End{Engine: "e1", Site: "site", At: 1}, cuts(s), 1)
+	a.RecordEnd(End{Engine: "e2", Site: "site", At: 2}, cuts(s), 2)
 	before := a.ChangedSince(0, "")
 	b.Merge(before, "a", 2)
-	_, ok := b.Clear(s.Fingerprint, 3)
+	_, ok := b.Clear(s.Key(), 3)
 	require.True(t, ok)
 	a.Merge(b.ChangedSince(0, ""), "b", 3)
 	a.Merge(before, "c", 4)
-	a.RecordEnd(End{"e3", "site", 5}, []Suspect{s}, 5)
+	a.RecordEnd(End{Engine: "e3", Site: "site", At: 5}, cuts(s), 5)
 	require.Equal(t, []string{"e3"}, []string(engines(a, s)))
-	_, ok = b.Clear(suspect("unknown").Fingerprint, 3)
+	_, ok = b.Clear(suspect("unknown").Key(), 3)
 	require.False(t, ok)
 }
 
@@ -188,7 +197,7 @@
 	q := suspect("q")
 	now := time.Hour
 	for i := range limits.Ends {
-		table.RecordEnd(End{fmt.Sprint("e", i), "site", now}, []Suspect{q}, now)
+		table.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site", At: now}, cuts(q), now)
 	}
 	length := limits.Quarantine
 	for i := range 12 {
@@ -201,8 +210,8 @@
 		// The request returns only after as long a time again.
 		now += length
 		require.Empty(t, table.Advance(now))
-		table.RecordEnd(End{fmt.Sprint("later", i), "site", now}, []Suspect{q}, now)
-		require.Equal(t, now+decided, table.decisionAt(&table.entries[q.Fingerprint].Entry))
+		table.RecordEnd(End{Engine: fmt.Sprint("later", i), Site: "site", At: now}, cuts(q), now)
+		require.Equal(t, now+decided, table.decisionAt(&table.entries[q.Key()].Entry))
 		length = min(2*length, limits.MaxQuarantine)
 	}
 }
@@ -222,7 +231,7 @@
 				require.Equal(t, limits.AccountEnds, j)
 				return
 			}
-			table.RecordEnd(End{fmt.Sprint(i, " ", j), "site", now}, []Suspect{q}, now)
+			table.RecordEnd(End{Engine: fmt.Sprint(i, " ", j), Site: "site", At: now}, cuts(q), now)
 		}
 	}
 	t.Fatal("stopped as late as the first requests")
@@ -236,12 +245,12 @@
 	table := NewTable(limits)
 	q := suspect("q")
 	for i := range limits.Ends {
-		table.RecordEnd(End{fmt.Sprint("e", i), "site", 0}, []Suspect{q}, 0)
+		table.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site", At: 0}, cuts(q), 0)
 	}
 	table.Advance(decided)
 	for i := range 1000 {
 		at := decided + time.Duration(i+1)*time.Millisecond
-		table.RecordEnd(End{fmt.Sprint("other", i), "site", at}, []Suspect{suspect(fmt.Sprint("s", i))}, at)
+		table.RecordEnd(End{Engine: fmt.Sprint("other", i), Site: "site", At: at}, cuts(suspect(fmt.Sprint("s", i))), at)
 		require.LessOrEqual(t, len(table.entries), limits.Entries)
 	}
 	require.True(t, table.entry(q).Quarantined)
@@ -255,14 +264,14 @@
 func TestReportedEntriesAreNotSentBack(t *testing.T) {
 	a, b := NewTable(DefaultLimits()), NewTable(DefaultLimits())
 	s := suspect("s")
-	a.RecordEnd(End{"e1", "site", 1}, []Suspect{s}, 1)
+	a.RecordEnd(End{Engine: "e1", Site: "site", At: 1}, cuts(s), 1)
 	b.Merge(a.ChangedSince(0, "b"), "a", 1)
 	require.Empty(t, b.ChangedSince(0, "a"))
 	require.Len(t, b.ChangedSince(0, "c"), 1)
 	revision := b.Revision()
 	b.Merge(a.ChangedSince(0, "b"), "a", 1)
 	require.Equal(t, revision, b.Revision())
-	b.RecordEnd(End{"e2", "site", 2}, []Suspect{s}, 2)
+	b.RecordEnd(End{Engine: "e2", Site: "site", At: 2}, cuts(s), 2)
 	require.Len(t, b.ChangedSince(revision, "a"), 1)
 	require.True(t, slices.Equal([]string{"e1", "e2"}, engines(b, s)))
 }
--- a/internal/decide/quarantine/view_test.go
+++ b/internal/decide/quarantine/view_test.go
@@ -16,7 +16,7 @@
 		status, _ := table.View().Find(content)
 		require.Zero(t, status.HeldUntil)
 		require.Len(t, status.Ends, i)
-		table.RecordEnd(End{fmt.Sprint("e", i), "site", time.Duration(i)}, []Suspect{suspect("q")}, time.Duration(i))
+		table.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site", At: time.Duration(i)}, cuts(suspect("q")), time.Duration(i))
 	}
 	status, _ := table.View().Find(content)
 	require.Greater(t, status.HeldUntil, decided)
@@ -29,7 +29,7 @@
 // Guards against hashing the bodies of requests that resemble no suspect.
 func TestOnlyContentWithKnownHintIsHashed(t *testing.T) {
 	table := NewTable(DefaultLimits())
-	table.RecordEnd(End{"e", "site", 0}, []Suspect{suspect("q")}, 0)
+	table.RecordEnd(End{Engine: "e", Site: "site"}, cuts(suspect("q")), 0)
 	_, fingerprint := table.View().Find(Content{Account: "a", Target: "/other"})
 	require.Nil(t, fingerprint)
 	_, fingerprint = table.View().Find(Content{Account: "a", Target: "/q", Body: []byte("longer")})
@@ -45,10 +45,10 @@
 	body := make([]byte, 16<<10)
 	full := NewTable(DefaultLimits())
 	for i := range full.limits.Entries - 1 {
-		full.RecordEnd(End{fmt.Sprint("e", i), "site", 0}, []Suspect{suspect(fmt.Sprint("s", i))}, 0)
+		full.RecordEnd(End{Engine: fmt.Sprint("e", i), Site: "site"}, cuts(suspect(fmt.Sprint("s", i))), 0)
 	}
 	q := Content{Account: "a", Method: "POST", Host: "h", Target: "/q", Body: body}
-	full.RecordEnd(End{"e", "site", 0}, []Suspect{{Fingerprint: q.Fingerprint(), Hint: q.Hint()}}, 0)
+	full.RecordEnd(End{Engine: "e", Site: "site"}, cuts(Suspect{Fingerprint: q.Fingerprint(), Hint: q.Hint()}), 0)
 	other := q
 	other.Target = "/other"
 	for _, c := range []struct {
--- a/internal/edge/crash/detector.go
+++ b/internal/edge/crash/detector.go
@@ -39,11 +39,7 @@
 // Cut is a request whose response ended because the connection to its engine broke.
 type Cut struct {
 	RequestID string
-	Request   quarantine.Suspect
-	// Parts holds the IDs of the prompt parts that other requests may have too.
-	Parts []string
-	// Answered is the time since the engine began to answer the request; zero if it had not.
-	Answered time.Duration
+	quarantine.Cut
 	// Completed is set once another engine has completed the request, which shows that the request
 	// crashes no engines. Nil means that it never will be.
 	Completed *atomic.Bool
@@ -60,16 +56,16 @@
 	Known bool
 }
 
-// Suspects returns the end and the requests that the engine was executing, except those that have
-// been completed since.
-func (e End) Suspects() (quarantine.End, []quarantine.Suspect) {
-	var requests []quarantine.Suspect
+// Unexplained returns the end and the requests that the engine was executing, except those that have
+// been completed since. peers is the number of engines of the service.
+func (e End) Unexplained(peers int) (quarantine.End, []quarantine.Cut) {
+	var cuts []quarantine.Cut
 	for _, c := range e.Cuts {
 		if c.Completed == nil || !c.Completed.Load() {
-			requests = append(requests, c.Request)
+			cuts = append(cuts, c.Cut)
 		}
 	}
-	return quarantine.End{Engine: e.Engine.ID, Site: e.Engine.Site, At: e.At}, requests
+	return quarantine.End{Engine: e.Engine.ID, Site: e.Engine.Site, At: e.At, Peers: peers}, cuts
 }
 
 // Options configure a Detector.
@@ -264,8 +260,8 @@
 func partCounts(cuts []Cut) []string {
 	counts := make(map[string]int)
 	for _, c := range cuts {
-		for _, id := range c.Parts {
-			counts[id]++
+		for _, p := range c.Parts {
+			counts[p.ID]++
 		}
 	}
 	ids := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
--- a/internal/edge/crash/detector_test.go
+++ b/internal/edge/crash/detector_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
@@ -145,13 +146,20 @@
 
 // Guards against an end of an engine whose log line does not tell what its requests had in common.
 func TestLoggedPartsAreThoseOfMostRequests(t *testing.T) {
-	cuts := []Cut{{Parts: []string{"b", "a"}}, {Parts: []string{"a", "c"}}, {Parts: []string{"d", "a", "c"}}}
+	cut := func(ids ...string) Cut {
+		var c Cut
+		for _, p := range quarantine.NewParts("svc", ids) {
+			c.Parts = append(c.Parts, quarantine.CutPart{Part: p})
+		}
+		return c
+	}
+	cuts := []Cut{cut("b", "a"), cut("a", "c"), cut("d", "a", "c")}
 	require.Equal(t, []string{"a:3", "c:2", "b:1", "d:1"}, partCounts(cuts))
-	many := Cut{}
+	var many []string
 	for i := range 100 {
-		many.Parts = append(many.Parts, strings.Repeat("x", 100)+strconv.Itoa(i))
+		many = append(many, strings.Repeat("x", 50)+strconv.Itoa(i))
 	}
-	logged := partCounts([]Cut{many})
+	logged := partCounts([]Cut{cut(many...)})
 	require.Len(t, logged, maxLogged)
 	require.LessOrEqual(t, len(logged[0]), maxLoggedID+len(":1"))
 }
--- a/internal/edge/feed/quarantinestore.go
+++ b/internal/edge/feed/quarantinestore.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"slices"
@@ -14,15 +13,15 @@
 	"github.com/charmbracelet/log"
 )
 
-// quarantineKey is the key of the row, in contactsTable, that holds the requests in quarantine as
-// JSON.
+// quarantineKey is the key of the row, in contactsTable, that holds the requests and the parts of
+// prompts in quarantine as JSON.
 const quarantineKey = "quarantine"
 
-// maxStoredQuarantines bounds the row, which the store limits to 64 KB. If there are more requests in
-// quarantine, those that entered it last are stored.
+// maxStoredQuarantines bounds the row, which the store limits to 64 KB. If there is more in quarantine,
+// what entered it last is stored.
 const maxStoredQuarantines = 200
 
-// storedQuarantine is a request in quarantine as stored. It has no times: those of a clock that
+// storedQuarantine is a request or a part in quarantine as stored. It has no times: those of a clock that
 // counts from the boot of a VM mean nothing to another one. A quarantine that is read back starts
 // anew.
 type storedQuarantine struct {
@@ -33,11 +32,49 @@
 	Generation  uint32   `json:"generation"`
 	Engines     []string `json:"engines"`
 	Lapsed      uint32   `json:"lapsed"`
+	// Part is the part as SERVICE/ID, and PartAccount its account; empty for a request. For a part the
+	// fingerprint is one that no request has: routers of earlier releases take it for a request, and its
+	// account for one with a request in quarantine.
+	Part        string `json:"part,omitempty"`
+	PartAccount string `json:"part_account,omitempty"`
 }
 
-// QuarantineKeeper stores the requests in quarantine while this router reads the store. All routers
-// share them, but none would know them after all have lost power, and each request would end three
-// more engines.
+// newStoredQuarantine returns what is stored of an entry.
+func newStoredQuarantine(e quarantine.Entry) storedQuarantine {
+	out := storedQuarantine{
+		Fingerprint: e.Fingerprint.String(), Hint: e.Hint, Account: e.Account, Route: e.Route,
+		Generation: e.Generation, Engines: e.Engines(), Lapsed: e.Lapsed,
+	}
+	if e.Key().IsPart() {
+		out.Fingerprint = quarantine.Content{Target: "prompt part " + e.Part.String()}.Fingerprint().String()
+		out.Part, out.PartAccount, out.Account = e.Part.String(), e.Account, ""
+	}
+	return out
+}
+
+// entry returns the entry, with a quarantine that begins now. Errors: quarantine.ErrFingerprint,
+// quarantine.ErrPart.
+func (s storedQuarantine) entry(now time.Duration) (quarantine.Entry, error) {
+	e := quarantine.Entry{
+		Suspect:    quarantine.Suspect{Hint: s.Hint, Account: s.Account, Route: s.Route},
+		Generation: s.Generation, Lapsed: s.Lapsed, Quarantined: true, QuarantinedAt: now, ChangedAt: now,
+	}
+	for _, engine := range s.Engines {
+		e.Ends = append(e.Ends, quarantine.End{Engine: engine, At: now})
+	}
+	var err error
+	if s.Part != "" {
+		e.Account = s.PartAccount
+		e.Part, err = quarantine.ParsePart(s.Part)
+		return e, err
+	}
+	e.Fingerprint, err = quarantine.ParseFingerprint(s.Fingerprint)
+	return e, err
+}
+
+// QuarantineKeeper stores what is in quarantine while this router reads the store. All routers share
+// it, but none would know it after all have lost power, and each request would end three more engines,
+// each part four.
 type QuarantineKeeper struct {
 	Table    platform.Table
 	Suspects *suspects.Set
@@ -49,7 +86,7 @@
 	Log   *log.Logger
 }
 
-// Run stores the requests when needed until the context is canceled.
+// Run stores the quarantine when needed until the context is canceled.
 func (k *QuarantineKeeper) Run(ctx context.Context) {
 	k.row().run(ctx, k.Clock, func(err error) { k.Log.Warn("quarantine not stored", "cause", err) })
 }
@@ -63,7 +100,7 @@
 	return &rowKeeper{key: quarantineKey, table: k.Table, reads: k.Reads, storeEra: era, missing: encodeQuarantines(nil), load: k.load, value: value}
 }
 
-// load puts the stored requests in quarantine. A value that cannot be decoded is replaced.
+// load takes over the stored quarantine. A value that cannot be decoded is replaced.
 func (k *QuarantineKeeper) load(value []byte, now time.Duration) {
 	if value == nil {
 		return
@@ -80,13 +117,10 @@
 	entries = slices.DeleteFunc(slices.Clone(entries), func(e quarantine.Entry) bool { return !e.Quarantined })
 	slices.SortFunc(entries, func(a, b quarantine.Entry) int { return int(b.QuarantinedAt - a.QuarantinedAt) })
 	entries = entries[:min(len(entries), maxStoredQuarantines)]
-	slices.SortFunc(entries, func(a, b quarantine.Entry) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	slices.SortFunc(entries, func(a, b quarantine.Entry) int { return a.Key().Compare(b.Key()) })
 	out := make([]storedQuarantine, len(entries))
 	for i, e := range entries {
-		out[i] = storedQuarantine{
-			Fingerprint: e.Fingerprint.String(), Hint: e.Hint, Account: e.Account, Route: e.Route,
-			Generation: e.Generation, Engines: e.Engines(), Lapsed: e.Lapsed,
-		}
+		out[i] = newStoredQuarantine(e)
 	}
 	// Marshaling strings and numbers can't fail.
 	value, _ := json.Marshal(out)
@@ -102,17 +136,10 @@
 	}
 	var out []quarantine.Entry
 	for _, s := range stored {
-		f, err := quarantine.ParseFingerprint(s.Fingerprint)
+		e, err := s.entry(now)
 		if err != nil {
 			return nil, ErrMalformed.Wrap(err)
 		}
-		e := quarantine.Entry{
-			Suspect:    quarantine.Suspect{Fingerprint: f, Hint: s.Hint, Account: s.Account, Route: s.Route},
-			Generation: s.Generation, Lapsed: s.Lapsed, Quarantined: true, QuarantinedAt: now, ChangedAt: now,
-		}
-		for _, engine := range s.Engines {
-			e.Ends = append(e.Ends, quarantine.End{Engine: engine, At: now})
-		}
 		out = append(out, e)
 	}
 	return out, nil
--- a/internal/edge/feed/quarantinestore_test.go
+++ b/internal/edge/feed/quarantinestore_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -44,7 +45,7 @@
 		before.quarantine(q)
 		before.quarantine(lifted)
 		time.Sleep(time.Second)
-		require.True(t, before.Suspects.Clear(lifted.Fingerprint))
+		require.True(t, before.Suspects.Clear(lifted.Key()))
 		time.Sleep(time.Second)
 		calls := s.calls.Load()
 		time.Sleep(time.Minute)
@@ -92,3 +93,31 @@
 		}
 	})
 }
+
+// Guards against a part that ends engines again after all routers have lost power at once, and against a
+// stored part that routers of an earlier release take for a request of its account.
+func TestPartsInQuarantineAreStored(t *testing.T) {
+	part := quarantine.Suspect{Part: quarantine.NewPart("svc", "1a"), Account: "first", Route: "r"}
+	entries := []quarantine.Entry{
+		{Suspect: part, Generation: 3, Lapsed: 2, Quarantined: true, Ends: []quarantine.End{{Engine: "e1"}}},
+		{Suspect: testSuspect("q"), Quarantined: true, Ends: []quarantine.End{{Engine: "e2"}}},
+		{Suspect: quarantine.Suspect{Part: quarantine.NewPart("svc", "2b")}, Ends: []quarantine.End{{Engine: "e1"}}},
+	}
+	value := encodeQuarantines(entries)
+	decoded, err := decodeQuarantines(value, time.Hour)
+	require.NoError(t, err)
+	require.Len(t, decoded, 2)
+	require.Equal(t, part, decoded[0].Suspect)
+	require.Equal(t, testSuspect("q"), decoded[1].Suspect)
+	require.True(t, decoded[0].Quarantined)
+	require.EqualValues(t, 3, decoded[0].Generation)
+	require.EqualValues(t, 2, decoded[0].Lapsed)
+
+	var earlier []struct{ Fingerprint, Account string }
+	require.NoError(t, json.Unmarshal(value, &earlier))
+	_, err = quarantine.ParseFingerprint(earlier[0].Fingerprint)
+	require.NoError(t, err)
+	require.Empty(t, earlier[0].Account)
+	_, err = decodeQuarantines([]byte(`[{"part":"svc"}]`), time.Hour)
+	require.True(t, ErrMalformed.Has(err))
+}
--- a/internal/edge/feed/suspects.go
+++ b/internal/edge/feed/suspects.go
@@ -84,7 +84,7 @@
 
 func (f *Follower) pushSuspectsTo(ctx context.Context, parent Peer) bool {
 	args := f.suspectExchange.Request(parent.Name, f.Suspects, f.Clock())
-	if len(args.Records) == 0 {
+	if args.Len() == 0 {
 		return true
 	}
 	args.From = f.Self.Name
--- a/internal/edge/feed/suspects_test.go
+++ b/internal/edge/feed/suspects_test.go
@@ -26,7 +26,7 @@
 
 // recordEnd records at a router that an engine ended under a request.
 func (n *fakeNode) recordEnd(f *fakeFleet, engine string, s quarantine.Suspect) {
-	n.suspects.RecordEnd(quarantine.End{Engine: engine, At: f.clock()}, []quarantine.Suspect{s})
+	n.suspects.RecordEnd(quarantine.End{Engine: engine, At: f.clock()}, []quarantine.Cut{{Request: s}})
 }
 
 func (n *fakeNode) ends(s quarantine.Suspect) int {
@@ -106,7 +106,7 @@
 		}
 		time.Sleep(knownWithin)
 		for _, n := range f.nodes {
-			require.True(t, n.suspects.Clear(q.Fingerprint))
+			require.True(t, n.suspects.Clear(q.Key()))
 			break
 		}
 		time.Sleep(knownWithin)
@@ -167,7 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := func() time.Duration { return time.Hour }
 		relay, args := newTestRelay(10, clock)
-		relay.Suspects.RecordEnd(quarantine.End{Engine: "e1", At: time.Hour}, []quarantine.Suspect{testSuspect("q")})
+		relay.Suspects.RecordEnd(quarantine.End{Engine: "e1", At: time.Hour}, []quarantine.Cut{{Request: testSuspect("q")}})
 		var reply PullReply
 		require.NoError(t, relay.Pull(args, &reply))
 		require.Nil(t, reply.Suspects)
--- a/internal/edge/forward/attempttimeout.go
+++ b/internal/edge/forward/attempttimeout.go
@@ -54,10 +54,10 @@
 // that hangs, or whose response was lost, would use up the time of a request that another engine
 // could serve at once. Only idempotent requests have an attempt timeout. Their responses are short,
 // so generating one twice costs little; canceling a stream would discard much more work of the
-// first engine. The returned function stops the timer and must be called once the engine has
-// responded.
+// first engine. A request that may crash its engine has none: it would end two at once. The returned
+// function stops the timer and must be called once the engine has responded.
 func (x *exchange) withAttemptTimeout(ctx context.Context, e catalog.Engine) (context.Context, func()) {
-	if x.route.Kind != catalog.Idempotent || x.executed+1 >= x.route.Attempts {
+	if x.route.Kind != catalog.Idempotent || x.executed+1 >= x.route.Attempts || x.tracker.LikelyCause() {
 		return ctx, func() {}
 	}
 	timeout := x.f.responseTimes.attemptTimeout(e.Service, x.route.Objective)
--- a/internal/edge/forward/cut.go
+++ b/internal/edge/forward/cut.go
@@ -15,7 +15,7 @@
 // trackSuspicion begins to follow the request as a possible cause of the end of engines.
 func (x *exchange) trackSuspicion() {
 	c := quarantine.Content{Account: x.accountName(), Method: x.r.Method, Host: x.r.Host, Target: x.requestTarget(), Body: x.body}
-	x.tracker = suspects.NewTracker(x.f.Suspects, c, x.route.Name)
+	x.tracker = suspects.NewTracker(x.f.Suspects, c, x.route.Name, x.req.SuspectParts)
 }
 
 // reportCut reports that the connection to the engine broke, unless the router itself closed it. It
@@ -29,9 +29,11 @@
 	// An engine that was slow to respond may have ended after the attempt there timed out.
 	for _, ended := range append(x.timedOutAt, e) {
 		request, completed := x.tracker.Suspect()
-		x.f.Cut(ended, crash.Cut{
-			RequestID: x.req.ID, Request: request, Completed: completed, Parts: x.req.SuspectParts(), Answered: x.answeredFor(),
-		})
+		c := quarantine.Cut{Request: request, Answered: x.answeredFor(), Exposure: x.f.Clock() - x.sentAt}
+		for _, p := range x.tracker.Parts(ended.Service) {
+			c.Parts = append(c.Parts, quarantine.CutPart{Part: p})
+		}
+		x.f.Cut(ended, crash.Cut{RequestID: x.req.ID, Cut: c, Completed: completed})
 	}
 	x.timedOutAt = nil
 }
@@ -52,13 +54,16 @@
 }
 
 // checkSuspicion returns the refusal of a request that must not be sent to an engine, or nil. The
-// status of a quarantined request is one after which callers do not retry: it is refused for longer
-// than any of them waits.
+// status of a request that is quarantined, or whose prompt has a part that is, is one after which
+// callers do not retry: it is refused for longer than any of them waits.
 func (x *exchange) checkSuspicion() *Refusal {
 	status := x.tracker.Status()
 	if status.Quarantined {
 		return rejected(http.StatusBadRequest, ReasonQuarantined)
 	}
+	if x.refusedPart() != (quarantine.Part{}) {
+		return rejected(http.StatusBadRequest, ReasonPartQuarantined)
+	}
 	if left := status.HeldUntil - x.f.Clock(); left > 0 {
 		return notExecuted(ReasonHeld, left)
 	}
--- a/internal/edge/forward/cut_test.go
+++ b/internal/edge/forward/cut_test.go
@@ -17,11 +17,13 @@
 
 func (s fakeSuspects) View() *quarantine.View { return s.table.View() }
 
-func (s fakeSuspects) Clear(f quarantine.Fingerprint) bool {
-	_, ok := s.table.Clear(f, time.Hour)
+func (s fakeSuspects) Clear(k quarantine.Key) bool {
+	_, ok := s.table.Clear(k, time.Hour)
 	return ok
 }
 
+func (s fakeSuspects) Prove([]quarantine.Part, time.Duration, bool) {}
+
 // newSuspectExchange returns an exchange whose request is held responsible for the end of engines.
 func newSuspectExchange(engines ...string) (*exchange, fakeSuspects) {
 	suspects := fakeSuspects{quarantine.NewTable(quarantine.DefaultLimits())}
@@ -34,7 +36,7 @@
 	x.trackSuspicion()
 	for _, e := range engines {
 		request, _ := x.tracker.Suspect()
-		suspects.table.RecordEnd(quarantine.End{Engine: e, At: time.Hour}, []quarantine.Suspect{request}, time.Hour)
+		suspects.table.RecordEnd(quarantine.End{Engine: e, At: time.Hour}, []quarantine.Cut{{Request: request}}, time.Hour)
 	}
 	x.trackSuspicion()
 	return x, suspects
@@ -78,7 +80,7 @@
 func TestCompletionClearsSuspect(t *testing.T) {
 	x, suspects := newSuspectExchange("e1", "e2")
 	require.Nil(t, x.checkSuspicion())
-	require.NotZero(t, x.tracker.IsolationKey())
+	require.NotZero(t, x.tracker.IsolationKey("svc"))
 	x.tracker.RecordCompletion()
 	require.Empty(t, suspects.table.Entries())
 }
@@ -102,6 +104,6 @@
 		change(other)
 		other.trackSuspicion()
 		require.Nil(t, other.checkSuspicion(), name)
-		require.Zero(t, other.tracker.IsolationKey(), name)
+		require.Zero(t, other.tracker.IsolationKey("svc"), name)
 	}
 }
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -216,6 +216,9 @@
 	// tracker follows the request as a possible cause of the end of engines, from when its content
 	// is known.
 	tracker suspects.Tracker
+	// outlived is set once the answer in progress has shown that the prompt does not crash engines, and
+	// resumed once the stream has gone on at another engine.
+	outlived, resumed bool
 	// endUnchecked is set if it is not known whether the answer ended, or its engine.
 	endUnchecked bool
 	// timedOutAt holds the engines at which an attempt timed out.
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -15,8 +15,8 @@
 // and by requesting a permit otherwise. It returns either a choice, which must be passed to
 // Balancer.Done, or a refusal. If no service has an engine left, the refusal is the argument last.
 func (x *exchange) chooseFirst(last *Refusal) (Choice, *Refusal) {
-	q := x.query()
-	for _, service := range x.serviceOrder(q.Shared) {
+	for _, service := range x.openServices() {
+		q := x.query(service)
 		plan, ok := x.f.Engines.Plan(x.snapshot, service, q)
 		switch {
 		case !ok:
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -44,6 +44,9 @@
 	// ReasonHeld that it is being decided whether the request is the cause.
 	ReasonQuarantined Reason = "request_quarantined"
 	ReasonHeld        Reason = "request_held"
+	// ReasonPartQuarantined means that several engines have ended while they answered requests with one
+	// part of the prompt.
+	ReasonPartQuarantined Reason = "prompt_part_quarantined"
 )
 
 // Refusal is a final error response that the router itself generates.
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -34,7 +34,7 @@
 		}
 		return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonBadAnswer))
 	}
-	x.recordCompletion()
+	x.recordCompletion(e, response.Status)
 	if response.Status < http.StatusInternalServerError {
 		x.f.Engines.RecordOutcome(e.ID, true)
 		x.writeResponse(response.Status, response.Header, body)
@@ -90,14 +90,6 @@
 // endCheckTimeout bounds the check whether an engine has ended.
 const endCheckTimeout = 150 * time.Millisecond
 
-// recordCompletion records that an engine has completed the request, unless its answer may have been cut
-// short.
-func (x *exchange) recordCompletion() {
-	if !x.endUnchecked {
-		x.tracker.RecordCompletion()
-	}
-}
-
 // engineFailure is an engine's own error response.
 type engineFailure struct {
 	status int
@@ -134,7 +126,7 @@
 		}
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonBadAnswer)}
 	}
-	x.recordCompletion()
+	x.recordCompletion(e, response.Status)
 	return sendResult{action: actionDone}
 }
 
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -80,6 +80,9 @@
 		x.f.Log.Info("request served", fields...)
 		return
 	}
+	if x.outcome == ReasonPartQuarantined {
+		fields = append(fields, "part", x.refusedPart())
+	}
 	x.f.Log.Warn("request not served", append(fields, "reason", x.outcome, "fingerprint", x.tracker.Fingerprint(), "parts", clipParts(x.req.SuspectParts()), "answered", x.answeredFor())...)
 }
 
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
+	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/reach"
 )
@@ -149,9 +151,9 @@
 
 // pickEngine selects an engine of one of the route's services by the known loads.
 func (x *exchange) pickEngine() (Choice, bool) {
-	q := x.query()
-	q.Unadmitted = true
-	for _, service := range x.serviceOrder(q.Shared) {
+	for _, service := range x.openServices() {
+		q := x.query(service)
+		q.Unadmitted = true
 		if choice, ok := x.f.Engines.Pick(x.snapshot, service, q); ok {
 			return choice, true
 		}
@@ -159,13 +161,28 @@
 	return Choice{}, false
 }
 
-// query describes the request for the selection of an engine.
-func (x *exchange) query() Query {
-	q := Query{Excluded: x.excluded, Isolate: x.tracker.IsolationKey(), Version: x.stream.version, Resumable: x.recordsOrigin()}
-	if x.route.Prompted {
-		q.Shared = x.req.SharedParts()
+// query describes the request for the selection of an engine of a service.
+func (x *exchange) query(service string) Query {
+	return Query{
+		Shared: x.sharedParts(), Excluded: x.excluded, Isolate: x.tracker.IsolationKey(service),
+		Version: x.stream.version, Resumable: x.recordsOrigin(),
 	}
-	return q
+}
+
+// sharedParts returns the IDs of the prompt parts that engines may have cached.
+func (x *exchange) sharedParts() []string {
+	if !x.route.Prompted {
+		return nil
+	}
+	return x.req.SharedParts()
+}
+
+// openServices returns the services of serviceOrder to which the request may be sent, as far as the
+// parts of its prompt are concerned.
+func (x *exchange) openServices() []string {
+	return slices.DeleteFunc(x.serviceOrder(x.sharedParts()), func(service string) bool {
+		return x.tracker.Restriction(service).Refused != quarantine.Part{}
+	})
 }
 
 // serviceOrder returns the route's services in the order of preference. Prompts that share a part
@@ -221,7 +238,7 @@
 	x.sends++
 	x.engine, x.engineService, x.engineVersion = e.ID, e.Service, e.Version
 	x.reply = Reply{}
-	x.via, x.answeredAt = "", 0
+	x.via, x.answeredAt, x.outlived = "", 0, false
 	x.fetchFrom = choice.FetchFrom
 	if x.sends == 1 {
 		x.f.Budget.RecordRequest(e.Service, x.f.Clock())
--- a/internal/edge/forward/signals.go
+++ b/internal/edge/forward/signals.go
@@ -91,7 +91,7 @@
 
 // availability describes the engines that may serve the request.
 func (x *exchange) availability() Availability {
-	return x.f.Engines.Availability(x.snapshot, x.serviceOrder(x.query().Shared), x.stream.version)
+	return x.f.Engines.Availability(x.snapshot, x.serviceOrder(x.sharedParts()), x.stream.version)
 }
 
 // finalRefusal returns the refusal of a request that no engine has taken. If all engines that may
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -61,7 +61,7 @@
 		}
 		if err == nil {
 			x.f.Engines.RecordOutcome(e.ID, true)
-			x.recordCompletion()
+			x.recordCompletion(e, response.Status)
 			return x.endStream(response)
 		}
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
@@ -76,6 +76,7 @@
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 		}
 		defer release()
+		x.resumed = true
 		x.logResumption(e, next, splitter.lastID)
 		e, response = next, nextResponse
 	}
@@ -104,6 +105,7 @@
 		n, err := response.Read(buf)
 		if n > 0 {
 			x.beginAnswer()
+			x.recordProgress(e, response)
 		}
 		if complete := splitter.add(buf[:n]); len(complete) > 0 {
 			if !x.responded {
@@ -180,7 +182,7 @@
 	}
 	x.sends++
 	x.reply = Reply{}
-	x.sentAt, x.answeredAt = x.f.Clock(), 0
+	x.sentAt, x.answeredAt, x.outlived = x.f.Clock(), 0, false
 	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(choice, lastID))
 	if engineconn.ErrWithdrawn.Has(err) {
 		return nil, true
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -279,7 +279,7 @@
 	if !end.Known {
 		r.enginesEnded.Add(1)
 	}
-	r.suspects.RecordEnd(end.Suspects())
+	r.suspects.RecordEnd(end.Unexplained(len(r.board.Snapshot().Engines.ForService(end.Engine.Service))))
 }
 
 // refusesRequests reports whether an engine is known and accepts no more requests.
--- a/internal/fleet/suspects/exchange.go
+++ b/internal/fleet/suspects/exchange.go
@@ -14,6 +14,10 @@
 	Site   string
 	// Age is the time since the end was noticed.
 	Age time.Duration
+	// The rest is as in quarantine.End. Routers of earlier releases do not send it.
+	Peers              int
+	Answered, Exposure time.Duration
+	Requests           []uint64
 }
 
 // Record is an entry of a quarantine.Table as sent to another router. Ages are as of the time
@@ -28,59 +32,116 @@
 	Quarantined    bool
 	QuarantineAge  time.Duration
 	ChangeAge      time.Duration
+	// Outlived and Completed are the ages of the answers that speak for the suspect; nil for none.
+	Outlived, Completed *time.Duration
 }
 
+// PartRecord is the record of a part of prompts. Parts have a list of their own, which routers of
+// earlier releases do not read: they would take a part for a request.
+type PartRecord struct {
+	Service, ID string
+	// Record is without Fingerprint and Hint.
+	Record Record
+}
+
+// Records holds the suspects of one message.
+type Records struct {
+	Requests []Record
+	Parts    []PartRecord
+}
+
+// Len returns the number of records.
+func (r Records) Len() int { return len(r.Requests) + len(r.Parts) }
+
+// newRecord returns the record of an entry, without what identifies the suspect.
 func newRecord(e quarantine.Entry, now time.Duration) Record {
 	out := Record{
-		Fingerprint: e.Fingerprint[:], Hint: e.Hint, Account: e.Account, Route: e.Route,
-		Generation: e.Generation, Lapsed: e.Lapsed, Quarantined: e.Quarantined, ChangeAge: now - e.ChangedAt,
+		Account: e.Account, Route: e.Route, Generation: e.Generation, Lapsed: e.Lapsed,
+		Quarantined: e.Quarantined, ChangeAge: now - e.ChangedAt,
+		Outlived: ageOf(e.OutlivedAt, now), Completed: ageOf(e.CompletedAt, now),
 	}
 	if e.Quarantined {
 		out.QuarantineAge = now - e.QuarantinedAt
 	}
 	for _, end := range e.Ends {
-		out.Ends = append(out.Ends, EndRecord{Engine: end.Engine, Site: end.Site, Age: now - end.At})
+		out.Ends = append(out.Ends, EndRecord{
+			Engine: end.Engine, Site: end.Site, Age: now - end.At, Peers: end.Peers, Answered: end.Answered, Exposure: end.Exposure, Requests: end.Requests,
+		})
 	}
 	return out
 }
 
-// entry returns the entry, or false if the record is malformed.
-func (r Record) entry(now time.Duration) (quarantine.Entry, bool) {
+func ageOf(at, now time.Duration) *time.Duration {
+	if at == 0 {
+		return nil
+	}
+	age := now - at
+	return &age
+}
+
+// timeOf is the inverse of ageOf.
+func timeOf(age *time.Duration, now time.Duration) time.Duration {
+	if age == nil {
+		return 0
+	}
+	return now - *age
+}
+
+// entry returns the entry, without what identifies the suspect.
+func (r Record) entry(now time.Duration) quarantine.Entry {
 	out := quarantine.Entry{
-		Suspect:    quarantine.Suspect{Hint: r.Hint, Account: r.Account, Route: r.Route},
+		Suspect:    quarantine.Suspect{Account: r.Account, Route: r.Route},
 		Generation: r.Generation, Lapsed: r.Lapsed, Quarantined: r.Quarantined, ChangedAt: now - r.ChangeAge,
+		OutlivedAt: timeOf(r.Outlived, now), CompletedAt: timeOf(r.Completed, now),
 	}
-	if len(r.Fingerprint) != len(out.Fingerprint) {
-		return out, false
-	}
-	copy(out.Fingerprint[:], r.Fingerprint)
 	if r.Quarantined {
 		out.QuarantinedAt = now - r.QuarantineAge
 	}
 	for _, end := range r.Ends {
-		out.Ends = append(out.Ends, quarantine.End{Engine: end.Engine, Site: end.Site, At: now - end.Age})
+		out.Ends = append(out.Ends, quarantine.End{
+			Engine: end.Engine, Site: end.Site, At: now - end.Age, Peers: end.Peers, Answered: end.Answered, Exposure: end.Exposure, Requests: end.Requests,
+		})
 	}
-	return out, true
+	return out
 }
 
-func records(entries []quarantine.Entry, now time.Duration) []Record {
-	out := make([]Record, len(entries))
-	for i, e := range entries {
-		out[i] = newRecord(e, now)
+// newRecords returns the records of entries.
+func newRecords(entries []quarantine.Entry, now time.Duration) Records {
+	var out Records
+	for _, e := range entries {
+		r := newRecord(e, now)
+		if e.Key().IsPart() {
+			out.Parts = append(out.Parts, PartRecord{Service: e.Part.Service, ID: e.Part.ID, Record: r})
+			continue
+		}
+		r.Fingerprint, r.Hint = e.Fingerprint[:], e.Hint
+		out.Requests = append(out.Requests, r)
 	}
 	return out
 }
 
-// mergeRecords merges the records that the router named by source sent at a time on the boot clock.
-// Malformed records are skipped.
-func (s *Set) mergeRecords(records []Record, source string, sent time.Duration) {
-	var entries []quarantine.Entry
-	for _, r := range records {
-		if e, ok := r.entry(sent); ok {
-			entries = append(entries, e)
+// entries returns the entries of records that were sent at a time on the boot clock. Malformed ones are
+// skipped.
+func (r Records) entries(sent time.Duration) []quarantine.Entry {
+	var out []quarantine.Entry
+	for _, request := range r.Requests {
+		e := request.entry(sent)
+		if len(request.Fingerprint) != len(e.Fingerprint) {
+			continue
+		}
+		copy(e.Fingerprint[:], request.Fingerprint)
+		e.Hint = request.Hint
+		out = append(out, e)
+	}
+	for _, part := range r.Parts {
+		if part.Service == "" || part.ID == "" {
+			continue
 		}
+		e := part.Record.entry(sent)
+		e.Part = quarantine.NewPart(part.Service, part.ID)
+		out = append(out, e)
 	}
-	s.Merge(entries, source)
+	return out
 }
 
 // Args is the request of an exchange of suspects.
@@ -88,9 +149,10 @@
 	// From is the name of the requesting router. It is empty in pulls and exchanges of loads, which
 	// name it.
 	From string
-	// Records holds the suspects that changed since the last revision that the called router is
-	// known to have received, and Revision the current one.
+	// Records and Parts hold the suspects that changed since the last revision that the called router is
+	// known to have received, and Revision is the current one.
 	Records  []Record
+	Parts    []PartRecord
 	Revision uint64
 	// Have is the revision of the called router's suspects that the requesting one holds, and
 	// HaveInstance the process of the called router; both are zero for none.
@@ -99,14 +161,18 @@
 
 // Reply is the reply of an exchange of suspects.
 type Reply struct {
-	// Instance is the process of the replying router, Revision that of its suspects, and Records what
-	// the requesting router lacks.
+	// Instance is the process of the replying router, Revision that of its suspects, and Records and
+	// Parts what the requesting router lacks.
 	Instance, Revision uint64
 	Records            []Record
+	Parts              []PartRecord
 	// Heard is the revision of the requesting router's suspects that the replying one has received.
 	Heard uint64
 }
 
+// Len returns the number of records.
+func (a *Args) Len() int { return len(a.Records) + len(a.Parts) }
+
 // Exchange is the state of the exchanges with the routers that this one calls. It is safe for
 // concurrent use.
 type Exchange struct {
@@ -141,7 +207,8 @@
 	if s.Revision() > peer.acked && !unconfirmed {
 		peer.sentAt = now
 		entries, out.Revision = s.ChangedSince(peer.acked, to)
-		out.Records = records(entries, now)
+		records := newRecords(entries, now)
+		out.Records, out.Parts = records.Requests, records.Parts
 	}
 	return out
 }
@@ -168,7 +235,7 @@
 	if reply == nil || reply.Instance == 0 {
 		return
 	}
-	s.mergeRecords(reply.Records, from, now)
+	s.Merge(Records{reply.Records, reply.Parts}.entries(now), from)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	peer := e.peer(from, now)
@@ -183,15 +250,15 @@
 
 // OwnChanges returns records of what this router itself learned since a revision, and the current
 // revision.
-func (s *Set) OwnChanges(since uint64, now time.Duration) ([]Record, uint64) {
+func (s *Set) OwnChanges(since uint64, now time.Duration) (Records, uint64) {
 	entries, revision := s.ownSince(since)
-	return records(entries, now), revision
+	return newRecords(entries, now), revision
 }
 
 // Receive merges the records of a requesting router. Routers of earlier releases send no request.
 func (s *Set) Receive(from string, args *Args, now time.Duration) {
 	if args != nil {
-		s.mergeRecords(args.Records, from, now)
+		s.Merge(Records{args.Records, args.Parts}.entries(now), from)
 	}
 }
 
@@ -205,7 +272,8 @@
 		since = 0
 	}
 	entries, revision := s.ChangedSince(since, from)
-	return &Reply{Instance: s.Instance(), Revision: revision, Records: records(entries, now), Heard: args.Revision}
+	records := newRecords(entries, now)
+	return &Reply{Instance: s.Instance(), Revision: revision, Records: records.Requests, Parts: records.Parts, Heard: args.Revision}
 }
 
 // HasNewer reports whether a requesting router may lack a suspect.
--- a/internal/fleet/suspects/exchange_test.go
+++ b/internal/fleet/suspects/exchange_test.go
@@ -22,7 +22,7 @@
 func TestUnconfirmedSuspectsAreSentRarely(t *testing.T) {
 	now := time.Hour
 	s := NewSet(quarantine.DefaultLimits(), func() time.Duration { return now }, log.New(io.Discard))
-	s.RecordEnd(quarantine.End{Engine: "e1", At: now}, []quarantine.Suspect{testSuspect("q")})
+	s.RecordEnd(quarantine.End{Engine: "e1", At: now}, []quarantine.Cut{{Request: testSuspect("q")}})
 	var e Exchange
 	sent := 0
 	for range 100 {
@@ -39,23 +39,33 @@
 func TestMalformedSuspectRecordsAreSkipped(t *testing.T) {
 	now := time.Hour
 	s := NewSet(quarantine.DefaultLimits(), func() time.Duration { return now }, log.New(io.Discard))
-	good := newRecord(quarantine.Entry{Suspect: testSuspect("q"), Ends: []quarantine.End{{Engine: "e1", At: now}}, ChangedAt: now}, now)
-	bad := good
+	end := []quarantine.End{{Engine: "e1", At: now}}
+	records := newRecords([]quarantine.Entry{
+		{Suspect: testSuspect("q"), Ends: end, ChangedAt: now}, {Suspect: quarantine.Suspect{Part: quarantine.NewPart("svc", "1a")}, Ends: end, ChangedAt: now},
+	}, now)
+	bad, badPart := records.Requests[0], records.Parts[0]
 	bad.Fingerprint = bad.Fingerprint[1:]
-	s.mergeRecords([]Record{bad, good}, "x", now)
-	require.Len(t, s.Entries(), 1)
+	badPart.ID = ""
+	records.Requests, records.Parts = append([]Record{bad}, records.Requests...), append([]PartRecord{badPart}, records.Parts...)
+	s.Merge(records.entries(now), "x")
+	require.Len(t, s.Entries(), 2)
 }
 
-// BenchmarkRecord reports the size of a suspect in a message to another router, in bytes.
+// BenchmarkRecord reports the size of a suspected request and of a suspected part in a message to another
+// router, in bytes.
 func BenchmarkRecord(b *testing.B) {
-	size := func(n int) int {
+	size := func(n int, parts bool) int {
 		var buf bytes.Buffer
 		args := Args{From: "front-ank-a-1", Revision: 17}
 		for i := range n {
-			args.Records = append(args.Records, newRecord(quarantine.Entry{
-				Suspect: quarantine.Suspect{Fingerprint: testSuspect(fmt.Sprint(i)).Fingerprint, Hint: 1 << 30, Account: "goje49", Route: "r-jcga7wj"},
-				Ends:    []quarantine.End{{Engine: "i-59a4a038e8", Site: "hall-kista", At: 0}},
-			}, 300*time.Millisecond))
+			suspect := quarantine.Suspect{Fingerprint: testSuspect(fmt.Sprint(i)).Fingerprint, Hint: 1 << 30, Account: "goje49", Route: "r-jcga7wj"}
+			end := quarantine.End{Engine: "i-59a4a038e8", Site: "hall-kista", At: 0, Peers: 12, Answered: 45 * time.Millisecond, Exposure: 300 * time.Millisecond}
+			if parts {
+				suspect = quarantine.Suspect{Part: quarantine.NewPart("xany15a", fmt.Sprintf("5c1e%04x", i)), Account: "goje49", Route: "r-jcga7wj"}
+				end.Requests = []uint64{1 << 63}
+			}
+			records := newRecords([]quarantine.Entry{{Suspect: suspect, Ends: []quarantine.End{end}}}, 300*time.Millisecond)
+			args.Records, args.Parts = append(args.Records, records.Requests...), append(args.Parts, records.Parts...)
 		}
 		if err := gob.NewEncoder(&buf).Encode(args); err != nil {
 			b.Fatal(err)
@@ -63,9 +73,10 @@
 		return buf.Len()
 	}
 	for b.Loop() {
-		_ = size(10)
+		_ = size(10, false)
 	}
-	b.ReportMetric(float64(size(110)-size(10))/100, "B/suspect")
+	b.ReportMetric(float64(size(110, false)-size(10, false))/100, "B/request")
+	b.ReportMetric(float64(size(110, true)-size(10, true))/100, "B/part")
 }
 
 // Guards against two routers that send each other everything again and again because a reply had
@@ -73,7 +84,7 @@
 func TestEmptyReplyKeepsTheExchange(t *testing.T) {
 	clock := func() time.Duration { return time.Hour }
 	a, b := NewSet(quarantine.DefaultLimits(), clock, log.New(io.Discard)), NewSet(quarantine.DefaultLimits(), clock, log.New(io.Discard))
-	a.RecordEnd(quarantine.End{Engine: "e1", At: time.Hour}, []quarantine.Suspect{testSuspect("q")})
+	a.RecordEnd(quarantine.End{Engine: "e1", At: time.Hour}, []quarantine.Cut{{Request: testSuspect("q")}})
 	var e Exchange
 	for i := range 5 {
 		args := e.Request("b", a, time.Hour)
--- a/internal/fleet/suspects/set.go
+++ b/internal/fleet/suspects/set.go
@@ -1,4 +1,5 @@
-// Package suspects shares between routers which requests engines were executing when they ended.
+// Package suspects shares between routers which requests engines were executing when they ended, and
+// which parts their prompts had.
 //
 // Any two routers may exchange what they know, in any order and any number of times: a router sends
 // what the other one has not confirmed, and entries are merged by package quarantine.
@@ -19,13 +20,14 @@
 // advanceInterval is how often the suspects are checked for decisions that are due.
 const advanceInterval = 100 * time.Millisecond
 
-// Set holds the requests that engines were executing when they ended, as known to this router.
-// It is safe for concurrent use.
+// Set holds the requests that engines were executing when they ended, and the parts of their prompts,
+// as known to this router. It is safe for concurrent use.
 type Set struct {
 	clock func() time.Duration
 	log   *log.Logger
 	// instance distinguishes the revisions of this process from those of an earlier one.
 	instance uint64
+	answered answeredParts
 
 	mu      sync.Mutex
 	table   *quarantine.Table
@@ -67,17 +69,15 @@
 func (s *Set) update(change func(*quarantine.Table) []quarantine.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision, count := s.table.Revision(), s.table.Len()
+	revision, viewRevision := s.table.Revision(), s.table.ViewRevision()
 	changes := change(s.table)
-	// Old entries are dropped without a new revision.
-	if s.table.Revision() != revision || s.table.Len() != count {
+	if s.table.ViewRevision() != viewRevision {
 		s.view.Store(s.table.View())
 	}
-	if s.table.Revision() == revision {
-		return
+	if s.table.Revision() != revision {
+		next := make(chan struct{})
+		close(*s.changed.Swap(&next))
 	}
-	next := make(chan struct{})
-	close(*s.changed.Swap(&next))
 	for _, c := range changes {
 		s.logChange(c)
 	}
@@ -85,10 +85,19 @@
 
 func (s *Set) logChange(c quarantine.Change) {
 	e := c.Entry
-	fields := []any{"fingerprint", e.Fingerprint, "account", e.Account, "route", e.Route, "engines", e.Engines(), "lapsed", e.Lapsed}
+	name, what := "request", []any{"fingerprint", e.Fingerprint}
+	if e.Key().IsPart() {
+		name, what = "prompt part", []any{"part", e.Part}
+	}
+	fields := append(what, "account", e.Account, "route", e.Route, "engines", e.Engines(), "lapsed", e.Lapsed)
+	if e.Key().IsPart() {
+		fields = append(fields, "requests", e.Requests(), "answered_ago", answeredAgo(e, s.clock()))
+	}
 	switch c.Kind {
 	case quarantine.Quarantined:
-		s.log.Warn("request quarantined", fields...)
+		s.log.Warn(name+" quarantined", fields...)
+	case quarantine.Suspected:
+		s.log.Warn(name+" suspected", fields...)
 	case quarantine.Lapsed:
 		s.log.Info("quarantine lapsed", fields...)
 	case quarantine.Cleared:
@@ -96,18 +105,54 @@
 	}
 }
 
+// answeredAgo returns the time since the newest answer that spoke for a suspect began.
+func answeredAgo(e quarantine.Entry, now time.Duration) string {
+	if e.OutlivedAt == 0 {
+		return "never"
+	}
+	return (now - e.OutlivedAt).String()
+}
+
 // RecordEnd records the requests that an engine was executing when it ended.
-func (s *Set) RecordEnd(end quarantine.End, requests []quarantine.Suspect) {
-	if len(requests) == 0 {
+func (s *Set) RecordEnd(end quarantine.End, cuts []quarantine.Cut) {
+	if len(cuts) == 0 {
 		return
 	}
-	s.update(func(t *quarantine.Table) []quarantine.Change { return t.RecordEnd(end, requests, s.clock()) })
+	for _, c := range cuts {
+		for i, p := range c.Parts {
+			c.Parts[i].CompletedAt = s.answered.at(p.Part)
+		}
+	}
+	s.update(func(t *quarantine.Table) []quarantine.Change { return t.RecordEnd(end, cuts, s.clock()) })
+}
+
+// Prove records that an answer to a request with the parts, which began at a time, has shown that they
+// do not crash engines; see quarantine.Table.Prove.
+func (s *Set) Prove(parts []quarantine.Part, began time.Duration, complete bool) {
+	if complete {
+		for _, p := range parts {
+			s.answered.record(p, began)
+		}
+	}
+	view := s.View()
+	if !view.HasParts() {
+		return
+	}
+	var keys []quarantine.Key
+	for _, p := range parts {
+		if view.Part(p).ProvenBy(began) {
+			keys = append(keys, quarantine.Key{Part: p})
+		}
+	}
+	if len(keys) > 0 {
+		s.update(func(t *quarantine.Table) []quarantine.Change { return t.Prove(keys, began, complete, s.clock()) })
+	}
 }
 
-// Clear discards what is held against a request. It returns false if nothing is.
-func (s *Set) Clear(f quarantine.Fingerprint) (cleared bool) {
+// Clear discards what is held against a suspect. It returns false if nothing is.
+func (s *Set) Clear(k quarantine.Key) (cleared bool) {
 	s.update(func(t *quarantine.Table) []quarantine.Change {
-		change, ok := t.Clear(f, s.clock())
+		change, ok := t.Clear(k, s.clock())
 		cleared = ok
 		if !ok {
 			return nil
--- a/internal/lab/crashmodel/model.go
+++ b/internal/lab/crashmodel/model.go
@@ -287,7 +287,7 @@
 	if s.Off {
 		return quarantine.Status{}
 	}
-	return s.tables[r.router].Status(r.suspect.Fingerprint)
+	return s.tables[r.router].Status(r.suspect.Key())
 }
 
 // choose selects the engine of a request.
@@ -329,7 +329,7 @@
 	}
 	e.running = slices.DeleteFunc(e.running, func(o *request) bool { return o == r })
 	if !s.Off && len(s.status(r).Ends) > 0 {
-		s.tables[r.router].Clear(r.suspect.Fingerprint, s.now)
+		s.tables[r.router].Clear(r.suspect.Key(), s.now)
 		s.share(r.router)
 	}
 }
@@ -356,14 +356,14 @@
 		}
 	}
 	s.after(s.Back, s.startEngine)
-	byRouter := make([][]quarantine.Suspect, s.Routers)
+	byRouter := make([][]quarantine.Cut, s.Routers)
 	for _, r := range e.running {
 		r.cutBy = append(r.cutBy, e.id)
-		byRouter[r.router] = append(byRouter[r.router], r.suspect)
+		byRouter[r.router] = append(byRouter[r.router], quarantine.Cut{Request: r.suspect})
 	}
-	for i, suspects := range byRouter {
-		if len(suspects) > 0 && !s.Off {
-			s.tables[i].RecordEnd(quarantine.End{Engine: e.id, Site: e.site, At: s.now}, suspects, s.now)
+	for i, cuts := range byRouter {
+		if len(cuts) > 0 && !s.Off {
+			s.tables[i].RecordEnd(quarantine.End{Engine: e.id, Site: e.site, At: s.now}, cuts, s.now)
 			s.share(i)
 		}
 	}
--- a/internal/serve/apierr/apierr.go
+++ b/internal/serve/apierr/apierr.go
@@ -55,6 +55,7 @@
 	CodeUpstreamRefused     Code = "upstream_refused"
 	CodeIncomplete          Code = "incomplete_answer"
 	CodeQuarantined         Code = "request_quarantined"
+	CodePartQuarantined     Code = "prompt_part_quarantined"
 	CodeHeld                Code = "request_held"
 	CodeConflict            Code = "conflict"
 	CodeInvalidConfig       Code = "invalid_config"
--- a/internal/serve/controller/suspects.go
+++ b/internal/serve/controller/suspects.go
@@ -51,8 +51,8 @@
 	revision := uint64(0)
 	for ctx.Err() == nil {
 		changed := c.Set.Changed()
-		var records []suspects.Record
-		if records, revision = c.Set.OwnChanges(revision, c.Set.Now()); len(records) > 0 {
+		var records suspects.Records
+		if records, revision = c.Set.OwnChanges(revision, c.Set.Now()); records.Len() > 0 {
 			c.sendToAll(ctx, &wg, records)
 		}
 		select {
@@ -64,8 +64,8 @@
 }
 
 // sendToAll sends records to all other routers, and returns after suspectsInterval.
-func (c *Suspects) sendToAll(ctx context.Context, wg *sync.WaitGroup, records []suspects.Record) {
-	args := suspects.Args{From: c.Self, Records: records}
+func (c *Suspects) sendToAll(ctx context.Context, wg *sync.WaitGroup, records suspects.Records) {
+	args := suspects.Args{From: c.Self, Records: records.Requests, Parts: records.Parts}
 	for _, r := range c.others() {
 		wg.Go(func() { c.call(ctx, r, addMethod, args, &suspects.Reply{}) })
 	}
--- a/internal/serve/traffic/chat.go
+++ b/internal/serve/traffic/chat.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -65,6 +67,9 @@
 	arrivedAt time.Time
 	// tracker follows the request as a possible cause of the end of engines.
 	tracker suspects.Tracker
+	// sentAt and answeredAt are when the last attempt was sent and when its response began, on the clock
+	// of the suspects.
+	sentAt, answeredAt time.Duration
 }
 
 // chat serves POST /v1/chat/completions.
@@ -175,10 +180,21 @@
 	r.encoded = raw
 	r.tracker = suspects.NewTracker(r.s.Suspects, quarantine.Content{
 		Account: r.caller.account.Name, Method: http.MethodPost, Target: wire.PathChat, Body: raw,
-	}, r.body.Model)
+	}, r.body.Model, r.promptParts)
 	return nil
 }
 
+// promptParts returns hashes of the messages but the last: one of them may crash engines in any chat.
+func (r *chatRequest) promptParts() []string {
+	messages := r.body.Messages[:max(len(r.body.Messages)-1, 0)]
+	out := make([]string, len(messages))
+	for i, m := range messages {
+		sum := sha256.Sum256([]byte(m.Role + "\x00" + m.Content))
+		out[i] = hex.EncodeToString(sum[:16])
+	}
+	return out
+}
+
 func (r *chatRequest) setPlacement(hint string) error {
 	outputTokens := r.body.MaxTokens
 	if outputTokens == 0 {
@@ -210,7 +226,7 @@
 func (r *chatRequest) open(ctx context.Context) (*chatResponse, error) {
 	attempts := r.s.newAttemptTracker(true, r.caller.deadline)
 	for {
-		if refusal := r.s.suspicionError(&r.tracker); refusal != nil {
+		if refusal := r.s.suspicionError(&r.tracker, r.body.Model); refusal != nil {
 			return nil, attempts.withRan(refusal)
 		}
 		// Each attempt has its own id at the engine, which callers cannot
@@ -220,8 +236,10 @@
 		if err != nil {
 			return nil, attempts.handleFailure(ctx, err)
 		}
+		r.sentAt = r.s.Suspects.Now()
 		resp, err := r.start(ctx, grant)
 		if err == nil {
+			r.answeredAt = r.s.Suspects.Now()
 			return resp, nil
 		}
 		r.attemptFailed(grant, err)
@@ -240,7 +258,7 @@
 // canceled.
 func (r *chatRequest) attemptFailed(grant *admission.Grant, err error) {
 	if !upstream.SentOf(err).NotExecuted() {
-		r.s.reportCut(&r.tracker, r.upstreamCall(grant), err)
+		r.s.reportCut(&r.tracker, r.body.Model, r.sentAt, r.upstreamCall(grant), err)
 		r.s.cancelInBackground(r.upstreamCall(grant))
 	}
 	r.s.recordFailure(grant, err)
--- a/internal/serve/traffic/response.go
+++ b/internal/serve/traffic/response.go
@@ -106,6 +106,7 @@
 	r.observe(outlier.Success, 0)
 	if r.request != nil {
 		r.request.tracker.RecordCompletion()
+		r.request.tracker.RecordAnswer(r.request.body.Model, r.request.answeredAt, true)
 	}
 	r.recordPrefix()
 }
@@ -139,7 +140,7 @@
 // reportBroken reports that the stream could not be continued.
 func (r *chatResponse) reportBroken(err error) {
 	if r.request != nil {
-		r.s.reportCut(&r.request.tracker, r.call, err)
+		r.s.reportCut(&r.request.tracker, r.request.body.Model, r.request.sentAt, r.call, err)
 	}
 }
 
--- a/internal/serve/traffic/services.go
+++ b/internal/serve/traffic/services.go
@@ -79,8 +79,8 @@
 	sc.tracker = suspects.NewTracker(sc.s.Suspects, quarantine.Content{
 		Account: sc.caller.account.Name, Method: sc.route.Route.Method, Host: sc.service.Name,
 		Target: sc.route.Path + "?" + sc.query, Body: sc.body,
-	}, sc.service.Name)
-	if refusal := sc.s.suspicionError(&sc.tracker); refusal != nil {
+	}, sc.service.Name, nil)
+	if refusal := sc.s.suspicionError(&sc.tracker, sc.service.Name); refusal != nil {
 		return upstream.Response{}, refusal
 	}
 	if !sc.route.Idempotent {
@@ -240,10 +240,11 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), nonIdempotentTimeout)
 		defer cancel()
 	}
+	sentAt := sc.s.Suspects.Now()
 	resp, err := sc.s.Upstream.Do(ctx, sc.upstreamCall(grant))
 	if err != nil && ctx.Err() == nil {
 		if !upstream.SentOf(err).NotExecuted() {
-			sc.s.reportCut(&sc.tracker, sc.upstreamCall(grant), err)
+			sc.s.reportCut(&sc.tracker, sc.service.Name, sentAt, sc.upstreamCall(grant), err)
 		}
 		sc.excluded = append(sc.excluded, grant.Engine.ID)
 		sc.s.recordFailure(grant, err)
--- a/internal/serve/traffic/suspicion.go
+++ b/internal/serve/traffic/suspicion.go
@@ -23,7 +23,7 @@
 	suspects.Source
 	// Now returns the time on the clock of the set.
 	Now() time.Duration
-	RecordEnd(quarantine.End, []quarantine.Suspect)
+	RecordEnd(quarantine.End, []quarantine.Cut)
 }
 
 // noSuspects is the SuspectSet of a Server without Options.Suspects.
@@ -33,13 +33,18 @@
 func (noSuspects) Now() time.Duration { return 0 }
 
 // RecordEnd implements SuspectSet.
-func (noSuspects) RecordEnd(quarantine.End, []quarantine.Suspect) {}
+func (noSuspects) RecordEnd(quarantine.End, []quarantine.Cut) {}
 
 // quarantineRetryAfter is suggested for a request in quarantine, which lasts minutes.
 const quarantineRetryAfter = 10 * time.Minute
 
 // suspicionError returns the refusal of a request that must not be sent to an engine, or nil.
-func (s *Server) suspicionError(t *suspects.Tracker) *apierr.Error {
+// scope is the model, or the service, for which parts of prompts are known.
+func (s *Server) suspicionError(t *suspects.Tracker, scope string) *apierr.Error {
+	if t.Restriction(scope).Refused != (quarantine.Part{}) {
+		return apierr.New(apierr.CodePartQuarantined, http.StatusUnprocessableEntity, "several engines have ended while they answered requests with one of these messages").
+			WithRetryAfter(quarantineRetryAfter)
+	}
 	status := t.Status()
 	if status.Quarantined {
 		return apierr.New(apierr.CodeQuarantined, http.StatusUnprocessableEntity, "several engines have ended while they executed this request").
@@ -53,16 +58,21 @@
 }
 
 // reportCut records that the connection to an upstream broke, and finds out in the background
-// whether the upstream has ended.
-func (s *Server) reportCut(t *suspects.Tracker, call upstream.Call, err error) {
+// whether the upstream has ended. sentAt is when the request was sent, on the clock of the suspects, and
+// scope as for suspicionError.
+func (s *Server) reportCut(t *suspects.Tracker, scope string, sentAt time.Duration, call upstream.Call, err error) {
 	if !engineconn.IsCut(err) {
 		return
 	}
 	engine := call.Name + "#" + strconv.FormatUint(call.Incarnation, 10)
 	t.RecordCut(engine)
 	request, completed := t.Suspect()
+	c := quarantine.Cut{Request: request, Exposure: s.Suspects.Now() - sentAt}
+	for _, p := range t.Parts(scope) {
+		c.Parts = append(c.Parts, quarantine.CutPart{Part: p})
+	}
 	end := quarantine.End{Engine: engine, At: s.Suspects.Now()}
-	go s.investigate(end, request, completed, call)
+	go s.investigate(end, c, completed, call)
 }
 
 // upstreamProbePauses are the pauses before each check whether an upstream still runs.
@@ -80,7 +90,7 @@
 
 // investigate determines whether an upstream has ended. A broken connection alone proves nothing: the
 // network may have reset it.
-func (s *Server) investigate(end quarantine.End, request quarantine.Suspect, completed *atomic.Bool, call upstream.Call) {
+func (s *Server) investigate(end quarantine.End, cut quarantine.Cut, completed *atomic.Bool, call upstream.Call) {
 	refused := 0
 	for _, wait := range upstreamProbePauses {
 		if !pause.For(s.shutdownCtx, wait) {
@@ -96,9 +106,9 @@
 		if !upstream.ErrIdentity.Has(err) && refused < endProbes {
 			continue
 		}
-		s.log.Warn("upstream ended", "upstream", end.Engine, "request", call.RequestID, "fingerprint", request.Fingerprint, "evidence", err)
+		s.log.Warn("upstream ended", "upstream", end.Engine, "request", call.RequestID, "fingerprint", cut.Request.Fingerprint, "evidence", err)
 		if !completed.Load() {
-			s.Suspects.RecordEnd(end, []quarantine.Suspect{request})
+			s.Suspects.RecordEnd(end, []quarantine.Cut{cut})
 		}
 		return
 	}
