soak: parts of prompts that crash engines, beside all other faults

Ordinary callers send prompts that share their first part; callers with bad parts send requests of which no two are alike, with the part at a drawn place, beside a rare companion or not, often or rarely, on any kind of route. An engine ends before, in, or behind the beginning of its answer, with and without framing. Checked: a part that has ended five engines reaches none three seconds later, and nobody else is refused for it.

--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -22,6 +22,8 @@
 	Callers int
 	// CrashingRequests is the number of requests that crash engines and are repeated all the time.
 	CrashingRequests int
+	// BadParts is the number of parts of prompts that crash engines, in requests of which no two are alike.
+	BadParts int
 	// FaultDuration is the time for which faults are injected.
 	FaultDuration time.Duration
 	// Dir is the directory for settings and logs of the routers, Binary the path of the
@@ -46,7 +48,7 @@
 	// after the faults, and how many were to be.
 	Streams int
 	Resumed [2]int
-	// Crashes is the number of engines that each crashing request ended.
+	// Crashes is the number of engines that each crashing request and each bad part ended.
 	Crashes map[string]int
 	// Violations describes the violated guarantees.
 	Violations []string
@@ -93,6 +95,13 @@
 			runCrasher(cl, path, body, rand.New(rand.NewPCG(o.Seed, uint64(1000+i))), stop)
 		}()
 	}
+	for i := range o.BadParts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			runBadPart(cl, i, rand.New(rand.NewPCG(o.Seed, uint64(5000+i))), stop)
+		}()
+	}
 	for i := range streamCallers {
 		wg.Add(1)
 		go func() {
@@ -164,7 +173,7 @@
 		e := observation{path: pick(rng, platformtest.Paths), key: pick(rng, []string{platformtest.FirstKey, "key-2", "key-3"}), sent: time.Now()}
 		r := pick(rng, cl.routers)
 		e.response = platformtest.Call{
-			Address: cl.address(r), Path: e.path + "?" + routerQuery + "=" + r.name, Key: e.key, Body: fmt.Sprint("body ", caller, " ", i), TimeoutMS: int(callTimeout.Milliseconds()),
+			Address: cl.address(r), Path: e.path + "?" + routerQuery + "=" + r.name, Key: e.key, Body: fmt.Sprint("body ", caller, " ", i), Prompt: soundPrompt(caller, i), TimeoutMS: int(callTimeout.Milliseconds()),
 		}.Do(context.Background(), client)
 		rec.record(e)
 		i++
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -33,6 +33,7 @@
 	routers       = flag.Int("soak.routers", 4, "number of routers")
 	network       = flag.Int("soak.network", 200, "the third number of the routers' addresses, to separate concurrent runs")
 	crashing      = flag.Int("soak.crashing", 2, "number of requests that crash engines")
+	badParts      = flag.Int("soak.bad", 1, "number of parts of prompts that crash engines")
 	faultDuration = flag.Duration("soak.faulty", 4*time.Second, "how long faults are injected in a run")
 )
 
@@ -70,7 +71,7 @@
 		dir, err := os.MkdirTemp("", "soak-")
 		require.NoError(t, err)
 		result, err := Run(Options{
-			Seed: seed, Routers: *routers, Engines: 4, Callers: 8, CrashingRequests: *crashing, FaultDuration: *faultDuration,
+			Seed: seed, Routers: *routers, Engines: 4, Callers: 8, CrashingRequests: *crashing, BadParts: *badParts, FaultDuration: *faultDuration,
 			Dir: dir, Binary: binary, Network: *network,
 		})
 		require.NoError(t, err)
