--- a/internal/lab/faultkit/callers.go
+++ b/internal/lab/faultkit/callers.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -122,7 +123,9 @@
 // ChatOptions describes one turn of a chat.
 type ChatOptions struct {
 	Chat, Text string
-	Tokens     int
+	// History holds earlier messages of the chat.
+	History []wire.Message
+	Tokens  int
 	// OnToken, if set, is called for each chunk with the number of chunks so far.
 	OnToken func(n int)
 	// Priority is the priority class; empty selects the account's default.
@@ -130,17 +133,18 @@
 	Deadline time.Duration
 }
 
-// SendTurn sends the first turn of a chat through the client and records the result with the
+// SendTurn sends a turn of a chat through the client and records the result with the
 // oracle.
 func (cl *Cluster) SendTurn(c *client.Client, o ChatOptions) Chat {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	conversation := c.Conversation(o.Chat, Model)
+	conversation.Restore(o.History, "")
 	conversation.MaxTokens = o.Tokens
 	conversation.Priority = o.Priority
 	conversation.Deadline = o.Deadline
 	result := Chat{Request: wire.ChatRequest{
-		Model: Model, MaxTokens: o.Tokens, Messages: []wire.Message{{Role: "user", Content: o.Text}},
+		Model: Model, MaxTokens: o.Tokens, Messages: append(slices.Clone(o.History), wire.Message{Role: "user", Content: o.Text}),
 	}}
 	var streamed strings.Builder
 	n := 0
--- a/test/faults/crashing_test.go
+++ b/test/faults/crashing_test.go
@@ -8,6 +8,7 @@
 	"damaskrouter.example/damaskrouter/internal/lab/faultkit"
 	"damaskrouter.example/damaskrouter/internal/lab/standin/engine"
 	"damaskrouter.example/damaskrouter/internal/serve/board"
+	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/stretchr/testify/require"
 )
 
@@ -19,6 +20,8 @@
 	crashKnownBound = 3 * time.Second
 	provingEnds     = 3
 	maxLaterEnds    = 3
+	// provingPartEnds is the number of ended engines that prove the same of a message.
+	provingPartEnds = 4
 	// crashingTurns is how often the chat is sent.
 	crashingTurns = 80
 )
@@ -54,6 +57,25 @@
 // Guards against a chat that crashes every engine that executes it, and that its caller sends again
 // through any router.
 func TestChatThatCrashesEnginesIsStopped(t *testing.T) {
+	sendCrashingChats(t, provingEnds, func(i int) faultkit.ChatOptions {
+		return faultkit.ChatOptions{Chat: fmt.Sprint("mill-", i), Text: "the same text"}
+	})
+}
+
+// Guards against a message that crashes every engine that answers a chat with it, where no two chats are
+// alike.
+func TestMessageThatCrashesEnginesIsStopped(t *testing.T) {
+	sendCrashingChats(t, provingPartEnds, func(i int) faultkit.ChatOptions {
+		return faultkit.ChatOptions{
+			Chat: fmt.Sprint("mill-", i), Text: fmt.Sprint("text ", i),
+			History: []wire.Message{{Role: "system", Content: "the same message"}, {Role: "user", Content: fmt.Sprint("earlier text ", i)}},
+		}
+	})
+}
+
+// sendCrashingChats sends chats that each crash the engine that executes them, to one router after the
+// other, and checks how many engines end later than crashKnownBound after the proving one.
+func sendCrashingChats(t *testing.T, proving int, options func(i int) faultkit.ChatOptions) {
 	inCluster(t, 3, faultkit.Options{Engines: 6}, func(t *testing.T, cl *faultkit.Cluster) {
 		var all []board.Router
 		for _, r := range cl.Routers {
@@ -74,10 +96,12 @@
 		for i := range crashingTurns {
 			c, err := cl.Client(cl.Routers[i%len(cl.Routers)])
 			require.NoError(t, err)
-			_ = cl.SendTurn(c, faultkit.ChatOptions{Chat: fmt.Sprint("mill-", i), Text: "the same text", Tokens: 4, Deadline: 2 * time.Second})
+			o := options(i)
+			o.Tokens, o.Deadline = 4, 2*time.Second
+			_ = cl.SendTurn(c, o)
 			c.Close()
 			ends := lostRequests(cl)
-			if ends >= provingEnds && provenAt.IsZero() {
+			if ends >= proving && provenAt.IsZero() {
 				provenAt = time.Now()
 			}
 			if atBound < 0 && !provenAt.IsZero() && time.Since(provenAt) > crashKnownBound {
@@ -87,7 +111,7 @@
 		}
 		require.GreaterOrEqual(t, atBound, 0, "%d engines ended", lostRequests(cl))
 		later := lostRequests(cl) - atBound
-		t.Logf("%d engines ended, %d of them later than %v after the third", atBound+later, later, crashKnownBound)
+		t.Logf("%d engines ended, %d of them later than %v after the proving one", atBound+later, later, crashKnownBound)
 		require.LessOrEqual(t, later, maxLaterEnds)
 	})
 }
