quarantine: a request that was answered lately is not held for ends beside it

Cause: only a complete answer after the last end counted for a request, and nothing told a request that is answered all the time from one that never is. Requests now have what parts have: an answer that outlives an end refutes it, and against a request that was answered in the ten seconds before, ends count only once later attempts had the time to be answered. One that has never been answered counts as before, at once. Test: TestRequestAnsweredLatelyIsNotHeld. Dropping an entry no longer judges all others again.

--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -25,7 +25,8 @@
 	// lately.
 	provenFor = 10 * time.Second
 	// answerTime is the time in which requests that are sent after an end outlive it, if they are
-	// answered at all, and longAnswerTime the time in which they are completed.
+	// answered at all, and longAnswerTime the time in which those with a part are completed, however long
+	// their answers are.
 	answerTime     = 1500 * time.Millisecond
 	longAnswerTime = 10 * time.Second
 	// proofInterval is how old a proof must be for a newer one that refutes nothing to be passed on to
@@ -53,8 +54,10 @@
 		return end.At
 	case end.Answered <= Outlives:
 		return end.At + answerTime
+	case e.Key().IsPart():
+		return end.At + longAnswerTime
 	}
-	return end.At + longAnswerTime
+	return end.At + answerTime + 2*end.Answered
 }
 
 // prove adds answers that outlived the suspicion and complete ones, and reports whether other routers
--- a/internal/decide/quarantine/attribution_test.go
+++ b/internal/decide/quarantine/attribution_test.go
@@ -360,3 +360,30 @@
 		}
 	})
 }
+
+// Guards against refusing a request that all callers send, at every engine at once, because crashing ones
+// run beside it; and against letting one that never completes count later.
+func TestRequestAnsweredLatelyIsNotHeld(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprint("answered ", answered), func(t *testing.T) {
+			table := NewTable(DefaultLimits())
+			now := time.Hour
+			popular := suspect("popular")
+			for i := range DefaultLimits().Ends {
+				crashing := suspect(fmt.Sprint("crashing ", i))
+				table.RecordEnd(endOf(i, now), []Cut{{Request: crashing}, {Request: popular, Answered: 2 * Outlives}}, now)
+				if answered && i == 0 {
+					table.Prove([]Key{popular.Key()}, now-time.Second, true, now)
+				}
+				now += 50 * time.Millisecond
+			}
+			status := table.Status(popular.Key())
+			require.Equal(t, !answered, status.HeldUntil > now)
+			table.Advance(now + decided)
+			require.Equal(t, !answered, table.Status(popular.Key()).Quarantined)
+			table.Advance(now + decided + answerTime + 4*Outlives)
+			table.Advance(now + 2*(decided+answerTime+4*Outlives))
+			require.True(t, table.Status(popular.Key()).Quarantined, "no answer since")
+		})
+	}
+}
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -522,7 +522,7 @@
 		}
 		if now-r.ChangedAt > t.lifetime(&r.Entry) {
 			delete(t.entries, k)
-			t.touchView()
+			t.dropped(r)
 		}
 	}
 	for id, end := range t.ends {
@@ -533,10 +533,12 @@
 	return append(out, t.judge()...)
 }
 
-// touchView notes that rows were dropped.
-func (t *Table) touchView() {
+// dropped notes that a row was dropped.
+func (t *Table) dropped(r *row) {
 	t.viewRevision++
-	t.forgetQuarantined()
+	if r.Quarantined {
+		t.forgetQuarantined()
+	}
 }
 
 func (t *Table) advance(r *row, now time.Duration) (ChangeKind, bool) {
@@ -615,8 +617,8 @@
 	})
 	for _, r := range rows[:excess] {
 		delete(t.entries, r.Key())
+		t.dropped(r)
 	}
-	t.touchView()
 }
 
 func compareBools(a, b bool) int {
--- a/internal/edge/forward/cut_test.go
+++ b/internal/edge/forward/cut_test.go
@@ -22,7 +22,7 @@
 	return ok
 }
 
-func (s fakeSuspects) Prove([]quarantine.Part, time.Duration, bool) {}
+func (s fakeSuspects) Prove(*quarantine.Fingerprint, []quarantine.Part, time.Duration, bool) {}
 
 // newSuspectExchange returns an exchange whose request is held responsible for the end of engines.
 func newSuspectExchange(engines ...string) (*exchange, fakeSuspects) {
--- a/internal/edge/forward/suspectpart.go
+++ b/internal/edge/forward/suspectpart.go
@@ -37,10 +37,10 @@
 	if x.endUnchecked {
 		return
 	}
-	x.tracker.RecordCompletion()
 	if status < http.StatusMultipleChoices && x.provesParts() {
 		x.tracker.RecordAnswer(e.Service, x.answeredAt, true)
 	}
+	x.tracker.RecordCompletion()
 }
 
 // provesParts reports whether the answer in progress is one to the whole request: an engine that resumes
--- a/internal/fleet/suspects/set.go
+++ b/internal/fleet/suspects/set.go
@@ -126,20 +126,23 @@
 	s.update(func(t *quarantine.Table) []quarantine.Change { return t.RecordEnd(end, cuts, s.clock()) })
 }
 
-// Prove records that an answer to a request with the parts, which began at a time, has shown that they
-// do not crash engines; see quarantine.Table.Prove.
-func (s *Set) Prove(parts []quarantine.Part, began time.Duration, complete bool) {
+// Prove records that an answer, which began at a time, has shown that neither the request, if it is a
+// suspect, nor the parts of its prompt crash engines; see quarantine.Table.Prove.
+func (s *Set) Prove(request *quarantine.Fingerprint, parts []quarantine.Part, began time.Duration, complete bool) {
 	if complete {
 		for _, p := range parts {
 			s.answered.record(p, began)
 		}
 	}
 	view := s.View()
-	if !view.HasParts() {
-		return
-	}
 	var keys []quarantine.Key
+	if request != nil {
+		keys = append(keys, quarantine.Key{Fingerprint: *request})
+	}
 	for _, p := range parts {
+		if !view.HasParts() {
+			break
+		}
 		if view.Part(p).ProvenBy(began) {
 			keys = append(keys, quarantine.Key{Part: p})
 		}
--- a/internal/fleet/suspects/tracker.go
+++ b/internal/fleet/suspects/tracker.go
@@ -14,8 +14,9 @@
 	View() *quarantine.View
 	// Clear discards what is held against a suspect, and returns false if nothing is.
 	Clear(quarantine.Key) bool
-	// Prove records an answer to a request with the parts that began at a time; see Set.Prove.
-	Prove(parts []quarantine.Part, began time.Duration, complete bool)
+	// Prove records an answer, which began at a time, to a request with the parts; see Set.Prove. The
+	// fingerprint is that of the request, or nil if it is no suspect.
+	Prove(request *quarantine.Fingerprint, parts []quarantine.Part, began time.Duration, complete bool)
 }
 
 // None is a Source without suspects.
@@ -30,7 +31,7 @@
 func (None) Clear(quarantine.Key) bool { return false }
 
 // Prove implements Source.
-func (None) Prove([]quarantine.Part, time.Duration, bool) {}
+func (None) Prove(*quarantine.Fingerprint, []quarantine.Part, time.Duration, bool) {}
 
 // Tracker follows one request, through its attempts at engines, as a possible cause of their ends.
 // The zero value is that of a request whose content is not known yet, against which nothing is held.
@@ -207,11 +208,16 @@
 
 // RecordAnswer records that an engine of a service has been answering the request, from a time on, for
 // so long that neither the request nor a part of its prompt can have ended it, or, with complete, to the
-// end.
+// end. It must be called before RecordCompletion.
 func (t *Tracker) RecordAnswer(service string, began time.Duration, complete bool) {
-	if t.source != nil && t.prompt != nil {
-		t.source.Prove(t.Parts(service), began, complete)
+	if t.source == nil {
+		return
+	}
+	var request *quarantine.Fingerprint
+	if len(t.Status().Ends) > 0 {
+		request = t.fingerprint
 	}
+	t.source.Prove(request, t.Parts(service), began, complete)
 }
 
 // IsolationKey returns the key by which the engines of a service for the request are ranked if it, or
--- a/internal/serve/traffic/response.go
+++ b/internal/serve/traffic/response.go
@@ -105,8 +105,8 @@
 	r.grant.Release()
 	r.observe(outlier.Success, 0)
 	if r.request != nil {
-		r.request.tracker.RecordCompletion()
 		r.request.tracker.RecordAnswer(r.request.body.Model, r.request.answeredAt, true)
+		r.request.tracker.RecordCompletion()
 	}
 	r.recordPrefix()
 }
