quarantine: what answers a request lately had is known before its first end

By its log the service had no engine for four seconds; the stream had been answered until 40 ms before the first end, which nobody had kept, and the one engine that came up was ended by a crashing request beside it. Routers now keep in a lossy table when requests and parts were last answered (a hash each, no lock), and report it with the end. An end does not count against a request that was answered lately if another suspect, which was not, has two ends or more and explains it too. Test: TestLikelierRequestIsToBlame.

--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -239,21 +239,21 @@
 	return end.Exposure + exposureMargin
 }
 
-// mayExplain reports whether an engine ended under a part that is likely to crash engines: several have
-// ended under it, and it was not answered lately.
-func (t *Table) mayExplain(engine string) bool {
+// mayExplain reports whether an engine ended under a suspect, other than the given one, that was not
+// answered lately and under which at least some number of engines ended.
+func (t *Table) mayExplain(engine string, except *Entry, ends int) bool {
 	if t.likely == nil {
-		t.likely = make(map[string]bool)
-		for k, r := range t.entries {
-			if !k.IsPart() || r.Quarantined || r.countOpen() < t.limits.PartEnds-1 || r.answeredLately() {
+		t.likely = make(map[string][]*row)
+		for _, r := range t.entries {
+			if r.countOpen() < likelyEnds || r.answeredLately() {
 				continue
 			}
 			for _, end := range r.Ends {
-				t.likely[end.Engine] = true
+				t.likely[end.Engine] = append(t.likely[end.Engine], r)
 			}
 		}
 	}
-	return t.likely[engine]
+	return slices.ContainsFunc(t.likely[engine], func(r *row) bool { return r.Key() != except.Key() && r.countOpen() >= ends })
 }
 
 // rateWithout returns how many engines a second end without a part, around the time of the ends that
@@ -262,7 +262,7 @@
 	first := firstOf(counted)
 	from, others := first, 0
 	for _, end := range t.ends {
-		if end.At >= first-rateWindow && !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil && !t.mayExplain(end.Engine) {
+		if end.At >= first-rateWindow && !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil && !t.mayExplain(end.Engine, e, t.limits.PartEnds-1) {
 			others++
 			from = min(from, end.At)
 		}
--- a/internal/decide/quarantine/attribution_test.go
+++ b/internal/decide/quarantine/attribution_test.go
@@ -387,3 +387,20 @@
 		})
 	}
 }
+
+// Guards against quarantining a request that all callers send in place of the crashing ones that run
+// beside it, while so few engines are up that nothing is answered.
+func TestLikelierRequestIsToBlame(t *testing.T) {
+	table := NewTable(DefaultLimits())
+	now := time.Hour
+	popular, a, b := suspect("popular"), suspect("a"), suspect("b")
+	for i, crashing := range []Suspect{a, b, a, b, a} {
+		cut := Cut{Request: popular, CompletedAt: time.Hour - time.Second}
+		table.RecordEnd(endOf(i, now), []Cut{{Request: crashing}, cut}, now)
+		now += time.Second
+		table.Advance(now)
+	}
+	table.Advance(now + time.Minute)
+	require.True(t, table.Status(a.Key()).Quarantined)
+	require.False(t, table.Status(popular.Key()).Quarantined)
+}
--- a/internal/decide/quarantine/fingerprint.go
+++ b/internal/decide/quarantine/fingerprint.go
@@ -61,6 +61,16 @@
 // hash returns the first bytes of the fingerprint.
 func (f Fingerprint) hash() uint64 { return binary.BigEndian.Uint64(f[:8]) }
 
+// Hash returns a fast hash of the whole content. Callers can find content with the hash of another: it
+// must not decide that a request is refused.
+func (c Content) Hash() uint64 {
+	h := xxh3.HashSeed(c.Body, uint64(len(c.Body)))
+	for _, field := range []string{c.Account, c.Method, c.Host, c.Target} {
+		h = xxh3.HashStringSeed(field, h)
+	}
+	return h
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -90,9 +90,9 @@
 	ends map[string]End
 	// quarantined indexes the suspects in quarantine; nil if it must be determined anew.
 	quarantined *quarantineIndex
-	// likely holds the engines that ended under a part that is likely to crash engines; nil if it must be
-	// determined anew.
-	likely map[string]bool
+	// likely holds, by engine, the suspects that are likely to have ended it; nil if it must be determined
+	// anew.
+	likely map[string][]*row
 	// now is the time of the last change or of Advance.
 	now time.Duration
 	// revision is the revision of the last change that other routers need to know, and viewRevision that
@@ -162,6 +162,10 @@
 // Cut is a request that an engine was executing when it ended.
 type Cut struct {
 	Request Suspect
+	// Content is the Hash of the request's content, and CompletedAt when the newest answer to a request
+	// with it began that the router knows to be complete; zero for none.
+	Content     uint64
+	CompletedAt time.Duration
 	// Parts holds the parts of its prompt that may crash engines whatever else the request holds.
 	Parts []CutPart
 	// Answered is for how long the engine had answered the request, Exposure for how long it had had it.
@@ -196,7 +200,7 @@
 	for _, c := range cuts {
 		own := end
 		own.Answered, own.Exposure = c.Answered, c.Exposure
-		add(c.Request, own)
+		add(c.Request, own).prove(c.CompletedAt, c.CompletedAt)
 		own.Requests = []uint64{c.Request.hash()}
 		for _, p := range c.Parts {
 			add(Suspect{Part: p.Part, Account: c.Request.Account, Route: c.Request.Route}, own).prove(p.CompletedAt, p.CompletedAt)
@@ -343,15 +347,23 @@
 	}
 }
 
-// requestEnds returns the ends that count against a request. Those that a part explains do not, and if
-// the request was answered lately, neither do those that another request explains.
+// requestEnds returns the ends that count against a request. Those that a part in quarantine explains do
+// not, and if the request was answered lately, neither do those that a likelier suspect explains.
 func (t *Table) requestEnds(e *Entry) []End {
 	return slices.DeleteFunc(e.openEnds(), func(end End) bool {
+		if t.now < e.countsAt(end) {
+			return true
+		}
 		by := t.index().explanation(end.Engine, e)
-		return t.now < e.countsAt(end) || by != nil && (by.Key().IsPart() || e.countsAt(end) > end.At)
+		lately := e.countsAt(end) > end.At
+		return by != nil && (by.Key().IsPart() || lately) || lately && t.mayExplain(end.Engine, e, likelyEnds)
 	})
 }
 
+// likelyEnds is the number of ends from which a suspect that was not answered lately is likelier to blame
+// than one that was.
+const likelyEnds = 2
+
 // decisionAt returns when the quarantine of a request is decided, or zero if it is not due.
 func (t *Table) decisionAt(e *Entry) time.Duration {
 	ends := t.requestEnds(e)
--- a/internal/edge/forward/cut.go
+++ b/internal/edge/forward/cut.go
@@ -29,7 +29,7 @@
 	// An engine that was slow to respond may have ended after the attempt there timed out.
 	for _, ended := range append(x.timedOutAt, e) {
 		request, completed := x.tracker.Suspect()
-		c := quarantine.Cut{Request: request, Answered: x.answeredFor(), Exposure: x.f.Clock() - x.sentAt}
+		c := quarantine.Cut{Request: request, Content: x.tracker.ContentHash(), Answered: x.answeredFor(), Exposure: x.f.Clock() - x.sentAt}
 		for _, p := range x.tracker.Parts(ended.Service) {
 			c.Parts = append(c.Parts, quarantine.CutPart{Part: p})
 		}
--- a/internal/edge/forward/cut_test.go
+++ b/internal/edge/forward/cut_test.go
@@ -9,6 +9,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/quarantine"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/fleet/suspects"
 	"github.com/stretchr/testify/require"
 )
 
@@ -22,7 +23,7 @@
 	return ok
 }
 
-func (s fakeSuspects) Prove(*quarantine.Fingerprint, []quarantine.Part, time.Duration, bool) {}
+func (s fakeSuspects) Prove(suspects.Answer) {}
 
 // newSuspectExchange returns an exchange whose request is held responsible for the end of engines.
 func newSuspectExchange(engines ...string) (*exchange, fakeSuspects) {
--- a/internal/fleet/suspects/parts_test.go
+++ b/internal/fleet/suspects/parts_test.go
@@ -101,18 +101,18 @@
 
 // Guards against a full lossy table that reports answers to parts that were never answered.
 func TestAnsweredPartsAreNotMistaken(t *testing.T) {
-	var a answeredParts
+	var a answers
+	hash := func(name string, i int) uint64 { return hashPart(quarantine.NewPart(testService, fmt.Sprint(name, i))) }
 	for i := range 3 * answeredSlots {
-		a.record(quarantine.NewPart(testService, fmt.Sprint("p", i)), time.Hour)
+		a.record(hash("p", i), time.Hour)
 	}
-	require.Equal(t, time.Hour, a.at(quarantine.NewPart(testService, fmt.Sprint("p", 3*answeredSlots-1))))
+	require.Equal(t, time.Hour, a.at(hash("p", 3*answeredSlots-1)))
 	for i := range answeredSlots {
-		require.Zero(t, a.at(quarantine.NewPart(testService, fmt.Sprint("never", i))))
+		require.Zero(t, a.at(hash("never", i)))
 	}
-	p := quarantine.NewPart(testService, "p")
-	a.record(p, 2*time.Hour)
-	a.record(p, time.Hour)
-	require.Equal(t, 2*time.Hour, a.at(p))
+	a.record(hash("p", 0), 2*time.Hour)
+	a.record(hash("p", 0), time.Hour)
+	require.Equal(t, 2*time.Hour, a.at(hash("p", 0)))
 }
 
 // BenchmarkAnswer reports the cost of recording a complete answer to a prompt of eight parts, without
--- a/internal/fleet/suspects/set.go
+++ b/internal/fleet/suspects/set.go
@@ -27,7 +27,7 @@
 	log   *log.Logger
 	// instance distinguishes the revisions of this process from those of an earlier one.
 	instance uint64
-	answered answeredParts
+	answers  answers
 
 	mu      sync.Mutex
 	table   *quarantine.Table
@@ -118,37 +118,38 @@
 	if len(cuts) == 0 {
 		return
 	}
-	for _, c := range cuts {
-		for i, p := range c.Parts {
-			c.Parts[i].CompletedAt = s.answered.at(p.Part)
+	for i := range cuts {
+		c := &cuts[i]
+		c.CompletedAt = s.answers.at(c.Content)
+		for j, p := range c.Parts {
+			c.Parts[j].CompletedAt = s.answers.at(hashPart(p.Part))
 		}
 	}
 	s.update(func(t *quarantine.Table) []quarantine.Change { return t.RecordEnd(end, cuts, s.clock()) })
 }
 
-// Prove records that an answer, which began at a time, has shown that neither the request, if it is a
-// suspect, nor the parts of its prompt crash engines; see quarantine.Table.Prove.
-func (s *Set) Prove(request *quarantine.Fingerprint, parts []quarantine.Part, began time.Duration, complete bool) {
-	if complete {
-		for _, p := range parts {
-			s.answered.record(p, began)
+// Prove records that an answer has shown that neither the request, if it is a suspect, nor the parts of
+// its prompt crash engines; see quarantine.Table.Prove.
+func (s *Set) Prove(a Answer) {
+	if a.Complete {
+		s.answers.record(a.Content, a.Began)
+		for _, p := range a.Parts {
+			s.answers.record(hashPart(p), a.Began)
 		}
 	}
-	view := s.View()
 	var keys []quarantine.Key
-	if request != nil {
-		keys = append(keys, quarantine.Key{Fingerprint: *request})
+	if a.Request != nil {
+		keys = append(keys, quarantine.Key{Fingerprint: *a.Request})
 	}
-	for _, p := range parts {
-		if !view.HasParts() {
-			break
-		}
-		if view.Part(p).ProvenBy(began) {
-			keys = append(keys, quarantine.Key{Part: p})
+	if view := s.View(); view.HasParts() {
+		for _, p := range a.Parts {
+			if view.Part(p).ProvenBy(a.Began) {
+				keys = append(keys, quarantine.Key{Part: p})
+			}
 		}
 	}
 	if len(keys) > 0 {
-		s.update(func(t *quarantine.Table) []quarantine.Change { return t.Prove(keys, began, complete, s.clock()) })
+		s.update(func(t *quarantine.Table) []quarantine.Change { return t.Prove(keys, a.Began, a.Complete, s.clock()) })
 	}
 }
 
--- a/internal/fleet/suspects/tracker.go
+++ b/internal/fleet/suspects/tracker.go
@@ -14,9 +14,19 @@
 	View() *quarantine.View
 	// Clear discards what is held against a suspect, and returns false if nothing is.
 	Clear(quarantine.Key) bool
-	// Prove records an answer, which began at a time, to a request with the parts; see Set.Prove. The
-	// fingerprint is that of the request, or nil if it is no suspect.
-	Prove(request *quarantine.Fingerprint, parts []quarantine.Part, began time.Duration, complete bool)
+	// Prove records an answer; see Set.Prove.
+	Prove(Answer)
+}
+
+// Answer is an answer of an engine that speaks for a request and for the parts of its prompt: it has gone
+// on for longer than quarantine.Outlives, or is complete.
+type Answer struct {
+	// Content is the Hash of the request's content, and Request its fingerprint; nil if it is no suspect.
+	Content  uint64
+	Request  *quarantine.Fingerprint
+	Parts    []quarantine.Part
+	Began    time.Duration
+	Complete bool
 }
 
 // None is a Source without suspects.
@@ -31,7 +41,7 @@
 func (None) Clear(quarantine.Key) bool { return false }
 
 // Prove implements Source.
-func (None) Prove(*quarantine.Fingerprint, []quarantine.Part, time.Duration, bool) {}
+func (None) Prove(Answer) {}
 
 // Tracker follows one request, through its attempts at engines, as a possible cause of their ends.
 // The zero value is that of a request whose content is not known yet, against which nothing is held.
@@ -213,13 +223,16 @@
 	if t.source == nil {
 		return
 	}
-	var request *quarantine.Fingerprint
+	a := Answer{Content: t.content.Hash(), Parts: t.Parts(service), Began: began, Complete: complete}
 	if len(t.Status().Ends) > 0 {
-		request = t.fingerprint
+		a.Request = t.fingerprint
 	}
-	t.source.Prove(request, t.Parts(service), began, complete)
+	t.source.Prove(a)
 }
 
+// ContentHash returns the Hash of the request's content.
+func (t *Tracker) ContentHash() uint64 { return t.content.Hash() }
+
 // IsolationKey returns the key by which the engines of a service for the request are ranked if it, or
 // a part of its prompt, is the likely cause of the end of others, and zero otherwise. All routers send
 // such requests, or all with that part, to the same engine, so that attempts at the same time end one
--- a/internal/serve/traffic/suspicion.go
+++ b/internal/serve/traffic/suspicion.go
@@ -67,7 +67,7 @@
 	engine := call.Name + "#" + strconv.FormatUint(call.Incarnation, 10)
 	t.RecordCut(engine)
 	request, completed := t.Suspect()
-	c := quarantine.Cut{Request: request, Exposure: s.Suspects.Now() - sentAt}
+	c := quarantine.Cut{Request: request, Content: t.ContentHash(), Exposure: s.Suspects.Now() - sentAt}
 	for _, p := range t.Parts(scope) {
 		c.Parts = append(c.Parts, quarantine.CutPart{Part: p})
 	}
