--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -106,10 +106,11 @@
 )
 
 // judgePart concludes on a part.
-func (t *Table) judgePart(e *Entry, now time.Duration) verdict {
-	if e.countOpen() < t.limits.PartSuspectEnds {
+func (t *Table) judgePart(r *row, now time.Duration) verdict {
+	if r.open < t.limits.PartSuspectEnds {
 		return unknown
 	}
+	e := &r.Entry
 	counted, explained := t.countedEnds(e, now)
 	if len(counted) < t.limits.PartSuspectEnds {
 		return unknown
@@ -245,7 +246,7 @@
 	if t.likely == nil {
 		t.likely = make(map[string][]*row)
 		for _, r := range t.entries {
-			if r.countOpen() < likelyEnds || r.answeredLately() {
+			if r.open < likelyEnds || r.answeredLately() {
 				continue
 			}
 			for _, end := range r.Ends {
@@ -253,7 +254,7 @@
 			}
 		}
 	}
-	return slices.ContainsFunc(t.likely[engine], func(r *row) bool { return r.Key() != except.Key() && r.countOpen() >= ends })
+	return slices.ContainsFunc(t.likely[engine], func(r *row) bool { return r.open >= ends && r.Key() != except.Key() })
 }
 
 // rateWithout returns how many engines a second end without a part, around the time of the ends that
--- a/internal/decide/quarantine/attribution_test.go
+++ b/internal/decide/quarantine/attribution_test.go
@@ -404,3 +404,24 @@
 	require.True(t, table.Status(a.Key()).Quarantined)
 	require.False(t, table.Status(popular.Key()).Quarantined)
 }
+
+// BenchmarkJudge reports the cost of recording an end while engines end all the time, under requests with
+// a common part, one of a hundred others and one of their own.
+func BenchmarkJudge(b *testing.B) {
+	table, now := NewTable(DefaultLimits()), time.Hour
+	record := func(i int) {
+		now += 400 * time.Millisecond
+		var cuts []Cut
+		for j := range 10 {
+			cuts = append(cuts, cutWith(fmt.Sprint(i, " ", j), "base", fmt.Sprint("document", (7*i+j)%100), fmt.Sprint("rare", i, j)))
+		}
+		table.RecordEnd(endOf(i, now), cuts, now)
+	}
+	for i := range 500 {
+		record(i)
+	}
+	for i := 500; b.Loop(); i++ {
+		record(i)
+	}
+	b.ReportMetric(float64(len(table.entries)), "entries")
+}
--- a/internal/decide/quarantine/suspect.go
+++ b/internal/decide/quarantine/suspect.go
@@ -143,7 +143,8 @@
 
 // endedUnder reports whether an engine ended under the suspect.
 func (e *Entry) endedUnder(engine string) bool {
-	return slices.ContainsFunc(e.Ends, func(end End) bool { return end.Engine == engine })
+	_, found := slices.BinarySearchFunc(e.Ends, engine, func(end End, id string) int { return strings.Compare(end.Engine, id) })
+	return found
 }
 
 // endsAreUnder reports whether all engines that ended under the suspect ended under another one too.
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -107,6 +107,9 @@
 	// current state, or empty if no single router did.
 	revision uint64
 	source   string
+	// open is the number of ends that no answer refutes, and verdict what was concluded about a part.
+	open    int
+	verdict verdict
 	// status is that by the last judgement, and judged is set if nothing can have changed it since.
 	status Status
 	judged bool
@@ -128,7 +131,7 @@
 func (t *Table) Entries() []Entry {
 	var out []Entry
 	for k, r := range t.entries {
-		if len(r.Ends) > 0 && (!k.IsPart() || r.Quarantined || r.Lapsed > 0 || r.countOpen() > 0) {
+		if len(r.Ends) > 0 && (!k.IsPart() || r.Quarantined || r.Lapsed > 0 || r.open > 0) {
 			out = append(out, r.Entry)
 		}
 	}
@@ -286,7 +289,7 @@
 
 // undecided reports whether the status of a suspect may change with time, or with what becomes of others.
 func (t *Table) undecided(r *row) bool {
-	return !r.Quarantined && r.countOpen() >= min(t.limits.PartSuspectEnds, t.limits.AccountEnds)
+	return !r.Quarantined && r.open >= min(t.limits.PartSuspectEnds, t.limits.AccountEnds)
 }
 
 // quarantineParts puts the parts in quarantine that are to blame, and returns them. Each explains ends
@@ -297,7 +300,10 @@
 	for {
 		var best *row
 		for _, r := range t.entries {
-			if !r.Key().IsPart() || r.Quarantined || r.judged || t.judgePart(&r.Entry, t.now) != guilty {
+			if !r.Key().IsPart() || r.Quarantined || r.judged {
+				continue
+			}
+			if r.verdict = t.judgePart(r, t.now); r.verdict != guilty {
 				continue
 			}
 			if best == nil || r.likelierThan(best) {
@@ -319,7 +325,7 @@
 	if late(r) != late(o) {
 		return late(o)
 	}
-	return cmp.Or(cmp.Compare(r.countOpen(), o.countOpen()), o.Key().Compare(r.Key())) > 0
+	return cmp.Or(cmp.Compare(r.open, o.open), o.Key().Compare(r.Key())) > 0
 }
 
 // sameState reports whether an entry equals another one that was merged into it.
@@ -333,6 +339,7 @@
 	t.revision++
 	t.viewRevision++
 	r.revision = t.revision
+	r.open = r.countOpen()
 	r.judged = false
 	if r.Quarantined || t.quarantined.contains(r) {
 		t.forgetQuarantined()
@@ -606,14 +613,18 @@
 			requests++
 		}
 	}
-	t.evictKind(false, requests-t.limits.Entries)
-	t.evictKind(true, parts-t.limits.PartEntries)
+	t.evictKind(false, requests, t.limits.Entries)
+	t.evictKind(true, parts, t.limits.PartEntries)
 }
 
-func (t *Table) evictKind(parts bool, excess int) {
-	if excess <= 0 {
+// evictShare is the share of the entries of a kind that are dropped at once: ordering them all takes long.
+const evictShare = 8
+
+func (t *Table) evictKind(parts bool, count, limit int) {
+	if count <= limit {
 		return
 	}
+	excess := count - limit + limit/evictShare
 	var rows []*row
 	for k, r := range t.entries {
 		if k.IsPart() == parts {
@@ -623,7 +634,7 @@
 	slices.SortFunc(rows, func(a, b *row) int {
 		return cmp.Or(
 			compareBools(a.Quarantined, b.Quarantined),
-			cmp.Compare(len(a.openEnds()), len(b.openEnds())),
+			cmp.Compare(a.open, b.open),
 			cmp.Compare(a.ChangedAt, b.ChangedAt),
 			a.Key().Compare(b.Key()))
 	})
--- a/internal/decide/quarantine/view.go
+++ b/internal/decide/quarantine/view.go
@@ -120,7 +120,7 @@
 		return out
 	}
 	out.AnsweredLately = r.answeredLately()
-	out.Suspected = t.judgePart(&r.Entry, t.now) == suspected
+	out.Suspected = r.verdict == suspected
 	return out
 }
 
