quarantine: a sound part that two bad ones always come with is not condemned

Now an end does not count against a part that was answered lately if a likelier one, which was not, has two ends or more; parts of which one has all ends of the other are both judged by their own ends, as either may be to blame; one whose ends others in quarantine explain together is not condemned; and a request with a condemned part is tried, not refused, if others that it lacks may explain all its ends.

--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -14,7 +14,8 @@
 //     that crashes engines crashes each.
 //   - Against a suspect that has been answered lately, an end counts only once later requests have had
 //     the time to be answered.
-//   - An end that a quarantined suspect explains does not count against the others.
+//   - An end that a quarantined suspect explains does not count against the others, nor one that a suspect
+//     without such answers is likelier to have caused.
 //   - Ends that chance explains as well do not suffice, however many there are.
 //   - A part is to blame only if no one or two requests explain its ends.
 const (
@@ -115,7 +116,7 @@
 	if len(counted) < t.limits.PartSuspectEnds {
 		return unknown
 	}
-	if explained && minRequests(counted) < t.limits.PartRequests {
+	if explained && minRequests(counted) < t.limits.PartRequests || len(t.coveredBy(r, t.index().rows)) > 0 {
 		return unknown
 	}
 	score := t.chanceScore(e, counted, now)
@@ -132,7 +133,7 @@
 // part explains some of them.
 func (t *Table) countedEnds(e *Entry, now time.Duration) (counted []End, explained bool) {
 	for _, end := range e.openEnds() {
-		if now < e.countsAt(end) {
+		if now < e.countsAt(end) || e.countsAt(end) > end.At && t.mayExplain(end, e, likelyEnds) {
 			continue
 		}
 		excused, byRequest := t.excuse(e, end)
@@ -145,14 +146,14 @@
 }
 
 // excuse reports whether a suspect in quarantine explains an end under a part: a request without the part,
-// or another part, unless all its ends came under this one too. byRequest is set if a request with the part
-// explains it.
+// or another part, unless all ends of one of the two came under the other, so that either may be to blame.
+// byRequest is set if a request with the part explains it.
 func (t *Table) excuse(e *Entry, end End) (excused, byRequest bool) {
 	for _, by := range t.index().byEngine[end.Engine] {
 		switch {
 		case by.Key() == e.Key():
 		case by.Key().IsPart():
-			excused = excused || !by.endsAreUnder(e)
+			excused = excused || !by.endsAreUnder(e) && !e.endsAreUnder(&by.Entry)
 		case slices.Contains(end.Requests, by.hash()):
 			byRequest = true
 		default:
@@ -162,6 +163,26 @@
 	return excused, byRequest
 }
 
+// coveredBy returns those of other parts that together explain all ends under a part, and nothing else; nil
+// if they do not.
+func (t *Table) coveredBy(r *row, others []*row) []Part {
+	var out []Part
+	covered := make(map[string]bool)
+	for _, other := range others {
+		if !other.Key().IsPart() || other == r || !other.endsAreUnder(&r.Entry) || r.endsAreUnder(&other.Entry) {
+			continue
+		}
+		out = append(out, other.Part)
+		for _, end := range other.Ends {
+			covered[end.Engine] = true
+		}
+	}
+	if len(covered) < len(r.Ends) {
+		return nil
+	}
+	return out
+}
+
 // hash returns the hash by which the ends of parts name a request.
 func (s Suspect) hash() uint64 { return s.Fingerprint.hash() }
 
@@ -240,9 +261,13 @@
 	return end.Exposure + exposureMargin
 }
 
-// mayExplain reports whether an engine ended under a suspect, other than the given one, that was not
-// answered lately and under which at least some number of engines ended.
-func (t *Table) mayExplain(engine string, except *Entry, ends int) bool {
+// likelyEnds is the number of ends from which a suspect that was not answered lately is likelier to blame
+// than one that was.
+const likelyEnds = 2
+
+// mayExplain reports whether an engine ended under a suspect that was not answered lately and under which
+// at least some number of engines ended: another one than the given one, and no request with it.
+func (t *Table) mayExplain(end End, except *Entry, ends int) bool {
 	if t.likely == nil {
 		t.likely = make(map[string][]*row)
 		for _, r := range t.entries {
@@ -254,7 +279,20 @@
 			}
 		}
 	}
-	return slices.ContainsFunc(t.likely[engine], func(r *row) bool { return r.open >= ends && r.Key() != except.Key() })
+	return slices.ContainsFunc(t.likely[end.Engine], func(r *row) bool {
+		return r.open >= ends && r.Key() != except.Key() && (r.Key().IsPart() || !slices.Contains(end.Requests, r.hash()))
+	})
+}
+
+// likelyParts returns the parts in quarantine, and those that are likely to have ended engines.
+func (t *Table) likelyParts() []*row {
+	out := slices.Clone(t.index().rows)
+	for k, r := range t.entries {
+		if k.IsPart() && !r.Quarantined && r.open >= likelyEnds && !r.answeredLately() {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // rateWithout returns how many engines a second end without a part, around the time of the ends that
@@ -263,7 +301,7 @@
 	first := firstOf(counted)
 	from, others := first, 0
 	for _, end := range t.ends {
-		if end.At >= first-rateWindow && !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil && !t.mayExplain(end.Engine, e, t.limits.PartEnds-1) {
+		if end.At >= first-rateWindow && !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil && !t.mayExplain(end, e, t.limits.PartEnds-1) {
 			others++
 			from = min(from, end.At)
 		}
--- a/internal/decide/quarantine/attribution_test.go
+++ b/internal/decide/quarantine/attribution_test.go
@@ -425,3 +425,54 @@
 	}
 	b.ReportMetric(float64(len(table.entries)), "entries")
 }
+
+// Guards against condemning a sound part that two bad ones always come with: it explains more ends than
+// either, but was answered.
+func TestCompanionOfTwoBadPartsIsNotCondemned(t *testing.T) {
+	table, now := NewTable(DefaultLimits()), time.Hour
+	for i := range 10 {
+		bad := fmt.Sprint("bad", i%2)
+		c := cutWith(fmt.Sprint(i), "companion", bad)
+		c.Parts[0].CompletedAt = time.Hour - time.Second
+		end := endOf(i, now)
+		end.Peers = 4
+		table.RecordEnd(end, []Cut{c}, now)
+		for range 18 {
+			now += 100 * time.Millisecond
+			table.Advance(now)
+			require.NotContains(t, table.quarantinedParts(), "companion")
+		}
+	}
+	require.Equal(t, []string{"bad0", "bad1"}, table.quarantinedParts())
+}
+
+// Guards against a part that turned bad and is excused for ever by the requests with it, each of which its
+// caller repeats.
+func TestRequestsWithAPartDoNotExcuseIt(t *testing.T) {
+	table, now := NewTable(DefaultLimits()), time.Hour
+	for i := range 12 {
+		c := cutWith(fmt.Sprint(i/2), "ee")
+		c.Parts[0].CompletedAt = time.Hour - time.Second
+		table.RecordEnd(endOf(i, now), []Cut{c}, now)
+		now += 300 * time.Millisecond
+		table.Advance(now)
+	}
+	table.Advance(now + answerTime)
+	require.Equal(t, []string{"ee"}, table.quarantinedParts())
+}
+
+// Guards against refusing a sound part that was never answered and that two bad ones always come with,
+// before either has ended enough engines by itself.
+func TestPartThatTwoOthersExplainIsTried(t *testing.T) {
+	table, now := NewTable(DefaultLimits()), time.Hour
+	for i := range 4 {
+		table.RecordEnd(endOf(i, now), []Cut{cutWith(fmt.Sprint(i), "companion", fmt.Sprint("bad", i%2))}, now)
+		now += 300 * time.Millisecond
+	}
+	require.Equal(t, []string{"companion"}, table.quarantinedParts())
+	require.ElementsMatch(t, []Part{partKey("bad0").Part, partKey("bad1").Part}, table.Status(partKey("companion")).With)
+	table.Prove([]Key{partKey("companion")}, now, true, now)
+	require.Empty(t, table.quarantinedParts())
+	require.True(t, table.Status(partKey("bad0")).Suspected)
+	require.True(t, table.Status(partKey("bad1")).Suspected)
+}
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -289,7 +289,10 @@
 
 // undecided reports whether the status of a suspect may change with time, or with what becomes of others.
 func (t *Table) undecided(r *row) bool {
-	return !r.Quarantined && r.open >= min(t.limits.PartSuspectEnds, t.limits.AccountEnds)
+	if r.Quarantined {
+		return r.Key().IsPart()
+	}
+	return r.open >= min(t.limits.PartSuspectEnds, t.limits.AccountEnds)
 }
 
 // quarantineParts puts the parts in quarantine that are to blame, and returns them. Each explains ends
@@ -363,14 +366,10 @@
 		}
 		by := t.index().explanation(end.Engine, e)
 		lately := e.countsAt(end) > end.At
-		return by != nil && (by.Key().IsPart() || lately) || lately && t.mayExplain(end.Engine, e, likelyEnds)
+		return by != nil && (by.Key().IsPart() || lately) || lately && t.mayExplain(end, e, likelyEnds)
 	})
 }
 
-// likelyEnds is the number of ends from which a suspect that was not answered lately is likelier to blame
-// than one that was.
-const likelyEnds = 2
-
 // decisionAt returns when the quarantine of a request is decided, or zero if it is not due.
 func (t *Table) decisionAt(e *Entry) time.Duration {
 	ends := t.requestEnds(e)
--- a/internal/decide/quarantine/view.go
+++ b/internal/decide/quarantine/view.go
@@ -35,8 +35,8 @@
 	Suspected bool
 	// Account is the account of all requests that were cut, or AnyAccount.
 	Account string
-	// With holds the other parts in quarantine under which the same engines ended, and perhaps more: any of
-	// them may be to blame.
+	// With holds the other parts that may be to blame in place of this one: those in quarantine under which
+	// the same engines ended, and perhaps more, and those that together are likely to have ended all of them.
 	With []Part
 	// AnsweredLately is set if the part was answered shortly before the last of the ends.
 	AnsweredLately bool
@@ -116,7 +116,7 @@
 	}
 	out := Status{Ends: r.openEnds(), Quarantined: r.Quarantined, Account: r.Account, ProvenAt: r.OutlivedAt, isPart: true}
 	if r.Quarantined {
-		out.With = t.partsWithEndsOf(r)
+		out.With = append(t.partsWithEndsOf(r), t.coveredBy(r, t.likelyParts())...)
 		return out
 	}
 	out.AnsweredLately = r.answeredLately()
--- a/internal/lab/crashmodel/parts_test.go
+++ b/internal/lab/crashmodel/parts_test.go
@@ -76,6 +76,7 @@
 		{"two, ten a second each", withParts(smallParts(), func(l *PartLoad) { l.Bad, l.BadRate = 2, 10 })},
 		{"ten a second, other parts each time", withParts(smallParts(), func(l *PartLoad) { l.Bad, l.BadRate, l.Moving = 1, 10, true })},
 		{"ten a second with a rare companion", withParts(smallParts(), func(l *PartLoad) { l.Bad, l.BadRate, l.Companion = 1, 10, true })},
+		{"two, five a second each, with a rare companion", withParts(smallParts(), func(l *PartLoad) { l.Bad, l.BadRate, l.Companion = 2, 5, true })},
 		{"three a second, an engine ends each 2 s", withParts(smallParts(), func(l *PartLoad) { l.Bad, l.BadRate, l.Ends = 1, 3, 0.5 })},
 		{"ten a second, long answers", withParts(smallParts(), func(l *PartLoad) { l.Bad, l.BadRate, l.Answer = 1, 10, 3*time.Second })},
 	}
