crashmodel: both models share one event loop

The single-request model and the model of bad parts each kept a heap of events ordered by time, with the same tie-break. The loop moves into timeline.go; both models schedule on it.

go vet and go test ./internal/lab/crashmodel pass.

--- a/internal/lab/crashmodel/model.go
+++ b/internal/lab/crashmodel/model.go
@@ -4,7 +4,6 @@
 package crashmodel
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -89,14 +88,7 @@
 		s.startEngine()
 	}
 	s.schedule()
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		if e.at > l.Length {
-			break
-		}
-		s.now = e.at
-		e.do()
-	}
+	s.run(l.Length)
 	for _, e := range s.tables[0].Entries() {
 		if e.Quarantined && e.Route != crashingRoute {
 			s.result.Condemned++
@@ -109,17 +101,14 @@
 const crashingRoute = "crashing"
 
 type simulation struct {
+	timeline
 	Design
 	Load
 	rng     *rand.Rand
-	now     time.Duration
-	events  events
 	tables  []*quarantine.Table
 	engines []*engine
 	names   int
-	// scheduled counts the events.
-	scheduled int
-	result    Result
+	result  Result
 }
 
 type engine struct {
@@ -157,11 +146,6 @@
 	callerPause    = 100 * time.Millisecond
 )
 
-func (s *simulation) after(d time.Duration, do func()) {
-	s.scheduled++
-	heap.Push(&s.events, event{at: s.now + d, order: s.scheduled, do: do})
-}
-
 func (s *simulation) every(mean time.Duration, do func()) {
 	var next func()
 	next = func() {
@@ -426,30 +410,3 @@
 	}
 	s.result.Failed++
 }
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-// events is a heap of events, those at the same time in the order of their creation.
-type events []event
-
-func (h events) Len() int      { return len(h) }
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h events) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].order < h[j].order
-}
-
-func (h *events) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
--- a/internal/lab/crashmodel/parts.go
+++ b/internal/lab/crashmodel/parts.go
@@ -1,7 +1,6 @@
 package crashmodel
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -82,14 +81,7 @@
 		s.startEngine()
 	}
 	s.schedule()
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		if e.at > l.Length {
-			break
-		}
-		s.now = e.at
-		e.do()
-	}
+	s.run(l.Length)
 	return s.finish()
 }
 
@@ -103,16 +95,14 @@
 }
 
 type partSimulation struct {
+	timeline
 	PartDesign
 	PartLoad
-	rng       *rand.Rand
-	now       time.Duration
-	events    events
-	routers   []*partRouter
-	engines   []*partEngine
-	names     int
-	scheduled int
-	bad       []badPart
+	rng     *rand.Rand
+	routers []*partRouter
+	engines []*partEngine
+	names   int
+	bad     []badPart
 	// counts holds, for CountOnly, the ends under each part since the last complete answer.
 	counts map[string]map[string]bool
 	sound  []*partRequest
@@ -153,11 +143,6 @@
 	released bool
 }
 
-func (s *partSimulation) after(d time.Duration, do func()) {
-	s.scheduled++
-	heap.Push(&s.events, event{at: s.now + d, order: s.scheduled, do: do})
-}
-
 func (s *partSimulation) every(rate float64, do func()) {
 	if rate <= 0 {
 		return
