shares: an account's surge no longer takes the places of the others

Cause: once a service is congested, requests are ordered by urgency at each engine's gate, and accounts take turns only among those of one urgency that wait at one gate.

Change: routers measure what accounts request, are granted and usually request, add it up with the load reports while a service is congested, and mark the requests beyond an account's fair share. Gates serve marked ones last and keep a reserve for the others; throttles and Retry-After of marked ones are by account. A configuration with fewer than two accounts, or a service with room, decides as before.

--- a/internal/decide/gate/gate.go
+++ b/internal/decide/gate/gate.go
@@ -17,6 +17,7 @@
 package gate
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -32,6 +33,14 @@
 	// reservedShare is the share of the service reserved for the class below the most urgent
 	// waiting one, so that this class is not starved while a surge lasts.
 	reservedShare = 0.05
+	// beyondReserve is the share of the slots that requests beyond their account's fair share don't
+	// get. Without it they occupy every engine, and a request within its share that is sent elsewhere
+	// because the engine that caches its prompt is full finds no slot.
+	beyondReserve = 0.1
+	// maxBeyondReserve bounds the share of the slots that are reserved after requests within their
+	// account's share were refused, and reserveWindow is the time constant in which these slots return.
+	maxBeyondReserve = 0.5
+	reserveWindow    = 2 * time.Second
 	// maxWaiting bounds the queue of one gate. Normally requests are refused for their predicted
 	// wait long before the queue is that long; this bound limits the memory while no request
 	// finishes.
@@ -41,10 +50,14 @@
 	holdSmoothing = 1.0 / 16
 )
 
+// bands is the number of queue classes for each urgency class: requests within their account's share,
+// those beyond it, and late ones.
+const bands = 3
+
 // Config configures a Gate.
 type Config struct {
 	// Classes is the number of urgency classes, the most urgent one first. The gate adds as many
-	// again after them for late requests.
+	// again after them for requests beyond their account's share, and for late ones.
 	Classes int
 	// Window is the time constant of the drain rate; zero means DefaultWindow.
 	Window time.Duration
@@ -67,6 +80,9 @@
 	// capacity, the simulation in package lab/model yields 0.24 of the benefit with this rule and
 	// 0.18 without it; at most 0.25 is possible.
 	Late bool
+	// Beyond marks a request beyond its account's fair share of the service. It is served after those
+	// within the share, of all classes, and only while more slots are free than beyondReserve.
+	Beyond bool
 	// Weight is the work of the request, in a unit that all requests share.
 	Weight int64
 	// Latest is the last time at which it is useful to start the request.
@@ -101,12 +117,17 @@
 // Gate is the admission control of one engine. Use New to create one.
 type Gate struct {
 	queue *queue.Queue
-	// classes is the number of classes for requests on time; there are as many for late ones.
+	// classes is the number of classes of each band.
 	classes int
 	waiting map[string]Request
-	leases  map[string]lease
-	slots   int
-	pacer   pacer
+	// beyondWaiting is how many of the waiting requests are beyond their account's share.
+	beyondWaiting int
+	// reserve is the number of slots that were reserved at reserveAt; see reserved.
+	reserve   float64
+	reserveAt time.Time
+	leases    map[string]lease
+	slots     int
+	pacer     pacer
 	// unleased is the number of requests at the engine without a lease of this gate.
 	unleased int
 	// meanHold and meanWeight are moving averages over the released leases, zero before the first.
@@ -123,7 +144,7 @@
 	}
 	return &Gate{
 		queue: queue.New(queue.Config{
-			Limit: maxWaiting, AgeAfter: time.Hour, Classes: 2 * cfg.Classes, Window: cfg.Window, Reserve: reservedShare, Rand: cfg.Rand,
+			Limit: maxWaiting, AgeAfter: time.Hour, Classes: bands * cfg.Classes, Window: cfg.Window, Reserve: reservedShare, Rand: cfg.Rand,
 		}),
 		classes: cfg.Classes,
 		waiting: make(map[string]Request),
@@ -158,23 +179,70 @@
 		return Decision{ID: req.ID, Granted: true}, false
 	}
 	g.pacer.set(now, req.Pace)
-	if g.queue.Len() == 0 && g.hasFreeSlot(now) {
+	if !g.mustQueue(now, req) && g.hasFreeSlot(now) {
 		g.grant(now, req)
 		return Decision{ID: req.ID, Granted: true}, false
 	}
 	g.queue.SetRate(g.drainRate(now, req))
 	item := queue.Item{ID: req.ID, Account: req.Account, Class: g.queueClass(req), Weight: req.Weight, Deadline: req.Latest}
 	if err := g.queue.Push(now, item); err != nil {
+		g.raiseReserve(now, req)
 		return Decision{ID: req.ID, Wait: g.queue.PredictWait(now, item)}, false
 	}
 	g.waiting[req.ID] = req
+	if req.Beyond {
+		g.beyondWaiting++
+	}
 	return Decision{}, true
 }
 
+// mustQueue reports whether the request gets no slot before others, even if one is free.
+func (g *Gate) mustQueue(now time.Time, req Request) bool {
+	if req.Beyond {
+		return g.queue.Len() > 0 || !g.hasSlotBeyondShares(now)
+	}
+	return g.queue.Len() > g.beyondWaiting
+}
+
+// hasSlotBeyondShares reports whether more slots are free than are reserved for requests within their
+// account's share. An engine with few slots has none to reserve.
+func (g *Gate) hasSlotBeyondShares(now time.Time) bool {
+	return float64(len(g.leases)+g.unleased) < float64(g.slots)-math.Round(g.reserved(now))
+}
+
+// reserved returns the number of slots reserved for requests within their account's share.
+func (g *Gate) reserved(now time.Time) float64 {
+	least, most := beyondReserve*float64(g.slots), maxBeyondReserve*float64(g.slots)
+	if least < 1 {
+		return 0
+	}
+	decayed := (g.reserve - least) * math.Exp(-now.Sub(g.reserveAt).Seconds()/reserveWindow.Seconds())
+	return min(least+max(decayed, 0), most)
+}
+
+// raiseReserve reserves one more slot after a request within its account's share was refused.
+func (g *Gate) raiseReserve(now time.Time, req Request) {
+	if req.Beyond || req.Late {
+		return
+	}
+	g.reserve, g.reserveAt = g.reserved(now)+1, now
+}
+
+// dequeued forgets a request that is no longer queued.
+func (g *Gate) dequeued(id string) {
+	if g.waiting[id].Beyond {
+		g.beyondWaiting--
+	}
+	delete(g.waiting, id)
+}
+
 // queueClass returns the class in which a request is queued.
 func (g *Gate) queueClass(req Request) queue.Class {
 	class := min(req.Class, queue.Class(g.classes-1))
-	if req.Late {
+	switch {
+	case req.Late:
+		class += queue.Class(2 * g.classes)
+	case req.Beyond:
 		class += queue.Class(g.classes)
 	}
 	return class
@@ -229,7 +297,7 @@
 // Withdraw removes a queued or granted request whose caller has left.
 func (g *Gate) Withdraw(now time.Time, id string) {
 	if _, ok := g.queue.Remove(id); ok {
-		delete(g.waiting, id)
+		g.dequeued(id)
 		return
 	}
 	g.undelivered = slices.DeleteFunc(g.undelivered, func(d Decision) bool { return d.ID == id })
@@ -258,16 +326,20 @@
 	g.expireLeases(now)
 	for _, item := range g.queue.Expire(now) {
 		g.undelivered = append(g.undelivered, Decision{ID: item.ID, Wait: g.queue.PredictWait(now, item)})
-		delete(g.waiting, item.ID)
+		g.raiseReserve(now, g.waiting[item.ID])
+		g.dequeued(item.ID)
 	}
 	for g.hasFreeSlot(now) {
+		if g.queue.Len() == g.beyondWaiting && !g.hasSlotBeyondShares(now) {
+			break
+		}
 		item, ok := g.queue.Pop(now)
 		if !ok {
 			break
 		}
 		g.grant(now, g.waiting[item.ID])
 		g.undelivered = append(g.undelivered, Decision{ID: item.ID, Granted: true})
-		delete(g.waiting, item.ID)
+		g.dequeued(item.ID)
 	}
 	decisions := g.undelivered
 	g.undelivered = nil
@@ -282,6 +354,7 @@
 		g.undelivered = append(g.undelivered, Decision{ID: id})
 	}
 	clear(g.waiting)
+	g.beyondWaiting = 0
 	return g.Settle(now)
 }
 
--- a/internal/decide/gate/gate_test.go
+++ b/internal/decide/gate/gate_test.go
@@ -155,6 +155,7 @@
 				req := newRequest(fmt.Sprint(next), now, time.Duration(rapid.IntRange(0, 3000).Draw(t, "patience"))*time.Millisecond)
 				req.Class = queue.Class(rapid.IntRange(0, 9).Draw(t, "class"))
 				req.Late = rapid.Bool().Draw(t, "late")
+				req.Beyond = rapid.Bool().Draw(t, "beyond")
 				req.Account = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account")
 				waiting[req.ID] = req
 				v, queued := g.Acquire(at(now), req)
@@ -192,3 +193,81 @@
 		g.Release(epoch, "a")
 	}
 }
+
+// Guards against requests beyond their account's share that go ahead of others, of whatever class, and
+// against requests of a more urgent class beyond it that lose their order among themselves.
+func TestRequestsBeyondShareAreServedAfterOthers(t *testing.T) {
+	g := newGate(1)
+	g.Acquire(at(0), newRequest("running", 0, time.Minute))
+	for _, tc := range []struct {
+		id           string
+		class        queue.Class
+		beyond, late bool
+	}{{"late", 0, false, true}, {"beyond", 9, true, false}, {"beyond urgent", 0, true, false}, {"least urgent", 9, false, false}, {"urgent", 0, false, false}} {
+		req := newRequest(tc.id, 0, time.Minute)
+		req.Class, req.Beyond, req.Late = tc.class, tc.beyond, tc.late
+		_, queued := g.Acquire(at(0), req)
+		require.True(t, queued)
+	}
+	last := "running"
+	for _, next := range []string{"urgent", "least urgent", "beyond urgent", "beyond", "late"} {
+		g.Release(at(time.Second), last)
+		require.Equal(t, []Decision{{ID: next, Granted: true}}, g.Settle(at(time.Second)))
+		last = next
+	}
+}
+
+// Guards against engines that are full of requests beyond their accounts' shares as a request within its
+// share arrives: it must get a slot at once, also while others wait.
+func TestSlotsAreReservedForRequestsWithinShare(t *testing.T) {
+	g := newGate(50)
+	granted := 0
+	for i := range 60 {
+		req := newRequest(fmt.Sprint("beyond", i), 0, time.Minute)
+		req.Beyond = true
+		if decision, _ := g.Acquire(at(0), req); decision.Granted {
+			granted++
+		}
+	}
+	require.Equal(t, 45, granted)
+	require.Empty(t, g.Settle(at(0)), "the reserved slots stay free")
+	for i := range 5 {
+		decision, _ := g.Acquire(at(0), newRequest(fmt.Sprint("within", i), 0, 0))
+		require.True(t, decision.Granted)
+	}
+	_, queued := g.Acquire(at(0), newRequest("refused", 0, 0))
+	require.True(t, queued)
+	require.Len(t, g.Settle(at(time.Millisecond)), 1, "refused: no slot is free")
+	g.Release(at(time.Millisecond), "within0")
+	require.Empty(t, g.Settle(at(time.Millisecond)), "a refusal raises the reserve")
+	for i := range 5 {
+		g.Release(at(time.Millisecond), fmt.Sprint("beyond", i))
+	}
+	require.Empty(t, g.Settle(at(time.Millisecond)), "six of 50 slots are free")
+	require.Len(t, g.Settle(at(30*time.Second)), 1, "the reserve returns to five")
+}
+
+// Guards against a change of the decisions where nothing is marked: one gate with and one without a
+// marked request that has left decide alike.
+func TestGateWithoutMarksDecidesAsBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, other := newGate(20), newGate(20)
+		marked := newRequest("marked", 0, time.Minute)
+		marked.Beyond = true
+		other.Acquire(at(0), marked)
+		other.Withdraw(at(0), "marked")
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			req := newRequest(fmt.Sprint(i), now, time.Duration(rapid.IntRange(0, 900).Draw(t, "wait"))*time.Millisecond)
+			req.Class, req.Late = queue.Class(rapid.IntRange(0, 9).Draw(t, "class")), rapid.Bool().Draw(t, "late")
+			a, queuedA := plain.Acquire(at(now), req)
+			b, queuedB := other.Acquire(at(now), req)
+			require.Equal(t, a, b)
+			require.Equal(t, queuedA, queuedB)
+			done := fmt.Sprint(rapid.IntRange(0, i).Draw(t, "done"))
+			require.Equal(t, plain.Release(at(now), done), other.Release(at(now), done))
+			require.Equal(t, plain.Settle(at(now)), other.Settle(at(now)))
+		}
+	})
+}
--- a/internal/decide/gate/overload.go
+++ b/internal/decide/gate/overload.go
@@ -21,6 +21,14 @@
 	return o.lastRefusal == 0 || now-o.lastRefusal > overloadGap
 }
 
+// Note records a refusal.
+func (o *Overload) Note(now time.Duration) {
+	if o.Over(now) {
+		o.firstRefusal = now
+	}
+	o.lastRefusal = now
+}
+
 // RetryAfter records a refusal at now and returns after how long the caller should retry. The
 // remaining duration of an overload is not known; the best estimate is that it equals the duration
 // so far, and is at least the route's objective. With shorter delays many callers would retry while
@@ -28,10 +36,7 @@
 // see TimeoutBaseline. remaining is the time for which the caller goes on retrying; random is a
 // number from 0 to 1.
 func (o *Overload) RetryAfter(objective, remaining, now time.Duration, random float64) time.Duration {
-	if o.Over(now) {
-		o.firstRefusal = now
-	}
-	o.lastRefusal = now
+	o.Note(now)
 	wait := max(now-o.firstRefusal, objectiveOrDefault(objective))
 	wait = min(wait, time.Duration(maxRetryShare*float64(remaining)))
 	return time.Duration((1 - retryJitter + 2*retryJitter*random) * float64(wait))
--- a/internal/edge/feed/loads.go
+++ b/internal/edge/feed/loads.go
@@ -24,6 +24,9 @@
 	// OnLeaving is called with the announcements in each report of another router and the name of
 	// that router, or parentName; nil for nothing. It must be set before the first report.
 	OnLeaving func(starts []catalog.LeavingStart, from string)
+	// OwnAccounts returns the rates to report of this router's requests, in a map that the caller may
+	// modify; nil for none. It must be set before the first report.
+	OwnAccounts func() AccountRates
 
 	mu sync.Mutex
 	// leavingChangedAt is the time of the last new announcement.
@@ -36,7 +39,8 @@
 
 // othersLoads is the sum of the loads of all other routers.
 type othersLoads struct {
-	engines map[string]EngineLoad
+	engines  map[string]EngineLoad
+	accounts AccountRates
 	// at is when it was computed.
 	at time.Duration
 }
@@ -155,6 +159,11 @@
 	return l.others.Load().engines
 }
 
+// OtherAccounts returns the last known rates of all other routers. The map must not be modified.
+func (l *Loads) OtherAccounts() AccountRates {
+	return l.others.Load().accounts
+}
+
 // OthersAge returns the time at now since Others last changed.
 func (l *Loads) OthersAge(now time.Duration) time.Duration {
 	return now - l.others.Load().at
@@ -162,6 +171,9 @@
 
 func (l *Loads) sum(exceptChild string, now time.Duration, withParent bool) LoadReport {
 	out := LoadReport{Engines: l.own()}
+	if l.OwnAccounts != nil {
+		out.Accounts = l.OwnAccounts()
+	}
 	l.addOthers(&out, exceptChild, now, withParent)
 	l.dropUnneededLimits(&out)
 	out.round()
@@ -200,5 +212,5 @@
 func (l *Loads) refresh(now time.Duration) {
 	out := LoadReport{Engines: make(map[string]EngineLoad)}
 	l.addOthers(&out, "", now, true)
-	l.others.Store(&othersLoads{engines: out.Engines, at: now})
+	l.others.Store(&othersLoads{engines: out.Engines, accounts: out.Accounts, at: now})
 }
--- a/internal/edge/feed/report.go
+++ b/internal/edge/feed/report.go
@@ -170,6 +170,9 @@
 	// an engine. With a Base of zero the report is full.
 	Base, Seq uint64
 	Engines   map[string]EngineLoad
+	// Accounts holds the rates of the accounts at congested services. A zero entry removes one. Routers
+	// of earlier releases neither send nor pass it on.
+	Accounts AccountRates
 }
 
 // add adds a report that was created age ago.
@@ -179,6 +182,12 @@
 		l.SetLimits(l.Limits().After(age))
 		r.Engines[id] = r.Engines[id].add(l)
 	}
+	if len(o.Accounts) > 0 {
+		if r.Accounts == nil {
+			r.Accounts = make(AccountRates)
+		}
+		r.Accounts.add(o.Accounts)
+	}
 }
 
 // round drops zero loads and rounds the others, which halves the size of a report.
@@ -192,6 +201,7 @@
 		}
 		r.Engines[id] = l
 	}
+	r.Accounts.round()
 }
 
 // reportState is the state that was reported to another router. The zero value means that nothing
@@ -200,7 +210,8 @@
 	seq     uint64
 	engines map[string]EngineLoad
 	// sentAt is when the load of each engine was last sent.
-	sentAt map[string]time.Duration
+	sentAt   map[string]time.Duration
+	accounts AccountRates
 }
 
 // next returns the report that takes the other router from the state have to the current one, and
@@ -216,9 +227,11 @@
 		for id := range current.Engines {
 			s.sentAt[id] = now
 		}
-		return LoadReport{Seq: s.seq, Engines: maps.Clone(current.Engines)}
+		s.accounts = current.Accounts
+		return LoadReport{Seq: s.seq, Engines: maps.Clone(current.Engines), Accounts: maps.Clone(current.Accounts)}
 	}
-	out := LoadReport{Base: s.seq, Seq: s.seq + 1, Engines: make(map[string]EngineLoad)}
+	out := LoadReport{Base: s.seq, Seq: s.seq + 1, Engines: make(map[string]EngineLoad), Accounts: current.Accounts.changesFrom(s.accounts)}
+	s.accounts = s.accounts.after(out.Accounts)
 	for id, l := range current.Engines {
 		last, ok := s.engines[id]
 		if !ok || l.needsReport(last) || l.countsDiffer(last) && now-s.sentAt[id] >= smallChangeDelay {
@@ -269,6 +282,7 @@
 		return true
 	}
 	report.applyTo(r.report.Engines)
+	r.report.Accounts = r.report.Accounts.after(report.Accounts)
 	r.report.Seq = report.Seq
 	return true
 }
--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -115,6 +115,9 @@
 	Attempt uint64
 	Slack   time.Duration
 	Late    bool
+	// Beyond means that the request is beyond its account's fair share of the service. Routers of
+	// earlier releases send none.
+	Beyond bool
 	// MaxWait is how long the request may wait, Lease how long it may then stay at the engine, and
 	// Hold how long such requests stay there on average.
 	MaxWait, Lease, Hold time.Duration
@@ -166,7 +169,7 @@
 	o.updateUnleased(req.Engine, g, now)
 	decision, queued := g.Acquire(at(now), gate.Request{
 		ID: req.ID, Holder: req.From, Account: req.Account, Class: queue.Class(min(max(req.Urgency, 0), UrgencyClasses-1)),
-		Late: late, Weight: req.Weight, Latest: at(now + req.MaxWait), Until: at(now + req.MaxWait + req.Lease), Hold: req.Hold,
+		Late: late, Beyond: req.Beyond, Weight: req.Weight, Latest: at(now + req.MaxWait), Until: at(now + req.MaxWait + req.Lease), Hold: req.Hold,
 		Pace: req.Pace,
 	})
 	g.updatePeak(now)
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -63,6 +63,9 @@
 	PathLost func(address string, since time.Duration) bool
 	// Origins remembers which version began each stream. The default remembers those of this process.
 	Origins *origins.Registry
+	// Shares divides congested services among the accounts. The default knows this router's requests
+	// only.
+	Shares *AccountShares
 	// Doubts tracks engines that may have been restarted in place.
 	Doubts *RestartDoubts
 	// Suspects holds the requests that may crash engines.
@@ -88,6 +91,8 @@
 	overloads        overloads
 	throttles        throttles
 	callerTimeouts   callerTimeouts
+	// random returns a random number from 0 to 1.
+	random func() float64
 }
 
 // New returns a Forwarder.
@@ -107,6 +112,9 @@
 			Live: func() []feed.Peer { return nil },
 		})
 	}
+	if o.Shares == nil {
+		o.Shares = NewAccountShares(o.Clock, func() feed.AccountRates { return nil })
+	}
 	if o.PathLost == nil {
 		o.PathLost = func(string, time.Duration) bool { return false }
 	}
@@ -118,7 +126,8 @@
 	}
 	return &Forwarder{
 		Options: o, stats: newStats(), responseTimes: newResponseTimes(), servedLogLimiter: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
-		overloads:      overloads{random: rand.Float64, byService: make(map[string]*gate.Overload)},
+		random:         rand.Float64,
+		overloads:      overloads{random: rand.Float64, byService: make(map[string]*gate.Overload), byRefused: make(map[refusedKey]*gate.Overload)},
 		throttles:      throttles{random: rand.Float64, byKey: make(map[throttleKey]*gate.Throttle)},
 		callerTimeouts: callerTimeouts{byRoute: make(map[string]*gate.TimeoutBaseline)},
 	}
@@ -211,7 +220,12 @@
 	returnWait time.Duration
 	// late means that the caller has retried after a refusal, too late to meet the route's
 	// objective.
-	late     bool
+	late bool
+	// askedOf is the service at which the request was last counted, share the part of such requests that
+	// is within the share of the account there, and beyond whether this one is not.
+	askedOf  string
+	share    float64
+	beyond   bool
 	excluded map[string]bool
 	// tracker follows the request as a possible cause of the end of engines, from when its content
 	// is known.
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -18,10 +18,14 @@
 	for _, service := range x.openServices() {
 		q := x.query(service)
 		plan, ok := x.f.Engines.Plan(x.snapshot, service, q)
+		if ok {
+			x.recordAsk(service, len(plan.Ask) > 0 && !plan.Warm)
+		}
 		switch {
 		case !ok:
 		case len(plan.Ask) == 0:
 			x.recordTimeout(service)
+			x.recordShareGrant(service)
 			return plan.Choice, nil
 		default:
 			choice, refusal, again := x.requestPermit(service, plan, q.Shared)
@@ -72,7 +76,7 @@
 	x.recordTimeout(service)
 	// A caller that resumes a stream has less time left than it began with, and is not late.
 	x.late = !x.stream.resumes && x.f.callerTimeouts.isLate(x.route.Name, x.req.Timeout, x.route.Objective)
-	key := throttleKey{service: service, urgency: x.urgency(), late: x.late}
+	key := x.throttleKey(service)
 	if !plan.Warm && !x.stream.resumes && x.f.throttles.shouldRefuse(key, x.f.Clock()) {
 		return Choice{}, x.overloadRefusal(service), false
 	}
@@ -90,6 +94,7 @@
 			choice := candidate.Choice
 			choice.permit = permit
 			x.recordGrant(key, true)
+			x.recordShareGrant(service)
 			return x.f.Engines.StartLeased(choice, shared), nil, false
 		case err == nil:
 			x.f.Places.Release(permit)
@@ -101,9 +106,9 @@
 		}
 		x.deniedPermits++
 		x.predictedWait = reply.Wait
-		if x.late && x.route.Prompted && refused {
-			// At another engine, the late request would occupy a slot that an on-time request can
-			// still use.
+		if (x.late || x.beyond) && x.route.Prompted && refused {
+			// At another engine, the request would occupy a slot that one on time and within its
+			// account's share can still use.
 			break
 		}
 	}
@@ -115,6 +120,16 @@
 	return Choice{}, x.overloadRefusal(service), false
 }
 
+// throttleKey returns the key by which the request is refused early. The requests beyond the share of an
+// account are refused for what happened to the same ones, and not to others.
+func (x *exchange) throttleKey(service string) throttleKey {
+	key := throttleKey{service: service, urgency: x.urgency(), late: x.late}
+	if x.beyond {
+		key.beyond, key.account = true, x.accountName()
+	}
+	return key
+}
+
 // recordGrant records whether a request got a permit, by which later ones are refused early. Those that
 // resume a stream are not, and do not count.
 func (x *exchange) recordGrant(key throttleKey, granted bool) {
@@ -137,7 +152,12 @@
 
 // overloadRefusal refuses a request that can't get a permit in time, and suggests when to retry.
 func (x *exchange) overloadRefusal(service string) *Refusal {
-	return notExecuted(ReasonOverload, x.f.overloads.retryAfter(service, x.route.Objective, x.remaining(), x.f.Clock()))
+	reason := ReasonOverload
+	account := ""
+	if x.beyond {
+		reason, account = ReasonBeyondShare, x.accountName()
+	}
+	return notExecuted(reason, x.f.overloads.retryAfter(service, account, x.route.Objective, x.remaining(), x.f.Clock()))
 }
 
 // recordTimeout records the caller's timeout while the service refuses no requests. Without
@@ -153,7 +173,7 @@
 	out := flow.SlotRequest{
 		Engine: a.Choice.Engine.ID, Places: a.MaxInFlight, Urgency: x.urgency(), Weight: x.req.Cost(),
 		MaxWait: maxWait, Lease: x.remaining(), Hold: plan.Hold,
-		Subject: x.req.RetryKey(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late,
+		Subject: x.req.RetryKey(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late, Beyond: x.beyond,
 		Pace: a.Pace, Brittle: a.Brittle, Tolerance: int(a.Tolerance), Account: x.accountName(),
 	}
 	if a.Brittle {
@@ -174,6 +194,7 @@
 // available.
 func (x *exchange) chooseWithoutPermit() (Choice, *Refusal) {
 	if choice, ok := x.pickEngine(); ok {
+		x.recordShareGrant(choice.Engine.Service)
 		return choice, nil
 	}
 	return Choice{}, x.finalRefusal(notExecuted(ReasonNoEngine, retryLater))
@@ -208,16 +229,29 @@
 
 // overloads records since when each service has refused requests. It is safe for concurrent use.
 type overloads struct {
-	mu        sync.Mutex
-	random    func() float64
+	mu     sync.Mutex
+	random func() float64
+	// byService holds all refusals of a service, byRefused those of requests within the shares of their
+	// accounts, and those beyond the share of each account.
 	byService map[string]*gate.Overload
+	byRefused map[refusedKey]*gate.Overload
 }
 
-// retryAfter records a refusal and returns how long the caller should wait before it retries.
-func (o *overloads) retryAfter(service string, objective, left, now time.Duration) time.Duration {
+// refusedKey identifies refused requests of a service: those beyond the share of an account, or those
+// within their shares if account is empty.
+type refusedKey struct{ service, account string }
+
+// retryAfter records a refusal and returns how long the caller should wait before it retries. account is
+// that of a request beyond its share, and empty otherwise.
+func (o *overloads) retryAfter(service, account string, objective, left, now time.Duration) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.state(service).RetryAfter(objective, left, now, o.random())
+	o.state(service).Note(now)
+	key := refusedKey{service: service, account: account}
+	if o.byRefused[key] == nil {
+		o.byRefused[key] = &gate.Overload{}
+	}
+	return o.byRefused[key].RetryAfter(objective, left, now, o.random())
 }
 
 // ended reports whether the service has refused no request for a while.
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -24,11 +24,14 @@
 	ReasonNoEngine    Reason = "no_engine"
 	// ReasonPaused means that all engines have asked for a pause, or some have and the others have
 	// announced that they will stop; ReasonLeaving that all have announced it.
-	ReasonPaused        Reason = "engines_paused"
-	ReasonLeaving       Reason = "engines_leaving"
-	ReasonUnreachable   Reason = "engines_unreachable"
-	ReasonRefused       Reason = "engines_refused"
-	ReasonOverload      Reason = "no_place_in_time"
+	ReasonPaused      Reason = "engines_paused"
+	ReasonLeaving     Reason = "engines_leaving"
+	ReasonUnreachable Reason = "engines_unreachable"
+	ReasonRefused     Reason = "engines_refused"
+	ReasonOverload    Reason = "no_place_in_time"
+	// ReasonBeyondShare means that the request is beyond the fair share of its account, and that nothing
+	// was left over for it in time.
+	ReasonBeyondShare   Reason = "beyond_account_share"
 	ReasonDraining      Reason = "router_leaving"
 	ReasonTimeout       Reason = "time_limit"
 	ReasonNoAnswer      Reason = "engine_gave_no_answer"
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -63,6 +63,12 @@
 	if x.engineVersion != "" {
 		fields = append(fields, "engine_version", x.engineVersion)
 	}
+	if x.account != nil {
+		fields = append(fields, "account", x.account.Name)
+	}
+	if x.askedOf != "" && x.share < 1 {
+		fields = append(fields, "within_share", x.share, "beyond_share", x.beyond)
+	}
 	if x.req.LastEvent != "" {
 		fields = append(fields, "last_event", clip(x.req.LastEvent), "resumes", clip(x.req.Resumes))
 	}
--- a/internal/edge/forward/throttle.go
+++ b/internal/edge/forward/throttle.go
@@ -12,6 +12,9 @@
 	service string
 	urgency int
 	late    bool
+	// beyond is set for requests beyond the share of account, which is empty otherwise.
+	beyond  bool
+	account string
 }
 
 // throttles decides for which requests a permit is requested. It is safe for concurrent use.
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -44,6 +44,7 @@
 	vars.Set("cold_engines", expvar.Func(func() any { return r.coldEngines() }))
 	vars.Set("engines_paused", expvar.Func(func() any { return milliseconds(r.engines.Pauses()) }))
 	vars.Set("engines_brittle", expvar.Func(func() any { return r.engines.BrittleEngines() }))
+	vars.Set("account_shares", expvar.Func(func() any { return r.shares.List() }))
 	vars.Set("stream_origins", expvar.Func(func() any { return r.origins.Stats() }))
 	vars.Set("engines_in_doubt", expvar.Func(func() any { return r.doubts.Count() }))
 	vars.Set("engine_versions", expvar.Func(func() any { return r.versionList() }))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -100,6 +100,7 @@
 	contactsUpdater  *feed.ContactsUpdater
 	quarantineKeeper *feed.QuarantineKeeper
 	engines          *forward.Balancer
+	shares           *forward.AccountShares
 	gateOwner        *flow.Owner
 	gateClient       *flow.Client
 	origins          *origins.Registry
@@ -211,6 +212,8 @@
 	r.engines.SetReportAge(r.loads.OthersAge)
 	r.engines.SetColdLimits(r.coldLimits)
 	r.engines.SetRouters(r.routerCount)
+	r.shares = forward.NewAccountShares(bootclock.Now, r.loads.OtherAccounts)
+	r.loads.OwnAccounts = r.shares.Report
 	r.gateOwner = flow.NewOwner(bootclock.Now, r.engines.KnownLoad, r.refusesRequests)
 	r.gateClient = flow.NewClient(flow.Options{
 		Self: r.self.Name, Owner: r.gateOwner, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters,
@@ -250,6 +253,7 @@
 		Routers:   r.routerCount,
 		Origins:   r.origins,
 		Doubts:    r.doubts,
+		Shares:    r.shares,
 		Suspects:  r.suspects,
 		PathLost:  r.paths.LostSince,
 		Cut:       func(e catalog.Engine, c crash.Cut) { r.crashes.Report(r.ctx, e, c) },
--- a/internal/lab/model/callers.go
+++ b/internal/lab/model/callers.go
@@ -49,6 +49,8 @@
 	TimeoutSpread float64
 	// BurstSize is the mean number of requests that arrive at once.
 	BurstSize float64
+	// EqualAccounts gives all accounts the same share of the traffic.
+	EqualAccounts bool
 	// LoadFactor returns the factor on the rate of a class and an account at a time;
 	// nil means a factor of 1.
 	LoadFactor func(now time.Duration, class, account int) float64
@@ -90,6 +92,8 @@
 	firstEvent time.Duration
 	lastEvent  time.Duration
 	longestGap time.Duration
+	// beyond marks a request beyond its account's fair share.
+	beyond bool
 }
 
 func (r *Request) sharedTokens() int {
@@ -132,6 +136,9 @@
 // accountShare returns an account's share of the traffic. It falls with the account's
 // index, so that a few accounts are large.
 func (c *callers) accountShare(account int) float64 {
+	if c.config.EqualAccounts {
+		return 1 / float64(c.config.Accounts)
+	}
 	total := 0.0
 	for i := range c.config.Accounts {
 		total += 1 / float64(i+1)
--- a/internal/lab/model/gated.go
+++ b/internal/lab/model/gated.go
@@ -34,6 +34,7 @@
 	// withoutPermit is how many requests without a permit are at each engine.
 	withoutPermit []int
 	refused       gate.RefusalHistory
+	shares        *accountShares
 }
 
 // permitRequest is a request that waits for the decision of a gate.
@@ -42,7 +43,7 @@
 	onDecision func(gate.Decision)
 }
 
-func newGates(sim *Simulation) *engineGates {
+func newGates(sim *Simulation, mode ShareMode) *engineGates {
 	g := &engineGates{sim: sim, waiting: make(map[string]*permitRequest), withoutPermit: make([]int, len(sim.Engines))}
 	for _, e := range sim.Engines {
 		engineGate := gate.New(gate.Config{Classes: urgencyClasses})
@@ -50,6 +51,7 @@
 		g.byEngine = append(g.byEngine, engineGate)
 	}
 	sim.After(0, g.reportLoads)
+	g.shares = newAccountShares(sim, mode)
 	return g
 }
 
@@ -143,11 +145,11 @@
 
 // NewGated returns a constructor for the policies of the routers of a simulation, which
 // share the gates.
-func NewGated() func(*Router, *rand.Rand) Policy {
+func NewGated(mode ShareMode) func(*Router, *rand.Rand) Policy {
 	shared := make(map[*Simulation]*engineGates)
 	return func(r *Router, rng *rand.Rand) Policy {
 		if shared[r.sim] == nil {
-			shared[r.sim] = newGates(r.sim)
+			shared[r.sim] = newGates(r.sim, mode)
 		}
 		return &Gated{
 			router: r, rng: rng, gates: shared[r.sim], holders: make(map[string]int),
@@ -170,10 +172,17 @@
 	if choose.Crowded(engines) {
 		p.congestedUntil = now + congestedFor
 	}
-	if now >= p.congestedUntil {
+	congested := now < p.congestedUntil
+	p.gates.shares.ask(req)
+	if !congested {
 		p.sendWithoutPermit(req, engines)
 		return
 	}
+	req.beyond = p.gates.shares.beyond(req, p.rng)
+	if req.beyond && p.gates.shares.mode == RefuseBeyond {
+		p.refuse(req)
+		return
+	}
 	candidates := choose.PlainCandidates(engines, p.rng)
 	if req.hasPrompt() {
 		candidates = choose.PromptCandidates(engines, req.prefixKey(), p.rng)
@@ -192,6 +201,7 @@
 		return
 	}
 	p.gates.withoutPermit[engine]++
+	p.gates.shares.grant(req)
 	p.router.Send(req, engine, enginePriority, fetchFrom)
 }
 
@@ -205,12 +215,12 @@
 	now := p.router.Now()
 	wait := gate.MaxWait(req.hasPrompt(), i, len(candidates), req.Class.Objective, now-req.Arrived)
 	late := p.late(req)
-	if late && req.hasPrompt() && i > 0 {
+	if (late || req.beyond) && req.hasPrompt() && i > 0 {
 		p.refuse(req)
 		return
 	}
 	permitReq := gate.Request{
-		Holder: strconv.Itoa(p.router.Index), Account: strconv.Itoa(req.Account), Class: queue.Class(req.Class.Urgency), Late: late,
+		Holder: strconv.Itoa(p.router.Index), Account: strconv.Itoa(req.Account), Class: queue.Class(req.Class.Urgency), Late: late, Beyond: req.beyond,
 		Weight: int64(req.UniqueTokens + outputTokenWeight*req.OutputTokens), Latest: toTime(now + routerRoundTrip/2 + wait), Hold: p.meanDuration,
 	}
 	sim := p.router.sim
@@ -238,6 +248,7 @@
 	case req.state != pending:
 	case decision.Granted:
 		p.leases[req] = decision.ID
+		p.gates.shares.grant(req)
 		fetchFrom := -1
 		if req.hasPrompt() {
 			fetchFrom = FetchSource(p.holders, req, choose.PlacementAt(EngineStates(p.router), engine, req.prefixKey()))
--- a/internal/lab/model/surge_test.go
+++ b/internal/lab/model/surge_test.go
@@ -99,7 +99,7 @@
 	return out
 }
 
-func gated() policyFactory  { return NewGated() }
+func gated() policyFactory  { return NewGated(NoShares) }
 func direct() policyFactory { return NewDirect }
 
 // Guards against goodput that falls as load rises beyond capacity: engines queue
