gates: engines are used while the owner of their gate does not reply

Change: the reply may be late by a tenth of the objective; then the request for the slot is withdrawn, the owner is left alone for half a second, and the engine is used without a permit up to half of its slots. A caller that leaves frees its place in another router's queue at once.

Ruled out: two owners, or the next one in the order (docs/design/gate-owners.md). Tests fail without it: a slow owner, replies lost one way, a caller that leaves, an engine whose owner is silent.

--- a/internal/edge/flow/client.go
+++ b/internal/edge/flow/client.go
@@ -17,7 +17,8 @@
 	// ErrRefused means that the owner refused the request: it would have to wait too long for a
 	// slot, or the engine accepts no more requests.
 	ErrRefused = errs.Class("slot refused")
-	// ErrOwnerUnreachable means that the owner of the engine's gate can't be called.
+	// ErrOwnerUnreachable means that the owner of the engine's gate can't be called, or does not reply
+	// in time.
 	ErrOwnerUnreachable = errs.Class("gate owner unreachable")
 	// ErrCanceled means that the request's context ended before the decision: the caller left, or
 	// its deadline passed.
@@ -28,8 +29,10 @@
 	// callMargin is how much longer than the request's wait an owner may take to reply. It covers
 	// the retransmission of a packet.
 	callMargin = 250 * time.Millisecond
-	// ownerCooldown is how long an owner that did not reply is not called again.
+	// ownerCooldown is how long an owner that did not reply is not called again, and slowCooldown an
+	// owner whose reply took longer than the request could spare.
 	ownerCooldown = 2 * time.Second
+	slowCooldown  = 500 * time.Millisecond
 	// releaseDelay is how long a release is delayed to be sent together with others to the same
 	// owner. The slot is idle meanwhile, which is little compared with the seconds it was in use.
 	releaseDelay = 3 * time.Millisecond
@@ -77,9 +80,10 @@
 	Rejected bool
 }
 
-// Acquire requests a slot and waits for the decision. Errors: ErrRefused, ErrOwnerUnreachable,
-// ErrCanceled. If the owner refused the request, the reply has the details.
-func (c *Client) Acquire(ctx context.Context, req SlotRequest) (*Permit, Answer, error) {
+// Acquire requests a slot and waits for the decision. spare is how much longer than the request's wait
+// the reply may take. Errors: ErrRefused, ErrOwnerUnreachable, ErrCanceled. If the owner refused the
+// request, the reply has the details.
+func (c *Client) Acquire(ctx context.Context, req SlotRequest, spare time.Duration) (*Permit, Answer, error) {
 	now := c.Clock()
 	owner, ok := c.owners.ownerOf(req.Engine, now)
 	if !ok || c.coolingDown(owner.Name, now) {
@@ -91,7 +95,7 @@
 	if owner.Name == c.Self {
 		return c.result(ctx, permit, c.Owner.Acquire(ctx, req))
 	}
-	return c.acquireRemote(ctx, permit, req)
+	return c.acquireRemote(ctx, permit, req, spare)
 }
 
 func (c *Client) result(ctx context.Context, permit *Permit, reply Answer) (*Permit, Answer, error) {
@@ -104,38 +108,67 @@
 	return nil, reply, ErrRefused.New("engine %s, predicted wait %s", permit.engine, reply.Wait)
 }
 
+// slotReply is the outcome of a call to the owner of a gate.
+type slotReply struct {
+	answer Answer
+	err    error
+}
+
 // acquireRemote requests a slot from another router. Canceling the call would close the connection
-// and thereby end the calls of other requests on it. When ctx ends, acquireRemote therefore
-// returns, waits for the reply in the background, and releases the slot if it was granted.
-func (c *Client) acquireRemote(ctx context.Context, permit *Permit, req SlotRequest) (*Permit, Answer, error) {
-	type outcome struct {
-		reply Answer
-		err   error
-	}
-	done := make(chan outcome, 1)
+// and thereby end the calls of other requests on it. When ctx ends, or the reply takes too long,
+// acquireRemote therefore returns and leaves the reply to abandonCall.
+func (c *Client) acquireRemote(ctx context.Context, permit *Permit, req SlotRequest, spare time.Duration) (*Permit, Answer, error) {
+	done := make(chan slotReply, 1)
 	go func() {
 		callCtx, cancel := context.WithTimeout(context.Background(), req.MaxWait+callMargin)
 		defer cancel()
-		var out outcome
-		out.err = c.Call(callCtx, permit.owner, AskMethod, req, &out.reply)
+		var out slotReply
+		out.err = c.Call(callCtx, permit.owner, AskMethod, req, &out.answer)
 		done <- out
 	}()
+	slow := time.NewTimer(req.MaxWait + min(spare, callMargin))
+	defer slow.Stop()
 	select {
 	case out := <-done:
 		if out.err != nil {
 			return nil, Answer{}, c.handleNoReply(permit, out.err)
 		}
-		return c.result(ctx, permit, out.reply)
+		return c.result(ctx, permit, out.answer)
+	case <-slow.C:
+		c.recordSlow(permit.owner.Name)
+		go c.abandonCall(permit, done)
+		return nil, Answer{}, ErrOwnerUnreachable.New("%s: no reply in time", permit.owner.Name)
 	case <-ctx.Done():
-		go func() {
-			if out := <-done; out.err == nil && out.reply.Granted {
-				c.Release(permit)
-			}
-		}()
+		go c.abandonCall(permit, done)
 		return nil, Answer{}, ErrCanceled.Wrap(ctx.Err())
 	}
 }
 
+// abandonCall withdraws a request for a slot, waits for the reply, and releases the slot if it was granted
+// all the same.
+func (c *Client) abandonCall(permit *Permit, done <-chan slotReply) {
+	c.Release(permit)
+	switch out := <-done; {
+	case out.err != nil:
+		// The error concerns requests to come; this one has ended or goes on without a permit.
+		_ = c.handleNoReply(permit, out.err)
+	case out.answer.Granted:
+		c.Release(permit)
+	}
+}
+
+// recordSlow starts the cooldown of an owner whose reply took too long.
+func (c *Client) recordSlow(owner string) {
+	now := c.Clock()
+	c.mu.Lock()
+	first := now >= c.cooldownUntil[owner]
+	c.cooldownUntil[owner] = max(c.cooldownUntil[owner], now+slowCooldown)
+	c.mu.Unlock()
+	if first {
+		c.Log.Info("owner of gates slow; its engines are used without permits", "owner", owner, "for", slowCooldown)
+	}
+}
+
 // handleNoReply starts the cooldown of an owner that did not reply. It also releases the slot,
 // which the owner may have granted.
 func (c *Client) handleNoReply(permit *Permit, err error) error {
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -16,12 +16,15 @@
 
 // fakeFleet is a set of routers that call each other in memory, on a fake clock.
 type fakeFleet struct {
-	origin   time.Time
-	live     []feed.Peer
-	owners   map[string]*Owner
-	clients  map[string]*Client
-	mu       sync.Mutex
-	silent   map[string]bool
+	origin  time.Time
+	live    []feed.Peer
+	owners  map[string]*Owner
+	clients map[string]*Client
+	mu      sync.Mutex
+	silent  map[string]bool
+	// deaf routers execute calls but their replies are lost, and slow ones reply after a delay.
+	deaf     map[string]bool
+	slow     map[string]time.Duration
 	reported map[string]ReportedLoad
 	// outOfService holds the engines that take no more requests.
 	outOfService map[string]bool
@@ -33,7 +36,7 @@
 
 func (f *fakeFleet) call(ctx context.Context, to feed.Peer, method string, args, reply any) error {
 	f.mu.Lock()
-	silent := f.silent[to.Name]
+	silent, deaf, slow := f.silent[to.Name], f.deaf[to.Name], f.slow[to.Name]
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -43,7 +46,13 @@
 	if method == ReleaseMethod {
 		return service.Release(args.(ReleaseArgs), reply.(*Empty))
 	}
-	return service.Ask(args.(SlotRequest), reply.(*Answer))
+	err := service.Ask(args.(SlotRequest), reply.(*Answer))
+	if deaf {
+		<-ctx.Done()
+		return errUnreachable
+	}
+	time.Sleep(slow)
+	return err
 }
 
 // runInFleet runs a test with three routers, of which one owns the gate of the engine "e".
@@ -52,7 +61,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		f := &fakeFleet{
 			origin: time.Now(), owners: map[string]*Owner{}, clients: map[string]*Client{},
-			silent: map[string]bool{}, reported: map[string]ReportedLoad{}, outOfService: map[string]bool{},
+			silent: map[string]bool{}, deaf: map[string]bool{}, slow: map[string]time.Duration{},
+			reported: map[string]ReportedLoad{}, outOfService: map[string]bool{},
 		}
 		for _, name := range []string{"a", "b", "c"} {
 			f.live = append(f.live, feed.Peer{Name: name})
@@ -91,17 +101,17 @@
 func TestOneSlotIsNotGrantedTwice(t *testing.T) {
 	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
 		ctx := context.Background()
-		first, _, err := f.clients[others[0]].Acquire(ctx, newRequest(1, time.Second))
+		first, _, err := f.clients[others[0]].Acquire(ctx, newRequest(1, time.Second), callMargin)
 		require.NoError(t, err)
 		granted := make(chan *Permit, 1)
 		go func() {
-			p, _, err := f.clients[others[1]].Acquire(ctx, newRequest(1, time.Second))
+			p, _, err := f.clients[others[1]].Acquire(ctx, newRequest(1, time.Second), callMargin)
 			require.NoError(t, err)
 			granted <- p
 		}()
 		time.Sleep(100 * time.Millisecond)
 		require.Empty(t, granted)
-		_, reply, err := f.clients[owner].Acquire(ctx, newRequest(1, 10*time.Millisecond))
+		_, reply, err := f.clients[owner].Acquire(ctx, newRequest(1, 10*time.Millisecond), callMargin)
 		require.True(t, ErrRefused.Has(err))
 		require.Positive(t, reply.Wait)
 		f.clients[others[0]].Release(first)
@@ -115,12 +125,12 @@
 // the owner's reply arrived: a slot granted to it is released.
 func TestSlotIsReleasedAfterCallerLeft(t *testing.T) {
 	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
-		first, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(1, time.Second))
+		first, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(1, time.Second), callMargin)
 		require.NoError(t, err)
 		for _, name := range []string{owner, others[1]} {
 			ctx, leave := context.WithCancel(context.Background())
 			time.AfterFunc(50*time.Millisecond, leave)
-			_, _, err = f.clients[name].Acquire(ctx, newRequest(1, 3*time.Second))
+			_, _, err = f.clients[name].Acquire(ctx, newRequest(1, 3*time.Second), callMargin)
 			require.True(t, ErrCanceled.Has(err))
 		}
 		f.clients[others[0]].Release(first)
@@ -137,35 +147,91 @@
 		f.silent[owner] = true
 		client := f.clients[others[0]]
 		start := f.clock()
-		_, _, err := client.Acquire(context.Background(), newRequest(1, 100*time.Millisecond))
+		_, _, err := client.Acquire(context.Background(), newRequest(1, 100*time.Millisecond), callMargin)
 		require.True(t, ErrOwnerUnreachable.Has(err))
 		require.LessOrEqual(t, f.clock()-start, 100*time.Millisecond+callMargin)
 		start = f.clock()
-		_, _, err = client.Acquire(context.Background(), newRequest(1, 100*time.Millisecond))
+		_, _, err = client.Acquire(context.Background(), newRequest(1, 100*time.Millisecond), callMargin)
 		require.True(t, ErrOwnerUnreachable.Has(err))
 		require.Zero(t, f.clock()-start)
 		f.mu.Lock()
 		f.silent[owner] = false
 		f.mu.Unlock()
 		time.Sleep(ownerCooldown)
-		_, _, err = client.Acquire(context.Background(), newRequest(1, 100*time.Millisecond))
+		_, _, err = client.Acquire(context.Background(), newRequest(1, 100*time.Millisecond), callMargin)
+		require.NoError(t, err)
+	})
+}
+
+// Guards against requests that are late because the owner of a gate is slow: they don't wait for a reply
+// that takes longer than they can spare, others don't call the owner for a while, and the slot that was
+// granted too late is free again.
+func TestSlowOwnerIsNotWaitedFor(t *testing.T) {
+	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
+		f.slow[owner] = 150 * time.Millisecond
+		client := f.clients[others[0]]
+		start := f.clock()
+		_, _, err := client.Acquire(context.Background(), newRequest(1, 20*time.Millisecond), 30*time.Millisecond)
+		require.True(t, ErrOwnerUnreachable.Has(err))
+		require.Equal(t, 50*time.Millisecond, f.clock()-start)
+		start = f.clock()
+		_, _, err = client.Acquire(context.Background(), newRequest(1, 20*time.Millisecond), 30*time.Millisecond)
+		require.True(t, ErrOwnerUnreachable.Has(err))
+		require.Zero(t, f.clock()-start)
+		time.Sleep(slowCooldown)
+		require.Zero(t, f.owners[owner].Load().Leases)
+		f.mu.Lock()
+		f.slow[owner] = 0
+		f.mu.Unlock()
+		_, _, err = client.Acquire(context.Background(), newRequest(1, 20*time.Millisecond), 30*time.Millisecond)
 		require.NoError(t, err)
 	})
 }
 
+// Guards against slots that stay taken while the link from an owner is cut one way: it grants them, and
+// its replies are lost.
+func TestSlotGrantedInLostReplyIsReleased(t *testing.T) {
+	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
+		f.deaf[owner] = true
+		_, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(1, 20*time.Millisecond), 30*time.Millisecond)
+		require.True(t, ErrOwnerUnreachable.Has(err))
+		time.Sleep(2 * releaseDelay)
+		require.Zero(t, f.owners[owner].Load().Leases)
+	})
+}
+
+// Guards against callers that have left and keep their place in the queue of another router's gate.
+func TestCallerThatLeavesFreesItsPlaceInTheQueue(t *testing.T) {
+	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
+		client := f.clients[others[0]]
+		permit, _, err := client.Acquire(context.Background(), newRequest(1, time.Second), callMargin)
+		require.NoError(t, err)
+		ctx, leave := context.WithCancel(context.Background())
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			leave()
+		}()
+		_, _, err = client.Acquire(ctx, newRequest(1, 3*time.Second), callMargin)
+		require.True(t, ErrCanceled.Has(err))
+		time.Sleep(50 * time.Millisecond)
+		require.Zero(t, f.owners[owner].Load().Waiting)
+		client.Release(permit)
+	})
+}
+
 // Guards against an engine that gets twice as many requests as it has slots after a router came or
 // went: a new owner has granted nothing, so reported requests beyond its own leases must occupy
 // slots.
 func TestNewOwnerCountsReportedRequests(t *testing.T) {
 	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
 		f.reported["e"] = ReportedLoad{Unleased: 2, Leased: 3}
-		_, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(5, 20*time.Millisecond))
+		_, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(5, 20*time.Millisecond), callMargin)
 		require.True(t, ErrRefused.Has(err))
-		p, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(6, 20*time.Millisecond))
+		p, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(6, 20*time.Millisecond), callMargin)
 		require.NoError(t, err)
 		// The reports now include the gate's own lease, which must not count twice.
 		f.reported["e"] = ReportedLoad{Unleased: 2, Leased: 4}
-		_, _, err = f.clients[others[1]].Acquire(context.Background(), newRequest(7, 20*time.Millisecond))
+		_, _, err = f.clients[others[1]].Acquire(context.Background(), newRequest(7, 20*time.Millisecond), callMargin)
 		require.NoError(t, err)
 		f.clients[others[0]].Release(p)
 	})
@@ -176,11 +242,11 @@
 // time.
 func TestOwnerServesLateRetryLast(t *testing.T) {
 	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
-		running, _, err := f.clients[owner].Acquire(context.Background(), newRequest(1, 0))
+		running, _, err := f.clients[owner].Acquire(context.Background(), newRequest(1, 0), callMargin)
 		require.NoError(t, err)
 		req := newRequest(1, 10*time.Millisecond)
 		req.Subject, req.Attempt, req.Slack = 7, 1, 300*time.Millisecond
-		_, reply, err := f.clients[others[0]].Acquire(context.Background(), req)
+		_, reply, err := f.clients[others[0]].Acquire(context.Background(), req, callMargin)
 		require.True(t, ErrRefused.Has(err))
 		require.False(t, reply.Late)
 		time.Sleep(time.Second)
@@ -188,7 +254,7 @@
 		wait := func(router string, attempt, subject uint64) {
 			req := newRequest(1, 10*time.Second)
 			req.Subject, req.Attempt, req.Slack = subject, attempt, 300*time.Millisecond
-			p, reply, err := f.clients[router].Acquire(context.Background(), req)
+			p, reply, err := f.clients[router].Acquire(context.Background(), req, callMargin)
 			require.NoError(t, err)
 			require.Equal(t, attempt == 2, reply.Late)
 			order <- attempt
@@ -209,10 +275,10 @@
 // Guards against slots that stay occupied for good after a router dies with leases.
 func TestLeasesOfDeadRouterEnd(t *testing.T) {
 	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
-		_, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(1, time.Second))
+		_, _, err := f.clients[others[0]].Acquire(context.Background(), newRequest(1, time.Second), callMargin)
 		require.NoError(t, err)
 		f.owners[owner].RouterGone(others[0])
-		_, _, err = f.clients[others[1]].Acquire(context.Background(), newRequest(1, 0))
+		_, _, err = f.clients[others[1]].Acquire(context.Background(), newRequest(1, 0), callMargin)
 		require.NoError(t, err)
 	})
 }
@@ -222,7 +288,7 @@
 // it would wait forever.
 func TestQueuedRequestsOfDeadRouterEnd(t *testing.T) {
 	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
-		first, _, err := f.clients[owner].Acquire(context.Background(), newRequest(1, time.Second))
+		first, _, err := f.clients[owner].Acquire(context.Background(), newRequest(1, time.Second), callMargin)
 		require.NoError(t, err)
 		for _, end := range []func(SlotRequest){
 			func(SlotRequest) { f.owners[owner].RouterGone(others[0]) },
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -213,6 +213,9 @@
 	// wait that the last reply to such a request predicted.
 	deniedPermits int
 	predictedWait time.Duration
+	// unowned is set if the engine was selected without a permit because the owner of its gate did not
+	// reply.
+	unowned bool
 	// pausedFor is the time until the first engine is used again, if the request was refused because
 	// of pauses.
 	pausedFor time.Duration
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -86,7 +86,7 @@
 		if plan.Warm {
 			maxWait = min(maxWait, gate.ColdWait(x.route.Objective))
 		}
-		permit, reply, err := x.f.Places.Acquire(ctx, x.permitRequest(candidate, plan, maxWait))
+		permit, reply, err := x.f.Places.Acquire(ctx, x.permitRequest(candidate, plan, maxWait), ownerReplySpare(x.waitObjective()))
 		x.late = x.late || reply.Late
 		refused = refused || flow.ErrRefused.Has(err)
 		switch {
@@ -103,6 +103,10 @@
 			return Choice{}, x.disconnectRefusal(), false
 		case x.remaining() <= 0:
 			return Choice{}, x.timeoutRefusal(), false
+		case flow.ErrOwnerUnreachable.Has(err):
+			if choice, ok := x.useUnowned(candidate); ok {
+				return choice, nil, false
+			}
 		}
 		x.deniedPermits++
 		x.predictedWait = reply.Wait
@@ -120,6 +124,33 @@
 	return Choice{}, x.overloadRefusal(service), false
 }
 
+const (
+	// ownerReplyShare is the share of a route's objective for which the reply of the owner of a gate may
+	// be late, and minOwnerReplySpare the least time: a round trip between sites and a busy VM.
+	ownerReplyShare    = 0.1
+	minOwnerReplySpare = 30 * time.Millisecond
+)
+
+// ownerReplySpare returns how much longer than it lets a request wait the owner of a gate may take to
+// reply.
+func ownerReplySpare(objective time.Duration) time.Duration {
+	return max(time.Duration(ownerReplyShare*float64(objective)), minOwnerReplySpare)
+}
+
+// useUnowned selects an engine without a permit whose gate's owner does not reply, if the engine has
+// room by the known loads. Cold and brittle engines get nothing without a permit.
+func (x *exchange) useUnowned(candidate PermitCandidate) (Choice, bool) {
+	if candidate.Brittle || x.stopped(candidate.Choice.Engine) {
+		return Choice{}, false
+	}
+	choice, ok := x.f.Engines.StartUnowned(x.snapshot, candidate.Choice, x.sharedParts())
+	if ok {
+		x.unowned = true
+		x.recordShareGrant(choice.Engine.Service)
+	}
+	return choice, ok
+}
+
 // throttleKey returns the key by which the request is refused early. The requests beyond the share of an
 // account are refused for what happened to the same ones, and not to others.
 func (x *exchange) throttleKey(service string) throttleKey {
--- a/internal/edge/forward/permit_test.go
+++ b/internal/edge/forward/permit_test.go
@@ -133,3 +133,75 @@
 		require.Zero(t, tr.owner.Load().Waiting+tr.owner.Load().Leases)
 	})
 }
+
+// withSilentOwners makes another router, which replies to no call, the owner of the gates of some engines,
+// and returns their IDs.
+func (tr *testRouter) withSilentOwners() map[string]bool {
+	live := []feed.Peer{{Name: "self"}, {Name: "other"}}
+	tr.f.Places = flow.NewClient(flow.Options{
+		Self: "self", Owner: tr.owner, Clock: tr.f.Clock, Log: log.New(io.Discard),
+		Live: func() []feed.Peer { return live }, Engines: func() int { return 100 },
+		Call: func(ctx context.Context, _ feed.Peer, _ string, _, _ any) error {
+			<-ctx.Done()
+			return ctx.Err()
+		},
+	})
+	silent := make(map[string]bool)
+	for _, e := range tr.snapshot.Engines.ForService("llm") {
+		owner, _ := flow.OwnerOf(e.ID, flow.SelectOwners(live, 100))
+		if owner.Name == "other" {
+			silent[e.ID] = true
+		}
+	}
+	return silent
+}
+
+// Guards against engines that stand idle while the owner of their gates does not reply: a request that
+// another gate refuses must find them, and none waits for the owner for longer than it can spare.
+func TestEngineWhoseOwnerIsSilentIsUsed(t *testing.T) {
+	withTestRouter(t, 6, func(tr *testRouter) {
+		silent := tr.withSilentOwners()
+		require.NotEmpty(t, silent)
+		require.Less(t, len(silent), 6)
+		for _, e := range tr.snapshot.Engines.ForService("llm") {
+			inFlight := 64 + 30
+			if silent[e.ID] {
+				inFlight = 10
+			}
+			tr.otherLoads[e.ID] = feed.EngineLoad{InFlight: inFlight}
+		}
+		used := 0
+		for range 40 {
+			x := tr.newExchange(context.Background())
+			x.route.Prompted, x.req.Prompt = false, nil
+			choice, refusal := x.chooseFirst(nil)
+			require.LessOrEqual(t, tr.f.Clock()-x.started, x.route.Objective, "waits for silent owners")
+			if refusal == nil {
+				require.True(t, silent[choice.Engine.ID])
+				require.True(t, x.unowned)
+				used++
+				tr.f.Engines.Done(choice)
+			}
+		}
+		require.Greater(t, used, 30)
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against engines that are overrun because all routers send them requests without a permit while
+// the owner of their gates does not reply.
+func TestEngineWhoseOwnerIsSilentIsNotOverrun(t *testing.T) {
+	withTestRouter(t, 6, func(tr *testRouter) {
+		silent := tr.withSilentOwners()
+		tr.setOtherLoads(32)
+		for range 20 {
+			x := tr.newExchange(context.Background())
+			x.route.Prompted, x.req.Prompt = false, nil
+			choice, refusal := x.chooseFirst(nil)
+			if refusal == nil && x.unowned {
+				require.Fail(t, "sent without a permit", "%v", silent[choice.Engine.ID])
+			}
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -132,6 +132,36 @@
 	return choice
 }
 
+// unownedShare is the share of its slots up to which an engine gets requests while the owner of its gate
+// does not reply. Each router decides alone, by loads that are a few tenths of a second old, in which the
+// others can occupy as many slots again.
+const unownedShare = 0.5
+
+// StartUnowned counts a request at the engine of a choice, without a permit, if the engine is warm and
+// has room by the known loads. Done must be called with the result.
+func (p *Balancer) StartUnowned(s *catalog.Snapshot, choice Choice, shared []string) (Choice, bool) {
+	now := p.clock()
+	others := p.reported()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	engines, candidates := p.candidates(s, choice.Engine.Service, Query{Isolate: choice.isolate}, others, now)
+	for i, e := range candidates {
+		if e.ID != choice.Engine.ID {
+			continue
+		}
+		if e.Draining || e.Cold || e.Share <= 0 || float64(e.InFlight)+1 > unownedShare*float64(max(e.Slots, 1)) {
+			return Choice{}, false
+		}
+		started, ok := p.start(engines, i, Query{Isolate: choice.isolate}, now)
+		started.FetchFrom = choice.FetchFrom
+		if len(shared) > 0 {
+			p.promptCaches.add(e.ID, shared, now)
+		}
+		return started, ok
+	}
+	return Choice{}, false
+}
+
 // StartLeased counts a request at an engine for which a permit was granted, until Done is called.
 func (p *Balancer) StartLeased(choice Choice, shared []string) Choice {
 	now := p.clock()
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -63,6 +63,9 @@
 	if x.engineVersion != "" {
 		fields = append(fields, "engine_version", x.engineVersion)
 	}
+	if x.unowned {
+		fields = append(fields, "unowned", true)
+	}
 	if x.account != nil {
 		fields = append(fields, "account", x.account.Name)
 	}
