engine starts: one router's connection proves a start to all

Change: load reports tell how many routers have an open connection that proves the start of an engine's entry, and a start to which one was lost. A start that is proved and not lost is not queried; a reply to a query proves the router's older connections. With several versions nothing changes.

Ruled out: no queries, queries when a stream breaks (docs/design/engine-starts.md).

--- a/internal/edge/feed/accountrates_test.go
+++ b/internal/edge/feed/accountrates_test.go
@@ -103,3 +103,15 @@
 	first := state.next(0, calm.Subtree(0), 0)
 	require.Empty(t, state.next(first.Seq, calm.Subtree(0), 0).Accounts)
 }
+
+// Guards against proofs of an engine's start that are lost as reports are added up, or reported again
+// whenever one more router has one.
+func TestProofsOfStartsAddUp(t *testing.T) {
+	one := EngineLoad{Proven: 1}
+	two := one.add(one)
+	require.Equal(t, 2, two.Proven)
+	require.False(t, two.add(one).needsReport(two))
+	require.True(t, two.needsReport(one))
+	require.Equal(t, int64(9), EngineLoad{LostBorn: 9}.add(EngineLoad{LostBorn: 4}).LostBorn)
+	require.True(t, EngineLoad{LostBorn: 9}.needsReport(EngineLoad{}))
+}
--- a/internal/edge/feed/report.go
+++ b/internal/edge/feed/report.go
@@ -33,6 +33,12 @@
 	// send neither.
 	RecordedLeaving bool
 	RecordedBorn    int64
+	// Proven is the number of routers, maxProven at most, that have a connection to the engine which
+	// proves that the start that its entry states still runs. LostBorn is the start of which a router has
+	// lost a connection, so that it may have ended; zero for none. Routers of earlier releases send
+	// neither.
+	Proven   int
+	LostBorn int64
 	// Brittle is what the engine has lately stated about being brittle. Routers of earlier releases
 	// neither send nor pass it on.
 	Brittle BrittleReport
@@ -77,6 +83,10 @@
 // SetLimits sets Accepted and Rejected.
 func (l *EngineLoad) SetLimits(e health.Evidence) { l.Accepted, l.Rejected = e.Good, e.Bad }
 
+// maxProven is up to how many routers with a proof are counted. More change nothing, but would be
+// reported again and again.
+const maxProven = 2
+
 // latestLeaving returns the announcement of the later of two starts, each of which may have none.
 func latestLeaving(leaving bool, born int64, otherLeaving bool, otherBorn int64) (bool, int64) {
 	switch {
@@ -113,6 +123,7 @@
 	out.SetLimits(l.Limits().Add(o.Limits()))
 	out.Leaving, out.LeavingBorn = latestLeaving(l.Leaving, l.LeavingBorn, o.Leaving, o.LeavingBorn)
 	out.Brittle = l.Brittle.merge(o.Brittle)
+	out.Proven, out.LostBorn = min(l.Proven+o.Proven, maxProven), max(l.LostBorn, o.LostBorn)
 	out.RecordedLeaving, out.RecordedBorn = latestLeaving(l.RecordedLeaving, l.RecordedBorn, o.RecordedLeaving, o.RecordedBorn)
 	return out
 }
@@ -135,7 +146,7 @@
 // needsReport reports whether a load must be reported again after last was reported.
 func (l EngineLoad) needsReport(last EngineLoad) bool {
 	return l.Leaving != last.Leaving || l.LeavingBorn != last.LeavingBorn ||
-		l.Brittle != last.Brittle ||
+		l.Brittle != last.Brittle || l.Proven != last.Proven || l.LostBorn != last.LostBorn ||
 		l.RecordedLeaving != last.RecordedLeaving || l.RecordedBorn != last.RecordedBorn ||
 		exceedsChange(float64(l.InFlight), float64(last.InFlight), inFlightChange, 0) ||
 		exceedsChange(float64(l.Leased), float64(last.Leased), inFlightChange, 0) ||
--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"golang.org/x/time/rate"
 )
 
@@ -35,6 +36,8 @@
 	queryStart func(catalog.Engine) (born int64, err error)
 	// multiVersion reports whether more than one version of a service has served lately.
 	multiVersion func(service string) bool
+	// others returns what the other routers report of the engines, by ID.
+	others func() map[string]feed.EngineLoad
 	// begins limits the queries for streams that begin while one version serves.
 	begins *rate.Limiter
 	// answered is called when an engine has stated its start.
@@ -45,6 +48,19 @@
 	// connectedAt is when a connection to an engine was opened while there was no other, as long as its
 	// entry may be that of a start before.
 	connectedAt map[string]time.Duration
+	// proofs holds by engine what is known of the start that its entry states.
+	proofs map[string]startProof
+}
+
+// startProof is what a router knows of a start of an engine.
+type startProof struct {
+	born int64
+	// verifiedAt is when the engine was last queried that stated this start; zero if it was not. A
+	// connection that was opened before and is open since is to this start.
+	verifiedAt time.Duration
+	// holds tells whether there was a connection that proves the start at checkedAt.
+	holds     bool
+	checkedAt time.Duration
 }
 
 // loss is the loss of connections to an engine.
@@ -63,13 +79,17 @@
 
 // NewRestartDoubts returns a RestartDoubts.
 func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (int64, error), multiVersion func(service string) bool) *RestartDoubts {
-	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connectedAt: make(map[string]time.Duration)}
+	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connectedAt: make(map[string]time.Duration), proofs: make(map[string]startProof), others: func() map[string]feed.EngineLoad { return nil }}
 }
 
 // OnAnswer sets the function that is called when an engine has stated its start. It must be called before
 // the first request.
 func (d *RestartDoubts) OnAnswer(answered func()) { d.answered = answered }
 
+// SetOthers sets the function that returns what the other routers report of the engines. It must be
+// called before the first request.
+func (d *RestartDoubts) SetOthers(others func() map[string]feed.EngineLoad) { d.others = others }
+
 // Restarted reports whether the engine is known to have been restarted since its entry was written.
 func (d *RestartDoubts) Restarted(e catalog.Engine) bool {
 	if d == nil {
@@ -115,17 +135,76 @@
 	}
 }
 
-// VerifyBegin is Verify for a stream that begins at the engine. While one version serves, it is limited:
-// a restart that goes unnoticed matters only if it brings the first engine of another version.
+// VerifyBegin is Verify for a stream that begins at the engine. While one version serves, a restart that
+// goes unnoticed matters only if it brings the first engine of another version: the engine is queried only
+// if no other router proves its start, and within a limit.
 func (d *RestartDoubts) VerifyBegin(e catalog.Engine) {
 	d.mu.Lock()
 	_, unverified := d.connectedAt[e.ID]
 	d.mu.Unlock()
-	if unverified && (d.multiVersion(e.Service) || d.begins.Allow()) {
+	if unverified && (d.multiVersion(e.Service) || !d.provenByOthers(e) && d.begins.Allow()) {
 		d.Verify(e)
 	}
 }
 
+// provenByOthers reports whether another router has a connection that proves the start that the engine's
+// entry states, and none has lost one to it.
+func (d *RestartDoubts) provenByOthers(e catalog.Engine) bool {
+	load := d.others()[e.ID]
+	return load.Proven > 0 && load.LostBorn != e.Born
+}
+
+// proofInterval is how long the result of a check of an engine's connections is used. A check takes a
+// system call.
+const proofInterval = 300 * time.Millisecond
+
+// AddTo adds to this router's loads which starts of engines its connections prove, and to which it has lost
+// one. It returns the loads.
+func (d *RestartDoubts) AddTo(loads map[string]feed.EngineLoad) map[string]feed.EngineLoad {
+	s := d.snapshot()
+	for id, load := range loads {
+		e, known := s.Engines.ByID[id]
+		if !known || e.Born == 0 {
+			continue
+		}
+		lost, proven := d.proof(e, s.EnginesAsOf)
+		if lost {
+			load.LostBorn = e.Born
+		}
+		if proven {
+			load.Proven = 1
+		}
+		loads[id] = load
+	}
+	return loads
+}
+
+// proof reports whether a connection to the start of the engine was lost without an explanation since, and
+// whether an open one proves that start: it was opened before the engine stated the start, or so long before the
+// list of engines was read that the list would state another one.
+func (d *RestartDoubts) proof(e catalog.Engine, asOf time.Duration) (lost, proven bool) {
+	now := d.clock()
+	d.mu.Lock()
+	l, ok := d.losses[e.ID]
+	last := d.proofs[e.ID]
+	d.mu.Unlock()
+	if ok && !e.RestartOf(l.engine) && (l.restarted || asOf <= l.last+entryDelay) {
+		return true, false
+	}
+	if last.born != e.Born {
+		last = startProof{born: e.Born}
+	}
+	if last.checkedAt > 0 && now-last.checkedAt < proofInterval {
+		return false, last.holds
+	}
+	proven = d.survives(e.ID, max(asOf-entryDelay, last.verifiedAt))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last.holds, last.checkedAt = proven, now
+	d.proofs[e.ID] = last
+	return false, proven
+}
+
 // Verify puts the engine in doubt if a restart may have gone unnoticed.
 func (d *RestartDoubts) Verify(e catalog.Engine) {
 	asOf := d.snapshot().EnginesAsOf
@@ -220,6 +299,7 @@
 	case born != l.engine.Born:
 		l.restarted = true
 	case sent >= l.last:
+		d.proofs[e.ID] = startProof{born: born, verifiedAt: sent}
 		delete(d.losses, e.ID)
 		return
 	}
@@ -249,6 +329,11 @@
 			delete(d.losses, id)
 		}
 	}
+	for id := range d.proofs {
+		if _, ok := engines[id]; !ok {
+			delete(d.proofs, id)
+		}
+	}
 	asOf := d.snapshot().EnginesAsOf
 	for id, at := range d.connectedAt {
 		if _, ok := engines[id]; !ok || asOf > at+entryDelay {
--- a/internal/edge/forward/doubts_test.go
+++ b/internal/edge/forward/doubts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"github.com/stretchr/testify/require"
 )
 
@@ -166,3 +167,72 @@
 		require.False(t, f.InDoubt(f.engine()), "the list of engines is younger")
 	})
 }
+
+// Guards against a query for each first connection of each router: a start that a connection of another
+// router proves needs none, until one loses a connection or several versions serve.
+func TestStartProvenByAnotherRouterNeedsNoQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer sleep(time.Second)
+		f := newDoubtsFixture()
+		f.list(7, 1)
+		f.running = 7
+		var others feed.EngineLoad
+		f.SetOthers(func() map[string]feed.EngineLoad { return map[string]feed.EngineLoad{"e": others} })
+		begin := func() int {
+			before := f.queries
+			f.Connect("e", true)
+			sleep(10 * time.Millisecond)
+			return f.queries - before
+		}
+		require.Equal(t, 1, begin(), "nobody has a connection")
+		others = feed.EngineLoad{Proven: 1}
+		require.Zero(t, begin())
+		others.LostBorn = 7
+		require.Equal(t, 1, begin(), "a router has lost its connection to this start")
+		others.LostBorn = 6
+		require.Zero(t, begin(), "to the one before")
+		f.multiVersion = true
+		require.Equal(t, 1, begin())
+
+		f.multiVersion = false
+		f.Connect("e", true)
+		others.LostBorn = 7
+		before := f.queries
+		f.VerifyBegin(f.engine())
+		sleep(10 * time.Millisecond)
+		require.Equal(t, 1, f.queries-before, "the loss became known after the connection was opened")
+	})
+}
+
+// Guards against proofs of a start by connections that may be to the next one.
+func TestConnectionProvesStartOnceTheListIsYounger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newDoubtsFixture()
+		f.list(7, 1)
+		report := func() feed.EngineLoad {
+			sleep(2 * proofInterval)
+			f.list(7, 1)
+			return f.AddTo(map[string]feed.EngineLoad{"e": {InFlight: 1}})["e"]
+		}
+		require.Equal(t, feed.EngineLoad{InFlight: 1}, report(), "no connection")
+		f.openedAt = f.now()
+		require.Equal(t, feed.EngineLoad{InFlight: 1}, report(), "as young as the list")
+		sleep(entryDelay)
+		require.Equal(t, feed.EngineLoad{InFlight: 1, Proven: 1}, report())
+		f.Lose("e", f.now())
+		require.Equal(t, feed.EngineLoad{InFlight: 1, LostBorn: 7}, report())
+		sleep(2 * entryDelay)
+		require.Equal(t, feed.EngineLoad{InFlight: 1, Proven: 1}, report(), "the list shows no other start")
+
+		f.openedAt = f.now()
+		f.running = 7
+		require.Equal(t, feed.EngineLoad{InFlight: 1}, report())
+		f.multiVersion = true
+		f.Connect("e", true)
+		sleep(2 * proofInterval)
+		require.Equal(t, feed.EngineLoad{InFlight: 1, Proven: 1}, f.AddTo(map[string]feed.EngineLoad{"e": {InFlight: 1}})["e"], "the engine has stated its start")
+
+		f.list(0, 2)
+		require.Equal(t, feed.EngineLoad{InFlight: 1}, f.AddTo(map[string]feed.EngineLoad{"e": {InFlight: 1}})["e"], "states no start")
+	})
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -177,7 +177,7 @@
 	r.store = newStoreProxy(r.platform.Store, r.settings().Store)
 	contacts := feed.Contacts{Table: r.store}
 	r.board = feed.NewBoard(bootclock.Now, time.Duration(r.settings().Bounds.Beat))
-	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.leaving.AddTo(r.engines.OwnLoads()) })
+	r.loads = feed.NewLoads(func() map[string]feed.EngineLoad { return r.leaving.AddTo(r.doubts.AddTo(r.engines.OwnLoads())) })
 	r.leaving = &feed.LeavingRecorder{Board: r.board, Loads: r.loads, Clock: bootclock.Now, Log: r.log}
 	r.loads.OnLeaving = func(starts []catalog.LeavingStart, from string) { r.leaving.Record(r.ctx, starts, "from", from) }
 	r.reader = &feed.Reader{
@@ -266,6 +266,7 @@
 // assembleOrigins assembles what keeps a stream at the version of the engines that began it.
 func (r *Router) assembleOrigins(conns *engineconn.Pool) {
 	r.doubts = forward.NewRestartDoubts(bootclock.Now, r.board.Snapshot, conns.Survives, forward.QueryStart(conns, r.platform.Codec), func(service string) bool { return r.origins.MultiVersion(service) })
+	r.doubts.SetOthers(r.loads.Others)
 	r.engines.SetDoubts(r.doubts)
 	r.origins = origins.New(origins.Options{
 		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
