gates: engines of silent owners get requests up to three quarters of their slots

Requests there last 45 ms and reports are 0.2 s old, so that the margin for others' requests says little, and engines queue some themselves.

--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -133,9 +133,9 @@
 }
 
 // unownedShare is the share of its slots up to which an engine gets requests while the owner of its gate
-// does not reply. Each router decides alone, by loads that are a few tenths of a second old, in which the
-// others can occupy as many slots again.
-const unownedShare = 0.5
+// does not reply. Each router decides alone, by loads that are a few tenths of a second old, and the
+// engine queues what comes at once.
+const unownedShare = 0.75
 
 // StartUnowned counts a request at the engine of a choice, without a permit, if the engine is warm and
 // has room by the known loads. Done must be called with the result.
