--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,7 +53,7 @@
 	commands := []*command{
 		serveCommand(), edgeCommand(), chatCommand(), callCommand(), locateCommand(),
 		configCommand(), accountsCommand(), sitesCommand(), servicesCommand(), poolsCommand(),
-		fleetCommand(), quarantineCommand(), claimsCommand(), auditCommand(), operatorsCommand(), keysCommand(),
+		fleetCommand(), sharesCommand(), quarantineCommand(), claimsCommand(), auditCommand(), operatorsCommand(), keysCommand(),
 		standinCommand(), checkCommand(), versionCommand(), benchCommand(), worthCommand(), demoCommand(),
 	}
 	for _, c := range commands {
--- a/internal/decide/fairshare/rates.go
+++ b/internal/decide/fairshare/rates.go
@@ -56,7 +56,7 @@
 // TotalAsked returns the requested work of all ranks.
 func (r Rates) TotalAsked() float64 { return sum(r.Asked) }
 
-// Rounded returns the rates with two significant digits at most, which take half of the bytes.
+// Rounded returns the rates with about one and a half significant digits, which take half of the bytes.
 func (r Rates) Rounded() Rates {
 	for rank := range r.Asked {
 		r.Asked[rank] = rounded(r.Asked[rank])
@@ -67,7 +67,7 @@
 
 const (
 	// roundingSteps is the number of values between two powers of two that a rounded rate can take.
-	roundingSteps = 32
+	roundingSteps = 16
 	// minRate is the rate below which an account counts as idle, in work per second.
 	minRate = 1.0 / 64
 )
@@ -81,7 +81,7 @@
 }
 
 // changeShare is the relative change of a rate above which it is reported again.
-const changeShare = 0.25
+const changeShare = 0.35
 
 // Differ reports whether rates must be reported again after last was reported.
 func (r Rates) Differ(last Rates) bool {
--- a/internal/edge/feed/accountrates_test.go
+++ b/internal/edge/feed/accountrates_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -115,3 +117,35 @@
 	require.Equal(t, int64(9), EngineLoad{LostBorn: 9}.add(EngineLoad{LostBorn: 4}).LostBorn)
 	require.True(t, EngineLoad{LostBorn: 9}.needsReport(EngineLoad{}))
 }
+
+// BenchmarkAccountRates reports the bytes of the accounts' rates in a report: all of 24 accounts at two
+// services, and those that have changed after their rates varied by a fifth.
+func BenchmarkAccountRates(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	rates := func() AccountRates {
+		out := make(AccountRates)
+		for i := range 48 {
+			r := fairshare.Rates{Granted: 900 * (1 + 0.2*rng.NormFloat64()), Usual: 1000}
+			for rank := range r.Asked {
+				r.Asked[rank] = 300 * (1 + 0.2*rng.NormFloat64())
+			}
+			out[AccountKey{Service: "assistant-llm", Account: fmt.Sprint("account-", i%24, i/24)}] = r
+		}
+		out.round()
+		return out
+	}
+	var buf bytes.Buffer
+	size := func(a AccountRates) float64 {
+		// The first report also describes the types.
+		encoder := gob.NewEncoder(&buf)
+		require.NoError(b, encoder.Encode(LoadReport{}))
+		buf.Reset()
+		require.NoError(b, encoder.Encode(LoadReport{Accounts: a}))
+		return float64(buf.Len())
+	}
+	for b.Loop() {
+		full := rates()
+		b.ReportMetric(size(full), "B/full")
+		b.ReportMetric(size(rates().changesFrom(full)), "B/changes")
+	}
+}
--- a/internal/edge/forward/shares.go
+++ b/internal/edge/forward/shares.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -134,10 +136,11 @@
 	Within fairshare.Share `json:"within"`
 }
 
-// List returns the accounts at the services that are congested.
+// List returns the accounts at the services that are congested, by service, those that request the most
+// first.
 func (a *AccountShares) List() []AccountShare {
 	now := a.clock()
-	var out []AccountShare
+	out := []AccountShare{}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, s := range a.services {
@@ -153,6 +156,9 @@
 			})
 		}
 	}
+	slices.SortFunc(out, func(a, b AccountShare) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Account, b.Account))
+	})
 	return out
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -370,6 +370,7 @@
 		r.mountOperatorPaths(e)
 		r.mountQuarantine(e)
 		r.mountEngines(e)
+		r.mountShares(e)
 	}
 	r.mountQuarantineControl(control)
 	return []mount{
