gates: engines of silent owners stay within the load bound

Cause: an engine whose owner is silent got requests up to three quarters of its slots, also where the service's mean is so low that this is over the load that operators allow (streams of one version can be congested by themselves). Change: the bound of the gate applies too. Refusals of public requests beyond their share had the record of those within it; they have their own now.

--- a/internal/decide/gate/gate.go
+++ b/internal/decide/gate/gate.go
@@ -81,7 +81,7 @@
 	// 0.18 without it; at most 0.25 is possible.
 	Late bool
 	// Beyond marks a request beyond its account's fair share of the service. It is served after those
-	// within the share, of all classes, and only while more slots are free than beyondReserve.
+	// within the share, of all classes, and only while more slots are free than are reserved for these.
 	Beyond bool
 	// Weight is the work of the request, in a unit that all requests share.
 	Weight int64
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -183,12 +183,11 @@
 
 // overloadRefusal refuses a request that can't get a permit in time, and suggests when to retry.
 func (x *exchange) overloadRefusal(service string) *Refusal {
-	reason := ReasonOverload
-	account := ""
+	reason, key := ReasonOverload, refusedKey{service: service}
 	if x.beyond {
-		reason, account = ReasonBeyondShare, x.accountName()
+		reason, key.beyond, key.account = ReasonBeyondShare, true, x.accountName()
 	}
-	return notExecuted(reason, x.f.overloads.retryAfter(service, account, x.route.Objective, x.remaining(), x.f.Clock()))
+	return notExecuted(reason, x.f.overloads.retryAfter(key, x.route.Objective, x.remaining(), x.f.Clock()))
 }
 
 // recordTimeout records the caller's timeout while the service refuses no requests. Without
@@ -262,23 +261,24 @@
 type overloads struct {
 	mu     sync.Mutex
 	random func() float64
-	// byService holds all refusals of a service, byRefused those of requests within the shares of their
-	// accounts, and those beyond the share of each account.
+	// byService holds all refusals of a service, and byRefused those of the requests with a key.
 	byService map[string]*gate.Overload
 	byRefused map[refusedKey]*gate.Overload
 }
 
-// refusedKey identifies refused requests of a service: those beyond the share of an account, or those
-// within their shares if account is empty.
-type refusedKey struct{ service, account string }
+// refusedKey identifies the refused requests of a service: those beyond the share of an account, or those
+// of all accounts that are within their shares.
+type refusedKey struct {
+	service string
+	beyond  bool
+	account string
+}
 
-// retryAfter records a refusal and returns how long the caller should wait before it retries. account is
-// that of a request beyond its share, and empty otherwise.
-func (o *overloads) retryAfter(service, account string, objective, left, now time.Duration) time.Duration {
+// retryAfter records a refusal and returns how long the caller should wait before it retries.
+func (o *overloads) retryAfter(key refusedKey, objective, left, now time.Duration) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.state(service).Note(now)
-	key := refusedKey{service: service, account: account}
+	o.state(key.service).Note(now)
 	if o.byRefused[key] == nil {
 		o.byRefused[key] = &gate.Overload{}
 	}
--- a/internal/edge/forward/permit_test.go
+++ b/internal/edge/forward/permit_test.go
@@ -193,15 +193,33 @@
 func TestEngineWhoseOwnerIsSilentIsNotOverrun(t *testing.T) {
 	withTestRouter(t, 6, func(tr *testRouter) {
 		silent := tr.withSilentOwners()
-		tr.setOtherLoads(48)
-		for range 20 {
-			x := tr.newExchange(context.Background())
-			x.route.Prompted, x.req.Prompt = false, nil
-			choice, refusal := x.chooseFirst(nil)
-			if refusal == nil && x.unowned {
-				require.Fail(t, "sent without a permit", "%v", silent[choice.Engine.ID])
+		for _, load := range []int{26, 47, 48, 60} {
+			tr.setOtherLoads(load)
+			for range 20 {
+				x := tr.newExchange(context.Background())
+				x.route.Prompted, x.req.Prompt = false, nil
+				choice, refusal := x.chooseFirst(nil)
+				if refusal != nil {
+					continue
+				}
+				if x.unowned {
+					require.True(t, silent[choice.Engine.ID])
+					require.Less(t, load, 48)
+				}
+				tr.f.Engines.Done(choice)
 			}
+			time.Sleep(time.Minute)
+		}
+		// One engine has twice the mean of the others and three more, which operators don't allow.
+		tr.setOtherLoads(26)
+		var busiest string
+		for id := range silent {
+			busiest = id
 		}
+		tr.otherLoads[busiest] = feed.EngineLoad{InFlight: 60}
+		choice := Choice{Engine: tr.snapshot.Engines.ByID[busiest]}
+		_, ok := tr.f.Engines.StartUnowned(tr.snapshot, choice, nil)
+		require.False(t, ok)
 		time.Sleep(time.Minute)
 	})
 }
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -149,7 +149,8 @@
 		if e.ID != choice.Engine.ID {
 			continue
 		}
-		if e.Draining || e.Cold || e.Share <= 0 || float64(e.InFlight)+1 > unownedShare*float64(max(e.Slots, 1)) {
+		limit := min(unownedShare*float64(max(e.Slots, 1)), float64(choose.MaxInFlight(candidates, i)))
+		if e.Draining || e.Cold || e.Share <= 0 || float64(e.InFlight)+1 > limit {
 			return Choice{}, false
 		}
 		started, ok := p.start(engines, i, Query{Isolate: choice.isolate}, now)
