feed: suspects that came from a parent don't delay the next ones

Cause: a router paused for 50 ms after each change of its suspects, also if it had learned them from its parent and sent nothing. What it found itself in that time was sent up to 60 ms late, and with the early reply of the parent (50 ms) after more than the 100 ms in which all routers must know it. Ruled out: the bound, which stays.

--- a/internal/edge/feed/suspects.go
+++ b/internal/edge/feed/suspects.go
@@ -41,10 +41,14 @@
 func (f *Follower) pushSuspects(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := f.Suspects.Changed()
-		if !f.pushToParents(ctx) && !pause.For(ctx, suspectsRetryPause) {
+		sent, ok := f.pushToParents(ctx)
+		if !ok && !pause.For(ctx, suspectsRetryPause) {
 			return
 		}
-		pause.For(ctx, suspectsInterval)
+		// What came from a parent needs no call, and must not delay what this router finds next.
+		if sent {
+			pause.For(ctx, suspectsInterval)
+		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
@@ -53,14 +57,16 @@
 	}
 }
 
-// pushToParents sends the suspects that this router's sources of catalog and loads lack, and returns
-// false if a call failed. A router of an earlier release does not know the method.
-func (f *Follower) pushToParents(ctx context.Context) bool {
-	ok := true
+// pushToParents sends the suspects that this router's sources of catalog and loads lack, and reports
+// whether there were any and whether all calls succeeded. A router of an earlier release does not know the
+// method.
+func (f *Follower) pushToParents(ctx context.Context) (sent, ok bool) {
+	ok = true
 	for _, parent := range f.suspectParents() {
-		ok = f.pushSuspectsTo(ctx, parent) && ok
+		sentHere, okHere := f.pushSuspectsTo(ctx, parent)
+		sent, ok = sent || sentHere, ok && okHere
 	}
-	return ok
+	return sent, ok
 }
 
 // suspectParents returns the routers to which suspects are sent.
@@ -82,10 +88,10 @@
 	return out
 }
 
-func (f *Follower) pushSuspectsTo(ctx context.Context, parent Peer) bool {
+func (f *Follower) pushSuspectsTo(ctx context.Context, parent Peer) (sent, ok bool) {
 	args := f.suspectExchange.Request(parent.Name, f.Suspects, f.Clock())
 	if args.Len() == 0 {
-		return true
+		return false, true
 	}
 	args.From = f.Self.Name
 	var reply suspects.Reply
@@ -93,8 +99,8 @@
 	defer cancel()
 	if err := f.Call(callCtx, parent, SuspectsMethod, *args, &reply); err != nil {
 		f.Log.Debug("suspects not sent", "router", parent.Name, "cause", err)
-		return false
+		return true, false
 	}
 	f.suspectExchange.HandleReply(parent.Name, &reply, f.Suspects, f.Clock())
-	return true
+	return true, true
 }
