forward: a pause asked for on a first connection outlives the late entry

Cause: a pause that an engine asks for after a restart in place, before its entry shows it, was kept only at routers that had lost a connection to the start before. A router without one took the pause for the former start's and dropped it with the entry: more requests reached the engine in its pause. Change: without a loss, the first connection that may be to the next start tells the two apart. The new test failed before.

--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -45,9 +45,9 @@
 
 	mu     sync.Mutex
 	losses map[string]loss
-	// connectedAt is when a connection to an engine was opened while there was no other, as long as its
+	// connected holds by engine when connections were opened while there was no other, as long as its
 	// entry may be that of a start before.
-	connectedAt map[string]time.Duration
+	connected map[string]firstConnections
 	// proofs holds by engine what is known of the start that its entry states.
 	proofs map[string]startProof
 }
@@ -63,6 +63,13 @@
 	checkedAt time.Duration
 }
 
+// firstConnections are the connections to an engine that were opened while there was no other, and whose
+// start is not proved.
+type firstConnections struct {
+	// since is when the first of them was opened, and last when the last one was.
+	since, last time.Duration
+}
+
 // loss is the loss of connections to an engine.
 type loss struct {
 	// engine is the entry that was known then.
@@ -79,7 +86,7 @@
 
 // NewRestartDoubts returns a RestartDoubts.
 func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (int64, error), multiVersion func(service string) bool) *RestartDoubts {
-	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connectedAt: make(map[string]time.Duration), proofs: make(map[string]startProof), others: func() map[string]feed.EngineLoad { return nil }}
+	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connected: make(map[string]firstConnections), proofs: make(map[string]startProof), others: func() map[string]feed.EngineLoad { return nil }}
 }
 
 // OnAnswer sets the function that is called when an engine has stated its start. It must be called before
@@ -102,15 +109,18 @@
 }
 
 // LostAt returns when a connection to the engine was first lost that may show the end of the start that its
-// entry states, if one was.
+// entry states, if one was. Without a loss, the first connection that may be to the next start counts.
 func (d *RestartDoubts) LostAt(e catalog.Engine) (at time.Duration, lost bool) {
 	if d == nil {
 		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l, ok := d.losses[e.ID]
-	return l.first, ok && !e.RestartOf(l.engine)
+	if l, ok := d.losses[e.ID]; ok && !e.RestartOf(l.engine) {
+		return l.first, true
+	}
+	c, ok := d.connected[e.ID]
+	return c.since, ok
 }
 
 // Lose records that a connection to the engine was lost, whose process lived at aliveAt.
@@ -127,8 +137,14 @@
 	if !ok || e.Born == 0 {
 		return
 	}
+	now, asOf := d.clock(), d.snapshot().EnginesAsOf
 	d.mu.Lock()
-	d.connectedAt[engine] = d.clock()
+	c, known := d.connected[engine]
+	if !known || asOf > c.since+entryDelay {
+		c.since = now
+	}
+	c.last = now
+	d.connected[engine] = c
 	d.mu.Unlock()
 	if knownStart {
 		d.VerifyBegin(e)
@@ -140,7 +156,7 @@
 // if no other router proves its start, and within a limit.
 func (d *RestartDoubts) VerifyBegin(e catalog.Engine) {
 	d.mu.Lock()
-	_, unverified := d.connectedAt[e.ID]
+	_, unverified := d.connected[e.ID]
 	d.mu.Unlock()
 	if unverified && (d.multiVersion(e.Service) || !d.provenByOthers(e) && d.begins.Allow()) {
 		d.Verify(e)
@@ -209,10 +225,10 @@
 func (d *RestartDoubts) Verify(e catalog.Engine) {
 	asOf := d.snapshot().EnginesAsOf
 	d.mu.Lock()
-	at, ok := d.connectedAt[e.ID]
-	delete(d.connectedAt, e.ID)
+	c, ok := d.connected[e.ID]
+	delete(d.connected, e.ID)
 	d.mu.Unlock()
-	if ok && asOf <= at+entryDelay {
+	if ok && asOf <= c.last+entryDelay {
 		d.doubt(e, 0)
 		d.InDoubt(e)
 	}
@@ -335,9 +351,9 @@
 		}
 	}
 	asOf := d.snapshot().EnginesAsOf
-	for id, at := range d.connectedAt {
-		if _, ok := engines[id]; !ok || asOf > at+entryDelay {
-			delete(d.connectedAt, id)
+	for id, c := range d.connected {
+		if _, ok := engines[id]; !ok || asOf > c.last+entryDelay {
+			delete(d.connected, id)
 		}
 	}
 }
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -404,3 +404,32 @@
 	p.restart("e1")
 	require.Positive(t, p.countPicks(20)["e1"], "the next start has asked for nothing")
 }
+
+// Guards against requests in a pause that the next start of an engine asked for before its entry was there,
+// at a router that had no connection to the start before, and so has lost none.
+func TestPauseAskedForOnFirstConnectionOutlivesLateEntry(t *testing.T) {
+	p := newPausedBalancer(2)
+	p.restart("e0")
+	p.restart("e1")
+	clock, snapshot := func() time.Duration { return p.now }, func() *catalog.Snapshot { return p.snapshot }
+	noOther := func(string, time.Duration) bool { return false }
+	unknown := func(catalog.Engine) (int64, error) { return 0, errors.New("no answer") }
+	p.SetDoubts(NewRestartDoubts(clock, snapshot, noOther, unknown, func(string) bool { return false }))
+	p.doubts.Connect("e0", false)
+	p.now += 100 * time.Millisecond
+	p.Pause(p.engine("e0"), 4*time.Second)
+	p.now += 100 * time.Millisecond
+	p.doubts.Connect("e0", false)
+	p.now += 300 * time.Millisecond
+	p.restart("e0")
+	require.Zero(t, p.countPicks(20)["e0"])
+	p.now += 4 * time.Second
+	require.Positive(t, p.countPicks(20)["e0"])
+
+	p.Pause(p.engine("e1"), time.Minute)
+	p.now += 100 * time.Millisecond
+	p.doubts.Connect("e1", false)
+	p.now += 300 * time.Millisecond
+	p.restart("e1")
+	require.Positive(t, p.countPicks(20)["e1"], "the start before has asked for it")
+}
