--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -377,9 +377,9 @@
 	p.EjectionChanges(p.snapshot)
 }
 
-// Guards against a pause that is forgotten because the engine had restarted before it asked for it, and
-// its entry has shown that only afterwards.
-func TestPauseOutlivesLateEntryOfItsStart(t *testing.T) {
+// newBalancerWithDoubts returns a Balancer with two engines that state their starts, of which no connection
+// and no query proves one.
+func newBalancerWithDoubts() *pausedBalancer {
 	p := newPausedBalancer(2)
 	p.restart("e0")
 	p.restart("e1")
@@ -387,6 +387,13 @@
 	noOther := func(string, time.Duration) bool { return false }
 	unknown := func(catalog.Engine) (int64, error) { return 0, errors.New("no answer") }
 	p.SetDoubts(NewRestartDoubts(clock, snapshot, noOther, unknown, func(string) bool { return false }))
+	return p
+}
+
+// Guards against a pause that is forgotten because the engine had restarted before it asked for it, and
+// its entry has shown that only afterwards.
+func TestPauseOutlivesLateEntryOfItsStart(t *testing.T) {
+	p := newBalancerWithDoubts()
 	p.doubts.Lose("e0", p.now)
 	p.now += 100 * time.Millisecond
 	p.Pause(p.engine("e0"), 4*time.Second)
@@ -408,13 +415,7 @@
 // Guards against requests in a pause that the next start of an engine asked for before its entry was there,
 // at a router that had no connection to the start before, and so has lost none.
 func TestPauseAskedForOnFirstConnectionOutlivesLateEntry(t *testing.T) {
-	p := newPausedBalancer(2)
-	p.restart("e0")
-	p.restart("e1")
-	clock, snapshot := func() time.Duration { return p.now }, func() *catalog.Snapshot { return p.snapshot }
-	noOther := func(string, time.Duration) bool { return false }
-	unknown := func(catalog.Engine) (int64, error) { return 0, errors.New("no answer") }
-	p.SetDoubts(NewRestartDoubts(clock, snapshot, noOther, unknown, func(string) bool { return false }))
+	p := newBalancerWithDoubts()
 	p.doubts.Connect("e0", false)
 	p.now += 100 * time.Millisecond
 	p.Pause(p.engine("e0"), 4*time.Second)
