gates: plain engines that state free slots get more requests

Change: the owner of a gate follows the running and waiting requests that the engine states in its responses, between slots and three and twice the slots, within the load bound; for requests without prompts only. Engines that state nothing and routers of earlier releases: as before.

--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -175,9 +175,19 @@
 // extraInFlight, at most the load bound for prompts, and at least one. The owner of the engine's
 // gate counts these requests, so the bound needs no margin for requests from other routers.
 func MaxInFlight(engines []Engine, i int) int {
+	return max(1, min(engines[i].Slots+extraInFlight, gateBound(engines)))
+}
+
+// MostInFlight returns the number of requests that may be in flight at an engine at most, if it states that
+// it has free slots while requests wait at its gate: twice its slots, at most the load bound.
+func MostInFlight(engines []Engine, i int) int {
+	return max(1, min(2*engines[i].Slots, gateBound(engines)))
+}
+
+// gateBound returns the load bound that the owners of gates keep.
+func gateBound(engines []Engine) int {
 	mean, _ := serviceLoad(engines)
-	bound := loadFactor*mean + loadSlack
-	return max(1, min(engines[i].Slots+extraInFlight, int(bound)))
+	return int(loadFactor*mean + loadSlack)
 }
 
 const (
--- a/internal/edge/flow/client.go
+++ b/internal/edge/flow/client.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/errs"
@@ -78,6 +79,13 @@
 	id     string
 	// Rejected is set before the release if the engine has rejected the request.
 	Rejected bool
+	// Load is set before the release to what the engine has stated about its load; zero for nothing.
+	Load gate.EngineLoad
+}
+
+// lease returns the reference by which the permit is released.
+func (p *Permit) lease() LeaseRef {
+	return LeaseRef{Engine: p.engine, ID: p.id, Rejected: p.Rejected, Running: p.Load.Running, Waiting: p.Load.Waiting, EngineSlots: p.Load.Slots}
 }
 
 // Acquire requests a slot and waits for the decision. spare is how much longer than the request's wait
@@ -193,13 +201,13 @@
 // Release releases a slot.
 func (c *Client) Release(p *Permit) {
 	if p.owner.Name == c.Self {
-		c.Owner.Release(LeaseRef{Engine: p.engine, ID: p.id, Rejected: p.Rejected})
+		c.Owner.Release(p.lease())
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	pending := c.pendingReleases[p.owner]
-	c.pendingReleases[p.owner] = append(pending, LeaseRef{Engine: p.engine, ID: p.id, Rejected: p.Rejected})
+	c.pendingReleases[p.owner] = append(pending, p.lease())
 	if len(pending) == 0 {
 		time.AfterFunc(releaseDelay, func() { c.flush(p.owner) })
 	}
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
@@ -219,6 +220,42 @@
 	})
 }
 
+// Guards against slots that stand idle while requests wait at the gate: an engine that states free slots
+// gets more requests, up to the bound that the sender states, and without statements as many as before.
+func TestEngineThatStatesFreeSlotsGetsMore(t *testing.T) {
+	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
+		client := f.clients[others[0]]
+		most := func(mostPlaces int, load gate.EngineLoad) (held int) {
+			f.owners[owner].mu.Lock()
+			delete(f.owners[owner].gates, "e")
+			f.owners[owner].mu.Unlock()
+			req := newRequest(2, time.Minute)
+			req.MostPlaces = mostPlaces
+			var wg sync.WaitGroup
+			for range 60 {
+				wg.Go(func() {
+					permit, _, err := client.Acquire(context.Background(), req, time.Second)
+					if err != nil {
+						return
+					}
+					held = max(held, f.owners[owner].Load().Leases)
+					time.Sleep(time.Second)
+					permit.Load = load
+					client.Release(permit)
+				})
+			}
+			wg.Wait()
+			time.Sleep(time.Second)
+			return held
+		}
+		idle := gate.EngineLoad{Running: 1, Slots: 6}
+		require.Equal(t, 4, most(4, idle))
+		require.Equal(t, 2, most(0, idle), "a router of an earlier release")
+		require.Equal(t, 2, most(4, gate.EngineLoad{}), "no statement")
+		require.Equal(t, 2, most(4, gate.EngineLoad{Running: 6, Slots: 6}), "no free slot")
+	})
+}
+
 // Guards against an engine that gets twice as many requests as it has slots after a router came or
 // went: a new owner has granted nothing, so reported requests beyond its own leases must occupy
 // slots.
--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -65,9 +65,12 @@
 	peak, previousPeak int
 	peakSince          time.Duration
 	lastRequest        time.Duration
-	// places is the number of slots of the last request. brittle means that the engine bears only so
+	// places and mostPlaces are those of the last request, and fill what the engine's statements allow.
+	// brittle means that the engine bears only so
 	// many rejections a second as tolerance says, and room is what it has shown to have.
-	places    int
+	places, mostPlaces int
+	fill               gate.Fill
+
 	brittle   bool
 	tolerance brittle.Tolerance
 	room      brittle.Room
@@ -77,7 +80,7 @@
 func (g *ownedGate) updateSlots(now time.Duration) {
 	if !g.brittle {
 		g.room = brittle.Room{}
-		g.SetSlots(g.places)
+		g.SetSlots(g.fill.Limit(g.places, g.mostPlaces))
 		return
 	}
 	g.SetSlots(g.room.Limit(g.places, g.tolerance, now))
@@ -97,9 +100,12 @@
 
 // SlotRequest is a request for a slot.
 type SlotRequest struct {
-	// Engine is the engine's ID, and Places its number of slots.
-	Engine string
-	Places int
+	// Engine is the engine's ID, and Places the number of requests that it may have. MostPlaces is the
+	// number that it may have at most if its own statements show free slots; zero if that is not to be
+	// followed. Routers of earlier releases don't send it.
+	Engine     string
+	Places     int
+	MostPlaces int
 	// ID is unique among all requests for slots; From is the router that sends the request.
 	ID, From string
 	Account  string
@@ -164,7 +170,8 @@
 	}
 	late = req.Late || o.refused.Late(req.Subject, req.Attempt, req.Slack, now)
 	g := o.gateFor(req.Engine, now)
-	g.places, g.brittle, g.tolerance = req.Places, req.Brittle, brittle.Tolerance(req.Tolerance)
+	g.places, g.mostPlaces = req.Places, req.MostPlaces
+	g.brittle, g.tolerance = req.Brittle, brittle.Tolerance(req.Tolerance)
 	g.updateSlots(now)
 	o.updateUnleased(req.Engine, g, now)
 	decision, queued := g.Acquire(at(now), gate.Request{
@@ -249,6 +256,9 @@
 	}
 	now := o.clock()
 	g.updatePeak(now)
+	if l.EngineSlots > 0 {
+		g.fill.Observe(gate.EngineLoad{Running: l.Running, Waiting: l.Waiting, Slots: l.EngineSlots}, g.Waiting() > 0)
+	}
 	if l.Rejected && g.brittle {
 		g.room.Reject(g.Held()-1, now)
 	}
--- a/internal/edge/flow/service.go
+++ b/internal/edge/flow/service.go
@@ -17,6 +17,9 @@
 	// Rejected means that the engine has rejected the request. Routers of earlier releases don't send
 	// it.
 	Rejected bool
+	// Running, Waiting and EngineSlots are what the engine has stated about its load; see
+	// gate.EngineLoad. They are zero if it stated nothing, and from routers of earlier releases.
+	Running, Waiting, EngineSlots int
 }
 
 // ReleaseArgs lists leases that have ended.
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -201,7 +201,7 @@
 // permitRequest returns the request to the owner of an engine's gate.
 func (x *exchange) permitRequest(a PermitCandidate, plan Plan, maxWait time.Duration) flow.SlotRequest {
 	out := flow.SlotRequest{
-		Engine: a.Choice.Engine.ID, Places: a.MaxInFlight, Urgency: x.urgency(), Weight: x.req.Cost(),
+		Engine: a.Choice.Engine.ID, Places: a.MaxInFlight, MostPlaces: a.MostInFlight, Urgency: x.urgency(), Weight: x.req.Cost(),
 		MaxWait: maxWait, Lease: x.remaining(), Hold: plan.Hold,
 		Subject: x.req.RetryKey(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late, Beyond: x.beyond,
 		Pace: a.Pace, Brittle: a.Brittle, Tolerance: int(a.Tolerance), Account: x.accountName(),
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -35,6 +35,9 @@
 	Choice Choice
 	// MaxInFlight is how many requests the engine may have in progress at once.
 	MaxInFlight int
+	// MostInFlight is the same if the engine itself states that it has free slots; zero for requests with
+	// prompts, which run for long compared with their way.
+	MostInFlight int
 	// Pace limits the rate of requests to the engine while it is cold.
 	Pace gate.Pace
 	// Brittle means that the engine falls over if it rejects more than Tolerance requests within a
@@ -75,6 +78,9 @@
 			Choice: p.candidateChoice(engines, candidates, i, q, now), MaxInFlight: choose.MaxInFlight(candidates, i),
 			Pace: p.pace(config, engines[i].ID, now),
 		}
+		if len(q.Shared) == 0 {
+			candidate.MostInFlight = choose.MostInFlight(candidates, i)
+		}
 		if isBrittle {
 			candidate.Brittle, candidate.Tolerance = true, tolerance
 			candidate.Choice.brittle = true
@@ -83,6 +89,7 @@
 			// Streams that are resumed have only the engines of their version. The room beyond the slots
 			// is for them.
 			candidate.MaxInFlight = max(min(candidate.MaxInFlight, candidates[i].Slots), 1)
+			candidate.MostInFlight = 0
 		}
 		plan.Ask = append(plan.Ask, candidate)
 	}
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -121,6 +121,8 @@
 	// Brittle is how many rejections a second the engine bears, as received; empty if it does not state
 	// that it is brittle.
 	Brittle string
+	// Load is what the engine states about its load, as received, or empty; see gate.ParseEngineLoad.
+	Load string
 }
 
 // Codec translates between HTTP messages and their meaning. The platform provides it.
--- a/internal/edge/forward/signals.go
+++ b/internal/edge/forward/signals.go
@@ -6,6 +6,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/backoff"
 	"damaskrouter.example/damaskrouter/internal/decide/brittle"
+	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 )
 
@@ -39,6 +40,7 @@
 	}
 	if reply.isFrom(x.req.ID) || reply.NotExecuted && !reply.WrongEngine {
 		x.recordBrittle(choice.Engine, reply.Brittle)
+		x.recordLoad(choice, reply.Load)
 	}
 	if reply.NotExecuted && !reply.WrongEngine {
 		choice.reject()
@@ -60,6 +62,18 @@
 	}
 }
 
+// recordLoad notes what the engine states about its load, for the owner of its gate.
+func (x *exchange) recordLoad(choice Choice, statement string) {
+	load, stated, err := gate.ParseEngineLoad(statement)
+	if err != nil {
+		x.f.stats.recordBadLoad()
+		x.f.Log.Info("load of engine ignored", "engine", choice.Engine.ID, "service", choice.Engine.Service, "request", x.req.ID, "cause", err)
+	}
+	if stated && choice.permit != nil {
+		choice.permit.Load = load
+	}
+}
+
 // limitsLoad reports whether the response to the last send, with the status, asks for a pause. An
 // engine that limits its load is not failing.
 func (x *exchange) limitsLoad(status int) bool {
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -151,6 +151,9 @@
 // recordPause counts a rejection in which an engine stated for how long it wants no requests.
 func (s *Stats) recordPause() { s.vars.Add("engine_pause_responses", 1) }
 
+// recordBadLoad counts a statement of an engine's load that was ignored.
+func (s *Stats) recordBadLoad() { s.vars.Add("engine_loads_ignored", 1) }
+
 // recordAttemptTimeout counts an attempt that timed out.
 func (s *Stats) recordAttemptTimeout() { s.vars.Add("given_up_silent", 1) }
 
