--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -86,7 +86,7 @@
 		if plan.Warm {
 			maxWait = min(maxWait, gate.ColdWait(x.route.Objective))
 		}
-		permit, reply, err := x.f.Places.Acquire(ctx, x.permitRequest(candidate, plan, maxWait), ownerReplySpare(x.waitObjective()))
+		permit, reply, err := x.f.Places.Acquire(ctx, x.permitRequest(candidate, plan, maxWait), x.ownerReplySpare(candidate))
 		x.late = x.late || reply.Late
 		refused = refused || flow.ErrRefused.Has(err)
 		switch {
@@ -128,13 +128,19 @@
 	// ownerReplyShare is the share of a route's objective for which the reply of the owner of a gate may
 	// be late, and minOwnerReplySpare the least time: a round trip between sites and a busy VM.
 	ownerReplyShare    = 0.1
-	minOwnerReplySpare = 30 * time.Millisecond
+	minOwnerReplySpare = 60 * time.Millisecond
+	// maxOwnerReplySpare is for requests that nothing but a permit serves well. The client bounds it.
+	maxOwnerReplySpare = time.Second
 )
 
-// ownerReplySpare returns how much longer than it lets a request wait the owner of a gate may take to
-// reply.
-func ownerReplySpare(objective time.Duration) time.Duration {
-	return max(time.Duration(ownerReplyShare*float64(objective)), minOwnerReplySpare)
+// ownerReplySpare returns how much longer than it lets a request wait the owner of the candidate's gate may
+// take to reply. Brittle engines fall over if requests without permits reach them, and a stream that is
+// resumed has only the engines of its version.
+func (x *exchange) ownerReplySpare(candidate PermitCandidate) time.Duration {
+	if candidate.Brittle || x.stream.resumes {
+		return maxOwnerReplySpare
+	}
+	return max(time.Duration(ownerReplyShare*float64(x.waitObjective())), minOwnerReplySpare)
 }
 
 // useUnowned selects an engine without a permit whose gate's owner does not reply, if the engine has
--- a/internal/edge/forward/permit_test.go
+++ b/internal/edge/forward/permit_test.go
@@ -188,6 +188,18 @@
 	})
 }
 
+// Guards against brittle engines that fall over because the owner of their gates replied a little late.
+func TestBrittleEnginesAndResumedStreamsWaitForTheOwner(t *testing.T) {
+	withTestRouter(t, 1, func(tr *testRouter) {
+		x := tr.newExchange(context.Background())
+		usual := x.ownerReplySpare(PermitCandidate{})
+		require.Equal(t, minOwnerReplySpare, usual)
+		require.Equal(t, maxOwnerReplySpare, x.ownerReplySpare(PermitCandidate{Brittle: true}))
+		x.stream.resumes = true
+		require.Equal(t, maxOwnerReplySpare, x.ownerReplySpare(PermitCandidate{}))
+	})
+}
+
 // Guards against engines that are overrun because all routers send them requests without a permit while
 // the owner of their gates does not reply.
 func TestEngineWhoseOwnerIsSilentIsNotOverrun(t *testing.T) {
