--- a/internal/decide/fairshare/service_test.go
+++ b/internal/decide/fairshare/service_test.go
@@ -14,9 +14,8 @@
 // fleet is a number of routers that divide one service, each with the rates that the others had a
 // while ago, before engines that grant a fixed amount of work per second.
 type fleet struct {
-	rng      *rand.Rand
-	routers  []*Service
-	reported []map[string]Rates
+	rng     *rand.Rand
+	routers []*Service
 	// reportDelay is the age of the rates of other routers.
 	reportDelay time.Duration
 	history     []map[string]Rates
