fairshare, feed: weights are computed once; changes without a closure

A division computed the weights of the accounts twice, and the changes of rates were collected through a closure that only delayed a map.

--- a/internal/decide/fairshare/divide.go
+++ b/internal/decide/fairshare/divide.go
@@ -49,7 +49,10 @@
 // urgent priority get theirs first, but no account gets less than floorShare of the mean ratio of what
 // is granted. The order of the result is that of demands.
 func Divide(capacity float64, demands []Demand) []Grant {
-	weights := knownWeights(demands)
+	return divide(capacity, demands, knownWeights(demands))
+}
+
+func divide(capacity float64, demands []Demand, weights []float64) []Grant {
 	floors := floors(capacity, demands)
 	atFloor := make([]bool, len(demands))
 	for {
--- a/internal/decide/fairshare/service.go
+++ b/internal/decide/fairshare/service.go
@@ -115,8 +115,8 @@
 	s.short = asked > shortRatio*capacity
 	elapsed := min(now-s.dividedAt, creditWindow)
 	s.dividedAt = now
-	grants := Divide(headroom*capacity, demands)
 	weights := knownWeights(demands)
+	grants := divide(headroom*capacity, demands, weights)
 	mean := meanOf(weights)
 	s.grants = make(map[string]Grant, len(accounts))
 	credits := make(map[string]float64, len(accounts))
--- a/internal/edge/feed/accountrates.go
+++ b/internal/edge/feed/accountrates.go
@@ -34,21 +34,15 @@
 
 // changesFrom returns the rates that differ from those last reported. A zero entry removes an account.
 func (a AccountRates) changesFrom(last AccountRates) AccountRates {
-	var out AccountRates
-	set := func(key AccountKey, rates fairshare.Rates) {
-		if out == nil {
-			out = make(AccountRates)
-		}
-		out[key] = rates
-	}
+	out := make(AccountRates)
 	for key, rates := range a {
 		if old, known := last[key]; !known || rates.Differ(old) {
-			set(key, rates)
+			out[key] = rates
 		}
 	}
 	for key := range last {
 		if _, present := a[key]; !present {
-			set(key, fairshare.Rates{})
+			out[key] = fairshare.Rates{}
 		}
 	}
 	return out
