origins: a resumed stream waits until its version is settled

A stream that begins at an engine whose start is not proved has a record without a version until the engine has stated its start, for which its router waits 300 ms. The router that resumes it looked for 100 ms. Change: it looks for 400 ms. The record's age is bounded as before.

--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -19,9 +19,10 @@
 	// findTimeout bounds the calls to one ring of replicas.
 	findTimeout = 150 * time.Millisecond
 	// unsettledPause is the pause before replicas are queried again whose record states no version yet, and
-	// maxUnsettled how often that is done. unsettledAge is how old the record may be.
+	// maxUnsettled how often that is done: for 400 ms, as the router that began the stream waits 300 ms for
+	// the engine to state its start. unsettledAge is how old the record may be.
 	unsettledPause = 25 * time.Millisecond
-	maxUnsettled   = 4
+	maxUnsettled   = 16
 	unsettledAge   = time.Second
 	// maxRings is how many rings of replicas are queried. Those of the second may have been the replicas
 	// before routers came or went.
