forward: a resumed stream waits for an engine that is stating its start

Cause: a router that has just connected to an engine queries it for its start, and waits 300 ms for the reply, but the stream that needs it waited 20 ms. It was refused by one engine of its version after the other, each in doubt for the same reason, and ended with 502. Change: while the engine is queried, the stream waits up to the time-out of the query. It stops at once when the engine has stated another start. Conclusion: the response is there already; another engine of the version would have to be queried as well.

--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -285,6 +285,13 @@
 	return false
 }
 
+// Querying reports whether the engine is being queried for its start.
+func (d *RestartDoubts) Querying(e catalog.Engine) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.losses[e.ID].querying
+}
+
 // query asks the engine for its start, unless that is in progress. The caller holds the mutex.
 func (d *RestartDoubts) query(engine string, l loss) {
 	if l.querying || l.queries >= maxQueries || l.engine.ID != engine {
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -12,8 +12,8 @@
 	// recordWait bounds the wait for the replicas of a stream's record. Only a stream whose request was
 	// sent to engines of two versions waits for them.
 	recordWait = 50 * time.Millisecond
-	// doubtWait is how long a stream waits for proof that an engine was not restarted, and doubtPoll how
-	// often it looks.
+	// doubtWait is how long a stream waits for proof that an engine was not restarted while the engine is not
+	// queried for its start, and doubtPoll how often it looks.
 	doubtWait = 20 * time.Millisecond
 	doubtPoll = 2 * time.Millisecond
 	// maxRequestID is the longest ID by which a stream can be resumed, in bytes.
@@ -111,14 +111,19 @@
 }
 
 // confirmVersion reports whether the response of an engine is certainly of the version at which the
-// stream continues. A request that begins a stream needs no certain version.
+// stream continues. A request that begins a stream needs no certain version. While the engine is queried
+// for its start, the request waits: another engine would have to be queried as well.
 func (x *exchange) confirmVersion(e catalog.Engine) bool {
 	if x.stream.version == "" {
 		return true
 	}
 	x.f.Doubts.Verify(e)
 	for waited := time.Duration(0); x.f.Doubts.InDoubt(e); waited += doubtPoll {
-		if waited >= doubtWait || !pause.For(x.r.Context(), doubtPoll) {
+		limit := doubtWait
+		if x.f.Doubts.Querying(e) {
+			limit += queryTimeout
+		}
+		if waited >= limit || x.f.Doubts.Restarted(e) || !pause.For(x.r.Context(), doubtPoll) {
 			return false
 		}
 	}
