forward: a broken stream waits until the version that began it is proved

Cause: a stream that began at an engine whose start was not proved yet is resumed only once it is. A stream that broke off before was not resumed at all. Change: the stream waits while the engine is queried, for up to two time-outs of the query: one that was in progress when the connection was lost proves nothing.

--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -28,9 +28,10 @@
 	// service and version are those of the engine that began the stream. They are empty before the first
 	// event, and for a stream that may continue anywhere.
 	service, version string
-	// doubtful is set if the stream has begun at an engine that may have been restarted with another
-	// version. Its record tells whether that has been settled since.
+	// doubtful is set if the stream has begun at an engine, beganAt, that may have been restarted with
+	// another version. Its record tells whether that has been settled since.
 	doubtful bool
+	beganAt  catalog.Engine
 
 	// id and seq distinguish this exchange and its records from others; sentTo is the version of the last
 	// record, and recorded the channel that is closed once its replicas have it.
@@ -83,7 +84,7 @@
 	}
 	x.stream.service, x.stream.version = e.Service, e.Version
 	if x.f.Doubts.InDoubt(e) {
-		x.stream.doubtful = true
+		x.stream.doubtful, x.stream.beganAt = true, e
 		if x.recordsOrigin() {
 			x.stream.seq++
 			x.stream.recorded = x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, true)
@@ -102,12 +103,13 @@
 	}
 }
 
-// holdVersion reports whether it is known at which version the stream that has begun continues.
+// holdVersion reports whether it is known at which version the stream that has begun continues. It waits
+// while the engine that began it is queried for its start.
 func (x *exchange) holdVersion() bool {
 	if !x.stream.doubtful {
 		return x.stream.version != ""
 	}
-	return x.f.Origins.Known(x.streamRecord())
+	return x.awaitStart(x.stream.beganAt, func() bool { return x.f.Origins.Known(x.streamRecord()) })
 }
 
 // confirmVersion reports whether the response of an engine is certainly of the version at which the
@@ -118,10 +120,17 @@
 		return true
 	}
 	x.f.Doubts.Verify(e)
-	for waited := time.Duration(0); x.f.Doubts.InDoubt(e); waited += doubtPoll {
+	return x.awaitStart(e, func() bool { return !x.f.Doubts.InDoubt(e) })
+}
+
+// awaitStart waits until known returns true, which proof that the engine was not restarted brings about. It
+// returns false if there is none in time. A query that was in progress when a connection was lost proves
+// nothing, so that the time is enough for two.
+func (x *exchange) awaitStart(e catalog.Engine, known func() bool) bool {
+	for waited := time.Duration(0); !known(); waited += doubtPoll {
 		limit := doubtWait
 		if x.f.Doubts.Querying(e) {
-			limit += queryTimeout
+			limit += 2 * queryTimeout
 		}
 		if waited >= limit || x.f.Doubts.Restarted(e) || !pause.For(x.r.Context(), doubtPoll) {
 			return false
