room, gate: engines are sent what fits into their memory

Load: prompts of 9,200, 2,400 and 700 tokens at engines of 64 slots and 140,000 tokens. The memory is full while half of the slots are free; gates that count slots alone send more, and the engines preempt streams, evict prompts and read them again. Change: a gate counts what requests hold and will hold until they have ended: prompts, each shared part once, and outputs, whose lengths are learned from hints and events. A request that does not fit waits, and smaller ones don't pass it. What an engine states (requests waiting beside free slots) adds a reserve. A service is congested by memory from half of it on. The lab's engines preempt when outputs outgrow the memory.

--- a/internal/decide/gate/gate.go
+++ b/internal/decide/gate/gate.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 )
 
 const (
@@ -95,6 +96,8 @@
 	// Pace is the bound on the rate of requests to the engine that the requester knows of; the zero
 	// value means none.
 	Pace Pace
+	// Need is the memory that the request needs at the engine, as far as it is known.
+	Need room.Need
 }
 
 // Decision is the gate's decision on a request.
@@ -127,6 +130,7 @@
 	reserveAt time.Time
 	leases    map[string]lease
 	slots     int
+	memory    room.Memory
 	pacer     pacer
 	// unleased is the number of requests at the engine without a lease of this gate.
 	unleased int
@@ -155,9 +159,20 @@
 // SetSlots sets how many requests may be at the engine at once.
 func (g *Gate) SetSlots(n int) { g.slots = max(n, 0) }
 
+// SetMemory sets the memory of the engine, in tokens; zero for no bound.
+func (g *Gate) SetMemory(tokens int) { g.memory.SetTokens(tokens) }
+
+// ObserveLoad records what the engine has stated: the requests that run and wait there, and its slots.
+func (g *Gate) ObserveLoad(now time.Time, running, waiting, slots int) {
+	g.memory.Observe(now, running, waiting, slots)
+}
+
 // SetUnleased sets how many requests are at the engine without a lease of this gate: those sent
 // while no lease was needed, or with a lease of another owner.
-func (g *Gate) SetUnleased(n int) { g.unleased = max(n, 0) }
+func (g *Gate) SetUnleased(n int) {
+	g.unleased = max(n, 0)
+	g.memory.SetOthers(n)
+}
 
 // Held returns the number of leases.
 func (g *Gate) Held() int { return len(g.leases) }
@@ -179,7 +194,7 @@
 		return Decision{ID: req.ID, Granted: true}, false
 	}
 	g.pacer.set(now, req.Pace)
-	if !g.mustQueue(now, req) && g.hasFreeSlot(now) {
+	if !g.mustQueue(now, req) && g.hasFreeSlot(now) && g.fits(now, req) {
 		g.grant(now, req)
 		return Decision{ID: req.ID, Granted: true}, false
 	}
@@ -210,6 +225,16 @@
 	return float64(len(g.leases)+g.unleased) < float64(g.slots)-math.Round(g.reserved(now))
 }
 
+// fits reports whether the engine has memory for the request. Requests beyond their account's share leave
+// as large a share of the memory as of the slots.
+func (g *Gate) fits(now time.Time, req Request) bool {
+	share := 1.0
+	if req.Beyond && g.slots > 0 {
+		share -= math.Round(g.reserved(now)) / float64(g.slots)
+	}
+	return g.memory.Fits(now, req.Need, share)
+}
+
 // reserved returns the number of slots reserved for requests within their account's share.
 func (g *Gate) reserved(now time.Time) float64 {
 	least, most := beyondReserve*float64(g.slots), maxBeyondReserve*float64(g.slots)
@@ -265,12 +290,23 @@
 	if hold <= 0 {
 		return 0
 	}
-	return float64(g.slots) * weight / hold.Seconds()
+	parallel := float64(g.slots)
+	if n, bounded := g.memory.Requests(); bounded {
+		parallel = min(parallel, n)
+	}
+	return parallel * weight / hold.Seconds()
 }
 
 func (g *Gate) grant(now time.Time, req Request) {
 	g.pacer.recordGrant(now)
 	g.leases[req.ID] = lease{holder: req.Holder, weight: max(req.Weight, 1), granted: now, until: req.Until}
+	g.memory.Start(now, req.ID, req.Need)
+}
+
+// end ends a lease. completed means that its request is known to have left the engine.
+func (g *Gate) end(now time.Time, id string, completed bool) {
+	delete(g.leases, id)
+	g.memory.End(now, id, completed)
 }
 
 // Release ends a lease and reports whether there was one.
@@ -279,7 +315,7 @@
 	if !ok {
 		return false
 	}
-	delete(g.leases, id)
+	g.end(now, id, true)
 	g.queue.Observe(now, l.weight)
 	g.recordHold(now.Sub(l.granted), float64(l.weight))
 	return true
@@ -301,7 +337,7 @@
 		return
 	}
 	g.undelivered = slices.DeleteFunc(g.undelivered, func(d Decision) bool { return d.ID == id })
-	delete(g.leases, id)
+	g.end(now, id, false)
 }
 
 // DropHolder removes all leases and queued requests of a router that is dead or has joined anew. A
@@ -309,7 +345,7 @@
 func (g *Gate) DropHolder(now time.Time, holder string) {
 	for id, l := range g.leases {
 		if l.holder == holder {
-			delete(g.leases, id)
+			g.end(now, id, false)
 		}
 	}
 	for id, req := range g.waiting {
@@ -333,7 +369,9 @@
 		if g.queue.Len() == g.beyondWaiting && !g.hasSlotBeyondShares(now) {
 			break
 		}
-		item, ok := g.queue.Pop(now)
+		// A request that needs more memory than is free is not passed by smaller ones: under a lasting load,
+		// it would never find enough.
+		item, ok := g.queue.PopIf(now, func(item *queue.Item) bool { return g.fits(now, g.waiting[item.ID]) })
 		if !ok {
 			break
 		}
@@ -362,7 +400,7 @@
 func (g *Gate) expireLeases(now time.Time) {
 	for id, l := range g.leases {
 		if !l.until.IsZero() && now.After(l.until) {
-			delete(g.leases, id)
+			g.end(now, id, false)
 		}
 	}
 }
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -196,12 +196,22 @@
 // Pop removes and returns the next item; ok is false if there is none. Items found past
 // their deadline are skipped and returned by the next call of Expire.
 func (q *Queue) Pop(now time.Time) (it Item, ok bool) {
+	return q.PopIf(now, func(*Item) bool { return true })
+}
+
+// PopIf is Pop if the next item is suitable, and otherwise leaves it the next one.
+func (q *Queue) PopIf(now time.Time, suitable func(*Item) bool) (it Item, ok bool) {
 	q.advance(now)
 	first, second := q.heads(now)
 	if first == nil {
 		return Item{}, false
 	}
+	credit := q.reserveCredit
 	e := q.selectHead(first, second)
+	if !suitable(&e.item) {
+		q.reserveCredit = credit
+		return Item{}, false
+	}
 	e.level.serve(e)
 	q.drain.recordDispatched(e.level.class, e.item.Weight)
 	q.untrack(e)
--- a/internal/edge/choose/choose.go
+++ b/internal/edge/choose/choose.go
@@ -47,6 +47,8 @@
 	InFlight int
 	// Slots is the number of requests that the engine executes concurrently; zero if unknown.
 	Slots int
+	// Room is how many requests of the mean length fit into the engine's memory; zero if unknown.
+	Room int
 	// SameSite is set for engines in the router's own site.
 	SameSite bool
 	// Draining is set for engines that get no new requests. Other engines can still fetch from their
@@ -157,14 +159,20 @@
 // acquiring a slot costs a round trip.
 const congestedUtilization = 0.4
 
+// congestedMemory is the same for the memory of a service. It is higher because the estimate counts parts
+// that several requests share once for each.
+const congestedMemory = 0.5
+
 // Crowded reports whether requests to the service must acquire a slot before they are sent.
 func Crowded(engines []Engine) bool {
-	inFlight, slots := 0, 0
+	inFlight, slots, room := 0, 0, 0
 	for _, i := range usableEngines(engines) {
 		inFlight += engines[i].InFlight
 		slots += engines[i].Slots
+		room += engines[i].Room
 	}
-	return slots > 0 && float64(inFlight) >= congestedUtilization*float64(slots)
+	return slots > 0 && float64(inFlight) >= congestedUtilization*float64(slots) ||
+		room > 0 && float64(inFlight) >= congestedMemory*float64(room)
 }
 
 // extraInFlight is the number of requests beyond its slots that an engine may be sent. These
--- a/internal/lab/model/cache.go
+++ b/internal/lab/model/cache.go
@@ -37,6 +37,17 @@
 	return total
 }
 
+// unpinnedTokens returns how many tokens of the prompt no running request has pinned.
+func (c *cache) unpinnedTokens(prompt []Segment) int {
+	total := 0
+	for _, p := range prompt {
+		if entry := c.segments[p.ID]; entry == nil || entry.pins == 0 {
+			total += p.Tokens
+		}
+	}
+	return total
+}
+
 // add inserts the prompt's segments or updates their time of use.
 func (c *cache) add(prompt []Segment, now time.Duration) {
 	for _, p := range prompt {
--- a/internal/lab/model/callers.go
+++ b/internal/lab/model/callers.go
@@ -33,6 +33,9 @@
 	// SystemPromptTokens and SubjectTokens their mean lengths. UniqueTokens is the mean
 	// length of the rest of the prompt, OutputTokens that of the response.
 	SystemPrompts, SystemPromptTokens, Subjects, SubjectTokens, UniqueTokens, OutputTokens int
+	// HintError is the spread of the logarithm of the caller's hint of the output's length around the
+	// length; zero for no hint.
+	HintError float64
 	// Work is the mean execution time at a plain engine; zero for requests with
 	// prompts.
 	Work time.Duration
@@ -75,7 +78,9 @@
 	Prompt       []Segment
 	UniqueTokens int
 	OutputTokens int
-	Work         time.Duration
+	// Hint is the length of the output that the caller expects; zero for none.
+	Hint int
+	Work time.Duration
 	// FirstArrived is when the first attempt arrived, Arrived when this one did.
 	FirstArrived, Arrived time.Duration
 	Attempt               int
@@ -213,6 +218,9 @@
 		r.Prompt = append(r.Prompt, c.segment(fmt.Sprint(index, "-first-", subject%class.SystemPrompts), class.SystemPromptTokens))
 	}
 	r.Prompt = append(r.Prompt, c.segment(fmt.Sprint(index, "-subject-", subject), class.SubjectTokens))
+	if class.HintError > 0 {
+		r.Hint = max(1, int(float64(r.OutputTokens)*math.Exp(class.HintError*c.rng.NormFloat64())))
+	}
 	c.sim.Results.recordRequest(r)
 	return r
 }
@@ -246,7 +254,7 @@
 	}
 	wait := min(retryAfter, time.Duration(maxDelayShare*float64(remaining)))
 	retry := Request{
-		ID: r.ID, Class: r.Class, ClassIndex: r.ClassIndex, Account: r.Account, Prompt: r.Prompt, UniqueTokens: r.UniqueTokens, OutputTokens: r.OutputTokens, Work: r.Work,
+		ID: r.ID, Class: r.Class, ClassIndex: r.ClassIndex, Account: r.Account, Prompt: r.Prompt, UniqueTokens: r.UniqueTokens, OutputTokens: r.OutputTokens, Hint: r.Hint, Work: r.Work,
 		FirstArrived: r.FirstArrived, Attempt: r.Attempt + 1, timeout: r.timeout,
 	}
 	c.sim.After(wait, func() { c.arrive(&retry) })
--- a/internal/lab/model/engine.go
+++ b/internal/lab/model/engine.go
@@ -40,6 +40,7 @@
 	generated    int
 	memoryTokens int
 	streaming    bool
+	preempted    bool
 	removed      bool
 }
 
@@ -54,6 +55,11 @@
 	Slowdown float64
 	Down     bool
 
+	// Begun counts the requests that have begun to run, Preempted those of them that were preempted.
+	// busy is the time for which the batch was not empty, held the memory that requests held times that.
+	Begun, Preempted int
+	busy, held       float64
+
 	waiting    []*execution
 	batch      []*execution
 	cache      *cache
@@ -144,6 +150,9 @@
 	x.memoryTokens = x.request.UniqueTokens + x.generated
 	e.cache.pin(x.request.Prompt, e.sim.Now())
 	e.batch = append(e.batch, x)
+	if !x.preempted {
+		e.Begun++
+	}
 }
 
 // ensureCapacity reports whether there is a slot and memory for the request, after preempting
@@ -152,15 +161,29 @@
 	if e.config.Plain {
 		return len(e.batch) < e.config.Slots
 	}
-	for len(e.batch) >= e.config.Slots || e.pinned()+x.request.UniqueTokens+x.generated > e.config.MemoryTokens {
+	for len(e.batch) >= e.config.Slots || e.pinned()+e.needs(x) > e.config.MemoryTokens {
 		if !e.preempt(x.priority) {
 			return false
 		}
 	}
-	e.cache.evict(e.config.MemoryTokens - e.pinned() - x.request.UniqueTokens - x.generated)
+	e.cache.evict(e.config.MemoryTokens - e.pinned() - e.needs(x))
 	return true
 }
 
+// needs returns the memory that a waiting request needs to begin, in tokens.
+func (e *Engine) needs(x *execution) int {
+	return x.request.UniqueTokens + x.generated + e.cache.unpinnedTokens(x.request.Prompt)
+}
+
+// makeRoom evicts cached segments, and preempts the newest of the least urgent requests, until the memory
+// holds what requests have generated. The last one runs on whatever it needs.
+func (e *Engine) makeRoom() {
+	for len(e.batch) > 1 && e.pinned() > e.config.MemoryTokens {
+		e.preempt(-1)
+	}
+	e.cache.evict(e.config.MemoryTokens - e.pinned())
+}
+
 // pinned returns the memory that can't be evicted, in tokens.
 func (e *Engine) pinned() int {
 	total := 0
@@ -185,6 +208,10 @@
 	x := e.batch[victim]
 	e.batch = slices.Delete(e.batch, victim, victim+1)
 	e.cache.unpin(x.request.Prompt)
+	if !x.preempted {
+		x.preempted = true
+		e.Preempted++
+	}
 	at := 0
 	for at < len(e.waiting) && e.waiting[at].priority < x.priority {
 		at++
@@ -217,6 +244,8 @@
 	if decoding > 0 {
 		duration += e.config.StepTime + time.Duration(decoding)*e.config.StepPerRequest + time.Duration(memoryTokens)*e.config.StepPerToken
 	}
+	e.busy += duration.Seconds()
+	e.held += duration.Seconds() * float64(e.pinned())
 	e.sim.After(e.scale(duration), func() { e.finishStep() })
 }
 
@@ -243,6 +272,7 @@
 			e.sim.recordEvent(x.request, now)
 		}
 	}
+	e.makeRoom()
 	e.startStep()
 }
 
--- a/internal/lab/model/gated.go
+++ b/internal/lab/model/gated.go
@@ -7,6 +7,8 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
 )
 
@@ -20,6 +22,8 @@
 	// congestedFor is how long requests still need permits after the engines were
 	// last congested.
 	congestedFor = 2 * time.Second
+	// eventTokens is the number of tokens in an event as routers see them.
+	eventTokens = 7
 	// outputTokenWeight is the weight of a response token, in prompt tokens.
 	outputTokenWeight = 10
 )
@@ -35,6 +39,8 @@
 	withoutPermit []int
 	refused       gate.RefusalHistory
 	shares        *accountShares
+	// outputs holds what is known of the lengths of outputs, by class; nil if gates count slots only.
+	outputs map[int]*room.Outputs
 }
 
 // permitRequest is a request that waits for the decision of a gate.
@@ -73,6 +79,9 @@
 	req.ID = strconv.Itoa(g.lastID)
 	now := g.sim.Now()
 	g.byEngine[engine].SetSlots(permits)
+	if g.outputs != nil {
+		g.byEngine[engine].SetMemory(g.sim.Engines[engine].config.MemoryTokens)
+	}
 	decision, waits := g.byEngine[engine].Acquire(toTime(now), req)
 	if !waits {
 		onDecision(decision)
@@ -117,6 +126,26 @@
 	g.settle(engine)
 }
 
+// outputsOf returns what is known of the outputs of a class.
+func (g *engineGates) outputsOf(class int) *room.Outputs {
+	if g.outputs[class] == nil {
+		g.outputs[class] = &room.Outputs{}
+	}
+	return g.outputs[class]
+}
+
+// need returns the memory that the request needs, if gates count it.
+func (g *engineGates) need(req *Request) room.Need {
+	if g.outputs == nil || !req.hasPrompt() {
+		return room.Need{}
+	}
+	need := room.Need{Own: req.UniqueTokens, Output: g.outputsOf(req.ClassIndex).Expect(req.Hint, 0)}
+	for _, p := range req.Prompt {
+		need.Parts = append(need.Parts, room.Part{ID: rendezvous.ID(p.ID), Tokens: p.Tokens})
+	}
+	return need
+}
+
 // withdraw withdraws a waiting permit request.
 func (g *engineGates) withdraw(id string) {
 	if waiting := g.waiting[id]; waiting != nil {
@@ -138,6 +167,7 @@
 	waiting        map[*Request]string
 	congestedUntil time.Duration
 	meanDuration   time.Duration
+	meanNeed       room.Mean
 	overload       gate.Overload
 	// timeouts holds the baselines of the callers' timeouts, by class.
 	timeouts map[int]*gate.TimeoutBaseline
@@ -159,9 +189,22 @@
 	}
 }
 
+// NewGatedByMemory is NewGated without shares, with gates that count memory beside slots.
+func NewGatedByMemory() func(*Router, *rand.Rand) Policy {
+	newPolicy := NewGated(NoShares)
+	return func(r *Router, rng *rand.Rand) Policy {
+		p := newPolicy(r, rng).(*Gated)
+		if p.gates.outputs == nil {
+			p.gates.outputs = make(map[int]*room.Outputs)
+		}
+		return p
+	}
+}
+
 // Arrived implements Policy.
 func (p *Gated) Arrived(req *Request) {
 	engines := EngineStates(p.router)
+	p.setRoom(engines, req)
 	now := p.router.Now()
 	if p.timeouts[req.ClassIndex] == nil {
 		p.timeouts[req.ClassIndex] = &gate.TimeoutBaseline{}
@@ -194,6 +237,18 @@
 	p.requestPermit(req, candidates, permits, 0)
 }
 
+// setRoom sets how many requests fit into the memory of the engines, if gates count it.
+func (p *Gated) setRoom(engines []choose.Engine, req *Request) {
+	if p.gates.outputs == nil || !req.hasPrompt() {
+		return
+	}
+	need := p.gates.need(req)
+	p.meanNeed.Add(need)
+	for i := range engines {
+		engines[i].Room = p.meanNeed.Requests(p.router.Engines()[i].config.MemoryTokens)
+	}
+}
+
 func (p *Gated) sendWithoutPermit(req *Request, engines []choose.Engine) {
 	engine, fetchFrom := selectEngine(p.router, engines, p.holders, req, p.rng)
 	if engine == choose.NoEngine {
@@ -222,6 +277,7 @@
 	permitReq := gate.Request{
 		Holder: strconv.Itoa(p.router.Index), Account: strconv.Itoa(req.Account), Class: queue.Class(req.Class.Urgency), Late: late, Beyond: req.beyond,
 		Weight: int64(req.UniqueTokens + outputTokenWeight*req.OutputTokens), Latest: toTime(now + routerRoundTrip/2 + wait), Hold: p.meanDuration,
+		Need: p.gates.need(req),
 	}
 	sim := p.router.sim
 	sim.After(routerRoundTrip/2, func() {
@@ -281,7 +337,10 @@
 const durationWeight = 1.0 / 32
 
 // Ended implements Policy.
-func (p *Gated) Ended(req *Request, engine int, _ bool) {
+func (p *Gated) Ended(req *Request, engine int, served bool) {
+	if served && p.gates.outputs != nil {
+		p.gates.outputsOf(req.ClassIndex).Observe(req.Hint, (req.OutputTokens+eventTokens-1)/eventTokens)
+	}
 	duration := p.router.Now() - req.sentAt
 	if p.meanDuration == 0 {
 		p.meanDuration = duration
@@ -293,7 +352,12 @@
 		return
 	}
 	delete(p.leases, req)
-	p.router.sim.After(routerRoundTrip/2, func() { p.gates.release(engine, id) })
+	e := p.router.Engines()[engine]
+	running, waiting := len(e.batch), len(e.waiting)
+	p.router.sim.After(routerRoundTrip/2, func() {
+		p.gates.byEngine[engine].ObserveLoad(toTime(p.router.Now()), running, waiting, e.config.Slots)
+		p.gates.release(engine, id)
+	})
 }
 
 // Rejected implements Policy.
--- a/internal/lab/model/workloads.go
+++ b/internal/lab/model/workloads.go
@@ -26,6 +26,28 @@
 	}
 }
 
+// MemoryWorkload returns a pool of model engines whose memory is full long before their slots are, and three
+// classes of streams with prompts of 9,200, 2,400 and 700 tokens. Hints are off by the factor 2.2 or more
+// for a third of the requests.
+func MemoryWorkload(engines int) ([]EngineConfig, []Class) {
+	all, _ := ModelWorkload(engines)
+	for i := range all {
+		all[i].Slots, all[i].QueueLimit, all[i].MemoryTokens = 64, 128, 140_000
+	}
+	class := Class{
+		Objective: 800 * time.Millisecond, MaxPause: 600 * time.Millisecond, FirstEventTimeout: 3200 * time.Millisecond,
+		Timeout: 12 * time.Second, LateShare: 0.1, HintError: 0.8,
+	}
+	long, medium, short := class, class, class
+	long.Name, long.Urgency, long.PerSecond, long.Value = "long", 0, 12, 5
+	long.Subjects, long.SubjectTokens, long.UniqueTokens, long.OutputTokens = 600, 7000, 2200, 380
+	medium.Name, medium.Urgency, medium.PerSecond, medium.Value = "medium", 1, 30, 2
+	medium.Subjects, medium.SubjectTokens, medium.UniqueTokens, medium.OutputTokens = 300, 1500, 900, 300
+	short.Name, short.Urgency, short.PerSecond, short.Value = "short", 2, 40, 1
+	short.Subjects, short.SubjectTokens, short.UniqueTokens, short.OutputTokens = 100, 400, 300, 150
+	return all, []Class{long, medium, short}
+}
+
 // Surge returns a LoadFactor that is factor between two times and 1 otherwise.
 func Surge(factor float64, from, to time.Duration) func(time.Duration, int, int) float64 {
 	return func(now time.Duration, _, _ int) float64 {
