--- a/test/soak/crashes.go
+++ b/test/soak/crashes.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// firstCrashAfter returns when the first engine was ended after t; zero if none was.
+func (cl *cluster) firstCrashAfter(t time.Time) (first time.Time) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, times := range cl.crashes {
+		for _, at := range times {
+			if at.After(t) && (first.IsZero() || at.Before(first)) {
+				first = at
+			}
+		}
+	}
+	return first
+}
+
 // ifOpen calls f unless the cluster is closed.
 func (cl *cluster) ifOpen(f func()) {
 	if !cl.isClosed() {
--- a/test/soak/returns.go
+++ b/test/soak/returns.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"damaskrouter.example/damaskrouter/platform/platformtest"
 	"damaskrouter.example/damaskrouter/platform/standin"
 )
 
@@ -43,6 +44,9 @@
 // lostRewrites is the number of entries that engines write in vain before the last return.
 const lostRewrites = 20
 
+// entrySpread is the time within which all routers have an entry of the store.
+const entrySpread = 500 * time.Millisecond
+
 // leaveAfterReturn lets the store return from a copy that lacks many versions, and an engine leave
 // afterwards, by its state or by the removal of its entry. The store writes that at a version that the
 // routers have known before the return. It ends when the engine may get no more requests.
@@ -62,6 +66,8 @@
 	cl.store.SetFaults(standin.Faults{})
 	time.Sleep(duration(rng, 500*time.Millisecond, time.Second))
 	cl.addEngine(e.Site)
+	// Until the new engine is warm, the slots of the others may not be sufficient without the one that leaves.
+	time.Sleep(platformtest.ColdStart + entrySpread)
 	if rng.IntN(2) == 0 {
 		cl.store.PutEngine(e.Engine, e.proxy.address(), "draining")
 	} else {
