forward, flow: gates learn what requests need, and services are congested by memory

Cause: gates count memory since, but no request stated its need. Change: the need of a request (prompt, shared parts, expected output) and the memory of its engine travel with the request for a slot. Lengths of outputs are learned from whole streams by route; Damaskrouter-Length-Hint is read for it. A prompt that is larger than any memory is refused at once with 413 (prompt_too_large). A refusal for memory says so in the log (no_memory, need). Means count the first requests alike.

--- a/internal/decide/gate/gate.go
+++ b/internal/decide/gate/gate.go
@@ -107,6 +107,8 @@
 	// Wait is how long a refused request would have had to wait. It is zero for a granted request
 	// and for one refused by RefuseAll.
 	Wait time.Duration
+	// NoMemory means that a slot was free when the request was refused, but not enough memory.
+	NoMemory bool
 }
 
 // lease is a granted slot.
@@ -169,10 +171,7 @@
 
 // SetUnleased sets how many requests are at the engine without a lease of this gate: those sent
 // while no lease was needed, or with a lease of another owner.
-func (g *Gate) SetUnleased(n int) {
-	g.unleased = max(n, 0)
-	g.memory.SetOthers(n)
-}
+func (g *Gate) SetUnleased(n int) { g.unleased = max(n, 0) }
 
 // Held returns the number of leases.
 func (g *Gate) Held() int { return len(g.leases) }
@@ -202,7 +201,7 @@
 	item := queue.Item{ID: req.ID, Account: req.Account, Class: g.queueClass(req), Weight: req.Weight, Deadline: req.Latest}
 	if err := g.queue.Push(now, item); err != nil {
 		g.raiseReserve(now, req)
-		return Decision{ID: req.ID, Wait: g.queue.PredictWait(now, item)}, false
+		return g.refusal(now, req, item), false
 	}
 	g.waiting[req.ID] = req
 	if req.Beyond {
@@ -211,6 +210,11 @@
 	return Decision{}, true
 }
 
+// refusal returns the decision that refuses a request.
+func (g *Gate) refusal(now time.Time, req Request, item queue.Item) Decision {
+	return Decision{ID: req.ID, Wait: g.queue.PredictWait(now, item), NoMemory: g.hasFreeSlot(now) && !g.fits(now, req)}
+}
+
 // mustQueue reports whether the request gets no slot before others, even if one is free.
 func (g *Gate) mustQueue(now time.Time, req Request) bool {
 	if req.Beyond {
@@ -232,6 +236,7 @@
 	if req.Beyond && g.slots > 0 {
 		share -= math.Round(g.reserved(now)) / float64(g.slots)
 	}
+	g.memory.SetOthers(g.unleased + len(g.leases) - g.memory.Holders())
 	return g.memory.Fits(now, req.Need, share)
 }
 
@@ -361,8 +366,9 @@
 func (g *Gate) Settle(now time.Time) []Decision {
 	g.expireLeases(now)
 	for _, item := range g.queue.Expire(now) {
-		g.undelivered = append(g.undelivered, Decision{ID: item.ID, Wait: g.queue.PredictWait(now, item)})
-		g.raiseReserve(now, g.waiting[item.ID])
+		req := g.waiting[item.ID]
+		g.undelivered = append(g.undelivered, g.refusal(now, req, item))
+		g.raiseReserve(now, req)
 		g.dequeued(item.ID)
 	}
 	for g.hasFreeSlot(now) {
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -50,7 +50,7 @@
 	// overrun is the share of what a request has generated beyond its expected length by which it is
 	// expected to go on. Lengths are spread widely, so that the longer a request runs over, the more is to come.
 	overrun = 0.3
-	// smoothing is the weight of the newest request in the moving averages.
+	// smoothing is the least weight of the newest request in the means.
 	smoothing = 1.0 / 32
 	// raiseStep is the share of the memory that is kept free after the engine has stated that it is short
 	// of memory, maxReserve the largest one, and reserveWindow the time constant in which it returns.
@@ -63,11 +63,12 @@
 type Memory struct {
 	tokens  int
 	holders map[string]holder
-	// others is the number of requests at the engine of which nothing is known.
+	// others is the number of requests at the engine of which nothing is known. They count as the mean, and
+	// before that is known as the one that is to be sent.
 	others int
-	// meanHeld and meanOutput are moving averages of the needs, meanTime that of the time for which requests
-	// have held memory; zero before the first.
-	meanHeld, meanOutput, meanTime float64
+	// meanHeld and meanOutput are the means of the needs, meanTime that of the time in seconds for which
+	// requests have held memory.
+	meanHeld, meanOutput, meanTime movingMean
 	// reserve is the share that was kept free at reserveAt.
 	reserve   float64
 	reserveAt time.Time
@@ -92,16 +93,19 @@
 // SetTokens sets the size of the memory; zero for no bound.
 func (m *Memory) SetTokens(n int) { m.tokens = max(n, 0) }
 
-// SetOthers sets how many requests are at the engine of which nothing is known. Each counts as the mean.
+// SetOthers sets how many requests are at the engine of which nothing is known.
 func (m *Memory) SetOthers(n int) { m.others = max(n, 0) }
 
+// Holders returns the number of requests at the engine whose needs are counted.
+func (m *Memory) Holders() int { return len(m.holders) }
+
 // Fits reports whether a request fits into a share of the memory, beside those that run, until all of
 // them have ended. A request that fits into the empty memory fits if nothing else runs.
 func (m *Memory) Fits(now time.Time, need Need, share float64) bool {
 	if m.tokens == 0 || len(m.holders)+m.others == 0 {
 		return true
 	}
-	return m.peak(now, need) <= share*(1-m.reserved(now))*float64(m.tokens)
+	return m.peak(now, m.assumed(need)) <= share*(1-m.reserved(now))*float64(m.tokens)
 }
 
 // Start records that a request has been sent to the engine.
@@ -109,17 +113,23 @@
 	if m.tokens == 0 {
 		return
 	}
-	if !need.Known() {
-		need = Need{Own: int(m.meanHeld), Output: int(m.meanOutput)}
-	}
+	need = m.assumed(need)
 	if m.holders == nil {
 		m.holders = make(map[string]holder)
 	}
-	average(&m.meanHeld, float64(m.additional(need)))
-	average(&m.meanOutput, float64(need.Output))
+	m.meanHeld.add(float64(m.additional(need)))
+	m.meanOutput.add(float64(need.Output))
 	m.holders[id] = holder{need: need, since: now}
 }
 
+// assumed returns a need, or the mean one if nothing is known of it.
+func (m *Memory) assumed(need Need) Need {
+	if need.Known() {
+		return need
+	}
+	return Need{Own: int(m.meanHeld.value), Output: int(m.meanOutput.value)}
+}
+
 // End records that a request has left the engine. completed means that its output is whole.
 func (m *Memory) End(now time.Time, id string, completed bool) {
 	h, ok := m.holders[id]
@@ -128,7 +138,7 @@
 	}
 	delete(m.holders, id)
 	if completed {
-		average(&m.meanTime, now.Sub(h.since).Seconds())
+		m.meanTime.add(now.Sub(h.since).Seconds())
 	}
 }
 
@@ -144,7 +154,7 @@
 // Requests returns how many requests of the mean need fit into the memory; false if there is no bound or
 // the need is not known.
 func (m *Memory) Requests() (n float64, bounded bool) {
-	each := m.meanHeld + m.meanOutput/2
+	each := m.meanHeld.value + m.meanOutput.value/2
 	if m.tokens == 0 || each == 0 {
 		return 0, false
 	}
@@ -188,8 +198,12 @@
 		}
 		m.growing = append(m.growing, growth{held: float64(h.need.Own) + generated, remaining: remaining, parts: h.need.Parts})
 	}
+	others, output := m.meanHeld.value, m.meanOutput.value
+	if others == 0 {
+		others, output = float64(next.Prompt()), float64(next.Output)
+	}
 	for range m.others {
-		m.growing = append(m.growing, growth{held: m.meanHeld + m.meanOutput/2, remaining: m.meanOutput / 2})
+		m.growing = append(m.growing, growth{held: others + output/2, remaining: output / 2})
 	}
 	m.growing = append(m.growing, growth{held: float64(next.Own), remaining: float64(next.Output), parts: next.Parts})
 	slices.SortFunc(m.growing, func(a, b growth) int { return cmp.Compare(b.remaining, a.remaining) })
@@ -214,8 +228,8 @@
 // generated returns how many tokens a request has generated after some time.
 func (m *Memory) generated(elapsed time.Duration, need Need) float64 {
 	out := float64(need.Output) / 2
-	if m.meanTime > 0 && m.meanOutput > 0 {
-		out = max(elapsed.Seconds(), 0) / m.meanTime * m.meanOutput
+	if m.meanTime.value > 0 && m.meanOutput.value > 0 {
+		out = max(elapsed.Seconds(), 0) / m.meanTime.value * m.meanOutput.value
 	}
 	if need.Most > 0 {
 		out = min(out, float64(need.Most))
@@ -225,27 +239,28 @@
 
 // Mean is the mean need of the requests to a service, as one router sees them. The zero value is ready to
 // use. It is not safe for concurrent use.
-type Mean struct{ tokens float64 }
+type Mean struct{ tokens movingMean }
 
 // Add adds a request. Half of its output stands for what it has generated on average while it runs.
 func (m *Mean) Add(need Need) {
 	if need.Known() {
-		average(&m.tokens, float64(need.Prompt())+float64(need.Output)/2)
+		m.tokens.add(float64(need.Prompt()) + float64(need.Output)/2)
 	}
 }
 
 // Requests returns how many requests of the mean need fit into a memory; zero if that is not known.
 func (m *Mean) Requests(memory int) int {
-	if m.tokens == 0 || memory == 0 {
+	if m.tokens.value == 0 || memory == 0 {
 		return 0
 	}
-	return max(int(float64(memory)/m.tokens), 1)
+	return max(int(float64(memory)/m.tokens.value), 1)
 }
 
-func average(mean *float64, value float64) {
-	if *mean == 0 {
-		*mean = value
-		return
-	}
-	*mean += smoothing * (value - *mean)
+// movingMean is the mean of the first values, and then a moving average in which each further one has the
+// weight smoothing.
+type movingMean struct{ value, count float64 }
+
+func (m *movingMean) add(value float64) {
+	m.count++
+	m.value += max(1/m.count, smoothing) * (value - m.value)
 }
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
@@ -256,6 +257,34 @@
 	})
 }
 
+// Guards against memory that the owner of a gate doesn't count although the request states it, and against
+// one that a request of an earlier release, which states nothing, takes away.
+func TestOwnerGrantsWhatFitsIntoTheMemory(t *testing.T) {
+	runInFleet(t, func(f *fakeFleet, owner string, others []string) {
+		held := func(memory int, need room.Need) int {
+			f.owners[owner].mu.Lock()
+			delete(f.owners[owner].gates, "e")
+			f.owners[owner].mu.Unlock()
+			for i := range 20 {
+				req := newRequest(16, 0)
+				req.Memory, req.Need = memory, need
+				if i == 10 {
+					req.Memory, req.Need = 0, room.Need{}
+				}
+				_, _, _ = f.clients[others[0]].Acquire(context.Background(), req, time.Second)
+			}
+			return f.owners[owner].Load().Leases
+		}
+		need := room.Need{Own: 100, Output: 20, Most: 20, Parts: []room.Part{{ID: 1, Tokens: 300}}}
+		require.Equal(t, 5, held(900, need), "the part is held once, by all")
+		_, reply, err := f.clients[others[0]].Acquire(context.Background(), SlotRequest{Engine: "e", Places: 16, Memory: 900, Need: need}, time.Second)
+		require.True(t, ErrRefused.Has(err))
+		require.True(t, reply.NoMemory)
+		require.Equal(t, 16, held(0, need), "the configuration states no memory")
+		require.Equal(t, 16, held(900, room.Need{}), "nothing is known of requests")
+	})
+}
+
 // Guards against an engine that gets twice as many requests as it has slots after a router came or
 // went: a new owner has granted nothing, so reported requests beyond its own leases must occupy
 // slots.
--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -16,6 +16,7 @@
 	"damaskrouter.example/damaskrouter/internal/decide/brittle"
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
 	"damaskrouter.example/damaskrouter/internal/decide/queue"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 )
 
 const (
@@ -129,6 +130,10 @@
 	MaxWait, Lease, Hold time.Duration
 	// Pace bounds the rate of requests to a cold engine.
 	Pace gate.Pace
+	// Memory is the memory of the engine, in tokens, and Need what the request needs of it. Both are zero if they
+	// are not known, and from routers of earlier releases.
+	Memory int
+	Need   room.Need
 	// Brittle means that the engine bears only Tolerance rejections a second. Routers of earlier
 	// releases send neither.
 	Brittle   bool
@@ -143,6 +148,9 @@
 	// Late means that the request can't be on time. The owner may know this from an earlier
 	// attempt.
 	Late bool
+	// NoMemory means that the engine had a free slot but not enough memory for the request. Owners of
+	// earlier releases don't send it.
+	NoMemory bool
 }
 
 // Acquire requests a slot from a gate of this router. It returns once there is a decision, which
@@ -156,7 +164,7 @@
 			o.withdraw(req)
 		}
 	}
-	return Answer{Granted: decision.Granted, Wait: decision.Wait, Late: late}
+	return Answer{Granted: decision.Granted, Wait: decision.Wait, Late: late, NoMemory: decision.NoMemory}
 }
 
 // submit passes a request to its gate and reports whether it is late. The channel is nil if the
@@ -173,11 +181,15 @@
 	g.places, g.mostPlaces = req.Places, req.MostPlaces
 	g.brittle, g.tolerance = req.Brittle, brittle.Tolerance(req.Tolerance)
 	g.updateSlots(now)
+	if req.Memory > 0 || req.Need.Known() {
+		// Routers of earlier releases state neither.
+		g.SetMemory(req.Memory)
+	}
 	o.updateUnleased(req.Engine, g, now)
 	decision, queued := g.Acquire(at(now), gate.Request{
 		ID: req.ID, Holder: req.From, Account: req.Account, Class: queue.Class(min(max(req.Urgency, 0), UrgencyClasses-1)),
 		Late: late, Beyond: req.Beyond, Weight: req.Weight, Latest: at(now + req.MaxWait), Until: at(now + req.MaxWait + req.Lease), Hold: req.Hold,
-		Pace: req.Pace,
+		Pace: req.Pace, Need: req.Need,
 	})
 	g.updatePeak(now)
 	if !queued {
@@ -258,6 +270,7 @@
 	g.updatePeak(now)
 	if l.EngineSlots > 0 {
 		g.fill.Observe(gate.EngineLoad{Running: l.Running, Waiting: l.Waiting, Slots: l.EngineSlots}, g.Waiting() > 0)
+		g.ObserveLoad(at(now), l.Running, l.Waiting, l.EngineSlots)
 	}
 	if l.Rejected && g.brittle {
 		g.room.Reject(g.Held()-1, now)
--- a/internal/edge/forward/choice.go
+++ b/internal/edge/forward/choice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/backoff"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
 )
@@ -42,6 +43,8 @@
 	// Shared holds the IDs of the prompt parts that other requests may have too, in order. It is
 	// empty for requests without a prompt.
 	Shared []string
+	// Need is the memory that the request needs at an engine, as far as it is known.
+	Need room.Need
 	// Version is the only version of the engines' software at which the request may be executed, as it
 	// resumes a stream; empty for any.
 	Version string
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -8,6 +8,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/backoff"
 	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
@@ -46,6 +47,8 @@
 	// permit. meanHolds is, by service, the mean time that a request occupies an engine.
 	congestedUntil map[string]time.Duration
 	meanHolds      map[string]time.Duration
+	// meanNeeds is, by service, the mean memory that requests need.
+	meanNeeds map[string]*room.Mean
 	// pauses holds the engines that have asked this router for a pause, by ID, until the return of
 	// requests to them is complete. routers returns the number of routers in the fleet.
 	pauses  *backoff.Table[string]
@@ -108,7 +111,7 @@
 		ejections:      make(map[string]*health.Ejection),
 		reportAge:      func(time.Duration) time.Duration { return 0 },
 		coldLimits:     func() ColdLimits { return ColdLimits{} },
-		congestedUntil: make(map[string]time.Duration), meanHolds: make(map[string]time.Duration),
+		congestedUntil: make(map[string]time.Duration), meanHolds: make(map[string]time.Duration), meanNeeds: make(map[string]*room.Mean),
 		pauses:  backoff.NewTable[string](),
 		brittle: make(map[string]brittleStatement),
 		routers: func() int { return 1 },
@@ -289,7 +292,7 @@
 		tolerance, stated := p.statedTolerance(e.ID, load, now)
 		out = append(out, choose.Engine{
 			Brittle: stated, Tolerance: tolerance, Version: e.Version,
-			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots,
+			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots, Room: p.room(config),
 			SameSite: e.Site == p.site, Draining: !s.TakesRequests(e) || !p.admits(e, now), RecentlyAdded: p.recentlyStarted(e.ID, now),
 			AddedAt:    p.states[e.ID].firstSeen,
 			Cold:       p.coldRemaining(config, e.ID, now) > 0,
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -91,6 +91,7 @@
 	overloads        overloads
 	throttles        throttles
 	callerTimeouts   callerTimeouts
+	outputs          *outputLengths
 	// random returns a random number from 0 to 1.
 	random func() float64
 }
@@ -129,7 +130,7 @@
 		random:         rand.Float64,
 		overloads:      overloads{random: rand.Float64, byService: make(map[string]*gate.Overload), byRefused: make(map[refusedKey]*gate.Overload)},
 		throttles:      throttles{random: rand.Float64, byKey: make(map[throttleKey]*gate.Throttle)},
-		callerTimeouts: callerTimeouts{byRoute: make(map[string]*gate.TimeoutBaseline)},
+		callerTimeouts: callerTimeouts{byRoute: make(map[string]*gate.TimeoutBaseline)}, outputs: newOutputLengths(),
 	}
 }
 
@@ -213,6 +214,8 @@
 	// wait that the last reply to such a request predicted.
 	deniedPermits int
 	predictedWait time.Duration
+	// noMemory means that the last gate had a free slot but no memory for the request.
+	noMemory bool
 	// unowned is set if the engine was selected without a permit because the owner of its gate did not
 	// reply.
 	unowned bool
@@ -280,6 +283,9 @@
 	if drain := x.f.draining.Load(); drain != nil && !drain.accepts(x.started, limit) {
 		return notExecuted(ReasonDraining, retrySoon)
 	}
+	if refusal := x.checkSize(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.readBody(); refusal != nil {
 		return refusal
 	}
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -17,6 +17,7 @@
 func (x *exchange) chooseFirst(last *Refusal) (Choice, *Refusal) {
 	for _, service := range x.openServices() {
 		q := x.query(service)
+		q.Need = x.need()
 		plan, ok := x.f.Engines.Plan(x.snapshot, service, q)
 		if ok {
 			x.recordAsk(service, len(plan.Ask) > 0 && !plan.Warm)
@@ -109,7 +110,7 @@
 			}
 		}
 		x.deniedPermits++
-		x.predictedWait = reply.Wait
+		x.predictedWait, x.noMemory = reply.Wait, reply.NoMemory
 		if (x.late || x.beyond) && x.route.Prompted && refused {
 			// At another engine, the request would occupy a slot that one on time and within its
 			// account's share can still use.
@@ -211,6 +212,7 @@
 		MaxWait: maxWait, Lease: x.remaining(), Hold: plan.Hold,
 		Subject: x.req.RetryKey(), Attempt: rendezvous.ID(x.req.ID), Slack: gate.StartWithin(x.route.Objective), Late: x.late, Beyond: x.beyond,
 		Pace: a.Pace, Brittle: a.Brittle, Tolerance: int(a.Tolerance), Account: x.accountName(),
+		Memory: a.Memory, Need: x.need(),
 	}
 	if a.Brittle {
 		// The engine may go on with the request when its caller has left at its deadline.
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -5,6 +5,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/decide/brittle"
 	"damaskrouter.example/damaskrouter/internal/decide/gate"
+	"damaskrouter.example/damaskrouter/internal/decide/room"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/choose"
 )
@@ -38,6 +39,8 @@
 	// MostInFlight is the same if the engine itself states that it has free slots; zero for requests with
 	// prompts, which run for long compared with their way.
 	MostInFlight int
+	// Memory is the memory of the engine, in tokens; zero if it is not known.
+	Memory int
 	// Pace limits the rate of requests to the engine while it is cold.
 	Pace gate.Pace
 	// Brittle means that the engine falls over if it rejects more than Tolerance requests within a
@@ -54,6 +57,7 @@
 	others := p.reported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordNeed(service, q.Need)
 	engines, candidates := p.candidates(s, service, q, others, now)
 	plan := Plan{Hold: p.meanHolds[service]}
 	tolerance, isBrittle := serviceTolerance(candidates)
@@ -78,6 +82,9 @@
 			Choice: p.candidateChoice(engines, candidates, i, q, now), MaxInFlight: choose.MaxInFlight(candidates, i),
 			Pace: p.pace(config, engines[i].ID, now),
 		}
+		if config != nil {
+			candidate.Memory = config.CacheTokens
+		}
 		if len(q.Shared) == 0 {
 			candidate.MostInFlight = choose.MostInFlight(candidates, i)
 		}
@@ -187,6 +194,28 @@
 	return choice
 }
 
+// recordNeed updates the mean memory that requests to the service need. The caller holds the mutex.
+func (p *Balancer) recordNeed(service string, need room.Need) {
+	if !need.Known() {
+		return
+	}
+	mean := p.meanNeeds[service]
+	if mean == nil {
+		mean = &room.Mean{}
+		p.meanNeeds[service] = mean
+	}
+	mean.Add(need)
+}
+
+// room returns how many requests of the mean need fit into the memory of an engine of the service; zero if
+// that is not known. The caller holds the mutex.
+func (p *Balancer) room(config *catalog.Service) int {
+	if config == nil || p.meanNeeds[config.Name] == nil {
+		return 0
+	}
+	return p.meanNeeds[config.Name].Requests(config.CacheTokens)
+}
+
 // recordHold updates the mean time that requests of the service occupy an engine. The caller holds
 // the mutex.
 func (p *Balancer) recordHold(service string, took time.Duration) {
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -14,14 +14,16 @@
 
 // The reasons as sent in responses and written to logs.
 const (
-	ReasonMalformed   Reason = "malformed_request"
-	ReasonTooLarge    Reason = "body_too_large"
-	ReasonSlowBody    Reason = "body_too_slow"
-	ReasonNoConfig    Reason = "no_configuration"
-	ReasonStaleConfig Reason = "configuration_not_confirmed"
-	ReasonNoRoute     Reason = "no_route"
-	ReasonUnknownKey  Reason = "unknown_key"
-	ReasonNoEngine    Reason = "no_engine"
+	ReasonMalformed Reason = "malformed_request"
+	ReasonTooLarge  Reason = "body_too_large"
+	// ReasonPromptTooLarge means that the prompt is larger than the memory of any engine that serves the route.
+	ReasonPromptTooLarge Reason = "prompt_too_large"
+	ReasonSlowBody       Reason = "body_too_slow"
+	ReasonNoConfig       Reason = "no_configuration"
+	ReasonStaleConfig    Reason = "configuration_not_confirmed"
+	ReasonNoRoute        Reason = "no_route"
+	ReasonUnknownKey     Reason = "unknown_key"
+	ReasonNoEngine       Reason = "no_engine"
 	// ReasonPaused means that all engines have asked for a pause, or some have and the others have
 	// announced that they will stop; ReasonLeaving that all have announced it.
 	ReasonPaused      Reason = "engines_paused"
--- a/internal/edge/forward/request.go
+++ b/internal/edge/forward/request.go
@@ -34,6 +34,8 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the maximum length of the
 	// response; zero if not stated.
 	PromptTokens, OutputTokens int
+	// LengthHint is the length of the response that the caller expects, in tokens; zero if not stated.
+	LengthHint int
 	// LastEvent is the ID of the event after which the caller resumes a stream, or empty. Resumes is
 	// then the ID of the request that brought the stream's first event, if the caller names it.
 	LastEvent, Resumes string
@@ -77,14 +79,19 @@
 // with a full batch.
 const outputTokenCost = 10
 
-// Cost returns the work of an engine for the request, in prompt tokens. Shared parts cost nothing
-// because they are in the engine's cache.
-func (r *Request) Cost() int64 {
+// ownTokens returns the length of the prompt without the parts that engines may have cached for others.
+func (r *Request) ownTokens() int {
 	own := r.PromptTokens
 	for _, part := range r.Prompt[:max(len(r.Prompt)-1, 0)] {
 		own -= part.Tokens
 	}
-	return int64(max(own, 0) + outputTokenCost*r.OutputTokens)
+	return max(own, 0)
+}
+
+// Cost returns the work of an engine for the request, in prompt tokens. Shared parts cost nothing
+// because they are in the engine's cache.
+func (r *Request) Cost() int64 {
+	return int64(r.ownTokens() + outputTokenCost*r.OutputTokens)
 }
 
 // EngineRequestInfo is what the router adds to the caller's headers for an engine.
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -66,6 +66,9 @@
 	if x.unowned {
 		fields = append(fields, "unowned", true)
 	}
+	if x.noMemory {
+		fields = append(fields, "no_memory", true, "need", x.need().Prompt()+x.need().Output)
+	}
 	if x.account != nil {
 		fields = append(fields, "account", x.account.Name)
 	}
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -26,6 +26,8 @@
 type eventSplitter struct {
 	pending []byte
 	lastID  string
+	// events counts the complete events.
+	events int
 }
 
 // add appends bytes of the stream and returns the complete events among the pending bytes. The
@@ -39,6 +41,7 @@
 	complete := s.pending[:end+len(eventEnd)]
 	s.pending = append([]byte(nil), s.pending[len(complete):]...)
 	s.recordLastID(complete)
+	s.events += bytes.Count(complete, eventEnd)
 	return complete
 }
 
@@ -62,6 +65,7 @@
 		if err == nil {
 			x.f.Engines.RecordOutcome(e.ID, true)
 			x.recordCompletion(e, response.Status)
+			x.recordOutput(splitter.events)
 			return x.endStream(response)
 		}
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
