pressure, forward: the memory that requests hold at a router is bounded

Cause: bodies of up to the configured length and answers of up to 1 MB are held whole for each caller, for as long as it sends or reads slowly; nothing bounded them together. Change: requests are counted before their bodies are read, with what is read of body and answer; three tenths of memory_mb for all. Less urgent requests are refused first (503, router_memory_used_up). Answers whose callers have read nothing for a second are given up when others need the memory (caller_read_too_slowly). Answers that don't fit are relayed while they are read. request_memory in the metrics. Before: 150 callers that begin bodies of 60 KB were all taken on at a router of 16 MB. After: 37, and a more urgent request is served (TestSlowBodiesDoNotUseUpTheMemory). Not shown: a fleet with slow readers under load, and the kernel's buffers of connections, which are not counted.

--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -92,6 +92,7 @@
 	throttles        throttles
 	callerTimeouts   callerTimeouts
 	outputs          *outputLengths
+	memory           *requestMemory
 	// random returns a random number from 0 to 1.
 	random func() float64
 }
@@ -131,6 +132,7 @@
 		overloads:      overloads{random: rand.Float64, byService: make(map[string]*gate.Overload), byRefused: make(map[refusedKey]*gate.Overload)},
 		throttles:      throttles{random: rand.Float64, byKey: make(map[throttleKey]*gate.Throttle)},
 		callerTimeouts: callerTimeouts{byRoute: make(map[string]*gate.TimeoutBaseline)}, outputs: newOutputLengths(),
+		memory: newRequestMemory(o.Clock),
 	}
 }
 
@@ -174,6 +176,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{f: f, w: w, r: r, started: f.Clock()}
+	defer x.releaseMemory()
 	refusal := x.prepare()
 	if refusal == nil {
 		refusal = x.forward()
@@ -197,6 +200,12 @@
 	// deadline is the reading of the boot clock by which the caller must have a final response.
 	deadline time.Duration
 	body     []byte
+	// memoryID identifies the request in the memory for requests; zero before it holds any. givenUp is set
+	// once its answer is given up there.
+	memoryID uint64
+	givenUp  atomic.Bool
+	// pendingHeld is what is counted for an incomplete event.
+	pendingHeld int64
 
 	snapshot *catalog.Snapshot
 	// stream is the state of a stream that can be resumed, or is.
@@ -286,6 +295,9 @@
 	if refusal := x.checkSize(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.holdMemory(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.readBody(); refusal != nil {
 		return refusal
 	}
@@ -311,12 +323,15 @@
 		return nil
 	}
 	_ = control.SetReadDeadline(time.Now().Add(left))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(x.counted(http.MaxBytesReader(x.w, x.r.Body, limit), max(x.r.ContentLength, 0)))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return rejected(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	case errNoMemory.Has(err):
+		x.w.Header().Set("Connection", "close")
+		return notExecuted(ReasonNoMemory, retrySoon)
 	case err != nil && x.remaining() <= 0:
 		x.w.Header().Set("Connection", "close")
 		return rejected(http.StatusRequestTimeout, ReasonSlowBody)
--- a/internal/edge/forward/refusal.go
+++ b/internal/edge/forward/refusal.go
@@ -19,11 +19,15 @@
 	// ReasonPromptTooLarge means that the prompt is larger than the memory of any engine that serves the route.
 	ReasonPromptTooLarge Reason = "prompt_too_large"
 	ReasonSlowBody       Reason = "body_too_slow"
-	ReasonNoConfig       Reason = "no_configuration"
-	ReasonStaleConfig    Reason = "configuration_not_confirmed"
-	ReasonNoRoute        Reason = "no_route"
-	ReasonUnknownKey     Reason = "unknown_key"
-	ReasonNoEngine       Reason = "no_engine"
+	// ReasonNoMemory means that the requests at this router hold all of the memory that it has for them, and
+	// ReasonSlowCaller that an answer was given up because its caller read nothing while others needed the memory.
+	ReasonNoMemory    Reason = "router_memory_used_up"
+	ReasonSlowCaller  Reason = "caller_read_too_slowly"
+	ReasonNoConfig    Reason = "no_configuration"
+	ReasonStaleConfig Reason = "configuration_not_confirmed"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonUnknownKey  Reason = "unknown_key"
+	ReasonNoEngine    Reason = "no_engine"
 	// ReasonPaused means that all engines have asked for a pause, or some have and the others have
 	// announced that they will stop; ReasonLeaving that all have announced it.
 	ReasonPaused      Reason = "engines_paused"
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -21,8 +21,8 @@
 // relayBuffered reads the complete response and relays it.
 func (x *exchange) relayBuffered(ctx context.Context, e catalog.Engine, response *engineconn.Response) sendResult {
 	x.beginAnswer()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
-	if err == nil && len(body) == maxBufferedResponse {
+	body, err := io.ReadAll(x.counted(io.LimitReader(response, maxBufferedResponse), 0))
+	if err == nil && len(body) == maxBufferedResponse || errNoMemory.Has(err) {
 		return x.relayUnbuffered(ctx, e, response, body)
 	}
 	if err == nil {
@@ -38,6 +38,9 @@
 	if response.Status < http.StatusInternalServerError {
 		x.f.Engines.RecordOutcome(e.ID, true)
 		x.writeResponse(response.Status, response.Header, body)
+		if x.givenUp.Load() {
+			return sendResult{action: actionStop, refusal: x.disconnectRefusal()}
+		}
 		return sendResult{action: actionDone}
 	}
 	if !x.limitsLoad(response.Status) {
@@ -102,8 +105,8 @@
 	x.writeHeader(status, header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
-	// A write error means that the caller has disconnected.
-	_, _ = x.w.Write(body)
+	// A write error means that the caller has disconnected, or that its answer was given up.
+	_, _ = callerWriter{x}.Write(body)
 }
 
 // relayUnbuffered relays a response that is too long to buffer. start is what was already read.
@@ -113,13 +116,16 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	x.w.WriteHeader(response.Status)
-	if _, err := x.w.Write(start); err != nil {
+	if _, err := (callerWriter{x}).Write(start); err != nil {
 		return sendResult{action: actionStop, refusal: x.disconnectRefusal()}
 	}
-	_, err := io.Copy(x.w, response)
+	_, err := io.Copy(callerWriter{x}, response)
 	if err == nil {
 		err = x.checkEnd(ctx, e, response, false)
 	}
+	if x.givenUp.Load() {
+		return sendResult{action: actionStop, refusal: x.disconnectRefusal()}
+	}
 	if err != nil {
 		if engineconn.ErrTruncated.Has(err) {
 			x.reportCut(ctx, e, err)
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -126,6 +126,9 @@
 }
 
 func (x *exchange) disconnectRefusal() *Refusal {
+	if x.givenUp.Load() {
+		return &Refusal{Status: http.StatusBadGateway, Reason: ReasonSlowCaller}
+	}
 	return &Refusal{Status: http.StatusBadGateway, Reason: ReasonCallerLeft}
 }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -68,6 +68,9 @@
 			x.recordOutput(splitter.events)
 			return x.endStream(response)
 		}
+		if errNoMemory.Has(err) {
+			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonNoMemory)}
+		}
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
 			return sendResult{action: actionStop, refusal: refusal}
 		}
@@ -103,7 +106,6 @@
 // copyEvents relays events until the stream ends. Errors: errCallerLeft, engineconn.ErrTruncated,
 // engineconn.ErrMalformed.
 func (x *exchange) copyEvents(e catalog.Engine, response *engineconn.Response, splitter *eventSplitter) error {
-	control := http.NewResponseController(x.w)
 	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := response.Read(buf)
@@ -117,13 +119,13 @@
 				x.writeHeader(response.Status, response.Header)
 				x.w.WriteHeader(response.Status)
 			}
-			if _, writeErr := x.w.Write(complete); writeErr != nil {
-				return errCallerLeft.Wrap(writeErr)
-			}
-			if flushErr := control.Flush(); flushErr != nil {
-				return errCallerLeft.Wrap(flushErr)
+			if err := x.writeEvents(complete); err != nil {
+				return errCallerLeft.Wrap(err)
 			}
 		}
+		if !x.holdPending(len(splitter.pending)) {
+			return errNoMemory.New("stream event of more than %d bytes", len(splitter.pending))
+		}
 		if len(splitter.pending) > maxEventSize {
 			return engineconn.ErrMalformed.New("stream event exceeds %d bytes", maxEventSize)
 		}
--- a/internal/edge/node/apply.go
+++ b/internal/edge/node/apply.go
@@ -104,7 +104,9 @@
 }
 
 // limitMemory sets the soft memory limit of the Go runtime, near which the garbage collector runs
-// more often.
+// more often, and what requests may hold.
 func (r *Router) limitMemory() {
-	debug.SetMemoryLimit(int64(memoryShare * float64(r.settings().Limits.MemoryMB) * (1 << 20)))
+	memory := float64(r.settings().Limits.MemoryMB) * (1 << 20)
+	debug.SetMemoryLimit(int64(memoryShare * memory))
+	r.forwarder.SetMemory(int64(requestMemoryShare * memory))
 }
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -16,6 +16,7 @@
 	vars := r.forwarder.Stats().Vars()
 	vars.Set("latency_ms", expvar.Func(func() any { return r.forwarder.Stats().Latencies() }))
 	vars.Set("in_flight", expvar.Func(func() any { return r.forwarder.InFlight() }))
+	vars.Set("request_memory", expvar.Func(func() any { return r.forwarder.Memory() }))
 	vars.Set("caller_connections", expvar.Func(func() any { return r.callerLimit.Counts() }))
 	vars.Set("engine_connections", expvar.Func(func() any { return r.forwarder.Conns.Dials() }))
 	vars.Set("engine_paths", expvar.Func(func() any { return r.enginePaths() }))
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -63,6 +63,9 @@
 	// memoryShare is the share of the VM's memory that is set as the soft memory limit; the rest is
 	// for buffers of the kernel.
 	memoryShare = 0.7
+	// requestMemoryShare is the share that requests may hold. The rest of memoryShare is for what is known of the
+	// fleet and for garbage.
+	requestMemoryShare = 0.3
 )
 
 // Platform holds the components that the adapter of the platform provides.
