origins: any router settles a stream whose engine was in doubt

Cause: a stream that began at an engine whose start was not proved has a record without a version, which only the router that began it completes. If that router ended before, the stream was never resumed. Change: such a record names the engine and the start of its entry. A router that resumes the stream asks that engine for its start: if it still runs the same one, its version began the stream. An engine that was started again, or that proves nothing, settles nothing (tests). Routers of earlier releases name no engine: as before.

--- a/internal/decide/origin/record.go
+++ b/internal/decide/origin/record.go
@@ -28,6 +28,11 @@
 	// Service and Version are those of the engine. An empty version is not known: the engine may have
 	// been restarted with another one.
 	Service, Version string
+	// Engine and Born are the engine of a record without a version, and the time of the start that its entry
+	// stated: if that start still runs, the version of the entry began the stream. Routers of earlier releases
+	// state neither.
+	Engine string
+	Born   int64
 	// Writer identifies the exchange that the record is of, and Seq orders its records: a request that
 	// fails before its first event may be sent to an engine of another version.
 	Writer uint64
--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -229,11 +229,16 @@
 	delete(d.connected, e.ID)
 	d.mu.Unlock()
 	if ok && asOf <= c.last+entryDelay {
-		d.doubt(e, 0)
-		d.InDoubt(e)
+		d.Doubt(e)
 	}
 }
 
+// Doubt puts the engine in doubt until a proof that is newer than the call shows that it was not restarted.
+func (d *RestartDoubts) Doubt(e catalog.Engine) {
+	d.doubt(e, 0)
+	d.InDoubt(e)
+}
+
 func (d *RestartDoubts) doubt(e catalog.Engine, aliveAt time.Duration) {
 	if e.Born == 0 {
 		return
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -273,7 +273,7 @@
 	r.engines.SetDoubts(r.doubts)
 	r.origins = origins.New(origins.Options{
 		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
-		InDoubt: r.doubts.InDoubt, FirstStart: r.settings().FirstStart, Log: r.log,
+		InDoubt: r.doubts.InDoubt, Doubt: r.doubts.Doubt, FirstStart: r.settings().FirstStart, Log: r.log,
 	})
 	r.doubts.OnAnswer(r.origins.ReviewDoubtful)
 	r.versionsKeeper = &feed.VersionsKeeper{
--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -7,6 +7,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/decide/origin"
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/fleet/peer"
 	"github.com/zeebo/errs"
@@ -59,6 +60,7 @@
 
 func (r *Registry) find(ctx context.Context, account, id string, services []string) (Found, error) {
 	args := FindArgs{Key: origin.KeyOf(account, id), Services: services}
+	doubted := false
 	for range maxUnsettled {
 		s := search{registry: r, args: args, own: r.local(args)}
 		if s.merge(s.own) {
@@ -67,13 +69,32 @@
 		if out, ok := s.run(ctx, id != ""); ok {
 			return out, nil
 		}
-		if !s.unsettled() || !pause.For(ctx, unsettledPause) {
+		e, known := s.beganAt()
+		switch {
+		case known && doubted && !r.InDoubt(e):
+			return Found{Service: e.Service, Version: e.Version, From: r.Self, Age: s.record.Age}, nil
+		case known && !doubted && r.Doubt != nil:
+			// The router that began the stream may be gone.
+			doubted = true
+			r.Doubt(e)
+		}
+		if !(s.unsettled() || known && doubted) || !pause.For(ctx, unsettledPause) {
 			return s.onlyVersion()
 		}
 	}
 	return Found{}, ErrUnknown.New("the record states no version")
 }
 
+// beganAt returns the engine of a record that states no version, if its entry is still that of the start
+// at which the stream began.
+func (s *search) beganAt() (catalog.Engine, bool) {
+	if s.record == nil || s.record.Version != "" || s.record.Ambiguous || s.record.Engine == "" {
+		return catalog.Engine{}, false
+	}
+	e, known := s.registry.Snapshot().Engines.ByID[s.record.Engine]
+	return e, known && e.Born != 0 && e.Born == s.record.Born
+}
+
 // unsettled reports whether the router that began the stream may still find out at which version.
 func (s *search) unsettled() bool {
 	return s.record != nil && s.record.Version == "" && !s.record.Ambiguous && s.record.Age < unsettledAge
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -149,6 +149,7 @@
 		s := streamOf("2")
 		f.routers["r0"].registry.Begin(s, 1, engineOf("v1"), false)
 		<-f.routers["r0"].registry.Begin(s, 2, engineOf("v1"), true)
+		f.routers["r1"].provesNothing = true
 		require.Empty(t, f.find("r1", "2"), "the first event has come")
 		require.Empty(t, f.find("r0", "1"))
 		f.routers["r0"].inDoubt = false
@@ -158,6 +159,33 @@
 	})
 }
 
+// Guards against streams that can't be resumed because their router ended before their engine had proved its
+// start, and against a version of which it is not proved that it began the stream.
+func TestStreamOfAnEndedRouterIsSettledByOthers(t *testing.T) {
+	for name, test := range map[string]struct {
+		provesAfter   time.Duration
+		provesNothing bool
+		born          int64
+		want          string
+	}{
+		"the engine proves its start":  {provesAfter: 200 * time.Millisecond, want: "v1"},
+		"the engine proves nothing":    {provesNothing: true},
+		"the engine was started again": {provesAfter: 200 * time.Millisecond, born: 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 6, "v1", "v2")
+			settle()
+			f.routers["r0"].inDoubt = true
+			<-f.routers["r0"].registry.Begin(streamOf("1"), 1, engineOf("v1"), true)
+			f.kill("r0")
+			time.Sleep(3 * time.Second)
+			r := f.routers["r1"]
+			r.provesAfter, r.provesNothing, r.born = test.provesAfter, test.provesNothing, test.born
+			require.Equal(t, test.want, f.find("r1", "1"), name)
+		})
+	}
+}
+
 // Guards against a request that was sent to engines of two versions before its first event, and continues
 // at the first one.
 func TestLaterSendReplacesTheRecord(t *testing.T) {
@@ -205,6 +233,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6, "v1", "v2")
 		settle()
+		f.routers["r1"].provesNothing = true
 		r := f.routers["r0"]
 		r.inDoubt = true
 		s := streamOf("1")
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -49,6 +49,9 @@
 	Snapshot func() *catalog.Snapshot
 	// InDoubt reports whether an engine may have been restarted before its entry shows it.
 	InDoubt func(catalog.Engine) bool
+	// Doubt puts an engine in doubt until it is proved that it runs the start that its entry states. The
+	// default does nothing, and streams that only that would settle are unknown.
+	Doubt func(catalog.Engine)
 	// FirstStart is set if the fleet starts for the first time, so that there were no streams before.
 	FirstStart bool
 	Log        *log.Logger
@@ -140,6 +143,9 @@
 	}
 	now := r.Clock()
 	record := s.record(seq, e.Service, version)
+	if inDoubt {
+		record.Engine, record.Born = e.ID, e.Born
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.history.Has(e.Service, e.Version) {
@@ -315,6 +321,7 @@
 		current, known := r.Snapshot().Engines.ByID[b.engine.ID]
 		if now < b.until && known && current.Version == b.engine.Version && !current.RestartOf(b.engine) {
 			b.record.Seq, b.record.Version, b.record.Left = b.record.Seq+1, b.engine.Version, b.until-now
+			b.record.Engine, b.record.Born = "", 0
 			r.put(b.record, now, true)
 		}
 	}
