forward: a stream sent to two versions waits until its replicas have its record

Cause: such a stream waited 50 ms for its replicas. Change: it waits until they have the record or count as unreachable, 500 ms. Conclusion: rare, and a late first event costs less than a stream of two versions.

--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// recordWait bounds the wait for the replicas of a stream's record. Only a stream whose request was
-	// sent to engines of two versions waits for them.
-	recordWait = 50 * time.Millisecond
+	// recordWait bounds the wait for the replicas of a stream's record: the time after which one counts as
+	// unreachable. Only a stream whose request was sent to engines of two versions waits for them. A replica
+	// that took longer than 50 ms had the record of the earlier send later, and the stream went on at its version.
+	recordWait = 500 * time.Millisecond
 	// doubtWait is how long a stream waits for proof that an engine was not restarted while the engine is not
 	// queried for its start, and doubtPoll how often it looks.
 	doubtWait = 20 * time.Millisecond
