node, cli: operators see routers that are short of memory

Change: the status of a router, which travels with the others, states whether it has refused a request for want of memory in the last ten seconds; damaskrouter fleet lists these routers. Before: only the metrics and the log of the router itself. After: test of the list and of the state. Conclusion: routers of earlier releases send nothing and are not listed.

--- a/internal/cli/era_test.go
+++ b/internal/cli/era_test.go
@@ -8,6 +8,13 @@
 	"github.com/stretchr/testify/require"
 )
 
+// An operator sees which routers refuse requests for want of memory.
+func TestFleetShowsRoutersShortOfMemory(t *testing.T) {
+	var out bytes.Buffer
+	printShortOfMemory(&out, []feed.Status{{Router: "r1"}, {Router: "r2", ShortOfMemory: true}})
+	require.Equal(t, "short of memory for requests: r2\n", out.String())
+}
+
 // An operator sees which routers have followed a return of the store from an older copy.
 func TestFleetShowsErasOfTheStore(t *testing.T) {
 	var out bytes.Buffer
--- a/internal/cli/routers.go
+++ b/internal/cli/routers.go
@@ -203,6 +203,7 @@
 	fmt.Fprintf(out, "seen by %s, told by %s, %d routers\n", fleet.SeenBy, fleet.ToldBy, len(fleet.Statuses))
 	printEvacuated(out, fleet.Statuses)
 	printEras(out, fleet.Statuses)
+	printShortOfMemory(out, fleet.Statuses)
 	groups := groupBySettings(fleet.Statuses)
 	err := table(out, true, "\nSETTINGS\tROUTERS\tSITES\tSINCE\tCONFIG", func(w io.Writer) error {
 		for _, g := range groups {
@@ -245,6 +246,15 @@
 	})
 }
 
+// printShortOfMemory prints the routers that refuse requests for want of memory.
+func printShortOfMemory(out io.Writer, list []feed.Status) {
+	for _, s := range list {
+		if s.ShortOfMemory {
+			fmt.Fprintf(out, "short of memory for requests: %s\n", s.Router)
+		}
+	}
+}
+
 // printKnown prints what the routers know, each with the number of routers that know of it.
 func printKnown(out io.Writer, label string, list []feed.Status, known func(feed.Status) []string) {
 	knownBy := make(map[string]int)
--- a/internal/edge/feed/status.go
+++ b/internal/edge/feed/status.go
@@ -53,6 +53,9 @@
 	// routers through which it reaches engines. Routers of earlier releases send neither.
 	CutOff  []string `json:"cut_off,omitempty"`
 	Through []string `json:"through,omitempty"`
+	// ShortOfMemory is set if the router has lately refused requests because others hold all of the memory
+	// for requests. Routers of earlier releases don't send it.
+	ShortOfMemory bool `json:"short_of_memory,omitempty"`
 	// Version is the version of the program, UpFor the uptime of the process. Boot distinguishes
 	// processes of the same router.
 	Version string        `json:"version"`
@@ -75,7 +78,7 @@
 func (s Status) sameContent(o Status) bool {
 	return s.Router == o.Router && s.Boot == o.Boot && s.State == o.State && s.Settings == o.Settings &&
 		s.Config == o.Config && s.StoreEra == o.StoreEra && s.Problem == o.Problem && slices.Equal(s.Waiting, o.Waiting) && slices.Equal(s.CutOff, o.CutOff) &&
-		slices.Equal(s.Evacuated, o.Evacuated)
+		slices.Equal(s.Evacuated, o.Evacuated) && s.ShortOfMemory == o.ShortOfMemory
 }
 
 const (
--- a/internal/edge/forward/pressure.go
+++ b/internal/edge/forward/pressure.go
@@ -36,6 +36,7 @@
 	giveUp     map[uint64]func()
 	relievedAt time.Duration
 	refused    int64
+	refusedAt  time.Duration
 	givenUp    int64
 }
 
@@ -48,8 +49,14 @@
 	// answers that were given up because their callers read nothing.
 	Refused int64 `json:"refused"`
 	GivenUp int64 `json:"given_up"`
+	// Short is set if a request was refused within the last shortFor.
+	Short bool `json:"short"`
 }
 
+// shortFor is how long a router counts as short of memory after it refused a request: long enough for an
+// operator who lists the routers every few seconds.
+const shortFor = 10 * time.Second
+
 func newRequestMemory(clock func() time.Duration) *requestMemory {
 	return &requestMemory{clock: clock, budget: pressure.New(flow.UrgencyClasses), giveUp: make(map[uint64]func())}
 }
@@ -68,7 +75,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	used, requests := m.budget.Used()
-	return RequestMemory{Limit: m.limit, Used: used, Requests: requests, Refused: m.refused, GivenUp: m.givenUp}
+	return RequestMemory{
+		Limit: m.limit, Used: used, Requests: requests, Refused: m.refused, GivenUp: m.givenUp,
+		Short: m.refused > 0 && m.clock()-m.refusedAt < shortFor,
+	}
 }
 
 // admit takes on a request of an urgency class. giveUp gives up its answer; it is called at most once, and must
@@ -79,6 +89,7 @@
 	id, ok = m.budget.Admit(class, bytes)
 	if !ok {
 		m.refused++
+		m.refusedAt = m.clock()
 		m.relieve(bytes)
 		return 0, false
 	}
--- a/internal/edge/forward/pressure_test.go
+++ b/internal/edge/forward/pressure_test.go
@@ -75,10 +75,12 @@
 		require.Nil(t, refusal)
 		state := tr.f.Memory()
 		require.Equal(t, int64(2), state.Refused)
+		require.True(t, state.Short)
 		require.Equal(t, int64(2), state.GivenUp, "as few as are sufficient")
 		require.LessOrEqual(t, state.Used, state.Limit)
 		tr.f.SetMemory(1)
 		time.Sleep(time.Minute)
+		require.False(t, tr.f.Memory().Short)
 		_, refusal = tr.newHeldExchange(httptest.NewRecorder())
 		require.NotNil(t, refusal)
 		for range 9 {
--- a/internal/edge/node/status.go
+++ b/internal/edge/node/status.go
@@ -31,8 +31,9 @@
 	out := feed.Status{
 		Router: r.self.Name, Site: r.self.Site, State: r.state(),
 		Settings: active.digest, SettingsAge: now - active.since, Waiting: active.pendingRestart, Problem: r.settingsProblem(),
-		Evacuated: snapshot.Evacuations.Sites(),
-		Version:   version.String(), UpFor: now - r.createdAt, Boot: r.bootID,
+		Evacuated:     snapshot.Evacuations.Sites(),
+		ShortOfMemory: r.forwarder.Memory().Short,
+		Version:       version.String(), UpFor: now - r.createdAt, Boot: r.bootID,
 	}
 	if out.CutOff = r.cutOffServices(); len(out.CutOff) > 0 {
 		out.Through = slices.Sorted(maps.Keys(r.dialer.Relays.InUse()))
