room: a reserve is raised only while little memory is free

Cause: an engine also states requests as waiting while their prompts are read, with slots and memory free; each such statement raised the reserve, up to 0.3 of a memory that was not short. Change: statements count only while the known requests need 0.8 of the memory. Before: an engine of 1,000 tokens with 700 in use that states two waiting requests refused a need of 299; after: not (test).

--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -53,8 +53,10 @@
 	// smoothing is the least weight of the newest request in the means.
 	smoothing = 1.0 / 32
 	// raiseStep is the share of the memory that is kept free after the engine has stated that it is short
-	// of memory, maxReserve the largest one, and reserveWindow the time constant in which it returns.
+	// of memory, maxReserve the largest one, and reserveWindow the time constant in which it returns. shortFrom is
+	// the share that must be needed by the known requests for that.
 	raiseStep     = 0.01
+	shortFrom     = 0.8
 	maxReserve    = 0.3
 	reserveWindow = 10 * time.Second
 )
@@ -142,10 +144,11 @@
 	}
 }
 
-// Observe records what the engine has stated about its load. Requests that wait while slots are free wait
-// for memory: more has to be kept free for requests that grow beyond what was expected.
+// Observe records what the engine has stated about its load. Requests that wait while slots are free, and while
+// little memory is known to be, wait for memory: more has to be kept free for requests that grow beyond
+// what was expected. With more memory free, they wait for their prompts to be read.
 func (m *Memory) Observe(now time.Time, running, waiting, slots int) {
-	if m.tokens == 0 || waiting == 0 || running+waiting > slots {
+	if m.tokens == 0 || waiting == 0 || running+waiting > slots || m.peak(now, Need{}) < shortFrom*float64(m.tokens) {
 		return
 	}
 	m.reserve, m.reserveAt = min(m.reserved(now)+raiseStep, maxReserve), now
--- a/internal/decide/room/room_test.go
+++ b/internal/decide/room/room_test.go
@@ -87,6 +87,10 @@
 	need := Need{Own: 195}
 	require.True(t, m.Fits(begin, need, 1))
 	m.Observe(begin, 10, 0, 16)
+	spare := newMemory(1000)
+	spare.Start(begin, "a", Need{Own: 700})
+	spare.Observe(begin, 10, 2, 16)
+	require.True(t, spare.Fits(begin, Need{Own: 299}, 1), "memory is free; requests wait for their prompts to be read")
 	m.Observe(begin, 12, 5, 16)
 	require.True(t, m.Fits(begin, need, 1), "nothing waits, or no slot is free")
 	m.Observe(begin, 10, 2, 16)
