--- a/internal/edge/choose/overshoot.go
+++ b/internal/edge/choose/overshoot.go
@@ -9,9 +9,10 @@
 	// overshootWindow is the time constant over which the requests at engines above the operators' limit are
 	// averaged: as long as a surge takes to show in several reports.
 	overshootWindow = 2 * time.Second
-	// toleratedShare is the share of the requests at such engines from which on the load bound has its whole
-	// margin. Operators allow 0.03.
-	toleratedShare = 0.015
+	// The load bound begins to have a margin at the share calmShare of the requests at such engines, and has the
+	// whole of it at surgeShare. Operators allow 0.03. A margin from the first such request on cost 0.015 of the worth of calm
+	// days, by prompts that moved.
+	calmShare, surgeShare = 0.01, 0.02
 	// reportedLoadAge is how old the loads of other routers are, as measured with 67 routers.
 	reportedLoadAge = 300 * time.Millisecond
 )
@@ -54,6 +55,6 @@
 		return 0
 	}
 	turnover := min(float64(reportedLoadAge)/float64(hold), 1)
-	margin := min(o.share/toleratedShare, 1)
+	margin := min(max(o.share-calmShare, 0)/(surgeShare-calmShare), 1)
 	return 2 * turnover * margin * margin
 }
