--- a/internal/edge/choose/overshoot.go
+++ b/internal/edge/choose/overshoot.go
@@ -10,9 +10,9 @@
 	// averaged: as long as a surge takes to show in several reports.
 	overshootWindow = 2 * time.Second
 	// The load bound begins to have a margin at the share calmShare of the requests at such engines, and has the
-	// whole of it at surgeShare. Operators allow 0.03. A margin from the first such request on cost 0.015 of the worth of calm
+	// whole of it at surgeShare. Operators allow 0.03. A margin that begins at 0 cost 0.015 of the worth of calm
 	// days, by prompts that moved.
-	calmShare, surgeShare = 0.01, 0.02
+	calmShare, surgeShare = 0.015, 0.02
 	// reportedLoadAge is how old the loads of other routers are, as measured with 67 routers.
 	reportedLoadAge = 300 * time.Millisecond
 )
