cli, config: an operator bounds one account with a command

Change: damaskrouter account limit NAME sets the rate, the concurrency or both in the version that is in force, with comments and order of the file kept, as a version with its author and comment in the audit trail, and names the rollback. Before: no command. After: the test with running routers limits an account, sees the limit in the list and in the differences, and takes it back; an unknown account and wrong numbers are refused by name. Conclusion: for damaskrouter serve; the users' platform has no field for it. Nothing of the edge changes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -52,7 +52,7 @@
 	p.ShowCompletion = false
 	commands := []*command{
 		serveCommand(), edgeCommand(), chatCommand(), callCommand(), locateCommand(),
-		configCommand(), accountsCommand(), sitesCommand(), servicesCommand(), poolsCommand(),
+		configCommand(), accountsCommand(), accountCommand(), sitesCommand(), servicesCommand(), poolsCommand(),
 		fleetCommand(), sharesCommand(), quarantineCommand(), claimsCommand(), auditCommand(), operatorsCommand(), keysCommand(),
 		standinCommand(), checkCommand(), versionCommand(), benchCommand(), worthCommand(), demoCommand(),
 	}
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -73,6 +73,9 @@
 		"no verdict":                    {"claims", "resolve", "--account", "a", "--key", "k"},
 		"no name":                       {"operators", "revoke"},
 		"no rollback version":           {"config", "rollback"},
+		"no limit":                      {"account", "limit", "a", "--admin", "127.0.0.1:1"},
+		"limit is not a number":         {"account", "limit", "a", "--per-second", "NaN"},
+		"limit is negative":             {"account", "limit", "a", "--concurrency", "-1"},
 		"no kind of key":                {"keys", "generate"},
 		"certificates without a router": {"keys", "generate", "--dir", t.TempDir()},
 		"version is not a number":       {"config", "rollback", "--to", "1", "--from", "x"},
@@ -245,6 +248,15 @@
 	assert.Equal(t, exitFailed, code, "the files were made from version 2")
 	assert.Contains(t, stderr, "made from version 2, but version 3 by bootstrap")
 
+	_, _, stderr = execute("account", "limit", "farm-pumps", "--per-second", "3.5", "--concurrency", "2", "--comment", "repeats at once")
+	assert.Contains(t, stderr, "config rollback --to 3")
+	assert.Regexp(t, `farm-pumps .* 3.5 +2 `, mustExecute("accounts", "--team", "desk", "--limit", "0"))
+	assert.Contains(t, mustExecute("config", "diff", "--from", "3", "--to", "4"), "accounts[farm-pumps].requests_per_second")
+	mustExecute("config", "rollback", "--to", "3", "--comment", "in order again")
+	code, _, stderr = execute("account", "limit", "nobody", "--per-second", "1")
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, stderr, `no such account: "nobody"`)
+
 	token := strings.TrimSpace(mustExecute("operators", "add", "--name", "kim", "--role", "editor", "--team", "desk"))
 	assert.True(t, strings.HasPrefix(token, access.PrefixOperator))
 	assert.Contains(t, mustExecute("operators", "list"), "kim")
@@ -253,10 +265,10 @@
 	assert.Equal(t, exitFailed, code)
 	assert.Contains(t, stderr, "unauthorized")
 	trail := mustExecute("audit")
-	for _, want := range []string{"config.accept", "config.rollback", "operator.add", "operator.revoke", "more weight"} {
+	for _, want := range []string{"config.accept", "config.rollback", "operator.add", "operator.revoke", "more weight", "repeats at once"} {
 		assert.Contains(t, trail, want)
 	}
 	var page api.Page[config.Version]
 	require.NoError(t, json.Unmarshal([]byte(mustExecute("config", "history", "--json")), &page))
-	assert.Len(t, page.Items, 3)
+	assert.Len(t, page.Items, 5)
 }
--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -189,8 +189,7 @@
 }
 
 // peak returns the most memory that the running requests and another one need until they have ended. All
-// generate tokens at the same pace, so that those that have as much left to generate as one or more are
-// the ones that run when that one ends.
+// generate tokens at the same pace: when one ends, those that have more left to generate still run.
 func (m *Memory) peak(now time.Time, next Need) float64 {
 	m.growing = m.growing[:0]
 	for _, h := range m.holders {
--- a/internal/edge/forward/need.go
+++ b/internal/edge/forward/need.go
@@ -42,8 +42,8 @@
 	return o
 }
 
-// need returns the memory that the request needs at an engine, as far as its caller states it. Requests
-// that state no lengths, or have no prompt, need nothing that is known.
+// need returns the memory that the request needs at an engine. It is unknown if the caller states no
+// lengths, or the request has no prompt.
 func (x *exchange) need() room.Need {
 	if !x.route.Prompted || x.req.PromptTokens == 0 {
 		return room.Need{}
--- a/internal/edge/forward/pressure.go
+++ b/internal/edge/forward/pressure.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// callerWriter writes to the caller.
+// callerWriter records in the memory for requests while a write to the caller is in progress.
 type callerWriter struct{ x *exchange }
 
 func (w callerWriter) Write(p []byte) (int, error) {
