forward: one function for values that are created when they are first needed

Read again: lengths of outputs, mean needs and overshoots by key repeated what throttles, response times, overloads, time-out baselines and loads did each for itself: look up, create, keep. Change: valueOf, used by all of them. Ruled out: retry budgets, which are created with limits. Behaviour as before; the package's tests pass.

--- a/internal/edge/forward/attempttimeout.go
+++ b/internal/edge/forward/attempttimeout.go
@@ -41,12 +41,7 @@
 
 // latency returns the response times of a service. The caller holds the mutex.
 func (a *responseTimes) latency(service string) *health.Latency {
-	latency := a.byService[service]
-	if latency == nil {
-		latency = &health.Latency{}
-		a.byService[service] = latency
-	}
-	return latency
+	return valueOf(a.byService, service)
 }
 
 // withAttemptTimeout returns a context that is canceled with errAttemptTimeout as its cause if the
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -144,12 +144,7 @@
 
 // load returns the engine's load and creates it if needed. The caller holds the mutex.
 func (p *Balancer) load(engine string) *ownLoad {
-	l := p.ownLoads[engine]
-	if l == nil {
-		l = &ownLoad{}
-		p.ownLoads[engine] = l
-	}
-	return l
+	return valueOf(p.ownLoads, engine)
 }
 
 // Pick selects an engine of the service and counts a request to it until Done is called. It skips
@@ -321,11 +316,7 @@
 
 // setUnreported sets the margin of the service's load bound. The caller holds the mutex.
 func (p *Balancer) setUnreported(service string, engines []choose.Engine, now time.Duration) {
-	overshoot := p.overshoots[service]
-	if overshoot == nil {
-		overshoot = &choose.Overshoot{}
-		p.overshoots[service] = overshoot
-	}
+	overshoot := valueOf(p.overshoots, service)
 	overshoot.Observe(now, engines)
 	unreported := overshoot.Unreported(p.meanHolds[service])
 	for i := range engines {
--- a/internal/edge/forward/need.go
+++ b/internal/edge/forward/need.go
@@ -34,12 +34,7 @@
 
 // of returns what is known of a route. The caller holds the mutex.
 func (l *outputLengths) of(route string) *room.Outputs {
-	o := l.byRoute[route]
-	if o == nil {
-		o = &room.Outputs{}
-		l.byRoute[route] = o
-	}
-	return o
+	return valueOf(l.byRoute, route)
 }
 
 // need returns the memory that the request needs at an engine. It is unknown if the caller states no
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -250,12 +250,7 @@
 func (l *callerTimeouts) record(route string, limit time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	baseline := l.byRoute[route]
-	if baseline == nil {
-		baseline = &gate.TimeoutBaseline{}
-		l.byRoute[route] = baseline
-	}
-	baseline.Note(limit)
+	valueOf(l.byRoute, route).Note(limit)
 }
 
 // isLate reports whether a caller with this timeout has retried too late to be served on time.
@@ -288,10 +283,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.state(key.service).Note(now)
-	if o.byRefused[key] == nil {
-		o.byRefused[key] = &gate.Overload{}
-	}
-	return o.byRefused[key].RetryAfter(objective, left, now, o.random())
+	return valueOf(o.byRefused, key).RetryAfter(objective, left, now, o.random())
 }
 
 // ended reports whether the service has refused no request for a while.
@@ -303,10 +295,5 @@
 
 // state returns the overload state of a service. The caller holds the mutex.
 func (o *overloads) state(service string) *gate.Overload {
-	state := o.byService[service]
-	if state == nil {
-		state = &gate.Overload{}
-		o.byService[service] = state
-	}
-	return state
+	return valueOf(o.byService, service)
 }
--- a/internal/edge/forward/plan.go
+++ b/internal/edge/forward/plan.go
@@ -201,12 +201,7 @@
 	if !need.Known() {
 		return
 	}
-	mean := p.meanNeeds[service]
-	if mean == nil {
-		mean = &room.Mean{}
-		p.meanNeeds[service] = mean
-	}
-	mean.Add(need)
+	valueOf(p.meanNeeds, service).Add(need)
 }
 
 // room returns how many requests of the mean need fit into the memory of an engine of the service; zero if
--- a/internal/edge/forward/throttle.go
+++ b/internal/edge/forward/throttle.go
@@ -45,10 +45,5 @@
 
 // throttle returns the throttle of a key. The caller holds the mutex.
 func (t *throttles) throttle(key throttleKey) *gate.Throttle {
-	state := t.byKey[key]
-	if state == nil {
-		state = &gate.Throttle{}
-		t.byKey[key] = state
-	}
-	return state
+	return valueOf(t.byKey, key)
 }
