config: differences look up fields as bounds do

Read again: WithBound came with a search for a field of a mapping that childValue of the differences had already. Change: childValue calls fieldOf. Behaviour as before; the package's tests pass.

--- a/internal/store/config/diff.go
+++ b/internal/store/config/diff.go
@@ -142,13 +142,8 @@
 }
 
 func childValue(n *yaml.Node, key string) string {
-	if n.Kind != yaml.MappingNode {
-		return ""
-	}
-	for i := 0; i+1 < len(n.Content); i += 2 {
-		if n.Content[i].Value == key {
-			return n.Content[i+1].Value
-		}
+	if value := fieldOf(n, key); value != nil {
+		return value.Value
 	}
 	return ""
 }
