--- a/internal/edge/choose/overshoot.go
+++ b/internal/edge/choose/overshoot.go
@@ -10,8 +10,8 @@
 	// averaged: as long as a surge takes to show in several reports.
 	overshootWindow = 2 * time.Second
 	// The load bound begins to have a margin at the share calmShare of the requests at such engines, and has the
-	// whole of it at surgeShare. Operators allow 0.03. On days without a surge the margin costs 0.010 of the
-	// worth, by prompts that move; 0.015 to 0.017 if it begins at 0, or is whole within 0.005.
+	// whole of it at surgeShare. Operators allow 0.03. A margin that begins at once moves prompts from engine to
+	// engine on days on which the limit is kept; see docs/design/hot-prompts.md.
 	calmShare, surgeShare = 0.01, 0.02
 	// reportedLoadAge is how old the loads of other routers are, as measured with 67 routers.
 	reportedLoadAge = 300 * time.Millisecond
