--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -103,7 +103,7 @@
 	return sendResult{action: actionDone}
 }
 
-// copyEvents relays events until the stream ends. Errors: errCallerLeft, engineconn.ErrTruncated,
+// copyEvents relays events until the stream ends. Errors: errCallerLeft, errNoMemory, engineconn.ErrTruncated,
 // engineconn.ErrMalformed.
 func (x *exchange) copyEvents(e catalog.Engine, response *engineconn.Response, splitter *eventSplitter) error {
 	control := http.NewResponseController(x.w)
