origins: a stream that another router has settled can be resumed once more

Cause: a router that proved the version of a stream whose begin was in doubt resumed it with a record of its own. Beside the record without a version that the replicas still had, the stream counted as ambiguous, and a second resumption was refused. Change: the router completes the record that it found, as the router that began the stream does; Record.Settled serves both. Before: refused (the test's new line).

--- a/internal/decide/origin/record.go
+++ b/internal/decide/origin/record.go
@@ -46,6 +46,12 @@
 // Known reports whether the record states a version.
 func (r Record) Known() bool { return r.Version != "" && !r.Ambiguous }
 
+// Settled returns the record that replaces one without a version.
+func (r Record) Settled(version string) Record {
+	r.Seq, r.Version, r.Engine, r.Born = r.Seq+1, version, "", 0
+	return r
+}
+
 // sameOrigin reports whether both records state the same version.
 func (r Record) sameOrigin(o Record) bool {
 	return r.Service == o.Service && r.Version == o.Version && r.Ambiguous == o.Ambiguous
--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -72,7 +72,7 @@
 		e, known := s.beganAt()
 		switch {
 		case known && doubted && !r.InDoubt(e):
-			return Found{Service: e.Service, Version: e.Version, From: r.Self, Age: s.record.Age}, nil
+			return r.settle(*s.record, e), nil
 		case known && !doubted && r.Doubt != nil:
 			// The router that began the stream may be gone.
 			doubted = true
@@ -85,6 +85,15 @@
 	return Found{}, ErrUnknown.New("the record states no version")
 }
 
+// settle completes the record of a stream whose engine has proved its start, as the router that began the
+// stream does. A record of this router's own beside the incomplete one would make the stream ambiguous.
+func (r *Registry) settle(record origin.Record, e catalog.Engine) Found {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put(record.Settled(e.Version), r.Clock(), true)
+	return found(record.Settled(e.Version), r.Self)
+}
+
 // beganAt returns the engine of a record that states no version, if its entry is still that of the start
 // at which the stream began.
 func (s *search) beganAt() (catalog.Engine, bool) {
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -182,6 +182,12 @@
 			r := f.routers["r1"]
 			r.provesAfter, r.provesNothing, r.born = test.provesAfter, test.provesNothing, test.born
 			require.Equal(t, test.want, f.find("r1", "1"), name)
+			if test.want == "" {
+				return
+			}
+			r.registry.Renew(Stream{Account: "a", ID: "1", Exchange: 9, Life: time.Second}, "svc", test.want)
+			settle()
+			require.Equal(t, test.want, f.find("r2", "1"), "%s, resumed once more", name)
 		})
 	}
 }
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -320,9 +320,9 @@
 		delete(r.doubtful, key)
 		current, known := r.Snapshot().Engines.ByID[b.engine.ID]
 		if now < b.until && known && current.Version == b.engine.Version && !current.RestartOf(b.engine) {
-			b.record.Seq, b.record.Version, b.record.Left = b.record.Seq+1, b.engine.Version, b.until-now
-			b.record.Engine, b.record.Born = "", 0
-			r.put(b.record, now, true)
+			record := b.record.Settled(b.engine.Version)
+			record.Left = b.until - now
+			r.put(record, now, true)
 		}
 	}
 }
