engineconn: a connection is the first one if no other is open

Cause: a router counted the connections it knew of an engine. After a restart in place within milliseconds, they were to the process that had ended, their end not read yet, and nothing reads the end of an idle one. The connection to the new process was not taken for the first, the engine was not queried for its start, and a stream was recorded at the version of the entry: TestEngineRestartedWithAnotherVersionGetsNoStreamOfTheFormer showed streams with events of two versions.

Change: after a connection was opened, the pool asks the kernel whether one that was opened before is open.

--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -37,7 +37,7 @@
 	// Lost is called when an engine has closed a connection other than after a response that announced
 	// it, or refuses connections. The process that had the connection lived at aliveAt. Nil for nothing.
 	Lost func(engine string, aliveAt time.Duration)
-	// First is called when a connection to an engine was opened while there was no other, with
+	// First is called when a connection to an engine was opened while no other was open, with
 	// Request.KnownStart. Nil for nothing.
 	First func(engine string, knownStart bool)
 	// Stalled is called in a goroutine of its own when an engine has not acknowledged a request for
@@ -287,13 +287,13 @@
 func (p *Pool) open(ctx context.Context, to Target, knownStart bool) (*conn, error) {
 	p.mu.Lock()
 	p.dials++
-	first := len(p.idle[to.ID])+len(p.active[to.ID]) == 0
 	p.mu.Unlock()
 	c, err := p.dial(ctx, to.Address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED) && p.opts.Lost != nil:
 		p.opts.Lost(to.ID, p.opts.Clock())
-	case err == nil && first && p.opts.First != nil:
+	case err == nil && p.opts.First != nil && !p.Survives(to.ID, c.openedAt):
+		// Other connections may be to a process that has ended: nothing reads the end of an idle one.
 		p.opts.First(to.ID, knownStart)
 	}
 	return c, err
--- a/internal/base/engineconn/send_test.go
+++ b/internal/base/engineconn/send_test.go
@@ -228,6 +228,29 @@
 	require.True(t, startWrite(t.Context(), c, request("r", 1)).finished())
 }
 
+// Guards against a restart of an engine that goes unnoticed because its end has not been read from the
+// connections to the process before.
+func TestConnectionAfterTheOthersWereClosedIsTheFirst(t *testing.T) {
+	conns := make(chan *net.TCPConn, 2)
+	e := newTestEngine(t, func(conn *net.TCPConn, _ int) { conns <- conn })
+	firsts := 0
+	p := NewPool(Options{
+		Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		First: func(string, bool) { firsts++ },
+	})
+	defer p.Close()
+	require.NoError(t, p.Open(t.Context(), e.target, 3))
+	first := <-conns
+	require.Equal(t, 1, firsts)
+	require.NoError(t, p.Open(t.Context(), e.target, 3))
+	second := <-conns
+	require.Equal(t, 1, firsts)
+	require.NoError(t, first.Close())
+	require.NoError(t, second.Close())
+	require.NoError(t, p.Open(t.Context(), e.target, 3))
+	require.Equal(t, 2, firsts)
+}
+
 // Guards against reporting a request as not sent but writing it a moment later. If
 // the context ends between the opening of the connection and the first write, no
 // write may start.
