forward: a stated start proves the connections that were open by then

Cause: each broken stream puts its engine in doubt anew, and a query for the start that had been sent before proved nothing. Two faults beside: a query that was answered between two looks counted as none in progress, and the check of connections could overwrite a newer proof.

Change: what matters is whether the process was the start of the entry when the stream's connection was opened. A start that the engine states on a connection opened later shows that, whatever is lost afterwards; doubts and records carry that time. A router that finds the incomplete record of another waits for two queries, 650 ms instead of 400.

--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -37,9 +37,9 @@
 	// Lost is called when an engine has closed a connection other than after a response that announced
 	// it, or refuses connections. The process that had the connection lived at aliveAt. Nil for nothing.
 	Lost func(engine string, aliveAt time.Duration)
-	// First is called when a connection to an engine was opened while no other was open, with
+	// First is called when a connection to an engine was opened, at openedAt, while no other was open, with
 	// Request.KnownStart. Nil for nothing.
-	First func(engine string, knownStart bool)
+	First func(engine string, openedAt time.Duration, knownStart bool)
 	// Stalled is called in a goroutine of its own when an engine has not acknowledged a request for
 	// stallTime, which may be due to the path to it. Nil for nothing.
 	Stalled func(address string)
@@ -294,7 +294,7 @@
 		p.opts.Lost(to.ID, p.opts.Clock())
 	case err == nil && p.opts.First != nil && !p.Survives(to.ID, c.openedAt):
 		// Other connections may be to a process that has ended: nothing reads the end of an idle one.
-		p.opts.First(to.ID, knownStart)
+		p.opts.First(to.ID, c.openedAt, knownStart)
 	}
 	return c, err
 }
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -305,6 +305,10 @@
 // there is more to read.
 func (a *Response) Open() bool { return a.conn.reader.Buffered() == 0 && a.conn.open() }
 
+// OpenedAt returns the reading of Options.Clock when the connection was open. The process that responds had
+// accepted it by then.
+func (a *Response) OpenedAt() time.Duration { return a.conn.openedAt }
+
 // Complete reports whether the body was read to its end.
 func (a *Response) Complete() bool { return a.complete }
 
--- a/internal/base/engineconn/send_test.go
+++ b/internal/base/engineconn/send_test.go
@@ -236,7 +236,7 @@
 	firsts := 0
 	p := NewPool(Options{
 		Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
-		First: func(string, bool) { firsts++ },
+		First: func(string, time.Duration, bool) { firsts++ },
 	})
 	defer p.Close()
 	require.NoError(t, p.Open(t.Context(), e.target, 3))
--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -32,8 +32,8 @@
 	snapshot func() *catalog.Snapshot
 	// survives reports whether a connection to the engine is open that was opened before a time.
 	survives func(engine string, openedBefore time.Duration) bool
-	// queryStart returns the time of the start that an engine states, as in its entry.
-	queryStart func(catalog.Engine) (born int64, err error)
+	// queryStart asks an engine for the time of its start, on a new connection.
+	queryStart func(catalog.Engine) (StatedStart, error)
 	// multiVersion reports whether more than one version of a service has served lately.
 	multiVersion func(service string) bool
 	// others returns what the other routers report of the engines, by ID.
@@ -55,8 +55,8 @@
 // startProof is what a router knows of a start of an engine.
 type startProof struct {
 	born int64
-	// verifiedAt is when the engine was last queried that stated this start; zero if it was not. A
-	// connection that was opened before and is open since is to this start.
+	// verifiedAt is when the connection was opened on which the engine last stated this start; zero if it did
+	// not. A connection that was opened by then and was open since is to this start.
 	verifiedAt time.Duration
 	// holds tells whether there was a connection that proves the start at checkedAt.
 	holds     bool
@@ -85,7 +85,7 @@
 }
 
 // NewRestartDoubts returns a RestartDoubts.
-func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (int64, error), multiVersion func(service string) bool) *RestartDoubts {
+func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (StatedStart, error), multiVersion func(service string) bool) *RestartDoubts {
 	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connected: make(map[string]firstConnections), proofs: make(map[string]startProof), others: func() map[string]feed.EngineLoad { return nil }}
 }
 
@@ -126,24 +126,24 @@
 // Lose records that a connection to the engine was lost, whose process lived at aliveAt.
 func (d *RestartDoubts) Lose(engine string, aliveAt time.Duration) {
 	if e, ok := d.snapshot().Engines.ByID[engine]; ok {
-		d.doubt(e, aliveAt)
+		d.doubt(e, aliveAt, d.clock())
 	}
 }
 
 // Connect records that a connection to the engine was opened while there was no other, so that a
 // restart since the last one went unnoticed. If knownStart is set, a stream that can be resumed uses it.
-func (d *RestartDoubts) Connect(engine string, knownStart bool) {
+func (d *RestartDoubts) Connect(engine string, openedAt time.Duration, knownStart bool) {
 	e, ok := d.snapshot().Engines.ByID[engine]
 	if !ok || e.Born == 0 {
 		return
 	}
-	now, asOf := d.clock(), d.snapshot().EnginesAsOf
+	asOf := d.snapshot().EnginesAsOf
 	d.mu.Lock()
 	c, known := d.connected[engine]
 	if !known || asOf > c.since+entryDelay {
-		c.since = now
+		c.since = openedAt
 	}
-	c.last = now
+	c.last = max(c.last, openedAt)
 	d.connected[engine] = c
 	d.mu.Unlock()
 	if knownStart {
@@ -213,9 +213,13 @@
 	if last.checkedAt > 0 && now-last.checkedAt < proofInterval {
 		return false, last.holds
 	}
-	proven = d.survives(e.ID, max(asOf-entryDelay, last.verifiedAt))
+	proven = d.survives(e.ID, max(asOf-entryDelay, last.verifiedAt+1))
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if current := d.proofs[e.ID]; current.born == e.Born {
+		// The engine may have stated its start during the check.
+		last.verifiedAt = current.verifiedAt
+	}
 	last.holds, last.checkedAt = proven, now
 	d.proofs[e.ID] = last
 	return false, proven
@@ -229,32 +233,53 @@
 	delete(d.connected, e.ID)
 	d.mu.Unlock()
 	if ok && asOf <= c.last+entryDelay {
-		d.Doubt(e)
+		d.Doubt(e, c.last)
 	}
 }
 
-// Doubt puts the engine in doubt until a proof that is newer than the call shows that it was not restarted.
-func (d *RestartDoubts) Doubt(e catalog.Engine) {
-	d.doubt(e, 0)
+// Doubt puts the engine in doubt until there is a proof that it ran the start of its entry at a time.
+func (d *RestartDoubts) Doubt(e catalog.Engine, at time.Duration) {
+	d.doubt(e, 0, at)
 	d.InDoubt(e)
 }
 
-func (d *RestartDoubts) doubt(e catalog.Engine, aliveAt time.Duration) {
+// doubt records that the engine may have been restarted between aliveAt and a later time.
+func (d *RestartDoubts) doubt(e catalog.Engine, aliveAt, at time.Duration) {
 	if e.Born == 0 {
 		return
 	}
-	now := d.clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.proofs[e.ID].covers(e, at) {
+		return
+	}
 	l, ok := d.losses[e.ID]
 	if !ok || e.RestartOf(l.engine) {
-		l = loss{engine: e, aliveAt: aliveAt, first: now}
+		l = loss{engine: e, aliveAt: aliveAt, first: at}
 	}
 	l.aliveAt = min(l.aliveAt, aliveAt)
-	l.last, l.queries = now, 0
+	l.last, l.queries = max(l.last, at), 0
 	d.losses[e.ID] = l
 }
 
+// covers reports whether the engine has stated the start of its entry on a connection that was opened at a time
+// or later: a connection that was open then was to that start.
+func (p startProof) covers(e catalog.Engine, at time.Duration) bool {
+	return p.born == e.Born && p.verifiedAt > 0 && at <= p.verifiedAt
+}
+
+// InDoubtAt reports whether the engine may have been restarted with another version by a time. Unlike InDoubt, it
+// is not changed by what happens later.
+func (d *RestartDoubts) InDoubtAt(e catalog.Engine, at time.Duration) bool {
+	if d == nil {
+		return false
+	}
+	d.mu.Lock()
+	proved := d.proofs[e.ID].covers(e, at)
+	d.mu.Unlock()
+	return !proved && d.InDoubt(e)
+}
+
 // InDoubt reports whether the engine may have been restarted with another version.
 func (d *RestartDoubts) InDoubt(e catalog.Engine) bool {
 	if d == nil {
@@ -306,17 +331,22 @@
 	l.queries++
 	d.losses[engine] = l
 	go func() {
-		sent := d.clock()
-		born, err := d.queryStart(l.engine)
-		d.recordStart(l.engine, sent, born, err)
+		stated, err := d.queryStart(l.engine)
+		d.recordStart(l.engine, stated, err)
 		d.answered()
 	}()
 }
 
-// recordStart applies the reply of an engine that was queried at sent.
-func (d *RestartDoubts) recordStart(e catalog.Engine, sent time.Duration, born int64, err error) {
+// recordStart applies the reply of an engine that was queried.
+func (d *RestartDoubts) recordStart(e catalog.Engine, stated StatedStart, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err == nil && stated.Born == e.Born {
+		d.proofs[e.ID] = startProof{born: e.Born, verifiedAt: stated.OpenedAt}
+		if c, ok := d.connected[e.ID]; ok && c.last <= stated.OpenedAt {
+			delete(d.connected, e.ID)
+		}
+	}
 	l, ok := d.losses[e.ID]
 	if !ok {
 		return
@@ -324,10 +354,9 @@
 	l.querying = false
 	switch {
 	case err != nil:
-	case born != l.engine.Born:
+	case stated.Born != l.engine.Born:
 		l.restarted = true
-	case sent >= l.last:
-		d.proofs[e.ID] = startProof{born: born, verifiedAt: sent}
+	case stated.OpenedAt >= l.last:
 		delete(d.losses, e.ID)
 		return
 	}
--- a/internal/edge/forward/doubts_test.go
+++ b/internal/edge/forward/doubts_test.go
@@ -22,18 +22,20 @@
 	running      int64
 	queryErr     error
 	queries      int
+	queryTime    time.Duration
 	multiVersion bool
 }
 
 func newDoubtsFixture() *doubtsFixture {
-	f := &doubtsFixture{start: time.Now(), running: 1}
+	f := &doubtsFixture{start: time.Now(), running: 1, queryTime: time.Millisecond}
 	f.list(1, 1)
 	f.RestartDoubts = NewRestartDoubts(f.now, func() *catalog.Snapshot { return f.snapshot },
 		func(_ string, before time.Duration) bool { return f.openedAt > 0 && f.openedAt < before },
-		func(catalog.Engine) (int64, error) {
+		func(catalog.Engine) (StatedStart, error) {
 			f.queries++
-			time.Sleep(time.Millisecond)
-			return f.running, f.queryErr
+			openedAt := f.now()
+			time.Sleep(f.queryTime)
+			return StatedStart{Born: f.running, OpenedAt: openedAt}, f.queryErr
 		},
 		func(string) bool { return f.multiVersion })
 	return f
@@ -87,6 +89,54 @@
 	})
 }
 
+// Guards against a stream that is not resumed although its engine has stated its start since it began, because
+// connections of other streams are lost again and again.
+func TestLaterLossLeavesEarlierConnectionProved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer sleep(time.Second)
+		f := newDoubtsFixture()
+		f.queryTime = 100 * time.Millisecond
+		openedAt := f.now()
+		f.Lose("e", openedAt)
+		require.True(t, f.InDoubtAt(f.engine(), openedAt))
+		for range 7 {
+			sleep(20 * time.Millisecond)
+			f.Lose("e", f.now())
+		}
+		require.True(t, f.InDoubt(f.engine()))
+		require.False(t, f.InDoubtAt(f.engine(), openedAt))
+		later := f.now()
+		require.True(t, f.InDoubtAt(f.engine(), later), "the query was sent before")
+		f.running = 2
+		sleep(time.Second)
+		require.True(t, f.InDoubtAt(f.engine(), later))
+		require.False(t, f.InDoubtAt(f.engine(), openedAt), "it has ended since")
+		f.list(2, 2)
+		f.Connect("e", f.now(), false)
+		require.False(t, f.InDoubtAt(f.engine(), later), "the entry is that of the new start")
+	})
+}
+
+// Guards against queries for a start that the engine has just stated, on a connection that was opened later.
+func TestStatedStartProvesConnectionsOpenedBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer sleep(time.Second)
+		f := newDoubtsFixture()
+		f.multiVersion = true
+		openedAt := f.now()
+		sleep(time.Millisecond)
+		f.Connect("e", f.now(), true)
+		sleep(10 * time.Millisecond)
+		require.Equal(t, 1, f.queries)
+		f.Connect("e", openedAt, true)
+		sleep(10 * time.Millisecond)
+		require.Equal(t, 1, f.queries)
+		f.Connect("e", f.now(), true)
+		sleep(10 * time.Millisecond)
+		require.Equal(t, 2, f.queries)
+	})
+}
+
 func TestOlderConnectionProvesThatTheEngineWasNotRestarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Queries in progress end before the test.
@@ -138,7 +188,7 @@
 		defer sleep(time.Second)
 		f := newDoubtsFixture()
 		f.running = 2
-		f.Connect("e", false)
+		f.Connect("e", f.now(), false)
 		require.False(t, f.InDoubt(f.engine()), "only streams need certainty")
 		f.Verify(f.engine())
 		require.True(t, f.InDoubt(f.engine()))
@@ -146,21 +196,21 @@
 		f = newDoubtsFixture()
 		const seconds = 10
 		for range 100 * seconds {
-			f.Connect("e", true)
+			f.Connect("e", f.now(), true)
 			sleep(10 * time.Millisecond)
 		}
 		require.LessOrEqual(t, f.queries, beginQueryBurst+beginQueriesPerSecond*seconds+1, "one version serves")
 		f.multiVersion = true
 		f.queries = 0
 		for range 10 {
-			f.Connect("e", true)
+			f.Connect("e", f.now(), true)
 			sleep(10 * time.Millisecond)
 		}
 		require.Equal(t, 10, f.queries)
 
 		f = newDoubtsFixture()
 		f.running = 2
-		f.Connect("e", false)
+		f.Connect("e", f.now(), false)
 		sleep(2 * entryDelay)
 		f.list(1, 1)
 		f.Verify(f.engine())
@@ -180,7 +230,7 @@
 		f.SetOthers(func() map[string]feed.EngineLoad { return map[string]feed.EngineLoad{"e": others} })
 		begin := func() int {
 			before := f.queries
-			f.Connect("e", true)
+			f.Connect("e", f.now(), true)
 			sleep(10 * time.Millisecond)
 			return f.queries - before
 		}
@@ -195,7 +245,7 @@
 		require.Equal(t, 1, begin())
 
 		f.multiVersion = false
-		f.Connect("e", true)
+		f.Connect("e", f.now(), true)
 		others.LostBorn = 7
 		before := f.queries
 		f.VerifyBegin(f.engine())
@@ -228,7 +278,7 @@
 		f.running = 7
 		require.Equal(t, feed.EngineLoad{InFlight: 1}, report())
 		f.multiVersion = true
-		f.Connect("e", true)
+		f.Connect("e", f.now(), true)
 		sleep(2 * proofInterval)
 		require.Equal(t, feed.EngineLoad{InFlight: 1, Proven: 1}, f.AddTo(map[string]feed.EngineLoad{"e": {InFlight: 1}})["e"], "the engine has stated its start")
 
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -110,7 +110,7 @@
 	}
 	if o.Origins == nil {
 		o.Origins = origins.New(origins.Options{
-			Clock: o.Clock, Snapshot: o.Snapshot, InDoubt: o.Doubts.InDoubt, FirstStart: true, Log: o.Log,
+			Clock: o.Clock, Snapshot: o.Snapshot, InDoubt: o.Doubts.InDoubtAt, FirstStart: true, Log: o.Log,
 			Live: func() []feed.Peer { return nil },
 		})
 	}
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -30,9 +30,11 @@
 	// event, and for a stream that may continue anywhere.
 	service, version string
 	// doubtful is set if the stream has begun at an engine, beganAt, that may have been restarted with
-	// another version. Its record tells whether that has been settled since.
+	// another version, on a connection that was opened at openedAt. Its record tells whether that has been
+	// settled since.
 	doubtful bool
 	beganAt  catalog.Engine
+	openedAt time.Duration
 
 	// id and seq distinguish this exchange and its records from others; sentTo is the version of the last
 	// record, and recorded the channel that is closed once its replicas have it.
@@ -70,7 +72,7 @@
 	case x.recordsOrigin():
 		x.f.Doubts.VerifyBegin(e)
 		x.stream.seq++
-		recorded := x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, false)
+		recorded := x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, x.f.Clock(), false)
 		if x.stream.sentTo != "" && x.stream.sentTo != e.Version {
 			x.stream.recorded = recorded
 		}
@@ -78,18 +80,20 @@
 	}
 }
 
-// beginStream holds the stream to the version of the engine that sends the first event.
-func (x *exchange) beginStream(e catalog.Engine) {
+// beginStream holds the stream to the version of the engine that sends the first event, on a connection that was
+// opened at openedAt.
+func (x *exchange) beginStream(e catalog.Engine, openedAt time.Duration) {
 	if x.stream.resumes && x.stream.version != "" {
 		return
 	}
 	x.stream.service, x.stream.version = e.Service, e.Version
-	if x.f.Doubts.InDoubt(e) {
-		x.stream.doubtful, x.stream.beganAt = true, e
-		if x.recordsOrigin() {
-			x.stream.seq++
-			x.stream.recorded = x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, true)
-		}
+	if x.f.Doubts.InDoubtAt(e, openedAt) {
+		x.stream.doubtful, x.stream.beganAt, x.stream.openedAt = true, e, openedAt
+	}
+	// The engine may have been in doubt when the request was sent, and not be for this connection.
+	if x.recordsOrigin() && (x.stream.doubtful || !x.f.Origins.Known(x.streamRecord())) {
+		x.stream.seq++
+		x.stream.recorded = x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, openedAt, true)
 	}
 	if x.stream.recorded == nil {
 		return
@@ -110,34 +114,41 @@
 	if !x.stream.doubtful {
 		return x.stream.version != ""
 	}
-	return x.awaitStart(x.stream.beganAt, func() bool { return x.f.Origins.Known(x.streamRecord()) })
+	e := x.stream.beganAt
+	return x.awaitStart(e, func() bool {
+		return !x.f.Doubts.InDoubtAt(e, x.stream.openedAt) || x.f.Origins.Known(x.streamRecord())
+	})
 }
 
-// confirmVersion reports whether the response of an engine is certainly of the version at which the
-// stream continues. A request that begins a stream needs no certain version. While the engine is queried
+// confirmVersion reports whether the response of an engine, on a connection that was opened at openedAt, is
+// certainly of the version at which the stream continues. A request that begins a stream needs no certain version. While the engine is queried
 // for its start, the request waits: another engine would have to be queried as well.
-func (x *exchange) confirmVersion(e catalog.Engine) bool {
+func (x *exchange) confirmVersion(e catalog.Engine, openedAt time.Duration) bool {
 	if x.stream.version == "" {
 		return true
 	}
 	x.f.Doubts.Verify(e)
-	return x.awaitStart(e, func() bool { return !x.f.Doubts.InDoubt(e) })
+	return x.awaitStart(e, func() bool { return !x.f.Doubts.InDoubtAt(e, openedAt) })
 }
 
 // awaitStart waits until known returns true, which proof that the engine was not restarted brings about. It
-// returns false if there is none in time. A query that was in progress when a connection was lost proves
+// returns false if there is none in time. A query that was in progress when the connection was opened proves
 // nothing, so that the time is enough for two.
 func (x *exchange) awaitStart(e catalog.Engine, known func() bool) bool {
-	for waited := time.Duration(0); !known(); waited += doubtPoll {
+	for waited := time.Duration(0); ; waited += doubtPoll {
+		// An answer that comes after known was called ends the query, and known may begin one.
+		querying := x.f.Doubts.Querying(e)
+		if known() {
+			return true
+		}
 		limit := doubtWait
-		if x.f.Doubts.Querying(e) {
+		if querying || x.f.Doubts.Querying(e) {
 			limit += 2 * queryTimeout
 		}
 		if waited >= limit || x.f.Doubts.Restarted(e) || !pause.For(x.r.Context(), doubtPoll) {
 			return false
 		}
 	}
-	return true
 }
 
 // findOrigin determines at which version the stream continues that the request resumes. If it is not
--- a/internal/edge/forward/origin_test.go
+++ b/internal/edge/forward/origin_test.go
@@ -19,12 +19,12 @@
 			time.AfterFunc(delay, func() { close(recorded) })
 			x.stream.recorded = recorded
 			began := time.Now()
-			x.beginStream(catalog.Engine{ID: "e", Service: "llm", Version: "v1"})
+			x.beginStream(catalog.Engine{ID: "e", Service: "llm", Version: "v1"}, 0)
 			require.Equal(t, min(delay, recordWait), time.Since(began))
 		}
 		x := tr.newExchange(context.Background())
 		began := time.Now()
-		x.beginStream(catalog.Engine{ID: "e", Service: "llm", Version: "v1"})
+		x.beginStream(catalog.Engine{ID: "e", Service: "llm", Version: "v1"}, 0)
 		require.Zero(t, time.Since(began), "only one version was tried")
 	})
 }
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -385,7 +385,7 @@
 	p.restart("e1")
 	clock, snapshot := func() time.Duration { return p.now }, func() *catalog.Snapshot { return p.snapshot }
 	noOther := func(string, time.Duration) bool { return false }
-	unknown := func(catalog.Engine) (int64, error) { return 0, errors.New("no answer") }
+	unknown := func(catalog.Engine) (StatedStart, error) { return StatedStart{}, errors.New("no answer") }
 	p.SetDoubts(NewRestartDoubts(clock, snapshot, noOther, unknown, func(string) bool { return false }))
 	return p
 }
@@ -416,11 +416,11 @@
 // at a router that had no connection to the start before, and so has lost none.
 func TestPauseAskedForOnFirstConnectionOutlivesLateEntry(t *testing.T) {
 	p := newBalancerWithDoubts()
-	p.doubts.Connect("e0", false)
+	p.doubts.Connect("e0", p.now, false)
 	p.now += 100 * time.Millisecond
 	p.Pause(p.engine("e0"), 4*time.Second)
 	p.now += 100 * time.Millisecond
-	p.doubts.Connect("e0", false)
+	p.doubts.Connect("e0", p.now, false)
 	p.now += 300 * time.Millisecond
 	p.restart("e0")
 	require.Zero(t, p.countPicks(20)["e0"])
@@ -429,7 +429,7 @@
 
 	p.Pause(p.engine("e1"), time.Minute)
 	p.now += 100 * time.Millisecond
-	p.doubts.Connect("e1", false)
+	p.doubts.Connect("e1", p.now, false)
 	p.now += 300 * time.Millisecond
 	p.restart("e1")
 	require.Positive(t, p.countPicks(20)["e1"], "the start before has asked for it")
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -283,7 +283,7 @@
 		return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonBadAnswer))
 	}
 	if x.route.Kind == catalog.Streaming && response.Status < http.StatusMultipleChoices {
-		if !x.confirmVersion(e) {
+		if !x.confirmVersion(e, response.OpenedAt()) {
 			return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonStreamBroken))
 		}
 		return x.relayStream(ctx, e, response)
--- a/internal/edge/forward/startquery.go
+++ b/internal/edge/forward/startquery.go
@@ -17,9 +17,16 @@
 	maxStartReply = 64 << 10
 )
 
+// StatedStart is the time of its start that an engine has stated, as in its entry, and when the connection on
+// which it did was open: its process had begun by then.
+type StatedStart struct {
+	Born     int64
+	OpenedAt time.Duration
+}
+
 // QueryStart returns a function that queries an engine for the time of its start. It opens a connection of its own.
-func QueryStart(conns *engineconn.Pool, codec Codec) func(catalog.Engine) (born int64, err error) {
-	return func(e catalog.Engine) (int64, error) {
+func QueryStart(conns *engineconn.Pool, codec Codec) func(catalog.Engine) (StatedStart, error) {
+	return func(e catalog.Engine) (StatedStart, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 		defer cancel()
 		method, target, header := codec.StartRequest(e)
@@ -29,14 +36,15 @@
 			Matches: func(http.Header) bool { return true },
 		})
 		if err != nil {
-			return 0, err
+			return StatedStart{}, err
 		}
 		defer response.Close()
 		body, err := io.ReadAll(io.LimitReader(response, maxStartReply))
 		if err != nil {
-			return 0, err
+			return StatedStart{}, err
 		}
-		return codec.StartOf(response.Status, body)
+		born, err := codec.StartOf(response.Status, body)
+		return StatedStart{Born: born, OpenedAt: response.OpenedAt()}, err
 	}
 }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -116,7 +116,7 @@
 		}
 		if complete := splitter.add(buf[:n]); len(complete) > 0 {
 			if !x.responded {
-				x.beginStream(e)
+				x.beginStream(e, response.OpenedAt())
 				x.writeHeader(response.Status, response.Header)
 				x.w.WriteHeader(response.Status)
 			}
@@ -212,7 +212,7 @@
 		return nil, true
 	}
 	x.executed++
-	if !x.confirmVersion(e) {
+	if !x.confirmVersion(e, response.OpenedAt()) {
 		response.Close()
 		return nil, true
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -226,8 +226,10 @@
 	r.assembleDialer()
 	conns := engineconn.NewPool(engineconn.Options{
 		Clock: bootclock.Now, Dial: r.dialer.Dial, DialTimeout: reach.DialTimeout, Stalled: r.dialer.Stalled,
-		Lost:  func(engine string, aliveAt time.Duration) { r.doubts.Lose(engine, aliveAt) },
-		First: func(engine string, knownStart bool) { r.doubts.Connect(engine, knownStart) },
+		Lost: func(engine string, aliveAt time.Duration) { r.doubts.Lose(engine, aliveAt) },
+		First: func(engine string, openedAt time.Duration, knownStart bool) {
+			r.doubts.Connect(engine, openedAt, knownStart)
+		},
 	})
 	r.assembleOrigins(conns)
 	r.dialer.PathLost = func(address string) { r.pathChanged(conns, address, true) }
@@ -273,7 +275,7 @@
 	r.engines.SetDoubts(r.doubts)
 	r.origins = origins.New(origins.Options{
 		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
-		InDoubt: r.doubts.InDoubt, Doubt: r.doubts.Doubt, FirstStart: r.settings().FirstStart, Log: r.log,
+		InDoubt: r.doubts.InDoubtAt, Doubt: r.doubts.Doubt, FirstStart: r.settings().FirstStart, Log: r.log,
 	})
 	r.doubts.OnAnswer(r.origins.ReviewDoubtful)
 	r.versionsKeeper = &feed.VersionsKeeper{
--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -20,10 +20,10 @@
 	// findTimeout bounds the calls to one ring of replicas.
 	findTimeout = 150 * time.Millisecond
 	// unsettledPause is the pause before replicas are queried again whose record states no version yet, and
-	// maxUnsettled how often that is done: for 400 ms, as the router that began the stream waits 300 ms for
-	// the engine to state its start. unsettledAge is how old the record may be.
+	// maxUnsettled how often that is done: for 650 ms, as a query for the start of an engine takes up to 300 ms,
+	// and one that was sent before proves nothing. unsettledAge is how old the record may be.
 	unsettledPause = 25 * time.Millisecond
-	maxUnsettled   = 16
+	maxUnsettled   = 26
 	unsettledAge   = time.Second
 	// maxRings is how many rings of replicas are queried. Those of the second may have been the replicas
 	// before routers came or went.
@@ -60,7 +60,7 @@
 
 func (r *Registry) find(ctx context.Context, account, id string, services []string) (Found, error) {
 	args := FindArgs{Key: origin.KeyOf(account, id), Services: services}
-	doubted := false
+	doubted, doubtedAt := false, time.Duration(0)
 	for range maxUnsettled {
 		s := search{registry: r, args: args, own: r.local(args)}
 		if s.merge(s.own) {
@@ -71,12 +71,12 @@
 		}
 		e, known := s.beganAt()
 		switch {
-		case known && doubted && !r.InDoubt(e):
+		case known && doubted && !r.InDoubt(e, doubtedAt):
 			return r.settle(*s.record, e), nil
 		case known && !doubted && r.Doubt != nil:
 			// The router that began the stream may be gone.
-			doubted = true
-			r.Doubt(e)
+			doubted, doubtedAt = true, r.Clock()
+			r.Doubt(e, doubtedAt)
 		}
 		if !(s.unsettled() || known && doubted) || !pause.For(ctx, unsettledPause) {
 			return s.onlyVersion()
--- a/internal/edge/origins/fleet_test.go
+++ b/internal/edge/origins/fleet_test.go
@@ -92,10 +92,10 @@
 		},
 		Live:     func() []feed.Peer { return f.live(r) },
 		Snapshot: func() *catalog.Snapshot { return f.snapshot(r) },
-		InDoubt: func(catalog.Engine) bool {
+		InDoubt: func(catalog.Engine, time.Duration) bool {
 			return r.inDoubt || r.doubtedAt > 0 && (r.provesNothing || f.now() < r.doubtedAt+r.provesAfter)
 		},
-		Doubt: func(catalog.Engine) { r.doubtedAt = f.now() },
+		Doubt: func(catalog.Engine, time.Duration) { r.doubtedAt = f.now() },
 	})
 }
 
@@ -169,7 +169,7 @@
 
 // begin begins a stream at a router and an engine of a version.
 func (f *testFleet) begin(router, id, version string) {
-	f.routers[router].registry.Begin(streamOf(id), 1, engineOf(version), false)
+	f.routers[router].registry.Begin(streamOf(id), 1, engineOf(version), f.now(), false)
 }
 
 func streamOf(id string) Stream {
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -147,8 +147,8 @@
 		f.routers["r0"].inDoubt = true
 		f.begin("r0", "1", "v1")
 		s := streamOf("2")
-		f.routers["r0"].registry.Begin(s, 1, engineOf("v1"), false)
-		<-f.routers["r0"].registry.Begin(s, 2, engineOf("v1"), true)
+		f.routers["r0"].registry.Begin(s, 1, engineOf("v1"), f.now(), false)
+		<-f.routers["r0"].registry.Begin(s, 2, engineOf("v1"), f.now(), true)
 		f.routers["r1"].provesNothing = true
 		require.Empty(t, f.find("r1", "2"), "the first event has come")
 		require.Empty(t, f.find("r0", "1"))
@@ -176,7 +176,7 @@
 			f := newFleet(t, 6, "v1", "v2")
 			settle()
 			f.routers["r0"].inDoubt = true
-			<-f.routers["r0"].registry.Begin(streamOf("1"), 1, engineOf("v1"), true)
+			<-f.routers["r0"].registry.Begin(streamOf("1"), 1, engineOf("v1"), f.now(), true)
 			f.kill("r0")
 			time.Sleep(3 * time.Second)
 			r := f.routers["r1"]
@@ -199,8 +199,8 @@
 		f := newFleet(t, 6, "v1", "v2")
 		settle()
 		s := streamOf("1")
-		<-f.routers["r0"].registry.Begin(s, 1, engineOf("v1"), false)
-		<-f.routers["r0"].registry.Begin(s, 2, engineOf("v2"), false)
+		<-f.routers["r0"].registry.Begin(s, 1, engineOf("v1"), f.now(), false)
+		<-f.routers["r0"].registry.Begin(s, 2, engineOf("v2"), f.now(), false)
 		require.Equal(t, "v2", f.find("r1", "1"))
 		f.routers["r3"].registry.Renew(Stream{Account: "a", ID: "1", Exchange: 7, Life: time.Second}, "svc", "v2")
 		synctest.Wait()
@@ -243,8 +243,8 @@
 		r := f.routers["r0"]
 		r.inDoubt = true
 		s := streamOf("1")
-		r.registry.Begin(s, 1, engineOf("v1"), false)
-		<-r.registry.Begin(s, 2, engineOf("v1"), true)
+		r.registry.Begin(s, 1, engineOf("v1"), f.now(), false)
+		<-r.registry.Begin(s, 2, engineOf("v1"), f.now(), true)
 		time.AfterFunc(40*time.Millisecond, func() {
 			r.inDoubt = false
 			r.registry.ReviewDoubtful()
@@ -253,7 +253,7 @@
 		start := f.now()
 		r.inDoubt = true
 		s = streamOf("2")
-		<-r.registry.Begin(s, 1, engineOf("v1"), true)
+		<-r.registry.Begin(s, 1, engineOf("v1"), f.now(), true)
 		require.Empty(t, f.find("r1", "2"))
 		require.LessOrEqual(t, f.now()-start, maxUnsettled*unsettledPause)
 	})
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -47,11 +47,11 @@
 	// Live returns the routers that are believed alive, with this one unless it leaves.
 	Live     func() []feed.Peer
 	Snapshot func() *catalog.Snapshot
-	// InDoubt reports whether an engine may have been restarted before its entry shows it.
-	InDoubt func(catalog.Engine) bool
-	// Doubt puts an engine in doubt until it is proved that it runs the start that its entry states. The
+	// InDoubt reports whether an engine may have been restarted by a time, which its entry does not show yet.
+	InDoubt func(e catalog.Engine, at time.Duration) bool
+	// Doubt puts an engine in doubt until it is proved that it ran the start of its entry at a time. The
 	// default does nothing, and streams that only that would settle are unknown.
-	Doubt func(catalog.Engine)
+	Doubt func(e catalog.Engine, at time.Duration)
 	// FirstStart is set if the fleet starts for the first time, so that there were no streams before.
 	FirstStart bool
 	Log        *log.Logger
@@ -89,10 +89,12 @@
 // counters counts for metrics; see Stats.
 type counters struct{ sent, replicateCalls, lookups, found, only, unknown atomic.Int64 }
 
-// begun is the begin of a stream and the engine at which it began.
+// begun is the begin of a stream, the engine at which it began and the time until which that may have been
+// restarted before.
 type begun struct {
 	record origin.Record
 	engine catalog.Engine
+	at     time.Duration
 	until  time.Duration
 }
 
@@ -131,13 +133,13 @@
 	}
 }
 
-// Begin records that the stream is sent to an engine. seq orders the records of one exchange; a later one
-// replaces the others. While the engine is in doubt, the replicas get no record yet, unless the first
-// event has come. The channel is closed once the replicas have the record or can't be reached; it is nil
-// if nothing was sent.
-func (r *Registry) Begin(s Stream, seq uint32, e catalog.Engine, firstEvent bool) <-chan struct{} {
+// Begin records that the stream is sent to an engine, or with firstEvent that it has begun there on a connection
+// that was open by a time. seq orders the records of one exchange; a later one replaces the others. While the
+// engine is in doubt, the replicas get no record yet, unless the first event has come. The channel is closed once
+// the replicas have the record or can't be reached; it is nil if nothing was sent.
+func (r *Registry) Begin(s Stream, seq uint32, e catalog.Engine, at time.Duration, firstEvent bool) <-chan struct{} {
 	version := e.Version
-	inDoubt := r.InDoubt(e)
+	inDoubt := r.InDoubt(e, at)
 	if inDoubt {
 		version = ""
 	}
@@ -155,7 +157,7 @@
 	}
 	delete(r.doubtful, record.Key)
 	if inDoubt {
-		r.doubtful[record.Key] = begun{record: record, engine: e, until: now + record.Left}
+		r.doubtful[record.Key] = begun{record: record, engine: e, at: at, until: now + record.Left}
 	}
 	return r.put(record, now, firstEvent)
 }
@@ -314,7 +316,7 @@
 // restarted. The caller holds the mutex.
 func (r *Registry) reviewDoubtful(now time.Duration) {
 	for key, b := range r.doubtful {
-		if now < b.until && r.InDoubt(b.engine) {
+		if now < b.until && r.InDoubt(b.engine, b.at) {
 			continue
 		}
 		delete(r.doubtful, key)
