origins: a record that no router has yet is looked for again for 200 ms

Cause: the router that begins a stream sends its record while the engine reads the prompt. On a busy VM the caller had its first event, left and came back before a replica had the record, and was refused at once: "the versions that have served lately are not known", after 0.4 ms in a traced run, after two calls that timed out in another.

Change: the router asks the replicas again every 25 ms, for 200 ms, while no record is there and several versions may have begun the stream.

TestRecordMayComeAfterTheCaller fails without the change.

A stream that never was is refused after 200 ms instead of at once.

--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -25,6 +25,10 @@
 	unsettledPause = 25 * time.Millisecond
 	maxUnsettled   = 26
 	unsettledAge   = time.Second
+	// missingWait is how long a record is looked for that no router has: the one that began the stream sends it
+	// while the engine reads the prompt, and on a busy VM the caller may have the first event before a replica has
+	// the record.
+	missingWait = 200 * time.Millisecond
 	// maxRings is how many rings of replicas are queried. Those of the second may have been the replicas
 	// before routers came or went.
 	maxRings = 2
@@ -60,7 +64,7 @@
 
 func (r *Registry) find(ctx context.Context, account, id string, services []string) (Found, error) {
 	args := FindArgs{Key: origin.KeyOf(account, id), Services: services}
-	doubted, doubtedAt := false, time.Duration(0)
+	began, doubted, doubtedAt := r.Clock(), false, time.Duration(0)
 	for range maxUnsettled {
 		s := search{registry: r, args: args, own: r.local(args)}
 		if s.merge(s.own) {
@@ -78,8 +82,10 @@
 			doubted, doubtedAt = true, r.Clock()
 			r.Doubt(e, doubtedAt)
 		}
-		if !(s.unsettled() || known && doubted) || !pause.For(ctx, unsettledPause) {
-			return s.onlyVersion()
+		out, err := s.onlyVersion()
+		late := s.record == nil && id != "" && err != nil && r.Clock()-began < missingWait
+		if !(late || s.unsettled() || known && doubted) || !pause.For(ctx, unsettledPause) {
+			return out, err
 		}
 	}
 	return Found{}, ErrUnknown.New("the record states no version")
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -259,6 +259,20 @@
 	})
 }
 
+// Guards against a stream that is refused because its caller has left and come back before the replicas have
+// its record, and against callers that wait long for a stream that never was.
+func TestRecordMayComeAfterTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, "v1", "v2")
+		settle()
+		time.AfterFunc(60*time.Millisecond, func() { f.begin("r0", "1", "v1") })
+		require.Equal(t, "v1", f.find("r1", "1"))
+		start := f.now()
+		require.Empty(t, f.find("r1", "never was"))
+		require.LessOrEqual(t, f.now()-start, missingWait+unsettledPause)
+	})
+}
+
 func TestRecordsEndWithTheirTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, "v1", "v2")
