forward: RestartDoubts takes its dependencies as options

Change: DoubtsOptions, as Options of the other parts, with defaults. No change of behaviour.

Before and after: the tests of forward and node pass.

--- a/internal/edge/forward/doubts.go
+++ b/internal/edge/forward/doubts.go
@@ -22,26 +22,33 @@
 	beginQueryBurst       = 20
 )
 
+// DoubtsOptions configure a RestartDoubts.
+type DoubtsOptions struct {
+	// Clock returns the time since the VM booted.
+	Clock    func() time.Duration
+	Snapshot func() *catalog.Snapshot
+	// Survives reports whether a connection to the engine is open that was opened before a time.
+	Survives func(engine string, openedBefore time.Duration) bool
+	// QueryStart asks an engine for the time of its start, on a new connection.
+	QueryStart func(catalog.Engine) (StatedStart, error)
+	// MultiVersion reports whether more than one version of a service has served lately. The default is that
+	// one has.
+	MultiVersion func(service string) bool
+	// Others returns what the other routers report of the engines, by ID. The default is nothing.
+	Others func() map[string]feed.EngineLoad
+	// Answered is called when an engine has stated its start. The default does nothing.
+	Answered func()
+}
+
 // RestartDoubts tracks the engines that may have been restarted in place, under the same ID and address,
 // before their entries show it: the new process may be of another version. A lost connection is
 // a sign of that, unless an older one is still open. The engine is then queried for the time of its start.
 // Engines that state no start in their entries have another ID after each. It is safe for concurrent
 // use.
 type RestartDoubts struct {
-	clock    func() time.Duration
-	snapshot func() *catalog.Snapshot
-	// survives reports whether a connection to the engine is open that was opened before a time.
-	survives func(engine string, openedBefore time.Duration) bool
-	// queryStart asks an engine for the time of its start, on a new connection.
-	queryStart func(catalog.Engine) (StatedStart, error)
-	// multiVersion reports whether more than one version of a service has served lately.
-	multiVersion func(service string) bool
-	// others returns what the other routers report of the engines, by ID.
-	others func() map[string]feed.EngineLoad
+	DoubtsOptions
 	// begins limits the queries for streams that begin while one version serves.
 	begins *rate.Limiter
-	// answered is called when an engine has stated its start.
-	answered func()
 
 	mu     sync.Mutex
 	losses map[string]loss
@@ -85,18 +92,22 @@
 }
 
 // NewRestartDoubts returns a RestartDoubts.
-func NewRestartDoubts(clock func() time.Duration, snapshot func() *catalog.Snapshot, survives func(engine string, openedBefore time.Duration) bool, queryStart func(catalog.Engine) (StatedStart, error), multiVersion func(service string) bool) *RestartDoubts {
-	return &RestartDoubts{begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst), clock: clock, snapshot: snapshot, survives: survives, queryStart: queryStart, multiVersion: multiVersion, answered: func() {}, losses: make(map[string]loss), connected: make(map[string]firstConnections), proofs: make(map[string]startProof), others: func() map[string]feed.EngineLoad { return nil }}
+func NewRestartDoubts(o DoubtsOptions) *RestartDoubts {
+	if o.MultiVersion == nil {
+		o.MultiVersion = func(string) bool { return false }
+	}
+	if o.Others == nil {
+		o.Others = func() map[string]feed.EngineLoad { return nil }
+	}
+	if o.Answered == nil {
+		o.Answered = func() {}
+	}
+	return &RestartDoubts{
+		DoubtsOptions: o, begins: rate.NewLimiter(beginQueriesPerSecond, beginQueryBurst),
+		losses: make(map[string]loss), connected: make(map[string]firstConnections), proofs: make(map[string]startProof),
+	}
 }
 
-// OnAnswer sets the function that is called when an engine has stated its start. It must be called before
-// the first request.
-func (d *RestartDoubts) OnAnswer(answered func()) { d.answered = answered }
-
-// SetOthers sets the function that returns what the other routers report of the engines. It must be
-// called before the first request.
-func (d *RestartDoubts) SetOthers(others func() map[string]feed.EngineLoad) { d.others = others }
-
 // Restarted reports whether the engine is known to have been restarted since its entry was written.
 func (d *RestartDoubts) Restarted(e catalog.Engine) bool {
 	if d == nil {
@@ -125,19 +136,19 @@
 
 // Lose records that a connection to the engine was lost, whose process lived at aliveAt.
 func (d *RestartDoubts) Lose(engine string, aliveAt time.Duration) {
-	if e, ok := d.snapshot().Engines.ByID[engine]; ok {
-		d.doubt(e, aliveAt, d.clock())
+	if e, ok := d.Snapshot().Engines.ByID[engine]; ok {
+		d.doubt(e, aliveAt, d.Clock())
 	}
 }
 
 // Connect records that a connection to the engine was opened while there was no other, so that a
 // restart since the last one went unnoticed. If knownStart is set, a stream that can be resumed uses it.
 func (d *RestartDoubts) Connect(engine string, openedAt time.Duration, knownStart bool) {
-	e, ok := d.snapshot().Engines.ByID[engine]
+	e, ok := d.Snapshot().Engines.ByID[engine]
 	if !ok || e.Born == 0 {
 		return
 	}
-	asOf := d.snapshot().EnginesAsOf
+	asOf := d.Snapshot().EnginesAsOf
 	d.mu.Lock()
 	c, known := d.connected[engine]
 	if !known || asOf > c.since+entryDelay {
@@ -158,7 +169,7 @@
 	d.mu.Lock()
 	_, unverified := d.connected[e.ID]
 	d.mu.Unlock()
-	if unverified && (d.multiVersion(e.Service) || !d.provenByOthers(e) && d.begins.Allow()) {
+	if unverified && (d.MultiVersion(e.Service) || !d.provenByOthers(e) && d.begins.Allow()) {
 		d.Verify(e)
 	}
 }
@@ -166,7 +177,7 @@
 // provenByOthers reports whether another router has a connection that proves the start that the engine's
 // entry states, and none has lost one to it.
 func (d *RestartDoubts) provenByOthers(e catalog.Engine) bool {
-	load := d.others()[e.ID]
+	load := d.Others()[e.ID]
 	return load.Proven > 0 && load.LostBorn != e.Born
 }
 
@@ -177,7 +188,7 @@
 // AddTo adds to this router's loads which starts of engines its connections prove, and to which it has lost
 // one. It returns the loads.
 func (d *RestartDoubts) AddTo(loads map[string]feed.EngineLoad) map[string]feed.EngineLoad {
-	s := d.snapshot()
+	s := d.Snapshot()
 	for id, load := range loads {
 		e, known := s.Engines.ByID[id]
 		if !known || e.Born == 0 {
@@ -199,7 +210,7 @@
 // whether an open one proves that start: it was opened before the engine stated the start, or so long before the
 // list of engines was read that the list would state another one.
 func (d *RestartDoubts) proof(e catalog.Engine, asOf time.Duration) (lost, proven bool) {
-	now := d.clock()
+	now := d.Clock()
 	d.mu.Lock()
 	l, ok := d.losses[e.ID]
 	last := d.proofs[e.ID]
@@ -213,7 +224,7 @@
 	if last.checkedAt > 0 && now-last.checkedAt < proofInterval {
 		return false, last.holds
 	}
-	proven = d.survives(e.ID, max(asOf-entryDelay, last.verifiedAt+1))
+	proven = d.Survives(e.ID, max(asOf-entryDelay, last.verifiedAt+1))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if current := d.proofs[e.ID]; current.born == e.Born {
@@ -227,7 +238,7 @@
 
 // Verify puts the engine in doubt if a restart may have gone unnoticed.
 func (d *RestartDoubts) Verify(e catalog.Engine) {
-	asOf := d.snapshot().EnginesAsOf
+	asOf := d.Snapshot().EnginesAsOf
 	d.mu.Lock()
 	c, ok := d.connected[e.ID]
 	delete(d.connected, e.ID)
@@ -268,8 +279,8 @@
 	return p.born == e.Born && p.verifiedAt > 0 && at <= p.verifiedAt
 }
 
-// InDoubtAt reports whether the engine may have been restarted with another version by a time. Unlike InDoubt, it
-// is not changed by what happens later.
+// InDoubtAt reports whether the engine may have been restarted with another version by a time. A
+// start that it has stated since stays proved, whatever happens later.
 func (d *RestartDoubts) InDoubtAt(e catalog.Engine, at time.Duration) bool {
 	if d == nil {
 		return false
@@ -285,7 +296,7 @@
 	if d == nil {
 		return false
 	}
-	s := d.snapshot()
+	s := d.Snapshot()
 	current, known := s.Engines.ByID[e.ID]
 	if known && current.RestartOf(e) {
 		// The entry was replaced since the engine was selected.
@@ -297,14 +308,14 @@
 	if !ok {
 		return false
 	}
-	now := d.clock()
+	now := d.Clock()
 	switch {
 	case known && current.RestartOf(l.engine):
 		// The entry is that of the new start.
 	case l.restarted:
 		return true
 	case s.EnginesAsOf > l.last+entryDelay:
-	case now > l.last+lossSpread && d.survives(e.ID, l.aliveAt):
+	case now > l.last+lossSpread && d.Survives(e.ID, l.aliveAt):
 	default:
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -331,9 +342,9 @@
 	l.queries++
 	d.losses[engine] = l
 	go func() {
-		stated, err := d.queryStart(l.engine)
+		stated, err := d.QueryStart(l.engine)
 		d.recordStart(l.engine, stated, err)
-		d.answered()
+		d.Answered()
 	}()
 }
 
@@ -378,7 +389,7 @@
 
 // Prune drops what is known of engines that are gone, or no longer matters.
 func (d *RestartDoubts) Prune() {
-	engines := d.snapshot().Engines.ByID
+	engines := d.Snapshot().Engines.ByID
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id := range d.losses {
@@ -391,7 +402,7 @@
 			delete(d.proofs, id)
 		}
 	}
-	asOf := d.snapshot().EnginesAsOf
+	asOf := d.Snapshot().EnginesAsOf
 	for id, c := range d.connected {
 		if _, ok := engines[id]; !ok || asOf > c.last+entryDelay {
 			delete(d.connected, id)
--- a/internal/edge/forward/doubts_test.go
+++ b/internal/edge/forward/doubts_test.go
@@ -29,15 +29,17 @@
 func newDoubtsFixture() *doubtsFixture {
 	f := &doubtsFixture{start: time.Now(), running: 1, queryTime: time.Millisecond}
 	f.list(1, 1)
-	f.RestartDoubts = NewRestartDoubts(f.now, func() *catalog.Snapshot { return f.snapshot },
-		func(_ string, before time.Duration) bool { return f.openedAt > 0 && f.openedAt < before },
-		func(catalog.Engine) (StatedStart, error) {
+	f.RestartDoubts = NewRestartDoubts(DoubtsOptions{
+		Clock: f.now, Snapshot: func() *catalog.Snapshot { return f.snapshot },
+		Survives: func(_ string, before time.Duration) bool { return f.openedAt > 0 && f.openedAt < before },
+		QueryStart: func(catalog.Engine) (StatedStart, error) {
 			f.queries++
 			openedAt := f.now()
 			time.Sleep(f.queryTime)
 			return StatedStart{Born: f.running, OpenedAt: openedAt}, f.queryErr
 		},
-		func(string) bool { return f.multiVersion })
+		MultiVersion: func(string) bool { return f.multiVersion },
+	})
 	return f
 }
 
@@ -227,7 +229,7 @@
 		f.list(7, 1)
 		f.running = 7
 		var others feed.EngineLoad
-		f.SetOthers(func() map[string]feed.EngineLoad { return map[string]feed.EngineLoad{"e": others} })
+		f.Others = func() map[string]feed.EngineLoad { return map[string]feed.EngineLoad{"e": others} }
 		begin := func() int {
 			before := f.queries
 			f.Connect("e", f.now(), true)
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -106,7 +106,10 @@
 		o.Suspects = suspects.None{}
 	}
 	if o.Doubts == nil {
-		o.Doubts = NewRestartDoubts(o.Clock, o.Snapshot, func(string, time.Duration) bool { return true }, QueryStart(o.Conns, o.Codec), func(string) bool { return false })
+		o.Doubts = NewRestartDoubts(DoubtsOptions{
+			Clock: o.Clock, Snapshot: o.Snapshot, QueryStart: QueryStart(o.Conns, o.Codec),
+			Survives: func(string, time.Duration) bool { return true },
+		})
 	}
 	if o.Origins == nil {
 		o.Origins = origins.New(origins.Options{
--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -121,8 +121,9 @@
 }
 
 // confirmVersion reports whether the response of an engine, on a connection that was opened at openedAt, is
-// certainly of the version at which the stream continues. A request that begins a stream needs no certain version. While the engine is queried
-// for its start, the request waits: another engine would have to be queried as well.
+// certainly of the version at which the stream continues. A request that begins a stream needs no certain
+// version. While the engine is queried for its start, the request waits: another engine would have to be queried
+// as well.
 func (x *exchange) confirmVersion(e catalog.Engine, openedAt time.Duration) bool {
 	if x.stream.version == "" {
 		return true
--- a/internal/edge/forward/pauses_test.go
+++ b/internal/edge/forward/pauses_test.go
@@ -386,7 +386,7 @@
 	clock, snapshot := func() time.Duration { return p.now }, func() *catalog.Snapshot { return p.snapshot }
 	noOther := func(string, time.Duration) bool { return false }
 	unknown := func(catalog.Engine) (StatedStart, error) { return StatedStart{}, errors.New("no answer") }
-	p.SetDoubts(NewRestartDoubts(clock, snapshot, noOther, unknown, func(string) bool { return false }))
+	p.SetDoubts(NewRestartDoubts(DoubtsOptions{Clock: clock, Snapshot: snapshot, Survives: noOther, QueryStart: unknown}))
 	return p
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -270,14 +270,17 @@
 
 // assembleOrigins assembles what keeps a stream at the version of the engines that began it.
 func (r *Router) assembleOrigins(conns *engineconn.Pool) {
-	r.doubts = forward.NewRestartDoubts(bootclock.Now, r.board.Snapshot, conns.Survives, forward.QueryStart(conns, r.platform.Codec), func(service string) bool { return r.origins.MultiVersion(service) })
-	r.doubts.SetOthers(r.loads.Others)
+	r.doubts = forward.NewRestartDoubts(forward.DoubtsOptions{
+		Clock: bootclock.Now, Snapshot: r.board.Snapshot, Survives: conns.Survives, QueryStart: forward.QueryStart(conns, r.platform.Codec),
+		MultiVersion: func(service string) bool { return r.origins.MultiVersion(service) },
+		Others:       r.loads.Others,
+		Answered:     func() { r.origins.ReviewDoubtful() },
+	})
 	r.engines.SetDoubts(r.doubts)
 	r.origins = origins.New(origins.Options{
 		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
 		InDoubt: r.doubts.InDoubtAt, Doubt: r.doubts.Doubt, FirstStart: r.settings().FirstStart, Log: r.log,
 	})
-	r.doubts.OnAnswer(r.origins.ReviewDoubtful)
 	r.versionsKeeper = &feed.VersionsKeeper{
 		Table: r.store, Reads: r.follower.Reads, Era: r.board.Era, History: r.origins.History, Adopt: r.origins.AdoptHistory,
 		Clock: bootclock.Now, Log: r.log,
