forward: whether a request is beyond its account's share is drawn once for all attempts

Cause: each attempt was drawn anew, so that a caller that repeated at once drew nine times where one that waits as told draws twice.

Change: the draw follows from the retry key, the last part of the prompt, and is the same at all routers. Requests without one are drawn at random as before: identical ones would all be within the share, or none. The lab's callers repeat and leave.

Before: TestRepeatingAtOnceGainsNothing failed in both scenarios. After: it passes in both, in the lab's plain scenario too, where attempts are known to belong together; the product has no key for plain requests, so that the advantage stays there. All earn more than 0.9 of what they do when nobody repeats or leaves.

Takes effect only where a service with several accounts is congested.

--- a/internal/decide/rendezvous/rendezvous.go
+++ b/internal/decide/rendezvous/rendezvous.go
@@ -44,6 +44,9 @@
 	return mix(uint64(k) + node*goldenGamma)
 }
 
+// Fraction returns a score as a number from 0 to less than 1.
+func Fraction(score uint64) float64 { return float64(score>>11) / (1 << 53) }
+
 // Score returns the weight of node for a key that isn't prepared.
 func Score(key, node uint64) uint64 {
 	return Mix(key).Score(node)
--- a/internal/edge/forward/shares.go
+++ b/internal/edge/forward/shares.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/fairshare"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 )
@@ -170,7 +171,19 @@
 	}
 	x.askedOf = service
 	x.share = x.f.Shares.Ask(x.snapshot.Config, service, x.accountName(), fairshare.Rank(x.route.Priority), x.work(), congested)
-	x.beyond = x.share < 1 && !x.stream.resumes && x.f.random() >= x.share
+	x.beyond = x.share < 1 && !x.stream.resumes && x.shareDraw(service) >= x.share
+}
+
+// shareDraw returns the number from 0 to 1 by which it is drawn whether the request is within the share of its
+// account. It is the same for all attempts at a request, at all routers: if each was drawn anew, callers that repeat
+// at once would get more than those that wait. Requests without a retry key are drawn at random: identical ones
+// would all be within the share, or none.
+func (x *exchange) shareDraw(service string) float64 {
+	key := x.req.RetryKey()
+	if key == 0 {
+		return x.f.random()
+	}
+	return rendezvous.Fraction(rendezvous.Score(key, rendezvous.ID(service)))
 }
 
 // recordShareGrant counts the request at the service that it is sent to.
--- a/internal/edge/forward/shares_test.go
+++ b/internal/edge/forward/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,3 +122,28 @@
 		require.True(t, x.beyond)
 	})
 }
+
+// Guards against callers that get more than their account's share by repeating at once: each attempt was drawn anew.
+func TestAttemptsAtARequestShareOneDraw(t *testing.T) {
+	withTestRouter(t, 1, func(tr *testRouter) {
+		draws, within := make(map[float64]bool), 0
+		const requests = 1000
+		for i := range requests {
+			x := tr.newExchange(context.Background())
+			x.req.Prompt = []Part{{ID: "system"}, {ID: fmt.Sprint("chat ", i)}}
+			draw := x.shareDraw("llm")
+			draws[draw] = true
+			if draw < 0.3 {
+				within++
+			}
+			again := tr.newExchange(context.Background())
+			again.req.Prompt = x.req.Prompt
+			require.Equal(t, draw, again.shareDraw("llm"))
+		}
+		require.Len(t, draws, requests)
+		require.InDelta(t, 0.3*requests, within, 60, "four standard deviations")
+		x := tr.newExchange(context.Background())
+		x.req.Prompt = nil
+		require.NotEqual(t, x.shareDraw("llm"), x.shareDraw("llm"), "nothing connects the attempts")
+	})
+}
--- a/internal/lab/model/callers.go
+++ b/internal/lab/model/callers.go
@@ -47,6 +47,11 @@
 	Accounts int
 	// Retries is the number of times that a caller retries after a refusal.
 	Retries int
+	// Repeats reports whether the callers of an account repeat a refused request at once, and again, instead of
+	// waiting as they are told; nil means that none does.
+	Repeats func(account int) bool
+	// LeaveShare is the share of the callers that leave if the first event has not come within the objective.
+	LeaveShare float64
 	// TimeoutSpread is the largest share by which a caller shortens its timeout, drawn
 	// uniformly.
 	TimeoutSpread float64
@@ -239,16 +244,41 @@
 		}
 	})
 	c.sim.At(r.FirstArrived+r.timeout, func() { c.sim.abort(req) })
+	if c.leaves(r) {
+		c.sim.At(max(r.FirstArrived+r.Class.Objective, now), func() {
+			if req.firstEvent == 0 {
+				c.sim.abort(req)
+			}
+		})
+	}
 	req.arrivedAt.policy.Arrived(req)
 }
 
+// leaves reports whether the caller of a request leaves early.
+func (c *callers) leaves(r *Request) bool { return float64(r.ID%100) < 100*c.config.LeaveShare }
+
+const (
+	// repeatPause and maxRepeats are how callers repeat at once.
+	repeatPause = 20 * time.Millisecond
+	maxRepeats  = 8
+)
+
+// retry returns how long the caller waits before it retries, and how often it does.
+func (c *callers) retry(account int, retryAfter time.Duration) (wait time.Duration, retries int) {
+	if c.config.Repeats != nil && c.config.Repeats(account) {
+		return repeatPause, maxRepeats
+	}
+	return retryAfter, c.config.Retries
+}
+
 // maxDelayShare is the largest share of its remaining time that a caller waits before a
 // retry.
 const maxDelayShare = 1.0 / 3
 
 func (c *callers) requestRefused(r *Request, retryAfter time.Duration) {
 	remaining := r.Remaining(c.sim.Now())
-	if r.Attempt >= c.config.Retries || remaining <= 0 {
+	retryAfter, retries := c.retry(r.Account, retryAfter)
+	if r.Attempt >= retries || remaining <= 0 {
 		c.sim.Results.recordRefused(r)
 		return
 	}
--- a/internal/lab/model/gated.go
+++ b/internal/lab/model/gated.go
@@ -221,7 +221,7 @@
 		p.sendWithoutPermit(req, engines)
 		return
 	}
-	req.beyond = p.gates.shares.beyond(req, p.rng)
+	req.beyond = p.gates.shares.beyond(req)
 	if req.beyond && p.gates.shares.mode == RefuseBeyond {
 		p.refuse(req)
 		return
--- a/internal/lab/model/shares.go
+++ b/internal/lab/model/shares.go
@@ -1,11 +1,11 @@
 package model
 
 import (
-	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/fairshare"
+	"damaskrouter.example/damaskrouter/internal/decide/rendezvous"
 )
 
 // ShareMode is how Gated divides the engines among accounts.
@@ -69,10 +69,11 @@
 	s.service.Grant(s.sim.Now(), strconv.Itoa(req.Account), workOf(req))
 }
 
-// beyond draws whether a request is beyond the share of its account.
-func (s *accountShares) beyond(req *Request, rng *rand.Rand) bool {
+// beyond draws whether a request is beyond the share of its account, once for all attempts at it.
+func (s *accountShares) beyond(req *Request) bool {
 	grant, known := s.reported[strconv.Itoa(req.Account)]
-	return known && rng.Float64() >= grant.Share[fairshare.Rank(req.Class.Urgency)]
+	draw := rendezvous.Fraction(rendezvous.Score(uint64(req.ID), 0))
+	return known && draw >= grant.Share[fairshare.Rank(req.Class.Urgency)]
 }
 
 // HotAccount returns a LoadFactor that is base, and times as much for one account between two times.
--- a/internal/lab/model/shares_test.go
+++ b/internal/lab/model/shares_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -66,6 +67,51 @@
 	}
 }
 
+// repeatingAccounts is how many of ten accounts have callers that repeat at once.
+const repeatingAccounts = 4
+
+// servedWithRepeats simulates ten equal accounts at three times what the engines can give, while the callers of
+// some repeat refused requests at once and three callers in ten leave, and returns the counts of those that repeat,
+// of the others, and of all in the same load when nobody repeats or leaves.
+func (s scenario) servedWithRepeats(mode ShareMode) (repeating, patient, calm Counts) {
+	run := func(repeats func(int) bool, leaveShare float64) func(pick func(account int) bool) Counts {
+		sim := NewSimulation(SimulationConfig{
+			Seed: 1, Engines: s.engines, Routers: s.routers, ReportDelay: s.reportDelay, ReportInterval: 150 * time.Millisecond,
+			Callers: CallerConfig{
+				Classes: s.classes, Accounts: 10, EqualAccounts: true, Retries: 1, BurstSize: 3, TimeoutSpread: 0.15,
+				Repeats: repeats, LeaveShare: leaveShare,
+				LoadFactor: func(now time.Duration, _, _ int) float64 {
+					if now < surgeFrom || now >= surgeTo {
+						return 0.6 * s.capacityFactor()
+					}
+					return 3 * s.capacityFactor()
+				},
+			},
+		}, NewGated(mode))
+		sim.Run(runTime)
+		return func(pick func(account int) bool) Counts {
+			return sim.Results.Sum(func(_ string, account int, at time.Duration) bool {
+				return pick(account) && at >= surgeFrom+settleTime && at < surgeTo
+			})
+		}
+	}
+	isRepeating := func(account int) bool { return account < repeatingAccounts }
+	hard := run(isRepeating, 0.3)
+	calm = run(nil, 0)(func(int) bool { return true })
+	return hard(isRepeating), hard(func(account int) bool { return !isRepeating(account) }), calm
+}
+
+// Guards against callers that get more by repeating at once than those who come back when they are told to, and
+// against engines that do less for all then.
+func TestRepeatingAtOnceGainsNothing(t *testing.T) {
+	t.Parallel()
+	for _, s := range []scenario{modelScenario(), plainScenario()} {
+		repeating, patient, calm := s.servedWithRepeats(MarkBeyond)
+		assert.GreaterOrEqual(t, patient.EarnedShare(), repeating.EarnedShare()-0.02, s.name)
+		assert.Greater(t, repeating.EarnedValue+patient.EarnedValue, 0.9*calm.EarnedValue, s.name)
+	}
+}
+
 // requireKindsInOrder requires that no kind of request is served more often than a more urgent one by
 // over 5 in 100.
 func requireKindsInOrder(t *testing.T, s scenario, results *Results) {
