forward: no stream begins while a replica may record another version

The request was sent to two engines of v1.0, which the router could not reach, with a record at router-2. It was served at v1.1 after that; router-2 was cut off and did not get the later record within the 500 ms that the first event waits, and the stream began all the same. The router then ended, and router-2 resumed the stream by its record.

Change: a stream whose request was sent to engines of two versions begins only if all replicas have the later record within those 500 ms; otherwise it ends with 502, stream_origin_unknown, before its first event, and a log line.

Replicas that are none any more when the later record is sent are not covered.

--- a/internal/edge/forward/origin.go
+++ b/internal/edge/forward/origin.go
@@ -10,8 +10,9 @@
 
 const (
 	// recordWait bounds the wait for the replicas of a stream's record: the time after which one counts as
-	// unreachable. Only a stream whose request was sent to engines of two versions waits for them. A replica
-	// that took longer than 50 ms had the record of the earlier send later, and the stream went on at its version.
+	// unreachable. Only a stream waits whose request was sent to engines of two versions, or whose engine is in
+	// doubt. A replica that took longer than 50 ms had the record of the earlier send later, and the stream went
+	// on at its version.
 	recordWait = 500 * time.Millisecond
 	// doubtWait is how long a stream waits for proof that an engine was not restarted while the engine is not
 	// queried for its start, and doubtPoll how often it looks.
@@ -37,11 +38,13 @@
 	openedAt time.Duration
 
 	// id and seq distinguish this exchange and its records from others; sentTo is the version of the last
-	// record, and recorded the channel that is closed once its replicas have it.
+	// record, and recorded the channel that gets whether its replicas have it. versions is set once the request
+	// was sent to engines of two versions.
 	id       uint64
 	seq      uint32
 	sentTo   string
-	recorded <-chan struct{}
+	versions bool
+	recorded <-chan bool
 }
 
 // recordsOrigin reports whether the request begins a stream that can be resumed.
@@ -74,17 +77,18 @@
 		x.stream.seq++
 		recorded := x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, x.f.Clock(), false)
 		if x.stream.sentTo != "" && x.stream.sentTo != e.Version {
-			x.stream.recorded = recorded
+			x.stream.recorded, x.stream.versions = recorded, true
 		}
 		x.stream.sentTo = e.Version
 	}
 }
 
 // beginStream holds the stream to the version of the engine that sends the first event, on a connection that was
-// opened at openedAt.
-func (x *exchange) beginStream(e catalog.Engine, openedAt time.Duration) {
+// opened at openedAt. It returns false if a replica may keep the record of a send to an engine of another version:
+// resumed there after this router has ended, the stream would go on at that one.
+func (x *exchange) beginStream(e catalog.Engine, openedAt time.Duration) bool {
 	if x.stream.resumes && x.stream.version != "" {
-		return
+		return true
 	}
 	x.stream.service, x.stream.version = e.Service, e.Version
 	if x.f.Doubts.InDoubtAt(e, openedAt) {
@@ -96,16 +100,17 @@
 		x.stream.recorded = x.f.Origins.Begin(x.streamRecord(), x.stream.seq, e, openedAt, true)
 	}
 	if x.stream.recorded == nil {
-		return
+		return true
 	}
-	// A replica may have the record of the send before.
 	timer := time.NewTimer(recordWait)
 	defer timer.Stop()
 	select {
-	case <-x.stream.recorded:
+	case all := <-x.stream.recorded:
+		return all || !x.stream.versions
 	case <-timer.C:
 	case <-x.r.Context().Done():
 	}
+	return !x.stream.versions
 }
 
 // holdVersion reports whether it is known at which version the stream that has begun continues. It waits
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -9,6 +9,7 @@
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/zeebo/errs"
 )
 
 // maxEventSize limits one event of a stream, in bytes.
@@ -68,6 +69,10 @@
 			x.recordOutput(splitter.events)
 			return x.endStream(response)
 		}
+		if errNotRecorded.Has(err) {
+			x.f.Log.Warn("stream not begun", "request", x.req.ID, "route", x.route.Name, "engine", e.ID, "version", e.Version, "reason", ReasonOriginUnknown, "cause", err)
+			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonOriginUnknown)}
+		}
 		if errNoMemory.Has(err) {
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonNoMemory)}
 		}
@@ -103,8 +108,11 @@
 	return sendResult{action: actionDone}
 }
 
-// copyEvents relays events until the stream ends. Errors: errCallerLeft, errNoMemory, engineconn.ErrTruncated,
-// engineconn.ErrMalformed.
+// errNotRecorded wraps why a stream can't begin that could not be resumed at its version.
+var errNotRecorded = errs.Class("stream not recorded")
+
+// copyEvents relays events until the stream ends. Errors: errCallerLeft, errNoMemory, errNotRecorded,
+// engineconn.ErrTruncated, engineconn.ErrMalformed.
 func (x *exchange) copyEvents(e catalog.Engine, response *engineconn.Response, splitter *eventSplitter) error {
 	control := http.NewResponseController(x.w)
 	buf := make([]byte, streamBufferSize)
@@ -116,7 +124,9 @@
 		}
 		if complete := splitter.add(buf[:n]); len(complete) > 0 {
 			if !x.responded {
-				x.beginStream(e, response.OpenedAt())
+				if !x.beginStream(e, response.OpenedAt()) {
+					return errNotRecorded.New("a replica of the stream's record may state another version")
+				}
 				x.writeHeader(response.Status, response.Header)
 				x.w.WriteHeader(response.Status)
 			}
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -273,6 +273,19 @@
 	})
 }
 
+// Guards against a router that takes a record as replaced at a replica that did not get the later one.
+func TestBeginTellsWhetherAllReplicasHaveTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, "v1", "v2")
+		settle()
+		r := f.routers["r0"].registry
+		s := streamOf("1")
+		require.True(t, <-r.Begin(s, 1, engineOf("v1"), f.now(), false))
+		f.dropSends = func(string) bool { return true }
+		require.False(t, <-r.Begin(s, 2, engineOf("v2"), f.now(), false))
+	})
+}
+
 func TestRecordsEndWithTheirTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, "v1", "v2")
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -135,9 +135,9 @@
 
 // Begin records that the stream is sent to an engine, or with firstEvent that it has begun there on a connection
 // that was open by a time. seq orders the records of one exchange; a later one replaces the others. While the
-// engine is in doubt, the replicas get no record yet, unless the first event has come. The channel is closed once
-// the replicas have the record or can't be reached; it is nil if nothing was sent.
-func (r *Registry) Begin(s Stream, seq uint32, e catalog.Engine, at time.Duration, firstEvent bool) <-chan struct{} {
+// engine is in doubt, the replicas get no record yet, unless the first event has come. The channel gets whether all
+// replicas have the record, once they have it or can't be reached; it is nil if nothing was sent.
+func (r *Registry) Begin(s Stream, seq uint32, e catalog.Engine, at time.Duration, firstEvent bool) <-chan bool {
 	version := e.Version
 	inDoubt := r.InDoubt(e, at)
 	if inDoubt {
@@ -171,7 +171,7 @@
 
 // put records an own stream and sends the record to its replicas if they need it. They need one that
 // states no version, if they have no other and final is set. The caller holds the mutex.
-func (r *Registry) put(record origin.Record, now time.Duration, final bool) <-chan struct{} {
+func (r *Registry) put(record origin.Record, now time.Duration, final bool) <-chan bool {
 	entry := r.table.Put(record, now)
 	if entry == nil {
 		return nil
@@ -209,9 +209,9 @@
 	return r.eligible
 }
 
-// send sends a record to the members, except this router. The channel is closed once they have it or
+// send sends a record to the members, except this router. The channel gets whether all have it, once they do or
 // can't be reached; it is nil if there are none. The caller holds the mutex.
-func (r *Registry) send(record origin.Record, to []origin.Member) <-chan struct{} {
+func (r *Registry) send(record origin.Record, to []origin.Member) <-chan bool {
 	var peers []feed.Peer
 	for _, m := range to {
 		if p, ok := r.peers[m.Name]; ok && m.Name != r.Self {
@@ -412,7 +412,7 @@
 	}
 }
 
-func (r *Registry) handOver(now time.Duration) (waits []<-chan struct{}) {
+func (r *Registry) handOver(now time.Duration) (waits []<-chan bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = true
--- a/internal/edge/origins/replicator.go
+++ b/internal/edge/origins/replicator.go
@@ -37,14 +37,20 @@
 	// until is the reading of the boot clock at which the record is no longer kept.
 	until time.Duration
 	sends int
-	// pending counts the replicas that have not replied; done is closed once there are none.
+	// pending counts the replicas that have not replied, and missed is set if one may keep an earlier record.
+	// Once none is pending, done gets whether all have this one.
 	pending *atomic.Int32
-	done    chan struct{}
+	missed  *atomic.Bool
+	done    chan bool
 }
 
 // end ends the delivery to one replica.
-func (d *delivery) end() {
+func (d *delivery) end(missed bool) {
+	if missed {
+		d.missed.Store(true)
+	}
 	if d.pending.Add(-1) == 0 {
+		d.done <- !d.missed.Load()
 		close(d.done)
 	}
 }
@@ -54,11 +60,11 @@
 }
 
 // add queues a record for the peers; see Registry.send.
-func (o *replicator) add(record origin.Record, peers []feed.Peer) <-chan struct{} {
+func (o *replicator) add(record origin.Record, peers []feed.Peer) <-chan bool {
 	if len(peers) == 0 {
 		return nil
 	}
-	d := delivery{record: record, until: o.registry.Clock() + record.Left, pending: new(atomic.Int32), done: make(chan struct{})}
+	d := delivery{record: record, until: o.registry.Clock() + record.Left, pending: new(atomic.Int32), missed: new(atomic.Bool), done: make(chan bool, 1)}
 	d.pending.Store(int32(len(peers)))
 	for _, p := range peers {
 		o.queue(p, d)
@@ -123,12 +129,13 @@
 	}
 	for _, d := range batch {
 		d.sends++
-		again := err != nil && !peer.ErrRemote.Has(err) && d.sends < maxSends && now < d.until && o.registry.isLive(p.Name)
-		if again {
+		// A router that refuses the call keeps no records.
+		missed := err != nil && !peer.ErrRemote.Has(err)
+		if missed && d.sends < maxSends && now < d.until && o.registry.isLive(p.Name) {
 			o.queue(p, d)
 			continue
 		}
-		d.end()
+		d.end(missed)
 	}
 }
 
