--- a/internal/edge/flow/owner.go
+++ b/internal/edge/flow/owner.go
@@ -67,11 +67,10 @@
 	peakSince          time.Duration
 	lastRequest        time.Duration
 	// places and mostPlaces are those of the last request, and fill what the engine's statements allow.
-	// brittle means that the engine bears only so
-	// many rejections a second as tolerance says, and room is what it has shown to have.
 	places, mostPlaces int
 	fill               gate.Fill
-
+	// brittle means that the engine bears only so many rejections a second as tolerance says, and room is
+	// what it has shown to have.
 	brittle   bool
 	tolerance brittle.Tolerance
 	room      brittle.Room
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -265,6 +265,7 @@
 	var avoided []int
 	var evidence []health.Evidence
 	config := s.Config.Service(service)
+	requests := p.room(config)
 	for _, e := range s.Engines.ForService(service) {
 		if q.Excluded[e.ID] {
 			continue
@@ -289,7 +290,7 @@
 		tolerance, stated := p.statedTolerance(e.ID, load, now)
 		out = append(out, choose.Engine{
 			Brittle: stated, Tolerance: tolerance, Version: e.Version,
-			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots, Room: p.room(config),
+			ID: e.ID, Key: rendezvous.ID(e.ID), InFlight: load.InFlight, Slots: slots, Room: requests,
 			SameSite: e.Site == p.site, Draining: !s.TakesRequests(e) || !p.admits(e, now), RecentlyAdded: p.recentlyStarted(e.ID, now),
 			AddedAt:    p.states[e.ID].firstSeen,
 			Cold:       p.coldRemaining(config, e.ID, now) > 0,
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -67,7 +67,8 @@
 		fields = append(fields, "unowned", true)
 	}
 	if x.noMemory {
-		fields = append(fields, "no_memory", true, "need", x.need().Prompt()+x.need().Output)
+		need := x.need()
+		fields = append(fields, "no_memory", true, "need", need.Prompt()+need.Output)
 	}
 	if x.account != nil {
 		fields = append(fields, "account", x.account.Name)
--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -94,10 +94,11 @@
 // settle completes the record of a stream whose engine has proved its start, as the router that began the
 // stream does. A record of this router's own beside the incomplete one would make the stream ambiguous.
 func (r *Registry) settle(record origin.Record, e catalog.Engine) Found {
+	record = record.Settled(e.Version)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(record.Settled(e.Version), r.Clock(), true)
-	return found(record.Settled(e.Version), r.Self)
+	r.put(record, r.Clock(), true)
+	return found(record, r.Self)
 }
 
 // beganAt returns the engine of a record that states no version, if its entry is still that of the start
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -259,8 +259,8 @@
 	})
 }
 
-// Guards against a stream that is refused because its caller has left and come back before the replicas have
-// its record, and against callers that wait long for a stream that never was.
+// Guards against a stream that is refused because its caller has left and resumes it before the replicas have its
+// record, and against callers that wait long for a stream that never was.
 func TestRecordMayComeAfterTheCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6, "v1", "v2")
--- a/internal/lab/model/shares_test.go
+++ b/internal/lab/model/shares_test.go
@@ -101,8 +101,8 @@
 	return hard(isRepeating), hard(func(account int) bool { return !isRepeating(account) }), calm
 }
 
-// Guards against callers that get more by repeating at once than those who come back when they are told to, and
-// against engines that do less for all then.
+// Guards against callers that get more by repeating at once than those that retry when they are told to, and against
+// engines that do less for all then.
 func TestRepeatingAtOnceGainsNothing(t *testing.T) {
 	t.Parallel()
 	for _, s := range []scenario{modelScenario(), plainScenario()} {
--- a/internal/store/config/bound.go
+++ b/internal/store/config/bound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 
 	"github.com/zeebo/errs"
@@ -85,7 +86,7 @@
 func removeField(mapping *yaml.Node, key string) {
 	for i := 0; i+1 < len(mapping.Content); i += 2 {
 		if mapping.Content[i].Value == key {
-			mapping.Content = append(mapping.Content[:i], mapping.Content[i+2:]...)
+			mapping.Content = slices.Delete(mapping.Content, i, i+2)
 			return
 		}
 	}
