edge: count the connections that carry a request

Two causes were possible: the router leaves the connection open, or it closes it and the engine is not told (a relay, a lost packet). Neither a log line nor a metric could tell them apart.

--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -119,6 +119,17 @@
 	return p.dials
 }
 
+// Busy returns the number of connections that carry a request.
+func (p *Pool) Busy() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, conns := range p.active {
+		n += len(conns)
+	}
+	return n
+}
+
 // takeIdle returns a reusable idle connection to the engine, which is active from then on, or nil.
 func (p *Pool) takeIdle(engine string, maxIdle time.Duration) *conn {
 	for {
--- a/internal/base/engineconn/send_test.go
+++ b/internal/base/engineconn/send_test.go
@@ -306,3 +306,18 @@
 	close(aborted)
 	require.ErrorIs(t, <-got, syscall.ECONNRESET)
 }
+
+// Guards against responses that are left open unnoticed: a connection counts as busy until the response is closed.
+func TestBusyCountsConnectionsUntilTheirResponseIsClosed(t *testing.T) {
+	e := newTestEngine(t, func(conn *net.TCPConn, _ int) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			writeResponse(conn, "r", "ok")
+		}
+	})
+	pool := NewPool(Options{Clock: clock})
+	resp, err := pool.Send(t.Context(), e.target, request("r", 1))
+	require.NoError(t, err)
+	require.Equal(t, 1, pool.Busy())
+	resp.Close()
+	require.Zero(t, pool.Busy())
+}
