forward: a stream that broke is ended at its engine before it is resumed

What callers saw: whole streams. Slot, permit and memory at that engine were lost to others meanwhile.

Cause: relayStream goes on with the next response in its loop; the one that broke was closed, and its request uncounted, when the whole request ended. A connection that has ended needs no closing; one that carries bytes that are no chunk is sound, and the engine works on.

Change: an attempt holds the response, the count and the permit, and ends them together and once; relayStream ends it before it resumes. Resumptions use the same type in place of a returned function.

Why it works: most engines drop a request whose connection closes, and the close now comes before the send.

--- /dev/null
+++ b/internal/edge/forward/attempt_test.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/stretchr/testify/require"
+)
+
+// plainCodec is a Codec of messages that need no translation. All responses count as the engine's own.
+type plainCodec struct{}
+
+const headerLastEvent = "Last-Event-Id"
+
+func (plainCodec) Decode(*http.Request) (Request, error) { return Request{}, nil }
+
+func (plainCodec) EngineHeader(_ http.Header, _ *Request, s EngineRequestInfo) http.Header {
+	h := http.Header{}
+	if s.LastEvent != "" {
+		h.Set(headerLastEvent, s.LastEvent)
+	}
+	return h
+}
+
+func (plainCodec) Reply(status int, _ http.Header) Reply {
+	return Reply{Sealed: true, NotExecuted: status == http.StatusServiceUnavailable}
+}
+
+func (plainCodec) StartRequest(catalog.Engine) (method, target string, header http.Header) {
+	return http.MethodGet, "/start", nil
+}
+
+func (plainCodec) StartOf(int, []byte) (int64, error) { return 0, ErrRequest.New("none") }
+
+func (plainCodec) CallerHeader(http.Header, http.Header) {}
+
+func (plainCodec) Refusal(http.Header, string) {}
+
+// connect makes the router send requests to engines that are handled by a function, each on a connection of
+// its own.
+func (tr *testRouter) connect(handle func(c net.Conn, r *http.Request)) {
+	tr.f.Codec = plainCodec{}
+	tr.f.Budget = NewRetryBudgets(func() RetryBudgetLimits {
+		return RetryBudgetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}
+	}, func() int { return 1 })
+	tr.f.Routers = func() int { return 1 }
+	tr.f.Conns = engineconn.NewPool(engineconn.Options{Clock: tr.f.Clock, Dial: func(context.Context, string, string) (net.Conn, error) {
+		routerEnd, engineEnd := net.Pipe()
+		go func() {
+			defer engineEnd.Close()
+			if r, err := http.ReadRequest(bufio.NewReader(engineEnd)); err == nil {
+				handle(engineEnd, r)
+			}
+		}()
+		return routerEnd, nil
+	}})
+}
+
+// setVersion sets the version of all engines.
+func (tr *testRouter) setVersion(version string) {
+	u := catalog.EngineUpdate{Full: true, Upto: tr.snapshot.Engines.Upto + 1}
+	for _, e := range tr.snapshot.Engines.ForService("llm") {
+		e.Version, e.Revision = version, u.Upto
+		u.Present = append(u.Present, e)
+	}
+	tr.snapshot, _ = tr.snapshot.WithEngines(u, tr.f.Clock(), time.Second, 0)
+}
+
+// Guards against slots and permits that a stream occupies at the engine where it broke while it goes on at
+// another one.
+func TestBrokenStreamFreesItsSlotWhenResumed(t *testing.T) {
+	withTestRouter(t, 2, func(tr *testRouter) {
+		finish := make(chan struct{})
+		leasesAtBreak := 0
+		tr.connect(func(c net.Conn, r *http.Request) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			if r.Header.Get(headerLastEvent) == "" {
+				leasesAtBreak = tr.owner.Load().Leases
+				fmt.Fprint(c, "7\r\nid: 1\n\n\r\n~~~ not a chunk ~~~\r\n")
+				_, _ = io.Copy(io.Discard, c)
+				return
+			}
+			<-finish
+			fmt.Fprint(c, "7\r\nid: 2\n\n\r\n0\r\n\r\n")
+		})
+		tr.setVersion("v1")
+		// Permits are needed for a while after the service was full.
+		tr.setOtherLoads(80)
+		_, refusal := tr.newExchange(context.Background()).chooseFirst(notExecuted(ReasonNoEngine, retryLater))
+		require.NotNil(t, refusal)
+		tr.setOtherLoads(5)
+		x := tr.newExchange(context.Background())
+		x.route.Resumable, x.route.Attempts = true, 2
+		answer := httptest.NewRecorder()
+		x.w = answer
+		x.trackSuspicion()
+		done := make(chan *Refusal, 1)
+		go func() { done <- x.forward() }()
+		synctest.Wait()
+		select {
+		case r := <-done:
+			t.Fatalf("ended: %+v", r)
+		default:
+		}
+		own := tr.f.Engines.OwnLoads()
+		require.Equal(t, 1, own["e0"].InFlight+own["e1"].InFlight)
+		require.Equal(t, 1, leasesAtBreak)
+		require.Zero(t, tr.owner.Load().Leases)
+		require.Equal(t, 1, tr.f.Conns.Busy())
+		close(finish)
+		require.Nil(t, <-done)
+		require.Equal(t, "id: 1\n\nid: 2\n\n", answer.Body.String())
+		own = tr.f.Engines.OwnLoads()
+		require.Zero(t, own["e0"].InFlight+own["e1"].InFlight)
+	})
+}
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -237,7 +237,6 @@
 // send sends the request to an engine and relays its response.
 func (x *exchange) send(choice Choice) sendResult {
 	e := choice.Engine
-	defer x.f.Engines.Done(choice)
 	x.sends++
 	x.engine, x.engineService, x.engineVersion = e.ID, e.Service, e.Version
 	x.reply = Reply{}
@@ -248,6 +247,9 @@
 	}
 	ctx, cancel := x.context()
 	defer cancel()
+	a := x.newAttempt(choice)
+	// The end of the context closes the connection also after a complete response.
+	defer a.end()
 	ctx, stopTimer := x.withAttemptTimeout(ctx, e)
 	x.recordBegin(e)
 	x.sentAt = x.f.Clock()
@@ -255,12 +257,10 @@
 	stopTimer()
 	waited := x.f.Clock() - x.sentAt
 	if err != nil {
-		if !engineconn.ErrNotSent.Has(err) {
-			x.f.Engines.Abandon(choice)
-		}
+		a.executing = !engineconn.ErrNotSent.Has(err)
 		return x.handleSendError(ctx, e, err, waited)
 	}
-	defer response.Close()
+	a.response = response
 	x.via = response.Via
 	reply := x.f.Codec.Reply(response.Status, response.Header)
 	x.recordSignals(choice, response.Status, reply)
@@ -268,11 +268,7 @@
 		return x.handleEngineRefusal(e, response, reply)
 	}
 	x.executed++
-	defer func() {
-		if !response.Complete() {
-			x.f.Engines.Abandon(choice)
-		}
-	}()
+	a.executing = true
 	if x.route.Kind != catalog.Streaming {
 		x.f.responseTimes.record(e.Service, waited)
 	}
@@ -286,7 +282,7 @@
 		if !x.confirmVersion(e, response.OpenedAt()) {
 			return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonStreamBroken))
 		}
-		return x.relayStream(ctx, e, response)
+		return x.relayStream(ctx, a)
 	}
 	return x.relayBuffered(ctx, e, response)
 }
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -56,9 +56,11 @@
 
 // relayStream relays a stream, event by event. If the route allows it, a truncated stream resumes
 // at another engine after the last complete event.
-func (x *exchange) relayStream(ctx context.Context, e catalog.Engine, response *engineconn.Response) sendResult {
+func (x *exchange) relayStream(ctx context.Context, a *attempt) sendResult {
+	defer func() { a.end() }()
 	splitter := &eventSplitter{lastID: x.req.LastEvent}
 	for {
+		e, response := a.choice.Engine, a.response
 		err := x.copyEvents(e, response, splitter)
 		if err == nil {
 			err = x.checkEnd(ctx, e, response, len(splitter.pending) > 0)
@@ -69,6 +71,9 @@
 			x.recordOutput(splitter.events)
 			return x.endStream(response)
 		}
+		// An engine may go on with a stream that broke. It must not do so while another engine executes
+		// the rest.
+		a.end()
 		if errNotRecorded.Has(err) {
 			x.f.Log.Warn("stream not begun", "request", x.req.ID, "route", x.route.Name, "engine", e.ID, "version", e.Version, "reason", ReasonOriginUnknown, "cause", err)
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonOriginUnknown)}
@@ -83,14 +88,13 @@
 			return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonStreamBroken))
 		}
 		splitter.pending = nil
-		next, nextResponse, release := x.resume(ctx, e, splitter.lastID)
-		if nextResponse == nil {
+		next := x.resume(ctx, e, splitter.lastID)
+		if next == nil {
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 		}
-		defer release()
+		a = next
 		x.resumed = true
-		x.logResumption(e, next, splitter.lastID)
-		e, response = next, nextResponse
+		x.logResumption(e, a.choice.Engine, splitter.lastID)
 	}
 }
 
@@ -150,9 +154,8 @@
 }
 
 // resume continues a truncated stream at another engine, if the route and the retry budget allow
-// it. If an engine refuses, resume tries the next one. The returned function closes the response
-// and ends the count of the request.
-func (x *exchange) resume(ctx context.Context, truncated catalog.Engine, lastID string) (catalog.Engine, *engineconn.Response, func()) {
+// it. If an engine refuses, resume tries the next one. It returns nil if the stream does not go on.
+func (x *exchange) resume(ctx context.Context, truncated catalog.Engine, lastID string) *attempt {
 	x.excluded[truncated.ID] = true
 	for range maxEngineRefusals {
 		if !x.mayResume(lastID) {
@@ -167,21 +170,18 @@
 			x.logNoResumption(truncated, lastID, ReasonVersionGone)
 			break
 		}
-		e := choice.Engine
-		response, refused := x.sendResume(ctx, choice, lastID)
-		if response != nil {
-			return e, response, func() {
-				response.Close()
-				x.f.Engines.Done(choice)
-			}
+		a := x.newAttempt(choice)
+		resumed, tryNext := x.sendResume(ctx, a, lastID)
+		if resumed {
+			return a
 		}
-		x.f.Engines.Done(choice)
-		x.excluded[e.ID] = true
-		if !refused {
+		a.end()
+		x.excluded[choice.Engine.ID] = true
+		if !tryNext {
 			break
 		}
 	}
-	return catalog.Engine{}, nil, nil
+	return nil
 }
 
 // mayResume reports whether the stream may resume after the event. It discards the refusal of
@@ -190,46 +190,45 @@
 	return x.route.Repeatable() && x.executed < x.route.Attempts && !x.tracker.LikelyCause() && lastID != "" && x.checkBeforeSend(x.disconnectRefusal()) == nil
 }
 
-// sendResume requests the events after lastID from an engine. If there is no response to relay, it
-// returns nil and reports whether the engine is known not to have executed the request.
-func (x *exchange) sendResume(ctx context.Context, choice Choice, lastID string) (response *engineconn.Response, refused bool) {
-	e := choice.Engine
+// sendResume requests the events after lastID from an engine. It reports whether there is a response to
+// relay, and otherwise whether the next engine may be tried.
+func (x *exchange) sendResume(ctx context.Context, a *attempt, lastID string) (resumed, tryNext bool) {
+	e := a.choice.Engine
 	if !x.f.Budget.Spend(e.Service, x.f.Clock()) {
-		return nil, false
+		return false, false
 	}
 	x.sends++
 	x.reply = Reply{}
 	x.sentAt, x.answeredAt, x.outlived = x.f.Clock(), 0, false
-	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(choice, lastID))
+	response, err := x.f.Conns.Send(ctx, engineTarget(e), x.engineRequest(a.choice, lastID))
 	if engineconn.ErrWithdrawn.Has(err) {
-		return nil, true
+		return false, true
 	}
 	if err != nil {
 		x.recordNoResponse(e, err)
 		x.reportCut(ctx, e, err)
 		x.logAttempt(e, err, 0)
-		unsent := engineconn.ErrNotSent.Has(err)
-		if !unsent {
+		a.executing = !engineconn.ErrNotSent.Has(err)
+		if a.executing {
 			x.executed++
 		}
-		return nil, unsent
+		return false, !a.executing
 	}
+	a.response = response
 	reply := x.f.Codec.Reply(response.Status, response.Header)
-	x.recordSignals(choice, response.Status, reply)
+	x.recordSignals(a.choice, response.Status, reply)
 	if reply.NotExecuted {
 		x.handleEngineRefusal(e, response, reply)
-		response.Close()
-		return nil, true
+		return false, true
 	}
 	x.executed++
+	a.executing = true
 	if !x.confirmVersion(e, response.OpenedAt()) {
-		response.Close()
-		return nil, true
+		return false, true
 	}
 	if response.Status != http.StatusOK || !reply.Sealed || reply.Encoded {
 		x.f.Engines.RecordOutcome(e.ID, false)
-		response.Close()
-		return nil, false
+		return false, false
 	}
-	return response, false
+	return true, false
 }
