engineconn: bytes that are no response are not the end of an engine

An engine that spoils the body of an answer counted as one that has closed its connection (Options.Lost): its start was in doubt until it had stated it again, and streams that need a certain version waited for that or were refused. A header that broke off inside a line was taken for a malformed one, and so was one that a closed connection of this router's own ended.

Cause: Response.Read reported each error of the body as the end of the connection, and readFinalHeader told the two apart by the error of the parser.

Change: the connection remembers whether a read has failed. Without such a failure the bytes are at fault: ErrMalformed, and nothing is lost.

Test: TestMalformedResponseIsNotTheEndOfItsEngine failed before (truncated header: malformed; chunk: lost).

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -54,6 +54,8 @@
 	openedAt, idleSince time.Duration
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
+	// readErr is why a read has failed, or nil. Without one, an error is about the bytes that were received.
+	readErr error
 	// reused is set if an earlier request used the connection.
 	reused bool
 	// silenceLimit is the limit that is set; zero if it is that of a new connection.
@@ -66,6 +68,9 @@
 	if t := c.traffic.Load(); t != nil {
 		t.In.Add(int64(n))
 	}
+	if err != nil {
+		c.readErr = err
+	}
 	return n, err
 }
 
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -106,7 +106,7 @@
 	resp, err := readHeader(c, r)
 	stopWatch()
 	if err != nil {
-		if stopAbort() && !ErrMalformed.Has(err) {
+		if stopAbort() && c.readErr != nil {
 			p.lost(to.ID, c)
 		}
 		p.end(to.ID, c)
@@ -265,8 +265,8 @@
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			if isConnectionEnd(err) {
-				return nil, ErrNoResponse.Wrap(err)
+			if c.readErr != nil {
+				return nil, ErrNoResponse.Wrap(c.readErr)
 			}
 			return nil, ErrMalformed.Wrap(err)
 		}
@@ -276,16 +276,9 @@
 	}
 }
 
-// isConnectionEnd reports whether a failed read is due to the end of the
-// connection or a timeout, rather than to bytes that are no response.
-func isConnectionEnd(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &timeout)
-}
-
 // Read reads the body. It returns io.EOF if the body is complete: its announced
 // length or its last chunk was read or, if it has neither, the engine closed
-// the connection. Errors: ErrTruncated.
+// the connection. Errors: ErrTruncated, ErrMalformed.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
 	switch {
@@ -294,6 +287,8 @@
 	case errors.Is(err, io.EOF):
 		a.complete = true
 		return n, io.EOF
+	case a.conn.readErr == nil:
+		return n, ErrMalformed.Wrap(err)
 	}
 	if !errors.Is(err, net.ErrClosed) {
 		a.pool.lost(a.engine, a.conn)
