forward: the body of an engine's refusal is read for 50 ms and 16 KB at most

An engine that refuses a request and then does not finish the body of its refusal kept the request, its slot and its connection until the caller's deadline, though another engine was free and nothing had run. Up to 1 MB of a body without end was read.

Cause: handleEngineRefusal read the body only to use the connection again, with the whole time of the request and the limit for answers that are kept.

Change: Response.Drain reads a body whose content does not matter within a limit and a time; beyond either the connection is closed.

Test: TestBodyOfRefusalDelaysNoRequest failed before: 1,048,576 bytes taken of a body without end (32,768 allowed), and with a body that stalls or trickles the request was refused at its deadline. Now another engine serves it within a quarter of its objective, and no connection stays open.

--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -290,7 +291,7 @@
 	case a.conn.readErr == nil:
 		return n, ErrMalformed.Wrap(err)
 	}
-	if !errors.Is(err, net.ErrClosed) {
+	if !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		a.pool.lost(a.engine, a.conn)
 	}
 	return n, ErrTruncated.Wrap(err)
@@ -304,6 +305,15 @@
 // accepted it by then.
 func (a *Response) OpenedAt() time.Duration { return a.conn.openedAt }
 
+// Drain reads the rest of a body whose content does not matter, so that the connection can be used again. A body
+// of more than limit bytes, or one that takes longer than a time, is left unread.
+func (a *Response) Drain(limit int64, timeout time.Duration) {
+	// An error means that the connection is closed, which the read finds.
+	_ = a.conn.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, limit))
+	_ = a.conn.SetReadDeadline(time.Time{})
+}
+
 // Complete reports whether the body was read to its end.
 func (a *Response) Complete() bool { return a.complete }
 
--- a/internal/edge/forward/attempt_test.go
+++ b/internal/edge/forward/attempt_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,3 +126,55 @@
 		require.Zero(t, own["e0"].InFlight+own["e1"].InFlight)
 	})
 }
+
+// countUntilClosed writes blocks until the other end closes the connection, and returns the bytes that it has taken.
+func countUntilClosed(c net.Conn, block string) (taken int) {
+	for {
+		n, err := io.WriteString(c, block)
+		taken += n
+		if err != nil {
+			return taken
+		}
+	}
+}
+
+// Guards against a request that waits for the body of an engine's refusal until its deadline, or reads it without
+// end, although another engine serves it.
+func TestBodyOfRefusalDelaysNoRequest(t *testing.T) {
+	for name, body := range map[string]func(c net.Conn) int{
+		"stalls":     func(c net.Conn) int { n, _ := io.Copy(io.Discard, c); return int(n) },
+		"has no end": func(c net.Conn) int { return countUntilClosed(c, strings.Repeat("x", 1<<10)) },
+		"trickles": func(c net.Conn) int {
+			for n := 0; ; n++ {
+				if _, err := io.WriteString(c, "x"); err != nil {
+					return n
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestRouter(t, 2, func(tr *testRouter) {
+				var refused atomic.Bool
+				taken := make(chan int, 1)
+				tr.connect(func(c net.Conn, _ *http.Request) {
+					if refused.CompareAndSwap(false, true) {
+						fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 1000000000\r\n\r\n")
+						taken <- body(c)
+						return
+					}
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n")
+				})
+				x := tr.newExchange(context.Background())
+				answer := httptest.NewRecorder()
+				x.w = answer
+				x.trackSuspicion()
+				require.Nil(t, x.forward())
+				require.Equal(t, "id: 1\n\n", answer.Body.String())
+				require.Less(t, tr.f.Clock()-x.started, x.route.Objective/4)
+				require.LessOrEqual(t, <-taken, 2*maxRefusalBody)
+				require.Zero(t, tr.f.Conns.Busy())
+			})
+		})
+	}
+}
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -20,6 +19,10 @@
 	// maxEngineRefusals is how many engines may refuse a request before it is refused to the
 	// caller.
 	maxEngineRefusals = 3
+	// maxRefusalBody is how much of the body of an engine's refusal is read, in bytes, and refusalBodyTimeout for
+	// how long, before the connection is given up rather than used again.
+	maxRefusalBody     = 16 << 10
+	refusalBodyTimeout = 50 * time.Millisecond
 	// maxIdleNonRepeatable is the maximum idle time of a reused connection for a request that must
 	// not be sent twice; see engineconn.Request.MaxIdle.
 	maxIdleNonRepeatable = 300 * time.Millisecond
@@ -454,8 +457,7 @@
 		// engine that now has this address.
 		x.f.Engines.RecordOutcome(e.ID, false)
 	}
-	// Reading the body allows the connection to be reused. Its content is not needed.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedResponse))
+	response.Drain(maxRefusalBody, refusalBodyTimeout)
 	if response.Status == http.StatusBadRequest {
 		return sendResult{action: actionStop, refusal: rejected(http.StatusBadRequest, ReasonMalformed)}
 	}
