reach: a closed tunnel ends the engine's connection though the engine reads nothing

What engines saw: work and a connection that nobody waits for. If an engine read nothing of a long request (it may answer before it has read a body, or be in trouble), the relay waited in its write, read nothing from the tunnel and did not notice its end. The tunnel counted against the relay's limit meanwhile. The same if the engine sends without end at that moment: the relay noticed, and waited for the write before it closed the connection.

Change: writes to the engine are interrupted every 100 ms to look whether the tunnel was closed; the end of either direction closes the engine's connection. Response.Close resets a connection on which a part of the request is not acknowledged, as a failed Send does: the relay sees a reset at once, an end only behind the data.

Tests: TestClosedTunnelEndsWhileItsEngineIsBusy failed before in both cases (the connection stays open for the 10 s that the test waits).

--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -326,5 +326,5 @@
 		return
 	}
 	a.pool.end(a.engine, a.conn)
-	_ = a.conn.Close()
+	a.conn.abort()
 }
--- a/internal/edge/reach/service.go
+++ b/internal/edge/reach/service.go
@@ -5,11 +5,14 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"github.com/charmbracelet/log"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -200,16 +203,60 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		buf := make([]byte, maxFrame)
-		// The result does not matter: either end is closed.
-		_, _ = io.CopyBuffer(onlyWriter{engine}, onlyReader{c}, buf)
+		copyUp(c, engine)
 		engineconn.Abort(engine)
 	}()
 	s.copyDown(c, engine, done)
 	_ = c.Close()
+	// A write to an engine that reads nothing would not end by itself.
+	engineconn.Abort(engine)
 	<-done
 }
 
+// stallCheck is how long a write to an engine waits before it is checked whether the tunnel is still open.
+const stallCheck = 100 * time.Millisecond
+
+// copyUp copies what the other router sends to the engine until either end is closed. While the engine reads
+// nothing, nothing is read from the tunnel either, whose end would go unnoticed.
+func copyUp(c, engine net.Conn) {
+	buf := make([]byte, maxFrame)
+	for {
+		n, err := c.Read(buf)
+		for rest := buf[:n]; len(rest) > 0; {
+			// An error means that the connection is closed, which the write finds.
+			_ = engine.SetWriteDeadline(time.Now().Add(stallCheck))
+			written, writeErr := engine.Write(rest)
+			rest = rest[written:]
+			if writeErr != nil && (!errors.Is(writeErr, os.ErrDeadlineExceeded) || hungUp(c)) {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hungUp reports whether the kernel knows that the other end has closed or reset a connection, also before the
+// data that has arrived until then is read.
+func hungUp(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(polled, 0)
+		ended = pollErr == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err != nil || ended
+}
+
 // copyDown writes what the engine sends as frames.
 func (s *Service) copyDown(c, engine net.Conn, done <-chan struct{}) {
 	var mu sync.Mutex
@@ -242,7 +289,3 @@
 		}
 	}
 }
-
-// onlyReader and onlyWriter hide all other methods, so that bytes are copied by reads and writes.
-type onlyReader struct{ io.Reader }
-type onlyWriter struct{ io.Writer }
--- a/internal/edge/reach/tunnel_test.go
+++ b/internal/edge/reach/tunnel_test.go
@@ -8,8 +8,10 @@
 	"testing"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // tunnelTo returns the dialer's end of a tunnel whose other end a relay connects to an engine.
@@ -79,6 +81,50 @@
 	}
 }
 
+// Guards against a relay that keeps the connection to an engine, and the engine's work, because one direction of a
+// closed tunnel waits: the engine sends without end, or reads nothing of a long request.
+func TestClosedTunnelEndsWhileItsEngineIsBusy(t *testing.T) {
+	request := make([]byte, 1<<20)
+	for name, engine := range map[string]func(e *net.TCPConn) error{
+		"sends without end": func(e *net.TCPConn) error {
+			for {
+				if _, err := e.Write(request); err != nil {
+					return err
+				}
+			}
+		},
+		"reads nothing": func(e *net.TCPConn) error {
+			raw, err := e.SyscallConn()
+			for events := int16(0); err == nil && events&unix.POLLHUP == 0 && events&unix.POLLERR == 0; {
+				err = raw.Control(func(fd uintptr) {
+					polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+					_, _ = unix.Poll(polled, 10)
+					events = polled[0].Revents
+				})
+			}
+			return io.EOF
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			c, service := tunnelTo(t, func(e *net.TCPConn) { ended <- engine(e) })
+			// The buffers on the way are full once a write has waited for this long.
+			for err := error(nil); err == nil; {
+				require.NoError(t, c.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
+				_, err = c.Conn.Write(request)
+			}
+			engineconn.Abort(c)
+			select {
+			case err := <-ended:
+				require.Error(t, err)
+			case <-time.After(waitTimeout):
+				t.Fatal("the connection to the engine stays open")
+			}
+			require.Eventually(t, func() bool { return service.Stats().Tunnels == 0 }, waitTimeout, time.Millisecond)
+		})
+	}
+}
+
 // Guards against a tunnel that is used again though its relay stops, or bytes of a response are left.
 func TestTunnelThatIsNotReusable(t *testing.T) {
 	near, far := net.Pipe()
