forward: an answer that was discarded holds no memory

The memory of an answer that broke stayed counted while the request was at the next engine, up to 1 MB for each; with many at once others were refused with no_memory though the memory was free.

Cause: what a request holds could only grow until its end.

Change: Budget.Shrink; an answer that was read and is not given out, and the incomplete event of a stream that goes on elsewhere, end their count.

Test: TestDiscardedAnswerHoldsNoMemory failed before in both cases (409,600 and 376,832 bytes counted where 49,152 are held; the kinds were checked one at a time). The property of the budget shrinks too now.

--- a/internal/decide/pressure/pressure.go
+++ b/internal/decide/pressure/pressure.go
@@ -87,6 +87,15 @@
 	return true
 }
 
+// Shrink ends the count of a part of what a request holds.
+func (b *Budget) Shrink(id uint64, bytes int64) {
+	if h := b.holders[id]; h != nil {
+		bytes = min(bytes, h.bytes)
+		h.bytes -= bytes
+		b.used -= bytes
+	}
+}
+
 // End ends a request.
 func (b *Budget) End(id uint64) {
 	if h := b.holders[id]; h != nil {
--- a/internal/decide/pressure/pressure_test.go
+++ b/internal/decide/pressure/pressure_test.go
@@ -23,6 +23,7 @@
 			}
 		case n > 0 && rng.IntN(2) == 0:
 			b.Grow(ids[rng.IntN(n)], rng.Int64N(50))
+			b.Shrink(ids[rng.IntN(n)], rng.Int64N(200))
 		case n > 0:
 			i := rng.IntN(n)
 			b.End(ids[i])
@@ -31,6 +32,7 @@
 		}
 		used, _ := b.Used()
 		require.LessOrEqual(t, used, int64(1000))
+		require.GreaterOrEqual(t, used, int64(0))
 	}
 	for _, id := range ids {
 		b.End(id)
--- a/internal/edge/forward/attempt_test.go
+++ b/internal/edge/forward/attempt_test.go
@@ -178,3 +178,41 @@
 		})
 	}
 }
+
+// Guards against the memory of an answer that was discarded and stays counted while the request is at the next
+// engine, so that others are refused.
+func TestDiscardedAnswerHoldsNoMemory(t *testing.T) {
+	const size = 10 * memoryStep
+	for kind, head := range map[catalog.Kind]string{
+		catalog.Idempotent: "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n",
+		catalog.Streaming:  "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nid: 1\n\n",
+	} {
+		withTestRouter(t, 2, func(tr *testRouter) {
+			tr.f.SetMemory(1 << 30)
+			tr.setVersion("v1")
+			finish, requests := make(chan struct{}), 0
+			tr.connect(func(c net.Conn, r *http.Request) {
+				requests++
+				if requests == 1 {
+					fmt.Fprint(c, head, strings.Repeat("x", size))
+					return
+				}
+				<-finish
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: 2\n\n")
+			})
+			x, refusal := tr.newHeldExchange(httptest.NewRecorder())
+			require.Nil(t, refusal)
+			x.route.Kind, x.route.Resumable, x.route.Attempts = kind, true, 2
+			x.trackSuspicion()
+			done := make(chan *Refusal, 1)
+			go func() { done <- x.forward() }()
+			synctest.Wait()
+			require.Equal(t, 2, requests)
+			require.Equal(t, int64(exchangeMemory), tr.f.Memory().Used, "%v", kind)
+			close(finish)
+			require.Nil(t, <-done)
+			x.releaseMemory()
+			require.Zero(t, tr.f.Memory().Used)
+		})
+	}
+}
--- a/internal/edge/forward/pressure.go
+++ b/internal/edge/forward/pressure.go
@@ -106,6 +106,12 @@
 	return false
 }
 
+func (m *requestMemory) shrink(id uint64, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Shrink(id, bytes)
+}
+
 // relieve gives up answers whose callers read nothing. The memory returns when their requests have ended. The
 // caller holds the mutex.
 func (m *requestMemory) relieve(bytes int64) {
@@ -192,12 +198,15 @@
 	return true
 }
 
+// dropPending ends the count of an incomplete event that was discarded.
+func (x *exchange) dropPending() {
+	x.f.memory.shrink(x.memoryID, x.pendingHeld)
+	x.pendingHeld = 0
+}
+
 // counted returns a reader whose bytes beyond those already counted are added to what the request holds. It
 // fails with errNoMemory, and without having read more, where that exceeds the memory.
-func (x *exchange) counted(r io.Reader, already int64) io.Reader {
-	if x.memoryID == 0 {
-		return r
-	}
+func (x *exchange) counted(r io.Reader, already int64) *countedReader {
 	return &countedReader{x: x, r: r, left: already}
 }
 
@@ -205,16 +214,28 @@
 	x    *exchange
 	r    io.Reader
 	left int64
+	// held is what was counted.
+	held int64
 }
 
 func (c *countedReader) Read(p []byte) (int, error) {
+	if c.x.memoryID == 0 {
+		return c.r.Read(p)
+	}
 	if c.left <= 0 {
 		if !c.x.f.memory.grow(c.x.memoryID, memoryStep) {
 			return 0, errNoMemory.New("")
 		}
 		c.left += memoryStep
+		c.held += memoryStep
 	}
 	n, err := c.r.Read(p[:min(int64(len(p)), c.left)])
 	c.left -= int64(n)
 	return n, err
 }
+
+// drop ends the count of bytes that were discarded.
+func (c *countedReader) drop() {
+	c.x.f.memory.shrink(c.x.memoryID, c.held)
+	c.held = 0
+}
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -21,7 +21,8 @@
 // relayBuffered reads the complete response and relays it.
 func (x *exchange) relayBuffered(ctx context.Context, e catalog.Engine, response *engineconn.Response) sendResult {
 	x.beginAnswer()
-	body, err := io.ReadAll(x.counted(io.LimitReader(response, maxBufferedResponse), 0))
+	counted := x.counted(io.LimitReader(response, maxBufferedResponse), 0)
+	body, err := io.ReadAll(counted)
 	if err == nil && len(body) == maxBufferedResponse || errNoMemory.Has(err) {
 		return x.relayUnbuffered(ctx, e, response, body)
 	}
@@ -29,6 +30,7 @@
 		err = x.checkEnd(ctx, e, response, false)
 	}
 	if err != nil {
+		counted.drop()
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
 			return sendResult{action: actionStop, refusal: refusal}
 		}
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -74,6 +74,8 @@
 		// An engine may go on with a stream that broke. It must not do so while another engine executes
 		// the rest.
 		a.end()
+		splitter.pending = nil
+		x.dropPending()
 		if errNotRecorded.Has(err) {
 			x.f.Log.Warn("stream not begun", "request", x.req.ID, "route", x.route.Name, "engine", e.ID, "version", e.Version, "reason", ReasonOriginUnknown, "cause", err)
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonOriginUnknown)}
@@ -87,7 +89,6 @@
 		if !x.responded {
 			return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonStreamBroken))
 		}
-		splitter.pending = nil
 		next := x.resume(ctx, e, splitter.lastID)
 		if next == nil {
 			return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
