engineconn: the header of a response and all before it is bounded

Cause: net/http's ReadResponse has no bound for a header, and the connection that it reads from had none. Chunk lines and trailers are bounded by net/http.

Change: before the body of a response 64 KB may be read from the connection, with interim and stray responses; the next read fails with ErrTooLong within ErrMalformed, so that the attempt counts as a failure of the engine, as a malformed response always did. Bodies of stray responses: 256 KB each (1 MB). engine_responses_malformed and engine_responses_too_long count.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -56,15 +56,26 @@
 	idleTimeout time.Duration
 	// readErr is why a read has failed, or nil. Without one, an error is about the bytes that were received.
 	readErr error
+	// headerLeft is how many bytes may be read before the body of a response; negative while a body is read.
+	headerLeft int64
 	// reused is set if an earlier request used the connection.
 	reused bool
 	// silenceLimit is the limit that is set; zero if it is that of a new connection.
 	silenceLimit time.Duration
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. Errors: ErrTooLong before the body of a response.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headerLeft == 0 {
+		return 0, ErrTooLong.New("more than %d bytes before the body of a response", maxHeader)
+	}
+	if c.headerLeft > 0 {
+		b = b[:min(int64(len(b)), c.headerLeft)]
+	}
 	n, err := c.Conn.Read(b)
+	if c.headerLeft > 0 {
+		c.headerLeft -= int64(n)
+	}
 	if t := c.traffic.Load(); t != nil {
 		t.In.Add(int64(n))
 	}
@@ -161,7 +172,7 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
-	c := &conn{Conn: raw, openedAt: p.opts.Clock()}
+	c := &conn{Conn: raw, openedAt: p.opts.Clock(), headerLeft: -1}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
--- a/internal/base/engineconn/errors.go
+++ b/internal/base/engineconn/errors.go
@@ -29,6 +29,8 @@
 	// ErrMalformed means that the received bytes are not a response to the
 	// request.
 	ErrMalformed = errs.Class("engine: malformed response")
+	// ErrTooLong means that a part of a response exceeds its limit. It is wrapped in ErrMalformed.
+	ErrTooLong = errs.Class("engine: too long")
 	// ErrTruncated means that a response ended before it was complete.
 	ErrTruncated = errs.Class("engine: answer cut short")
 )
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -22,7 +22,12 @@
 const maxStrayResponses = 2
 
 // maxStrayBody bounds the body of a skipped response, in bytes.
-const maxStrayBody = 1 << 20
+const maxStrayBody = 256 << 10
+
+// maxHeader bounds the header of a response, with the interim responses and the headers of stray ones before it
+// and what is read of the body at the same time, in bytes. A faulty engine may send bytes without end, of which no
+// line or header would ever be complete.
+const maxHeader = 64 << 10
 
 // Response is the response of an engine. Close must be called once.
 type Response struct {
@@ -239,6 +244,8 @@
 // readHeader reads the header of the response that belongs to the request, and
 // skips stray responses before it. Errors: ErrNoResponse, ErrMalformed.
 func readHeader(c *conn, r *Request) (*http.Response, error) {
+	c.headerLeft = maxHeader
+	defer func() { c.headerLeft = -1 }()
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, ErrNoResponse.Wrap(err)
 	}
@@ -253,6 +260,7 @@
 		if resp.ContentLength < 0 || resp.ContentLength > maxStrayBody || resp.Close {
 			return nil, ErrMalformed.New("response belongs to another request")
 		}
+		c.headerLeft += resp.ContentLength
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, ErrNoResponse.Wrap(err)
 		}
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -14,8 +14,9 @@
 	errEngineRefused = errs.Class("engine refused")
 )
 
-// logAttempt logs why an attempt failed.
+// logAttempt logs why an attempt failed, and counts malformed responses.
 func (x *exchange) logAttempt(e catalog.Engine, err error, waited time.Duration) {
+	x.f.stats.recordMalformed(err)
 	now := x.f.Clock()
 	x.f.Log.Warn("attempt failed", "request", x.req.ID, "route", x.route.Name, "engine", e.ID,
 		"address", e.Address, "attempt", x.sends, "waited", waited, "left", x.remaining(), "fingerprint", x.tracker.Fingerprint(),
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
@@ -145,6 +146,17 @@
 // recordCut counts a request that was cut because the connection to its engine broke.
 func (s *Stats) recordCut() { s.vars.Add("cut_by_engine", 1) }
 
+// recordMalformed counts a response that ended because the engine sent bytes that are no response, or more of
+// them than a response may have.
+func (s *Stats) recordMalformed(err error) {
+	switch {
+	case engineconn.ErrTooLong.Has(err):
+		s.vars.Add("engine_responses_too_long", 1)
+	case engineconn.ErrMalformed.Has(err):
+		s.vars.Add("engine_responses_malformed", 1)
+	}
+}
+
 // recordLeaving counts a response in which an engine announced that it will stop.
 func (s *Stats) recordLeaving() { s.vars.Add("engine_leaving_responses", 1) }
 
