forward: bodies and events without end are given up

Cause: an answer of more than 1 MB was relayed without a bound, until the caller left or the deadline passed; a router without memory did so from the start. An incomplete event might have 1 MB, and each read searched all of it again.

Change: a body that does not announce its length may have 1 MB, an announced length 64 MB, and an event 256 KB. Beyond it the response is malformed: the connection is closed, the engine has failed, and another one serves the request if it may be repeated; else the caller gets 502. An event is searched from where the last search ended.

Services that answer more than 1 MB have to announce the length; before, such answers were relayed as they came.

Tests: TestBodyWithoutEndIsGivenUp and TestBodyWithoutEndIsGivenUpWithoutMemory.

--- a/internal/edge/forward/attempt_test.go
+++ b/internal/edge/forward/attempt_test.go
@@ -129,6 +129,7 @@
 
 // countUntilClosed writes blocks until the other end closes the connection, and returns the bytes that it has taken.
 func countUntilClosed(c net.Conn, block string) (taken int) {
+	block = strings.Repeat(block, 1+1000/len(block))
 	for {
 		n, err := io.WriteString(c, block)
 		taken += n
@@ -143,7 +144,7 @@
 func TestBodyOfRefusalDelaysNoRequest(t *testing.T) {
 	for name, body := range map[string]func(c net.Conn) int{
 		"stalls":     func(c net.Conn) int { n, _ := io.Copy(io.Discard, c); return int(n) },
-		"has no end": func(c net.Conn) int { return countUntilClosed(c, strings.Repeat("x", 1<<10)) },
+		"has no end": func(c net.Conn) int { return countUntilClosed(c, "x") },
 		"trickles": func(c net.Conn) int {
 			for n := 0; ; n++ {
 				if _, err := io.WriteString(c, "x"); err != nil {
@@ -216,3 +217,86 @@
 		})
 	}
 }
+
+// Guards against an engine that sends a body without end, which the router keeps or relays until its memory is used
+// up or the caller leaves. The connection is closed, and another engine serves the request if it may be repeated.
+func TestBodyWithoutEndIsGivenUp(t *testing.T) {
+	const ok, chunked = "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const event = "id: 1\n\n"
+	for name, test := range map[string]struct {
+		kind         catalog.Kind
+		start, block string
+		want         string
+	}{
+		"without length":              {catalog.Idempotent, ok, "E", event},
+		"chunks":                      {catalog.Idempotent, chunked, "1\r\nE\r\n", event},
+		"announced length":            {catalog.Idempotent, "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "E", event},
+		"not repeatable":              {catalog.NonIdempotent, ok, "E", ""},
+		"event":                       {catalog.Streaming, ok, "E", event},
+		"event of empty fields":       {catalog.Streaming, ok, "data:\n", event},
+		"event in chunks":             {catalog.Streaming, chunked, "1\r\nE\r\n", event},
+		"event after the first":       {catalog.Streaming, ok + "id: 0\n\n", "E", "id: 0\n\n" + event},
+		"event after one, in chunks":  {catalog.Streaming, chunked + "7\r\nid: 0\n\n\r\n", "1\r\nE\r\n", "id: 0\n\n" + event},
+		"chunk size of a later chunk": {catalog.Streaming, chunked + "7\r\nid: 0\n\n\r\n", "0", "id: 0\n\n" + event},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestRouter(t, 2, func(tr *testRouter) {
+				tr.f.SetMemory(1 << 30)
+				tr.setVersion("v1")
+				first, taken := true, make(chan int, 1)
+				tr.connect(func(c net.Conn, _ *http.Request) {
+					if first {
+						first = false
+						fmt.Fprint(c, test.start)
+						taken <- countUntilClosed(c, test.block)
+						return
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(event), event)
+				})
+				answer := httptest.NewRecorder()
+				x, refusal := tr.newHeldExchange(answer)
+				require.Nil(t, refusal)
+				x.route.Kind, x.route.Resumable, x.route.Attempts = test.kind, true, 2
+				x.trackSuspicion()
+				refusal = x.forward()
+				if test.want == "" {
+					require.Equal(t, ReasonBadAnswer, refusal.Reason)
+					require.Equal(t, http.StatusBadGateway, refusal.Status)
+				} else {
+					require.Nil(t, refusal)
+				}
+				require.Equal(t, test.want, answer.Body.String())
+				// Chunks of one byte take six.
+				require.LessOrEqual(t, <-taken, len(test.block)*(maxBufferedResponse+maxBufferedResponse/8))
+				require.Zero(t, tr.f.Conns.Busy())
+				x.releaseMemory()
+				require.Zero(t, tr.f.Memory().Used)
+				require.Less(t, tr.f.Clock()-x.started, x.route.Objective)
+			})
+		})
+	}
+}
+
+// Guards against a body without end that is relayed while the router has no memory to keep it: the caller gets an
+// answer that is not complete, and the connection to the engine is closed.
+func TestBodyWithoutEndIsGivenUpWithoutMemory(t *testing.T) {
+	withTestRouter(t, 1, func(tr *testRouter) {
+		tr.f.SetMemory(2 * exchangeMemory)
+		taken := make(chan int, 1)
+		tr.connect(func(c net.Conn, _ *http.Request) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n")
+			taken <- countUntilClosed(c, "E")
+		})
+		answer := httptest.NewRecorder()
+		x, refusal := tr.newHeldExchange(answer)
+		require.Nil(t, refusal)
+		x.route.Kind = catalog.Idempotent
+		x.trackSuspicion()
+		require.NotNil(t, x.forward())
+		require.True(t, x.responded)
+		require.LessOrEqual(t, answer.Body.Len(), maxBufferedResponse)
+		require.LessOrEqual(t, <-taken, maxBufferedResponse+maxBufferedResponse/8)
+		require.Zero(t, tr.f.Conns.Busy())
+		require.Equal(t, "1", tr.f.Stats().Vars().Get("engine_responses_too_long").String())
+	})
+}
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -13,17 +13,25 @@
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 )
 
-// maxBufferedResponse limits the responses that are read completely before they are relayed, in
-// bytes. Until the first byte is relayed, an incomplete response can be replaced by that of another
-// engine or by an error response.
-const maxBufferedResponse = 1 << 20
+const (
+	// maxBufferedResponse limits the responses that are read completely before they are relayed, in
+	// bytes. Until the first byte is relayed, an incomplete response can be replaced by that of another
+	// engine or by an error response. A response that does not announce its length may not exceed it: a faulty
+	// engine may send one without end.
+	maxBufferedResponse = 1 << 20
+	// maxResponse limits the length that a response announces, in bytes.
+	maxResponse = 64 << 20
+)
 
 // relayBuffered reads the complete response and relays it.
 func (x *exchange) relayBuffered(ctx context.Context, e catalog.Engine, response *engineconn.Response) sendResult {
 	x.beginAnswer()
-	counted := x.counted(io.LimitReader(response, maxBufferedResponse), 0)
-	body, err := io.ReadAll(counted)
-	if err == nil && len(body) == maxBufferedResponse || errNoMemory.Has(err) {
+	counted, body := x.counted(limitBody(response), 0), []byte(nil)
+	err := checkLength(response)
+	if err == nil {
+		body, err = io.ReadAll(counted)
+	}
+	if err == nil && len(body) > maxBufferedResponse || errNoMemory.Has(err) {
 		return x.relayUnbuffered(ctx, e, response, body)
 	}
 	if err == nil {
@@ -52,6 +60,40 @@
 	return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonEngineFailure))
 }
 
+// checkLength checks the length that a response announces. Errors: engineconn.ErrMalformed.
+func checkLength(response *engineconn.Response) error {
+	if response.Length > maxResponse {
+		return engineconn.ErrMalformed.Wrap(engineconn.ErrTooLong.New("response of %d bytes", response.Length))
+	}
+	return nil
+}
+
+// limitBody returns a reader of the part of a body that is kept before it is relayed. It fails if a body that does
+// not announce its length exceeds that.
+func limitBody(response *engineconn.Response) io.Reader {
+	if response.Length >= 0 {
+		return io.LimitReader(response, maxBufferedResponse+1)
+	}
+	return &boundedReader{response, maxBufferedResponse}
+}
+
+// boundedReader reads a body that does not announce its length. Errors: those of the body,
+// engineconn.ErrMalformed beyond left bytes.
+type boundedReader struct {
+	r    io.Reader
+	left int
+}
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	// One byte more than is left tells a body that ends there from a longer one.
+	n, err := b.r.Read(p[:min(len(p), b.left+1)])
+	if n > b.left {
+		return b.left, engineconn.ErrMalformed.Wrap(engineconn.ErrTooLong.New("more than %d bytes without an announced length", maxBufferedResponse))
+	}
+	b.left -= n
+	return n, err
+}
+
 // handleReadError returns the refusal that ends a request whose response was truncated, or nil if
 // the engine is at fault and the request may go to another engine.
 func (x *exchange) handleReadError(ctx context.Context, e catalog.Engine, err error) *Refusal {
@@ -121,7 +163,11 @@
 	if _, err := (callerWriter{x}).Write(start); err != nil {
 		return sendResult{action: actionStop, refusal: x.disconnectRefusal()}
 	}
-	_, err := io.Copy(callerWriter{x}, response)
+	rest := io.Reader(response)
+	if response.Length < 0 {
+		rest = &boundedReader{response, maxBufferedResponse - len(start)}
+	}
+	_, err := io.Copy(callerWriter{x}, rest)
 	if err == nil {
 		err = x.checkEnd(ctx, e, response, false)
 	}
@@ -132,6 +178,10 @@
 		if engineconn.ErrTruncated.Has(err) {
 			x.reportCut(ctx, e, err)
 		}
+		if engineconn.ErrMalformed.Has(err) {
+			x.recordNoResponse(e, err)
+			x.logAttempt(e, err, 0)
+		}
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonBadAnswer)}
 	}
 	x.recordCompletion(e, response.Status)
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -13,7 +13,7 @@
 )
 
 // maxEventSize limits one event of a stream, in bytes.
-const maxEventSize = 1 << 20
+const maxEventSize = 256 << 10
 
 // streamBufferSize is the size of one read from a stream, in bytes.
 const streamBufferSize = 8 << 10
@@ -34,12 +34,13 @@
 // add appends bytes of the stream and returns the complete events among the pending bytes. The
 // slice is valid until the next call.
 func (s *eventSplitter) add(b []byte) []byte {
+	searched := max(len(s.pending)-len(eventEnd)+1, 0)
 	s.pending = append(s.pending, b...)
-	end := bytes.LastIndex(s.pending, eventEnd)
+	end := bytes.LastIndex(s.pending[searched:], eventEnd)
 	if end < 0 {
 		return nil
 	}
-	complete := s.pending[:end+len(eventEnd)]
+	complete := s.pending[:searched+end+len(eventEnd)]
 	s.pending = append([]byte(nil), s.pending[len(complete):]...)
 	s.recordLastID(complete)
 	s.events += bytes.Count(complete, eventEnd)
@@ -143,7 +144,7 @@
 			return errNoMemory.New("stream event of more than %d bytes", len(splitter.pending))
 		}
 		if len(splitter.pending) > maxEventSize {
-			return engineconn.ErrMalformed.New("stream event exceeds %d bytes", maxEventSize)
+			return engineconn.ErrMalformed.Wrap(engineconn.ErrTooLong.New("stream event of more than %d bytes", maxEventSize))
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
