engineconn: idle connections on which an engine sends are closed

Cause: an idle connection was looked at only when it was taken.

Change: once a second idle connections with data to read are closed, counted (engine_connections_unasked) and logged; the engine may have ended behind the data, as if the connection had been taken. One that has more than its response in the buffer is not kept. Tunnels are left out: data may be a mark of the relay, and what the engine sends waits there.

Tests: TestBytesAfterResponseCloseIdleConnection failed before (the connection stays open for the 10 s that the test waits); the fault matrix plays an engine that sends beyond its responses. There a request that must not be repeated may end with 502: it can be sent before the bytes arrive.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -252,6 +252,25 @@
 	return err == nil && quiet
 }
 
+// hasData reports whether there is data to read on a direct connection that is idle.
+func (c *conn) hasData() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.via() != "" {
+		// Data in a tunnel may be a mark of the relay.
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // isQuiet reports whether a socket is open and has no data to read.
 func isQuiet(fd uintptr) bool {
 	var buf [1]byte
--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -197,6 +197,29 @@
 	}
 }
 
+// CloseUnasked closes the idle connections on which engines send bytes that belong to no request. What the kernel
+// holds of them is memory of this VM. It returns how many it has closed.
+func (p *Pool) CloseUnasked() int {
+	unasked := make(map[*conn]string)
+	p.mu.Lock()
+	for engine, conns := range p.idle {
+		p.idle[engine] = slices.DeleteFunc(conns, func(c *conn) bool {
+			if !c.hasData() {
+				return false
+			}
+			unasked[c] = engine
+			return true
+		})
+	}
+	p.mu.Unlock()
+	for c, engine := range unasked {
+		// The engine may have ended behind these bytes.
+		p.lost(engine, c)
+		_ = c.Close()
+	}
+	return len(unasked)
+}
+
 // sweep removes and returns the connections that were idle for longer than
 // their timeout, such as those to removed engines. The caller holds the mutex
 // and closes them.
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -326,10 +326,10 @@
 func (a *Response) Complete() bool { return a.complete }
 
 // Close ends the exchange. The connection returns to the pool if the response
-// was read to its end, the request was written completely, and the engine keeps
+// was read to its end and nothing beyond it, the request was written completely, and the engine keeps
 // the connection open too.
 func (a *Response) Close() {
-	if a.stopAbort() && a.complete && a.keepAlive && a.write.finished() {
+	if a.stopAbort() && a.complete && a.keepAlive && a.write.finished() && a.conn.reader.Buffered() == 0 {
 		a.pool.putIdle(a.engine, a.conn, a.maxConns)
 		return
 	}
--- a/internal/edge/node/engines.go
+++ b/internal/edge/node/engines.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/forward"
 	"github.com/labstack/echo/v4"
@@ -132,3 +134,16 @@
 func (r *Router) mountEngines(e *echo.Echo) {
 	e.GET(PathEngines, func(c echo.Context) error { return c.JSON(http.StatusOK, r.engineList()) })
 }
+
+// unaskedInterval is how often idle connections are searched for bytes that nobody has asked for.
+const unaskedInterval = time.Second
+
+// closeUnasked closes idle connections on which engines send bytes that belong to no request.
+func (r *Router) closeUnasked(ctx context.Context) {
+	for pause.For(ctx, unaskedInterval) {
+		if n := r.forwarder.Conns.CloseUnasked(); n > 0 {
+			r.unaskedConns.Add(int64(n))
+			r.log.Warn("idle connections to engines closed", "connections", n, "cause", "bytes that belong to no request")
+		}
+	}
+}
