peer: messages between routers are bounded

Handshakes had bounds.

Change: the connection for calls follows the lengths of the messages and fails at one of more than 4 MB, more than twice a configuration of 10,000 routes; the connection is closed, and the call has failed as one without a reply.

Tests: TestMessageWithoutEndIsGivenUp failed before for a message in a call and in a reply (536,874,101 bytes taken of each); a length of too many bytes and TestHandshakeWithoutEndIsGivenUp held. TestLimitFollowsMessages: any messages in any split pass unchanged, and only those beyond the limit fail.

--- a/internal/fleet/peer/caller.go
+++ b/internal/fleet/peer/caller.go
@@ -105,7 +105,7 @@
 	}
 	now := c.now()
 	return &clientConn{
-		client: rpc.NewClient(secured), conn: raw, address: t.Address,
+		client: rpc.NewClient(&limitedConn{Conn: secured}), conn: raw, address: t.Address,
 		name: identity.name, keyID: identity.keyID, opened: now, lastUsed: now,
 	}, nil
 }
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -30,6 +30,8 @@
 	// ErrHandshake means that the other end does not hold a fleet key that is valid
 	// here, is another router than expected, or speaks another protocol version.
 	ErrHandshake = errs.Class("peer: handshake")
+	// ErrTooLong means that a message of another router exceeds its limit. The connection is closed.
+	ErrTooLong = errs.Class("peer: too long")
 )
 
 const (
--- a/internal/fleet/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -103,7 +103,7 @@
 	}
 	s.markAuthenticated(sc, identity.keyID)
 	if calls, ok := s.serveStream(identity.name, c); ok {
-		s.rpc.ServeConn(calls)
+		s.rpc.ServeConn(&limitedConn{Conn: calls})
 	}
 }
 
