forward: a refusal does not wait for a body that does not end

What callers saw: with a body that trickles, no refusal at all, and the connection counted against the limit for good.

Change: the rest of such a body is read for one second; the response follows, and the connection is closed. A whole request to the directory, the readiness check or an operator's address may take ten seconds.

Test: TestRequestWithoutEndIsGivenUp, fourteen places; the two of slow bodies of unknown routes failed before (no response and no end for the 10 s that the test waits), the others held. The caller of another request is served after.

--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -29,6 +29,9 @@
 	// writeGrace is how much longer than the request's deadline a write to the caller may take
 	// before the connection is closed.
 	writeGrace = 2 * time.Second
+	// unreadBodyTimeout bounds the reading of the body of a request that is refused without it. Beyond it, or
+	// beyond 256 KB, the connection is closed after the response.
+	unreadBodyTimeout = time.Second
 )
 
 // Options configure a Forwarder.
@@ -203,6 +206,8 @@
 	// deadline is the reading of the boot clock by which the caller must have a final response.
 	deadline time.Duration
 	body     []byte
+	// bodyRead is set once there is nothing more to read of the body, or its reading was given up.
+	bodyRead bool
 	// memoryID identifies the request in the memory for requests; zero before it holds any. givenUp is set
 	// once its answer is given up there.
 	memoryID uint64
@@ -322,6 +327,7 @@
 	left := x.remaining()
 	// Setting a deadline fails only where the connection supports none, as in tests.
 	_ = control.SetWriteDeadline(time.Now().Add(left + writeGrace))
+	x.bodyRead = true
 	if x.r.ContentLength == 0 {
 		return nil
 	}
@@ -382,6 +388,11 @@
 		x.writeResponse(x.engineFailure.status, x.engineFailure.header, x.engineFailure.body)
 		return
 	}
+	if !x.bodyRead && x.r.ContentLength != 0 {
+		// The server reads the rest of the body before it writes the response. Setting a deadline fails only
+		// where the connection supports none, as in tests.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	x.status = refusal.Status
 	refusal.write(x.w, x.f.Codec, x.req.ID)
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -56,6 +56,9 @@
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the time to receive the header of a request.
 	headerTimeout = 5 * time.Second
+	// requestTimeout bounds the time to receive a whole request of an operator or the platform. The requests of
+	// callers have a limit of their own.
+	requestTimeout = 2 * headerTimeout
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// reviewInterval is how often the engines are compared with one another.
@@ -396,7 +399,9 @@
 func (r *Router) openMounts() error {
 	var errs []error
 	for _, m := range r.mounts {
-		errs = append(errs, r.servers.open(r, m.name, m.address(r.settings().Listen), r.newServer(m.handler)))
+		server := r.newServer(m.handler)
+		server.ReadTimeout = requestTimeout
+		errs = append(errs, r.servers.open(r, m.name, m.address(r.settings().Listen), server))
 	}
 	return errors.Join(errs...)
 }
