forward: an answer without a length is whole only if its engine was reached

Cause: an answer without a length ends with its connection, and checkEnd asked whether the engine still accepts connections. Only a refused connection counted as its end. While the path to the engine is lost, the connection is opened through another router, whose word is ErrEngineDown; and if nobody reached the engine within 150 ms, the answer counted as whole.

Ruled out: the relay itself. Its frames tell the end of the engine's connection from a broken tunnel; the end that is seen is the killed process's.

Change: the word of another router counts too, and an engine that was not reached has not been shown to run. Attempts of 150 ms are made for one second, so that a lost packet does not break a whole answer; after that the answer is truncated, goes elsewhere if it may be repeated, and does not look complete. What had to be remembered of unchecked ends is gone.

Test: TestAnswerWithoutLengthIsWholeOnlyIfItsEngineRuns failed before for "ended, as another finds", "nobody reaches it", "path lost" and "ended, in a later attempt".

--- a/internal/edge/forward/attempt_test.go
+++ b/internal/edge/forward/attempt_test.go
@@ -56,7 +56,7 @@
 		return RetryBudgetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second}
 	}, func() int { return 1 })
 	tr.f.Routers = func() int { return 1 }
-	tr.f.Conns = engineconn.NewPool(engineconn.Options{Clock: tr.f.Clock, Dial: func(context.Context, string, string) (net.Conn, error) {
+	tr.dial = func(context.Context, string, string) (net.Conn, error) {
 		routerEnd, engineEnd := net.Pipe()
 		go func() {
 			defer engineEnd.Close()
@@ -65,7 +65,8 @@
 			}
 		}()
 		return routerEnd, nil
-	}})
+	}
+	tr.f.Conns = engineconn.NewPool(engineconn.Options{Clock: tr.f.Clock, Dial: tr.dial})
 }
 
 // setVersion sets the version of all engines.
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -256,8 +256,6 @@
 	// outlived is set once the answer in progress has shown that the prompt does not crash engines, and
 	// resumed once the stream has gone on at another engine.
 	outlived, resumed bool
-	// endUnchecked is set if it is not known whether the answer ended, or its engine.
-	endUnchecked bool
 	// timedOutAt holds the engines at which an attempt timed out.
 	timedOutAt []catalog.Engine
 	// engineFailure is an engine's own error response. The caller gets it if no other engine serves
--- a/internal/edge/forward/permit_test.go
+++ b/internal/edge/forward/permit_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"damaskrouter.example/damaskrouter/internal/edge/flow"
@@ -24,6 +25,8 @@
 	snapshot   *catalog.Snapshot
 	otherLoads map[string]feed.EngineLoad
 	owner      *flow.Owner
+	// dial opens connections to engines; see connect.
+	dial engineconn.DialFunc
 }
 
 // withTestRouter runs a test on a fake clock, with n engines of 64 slots each.
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
+	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/reach"
 )
 
 const (
@@ -121,21 +123,43 @@
 	case response.Framed:
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	return x.confirmRunning(ctx, e)
+}
+
+const (
+	// endCheckTimeout bounds one attempt to reach an engine after an answer without a length, and endCheckLimit all
+	// of them. Through a lossy path an attempt may fail though the engine runs. Within the limit no other engine gets
+	// the address.
+	endCheckTimeout = 150 * time.Millisecond
+	endCheckLimit   = time.Second
+	// endCheckPause is the pause between two attempts.
+	endCheckPause = 10 * time.Millisecond
+)
+
+// confirmRunning checks that an engine has not ended. While the path to it is lost, other routers are asked.
+// Errors: engineconn.ErrTruncated if the engine has ended, or no router has reached it in time.
+func (x *exchange) confirmRunning(ctx context.Context, e catalog.Engine) error {
+	ctx, cancel := context.WithTimeout(ctx, endCheckLimit)
 	defer cancel()
-	err := x.f.Conns.Open(ctx, engineTarget(e), x.idleConnLimit(e.Service))
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return engineconn.ErrTruncated.New("the engine has ended: %w", io.ErrUnexpectedEOF)
-	}
-	x.endUnchecked = err != nil
-	if err != nil {
-		x.f.Log.Debug("end of an answer without a length not checked", "request", x.req.ID, "engine", e.ID, "cause", err)
+	for {
+		err := x.openTo(ctx, e)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, syscall.ECONNREFUSED) || reach.ErrEngineDown.Has(err):
+			return engineconn.ErrTruncated.New("the engine has ended: %w", io.ErrUnexpectedEOF)
+		case !pause.For(ctx, endCheckPause):
+			return engineconn.ErrTruncated.New("an answer without a length has ended, and the engine was not reached: %v", err)
+		}
 	}
-	return nil
 }
 
-// endCheckTimeout bounds the check whether an engine has ended.
-const endCheckTimeout = 150 * time.Millisecond
+// openTo opens a connection to an engine and keeps it for the next request.
+func (x *exchange) openTo(ctx context.Context, e catalog.Engine) error {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	return x.f.Conns.Open(ctx, engineTarget(e), x.idleConnLimit(e.Service))
+}
 
 // engineFailure is an engine's own error response.
 type engineFailure struct {
--- /dev/null
+++ b/internal/edge/forward/relay_test.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"damaskrouter.example/damaskrouter/internal/base/engineconn"
+	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"damaskrouter.example/damaskrouter/internal/edge/reach"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an answer without a length that the end of its engine cut short and that is given out as whole,
+// because the way to the engine was lost before.
+func TestAnswerWithoutLengthIsWholeOnlyIfItsEngineRuns(t *testing.T) {
+	silent := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	fails := func(err error) func(context.Context) error { return func(context.Context) error { return err } }
+	reached := fails(nil)
+	for name, test := range map[string]struct {
+		// attempts are the outcomes of the attempts to reach the engine after the answer, the last one again and again.
+		attempts []func(context.Context) error
+		whole    bool
+		within   time.Duration
+	}{
+		"runs":                       {[]func(context.Context) error{reached}, true, 0},
+		"ended":                      {[]func(context.Context) error{fails(syscall.ECONNREFUSED)}, false, 0},
+		"ended, as another finds":    {[]func(context.Context) error{fails(reach.ErrEngineDown.New("as r2 finds"))}, false, 0},
+		"nobody reaches it":          {[]func(context.Context) error{fails(reach.ErrNoRelay.New("none"))}, false, endCheckLimit},
+		"path lost":                  {[]func(context.Context) error{silent}, false, endCheckLimit},
+		"reached in a later attempt": {[]func(context.Context) error{silent, silent, reached}, true, endCheckLimit},
+		"ended, in a later attempt":  {[]func(context.Context) error{silent, fails(syscall.ECONNREFUSED)}, false, endCheckLimit},
+	} {
+		for _, kind := range []catalog.Kind{catalog.NonIdempotent, catalog.Streaming} {
+			t.Run(fmt.Sprint(name, " ", kind), func(t *testing.T) {
+				withTestRouter(t, 1, func(tr *testRouter) {
+					tr.connect(func(c net.Conn, _ *http.Request) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nid: 1\n\n") })
+					dials := 0
+					tr.f.Conns = engineconn.NewPool(engineconn.Options{Clock: tr.f.Clock, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+						dials++
+						if dials > 1 {
+							if err := test.attempts[min(dials-2, len(test.attempts)-1)](ctx); err != nil {
+								return nil, err
+							}
+						}
+						return tr.dial(ctx, network, address)
+					}})
+					x := tr.newExchange(context.Background())
+					x.w = httptest.NewRecorder()
+					x.route.Kind = kind
+					x.trackSuspicion()
+					refusal := x.forward()
+					require.Equal(t, test.whole, refusal == nil)
+					if refusal != nil {
+						require.Equal(t, http.StatusBadGateway, refusal.Status)
+					}
+					require.LessOrEqual(t, tr.f.Clock()-x.started, test.within)
+					require.Zero(t, tr.f.Conns.Busy())
+					tr.f.Conns.Close()
+				})
+			})
+		}
+	}
+}
--- a/internal/edge/forward/suspectpart.go
+++ b/internal/edge/forward/suspectpart.go
@@ -31,12 +31,8 @@
 	x.tracker.RecordAnswer(e.Service, x.answeredAt, false)
 }
 
-// recordCompletion records that an engine has completed the request, unless its answer may have been cut
-// short.
+// recordCompletion records that an engine has completed the request.
 func (x *exchange) recordCompletion(e catalog.Engine, status int) {
-	if x.endUnchecked {
-		return
-	}
 	if status < http.StatusMultipleChoices && x.provesParts() {
 		x.tracker.RecordAnswer(e.Service, x.answeredAt, true)
 	}
