forward: an answer without a length that ends at the time limit is not whole

The stream had lost its first engine and was resumed 440 ms before its deadline. An engine stops at the time limit that the request is sent with; it ends an answer without a length by closing the connection, it runs, and so the answer counted as whole.

Change: an answer without a length or chunks that ends less than 20 ms before the deadline is not whole. It ends like any request at its time limit, and does not count against the engine.

--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -13,6 +13,7 @@
 	"damaskrouter.example/damaskrouter/internal/base/pause"
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
 	"damaskrouter.example/damaskrouter/internal/edge/reach"
+	"github.com/zeebo/errs"
 )
 
 const (
@@ -103,7 +104,7 @@
 	switch {
 	case errCallerLeft.Has(err) || x.callerDisconnected():
 		return x.disconnectRefusal()
-	case x.remaining() <= 0:
+	case x.remaining() <= 0 || errTimeLimit.Has(err):
 		return x.timeoutRefusal()
 	}
 	x.recordNoResponse(e, err)
@@ -113,7 +114,8 @@
 
 // checkEnd checks an answer that seems complete. One without a length or chunks ends with its
 // connection, as if the engine had ended: it is complete only if the engine still accepts connections,
-// and a stream only if it has not ended inside an event. Errors: engineconn.ErrTruncated.
+// and a stream only if it has not ended inside an event. An engine also ends it at the time limit that the request
+// was sent with. Errors: engineconn.ErrTruncated, errTimeLimit.
 func (x *exchange) checkEnd(ctx context.Context, e catalog.Engine, response *engineconn.Response, insideEvent bool) error {
 	switch {
 	case response.Framed && insideEvent:
@@ -122,11 +124,19 @@
 		return engineconn.ErrTruncated.New("stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	case response.Framed:
 		return nil
+	case x.remaining() <= timeLimitMargin:
+		return errTimeLimit.New("an answer without a length ended at the time limit of its request")
 	}
 	return x.confirmRunning(ctx, e)
 }
 
+// errTimeLimit means that an engine has ended an answer because of the time limit of the request.
+var errTimeLimit = errs.Class("time limit of the request")
+
 const (
+	// timeLimitMargin is how long before the deadline an engine may end an answer because of it: time limits are
+	// sent in whole milliseconds, and the engine's timers are its own.
+	timeLimitMargin = 20 * time.Millisecond
 	// endCheckTimeout bounds one attempt to reach an engine after an answer without a length, and endCheckLimit all
 	// of them. Through a lossy path an attempt may fail though the engine runs. Within the limit no other engine gets
 	// the address.
--- a/internal/edge/forward/relay_test.go
+++ b/internal/edge/forward/relay_test.go
@@ -70,3 +70,24 @@
 		}
 	}
 }
+
+// Guards against an answer without a length that its engine ended at the time limit of the request, and that is given
+// out as whole.
+func TestAnswerWithoutLengthThatEndsAtTimeLimitIsNotWhole(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Streaming} {
+		withTestRouter(t, 2, func(tr *testRouter) {
+			x := tr.newExchange(context.Background())
+			tr.connect(func(c net.Conn, _ *http.Request) {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nid: 1\n\n")
+				time.Sleep(x.remaining() - time.Millisecond)
+			})
+			x.w = httptest.NewRecorder()
+			x.route.Kind, x.route.Attempts = kind, 2
+			x.trackSuspicion()
+			refusal := x.forward()
+			require.NotNil(t, refusal, "%v", kind)
+			require.Equal(t, http.StatusGatewayTimeout, refusal.Status)
+			require.Equal(t, 1, x.sends)
+		})
+	}
+}
