engineconn: the usual term for bytes that belong to no request

Read as a newcomer: "unasked" is no term of the field for what an engine sends on an idle connection; "unsolicited" is.

--- a/internal/base/engineconn/pool.go
+++ b/internal/base/engineconn/pool.go
@@ -197,27 +197,27 @@
 	}
 }
 
-// CloseUnasked closes the idle connections on which engines send bytes that belong to no request. What the kernel
+// CloseUnsolicited closes the idle connections on which engines send bytes that belong to no request. What the kernel
 // holds of them is memory of this VM. It returns how many it has closed.
-func (p *Pool) CloseUnasked() int {
-	unasked := make(map[*conn]string)
+func (p *Pool) CloseUnsolicited() int {
+	unsolicited := make(map[*conn]string)
 	p.mu.Lock()
 	for engine, conns := range p.idle {
 		p.idle[engine] = slices.DeleteFunc(conns, func(c *conn) bool {
 			if !c.hasData() {
 				return false
 			}
-			unasked[c] = engine
+			unsolicited[c] = engine
 			return true
 		})
 	}
 	p.mu.Unlock()
-	for c, engine := range unasked {
+	for c, engine := range unsolicited {
 		// The engine may have ended behind these bytes.
 		p.lost(engine, c)
 		_ = c.Close()
 	}
-	return len(unasked)
+	return len(unsolicited)
 }
 
 // sweep removes and returns the connections that were idle for longer than
--- a/internal/edge/node/engines.go
+++ b/internal/edge/node/engines.go
@@ -135,14 +135,14 @@
 	e.GET(PathEngines, func(c echo.Context) error { return c.JSON(http.StatusOK, r.engineList()) })
 }
 
-// unaskedInterval is how often idle connections are searched for bytes that nobody has asked for.
-const unaskedInterval = time.Second
+// unsolicitedInterval is how often idle connections are searched for bytes that belong to no request.
+const unsolicitedInterval = time.Second
 
-// closeUnasked closes idle connections on which engines send bytes that belong to no request.
-func (r *Router) closeUnasked(ctx context.Context) {
-	for pause.For(ctx, unaskedInterval) {
-		if n := r.forwarder.Conns.CloseUnasked(); n > 0 {
-			r.unaskedConns.Add(int64(n))
+// closeUnsolicited closes idle connections on which engines send bytes that belong to no request.
+func (r *Router) closeUnsolicited(ctx context.Context) {
+	for pause.For(ctx, unsolicitedInterval) {
+		if n := r.forwarder.Conns.CloseUnsolicited(); n > 0 {
+			r.unsolicitedConns.Add(int64(n))
 			r.log.Warn("idle connections to engines closed", "connections", n, "cause", "bytes that belong to no request")
 		}
 	}
--- a/internal/edge/node/metrics.go
+++ b/internal/edge/node/metrics.go
@@ -20,7 +20,7 @@
 	vars.Set("caller_connections", expvar.Func(func() any { return r.callerLimit.Counts() }))
 	vars.Set("engine_connections", expvar.Func(func() any { return r.forwarder.Conns.Dials() }))
 	vars.Set("engine_connections_busy", expvar.Func(func() any { return r.forwarder.Conns.Busy() }))
-	vars.Set("engine_connections_unasked", &r.unaskedConns)
+	vars.Set("engine_connections_unsolicited", &r.unsolicitedConns)
 	vars.Set("engine_paths", expvar.Func(func() any { return r.enginePaths() }))
 	vars.Set("tunnel_bytes", expvar.Func(func() any {
 		s := r.tunnelCounters.Snapshot()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -119,7 +119,7 @@
 	crashes          *crash.Detector
 	suspects         *suspects.Set
 	enginesEnded     expvar.Int
-	unaskedConns     expvar.Int
+	unsolicitedConns expvar.Int
 	gossip           *gossip.Driver
 	peerClient       *peer.Caller
 	peerServer       *peer.Server
@@ -345,7 +345,7 @@
 	r.goRun(r.logFleetSize)
 	r.goRun(r.reviewEngines)
 	r.goRun(r.dialer.Run)
-	r.goRun(r.closeUnasked)
+	r.goRun(r.closeUnsolicited)
 	r.goRun(r.gateOwner.Run)
 	r.goRun(r.suspects.Run)
 	callerServer := r.newServer(r.forwarder)
