engineconn: one look for data behind three checks of a connection

Change: peek holds these steps, peekSocket the call; open, hasData and isQuiet say what they ask of it. Behaviour is as before.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -238,46 +238,48 @@
 // open reports whether the peer has not closed the connection, as far as the kernel knows. It returns
 // false if there is data to read, behind which the end may be.
 func (c *conn) open() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	// Control, unlike Read, does not wait for a read that is in progress.
-	err = raw.Control(func(fd uintptr) { quiet = isQuiet(fd) })
-	return err == nil && quiet
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // hasData reports whether there is data to read on a direct connection that is idle.
 func (c *conn) hasData() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.via() != "" {
+	if c.via() != "" {
 		// Data in a tunnel may be a mark of the relay.
 		return false
 	}
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek looks for a byte to read, and leaves it there. It returns EAGAIN if there is none yet, and zero at
+// the end. Unlike a read, it does not wait for one that is in progress.
+func (c *conn) peek() (n int, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, _ = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
+	var peekErr error
+	err = raw.Control(func(fd uintptr) { n, peekErr = peekSocket(fd) })
+	return n, errors.Join(err, peekErr)
 }
 
 // isQuiet reports whether a socket is open and has no data to read.
 func isQuiet(fd uintptr) bool {
-	var buf [1]byte
-	_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := peekSocket(fd)
 	return errors.Is(err, unix.EAGAIN)
 }
 
+func peekSocket(fd uintptr) (n int, err error) {
+	var buf [1]byte
+	n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
+
 // parseKeepAlive returns the timeout of a Keep-Alive header, for which the peer
 // keeps an idle connection open. It returns zero if the header has no valid
 // timeout.
