forward: log and count how the connection of an answer without a length ended

What ended an answer with neither a length nor chunks was written nowhere, so that the hypotheses on streams that end early as complete could not be told apart. The request's line says now whether the connection was closed or reset by then, and how many events of a stream were relayed; two counters sum it up. No decision depends on it.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -56,6 +57,8 @@
 	idleTimeout time.Duration
 	// readErr is why a read has failed, or nil. Without one, an error is about the bytes that were received.
 	readErr error
+	// endedByReset is set if a read has returned the end of a connection that was reset.
+	endedByReset bool
 	// headerLeft is how many bytes may be read before the body of a response; negative while a body is read.
 	headerLeft int64
 	// reused is set if an earlier request used the connection.
@@ -81,6 +84,7 @@
 	}
 	if err != nil {
 		c.readErr = err
+		c.endedByReset = errors.Is(err, io.EOF) && WasReset(c.Conn)
 	}
 	return n, err
 }
@@ -268,6 +272,26 @@
 	return n, errors.Join(err, peekErr)
 }
 
+// WasReset reports whether the kernel knows that a connection broke, rather than was closed by its peer. It reports the
+// error to one call only; a read after that returns the end of the stream. A tunnel broke if the way to its relay did.
+func WasReset(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd)}}
+		n, pollErr := unix.Poll(polled, 0)
+		reset = pollErr == nil && n > 0 && polled[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && reset
+}
+
 // isQuiet reports whether a socket is open and has no data to read.
 func isQuiet(fd uintptr) bool {
 	_, err := peekSocket(fd)
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -261,6 +261,10 @@
 	// engineFailure is an engine's own error response. The caller gets it if no other engine serves
 	// the request.
 	engineFailure *engineFailure
+	// connectionEnd tells how the connection ended whose end was that of the last answer; empty for an answer with
+	// a length or chunks. events is the number of events of a stream that were relayed.
+	connectionEnd string
+	events        int
 	// responded is set once any byte of a response may have gone to the caller.
 	responded bool
 	firstByte time.Duration
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -117,6 +117,7 @@
 // and a stream only if it has not ended inside an event. An engine also ends it at the time limit that the request
 // was sent with. Errors: engineconn.ErrTruncated, errTimeLimit.
 func (x *exchange) checkEnd(ctx context.Context, e catalog.Engine, response *engineconn.Response, insideEvent bool) error {
+	x.recordConnectionEnd(response)
 	switch {
 	case response.Framed && insideEvent:
 		return engineconn.ErrTruncated.New("stream ended inside an event")
@@ -130,6 +131,18 @@
 	return x.confirmRunning(ctx, e)
 }
 
+// recordConnectionEnd records how the connection ended whose end is that of an answer.
+func (x *exchange) recordConnectionEnd(response *engineconn.Response) {
+	if response.Framed {
+		return
+	}
+	x.connectionEnd = "closed"
+	if response.EndedByReset() {
+		x.connectionEnd = "reset"
+	}
+	x.f.stats.recordConnectionEnd(x.connectionEnd)
+}
+
 // errTimeLimit means that an engine has ended an answer because of the time limit of the request.
 var errTimeLimit = errs.Class("time limit of the request")
 
--- a/internal/edge/forward/requestlog.go
+++ b/internal/edge/forward/requestlog.go
@@ -80,6 +80,12 @@
 	if x.req.LastEvent != "" {
 		fields = append(fields, "last_event", clip(x.req.LastEvent), "resumes", clip(x.req.Resumes))
 	}
+	if x.connectionEnd != "" {
+		fields = append(fields, "connection_end", x.connectionEnd)
+	}
+	if x.events > 0 {
+		fields = append(fields, "events", x.events)
+	}
 	if x.via != "" {
 		fields = append(fields, "via", x.via)
 	}
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -157,6 +157,9 @@
 	}
 }
 
+// recordConnectionEnd counts an answer that ended with its connection, by how that ended.
+func (s *Stats) recordConnectionEnd(how string) { s.vars.Add("answers_ended_by_connection_"+how, 1) }
+
 // recordLeaving counts a response in which an engine announced that it will stop.
 func (s *Stats) recordLeaving() { s.vars.Add("engine_leaving_responses", 1) }
 
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -63,6 +63,7 @@
 	for {
 		e, response := a.choice.Engine, a.response
 		err := x.copyEvents(e, response, splitter)
+		x.events = splitter.events
 		if err == nil {
 			err = x.checkEnd(ctx, e, response, len(splitter.pending) > 0)
 		}
