engineconn: a reset that another call has seen does not end an answer as complete

Cause: the kernel reports a reset once, to the first call on the socket. Later reads return the end of the stream, as after an ordinary close. A router makes such calls beside the reader of the answer: it looks for data on all connections to an engine when it opens another one (Pool.Survives) and on that of a stream in progress (Response.Open), and it writes long requests while it reads. The end then counted as that of the answer, since the engine runs.

Change: at the end of a direct connection the reader asks the kernel whether it is broken (POLLHUP, POLLERR), whoever was told. That covers each call on the socket, also those to come.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -57,8 +57,6 @@
 	idleTimeout time.Duration
 	// readErr is why a read has failed, or nil. Without one, an error is about the bytes that were received.
 	readErr error
-	// endedByReset is set if a read has returned the end of a connection that was reset.
-	endedByReset bool
 	// headerLeft is how many bytes may be read before the body of a response; negative while a body is read.
 	headerLeft int64
 	// reused is set if an earlier request used the connection.
@@ -82,9 +80,12 @@
 	if t := c.traffic.Load(); t != nil {
 		t.In.Add(int64(n))
 	}
+	if errors.Is(err, io.EOF) && c.via() == "" && WasReset(c.Conn) {
+		// A write, or a look for data, got the error.
+		err = syscall.ECONNRESET
+	}
 	if err != nil {
 		c.readErr = err
-		c.endedByReset = errors.Is(err, io.EOF) && WasReset(c.Conn)
 	}
 	return n, err
 }
@@ -272,8 +273,8 @@
 	return n, errors.Join(err, peekErr)
 }
 
-// WasReset reports whether the kernel knows that a connection broke, rather than was closed by its peer. It reports the
-// error to one call only; a read after that returns the end of the stream. A tunnel broke if the way to its relay did.
+// WasReset reports whether the kernel knows that a connection has broken, at the end of which its peer may not have closed
+// it: the kernel reports an error to one call only, and to a read after that as the end of the stream.
 func WasReset(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/base/engineconn/end_test.go
+++ b/internal/base/engineconn/end_test.go
@@ -25,7 +25,7 @@
 		body, err := io.ReadAll(resp)
 		require.NoError(t, err)
 		require.Equal(t, "answer", string(body))
-		require.False(t, resp.EndedByReset())
+		require.True(t, resp.Complete())
 		resp.Close()
 	}
 }
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -305,9 +305,6 @@
 	return n, ErrTruncated.Wrap(err)
 }
 
-// EndedByReset reports whether the connection was reset by the time its end was read.
-func (a *Response) EndedByReset() bool { return a.conn.endedByReset }
-
 // Open reports whether the engine has not closed the connection, as far as is known. It returns false if
 // there is more to read.
 func (a *Response) Open() bool { return a.conn.reader.Buffered() == 0 && a.conn.open() }
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -34,6 +34,7 @@
 	if err == nil {
 		body, err = io.ReadAll(counted)
 	}
+	x.recordConnectionEnd(response, err)
 	if err == nil && len(body) > maxBufferedResponse || errNoMemory.Has(err) {
 		return x.relayUnbuffered(ctx, e, response, body)
 	}
@@ -117,7 +118,6 @@
 // and a stream only if it has not ended inside an event. An engine also ends it at the time limit that the request
 // was sent with. Errors: engineconn.ErrTruncated, errTimeLimit.
 func (x *exchange) checkEnd(ctx context.Context, e catalog.Engine, response *engineconn.Response, insideEvent bool) error {
-	x.recordConnectionEnd(response)
 	switch {
 	case response.Framed && insideEvent:
 		return engineconn.ErrTruncated.New("stream ended inside an event")
@@ -131,14 +131,18 @@
 	return x.confirmRunning(ctx, e)
 }
 
-// recordConnectionEnd records how the connection ended whose end is that of an answer.
-func (x *exchange) recordConnectionEnd(response *engineconn.Response) {
-	if response.Framed {
+// recordConnectionEnd records how the connection of an answer with neither a length nor chunks ended; err is that of its
+// last read, or nil at its end.
+func (x *exchange) recordConnectionEnd(response *engineconn.Response, err error) {
+	switch {
+	case response.Framed:
 		return
-	}
-	x.connectionEnd = "closed"
-	if response.EndedByReset() {
+	case err == nil:
+		x.connectionEnd = "closed"
+	case errors.Is(err, syscall.ECONNRESET):
 		x.connectionEnd = "reset"
+	default:
+		return
 	}
 	x.f.stats.recordConnectionEnd(x.connectionEnd)
 }
@@ -215,6 +219,7 @@
 		rest = &boundedReader{response, maxBufferedResponse - len(start)}
 	}
 	_, err := io.Copy(callerWriter{x}, rest)
+	x.recordConnectionEnd(response, err)
 	if err == nil {
 		err = x.checkEnd(ctx, e, response, false)
 	}
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -64,6 +64,7 @@
 		e, response := a.choice.Engine, a.response
 		err := x.copyEvents(e, response, splitter)
 		x.events = splitter.events
+		x.recordConnectionEnd(response, err)
 		if err == nil {
 			err = x.checkEnd(ctx, e, response, len(splitter.pending) > 0)
 		}
