engineconn: an answer whose request was not taken is not complete without a length

Cause: the end of the connection counted as the end of the answer though the request was still being written. The kernel of an engine that closes a connection with data unread, or to which more data comes, resets it: whether the reset or the close is seen first is chance.

Change: at the end of such an answer the writing of its request is stopped; the answer is complete only if all of it was written. Answers with a length or chunks are complete as before (TestAnswerToUnreadUploadIsCompleteByItsLength). The cost: an engine that ends a whole answer in this way loses it; the caller gets 502, or another engine is tried where the route allows it.

--- a/internal/base/engineconn/reset_test.go
+++ b/internal/base/engineconn/reset_test.go
@@ -62,3 +62,26 @@
 	<-resp.write.done
 	requireTruncated(t, resp)
 }
+
+// Guards against an answer without a length that counts as complete though its engine has closed the connection before
+// it had taken the request: what was still to be sent resets the connection a moment later.
+func TestCloseDuringTheUploadTruncatesTheAnswer(t *testing.T) {
+	pool := newPipePool(Options{}, func(c net.Conn) { _, _ = io.WriteString(c, unframed) })
+	resp, err := pool.Send(t.Context(), Target{ID: "e"}, request("r", 1<<20))
+	require.NoError(t, err)
+	requireTruncated(t, resp)
+	resp.Close()
+	require.Zero(t, pool.Busy())
+}
+
+// Guards against an answer with a length that is given up because its engine has not read the request.
+func TestAnswerToUnreadUploadIsCompleteByItsLength(t *testing.T) {
+	pool := newPipePool(Options{}, func(c net.Conn) { writeResponse(c, "r", "answer") })
+	resp, err := pool.Send(t.Context(), Target{ID: "e"}, request("r", 1<<20))
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp)
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(body))
+	resp.Close()
+	require.Zero(t, pool.Busy())
+}
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -287,9 +287,12 @@
 
 // Read reads the body. It returns io.EOF if the body is complete: its announced
 // length or its last chunk was read or, if it has neither, the engine closed
-// the connection. Errors: ErrTruncated, ErrMalformed.
+// the connection, and had taken the whole request. Errors: ErrTruncated, ErrMalformed.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
+	if errors.Is(err, io.EOF) && !a.Framed && !a.stopWrite() {
+		err = errUnreadRequest.New("%w", io.ErrUnexpectedEOF)
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -305,6 +308,19 @@
 	return n, ErrTruncated.Wrap(err)
 }
 
+// errUnreadRequest means that an engine has closed its connection before it has taken the whole request.
+var errUnreadRequest = errs.Class("connection closed before the request was written")
+
+// stopWrite ends the writing of the request, and reports whether all of it was written.
+func (a *Response) stopWrite() bool {
+	if !a.write.finished() {
+		// An error means that the connection is closed, which the write finds.
+		_ = a.conn.SetWriteDeadline(time.Now())
+		<-a.write.done
+	}
+	return a.write.err == nil
+}
+
 // Open reports whether the engine has not closed the connection, as far as is known. It returns false if
 // there is more to read.
 func (a *Response) Open() bool { return a.conn.reader.Buffered() == 0 && a.conn.open() }
--- a/internal/edge/forward/relay_test.go
+++ b/internal/edge/forward/relay_test.go
@@ -91,3 +91,22 @@
 		})
 	}
 }
+
+// Guards against the beginning of an answer without a length that is given out as the whole of it, because its engine
+// answered before it had taken the request, and ended the connection while that was sent.
+func TestAnswerWithoutLengthIsNotWholeIfItsRequestWasNotTaken(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Streaming} {
+		withTestRouter(t, 1, func(tr *testRouter) {
+			tr.connect(func(c net.Conn, _ *http.Request) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nid: 1\n\n") })
+			x := tr.newExchange(context.Background())
+			x.w = httptest.NewRecorder()
+			x.route.Kind, x.body = kind, make([]byte, 1<<20)
+			x.trackSuspicion()
+			refusal := x.forward()
+			require.NotNil(t, refusal, "%v", kind)
+			require.Equal(t, http.StatusBadGateway, refusal.Status)
+			require.Zero(t, tr.f.Conns.Busy())
+			tr.f.Conns.Close()
+		})
+	}
+}
