reach: a relay tells a reset of the engine's connection that a write has seen

What callers saw: the beginning of an answer without a length as the whole of it (MIXED, ORDER), if it came through another router and its engine's connection was reset while the request was sent.

The relay writes to the engine's connection beside reading it; if the write gets the reset, the read returns the end, and the relay announced an ordinary close to the router that waits for the answer. That router can't tell either that the engine has not taken its request: it has written all of it to the tunnel.

Change: at the end of the engine's connection the relay asks the kernel whether it is broken, and whether a part of the request is still on its way. Then it announces a reset. The look at a socket is one function of engineconn now, which takes neither data nor an error from it; hungUp uses it too.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -276,21 +276,28 @@
 // WasReset reports whether the kernel knows that a connection has broken, at the end of which its peer may not have closed
 // it: the kernel reports an error to one call only, and to a read after that as the end of the stream.
 func WasReset(c net.Conn) bool {
+	events, err := Poll(c, 0)
+	return err == nil && events&(unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// Poll returns which of the events of poll(2) the socket of a connection has now, besides POLLHUP and POLLERR. It takes
+// neither data nor an error from the socket.
+func Poll(c net.Conn, events int16) (int16, error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	reset := false
+	var polled [1]unix.PollFd
+	var pollErr error
 	err = raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd)}}
-		n, pollErr := unix.Poll(polled, 0)
-		reset = pollErr == nil && n > 0 && polled[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+		polled[0] = unix.PollFd{Fd: int32(fd), Events: events}
+		_, pollErr = unix.Poll(polled[:], 0)
 	})
-	return err == nil && reset
+	return polled[0].Revents, errors.Join(err, pollErr)
 }
 
 // isQuiet reports whether a socket is open and has no data to read.
--- a/internal/edge/reach/service.go
+++ b/internal/edge/reach/service.go
@@ -7,7 +7,7 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/base/engineconn"
@@ -201,12 +201,13 @@
 // tunnel, the connection to the engine is closed too, and most engines then stop the execution.
 func (s *Service) copyBoth(c, engine net.Conn) {
 	done := make(chan struct{})
+	var writing atomic.Bool
 	go func() {
 		defer close(done)
-		copyUp(c, engine)
+		copyUp(c, engine, &writing)
 		engineconn.Abort(engine)
 	}()
-	s.copyDown(c, engine, done)
+	s.copyDown(c, engine, done, &writing)
 	_ = c.Close()
 	// A write to an engine that reads nothing would not end by itself.
 	engineconn.Abort(engine)
@@ -217,11 +218,13 @@
 const stallCheck = 100 * time.Millisecond
 
 // copyUp copies what the other router sends to the engine until either end is closed. While the engine reads
-// nothing, nothing is read from the tunnel either, whose end would go unnoticed.
-func copyUp(c, engine net.Conn) {
+// nothing, nothing is read from the tunnel either, whose end would go unnoticed. writing is set while the engine has not
+// taken all that was read.
+func copyUp(c, engine net.Conn, writing *atomic.Bool) {
 	buf := make([]byte, maxFrame)
 	for {
 		n, err := c.Read(buf)
+		writing.Store(n > 0)
 		for rest := buf[:n]; len(rest) > 0; {
 			// An error means that the connection is closed, which the write finds.
 			_ = engine.SetWriteDeadline(time.Now().Add(stallCheck))
@@ -231,6 +234,7 @@
 				return
 			}
 		}
+		writing.Store(false)
 		if err != nil {
 			return
 		}
@@ -240,25 +244,22 @@
 // hungUp reports whether the kernel knows that the other end has closed or reset a connection, also before the
 // data that has arrived until then is read.
 func hungUp(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
+	events, err := engineconn.Poll(c, unix.POLLRDHUP)
+	return err == nil && events != 0 || errors.Is(err, net.ErrClosed)
+}
+
+// endMark returns the mark for the end of the engine's connection, as a read has returned it. The connection broke if
+// another call on the socket got the error, or if the engine has not taken all that the other router has sent.
+func endMark(c, engine net.Conn, writing bool) uint16 {
+	unread, err := engineconn.Poll(c, unix.POLLIN)
+	if writing || err == nil && unread != 0 || engineconn.WasReset(engine) {
+		return markReset
 	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, pollErr := unix.Poll(polled, 0)
-		ended = pollErr == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return err != nil || ended
+	return markClosed
 }
 
 // copyDown writes what the engine sends as frames.
-func (s *Service) copyDown(c, engine net.Conn, done <-chan struct{}) {
+func (s *Service) copyDown(c, engine net.Conn, done <-chan struct{}, writing *atomic.Bool) {
 	var mu sync.Mutex
 	frames := frameWriter{c}
 	go func() {
@@ -279,7 +280,7 @@
 		case n > 0:
 			writeErr = frames.frame(buf, n)
 		case errors.Is(err, io.EOF):
-			writeErr = frames.mark(markClosed)
+			writeErr = frames.mark(endMark(c, engine, writing.Load()))
 		default:
 			writeErr = frames.mark(markReset)
 		}
--- a/internal/edge/reach/tunnel_test.go
+++ b/internal/edge/reach/tunnel_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -177,3 +178,66 @@
 		require.LessOrEqual(t, len(got), len(data))
 	})
 }
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (near, far *net.TCPConn) {
+	ln := listen(t)
+	c, err := net.Dial("tcp4", ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	accepted, err := ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return c.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// Guards against an answer without a length that looks complete behind a relay, though its engine's connection was reset
+// and a write got the error, or was closed before the engine had taken the request.
+func TestRelayTellsAResetThatAnotherCallHasSeen(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(t *testing.T, c, engine, far *net.TCPConn)
+		want error
+	}{
+		"closed": {func(_ *testing.T, _, _, far *net.TCPConn) { _ = far.Close() }, io.EOF},
+		"reset, seen by a write": {func(t *testing.T, _, engine, far *net.TCPConn) {
+			_ = far.SetLinger(0)
+			_ = far.Close()
+			require.Eventually(t, func() bool { return engineconn.WasReset(engine) }, waitTimeout, time.Millisecond)
+			_, err := engine.Write([]byte("x"))
+			require.Error(t, err)
+		}, syscall.ECONNRESET},
+		"closed before the request was taken": {func(t *testing.T, c, _, far *net.TCPConn) {
+			_, err := c.Write([]byte("rest of the request"))
+			require.NoError(t, err)
+			_ = far.Close()
+		}, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dialer, relay := tcpPair(t)
+			engine, far := tcpPair(t)
+			test.end(t, dialer, engine, far)
+			go func() {
+				NewService().copyDown(relay, engine, nil, new(atomic.Bool))
+				_ = relay.Close()
+			}()
+			c := newTunnel(dialer, "r", func() time.Duration { return 0 }, func() {})
+			_, err := c.Read(make([]byte, 1))
+			require.ErrorIs(t, err, test.want)
+		})
+	}
+}
+
+// Guards against the same while the relay writes what the engine does not take.
+func TestRelayTellsThatTheEngineHasNotTakenTheRequest(t *testing.T) {
+	near, far := net.Pipe()
+	engine, engineEnd := net.Pipe()
+	var writing atomic.Bool
+	go copyUp(far, engine, &writing)
+	_, err := near.Write([]byte("request"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return endMark(far, engine, writing.Load()) == markReset }, waitTimeout, time.Millisecond)
+	_, err = io.ReadFull(engineEnd, make([]byte, len("request")))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return endMark(far, engine, writing.Load()) == markClosed }, waitTimeout, time.Millisecond)
+	_ = near.Close()
+}
