engineconn: the header of a response is checked before net/http reads it

What callers saw: an answer of an engine in trouble whose status is none (600 and above) as an answer; one in whose header a name holds a blank, with the body that net/http made of it: with "Content-Length : 4" the rest of the connection, so that a request waited until its deadline (504). After a status below 100 a request waited until its deadline as well.

Cause: http.ReadResponse accepts more than HTTP/1.1 has: any three digits, also with a sign, any version, blanks in names (and then ignores what the line says), chunks in HTTP/1.0, a length beside chunks. A status below 200 was taken for an interim response.

Change: each line is checked as it arrives, before net/http reads the header: the status line, names and values by golang.org/x/net/http/httpguts (a dependency already), no continued lines, one statement of the body's end. What is no header is malformed at once: it counts as a failure of the engine, and the request goes on where its route allows it, or is answered 502. Sound headers of unusual form are accepted as before (TestUnusualHeaderIsAResponse).

--- a/internal/base/engineconn/malformed_test.go
+++ b/internal/base/engineconn/malformed_test.go
@@ -121,3 +121,80 @@
 		})
 	}
 }
+
+// Guards against bytes of an engine in trouble that are no header of a response, and that reach a caller as an answer or
+// are taken for another length of the body than the engine meant: net/http accepts most of them.
+func TestMalformedHeaderIsNoResponse(t *testing.T) {
+	const status, id = "HTTP/1.1 200 OK\r\n", "X-Id: r\r\n"
+	for name, header := range map[string]string{
+		"status 000":                   "HTTP/1.1 000 OK\r\n" + id,
+		"status below 100":             "HTTP/1.1 099 OK\r\n" + id,
+		"status from 600 on":           "HTTP/1.1 600 OK\r\n" + id,
+		"status with a sign":           "HTTP/1.1 +20 OK\r\n" + id,
+		"status of two digits":         "HTTP/1.1 20 OK\r\n" + id,
+		"no status":                    "HTTP/1.1 \r\n" + id,
+		"two blanks before the status": "HTTP/1.1  200 OK\r\n" + id,
+		"switch of protocols":          "HTTP/1.1 101 Switching Protocols\r\n" + id,
+		"control byte in the reason":   "HTTP/1.1 200 O\x01K\r\n" + id,
+		"other version":                "HTTP/3.7 200 OK\r\n" + id,
+		"blank in a name":              status + id + "X Y: z\r\n",
+		"blank after a name":           status + id + "Content-Length : 6\r\n",
+		"blank before a name":          status + " X-Y: z\r\n" + id,
+		"continued line":               status + id + " continued\r\n",
+		"tab in a name":                status + id + "Content-Length\t: 6\r\n",
+		"control byte in a name":       status + id + "X\x01Y: z\r\n",
+		"zero byte in a name":          status + id + "X\x00Y: z\r\n",
+		"empty name":                   status + id + ": z\r\n",
+		"no name":                      status + id + "z\r\n",
+		"control byte in a value":      status + id + "X-Y: a\x02b\r\n",
+		"carriage return in a value":   status + id + "X-Y: a\rb\r\n",
+		"chunks with a blank":          status + id + "Transfer-Encoding : chunked\r\n",
+		"chunks in HTTP/1.0":           "HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n",
+		"length and chunks":            status + id + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n",
+		"interim response":             "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + status + id,
+		"long header":                  status + id + "X-Long: " + strings.Repeat("E", 3*readBufferSize) + "\r\nX Y: z\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			lost := 0
+			pool := newPipePool(Options{Lost: func(string, time.Duration) { lost++ }}, func(c net.Conn) {
+				_, _ = io.WriteString(c, header+"\r\nanswer")
+				_, _ = io.Copy(io.Discard, c)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := pool.Send(ctx, Target{ID: "e"}, request("r", 0))
+			require.True(t, ErrMalformed.Has(err), "%v", err)
+			require.Zero(t, lost)
+			require.Zero(t, pool.Busy())
+		})
+	}
+}
+
+// Guards against a sound header that is rejected, and against a connection that keeps the buffer of a long one.
+func TestUnusualHeaderIsAResponse(t *testing.T) {
+	long := strings.Repeat("E", 3*readBufferSize)
+	pool := newPipePool(Options{}, func(c net.Conn) {
+		for _, header := range []string{
+			"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Long: " + long + "\r\nX-Y:\tz \r\n",
+			"HTTP/1.1 200\r\nx-id:r\r\nX-Empty:\r\nX-Latin: \xe4\r\n",
+			"HTTP/1.0 200 All is well\nX-Id: r\nConnection: keep-alive\n",
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 599 Odd\r\nX-Id: r\r\n",
+		} {
+			_, _ = io.WriteString(c, header+"Content-Length: 6\r\n\r\nanswer")
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+		}
+	})
+	for range 4 {
+		resp, err := pool.Send(t.Context(), Target{ID: "e"}, request("r", 0))
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp)
+		require.NoError(t, err)
+		require.Equal(t, "answer", string(body))
+		resp.Close()
+		require.Equal(t, readBufferSize, resp.conn.reader.Size())
+	}
+	require.Equal(t, 1, pool.Dials())
+	pool.Close()
+}
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -272,7 +272,11 @@
 // responses such as 100 Continue. Errors: ErrNoResponse, ErrMalformed.
 func readFinalHeader(c *conn, r *Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		var resp *http.Response
+		err := c.awaitHeader()
+		if err == nil {
+			resp, err = http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		}
 		if err != nil {
 			if c.readErr != nil {
 				return nil, ErrNoResponse.Wrap(c.readErr)
@@ -346,6 +350,7 @@
 // the connection open too.
 func (a *Response) Close() {
 	if a.stopAbort() && a.complete && a.keepAlive && a.write.finished() && a.conn.reader.Buffered() == 0 {
+		a.conn.resetBuffer()
 		a.pool.putIdle(a.engine, a.conn, a.maxConns)
 		return
 	}
