--- a/client/client.go
+++ b/client/client.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/httpcheck"
 	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/zeebo/errs"
@@ -106,8 +107,8 @@
 	singleUse.DisableKeepAlives = true
 	return &Client{
 		opts:      o,
-		http:      &http.Client{Transport: t},
-		singleUse: &http.Client{Transport: singleUse},
+		http:      &http.Client{Transport: httpcheck.Transport(t)},
+		singleUse: &http.Client{Transport: httpcheck.Transport(singleUse)},
 		locations: make(map[string]cachedLocation),
 	}, nil
 }
--- a/internal/operate/admin/client/client.go
+++ b/internal/operate/admin/client/client.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"damaskrouter.example/damaskrouter/internal/base/httpcheck"
 	"damaskrouter.example/damaskrouter/internal/operate/admin/api"
 	"damaskrouter.example/damaskrouter/internal/serve/apierr"
 	"github.com/zeebo/errs"
@@ -79,7 +80,7 @@
 		base:  base,
 		token: o.Token,
 		http: &http.Client{
-			Transport: transport,
+			Transport: httpcheck.Transport(transport),
 			Timeout:   callTimeout,
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				// The token must not be sent to another host.
