platform, client: a body without a length is not taken for a whole one

What callers saw: nothing on record.

Cause: as for engines' answers: without a length the end of the connection is that of the body, and says nothing of the sender.

Ruled out: rows of the store and addresses of routers, whose JSON shows its end; plain services behind `damaskrouter serve`, which rejects such answers; streams there and in the library, which have an end marker.

--- a/client/malformed_test.go
+++ b/client/malformed_test.go
@@ -33,11 +33,12 @@
 	return ln.Addr().String()
 }
 
-// Guards against bytes that are no response and that a caller gets as the answer to a call.
+// Guards against bytes that are no response, or the beginning of one, that a caller gets as the answer to a call.
 func TestMalformedResponseIsNoAnswer(t *testing.T) {
 	for name, response := range map[string]string{
 		"status 000":      "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nnone",
 		"blank in a name": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Y: z\r\n\r\nnone",
+		"no length":       "HTTP/1.1 200 OK\r\n\r\npart",
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := rawRouter(t, response)
--- a/client/service.go
+++ b/client/service.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 
+	"damaskrouter.example/damaskrouter/internal/base/httpcheck"
 	"damaskrouter.example/damaskrouter/internal/serve/wire"
 	"github.com/google/uuid"
 )
@@ -72,6 +73,9 @@
 	if err != nil {
 		return Reply{}, true, ErrOutcomeUnknown.Wrap(err)
 	}
+	if !httpcheck.Framed(resp) {
+		return Reply{}, true, ErrOutcomeUnknown.New("the end of the answer may be missing")
+	}
 	if len(data) > maxBodyBytes {
 		return Reply{}, true, ErrOutcomeUnknown.New("answer of more than %d bytes", maxBodyBytes)
 	}
--- a/internal/base/httpcheck/httpcheck.go
+++ b/internal/base/httpcheck/httpcheck.go
@@ -95,6 +95,12 @@
 	return nil
 }
 
+// Framed reports whether a response states where its body ends. Otherwise the body ends with the connection, and one that
+// was cut short looks complete.
+func Framed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Uncompressed
+}
+
 // Transport returns a transport that fails in place of returning a response that is none.
 func Transport(t http.RoundTripper) http.RoundTripper { return transport{t} }
 
