feed: a first start of the fleet is one only if the store holds no versions

Cause: with first_start in the settings a router took the versions that it saw for all that have served. The platform sets it at the first start only. A settings file that is not written again keeps it, and nothing spoke against it although the store held the versions.

TestFirstStartWithStoredVersionsIsNone states the rule (it needs the new field).

Change: the router that reads the store looks there, and only a missing row makes it a first start; the others ask it, as after any start.

--- a/internal/edge/feed/versionstore.go
+++ b/internal/edge/feed/versionstore.go
@@ -25,8 +25,11 @@
 	// History returns the versions by service, and whether there were no others. Adopt adds versions.
 	History func() (versions map[string][]string, complete bool)
 	Adopt   func(versions map[string][]string)
-	Clock   Clock
-	Log     *log.Logger
+	// FirstStart is set if the fleet starts for the first time. Unless the row shows that this is not so, there were
+	// no streams before.
+	FirstStart bool
+	Clock      Clock
+	Log        *log.Logger
 }
 
 // Run stores the versions when needed until the context is canceled.
@@ -38,15 +41,20 @@
 	return &rowKeeper{key: versionsKey, table: k.Table, reads: k.Reads, storeEra: k.Era, urgent: k.incomplete, load: k.load, value: k.value}
 }
 
-// incomplete reports whether streams may be refused for want of the stored versions.
+// incomplete reports whether streams may be refused for want of the stored versions. A fleet that starts for the first time
+// has no streams yet.
 func (k *VersionsKeeper) incomplete() bool {
 	_, complete := k.History()
-	return !complete
+	return !complete && !k.FirstStart
 }
 
-// load adopts the stored versions. A row that is missing or can't be read says nothing.
+// load adopts the stored versions. A row that can't be read says nothing, and one that is missing only that the fleet may
+// indeed start for the first time.
 func (k *VersionsKeeper) load(value []byte, _ time.Duration) {
 	if value == nil {
+		if k.FirstStart {
+			k.Adopt(nil)
+		}
 		return
 	}
 	var versions map[string][]string
--- a/internal/edge/feed/versionstore_test.go
+++ b/internal/edge/feed/versionstore_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,31 @@
 	})
 }
 
+// Guards against a router that is told that the fleet starts for the first time, as it was at an earlier start, and takes
+// the versions that it sees for all that have served.
+func TestFirstStartWithStoredVersionsIsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		first := versionHistory{}
+		k := newVersionsKeeper(s, &first)
+		k.FirstStart = true
+		ctx, stop := context.WithCancel(t.Context())
+		go k.Run(ctx)
+		time.Sleep(2 * rowCheckDelay)
+		require.True(t, first.complete, "there is no row")
+		first.versions = map[string][]string{"svc": {"v1"}}
+		time.Sleep(time.Second)
+		stop()
+		again := versionHistory{}
+		k = newVersionsKeeper(s, &again)
+		k.FirstStart = true
+		go k.Run(t.Context())
+		time.Sleep(2 * rowCheckDelay)
+		require.Equal(t, map[string][]string{"svc": {"v1"}}, again.versions)
+		require.True(t, again.complete)
+	})
+}
+
 // Guards against a stored history that a router replaces which does not know all of it, and against a
 // row of other bytes that is taken for one.
 func TestIncompleteVersionsAreNotStored(t *testing.T) {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -283,11 +283,11 @@
 	r.engines.SetDoubts(r.doubts)
 	r.origins = origins.New(origins.Options{
 		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
-		InDoubt: r.doubts.InDoubtAt, Doubt: r.doubts.Doubt, FirstStart: r.settings().FirstStart, Log: r.log,
+		InDoubt: r.doubts.InDoubtAt, Doubt: r.doubts.Doubt, Log: r.log,
 	})
 	r.versionsKeeper = &feed.VersionsKeeper{
 		Table: r.store, Reads: r.follower.Reads, Era: r.board.Era, History: r.origins.History, Adopt: r.origins.AdoptHistory,
-		Clock: bootclock.Now, Log: r.log,
+		FirstStart: r.settings().FirstStart, Clock: bootclock.Now, Log: r.log,
 	}
 }
 
