origins: streams begin at a new version once the store holds it

Streams that callers resume go on at the other version, with status 200 (ORDER).

Cause: records of streams end with the routers. The row of the store that says which versions have served was compared twice a second, so that for up to half a second (and the write) streams began at a version that no router would know of. Who came back found one version in the row and among the engines, and let any stream go on there.

Ruled out: refusing all streams without a record after such a loss.

Change: the reader writes a changed row within 50 ms, and tells what it holds to the routers below it, which ask while a version is missing. Until a version is stored, streams that can be resumed avoid its engines, as they avoid others that would not let them be resumed; after two seconds they do not any more. Requests of other kinds use them at once. A single version costs no calls.

--- a/internal/edge/feed/rowkeeper.go
+++ b/internal/edge/feed/rowkeeper.go
@@ -39,6 +39,10 @@
 	// urgent reports whether the routers need the row at once: it is read without rowCheckDelay. Nil for
 	// never.
 	urgent func() bool
+	// prompt makes a changed value be written within rowUrgentInterval.
+	prompt bool
+	// holds is called with the value that the row has, after each read and write of it. Nil for nothing.
+	holds func(value []byte)
 	// load takes over the value of the row; nil if there is none.
 	load func(value []byte, now time.Duration)
 	// value returns the value that the row should have, or false if that is not known yet.
@@ -94,7 +98,7 @@
 func (k *rowKeeper) isUrgent() bool { return k.urgent != nil && k.urgent() }
 
 func (k *rowKeeper) interval() time.Duration {
-	if k.isUrgent() {
+	if k.isUrgent() || k.prompt && k.reads() {
 		return rowUrgentInterval
 	}
 	return rowCheckInterval
@@ -104,17 +108,24 @@
 	row, err := k.table.Get(ctx, platform.UseFleet, contactsTable, k.key)
 	if platform.ErrNotFound.Has(err) {
 		k.load(nil, now)
-		k.stored = append([]byte{}, k.missing...)
+		k.setStored(append([]byte{}, k.missing...))
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	k.load(row.Value, now)
-	k.stored = row.Value
+	k.setStored(row.Value)
 	return nil
 }
 
+func (k *rowKeeper) setStored(value []byte) {
+	k.stored = value
+	if k.holds != nil {
+		k.holds(value)
+	}
+}
+
 // save replaces the row if it differs.
 func (k *rowKeeper) save(ctx context.Context) error {
 	value, ok := k.value()
@@ -127,6 +138,6 @@
 	if err != nil {
 		return err
 	}
-	k.stored = value
+	k.setStored(value)
 	return nil
 }
--- a/internal/edge/feed/versionstore.go
+++ b/internal/edge/feed/versionstore.go
@@ -25,6 +25,8 @@
 	// History returns the versions by service, and whether there were no others. Adopt adds versions.
 	History func() (versions map[string][]string, complete bool)
 	Adopt   func(versions map[string][]string)
+	// Stored is called with the versions that the row holds.
+	Stored func(versions map[string][]string)
 	// FirstStart is set if the fleet starts for the first time. Unless the row shows that this is not so, there were
 	// no streams before.
 	FirstStart bool
@@ -38,7 +40,10 @@
 }
 
 func (k *VersionsKeeper) row() *rowKeeper {
-	return &rowKeeper{key: versionsKey, table: k.Table, reads: k.Reads, storeEra: k.Era, urgent: k.incomplete, load: k.load, value: k.value}
+	return &rowKeeper{
+		key: versionsKey, table: k.Table, reads: k.Reads, storeEra: k.Era, urgent: k.incomplete, prompt: true,
+		load: k.load, value: k.value, holds: k.holds,
+	}
 }
 
 // incomplete reports whether streams may be refused for want of the stored versions. A fleet that starts for the first time
@@ -51,18 +56,32 @@
 // load adopts the stored versions. A row that can't be read says nothing, and one that is missing only that the fleet may
 // indeed start for the first time.
 func (k *VersionsKeeper) load(value []byte, _ time.Duration) {
-	if value == nil {
-		if k.FirstStart {
-			k.Adopt(nil)
-		}
-		return
+	if value == nil && k.FirstStart {
+		k.Adopt(nil)
+	}
+	if versions, ok := k.decode(value); ok {
+		k.Adopt(versions)
+	}
+}
+
+// holds reports the versions of the row.
+func (k *VersionsKeeper) holds(value []byte) {
+	if versions, ok := k.decode(value); ok {
+		k.Log.Info("versions stored", "versions", versions)
+		k.Stored(versions)
+	}
+}
+
+// decode returns the versions of a row, or false if it is missing or can't be read.
+func (k *VersionsKeeper) decode(value []byte) (versions map[string][]string, ok bool) {
+	if len(value) == 0 {
+		return nil, false
 	}
-	var versions map[string][]string
 	if err := json.Unmarshal(value, &versions); err != nil {
 		k.Log.Warn("stored versions not read", "cause", err)
-		return
+		return nil, false
 	}
-	k.Adopt(versions)
+	return versions, true
 }
 
 // value returns the versions as stored. An incomplete history does not replace a complete one.
--- a/internal/edge/feed/versionstore_test.go
+++ b/internal/edge/feed/versionstore_test.go
@@ -15,6 +15,8 @@
 type versionHistory struct {
 	versions map[string][]string
 	complete bool
+	// stored are the versions that the store holds, as far as the keeper has reported.
+	stored map[string][]string
 }
 
 // newVersionsKeeper returns the keeper of a router that reads the store.
@@ -25,6 +27,7 @@
 		Era:     func() (catalog.Era, bool) { return catalog.Era{}, false },
 		History: func() (map[string][]string, bool) { return h.versions, h.complete },
 		Adopt:   func(versions map[string][]string) { h.versions, h.complete = versions, true },
+		Stored:  func(versions map[string][]string) { h.stored = versions },
 		Clock:   func() time.Duration { return time.Hour + time.Since(start) },
 	}
 }
@@ -47,6 +50,22 @@
 	})
 }
 
+// Guards against a version whose streams go on at another one after a loss of all routers, because the store did not hold
+// it yet.
+func TestNewVersionIsStoredWithinTheUrgentInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		known := versionHistory{versions: map[string][]string{"svc": {"v1"}}, complete: true}
+		go newVersionsKeeper(s, &known).Run(t.Context())
+		time.Sleep(3 * time.Second)
+		require.Equal(t, known.versions, known.stored)
+		known.versions = map[string][]string{"svc": {"v1", "v2"}}
+		time.Sleep(2 * rowUrgentInterval)
+		require.Equal(t, known.versions, known.stored)
+		require.JSONEq(t, `{"svc":["v1","v2"]}`, string(s.rows[versionsKey]))
+	})
+}
+
 // Guards against a router that is told that the fleet starts for the first time, as it was at an earlier start, and takes
 // the versions that it sees for all that have served.
 func TestFirstStartWithStoredVersionsIsNone(t *testing.T) {
--- a/internal/edge/forward/engines.go
+++ b/internal/edge/forward/engines.go
@@ -61,6 +61,8 @@
 	// doubts tells which engines may run another version than their entries state; nil if all may be
 	// relied on.
 	doubts *RestartDoubts
+	// established tells whether streams that can be resumed should begin at a version of a service.
+	established func(service, version string) bool
 }
 
 // ownLoad is this router's requests at one engine and how they have ended.
@@ -117,6 +119,8 @@
 		pauses:  backoff.NewTable[string](),
 		brittle: make(map[string]brittleStatement),
 		routers: func() int { return 1 },
+
+		established: func(string, string) bool { return true },
 	}
 }
 
@@ -282,7 +286,7 @@
 				load.SetLimits(load.Limits().Add(own.limits.At(now)))
 			}
 		}
-		if p.avoids(e, load.Limits()) {
+		if p.avoids(e, load.Limits()) || q.Resumable && !p.established(service, e.Version) {
 			avoided = append(avoided, len(engines))
 		}
 		engines = append(engines, e)
--- a/internal/edge/forward/versions.go
+++ b/internal/edge/forward/versions.go
@@ -9,6 +9,12 @@
 // called before the first request.
 func (p *Balancer) SetDoubts(doubts *RestartDoubts) { p.doubts = doubts }
 
+// SetEstablished sets what reports whether streams that can be resumed should begin at a version of a service. It must be
+// called before the first request.
+func (p *Balancer) SetEstablished(established func(service, version string) bool) {
+	p.established = established
+}
+
 // onlyVersion returns the engines that run a version, as far as is known. Those that may have been
 // restarted with another one are left out if there are others.
 func (p *Balancer) onlyVersion(engines []catalog.Engine, candidates []choose.Engine, version string) ([]catalog.Engine, []choose.Engine) {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -285,9 +285,10 @@
 		Self: r.self.Name, Clock: bootclock.Now, Call: r.call, Live: r.liveRouters, Snapshot: r.board.Snapshot,
 		InDoubt: r.doubts.InDoubtAt, Doubt: r.doubts.Doubt, Log: r.log,
 	})
+	r.engines.SetEstablished(r.origins.Established)
 	r.versionsKeeper = &feed.VersionsKeeper{
 		Table: r.store, Reads: r.follower.Reads, Era: r.board.Era, History: r.origins.History, Adopt: r.origins.AdoptHistory,
-		FirstStart: r.settings().FirstStart, Clock: bootclock.Now, Log: r.log,
+		Stored: r.origins.SetStored, FirstStart: r.settings().FirstStart, Clock: bootclock.Now, Log: r.log,
 	}
 }
 
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/decide/origin"
+	"damaskrouter.example/damaskrouter/internal/edge/feed"
 	"github.com/stretchr/testify/require"
 )
 
@@ -362,3 +363,53 @@
 	}
 	return out
 }
+
+// Guards against streams that begin at a version which the store does not hold yet, and of which nobody knows after a
+// loss of all routers.
+func TestNewVersionIsEstablishedOnceItIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, "v1")
+		time.Sleep(storeWait + time.Second)
+		established := func(version string) (n int) {
+			for _, r := range f.routers {
+				if r.registry.Established("svc", version) {
+					n++
+				}
+			}
+			return n
+		}
+		require.Equal(t, 6, established("v1"))
+		require.Zero(t, established("v2"), "a version that has not been seen")
+		for _, r := range f.routers {
+			r.versions = []string{"v1", "v2"}
+		}
+		settle()
+		require.Zero(t, established("v2"))
+		for _, r := range f.routers {
+			if _, follows := feed.ParentOf(r.peer, f.live(r), nil, f.now()); !follows {
+				r.registry.SetStored(map[string][]string{"svc": {"v1", "v2"}})
+			}
+		}
+		time.Sleep(4 * minHistoryPause)
+		require.Equal(t, 6, established("v2"))
+		require.Equal(t, 6, established("v1"))
+		settle()
+		calls := f.calls
+		time.Sleep(time.Minute)
+		require.Equal(t, calls, f.calls, "calls without a change")
+	})
+}
+
+// Guards against streams that never begin at a version, because the store can't hold it or nobody tells that it does.
+func TestVersionIsEstablishedWithoutTheStoreInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, "v1")
+		require.True(t, f.routers["r0"].registry.Established("svc", "v1"), "no version is established")
+		time.Sleep(storeWait + time.Second)
+		f.routers["r0"].versions = []string{"v1", "v2"}
+		settle()
+		require.False(t, f.routers["r0"].registry.Established("svc", "v2"))
+		time.Sleep(storeWait)
+		require.True(t, f.routers["r0"].registry.Established("svc", "v2"))
+	})
+}
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -64,10 +64,15 @@
 	replicator *replicator
 	// multiVersion holds the services that more than one version has served lately.
 	multiVersion atomic.Pointer[map[string]bool]
+	// established holds the versions at which streams that can be resumed begin, by service.
+	established atomic.Pointer[map[string]map[string]bool]
 
 	mu      sync.Mutex
 	table   *origin.Table
 	history *origin.History
+	// stored are the versions that the store holds, by service, and firstSeen is when each version appeared.
+	stored    map[string][]string
+	firstSeen map[serviceVersion]time.Duration
 	// doubtful holds the streams that began at an engine in doubt.
 	doubtful map[origin.Key]begun
 	// members is the routers that may keep records as of the last review, and eligible those that do, by
@@ -105,6 +110,7 @@
 		doubtful: make(map[origin.Key]begun), peers: make(map[string]feed.Peer), unsupported: make(map[string]time.Duration),
 	}
 	r.multiVersion.Store(&map[string]bool{})
+	r.established.Store(&map[string]map[string]bool{})
 	r.replicator = newReplicator(r)
 	return r
 }
@@ -277,6 +283,7 @@
 // updateMultiVersion notes the services with several versions. The records of streams that this router has
 // begun there are sent to their replicas from now on. The caller holds the mutex.
 func (r *Registry) updateMultiVersion(now time.Duration) {
+	r.updateEstablished(now)
 	next := make(map[string]bool)
 	for service, versions := range r.history.All() {
 		if len(versions) > 1 {
@@ -451,6 +458,8 @@
 	Only     int64               `json:"only_version"`
 	Unknown  int64               `json:"unknown"`
 	Versions map[string][]string `json:"versions"`
+	// Stored are the versions that the store holds, as far as is known.
+	Stored map[string][]string `json:"stored"`
 	// Complete is set if Versions are known to be all of the last seconds.
 	Complete bool `json:"complete"`
 }
@@ -464,6 +473,6 @@
 		Records: r.table.Len(), Doubtful: len(r.doubtful), Dropped: r.table.Dropped,
 		Sent: c.sent.Load(), ReplicateCalls: c.replicateCalls.Load(),
 		Lookups: c.lookups.Load(), Found: c.found.Load(), Only: c.only.Load(), Unknown: c.unknown.Load(),
-		Versions: r.history.All(), Complete: r.complete(r.Clock()),
+		Versions: r.history.All(), Stored: r.stored, Complete: r.complete(r.Clock()),
 	}
 }
--- a/internal/edge/origins/service.go
+++ b/internal/edge/origins/service.go
@@ -47,6 +47,8 @@
 type HistoryReply struct {
 	Versions map[string][]string
 	Complete bool
+	// Stored are those that the store holds; nil if that is not known.
+	Stored map[string][]string
 }
 
 // Service handles calls of other routers. Its methods are called by net/rpc and never return an error.
@@ -79,6 +81,7 @@
 // History returns the versions that have served lately.
 func (s *Service) History(_ HistoryArgs, reply *HistoryReply) error {
 	reply.Versions, reply.Complete = s.Registry.History()
+	reply.Stored = s.Registry.Stored()
 	return nil
 }
 
