forward: requests without an answer get a final one when a router ends

Cause: in the first three tenths of the time to stop every request is taken, because callers still use the address, also those whose time limit ends after the router does. What had no answer by then was cut with the connections.

Change: when the time for running requests is over, those without an answer get 504 (router_leaving) if they were sent to an engine, which is then told by the end of its connection, and 503 otherwise, within 100 ms of the time that is kept for the exit. Answers that have begun go on until then, and are cut, as before. The engine is not blamed.

--- a/internal/edge/forward/attempt_test.go
+++ b/internal/edge/forward/attempt_test.go
@@ -294,7 +294,7 @@
 		x.route.Kind = catalog.Idempotent
 		x.trackSuspicion()
 		require.NotNil(t, x.forward())
-		require.True(t, x.responded)
+		require.True(t, x.responded.Load())
 		require.LessOrEqual(t, answer.Body.Len(), maxBufferedResponse)
 		require.LessOrEqual(t, <-taken, maxBufferedResponse+maxBufferedResponse/8)
 		require.Zero(t, tr.f.Conns.Busy())
--- a/internal/edge/forward/forwarder.go
+++ b/internal/edge/forward/forwarder.go
@@ -87,6 +87,9 @@
 	// draining is nil until Drain is called.
 	draining atomic.Pointer[drainState]
 	inFlight atomic.Int64
+	// ending ends once requests without an answer are given up.
+	ending context.Context
+	end    context.CancelFunc
 	// servedLogLimiter limits the log lines about successful requests.
 	servedLogLimiter *rate.Limiter
 	stats            *Stats
@@ -132,7 +135,9 @@
 	if o.Leaving == nil {
 		o.Leaving = func(catalog.LeavingStart, string) {}
 	}
+	ending, end := context.WithCancel(context.Background())
 	return &Forwarder{
+		ending: ending, end: end,
 		Options: o, stats: newStats(), responseTimes: newResponseTimes(), servedLogLimiter: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		random:         rand.Float64,
 		overloads:      overloads{random: rand.Float64, byService: make(map[string]*gate.Overload), byRefused: make(map[refusedKey]*gate.Overload)},
@@ -154,6 +159,9 @@
 	f.draining.Store(&drainState{startedAt: f.Clock(), timeout: timeout})
 }
 
+// End gives the requests in progress, and those to come, a final response at once, unless one has begun.
+func (f *Forwarder) End() { f.end() }
+
 // drainState is the state of a draining router.
 type drainState struct {
 	// startedAt is the reading of the boot clock when draining began, and timeout the time from
@@ -266,7 +274,7 @@
 	connectionEnd string
 	events        int
 	// responded is set once any byte of a response may have gone to the caller.
-	responded bool
+	responded atomic.Bool
 	firstByte time.Duration
 	outcome   Reason
 	status    int
@@ -362,7 +370,16 @@
 	return x.account.Name
 }
 
-func (x *exchange) remaining() time.Duration { return x.deadline - x.f.Clock() }
+// remaining returns the time until the deadline; zero for a request that is given up as the router ends.
+func (x *exchange) remaining() time.Duration {
+	if x.givenUpAtEnd() {
+		return 0
+	}
+	return x.deadline - x.f.Clock()
+}
+
+// givenUpAtEnd reports whether the request has no answer and gets none, because the router ends.
+func (x *exchange) givenUpAtEnd() bool { return !x.responded.Load() && x.f.ending.Err() != nil }
 
 // context returns a context that ends at the deadline or when the caller disconnects.
 // Non-idempotent requests continue after a disconnect: canceling one would leave its outcome
@@ -372,7 +389,21 @@
 	if x.route.Kind == catalog.NonIdempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, x.remaining())
+	return x.withDeadline(ctx)
+}
+
+// withDeadline returns a context that ends at the deadline, or when the request is given up as the router ends.
+func (x *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, x.remaining())
+	stop := context.AfterFunc(x.f.ending, func() {
+		if !x.responded.Load() {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 func (x *exchange) callerDisconnected() bool { return x.r.Context().Err() != nil }
@@ -382,7 +413,7 @@
 // so that the response does not look complete.
 func (x *exchange) refuse(refusal *Refusal) {
 	x.outcome = refusal.Reason
-	if x.responded {
+	if x.responded.Load() {
 		x.aborted = true
 		return
 	}
--- a/internal/edge/forward/permit.go
+++ b/internal/edge/forward/permit.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -72,7 +71,7 @@
 // means that the engine of the permit takes no new requests any more, and that the engine must be
 // selected anew.
 func (x *exchange) requestPermit(service string, plan Plan, shared []string) (choice Choice, refusal *Refusal, again bool) {
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.remaining())
+	ctx, cancel := x.withDeadline(x.r.Context())
 	defer cancel()
 	refused := false
 	x.recordTimeout(service)
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -248,7 +248,7 @@
 	if connection != "" {
 		x.w.Header().Set("Connection", connection)
 	}
-	x.responded = true
+	x.responded.Store(true)
 	x.status = status
 	x.firstByte = x.f.Clock() - x.started
 }
--- a/internal/edge/forward/send.go
+++ b/internal/edge/forward/send.go
@@ -135,9 +135,14 @@
 	return &Refusal{Status: http.StatusBadGateway, Reason: ReasonCallerLeft}
 }
 
-// timeoutRefusal returns the final response after the deadline.
+// timeoutRefusal returns the final response after the deadline, or at the end of the router.
 func (x *exchange) timeoutRefusal() *Refusal {
-	if x.executed == 0 {
+	switch {
+	case x.givenUpAtEnd() && x.executed == 0:
+		return notExecuted(ReasonDraining, retrySoon)
+	case x.givenUpAtEnd():
+		return maybeExecuted(http.StatusGatewayTimeout, ReasonDraining)
+	case x.executed == 0:
 		return notExecuted(ReasonTimeout, 0)
 	}
 	return maybeExecuted(http.StatusGatewayTimeout, ReasonTimeout)
@@ -390,7 +395,9 @@
 	case attemptTimedOut(ctx):
 		return x.handleAttemptTimeout(e, err, unsent, waited)
 	case ctx.Err() != nil:
-		x.recordNoResponse(e, err)
+		if !x.givenUpAtEnd() {
+			x.recordNoResponse(e, err)
+		}
 		return sendResult{action: actionStop, refusal: x.timeoutRefusal()}
 	}
 	x.recordNoResponse(e, err)
--- a/internal/edge/forward/stats.go
+++ b/internal/edge/forward/stats.go
@@ -81,7 +81,7 @@
 	if !x.stream.resumes || x.stream.version == "" {
 		return
 	}
-	if c := s.version(x.stream.service, x.stream.version); x.outcome == "" || x.responded {
+	if c := s.version(x.stream.service, x.stream.version); x.outcome == "" || x.responded.Load() {
 		c.Resumed++
 	} else {
 		c.NotResumed++
--- a/internal/edge/forward/stream.go
+++ b/internal/edge/forward/stream.go
@@ -89,7 +89,7 @@
 		if refusal := x.handleReadError(ctx, e, err); refusal != nil {
 			return sendResult{action: actionStop, refusal: refusal}
 		}
-		if !x.responded {
+		if !x.responded.Load() {
 			return x.retryIfAllowed(maybeExecuted(http.StatusBadGateway, ReasonStreamBroken))
 		}
 		next := x.resume(ctx, e, splitter.lastID)
@@ -105,12 +105,12 @@
 // endStream checks that a stream that ended normally did not end without any event, unless its caller
 // resumed it after the last one.
 func (x *exchange) endStream(response *engineconn.Response) sendResult {
-	if x.stream.resumes && !x.responded {
+	if x.stream.resumes && !x.responded.Load() {
 		// The caller left after the last event.
 		x.writeHeader(response.Status, response.Header)
 		x.w.WriteHeader(response.Status)
 	}
-	if !x.responded {
+	if !x.responded.Load() {
 		return sendResult{action: actionStop, refusal: maybeExecuted(http.StatusBadGateway, ReasonStreamBroken)}
 	}
 	return sendResult{action: actionDone}
@@ -131,7 +131,7 @@
 			x.recordProgress(e, response)
 		}
 		if complete := splitter.add(buf[:n]); len(complete) > 0 {
-			if !x.responded {
+			if !x.responded.Load() {
 				if !x.beginStream(e, response.OpenedAt()) {
 					return errNotRecorded.New("a replica of the stream's record may state another version")
 				}
--- a/internal/edge/node/leave.go
+++ b/internal/edge/node/leave.go
@@ -19,6 +19,10 @@
 	// truncated before the last sixth of the stop timeout.
 	exitMargin      = 900 * time.Millisecond
 	exitMarginShare = 0.125
+	// answerTime is the part of exitMargin, and answerShare of a short one, in which requests that have no answer by
+	// the end of the drain timeout get a final one.
+	answerTime  = 100 * time.Millisecond
+	answerShare = 0.25
 	// drainPollInterval is how often the requests in progress are counted.
 	drainPollInterval = 50 * time.Millisecond
 	// originsTimeout bounds the wait until other routers have the records of this router's streams.
@@ -30,15 +34,21 @@
 	return stopTimeout - min(exitMargin, time.Duration(exitMarginShare*float64(stopTimeout)))
 }
 
+// answerTimeAfter returns how long requests may take after the drain timeout to get a final answer.
+func answerTimeAfter(stopTimeout time.Duration) time.Duration {
+	return min(answerTime, time.Duration(answerShare*float64(stopTimeout-drainTimeout(stopTimeout))))
+}
+
 // Leave takes the router out of service without interrupting requests: it first sends callers to
 // other routers, closes their connections after a response, and lets running requests finish within
-// the drain timeout. Once it returns, no request of a caller is taken any more. It returns early if
+// the drain timeout. Those that have no answer then get a final one, and streams are cut. Once it returns, no request of a caller is taken any more. It returns early if
 // the context ends.
 func (r *Router) Leave(ctx context.Context) {
 	start := bootclock.Now()
 	r.draining.Store(true)
 	r.log.Info("leaving", "in_flight", r.forwarder.InFlight())
-	timeout := drainTimeout(time.Duration(r.settings().Bounds.Stop))
+	stopTimeout := time.Duration(r.settings().Bounds.Stop)
+	timeout := drainTimeout(stopTimeout)
 	r.forwarder.Drain(timeout)
 	r.relay.Leave()
 	if err := r.gossip.Leave(); err != nil {
@@ -51,8 +61,10 @@
 			break
 		}
 	}
+	ended := time.AfterFunc(timeout-(bootclock.Now()-start), r.forwarder.End)
+	defer ended.Stop()
 	// A request that arrived after the last check would be cut as the process ends.
-	r.servers.shutDown(ctx, listenerCallers, timeout-(bootclock.Now()-start))
+	r.servers.shutDown(ctx, listenerCallers, timeout+answerTimeAfter(stopTimeout)-(bootclock.Now()-start))
 	r.leaveOrigins(ctx)
 	r.log.Info("stopped", "in_flight", r.forwarder.InFlight(), "took", bootclock.Now()-start)
 }
--- a/internal/edge/node/leave_test.go
+++ b/internal/edge/node/leave_test.go
@@ -15,6 +15,8 @@
 		drain := drainTimeout(stopTimeout)
 		require.Greater(t, drain, stopTimeout*5/6, "%v", stopTimeout)
 		require.Less(t, drain, stopTimeout, "%v", stopTimeout)
+		require.Positive(t, answerTimeAfter(stopTimeout), "%v", stopTimeout)
+		require.Less(t, drain+2*answerTimeAfter(stopTimeout), stopTimeout, "the process takes time to exit: %v", stopTimeout)
 	}
 	require.Equal(t, 7100*time.Millisecond, drainTimeout(8*time.Second))
 }
