engineconn: the buffer for a long header is no larger than its limit

Cause: a header that does not fit the buffer of a connection is buffered whole since its lines are checked, and the buffer was doubled once more before the limit of 64 KB was noticed: an engine that sends header lines without end could make each connection keep twice the limit for a moment.

Change: the limit is looked at first.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -68,7 +68,7 @@
 // Read implements net.Conn. Errors: ErrTooLong before the body of a response.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.headerLeft == 0 {
-		return 0, ErrTooLong.New("more than %d bytes before the body of a response", maxHeader)
+		return 0, errHeaderTooLong()
 	}
 	if c.headerLeft > 0 {
 		b = b[:min(int64(len(b)), c.headerLeft)]
@@ -90,6 +90,10 @@
 	return n, err
 }
 
+func errHeaderTooLong() error {
+	return ErrTooLong.New("more than %d bytes before the body of a response", maxHeader)
+}
+
 // Write implements net.Conn. It counts before it writes, since the response may
 // be read before the writing goroutine continues.
 func (c *conn) Write(b []byte) (int, error) {
--- a/internal/base/engineconn/head.go
+++ b/internal/base/engineconn/head.go
@@ -9,7 +9,7 @@
 )
 
 // awaitHeader waits for the header of the next response, and checks each line of it as it arrives: net/http, which reads
-// the header then, accepts more than HTTP does. Nothing is taken from the reader. Errors: httpcheck.Error, those of Read.
+// the header then, accepts more than HTTP does. Nothing is taken from the reader. Errors: httpcheck.Error, ErrTooLong, those of Read.
 func (c *conn) awaitHeader() error {
 	var head httpcheck.Head
 	for at := 0; ; {
@@ -25,7 +25,7 @@
 	}
 }
 
-// peekLine returns the line that begins at an offset in the reader, with its end.
+// peekLine returns the line that begins at an offset in the reader, with its end. Errors: ErrTooLong, those of Read.
 func (c *conn) peekLine(at int) ([]byte, error) {
 	for searched := at; ; {
 		// As many bytes as are buffered can always be returned.
@@ -34,7 +34,10 @@
 			return buffered[at : searched+end+1], nil
 		}
 		searched = len(buffered)
-		if searched == c.reader.Size() {
+		switch {
+		case searched >= maxHeader:
+			return nil, errHeaderTooLong()
+		case searched == c.reader.Size():
 			c.enlargeBuffer()
 		}
 		if _, err := c.reader.Peek(searched + 1); err != nil {
