forward: a test of refusals does not depend on a random draw

The draws are set now: 0.9 must refuse the account's request, and 0, the strictest draw, must not refuse the other's.

--- a/internal/edge/forward/shares_test.go
+++ b/internal/edge/forward/shares_test.go
@@ -67,7 +67,10 @@
 			hot.recordGrant(hot.throttleKey("llm"), false)
 		}
 		now := tr.f.Clock()
+		// Nine of ten draws refuse the one, and none the other.
+		tr.f.throttles.random = func() float64 { return 0.9 }
 		require.True(t, tr.f.throttles.shouldRefuse(hot.throttleKey("llm"), now))
+		tr.f.throttles.random = func() float64 { return 0 }
 		require.False(t, tr.f.throttles.shouldRefuse(calm.throttleKey("llm"), now))
 
 		hot.overloadRefusal("llm")
