soak: odd answers, resets and a kill of all routers at once

Engines answer with neither a length nor chunks, or with bytes that are no answer, while their connections are reset; and once a run all routers are killed at once. The new series come after the others, so that these draw from their seeds as before.

The proxies reset a connection now whose other end broke, or of which they have dropped bytes: they closed it, so that a truncated answer without a length would have looked complete. An engine that omits lengths is not restarted in place meanwhile: the stand-in accepts connections again at once, and the end of an answer could not be told from that of the engine.

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -36,6 +36,8 @@
 	seed string
 	// initialEngines is the number of engines that exist before the routers start.
 	initialEngines int
+	// storeMu is held while the store may lack what it has acknowledged, or must not.
+	storeMu sync.Mutex
 	// evacuated is the site that stays evacuated until the end; empty for none.
 	evacuated string
 
@@ -60,6 +62,8 @@
 	drainedAt time.Time
 	// addedAt is the time at which the engine was registered.
 	addedAt time.Time
+	// startMu is held while the engine must not be restarted in place.
+	startMu sync.Mutex
 }
 
 // sites are the sites of engines, which are assigned to them in turn.
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -123,9 +125,9 @@
 // forward copies bytes one way. Once it has dropped bytes of a connection, it drops all later ones
 // too, like a network device that has lost its state of the connection.
 func (p *proxy) forward(from, to net.Conn, fromTarget bool) {
-	defer p.closePair(from, to)
+	dropping, broken := false, false
+	defer func() { p.closePair(from, to, dropping || broken) }()
 	buf := make([]byte, 16<<10)
-	dropping := false
 	for {
 		n, err := from.Read(buf)
 		switch m := p.currentMode(); {
@@ -135,6 +137,7 @@
 			time.Sleep(delay)
 		}
 		if err != nil {
+			broken = !errors.Is(err, io.EOF)
 			return
 		}
 		if dropping {
@@ -146,13 +149,26 @@
 	}
 }
 
-// closePair closes both ends of a connection. In the mode resetting, set has reset both
-// before, so that a truncated response does not look complete.
-func (p *proxy) closePair(a, b net.Conn) {
+// closePair closes both ends of a connection, or resets them if it broke or bytes were dropped: a truncated response
+// must not look complete. In the mode resetting, set has reset both before.
+func (p *proxy) closePair(a, b net.Conn, broken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.conns, a)
-	delete(p.conns, b)
-	_ = a.Close()
-	_ = b.Close()
+	end := func(c net.Conn) { _ = c.Close() }
+	if broken {
+		end = reset
+	}
+	for _, c := range []net.Conn{a, b} {
+		delete(p.conns, c)
+		end(c)
+	}
+}
+
+// resetAll resets the open connections.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		reset(c)
+	}
 }
--- a/test/soak/returns.go
+++ b/test/soak/returns.go
@@ -27,20 +27,28 @@
 		if time.Now().After(end) {
 			return
 		}
-		rec.recordFault("store returns from an older copy")
-		cl.store.SetFaults(standin.Faults{Down: true})
-		time.Sleep(duration(rng, 0, maxAway))
-		writeAgain := cl.store.ReturnFrom(copied)
-		cl.store.SetFaults(standin.Faults{})
-		back := time.Now()
-		for i, write := range writeAgain {
-			time.Sleep(time.Until(back.Add(rewriteTime * time.Duration(i) / time.Duration(len(writeAgain)))))
-			write()
+		if cl.storeMu.TryLock() {
+			rec.recordFault("store returns from an older copy")
+			cl.returnFrom(copied, duration(rng, 0, maxAway))
+			cl.storeMu.Unlock()
 		}
 		time.Sleep(duration(rng, 0, time.Second))
 	}
 }
 
+// returnFrom lets the store go away for a time and return from a copy. What it has lost is written again.
+func (cl *cluster) returnFrom(copied *standin.Copy, away time.Duration) {
+	cl.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(away)
+	writeAgain := cl.store.ReturnFrom(copied)
+	cl.store.SetFaults(standin.Faults{})
+	back := time.Now()
+	for i, write := range writeAgain {
+		time.Sleep(time.Until(back.Add(rewriteTime * time.Duration(i) / time.Duration(len(writeAgain)))))
+		write()
+	}
+}
+
 // lostRewrites is the number of entries that engines write in vain before the last return.
 const lostRewrites = 20
 
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -237,6 +237,8 @@
 		func(rng *rand.Rand) { cutRouters(cl, rec, rng, end) },
 		func(rng *rand.Rand) { weakenEngines(cl, rec, rng, end) },
 		func(rng *rand.Rand) { releaseVersions(cl, rec, rng, end) },
+		func(rng *rand.Rand) { spoilAnswers(cl, rec, rng, end) },
+		func(rng *rand.Rand) { restartAll(cl, rec, rng, end) },
 	}
 	for _, run := range series {
 		childRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
--- a/test/soak/versions.go
+++ b/test/soak/versions.go
@@ -65,6 +65,10 @@
 
 // restartAs restarts an engine in place with another version; its entry follows later.
 func (cl *cluster) restartAs(e *engine, version string, lag time.Duration) {
+	if !e.startMu.TryLock() {
+		return
+	}
+	defer e.startMu.Unlock()
 	defer cl.disturb(e.ID)()
 	e.Restart(version)
 	time.Sleep(lag)
