forward: an answer without a length whose end is read late needs proof of its engine

Cause: such an answer is whole if a connection to its engine can be opened after it, on the ground that nobody else gets the address within a second. That second counted from when the router read the end. A router that stood still, or whose caller did not read, may read it seconds after the engine has ended, and another process listens there by then.

Change: the kernel tells how long ago the last data arrived, which is before the end. From a second on, a connection to the engine must be open that is older than that, or the engine states that it is the start of its entry. The check of an answer that is read in time has the rest of the second, and costs nothing more.

--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -57,6 +57,9 @@
 	idleTimeout time.Duration
 	// readErr is why a read has failed, or nil. Without one, an error is about the bytes that were received.
 	readErr error
+	// endAge is how long ago at most the end of the connection had arrived when a read returned it; zero if that is not
+	// known.
+	endAge time.Duration
 	// headerLeft is how many bytes may be read before the body of a response; negative while a body is read.
 	headerLeft int64
 	// reused is set if an earlier request used the connection.
@@ -84,6 +87,9 @@
 		// A write, or a look for data, got the error.
 		err = syscall.ECONNRESET
 	}
+	if errors.Is(err, io.EOF) {
+		c.endAge = sinceLastData(c.Conn)
+	}
 	if err != nil {
 		c.readErr = err
 	}
@@ -284,6 +290,26 @@
 	return err == nil && events&(unix.POLLHUP|unix.POLLERR) != 0
 }
 
+// sinceLastData returns how long ago the last data of the peer arrived; zero if the kernel does not tell. The end of a
+// connection itself is no data, and acknowledgements of keep-alive probes follow it.
+func sinceLastData(c net.Conn) (age time.Duration) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
+}
+
 // Poll returns which of the events of poll(2) the socket of a connection has now, besides POLLHUP and POLLERR. It takes
 // neither data nor an error from the socket.
 func Poll(c net.Conn, events int16) (int16, error) {
--- a/internal/base/engineconn/end_test.go
+++ b/internal/base/engineconn/end_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -29,3 +30,21 @@
 		resp.Close()
 	}
 }
+
+// Guards against an end that seems to have just arrived because it has just been read.
+func TestEndAgeCountsFromTheLastData(t *testing.T) {
+	e := newTestEngine(t, func(conn *net.TCPConn, _ int) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, unframed)
+		}
+		_ = conn.Close()
+	})
+	resp, err := NewPool(Options{Clock: clock}).Send(t.Context(), e.target, request("r", 0))
+	require.NoError(t, err)
+	t.Cleanup(resp.Close)
+	const pause = 300 * time.Millisecond
+	time.Sleep(pause)
+	_, err = io.ReadAll(resp)
+	require.NoError(t, err)
+	require.Greater(t, resp.EndAge(), pause/2)
+}
--- a/internal/base/engineconn/send.go
+++ b/internal/base/engineconn/send.go
@@ -329,6 +329,9 @@
 // there is more to read.
 func (a *Response) Open() bool { return a.conn.reader.Buffered() == 0 && a.conn.open() }
 
+// EndAge returns how long ago at most the end of the connection had arrived when it was read; zero if that is not known.
+func (a *Response) EndAge() time.Duration { return a.conn.endAge }
+
 // OpenedAt returns the reading of Options.Clock when the connection was open. The process that responds had
 // accepted it by then.
 func (a *Response) OpenedAt() time.Duration { return a.conn.openedAt }
--- a/internal/edge/forward/relay.go
+++ b/internal/edge/forward/relay.go
@@ -128,7 +128,7 @@
 	case x.remaining() <= timeLimitMargin:
 		return errTimeLimit.New("an answer without a length ended at the time limit of its request")
 	}
-	return x.confirmRunning(ctx, e)
+	return x.confirmRunning(ctx, e, response.EndAge())
 }
 
 // recordConnectionEnd records how the connection of an answer with neither a length nor chunks ended; err is that of its
@@ -155,18 +155,26 @@
 	// sent in whole milliseconds, and the engine's timers are its own.
 	timeLimitMargin = 20 * time.Millisecond
 	// endCheckTimeout bounds one attempt to reach an engine after an answer without a length, and endCheckLimit all
-	// of them. Through a lossy path an attempt may fail though the engine runs. Within the limit no other engine gets
-	// the address.
+	// of them, from when the end of the answer arrived. Through a lossy path an attempt may fail though the engine runs.
+	// Within the limit no other engine gets the address.
 	endCheckTimeout = 150 * time.Millisecond
 	endCheckLimit   = time.Second
 	// endCheckPause is the pause between two attempts.
 	endCheckPause = 10 * time.Millisecond
 )
 
-// confirmRunning checks that an engine has not ended. While the path to it is lost, other routers are asked.
-// Errors: engineconn.ErrTruncated if the engine has ended, or no router has reached it in time.
-func (x *exchange) confirmRunning(ctx context.Context, e catalog.Engine) error {
-	ctx, cancel := context.WithTimeout(ctx, endCheckLimit)
+// confirmRunning checks that an engine has not ended since an answer of it, the end of which arrived age ago at most. While the
+// path to it is lost, other routers are asked. Errors: engineconn.ErrTruncated if the engine has ended, or no router has
+// reached it in time.
+func (x *exchange) confirmRunning(ctx context.Context, e catalog.Engine, age time.Duration) error {
+	if age >= endCheckLimit {
+		// The router stood still, or its caller did not read. Another process may have the address by now.
+		if !x.f.Conns.Survives(e.ID, x.f.Clock()-age) && !isStart(x.f.Conns, x.f.Codec, e) {
+			return engineconn.ErrTruncated.New("an answer without a length had ended %v before that was seen", age)
+		}
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckLimit-age)
 	defer cancel()
 	for {
 		err := x.openTo(ctx, e)
--- a/internal/edge/forward/relay_test.go
+++ b/internal/edge/forward/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -110,3 +111,24 @@
 		})
 	}
 }
+
+// Guards against an answer without a length whose end was read late, and that is taken for a whole one because some
+// process listens at the address of its engine, or for a truncated one though its engine runs.
+func TestLateEndIsThatOfAnAnswerIfItsEngineStatesItsStart(t *testing.T) {
+	withTestRouter(t, 1, func(tr *testRouter) {
+		status := http.StatusOK
+		tr.connect(func(c net.Conn, _ *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status)
+			_, _ = io.Copy(io.Discard, c)
+		})
+		x := tr.newExchange(context.Background())
+		e := tr.snapshot.Engines.ForService("llm")[0]
+		require.NoError(t, x.confirmRunning(context.Background(), e, endCheckLimit))
+		status = http.StatusMisdirectedRequest
+		require.True(t, engineconn.ErrTruncated.Has(x.confirmRunning(context.Background(), e, endCheckLimit)))
+		require.NoError(t, x.confirmRunning(context.Background(), e, endCheckLimit-time.Millisecond), "some process listens")
+		status, e.Born = http.StatusOK, 1
+		require.True(t, engineconn.ErrTruncated.Has(x.confirmRunning(context.Background(), e, endCheckLimit)), "the start is not stated")
+		tr.f.Conns.Close()
+	})
+}
