--- a/internal/base/engineconn/conn.go
+++ b/internal/base/engineconn/conn.go
@@ -144,17 +144,23 @@
 // hasUnackedData reports whether the peer has yet to acknowledge data. It also
 // returns true if the kernel can't tell for an open connection.
 func hasUnackedData(c net.Conn) bool {
+	queued, queryErr := 0, error(nil)
+	err := control(c, func(fd int) { queued, queryErr = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	return err == nil && (queryErr != nil || queued > 0)
+}
+
+// control calls f with the socket of a connection, beside a read or write that may be in progress. Errors:
+// errors.ErrUnsupported if the connection has none, net.ErrClosed.
+func control(c net.Conn, f func(fd int)) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	queued, queryErr := 0, error(nil)
-	err = raw.Control(func(fd uintptr) { queued, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && (queryErr != nil || queued > 0)
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // DialFunc opens a connection.
@@ -244,7 +250,7 @@
 	}
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		quiet = isQuiet(fd)
+		quiet = isQuiet(int(fd))
 		return true
 	})
 	return err == nil && quiet
@@ -270,16 +276,8 @@
 // peek looks for a byte to read, and leaves it there. It returns EAGAIN if there is none yet, and zero at
 // the end. Unlike a read, it does not wait for one that is in progress.
 func (c *conn) peek() (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	var peekErr error
-	err = raw.Control(func(fd uintptr) { n, peekErr = peekSocket(fd) })
+	err = control(c.Conn, func(fd int) { n, peekErr = peekSocket(fd) })
 	return n, errors.Join(err, peekErr)
 }
 
@@ -293,17 +291,9 @@
 // sinceLastData returns how long ago the last data of the peer arrived; zero if the kernel does not tell. The end of a
 // connection itself is no data, and acknowledgements of keep-alive probes follow it.
 func sinceLastData(c net.Conn) (age time.Duration) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	// An error means that the connection is closed.
-	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+	// An error means that the kernel does not tell.
+	_ = control(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			age = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
@@ -313,17 +303,9 @@
 // Poll returns which of the events of poll(2) the socket of a connection has now, besides POLLHUP and POLLERR. It takes
 // neither data nor an error from the socket.
 func Poll(c net.Conn, events int16) (int16, error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	var polled [1]unix.PollFd
 	var pollErr error
-	err = raw.Control(func(fd uintptr) {
+	err := control(c, func(fd int) {
 		polled[0] = unix.PollFd{Fd: int32(fd), Events: events}
 		_, pollErr = unix.Poll(polled[:], 0)
 	})
@@ -331,14 +313,14 @@
 }
 
 // isQuiet reports whether a socket is open and has no data to read.
-func isQuiet(fd uintptr) bool {
+func isQuiet(fd int) bool {
 	_, err := peekSocket(fd)
 	return errors.Is(err, unix.EAGAIN)
 }
 
-func peekSocket(fd uintptr) (n int, err error) {
+func peekSocket(fd int) (n int, err error) {
 	var buf [1]byte
-	n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, _, err = unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return n, err
 }
 
--- a/internal/edge/feed/versionstore.go
+++ b/internal/edge/feed/versionstore.go
@@ -56,32 +56,32 @@
 // load adopts the stored versions. A row that can't be read says nothing, and one that is missing only that the fleet may
 // indeed start for the first time.
 func (k *VersionsKeeper) load(value []byte, _ time.Duration) {
-	if value == nil && k.FirstStart {
-		k.Adopt(nil)
+	if value == nil {
+		if k.FirstStart {
+			k.Adopt(nil)
+		}
+		return
 	}
-	if versions, ok := k.decode(value); ok {
-		k.Adopt(versions)
+	versions, err := decodeVersions(value)
+	if err != nil {
+		k.Log.Warn("stored versions not read", "cause", err)
+		return
 	}
+	k.Adopt(versions)
 }
 
-// holds reports the versions of the row.
+// holds reports the versions of the row. One that can't be read has been logged.
 func (k *VersionsKeeper) holds(value []byte) {
-	if versions, ok := k.decode(value); ok {
+	if versions, err := decodeVersions(value); err == nil {
 		k.Log.Info("versions stored", "versions", versions)
 		k.Stored(versions)
 	}
 }
 
-// decode returns the versions of a row, or false if it is missing or can't be read.
-func (k *VersionsKeeper) decode(value []byte) (versions map[string][]string, ok bool) {
-	if len(value) == 0 {
-		return nil, false
-	}
-	if err := json.Unmarshal(value, &versions); err != nil {
-		k.Log.Warn("stored versions not read", "cause", err)
-		return nil, false
-	}
-	return versions, true
+// decodeVersions returns the versions of a row.
+func decodeVersions(value []byte) (versions map[string][]string, err error) {
+	err = json.Unmarshal(value, &versions)
+	return versions, err
 }
 
 // value returns the versions as stored. An incomplete history does not replace a complete one.
