review: case 7, a stream cut off by a crash behind a cut ends as complete

Cause: an answer without a length is taken for whole if its engine's address accepts a connection within a second of the end of the answer. When the end arrived is taken from the time since the last data. What a cut has held up arrives together when it ends, so that an end of 2.3 s ago counts as of now, and the engine's next start accepts the connection (exchange.confirmRunning).

--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -24,6 +24,18 @@
 	crashed func(e *engine, body string)
 	// work is how long a request runs.
 	work time.Duration
+	// slots is how many requests the engine runs at once.
+	slots int
+	// published is the address in the entry; empty if it is that of the engine.
+	published string
+	// closes is set if the engine's connections are closed at its end, as a kernel does for a process that has read everything;
+	// otherwise they are reset.
+	closes bool
+	// events and interval are the length of a stream.
+	events   int
+	interval time.Duration
+	// unframed reports whether the next stream has neither a length nor chunks; nil: none has.
+	unframed func() bool
 
 	mu    sync.Mutex
 	id    string
@@ -42,7 +54,7 @@
 
 // newEngine starts an engine on a free loopback port.
 func newEngine(id, site string) (*engine, error) {
-	e := &engine{id: id, site: site, address: "127.0.0.1:0", work: 20 * time.Millisecond, conns: make(map[net.Conn]bool)}
+	e := &engine{id: id, site: site, address: "127.0.0.1:0", work: 20 * time.Millisecond, slots: 8, events: 5, interval: 5 * time.Millisecond, conns: make(map[net.Conn]bool)}
 	return e, e.start()
 }
 
@@ -78,7 +90,9 @@
 	defer e.mu.Unlock()
 	_ = e.ln.Close()
 	for c := range e.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
+		if !e.closes {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
 		_ = c.Close()
 	}
 }
@@ -87,8 +101,12 @@
 func (e *engine) entry(service, state string) map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	address := e.address
+	if e.published != "" {
+		address = e.published
+	}
 	return map[string]any{
-		"service": service, "address": e.address, "zone": e.site, "version": "v1", "slots": 8, "state": state,
+		"service": service, "address": address, "zone": e.site, "version": "v1", "slots": e.slots, "state": state,
 		"coldLeftMs": 0, "seq": 1, "born": e.born,
 	}
 }
@@ -160,7 +178,7 @@
 		}
 		return false
 	}
-	head += "Damaskrouter-Upstream-Seal: seal-" + e.currentID() + "\r\nDamaskrouter-Engine-Load: 1,0,8\r\n"
+	head += "Damaskrouter-Upstream-Seal: seal-" + e.currentID() + fmt.Sprintf("\r\nDamaskrouter-Engine-Load: 1,0,%d\r\n", e.slots)
 	if strings.Contains(r.URL.Path, "stream") {
 		return e.stream(c, head)
 	}
@@ -168,17 +186,29 @@
 	return writef(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
 }
 
-// stream sends a stream of a few events.
+// stream sends a stream of events, and reports whether the connection stays open.
 func (e *engine) stream(c net.Conn, head string) bool {
-	writef(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head)
-	for i := range 5 {
+	head = "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\n"
+	unframed := e.unframed != nil && e.unframed()
+	if unframed {
+		head += "Connection: close\r\n\r\n"
+	} else {
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+	}
+	if !writef(c, "%s", head) {
+		return false
+	}
+	for i := range e.events {
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i+1, i+1)
-		if !writef(c, "%x\r\n%s\r\n", len(event), event) {
+		if !unframed {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if !writef(c, "%s", event) {
 			return false
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(e.interval)
 	}
-	return writef(c, "0\r\n\r\n")
+	return !unframed && writef(c, "0\r\n\r\n")
 }
 
 // executions returns the requests that the engine has begun to run, over all its starts.
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -28,8 +28,9 @@
 }
 
 var (
-	// smallSheet is that of sed-basvuru, grownSheet that of armor-survey-grown for machines with the slowest link.
+	// smallSheet is that of sed-basvuru, armorSheet that of armor-survey, grownSheet that of armor-survey-grown for machines with the slowest link.
 	smallSheet = sheet{linkMbps: 1000, config: 2 * time.Second, drain: 2 * time.Second, revoke: 5 * time.Second, stable: 3 * time.Second, retrySlack: 58}
+	armorSheet = sheet{linkMbps: 1000, config: 2 * time.Second, drain: 2 * time.Second, revoke: 5 * time.Second, stable: 3 * time.Second, retrySlack: 56}
 	grownSheet = sheet{linkMbps: 10, config: 3 * time.Second, drain: 3 * time.Second, revoke: 5 * time.Second, stable: 4 * time.Second, retrySlack: 218}
 )
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,6 +22,7 @@
 	"lost-config": lostConfig,
 	"same-id":     sameID,
 	"deadly-cuts": deadlyAmongCuts,
+	"held-end":    heldEnd,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/proxy.go
+++ b/review/rig2/proxy.go
@@ -35,12 +35,43 @@
 	time.Sleep(time.Until(arrives))
 }
 
+// cut is a disturbance of a path, which holds up everything until it ends. The zero value is no disturbance.
+type cut struct {
+	mu     sync.Mutex
+	healed chan struct{}
+}
+
+func (c *cut) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.healed = make(chan struct{})
+}
+
+func (c *cut) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.healed)
+	c.healed = nil
+}
+
+// wait returns once the path is not cut.
+func (c *cut) wait() {
+	c.mu.Lock()
+	healed := c.healed
+	c.mu.Unlock()
+	if healed != nil {
+		<-healed
+	}
+}
+
 // proxy carries connections to one address.
 type proxy struct {
 	ln     net.Listener
 	target string
 	// in limits what is carried to the target, and out what comes back.
 	in, out *link
+	// cut holds up what is carried in either direction, and new connections.
+	cut cut
 	// sent counts what was carried to the target, in bytes.
 	sent atomic.Int64
 
@@ -55,15 +86,28 @@
 		return nil, err
 	}
 	p := &proxy{ln: ln, target: target, in: in, out: out, conns: make(map[net.Conn]bool)}
-	go p.serve()
+	go p.serve(ln)
 	return p, nil
 }
 
+// refuse refuses new connections, as an address does at which no process listens, until accept is called.
+func (p *proxy) refuse() { _ = p.ln.Close() }
+
+func (p *proxy) accept() error {
+	ln, err := net.Listen("tcp4", p.address())
+	if err != nil {
+		return err
+	}
+	p.ln = ln
+	go p.serve(ln)
+	return nil
+}
+
 func (p *proxy) address() string { return p.ln.Addr().String() }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -73,6 +117,7 @@
 
 // carry connects to the target and copies in both directions.
 func (p *proxy) carry(c net.Conn) {
+	p.cut.wait()
 	t, err := net.Dial("tcp4", p.target)
 	if err != nil {
 		_ = c.Close()
@@ -83,10 +128,10 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		copyThrough(t, c, p.in, &p.sent)
+		p.copyThrough(t, c, p.in, &p.sent)
 		_ = t.(*net.TCPConn).CloseWrite()
 	}()
-	copyThrough(c, t, p.out, new(atomic.Int64))
+	p.copyThrough(c, t, p.out, new(atomic.Int64))
 	_ = c.Close()
 	<-done
 }
@@ -94,10 +139,12 @@
 // packet is how much a link carries at once, in bytes.
 const packet = 4 << 10
 
-func copyThrough(to io.Writer, from io.Reader, l *link, count *atomic.Int64) {
+func (p *proxy) copyThrough(to io.Writer, from io.Reader, l *link, count *atomic.Int64) {
 	buf := make([]byte, packet)
 	for {
 		n, err := from.Read(buf)
+		// The end of a connection is held up too.
+		p.cut.wait()
 		if n > 0 {
 			l.carry(n)
 			count.Add(int64(n))
