feed: a configuration whose transfer outlasts its call is applied

Cause: one deadline bounded the call to the store and the handing over to the board. The client lets the transfer of a large configuration outlast the call; by then the deadline had passed, and Board.put chose at random between the update and the end of the context. The drop was not reported and the cursor had moved on, so that the next, empty watch confirmed the former configuration as the newest, to all routers.

Why it works: the deadline applies to the call only. PutConfig and PutEngines report whether the update is in force; cursor, era and the end of a complete read follow only then.

--- a/internal/edge/feed/board.go
+++ b/internal/edge/feed/board.go
@@ -156,18 +156,18 @@
 }
 
 // PutConfig applies a configuration and an evacuation update that were confirmed by a call sent at
-// asOf, as far as they are not of an earlier era than the known ones. It returns once snapshots
-// contain them or the context is canceled. If it returned earlier, the goroutine that requests the
-// data would request the same data again.
-func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, evacuations catalog.EvacuationUpdate, asOf time.Duration) {
-	b.PutRelayedConfig(ctx, c, evacuations, asOf, asOf)
+// asOf, as far as they are not of an earlier era than the known ones. It returns true once snapshots
+// contain them, or false if the context ends first: the update may then never be applied. If it
+// returned earlier, the goroutine that requests the data would request the same data again.
+func (b *Board) PutConfig(ctx context.Context, c *catalog.Config, evacuations catalog.EvacuationUpdate, asOf time.Duration) (applied bool) {
+	return b.PutRelayedConfig(ctx, c, evacuations, asOf, asOf)
 }
 
 // PutRelayedConfig is PutConfig for an update of another router, which last read its source at
 // readAsOf.
-func (b *Board) PutRelayedConfig(ctx context.Context, c *catalog.Config, evacuations catalog.EvacuationUpdate, asOf, readAsOf time.Duration) {
+func (b *Board) PutRelayedConfig(ctx context.Context, c *catalog.Config, evacuations catalog.EvacuationUpdate, asOf, readAsOf time.Duration) (applied bool) {
 	b.RecordEra(evacuations.Era)
-	b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+	return b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
 		s, evacuationsChanged := s.WithEvacuations(evacuations, readAsOf)
 		s, configChanged := s.WithConfig(c, asOf)
 		if c == s.Config {
@@ -179,12 +179,10 @@
 
 // PutEngines applies an engine update that was confirmed by a call sent at asOf; see PutConfig.
 // lostAgo is the time since the last known failure of a reader to reach the store. PutEngines
-// returns the changes made by the update, or none if the context was canceled before it was
-// applied.
-func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, lostAgo time.Duration) catalog.EngineChanges {
+// returns the changes made by the update, and false if the context ended before it was applied.
+func (b *Board) PutEngines(ctx context.Context, u catalog.EngineUpdate, asOf, lostAgo time.Duration) (changes catalog.EngineChanges, applied bool) {
 	b.RecordEra(u.Era)
-	var changes catalog.EngineChanges
-	applied := b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
+	applied = b.put(ctx, func(s *catalog.Snapshot) (*catalog.Snapshot, bool) {
 		next, changed := s.WithEngines(u, asOf, time.Duration(b.minOutage.Load()), lostAgo)
 		if changed {
 			changes = s.ChangesTo(next)
@@ -193,9 +191,9 @@
 	})
 	if !applied {
 		// The goroutine of the board may still be writing to changes.
-		return catalog.EngineChanges{}
+		return catalog.EngineChanges{}, false
 	}
-	return changes
+	return changes, true
 }
 
 // PutVersions adds the versions of engines whose entries lack them; see PutConfig.
--- a/internal/edge/feed/fakestore_test.go
+++ b/internal/edge/feed/fakestore_test.go
@@ -26,8 +26,11 @@
 	silent      bool
 	// historyLost makes watches fail with ErrHistoryLost.
 	historyLost bool
-	calls       atomic.Int64
-	changed     chan struct{}
+	// transfer is how long the transfer of a response with content takes. As with the platform's
+	// client, the deadline of a call applies only until the response begins.
+	transfer time.Duration
+	calls    atomic.Int64
+	changed  chan struct{}
 	// era is the era that responses state.
 	era catalog.Era
 	// rows holds the rows written by routers, by key.
@@ -147,6 +150,7 @@
 	if err := s.simulateFailure(ctx); err != nil {
 		return ConfigRead{}, err
 	}
+	defer s.sendContent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := catalog.EvacuationUpdate{Era: s.era, Full: true, Upto: s.version}
@@ -201,24 +205,41 @@
 	if err := s.wait(ctx, since, wait); err != nil {
 		return ConfigRead{}, err
 	}
+	read := s.configSince(since)
+	if read.Upto > since {
+		s.sendContent()
+	}
+	return read, nil
+}
+
+func (s *fakeStore) configSince(since uint64) ConfigRead {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := catalog.EvacuationUpdate{Era: s.era}
 	if s.version == since {
-		return ConfigRead{Upto: since, Evacuations: u}, nil
+		return ConfigRead{Upto: since, Evacuations: u}
 	}
 	for _, e := range s.evacuations {
 		if e.Revision > since {
 			u.Changes = append(u.Changes, e)
 		}
 	}
-	return ConfigRead{Config: s.config, Evacuations: u, Upto: s.version}, nil
+	return ConfigRead{Config: s.config, Evacuations: u, Upto: s.version}
+}
+
+// sendContent returns after the transfer of a response with content.
+func (s *fakeStore) sendContent() {
+	s.mu.Lock()
+	transfer := s.transfer
+	s.mu.Unlock()
+	time.Sleep(transfer)
 }
 
 func (s *fakeStore) ReadEngines(ctx context.Context) (catalog.EngineUpdate, error) {
 	if err := s.simulateFailure(ctx); err != nil {
 		return catalog.EngineUpdate{}, err
 	}
+	defer s.sendContent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return catalog.EngineUpdate{Era: s.era, First: s.version, Full: true, Upto: s.version, Present: slices.Clone(s.engines)}, nil
@@ -228,6 +249,14 @@
 	if err := s.wait(ctx, since, wait); err != nil {
 		return catalog.EngineUpdate{}, err
 	}
+	u := s.enginesSince(since)
+	if u.Upto > since {
+		s.sendContent()
+	}
+	return u, nil
+}
+
+func (s *fakeStore) enginesSince(since uint64) catalog.EngineUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := catalog.EngineUpdate{Era: s.era, Since: since, Upto: s.version}
@@ -241,5 +270,5 @@
 			u.Removed = append(u.Removed, r)
 		}
 	}
-	return u, nil
+	return u
 }
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -373,7 +373,7 @@
 	if engines.Full {
 		f.Log.Info("full engine list received", "source", source, "engines", len(engines.Present), "engines_revision", engines.Upto)
 	}
-	changes := f.Board.PutEngines(ctx, engines, asOf-reply.EnginesAge, f.LostAgo())
+	changes, _ := f.Board.PutEngines(ctx, engines, asOf-reply.EnginesAge, f.LostAgo())
 	logEngineChanges(f.Log, source, changes)
 }
 
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -73,7 +73,7 @@
 	// configEra its era. Zero requests a complete read. Only the goroutine of Run uses them.
 	configCursor uint64
 	configEra    catalog.Era
-	// readAll is set for each watch from a loss of the store's history to the next complete read,
+	// readAll is set for each watch from a loss of the store's history until a complete read is in force,
 	// because the store's version may meanwhile pass the one of the last watch. Each element is used
 	// only by the goroutine of its watch.
 	readAll [2]bool
@@ -122,7 +122,7 @@
 }
 
 // watchLoop calls watch while this router is to read the store.
-func (r *Reader) watchLoop(ctx context.Context, which int, watchPause time.Duration, watch func(ctx context.Context, hold time.Duration) error) {
+func (r *Reader) watchLoop(ctx context.Context, which int, watchPause time.Duration, watch func(ctx context.Context, call storeCall) error) {
 	schedule := newCallSchedule()
 	for ctx.Err() == nil {
 		if !r.shouldRead(which) {
@@ -132,10 +132,7 @@
 			pause.For(ctx, r.pollInterval())
 			continue
 		}
-		hold, timeout := schedule.next(r.Timing())
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		err := watch(callCtx, hold)
-		cancel()
+		err := watch(ctx, schedule.next(r.Timing()))
 		r.logEra()
 		if err == nil {
 			r.recordSuccess(which)
@@ -170,6 +167,13 @@
 	return startPollInterval
 }
 
+// storeCall bounds a call to the store: hold is how long the store may hold it, and timeout how long
+// the response may take to begin. The transfer of a large response may take longer, so that the
+// deadline must not apply to what is done with the response.
+type storeCall struct {
+	hold, timeout time.Duration
+}
+
 // callSchedule holds the timeouts and pauses of consecutive calls to the store.
 type callSchedule struct {
 	// lastOK is set if the last call succeeded.
@@ -181,12 +185,12 @@
 
 func newCallSchedule() callSchedule { return callSchedule{timeout: probeTimeout, pause: failurePause} }
 
-// next returns how long the next call may be held and its timeout.
-func (s *callSchedule) next(t Timing) (hold, timeout time.Duration) {
+// next returns the bounds of the next call.
+func (s *callSchedule) next(t Timing) storeCall {
 	if s.lastOK {
-		return t.Watch, t.Watch + watchSlack
+		return storeCall{hold: t.Watch, timeout: t.Watch + watchSlack}
 	}
-	return probeWait, s.timeout
+	return storeCall{hold: probeWait, timeout: s.timeout}
 }
 
 func (s *callSchedule) succeeded() {
@@ -259,9 +263,13 @@
 	}
 }
 
-func (r *Reader) watchConfig(ctx context.Context, hold time.Duration) error {
+// watchConfig reads changes of the configuration and of the evacuations, and advances the cursor once
+// they are in force.
+func (r *Reader) watchConfig(ctx context.Context, call storeCall) error {
 	sent := r.Clock()
-	read, err := r.readConfig(ctx, hold)
+	readCtx, cancel := context.WithTimeout(ctx, call.timeout)
+	read, err := r.readConfig(readCtx, call.hold)
+	cancel()
 	if err != nil {
 		return err
 	}
@@ -274,9 +282,14 @@
 	} else {
 		r.logConfig(c, sent)
 	}
-	r.configCursor = read.Upto
 	logEvacuations(r.Log, "evacuation read", r.Board.Snapshot().Evacuations.StateChanges(read.Evacuations), "took", r.Clock()-sent)
-	r.Board.PutConfig(ctx, c, read.Evacuations, r.asOf(sent, hold, read.empty()))
+	if !r.Board.PutConfig(ctx, c, read.Evacuations, r.asOf(sent, call.hold, read.empty())) {
+		return ctx.Err()
+	}
+	r.configCursor, r.configEra = read.Upto, read.Evacuations.Era
+	if read.Evacuations.Full {
+		r.readAll[configWatch] = false
+	}
 	return nil
 }
 
@@ -317,8 +330,7 @@
 	if err != nil {
 		return ConfigRead{}, err
 	}
-	read.Evacuations.Era, r.configEra = era, era
-	r.readAll[configWatch] = false
+	read.Evacuations.Era = era
 	return read, nil
 }
 
@@ -357,9 +369,12 @@
 	}
 }
 
-func (r *Reader) watchEngines(ctx context.Context, hold time.Duration) error {
+// watchEngines reads changes of the engines. The cursor is that of the board.
+func (r *Reader) watchEngines(ctx context.Context, call storeCall) error {
 	sent := r.Clock()
-	update, err := r.readEngines(ctx, hold)
+	readCtx, cancel := context.WithTimeout(ctx, call.timeout)
+	update, err := r.readEngines(readCtx, call.hold)
+	cancel()
 	if err != nil {
 		return err
 	}
@@ -377,7 +392,13 @@
 			r.Log.Warn("engine list ignored: it is older than the known engines", "engines_revision", update.Upto, "held", held, "era", update.Era)
 		}
 	}
-	changes := r.Board.PutEngines(ctx, update, r.asOf(sent, hold, empty), r.failedAgo())
+	changes, applied := r.Board.PutEngines(ctx, update, r.asOf(sent, call.hold, empty), r.failedAgo())
+	if !applied {
+		return ctx.Err()
+	}
+	if update.Full {
+		r.readAll[enginesWatch] = false
+	}
 	logEngineChanges(r.Log, sourceStore, changes)
 	return nil
 }
@@ -413,8 +434,5 @@
 		return update, err
 	}
 	update.Era, err = eraOf(update.Era, known, held.Era == known && held.Contradicts(update))
-	if err == nil {
-		r.readAll[enginesWatch] = false
-	}
 	return update, err
 }
