quarantine: an end belongs to a start of an engine, not to its ID

Cause: ends were counted by the engine's ID, and requests with the same prompt, suspects too, go to the same engine.

Ends are counted by EngineStart, the ID with "born". It travels in EndRecord and in the stored quarantine; routers of earlier releases leave it out, and such an end counts once beside those of known starts under its ID. The row of the store grows by it and is cut to fit.

Related paths: parts of prompts; the verdict of the crash detector, which was kept by ID for 5 s; an engine that is back under its ID before it is asked; the router's own retry; the stored quarantine. internal/serve names upstreams with their incarnation already.

--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -149,7 +149,7 @@
 // or another part, unless all ends of one of the two came under the other, so that either may be to blame.
 // byRequest is set if a request with the part explains it.
 func (t *Table) excuse(e *Entry, end End) (excused, byRequest bool) {
-	for _, by := range t.index().byEngine[end.Engine] {
+	for _, by := range t.index().byEngine[end.Start()] {
 		switch {
 		case by.Key() == e.Key():
 		case by.Key().IsPart():
@@ -167,14 +167,14 @@
 // if they do not.
 func (t *Table) coveredBy(r *row, others []*row) []Part {
 	var out []Part
-	covered := make(map[string]bool)
+	covered := make(map[EngineStart]bool)
 	for _, other := range others {
 		if !other.Key().IsPart() || other == r || !other.endsAreUnder(&r.Entry) || r.endsAreUnder(&other.Entry) {
 			continue
 		}
 		out = append(out, other.Part)
 		for _, end := range other.Ends {
-			covered[end.Engine] = true
+			covered[end.Start()] = true
 		}
 	}
 	if len(covered) < len(r.Ends) {
@@ -269,17 +269,17 @@
 // at least some number of engines ended: another one than the given one, and no request with it.
 func (t *Table) mayExplain(end End, except *Entry, ends int) bool {
 	if t.likely == nil {
-		t.likely = make(map[string][]*row)
+		t.likely = make(map[EngineStart][]*row)
 		for _, r := range t.entries {
 			if r.open < likelyEnds || r.answeredLately() {
 				continue
 			}
 			for _, end := range r.Ends {
-				t.likely[end.Engine] = append(t.likely[end.Engine], r)
+				t.likely[end.Start()] = append(t.likely[end.Start()], r)
 			}
 		}
 	}
-	return slices.ContainsFunc(t.likely[end.Engine], func(r *row) bool {
+	return slices.ContainsFunc(t.likely[end.Start()], func(r *row) bool {
 		return r.open >= ends && r.Key() != except.Key() && (r.Key().IsPart() || !slices.Contains(end.Requests, r.hash()))
 	})
 }
@@ -301,7 +301,7 @@
 	first := firstOf(counted)
 	from, others := first, 0
 	for _, end := range t.ends {
-		if end.At >= first-rateWindow && !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil && !t.mayExplain(end, e, t.limits.PartEnds-1) {
+		if end.At >= first-rateWindow && !e.endedUnder(end.Start()) && t.index().explanation(end.Start(), e) == nil && !t.mayExplain(end, e, t.limits.PartEnds-1) {
 			others++
 			from = min(from, end.At)
 		}
--- a/internal/decide/quarantine/attribution_test.go
+++ b/internal/decide/quarantine/attribution_test.go
@@ -476,3 +476,16 @@
 	require.True(t, table.Status(partKey("bad0")).Suspected)
 	require.True(t, table.Status(partKey("bad1")).Suspected)
 }
+
+// Guards against a part that crashes engines for ever because they start again under their IDs.
+func TestPartThatEndsStartsUnderOneIDIsStopped(t *testing.T) {
+	table := NewTable(DefaultLimits())
+	now := time.Hour
+	for i := range DefaultLimits().PartEnds {
+		now += 5 * time.Second
+		end := endOf(1, now)
+		end.Born = int64(i + 1)
+		table.RecordEnd(end, []Cut{cutWith(fmt.Sprint("q", i), "bad")}, now)
+	}
+	require.Equal(t, []string{"bad"}, table.quarantinedParts())
+}
--- a/internal/decide/quarantine/index.go
+++ b/internal/decide/quarantine/index.go
@@ -6,7 +6,7 @@
 type quarantineIndex struct {
 	rows []*row
 	// byEngine holds the suspects under which each engine ended, parts first.
-	byEngine map[string][]*row
+	byEngine map[EngineStart][]*row
 	// offences counts the suspects of each account, without the requests whose ends parts explain.
 	offences map[offender]int
 }
@@ -22,7 +22,7 @@
 	if t.quarantined != nil {
 		return t.quarantined
 	}
-	x := &quarantineIndex{byEngine: make(map[string][]*row), offences: make(map[offender]int)}
+	x := &quarantineIndex{byEngine: make(map[EngineStart][]*row), offences: make(map[offender]int)}
 	for _, r := range t.entries {
 		if r.Quarantined {
 			x.rows = append(x.rows, r)
@@ -36,7 +36,7 @@
 	})
 	for _, r := range x.rows {
 		for _, end := range r.Ends {
-			x.byEngine[end.Engine] = append(x.byEngine[end.Engine], r)
+			x.byEngine[end.Start()] = append(x.byEngine[end.Start()], r)
 		}
 	}
 	for _, r := range x.rows {
@@ -52,7 +52,7 @@
 
 // explanation returns the suspect in quarantine, other than the given one, under which an engine ended,
 // or nil. Parts come first.
-func (x *quarantineIndex) explanation(engine string, except *Entry) *Entry {
+func (x *quarantineIndex) explanation(engine EngineStart, except *Entry) *Entry {
 	for _, r := range x.byEngine[engine] {
 		if r.Key() != except.Key() {
 			return &r.Entry
@@ -67,7 +67,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(e.Ends, func(end End) bool {
-		by := x.explanation(end.Engine, e)
+		by := x.explanation(end.Start(), e)
 		return by == nil || !by.Key().IsPart()
 	})
 }
--- a/internal/decide/quarantine/requests.go
+++ b/internal/decide/quarantine/requests.go
@@ -23,7 +23,7 @@
 		if t.now < e.countsAt(end) {
 			return true
 		}
-		by := t.index().explanation(end.Engine, e)
+		by := t.index().explanation(end.Start(), e)
 		lately := e.countsAt(end) > end.At
 		return by != nil && (by.Key().IsPart() || lately) || lately && t.mayExplain(end, e, likelyEnds)
 	})
@@ -112,7 +112,7 @@
 func (t *Table) endsWithout(e *Entry) []End {
 	var out []End
 	for _, end := range t.ends {
-		if !e.endedUnder(end.Engine) && t.index().explanation(end.Engine, e) == nil {
+		if !e.endedUnder(end.Start()) && t.index().explanation(end.Start(), e) == nil {
 			out = append(out, end)
 		}
 	}
--- a/internal/decide/quarantine/suspect.go
+++ b/internal/decide/quarantine/suspect.go
@@ -50,10 +50,24 @@
 	return cmp.Or(slices.Compare(k.Fingerprint[:], o.Fingerprint[:]), strings.Compare(k.Part.Service, o.Part.Service), strings.Compare(k.Part.ID, o.Part.ID))
 }
 
+// EngineStart identifies one start of an engine. An engine may start again under its ID.
+type EngineStart struct {
+	ID string
+	// Born is the time of the start by the engine's own clock, in Unix milliseconds, or zero if it is not
+	// known. The engine then has another ID in each start, as far as is known.
+	Born int64
+}
+
+// Compare orders starts by the ID.
+func (s EngineStart) Compare(o EngineStart) int {
+	return cmp.Or(strings.Compare(s.ID, o.ID), cmp.Compare(s.Born, o.Born))
+}
+
 // End is the unexpected end of an engine.
 type End struct {
-	// Engine is the ID of the engine, which differs from start to start.
+	// Engine is the ID of the engine, and Born the time of the start that ended; see EngineStart.
 	Engine string
+	Born   int64
 	// Site is the site of the engine.
 	Site string
 	// At is the time, on the boot clock of this VM, at which the end was noticed.
@@ -72,6 +86,9 @@
 // maxEndRequests is the number of requests that are told apart under the end of one engine.
 const maxEndRequests = 4
 
+// Start returns the start that ended.
+func (e End) Start() EngineStart { return EngineStart{ID: e.Engine, Born: e.Born} }
+
 // addRequests adds hashes of requests, and returns false if they are known.
 func (e *End) addRequests(hashes []uint64) (changed bool) {
 	for _, h := range hashes {
@@ -112,8 +129,8 @@
 	Suspect
 	// Generation is the number of times the suspect was cleared.
 	Generation uint32
-	// Ends holds the engines that ended while they executed the request, or one with the part, since it
-	// was last cleared, ordered by ID.
+	// Ends holds the starts of engines that ended while they executed the request, or one with the part,
+	// since it was last cleared, in order.
 	Ends []End
 	// OutlivedAt is when the newest answer began that went on for longer than Outlives or was completed,
 	// and CompletedAt the same for completed ones; zero for none. The engine of that answer did not end
@@ -129,7 +146,7 @@
 	ChangedAt time.Duration
 }
 
-// Engines returns the IDs of the engines that have ended.
+// Engines returns the IDs of the engines that have ended, once for each start.
 func (e *Entry) Engines() []string {
 	out := make([]string, len(e.Ends))
 	for i, end := range e.Ends {
@@ -141,23 +158,32 @@
 // Requests returns how many different requests it takes to explain the ends under a part.
 func (e *Entry) Requests() int { return minRequests(e.openEnds()) }
 
-// endedUnder reports whether an engine ended under the suspect.
-func (e *Entry) endedUnder(engine string) bool {
-	_, found := slices.BinarySearchFunc(e.Ends, engine, func(end End, id string) int { return strings.Compare(end.Engine, id) })
+// find returns the position of a start in Ends, or where it belongs.
+func (e *Entry) find(start EngineStart) (i int, found bool) {
+	return slices.BinarySearchFunc(e.Ends, start, func(end End, s EngineStart) int { return end.Start().Compare(s) })
+}
+
+// endedUnder reports whether a start of an engine ended under the suspect.
+func (e *Entry) endedUnder(start EngineStart) bool {
+	_, found := e.find(start)
 	return found
 }
 
 // endsAreUnder reports whether all engines that ended under the suspect ended under another one too.
 func (e *Entry) endsAreUnder(o *Entry) bool {
-	return !slices.ContainsFunc(e.Ends, func(end End) bool { return !o.endedUnder(end.Engine) })
+	return !slices.ContainsFunc(e.Ends, func(end End) bool { return !o.endedUnder(end.Start()) })
 }
 
-// maxEnds bounds the ends of an entry: those with the first IDs are kept, so that routers agree.
+// maxEnds bounds the ends of an entry: the first ones in order are kept, so that routers agree.
 const maxEnds = 64
 
-// addEnd adds the end of an engine, and returns false if nothing of it is new.
+// addEnd adds the end of an engine, and returns false if nothing of it is new. An end whose start is not
+// known may be any under the same ID, and is dropped once the start of one of these is known.
 func (e *Entry) addEnd(end End) bool {
-	i, known := slices.BinarySearchFunc(e.Ends, end, func(a, b End) int { return strings.Compare(a.Engine, b.Engine) })
+	i, known := e.find(end.Start())
+	if !known && end.Born == 0 && i < len(e.Ends) && e.Ends[i].Engine == end.Engine {
+		return false
+	}
 	if known {
 		merged, refuted := e.Ends[i], e.refuted(e.Ends[i])
 		changed := merged.merge(end)
@@ -166,6 +192,10 @@
 		e.Ends[i] = merged
 		return changed || e.refuted(merged) != refuted
 	}
+	if end.Born != 0 && i > 0 && e.Ends[i-1].Start() == (EngineStart{ID: end.Engine}) {
+		e.Ends = slices.Delete(slices.Clone(e.Ends), i-1, i)
+		i--
+	}
 	if i >= maxEnds {
 		return false
 	}
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -28,12 +28,12 @@
 	limits  Limits
 	entries map[Key]*row
 	// ends holds the ends under any suspect, by engine.
-	ends map[string]End
+	ends map[EngineStart]End
 	// quarantined indexes the suspects in quarantine; nil if it must be determined anew.
 	quarantined *quarantineIndex
 	// likely holds, by engine, the suspects that are likely to have ended it; nil if it must be determined
 	// anew.
-	likely map[string][]*row
+	likely map[EngineStart][]*row
 	// now is the time of the last change or of Advance.
 	now time.Duration
 	// revision is the revision of the last change that other routers need to know, and viewRevision that
@@ -58,7 +58,7 @@
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, entries: make(map[Key]*row), ends: make(map[string]End)}
+	return &Table{limits: limits, entries: make(map[Key]*row), ends: make(map[EngineStart]End)}
 }
 
 // Revision returns the revision of the last change.
@@ -186,8 +186,8 @@
 		return Change{}, false
 	}
 	for _, end := range e.Ends {
-		if _, known := t.ends[end.Engine]; !known {
-			t.ends[end.Engine] = end
+		if _, known := t.ends[end.Start()]; !known {
+			t.ends[end.Start()] = end
 		}
 	}
 	r.acquit(now)
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -37,14 +37,18 @@
 // state is what all routers must agree on.
 type state struct {
 	Generation, Lapsed uint32
-	Engines            string
+	Starts             string
 	Quarantined        bool
 }
 
 func (t *Table) states() map[Key]state {
 	out := make(map[Key]state)
 	for f, r := range t.entries {
-		out[f] = state{r.Generation, r.Lapsed, fmt.Sprint(r.Engines()), r.Quarantined}
+		var starts []EngineStart
+		for _, end := range r.Ends {
+			starts = append(starts, end.Start())
+		}
+		out[f] = state{r.Generation, r.Lapsed, fmt.Sprint(starts), r.Quarantined}
 	}
 	return out
 }
@@ -88,7 +92,7 @@
 			own := tables[router.Draw(t, "router")]
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0, 1:
-				end := End{Engine: fmt.Sprint("e", rapid.IntRange(0, 12).Draw(t, "engine")), Site: "site", At: now}
+				end := End{Engine: fmt.Sprint("e", rapid.IntRange(0, 12).Draw(t, "engine")), Born: rapid.Int64Range(0, 2).Draw(t, "born"), Site: "site", At: now}
 				own.RecordEnd(end, cuts(rapid.SliceOfDistinct(rapid.SampledFrom(suspects), Suspect.Key).Draw(t, "suspects")...), now)
 			case 2:
 				own.Clear(rapid.SampledFrom(suspects).Draw(t, "cleared").Key(), now)
@@ -275,3 +279,35 @@
 	require.Len(t, b.ChangedSince(revision, "a"), 1)
 	require.True(t, slices.Equal([]string{"e1", "e2"}, engines(b, s)))
 }
+
+// Guards against a request that is never stopped because the engine that it crashes starts again under its
+// ID each time.
+func TestEndsOfStartsUnderOneIDAddUp(t *testing.T) {
+	table, q := NewTable(DefaultLimits()), suspect("q")
+	for i := range 3 {
+		at := time.Duration(i+1) * 10 * time.Second
+		table.RecordEnd(End{Engine: "e", Born: int64(i + 1), Site: "site", At: at}, cuts(q), at)
+		table.RecordEnd(End{Engine: "e", Born: int64(i + 1), Site: "site", At: at}, cuts(q), at)
+		table.Advance(at + decided)
+		require.Equal(t, i == 2, table.entry(q).Quarantined, i)
+	}
+}
+
+// Guards against an end that counts twice since one router knows the start of the engine and another does
+// not, as one of an earlier release.
+func TestEndOfUnknownStartCountsOnce(t *testing.T) {
+	known, unknown := End{Engine: "e", Born: 5, At: 1}, End{Engine: "e", At: 2}
+	for _, order := range [][]End{{known, unknown, unknown}, {unknown, known, unknown}} {
+		table, q := NewTable(DefaultLimits()), suspect("q")
+		table.RecordEnd(End{Engine: "d", At: 1}, cuts(q), 1)
+		table.RecordEnd(End{Engine: "f", At: 1}, cuts(q), 1)
+		for _, end := range order {
+			table.RecordEnd(end, cuts(q), end.At)
+		}
+		var starts []EngineStart
+		for _, end := range table.entry(q).Ends {
+			starts = append(starts, end.Start())
+		}
+		require.Equal(t, []EngineStart{{ID: "d"}, {ID: "e", Born: 5}, {ID: "f"}}, starts)
+	}
+}
--- a/internal/decide/quarantine/view.go
+++ b/internal/decide/quarantine/view.go
@@ -46,17 +46,13 @@
 	isPart bool
 }
 
-// EndsWithout returns the number of engines that have ended under the request, without the given
-// ones.
-func (s Status) EndsWithout(engines []string) int {
+// EndsWithout returns the number of starts of engines that have ended under the request, without the
+// given ones.
+func (s Status) EndsWithout(starts []EngineStart) int {
 	n := 0
 	for _, end := range s.Ends {
-		n++
-		for _, id := range engines {
-			if id == end.Engine {
-				n--
-				break
-			}
+		if !slices.Contains(starts, end.Start()) {
+			n++
 		}
 	}
 	return n
--- a/internal/decide/quarantine/view_test.go
+++ b/internal/decide/quarantine/view_test.go
@@ -23,7 +23,7 @@
 	table.Advance(status.HeldUntil)
 	status, _ = table.View().Find(content)
 	require.True(t, status.Quarantined)
-	require.Equal(t, 1, status.EndsWithout([]string{"e0", "e2", "x"}))
+	require.Equal(t, 1, status.EndsWithout([]EngineStart{{ID: "e0"}, {ID: "e2"}, {ID: "x"}}))
 }
 
 // Guards against hashing the bodies of requests that resemble no suspect.
--- a/internal/edge/catalog/engine.go
+++ b/internal/edge/catalog/engine.go
@@ -57,6 +57,9 @@
 // that does is outdated.
 func (e Engine) precedes(born int64) bool { return e.Born > 0 && e.Born < born }
 
+// StartedAfter reports whether this is a later start under the ID of o than the one that o is.
+func (e Engine) StartedAfter(o Engine) bool { return o.precedes(e.Born) }
+
 // RegisteredAfter reports whether the entry of another engine was written after o. Across eras, the
 // starts of the engines decide, as far as both are reported.
 func (e Engine) RegisteredAfter(o Engine) bool {
--- a/internal/edge/crash/detector.go
+++ b/internal/edge/crash/detector.go
@@ -65,7 +65,7 @@
 			cuts = append(cuts, c.Cut)
 		}
 	}
-	return quarantine.End{Engine: e.Engine.ID, Site: e.Engine.Site, At: e.At, Peers: peers}, cuts
+	return quarantine.End{Engine: e.Engine.ID, Born: e.Engine.Born, Site: e.Engine.Site, At: e.At, Peers: peers}, cuts
 }
 
 // Options configure a Detector.
@@ -85,11 +85,11 @@
 	Options
 
 	mu             sync.Mutex
-	investigations map[string]*investigation
+	investigations map[quarantine.EngineStart]*investigation
 	wg             sync.WaitGroup
 }
 
-// investigation is the state of one engine.
+// investigation is the state of one start of an engine.
 type investigation struct {
 	startedAt time.Duration
 	pending   []Cut
@@ -105,7 +105,7 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 		}
 	}
-	return &Detector{Options: o, investigations: make(map[string]*investigation)}
+	return &Detector{Options: o, investigations: make(map[quarantine.EngineStart]*investigation)}
 }
 
 // Report records a request that was cut, and starts an investigation unless one is in progress. An
@@ -118,10 +118,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forget(now)
-	inv := d.investigations[e.ID]
+	inv := d.investigations[startOf(e)]
 	switch {
 	case inv == nil:
-		d.investigations[e.ID] = &investigation{startedAt: now, pending: []Cut{c}}
+		d.investigations[startOf(e)] = &investigation{startedAt: now, pending: []Cut{c}}
 		d.wg.Go(func() { d.investigate(ctx, e) })
 	case !inv.decided:
 		inv.pending = append(inv.pending, c)
@@ -132,6 +132,10 @@
 	}
 }
 
+func startOf(e catalog.Engine) quarantine.EngineStart {
+	return quarantine.EngineStart{ID: e.ID, Born: e.Born}
+}
+
 // Wait waits for the investigations in progress.
 func (d *Detector) Wait() { d.wg.Wait() }
 
@@ -145,9 +149,9 @@
 
 // forget drops old investigations. The caller holds the mutex.
 func (d *Detector) forget(now time.Duration) {
-	for id, inv := range d.investigations {
+	for start, inv := range d.investigations {
 		if inv.decided && now-inv.startedAt > verdictLifetime {
-			delete(d.investigations, id)
+			delete(d.investigations, start)
 		}
 	}
 }
@@ -176,13 +180,16 @@
 	d.decide(e, false, "")
 }
 
-// checkCatalog looks for evidence in the catalog. The entry of an engine that crashed expires without
+// checkCatalog looks for evidence in the catalog. An engine that crashed may start again under its ID,
+// and another engine may have started at its address. Otherwise its entry expires without
 // having been marked as draining. If its address accepts connections, an expired entry proves
-// nothing, since an engine may also leave without a mark; the next engine may have started at that
-// address, however.
+// nothing, since an engine may also leave without a mark.
 func (d *Detector) checkCatalog(e catalog.Engine, accepts bool) (ended bool, evidence string, decided bool) {
 	s := d.Snapshot()
 	current, known := s.Engines.ByID[e.ID]
+	if known && current.StartedAfter(e) {
+		return !s.Leaving.Has(e), "started again under its ID", true
+	}
 	if known && !s.TakesRequests(current) {
 		return false, "", true
 	}
@@ -211,7 +218,7 @@
 // decide ends the investigation and reports its result.
 func (d *Detector) decide(e catalog.Engine, ended bool, evidence string) {
 	d.mu.Lock()
-	inv := d.investigations[e.ID]
+	inv := d.investigations[startOf(e)]
 	inv.decided, inv.ended, inv.evidence = true, ended, evidence
 	end := End{Engine: e, At: inv.startedAt, Cuts: inv.pending, Evidence: evidence}
 	inv.pending = nil
--- a/internal/edge/crash/detector_test.go
+++ b/internal/edge/crash/detector_test.go
@@ -76,9 +76,12 @@
 var (
 	errRefused     = os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	errUnreachable = os.NewSyscallError("connect", syscall.EHOSTUNREACH)
-	running        = catalog.Engine{ID: "e1", Service: "llm", Address: "10.0.0.1:80"}
+	running        = catalog.Engine{ID: "e1", Service: "llm", Address: "10.0.0.1:80", Born: 1}
 )
 
+// again is the next start of running, under its ID.
+var again = catalog.Engine{ID: running.ID, Service: "llm", Address: running.Address, Born: 2}
+
 // restarted is the engine that follows running at its address.
 var restarted = catalog.Engine{ID: "e2", Service: "llm", Address: running.Address, Revision: 7}
 
@@ -99,6 +102,8 @@
 		"crashed, entry expired":                          {[]catalog.Engine{running}, nil, errUnreachable, true},
 		"connection reset by the network":                 {[]catalog.Engine{running}, []catalog.Engine{running}, nil, false},
 		"restarted at its address":                        {[]catalog.Engine{running}, []catalog.Engine{running, restarted}, nil, true},
+		"started again under its ID":                      {[]catalog.Engine{running}, []catalog.Engine{again}, nil, true},
+		"started again and stopping":                      {[]catalog.Engine{running}, []catalog.Engine{draining(again)}, nil, true},
 		"connection reset, then removed without draining": {[]catalog.Engine{running}, nil, nil, false},
 		"unreachable":                                     {[]catalog.Engine{running}, []catalog.Engine{running}, errUnreachable, false},
 		"draining":                                        {[]catalog.Engine{draining(running)}, []catalog.Engine{draining(running)}, errRefused, false},
@@ -144,6 +149,27 @@
 	})
 }
 
+// Guards against the end of an engine that counts as the one of its former start, which it follows within
+// seconds under the same ID.
+func TestEndOfNextStartIsReportedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngines{dialErr: errRefused}
+		f.set(running)
+		d := f.detector()
+		d.Report(t.Context(), running, Cut{RequestID: "1"})
+		d.Wait()
+		time.Sleep(verdictLifetime - time.Second)
+		f.set(again)
+		d.Report(t.Context(), again, Cut{RequestID: "2"})
+		d.Wait()
+		require.Len(t, f.ends(), 2)
+		require.False(t, f.ends()[1].Known)
+		require.Equal(t, again.Born, f.ends()[1].Engine.Born)
+		end, _ := f.ends()[1].Unexplained(1)
+		require.Equal(t, quarantine.EngineStart{ID: "e1", Born: 2}, end.Start())
+	})
+}
+
 // Guards against an end of an engine whose log line does not tell what its requests had in common.
 func TestLoggedPartsAreThoseOfMostRequests(t *testing.T) {
 	cut := func(ids ...string) Cut {
--- a/internal/edge/feed/quarantinestore.go
+++ b/internal/edge/feed/quarantinestore.go
@@ -17,9 +17,12 @@
 // prompts in quarantine as JSON.
 const quarantineKey = "quarantine"
 
-// maxStoredQuarantines bounds the row, which the store limits to 64 KB. If there is more in quarantine,
-// what entered it last is stored.
-const maxStoredQuarantines = 200
+// maxStoredQuarantines and maxStoredBytes bound the row, which the store limits to 64 KB. If there is more
+// in quarantine, what entered it last is stored.
+const (
+	maxStoredQuarantines = 200
+	maxStoredBytes       = 60 << 10
+)
 
 // storedQuarantine is a request or a part in quarantine as stored. It has no times: those of a clock that
 // counts from the boot of a VM mean nothing to another one. A quarantine that is read back starts
@@ -32,6 +35,9 @@
 	Generation  uint32   `json:"generation"`
 	Engines     []string `json:"engines"`
 	Lapsed      uint32   `json:"lapsed"`
+	// Born holds the time of the start of each of Engines that ended; see quarantine.EngineStart. Routers
+	// of earlier releases store none.
+	Born []int64 `json:"born,omitempty"`
 	// Part is the part as SERVICE/ID, and PartAccount its account; empty for a request. For a part the
 	// fingerprint is one that no request has: routers of earlier releases take it for a request, and its
 	// account for one with a request in quarantine.
@@ -45,6 +51,11 @@
 		Fingerprint: e.Fingerprint.String(), Hint: e.Hint, Account: e.Account, Route: e.Route,
 		Generation: e.Generation, Engines: e.Engines(), Lapsed: e.Lapsed,
 	}
+	if slices.ContainsFunc(e.Ends, func(end quarantine.End) bool { return end.Born != 0 }) {
+		for _, end := range e.Ends {
+			out.Born = append(out.Born, end.Born)
+		}
+	}
 	if e.Key().IsPart() {
 		out.Fingerprint = quarantine.Content{Target: "prompt part " + e.Part.String()}.Fingerprint().String()
 		out.Part, out.PartAccount, out.Account = e.Part.String(), e.Account, ""
@@ -59,8 +70,12 @@
 		Suspect:    quarantine.Suspect{Hint: s.Hint, Account: s.Account, Route: s.Route},
 		Generation: s.Generation, Lapsed: s.Lapsed, Quarantined: true, QuarantinedAt: now, ChangedAt: now,
 	}
-	for _, engine := range s.Engines {
-		e.Ends = append(e.Ends, quarantine.End{Engine: engine, At: now})
+	for i, engine := range s.Engines {
+		end := quarantine.End{Engine: engine, At: now}
+		if i < len(s.Born) {
+			end.Born = s.Born[i]
+		}
+		e.Ends = append(e.Ends, end)
 	}
 	var err error
 	if s.Part != "" {
@@ -117,6 +132,16 @@
 	entries = slices.DeleteFunc(slices.Clone(entries), func(e quarantine.Entry) bool { return !e.Quarantined })
 	slices.SortFunc(entries, func(a, b quarantine.Entry) int { return int(b.QuarantinedAt - a.QuarantinedAt) })
 	entries = entries[:min(len(entries), maxStoredQuarantines)]
+	value := marshalQuarantines(entries)
+	for len(value) > maxStoredBytes {
+		entries = entries[:len(entries)*9/10]
+		value = marshalQuarantines(entries)
+	}
+	return value
+}
+
+func marshalQuarantines(entries []quarantine.Entry) []byte {
+	entries = slices.Clone(entries)
 	slices.SortFunc(entries, func(a, b quarantine.Entry) int { return a.Key().Compare(b.Key()) })
 	out := make([]storedQuarantine, len(entries))
 	for i, e := range entries {
--- a/internal/edge/feed/quarantinestore_test.go
+++ b/internal/edge/feed/quarantinestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,7 +100,7 @@
 func TestPartsInQuarantineAreStored(t *testing.T) {
 	part := quarantine.Suspect{Part: quarantine.NewPart("svc", "1a"), Account: "first", Route: "r"}
 	entries := []quarantine.Entry{
-		{Suspect: part, Generation: 3, Lapsed: 2, Quarantined: true, Ends: []quarantine.End{{Engine: "e1"}}},
+		{Suspect: part, Generation: 3, Lapsed: 2, Quarantined: true, Ends: []quarantine.End{{Engine: "e1", Born: 5}, {Engine: "e1", Born: 6}}},
 		{Suspect: testSuspect("q"), Quarantined: true, Ends: []quarantine.End{{Engine: "e2"}}},
 		{Suspect: quarantine.Suspect{Part: quarantine.NewPart("svc", "2b")}, Ends: []quarantine.End{{Engine: "e1"}}},
 	}
@@ -112,6 +113,8 @@
 	require.True(t, decoded[0].Quarantined)
 	require.EqualValues(t, 3, decoded[0].Generation)
 	require.EqualValues(t, 2, decoded[0].Lapsed)
+	require.Equal(t, []quarantine.End{{Engine: "e1", Born: 5, At: time.Hour}, {Engine: "e1", Born: 6, At: time.Hour}}, decoded[0].Ends)
+	require.Equal(t, []quarantine.End{{Engine: "e2", At: time.Hour}}, decoded[1].Ends)
 
 	var earlier []struct{ Fingerprint, Account string }
 	require.NoError(t, json.Unmarshal(value, &earlier))
@@ -121,3 +124,23 @@
 	_, err = decodeQuarantines([]byte(`[{"part":"svc"}]`), time.Hour)
 	require.True(t, ErrMalformed.Has(err))
 }
+
+// Guards against a quarantine that is not stored at all because the store refuses a row of its size.
+func TestStoredQuarantineFitsARow(t *testing.T) {
+	const rowBytes = 64 << 10
+	var entries []quarantine.Entry
+	for i := range maxStoredQuarantines {
+		e := quarantine.Entry{Suspect: testSuspect(fmt.Sprint(i)), Quarantined: true, QuarantinedAt: time.Duration(i)}
+		for born := range int64(8) {
+			e.Ends = append(e.Ends, quarantine.End{Engine: "i-7f3a91c2d4", Born: 1_796_659_200_000 + born})
+		}
+		entries = append(entries, e)
+	}
+	value := encodeQuarantines(entries)
+	require.Less(t, len(value), rowBytes)
+	decoded, err := decodeQuarantines(value, time.Hour)
+	require.NoError(t, err)
+	require.Greater(t, len(decoded), maxStoredQuarantines/2)
+	newest := entries[len(entries)-1].Suspect
+	require.True(t, slices.ContainsFunc(decoded, func(e quarantine.Entry) bool { return e.Suspect == newest }))
+}
--- a/internal/edge/forward/cut.go
+++ b/internal/edge/forward/cut.go
@@ -25,7 +25,7 @@
 		return
 	}
 	x.f.stats.recordCut()
-	x.tracker.RecordCut(e.ID)
+	x.tracker.RecordCut(quarantine.EngineStart{ID: e.ID, Born: e.Born})
 	// An engine that was slow to respond may have ended after the attempt there timed out.
 	for _, ended := range append(x.timedOutAt, e) {
 		request, completed := x.tracker.Suspect()
--- a/internal/edge/forward/cut_test.go
+++ b/internal/edge/forward/cut_test.go
@@ -60,7 +60,7 @@
 		x, _ := newSuspectExchange(test.ended...)
 		x.executed = len(test.cut)
 		for _, e := range test.cut {
-			x.tracker.RecordCut(e)
+			x.tracker.RecordCut(quarantine.EngineStart{ID: e})
 		}
 		result := x.retryIfAllowed(maybeExecuted(502, ReasonNoAnswer))
 		require.Equal(t, test.retries, result.action == actionTryNext, "%+v", test)
--- a/internal/edge/node/quarantine.go
+++ b/internal/edge/node/quarantine.go
@@ -47,7 +47,7 @@
 	// Account is "*" for a part of requests of several accounts.
 	Account string `json:"account"`
 	Route   string `json:"route"`
-	// Engines are those that ended while they executed the request.
+	// Engines are those that ended while they executed the request, once for each start.
 	Engines []string `json:"engines"`
 	// Lapsed is the number of quarantines that have lapsed.
 	Lapsed uint32 `json:"lapsed"`
--- a/internal/fleet/suspects/exchange.go
+++ b/internal/fleet/suspects/exchange.go
@@ -18,6 +18,7 @@
 	Peers              int
 	Answered, Exposure time.Duration
 	Requests           []uint64
+	Born               int64
 }
 
 // Record is an entry of a quarantine.Table as sent to another router. Ages are as of the time
@@ -65,7 +66,7 @@
 	}
 	for _, end := range e.Ends {
 		out.Ends = append(out.Ends, EndRecord{
-			Engine: end.Engine, Site: end.Site, Age: now - end.At, Peers: end.Peers, Answered: end.Answered, Exposure: end.Exposure, Requests: end.Requests,
+			Engine: end.Engine, Born: end.Born, Site: end.Site, Age: now - end.At, Peers: end.Peers, Answered: end.Answered, Exposure: end.Exposure, Requests: end.Requests,
 		})
 	}
 	return out
@@ -99,7 +100,7 @@
 	}
 	for _, end := range r.Ends {
 		out.Ends = append(out.Ends, quarantine.End{
-			Engine: end.Engine, Site: end.Site, At: now - end.Age, Peers: end.Peers, Answered: end.Answered, Exposure: end.Exposure, Requests: end.Requests,
+			Engine: end.Engine, Born: end.Born, Site: end.Site, At: now - end.Age, Peers: end.Peers, Answered: end.Answered, Exposure: end.Exposure, Requests: end.Requests,
 		})
 	}
 	return out
--- a/internal/fleet/suspects/exchange_test.go
+++ b/internal/fleet/suspects/exchange_test.go
@@ -131,3 +131,13 @@
 	}
 	require.Len(t, newParent.Entries(), 4)
 }
+
+// Guards against ends of several starts under one ID that other routers count as one.
+func TestRecordsTellStartsApart(t *testing.T) {
+	var ends []quarantine.End
+	for born := range int64(3) {
+		ends = append(ends, quarantine.End{Engine: "e", Born: born + 1, At: time.Hour})
+	}
+	sent := newRecords([]quarantine.Entry{{Suspect: testSuspect("q"), Ends: ends, ChangedAt: time.Hour}}, time.Hour)
+	require.Equal(t, ends, sent.entries(time.Hour)[0].Ends)
+}
--- a/internal/fleet/suspects/parts_test.go
+++ b/internal/fleet/suspects/parts_test.go
@@ -79,7 +79,7 @@
 	s, end := partFleet(&now)
 	x := trackerOf(s, "a", "ee")
 	x.Parts(testService)
-	x.RecordCut("e1")
+	x.RecordCut(quarantine.EngineStart{ID: "e1"})
 	end("a", "ee")
 	require.False(t, x.LikelyCause(), "the first end")
 	end("a", "ee")
@@ -141,3 +141,17 @@
 		})
 	}
 }
+
+// Guards against a request that a router repeats by itself although it has ended two starts of one engine.
+func TestCutByNextStartOfAnEngineCounts(t *testing.T) {
+	now := time.Hour
+	s := NewSet(quarantine.DefaultLimits(), func() time.Duration { return now }, log.New(io.Discard))
+	x := NewTracker(s, quarantine.Content{Account: "a", Target: "/q"}, "r", nil)
+	request, _ := x.Suspect()
+	s.RecordEnd(quarantine.End{Engine: "e", Born: 1, At: now}, []quarantine.Cut{{Request: request}})
+	x.RecordCut(quarantine.EngineStart{ID: "e", Born: 1})
+	require.False(t, x.LikelyCause())
+	x = NewTracker(s, quarantine.Content{Account: "a", Target: "/q"}, "r", nil)
+	x.RecordCut(quarantine.EngineStart{ID: "e", Born: 2})
+	require.True(t, x.LikelyCause())
+}
--- a/internal/fleet/suspects/tracker.go
+++ b/internal/fleet/suspects/tracker.go
@@ -55,9 +55,9 @@
 	// status is what is held against the request, by the view that was used last.
 	status quarantine.Status
 	view   *quarantine.View
-	// cutBy holds the engines whose connections broke during this request, and completed is set once
+	// cutBy holds the starts of engines whose connections broke during this request, and completed is set once
 	// one has completed it.
-	cutBy     []string
+	cutBy     []quarantine.EngineStart
 	completed *atomic.Bool
 	// prompt returns the IDs of the parts of the prompt that may crash engines; nil for no prompt. service
 	// is the service for which parts and restriction were determined, and restrictionView the view by which
@@ -154,8 +154,8 @@
 	return t.status
 }
 
-// RecordCut records that the connection to an engine broke.
-func (t *Tracker) RecordCut(engine string) { t.cutBy = append(t.cutBy, engine) }
+// RecordCut records that the connection to a start of an engine broke.
+func (t *Tracker) RecordCut(start quarantine.EngineStart) { t.cutBy = append(t.cutBy, start) }
 
 // Suspect returns the request as a suspect, and a flag that is set once an engine has completed the
 // request.
--- a/internal/lab/crashmodel/model.go
+++ b/internal/lab/crashmodel/model.go
@@ -131,7 +131,7 @@
 	router     int
 	// attempt counts the attempts of the caller, and sends those of the router in it.
 	attempt, sends int
-	cutBy          []string
+	cutBy          []quarantine.EngineStart
 	// ends holds the times at which engines ended under a crashing request, and late counts its
 	// arrivals later than bound after the third.
 	ends []time.Duration
@@ -342,7 +342,7 @@
 	s.after(s.Back, s.startEngine)
 	byRouter := make([][]quarantine.Cut, s.Routers)
 	for _, r := range e.running {
-		r.cutBy = append(r.cutBy, e.id)
+		r.cutBy = append(r.cutBy, quarantine.EngineStart{ID: e.id})
 		byRouter[r.router] = append(byRouter[r.router], quarantine.Cut{Request: r.suspect})
 	}
 	for i, cuts := range byRouter {
--- a/internal/lab/crashmodel/parts.go
+++ b/internal/lab/crashmodel/parts.go
@@ -433,12 +433,12 @@
 // under a part that was not answered lately.
 func (s *partSimulation) likelyCause(x *partRun, engine string) bool {
 	table := s.routers[x.router].table
-	if table.Status(quarantine.Key{Fingerprint: x.content.Fingerprint()}).EndsWithout([]string{engine}) > 0 {
+	if table.Status(quarantine.Key{Fingerprint: x.content.Fingerprint()}).EndsWithout([]quarantine.EngineStart{{ID: engine}}) > 0 {
 		return true
 	}
 	return slices.ContainsFunc(x.suspects(), func(p quarantine.Part) bool {
 		status := table.Status(quarantine.Key{Part: p})
-		return status.Suspected || status.Quarantined || !status.AnsweredLately && status.EndsWithout([]string{engine}) > 0
+		return status.Suspected || status.Quarantined || !status.AnsweredLately && status.EndsWithout([]quarantine.EngineStart{{ID: engine}}) > 0
 	})
 }
 
--- a/internal/serve/traffic/suspicion.go
+++ b/internal/serve/traffic/suspicion.go
@@ -65,7 +65,7 @@
 		return
 	}
 	engine := call.Name + "#" + strconv.FormatUint(call.Incarnation, 10)
-	t.RecordCut(engine)
+	t.RecordCut(quarantine.EngineStart{ID: engine})
 	request, completed := t.Suspect()
 	c := quarantine.Cut{Request: request, Content: t.ContentHash(), Exposure: s.Suspects.Now() - sentAt}
 	for _, p := range t.Parts(scope) {
