crash: each cut is investigated by itself

Cause: one investigation for an engine. Once a connection was accepted it never connected again, judged by that connection whatever broke during the next 3.8 s, and its verdict silenced all reports for 5 s.

Requests that are cut within 20 ms of each other have an investigation of their own now. Only a connection begun 100 ms after the cut or later clears the engine, as a port may stay open for a moment; until then it is asked again. Investigations of an engine share their connections: one at a time, at most one in 50 ms while it accepts them (1,000 resets in a second cost 24 at most).

--- a/internal/edge/crash/detector.go
+++ b/internal/edge/crash/detector.go
@@ -21,18 +21,26 @@
 	"github.com/charmbracelet/log"
 )
 
-// probePauses are the pauses before each check whether an engine still exists. The engine's entry
+// checkPauses are the pauses before each check whether an engine still exists. The engine's entry
 // outlives a crash by three missed renewals, and its port may accept no connections only some time
 // after the connections broke.
-var probePauses = []time.Duration{
+var checkPauses = []time.Duration{
 	0, 20 * time.Millisecond, 80 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second,
 }
 
 const (
+	// joinTime is the time in which further requests that are cut at an engine belong to the same
+	// investigation.
+	joinTime = 20 * time.Millisecond
+	// acceptDelay is how long after requests were cut a connection must have been begun for its acceptance to
+	// show that the engine did not end then.
+	acceptDelay = 100 * time.Millisecond
+	// probeInterval is the least time between two connections to an engine that accepts them.
+	probeInterval = 50 * time.Millisecond
 	// probeTimeout bounds one connection attempt.
 	probeTimeout = 300 * time.Millisecond
-	// verdictLifetime is how long the result of an investigation applies to further broken
-	// connections to the same engine, some of which are noticed late.
+	// verdictLifetime is how long the end of an engine applies to further broken connections, some of
+	// which are noticed late.
 	verdictLifetime = 5 * time.Second
 )
 
@@ -80,22 +88,35 @@
 }
 
 // Detector determines whether an engine ended after connections to it broke. A broken connection
-// alone proves nothing: the network may have reset it. It is safe for concurrent use.
+// alone proves nothing: the network may have reset it. Nor does an engine that runs after one broken
+// connection prove anything of a later one. It is safe for concurrent use.
 type Detector struct {
 	Options
 
-	mu             sync.Mutex
-	investigations map[quarantine.EngineStart]*investigation
-	wg             sync.WaitGroup
+	mu     sync.Mutex
+	starts map[quarantine.EngineStart]*startState
+	wg     sync.WaitGroup
 }
 
-// investigation is the state of one start of an engine.
+// startState is what is known of one start of an engine to which connections broke.
+type startState struct {
+	// investigations is the number of those in progress, and newest the last one that began.
+	investigations int
+	newest         *investigation
+	// connecting is set while a connection is being opened, and acceptedAt is when the last accepted one was
+	// begun.
+	connecting bool
+	acceptedAt time.Duration
+	// ended is set once the engine has ended. endedAt and evidence tell when and how that was noticed.
+	ended    bool
+	endedAt  time.Duration
+	evidence string
+}
+
+// investigation is that of requests that were cut at the same time.
 type investigation struct {
 	startedAt time.Duration
-	pending   []Cut
-	// decided is set at the end of the investigation; ended and evidence are its result.
-	decided, ended bool
-	evidence       string
+	cuts      []Cut
 }
 
 // NewDetector returns a Detector.
@@ -105,10 +126,10 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 		}
 	}
-	return &Detector{Options: o, investigations: make(map[quarantine.EngineStart]*investigation)}
+	return &Detector{Options: o, starts: make(map[quarantine.EngineStart]*startState)}
 }
 
-// Report records a request that was cut, and starts an investigation unless one is in progress. An
+// Report records a request that was cut, and starts an investigation unless one has just begun. An
 // engine that is known to be stopping is not investigated, since its connections end as planned.
 func (d *Detector) Report(ctx context.Context, e catalog.Engine, c Cut) {
 	if ctx.Err() != nil || !d.expectedToRun(e.ID) {
@@ -118,17 +139,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forget(now)
-	inv := d.investigations[startOf(e)]
+	start := startOf(e)
+	state := d.starts[start]
+	if state == nil {
+		state = &startState{}
+		d.starts[start] = state
+	}
 	switch {
-	case inv == nil:
-		d.investigations[startOf(e)] = &investigation{startedAt: now, pending: []Cut{c}}
-		d.wg.Go(func() { d.investigate(ctx, e) })
-	case !inv.decided:
-		inv.pending = append(inv.pending, c)
-	case inv.ended:
-		d.wg.Go(func() {
-			d.report(End{Engine: e, At: inv.startedAt, Cuts: []Cut{c}, Evidence: inv.evidence, Known: true})
-		})
+	case state.ended:
+		end := End{Engine: e, At: state.endedAt, Cuts: []Cut{c}, Evidence: state.evidence, Known: true}
+		d.wg.Go(func() { d.report(end) })
+	case state.newest != nil && now-state.newest.startedAt < joinTime:
+		state.newest.cuts = append(state.newest.cuts, c)
+	default:
+		inv := &investigation{startedAt: now, cuts: []Cut{c}}
+		state.newest = inv
+		state.investigations++
+		d.wg.Go(func() { d.investigate(ctx, e, state, inv) })
 	}
 }
 
@@ -147,44 +174,106 @@
 	return known && s.TakesRequests(e)
 }
 
-// forget drops old investigations. The caller holds the mutex.
+// forget drops the starts of which no investigation is in progress. The caller holds the mutex.
 func (d *Detector) forget(now time.Duration) {
-	for start, inv := range d.investigations {
-		if inv.decided && now-inv.startedAt > verdictLifetime {
-			delete(d.investigations, start)
+	for start, state := range d.starts {
+		if state.investigations == 0 && (!state.ended || now-state.endedAt > verdictLifetime) {
+			delete(d.starts, start)
 		}
 	}
 }
 
-// investigate determines whether the engine has ended.
-func (d *Detector) investigate(ctx context.Context, e catalog.Engine) {
-	accepts := false
-	for _, wait := range probePauses {
+// investigate determines whether the engine ended when the requests were cut.
+func (d *Detector) investigate(ctx context.Context, e catalog.Engine, state *startState, inv *investigation) {
+	ended, evidence := d.check(ctx, e, state, inv)
+	d.mu.Lock()
+	known := state.ended
+	if ended && !known {
+		state.ended, state.endedAt, state.evidence = true, inv.startedAt, evidence
+	}
+	state.investigations--
+	if state.newest == inv {
+		state.newest = nil
+	}
+	end := End{Engine: e, At: state.endedAt, Cuts: inv.cuts, Evidence: state.evidence, Known: known}
+	d.mu.Unlock()
+	if !ended {
+		d.Log.Debug("connections to an engine broke; the engine runs or stops as planned", "engine", e.ID, "requests", len(end.Cuts))
+		return
+	}
+	d.report(end)
+}
+
+// check looks for evidence that the engine ended when the requests of an investigation were cut.
+func (d *Detector) check(ctx context.Context, e catalog.Engine, state *startState, inv *investigation) (ended bool, evidence string) {
+	for _, wait := range checkPauses {
 		if !pause.For(ctx, wait) {
-			return
+			return false, ""
 		}
-		if ended, evidence, decided := d.checkCatalog(e, accepts); decided {
-			d.decide(e, ended, evidence)
-			return
+		accepted, endedMeanwhile := d.progress(state, inv)
+		if endedMeanwhile {
+			return accepted != acceptedLate, ""
 		}
-		if accepts {
-			continue
+		if ended, evidence, decided := d.checkCatalog(e, accepted); decided {
+			return ended, evidence
 		}
-		err := d.connect(ctx, e.Address)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			d.decide(e, true, "connection refused")
-			return
+		if accepted != acceptedLate && d.probe(ctx, e, state) {
+			return true, "connection refused"
 		}
-		accepts = err == nil
 	}
-	d.decide(e, false, "")
+	return false, ""
+}
+
+// acceptance tells when the engine has accepted a connection since the requests were cut.
+type acceptance uint8
+
+const (
+	notAccepted acceptance = iota
+	// acceptedEarly means that the connection was begun so soon that the engine may have been ending.
+	acceptedEarly
+	acceptedLate
+)
+
+// progress returns whether the engine has accepted a connection since the requests of an investigation were
+// cut, and whether another investigation has found that it ended.
+func (d *Detector) progress(state *startState, inv *investigation) (accepted acceptance, ended bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case state.acceptedAt >= inv.startedAt+acceptDelay:
+		accepted = acceptedLate
+	case state.acceptedAt >= inv.startedAt:
+		accepted = acceptedEarly
+	}
+	return accepted, state.ended
+}
+
+// probe opens a connection, unless another investigation has just done so, and reports whether it was
+// refused.
+func (d *Detector) probe(ctx context.Context, e catalog.Engine, state *startState) (refused bool) {
+	begun := d.Clock()
+	d.mu.Lock()
+	skip := state.connecting || state.acceptedAt > 0 && begun-state.acceptedAt < probeInterval
+	state.connecting = state.connecting || !skip
+	d.mu.Unlock()
+	if skip {
+		return false
+	}
+	err := d.connect(ctx, e.Address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state.connecting = false
+	if err == nil {
+		state.acceptedAt = begun
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // checkCatalog looks for evidence in the catalog. An engine that crashed may start again under its ID,
 // and another engine may have started at its address. Otherwise its entry expires without
 // having been marked as draining. If its address accepts connections, an expired entry proves
 // nothing, since an engine may also leave without a mark.
-func (d *Detector) checkCatalog(e catalog.Engine, accepts bool) (ended bool, evidence string, decided bool) {
+func (d *Detector) checkCatalog(e catalog.Engine, accepted acceptance) (ended bool, evidence string, decided bool) {
 	s := d.Snapshot()
 	current, known := s.Engines.ByID[e.ID]
 	if known && current.StartedAfter(e) {
@@ -198,10 +287,7 @@
 			return true, "another engine at its address", true
 		}
 	}
-	if !known {
-		return !accepts, "entry removed", true
-	}
-	return false, "", false
+	return !known && accepted == notAccepted, "entry removed", !known && accepted != acceptedEarly
 }
 
 // connect opens and closes a connection.
@@ -215,21 +301,6 @@
 	return conn.Close()
 }
 
-// decide ends the investigation and reports its result.
-func (d *Detector) decide(e catalog.Engine, ended bool, evidence string) {
-	d.mu.Lock()
-	inv := d.investigations[startOf(e)]
-	inv.decided, inv.ended, inv.evidence = true, ended, evidence
-	end := End{Engine: e, At: inv.startedAt, Cuts: inv.pending, Evidence: evidence}
-	inv.pending = nil
-	d.mu.Unlock()
-	if !ended {
-		d.Log.Debug("connections to an engine broke; the engine runs or stops as planned", "engine", e.ID, "requests", len(end.Cuts))
-		return
-	}
-	d.report(end)
-}
-
 // report logs an end and passes it on.
 func (d *Detector) report(end End) {
 	e := end.Engine
--- a/internal/edge/crash/detector_test.go
+++ b/internal/edge/crash/detector_test.go
@@ -36,6 +36,13 @@
 	f.snapshot = s
 }
 
+// fail makes connections fail with an error.
+func (f *fakeEngines) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dialErr = err
+}
+
 func (f *fakeEngines) dial(context.Context, string) (net.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,6 +177,87 @@
 	})
 }
 
+// Guards against a crash that goes unnoticed because another connection to the engine was reset shortly
+// before, for another reason.
+func TestCrashAfterHarmlessResetIsReported(t *testing.T) {
+	for _, after := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond, 150 * time.Millisecond, time.Second, 4500 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeEngines{}
+				f.set(running)
+				d := f.detector()
+				d.Report(t.Context(), running, Cut{RequestID: "harmless"})
+				time.Sleep(after)
+				f.fail(errRefused)
+				d.Report(t.Context(), running, Cut{RequestID: "crash"})
+				d.Wait()
+				var reported []string
+				for _, end := range f.ends() {
+					for _, c := range end.Cuts {
+						reported = append(reported, c.RequestID)
+					}
+				}
+				require.Contains(t, reported, "crash")
+				if after > acceptDelay {
+					require.NotContains(t, reported, "harmless")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a crash that goes unnoticed because connections to the engine are reset all the time.
+func TestCrashAmongRegularResetsIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngines{}
+		f.set(running)
+		d := f.detector()
+		for range 100 {
+			d.Report(t.Context(), running, Cut{RequestID: "harmless"})
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Empty(t, f.ends())
+		f.fail(errRefused)
+		d.Report(t.Context(), running, Cut{RequestID: "crash"})
+		d.Wait()
+		require.NotEmpty(t, f.ends())
+		last := f.ends()[len(f.ends())-1]
+		require.Equal(t, "crash", last.Cuts[0].RequestID)
+	})
+}
+
+// Guards against a crash that goes unnoticed because the port of the engine accepts connections for a
+// moment after those that were open have broken.
+func TestPortThatClosesLateIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngines{}
+		f.set(running)
+		d := f.detector()
+		d.Report(t.Context(), running, Cut{RequestID: "1"})
+		time.Sleep(acceptDelay / 2)
+		f.fail(errRefused)
+		d.Wait()
+		require.Len(t, f.ends(), 1)
+	})
+}
+
+// Guards against a flood of connections to an engine of which many are reset.
+func TestResetsCostFewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEngines{}
+		f.set(running)
+		d := f.detector()
+		for range 1000 {
+			d.Report(t.Context(), running, Cut{RequestID: "harmless"})
+			time.Sleep(time.Millisecond)
+		}
+		d.Wait()
+		require.Empty(t, f.ends())
+		require.LessOrEqual(t, f.dials, int((time.Second+acceptDelay)/probeInterval)+2)
+		require.Zero(t, d.starts[startOf(running)].investigations)
+	})
+}
+
 // Guards against an end of an engine whose log line does not tell what its requests had in common.
 func TestLoggedPartsAreThoseOfMostRequests(t *testing.T) {
 	cut := func(ids ...string) Cut {
