platform, engineconn: tests of responses that end in their header

Another operator reported clients that got a 200 with an empty or short body, framed as whole, after an engine had stopped in the middle of the header of its answer and closed.

It can't happen here: awaitHeader takes nothing from a connection before the empty line at the end of the header has arrived, and an end before that is ErrNoResponse. No test showed it for more than one place.

--- a/internal/base/engineconn/malformed_test.go
+++ b/internal/base/engineconn/malformed_test.go
@@ -63,6 +63,29 @@
 	}
 }
 
+// Guards against a response that is taken for a complete one although the engine has closed the connection
+// at any place before its end, in the header too.
+func TestResponseCutAnywhereIsNotComplete(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length":       "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 6\r\n\r\nanswer",
+		"chunks":       "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
+		"chunked lead": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: r\r\n\r\n6\r\nanswer\r\n0\r\nX-Trailer: t\r\n\r\n",
+		"no body":      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: r\r\n\r\n",
+		"interim":      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 6\r\n\r\nanswer",
+		"no framing":   "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Last: l\r\n\r\n",
+	} {
+		for n := range len(whole) {
+			pool := newPipePool(Options{}, func(c net.Conn) { _, _ = io.WriteString(c, whole[:n]) })
+			resp, err := pool.Send(t.Context(), Target{ID: "e"}, request("r", 0))
+			if err == nil {
+				_, err = io.ReadAll(resp)
+				resp.Close()
+			}
+			require.Error(t, err, "%s, cut after %q", name, whole[:n])
+		}
+	}
+}
+
 // maxTaken is how much an engine gets rid of at most, in bytes, before its connection is closed.
 const maxTaken = 1 << 20
 
