origins: a router that has lost all others does not vouch by an older list

Another operator reported streams that went on at another version at a machine that was cut off or stood still while engines of that version joined.

A router that counts all others as gone has nobody to ask, and took its own list of engines for complete if it was read within the last 2 s. A stream that is resumed now may have begun at a version that registered since. Fleets that have lost nobody, and what others reply, are as before.

Tests: TestRouterThatLostAllOthersDoesNotGuess failed before ("v1" in place of nothing, also where the list read next has two versions).

--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -65,8 +65,12 @@
 func (r *Registry) find(ctx context.Context, account, id string, services []string) (Found, error) {
 	args := FindArgs{Key: origin.KeyOf(account, id), Services: services}
 	began, doubted, doubtedAt := r.Clock(), false, time.Duration(0)
+	var last error
 	for range maxUnsettled {
 		s := search{registry: r, args: args, own: r.local(args)}
+		if r.mayMissVersions(began) {
+			s.own.Complete = false
+		}
 		if s.merge(s.own) {
 			return found(*s.record, r.Self), nil
 		}
@@ -84,11 +88,14 @@
 		}
 		out, err := s.onlyVersion()
 		late := s.record == nil && id != "" && err != nil && r.Clock()-began < missingWait
+		// The engines are read again soon.
+		late = late || s.alone && err != nil && r.mayMissVersions(began)
 		if !(late || s.unsettled() || known && doubted) || !pause.For(ctx, unsettledPause) {
 			return out, err
 		}
+		last = err
 	}
-	return Found{}, ErrUnknown.New("the record states no version")
+	return Found{}, last
 }
 
 // settle completes the record of a stream whose engine has proved its start, as the router that began the
--- a/internal/edge/origins/fleet_test.go
+++ b/internal/edge/origins/fleet_test.go
@@ -29,6 +29,8 @@
 	provesAfter, doubtedAt time.Duration
 	// born is the start that entries of engines state; zero for 1.
 	born int64
+	// listAt is when the router last read the engines; zero for always.
+	listAt time.Duration
 	// old routers are of an earlier release: they keep no records.
 	old bool
 	up  bool
@@ -130,6 +132,9 @@
 	s := catalog.NewSnapshot()
 	s.Engines, _ = s.Engines.Apply(u, 0)
 	s.EnginesAsOf = f.now()
+	if r.listAt > 0 {
+		s.EnginesAsOf = r.listAt
+	}
 	return s
 }
 
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -413,3 +413,32 @@
 		require.True(t, f.routers["r0"].registry.Established("svc", "v2"))
 	})
 }
+
+// Guards against a router that has lost all others, and takes the only version that it knew a moment ago for
+// that of a stream which began at another one since.
+func TestRouterThatLostAllOthersDoesNotGuess(t *testing.T) {
+	for name, test := range map[string]struct {
+		reads    []string
+		readIn   time.Duration
+		expected string
+	}{
+		"engines not read again":         {},
+		"engines read, two versions":     {reads: []string{"v1", "v2"}, readIn: 300 * time.Millisecond},
+		"engines read, the same version": {reads: []string{"v1"}, readIn: 300 * time.Millisecond, expected: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6, "v1")
+				settle()
+				r := f.routers["r5"]
+				f.cut = func(from, to string) bool { return from == "r5" || to == "r5" }
+				r.live, r.listAt = []string{"r5"}, f.now()-freshFor/2
+				settle()
+				if test.reads != nil {
+					time.AfterFunc(test.readIn, func() { r.versions, r.listAt = test.reads, f.now() })
+				}
+				require.Equal(t, test.expected, f.find("r5", "1"))
+			})
+		})
+	}
+}
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -384,8 +384,20 @@
 	if !r.history.Complete(now) {
 		return false
 	}
-	connected := !r.hadPeers || r.lostAt == 0 || now-r.lostAt > origin.Window
-	return connected || r.Snapshot().EnginesAge(now) <= freshFor
+	return r.connected(now) || r.Snapshot().EnginesAge(now) <= freshFor
+}
+
+// connected reports whether no other router has been lost lately. The caller holds the mutex.
+func (r *Registry) connected(now time.Duration) bool {
+	return !r.hadPeers || r.lostAt == 0 || now-r.lostAt > origin.Window
+}
+
+// mayMissVersions reports whether other routers, which this one has lost, may know of engines that have
+// registered since it last read them before a time.
+func (r *Registry) mayMissVersions(at time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.connected(r.Clock()) && r.Snapshot().EnginesAsOf < at
 }
 
 func (r *Registry) expire(now time.Duration) {
