feed: a large configuration is confirmed as soon as it has arrived

Cause: what a call brings counts as of when the call was sent. After a transfer of over a second it is old on arrival, and the next watch is held for up to 0.9 s before it confirms that. Other routers found the source stale, left it, and transferred all of the configuration over their own slow links. Evidence: in the logs each "catalog source distrusted ... stale" comes 0.3 to 1 s after the reader's "configuration read"; the store never failed.

After a response that took long the next call is not held, unless the one before was slow too, so that a slow store is not called more than twice as often. A router does not find a parent stale within 0.4 s after it has passed on a new configuration.

Test: TestLargeConfigIsConfirmedBeforeKeysAreRefused failed in 3 of 3 runs on the code before (3.94 and 3.95 s old, 3.5 s are allowed) and passes.

--- a/internal/edge/feed/fleet_test.go
+++ b/internal/edge/feed/fleet_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -44,7 +45,9 @@
 	earlier sync.Map
 	// bytes counts the bytes of catalogs in replies; nil counts none.
 	bytes *byteCounter
-	mu    sync.Mutex
+	// timing is that of all routers; the zero value is testTiming.
+	timing Timing
+	mu     sync.Mutex
 }
 
 // oneWay is the latency of a call between routers in each direction.
@@ -91,7 +94,11 @@
 // startFleet starts a router for each peer. The stores may differ, for example if the store rejects
 // some routers.
 func startFleet(ctx context.Context, live []Peer, stores map[string]*fakeStore) *fakeFleet {
-	f := &fakeFleet{ctx: ctx, live: live, nodes: make(map[string]*fakeNode), origin: time.Now()}
+	return startTimedFleet(ctx, live, stores, testTiming)
+}
+
+func startTimedFleet(ctx context.Context, live []Peer, stores map[string]*fakeStore, timing Timing) *fakeFleet {
+	f := &fakeFleet{ctx: ctx, live: live, nodes: make(map[string]*fakeNode), origin: time.Now(), timing: timing}
 	for _, p := range live {
 		f.nodes[p.Name] = f.newNode(ctx, p, stores[p.Name])
 	}
@@ -134,10 +141,10 @@
 	n.leaving = &LeavingRecorder{Board: n.board, Loads: loads, Clock: f.clock, Log: discardLogger()}
 	loads.OnLeaving = func(starts []catalog.LeavingStart, from string) { n.leaving.Record(ctx, starts, "from", from) }
 	n.suspects = suspects.NewSet(quarantine.DefaultLimits(), f.clock, discardLogger())
-	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: func() Timing { return testTiming }, Start: start, Log: discardLogger(),
+	n.reader = &Reader{Board: n.board, Store: store, Clock: f.clock, Timing: func() Timing { return cmp.Or(f.timing, testTiming) }, Start: start, Log: discardLogger(),
 		Reads: func() bool { return n.follower.Reads() }, OthersLost: func() bool { return n.follower.ReportedStoreLost() },
 		LostAgo: func() time.Duration { return n.follower.LostAgo() }}
-	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: func() Timing { return testTiming }, Log: discardLogger(),
+	n.follower = &Follower{Self: self, Board: n.board, Loads: loads, Clock: f.clock, Timing: func() Timing { return cmp.Or(f.timing, testTiming) }, Log: discardLogger(),
 		Start: start, Roster: n.roster, Contacts: Contacts{Table: store}, Statuses: n.statuses, Suspects: n.suspects, Live: live, StoreLost: n.reader.StoreLost, Call: f.caller(self)}
 	n.keeper = &ContactsUpdater{Contacts: Contacts{Table: store}, Reads: n.follower.Reads, Live: live, Era: n.board.NewestEra, Clock: f.clock, Log: discardLogger()}
 	n.relay = &Relay{OnNewerConfig: n.follower.RecordNewerConfig, Board: n.board, Loads: loads, Roster: n.roster, Statuses: n.statuses, Suspects: n.suspects, Clock: f.clock, Done: ctx.Done(), Log: discardLogger(),
--- a/internal/edge/feed/follower.go
+++ b/internal/edge/feed/follower.go
@@ -25,6 +25,9 @@
 	// newParentGrace is how long a new parent may return old data: it may first have to determine
 	// that it is the reader.
 	newParentGrace = 400 * time.Millisecond
+	// newConfigGrace is how long a parent that has passed on a new configuration may return an old one:
+	// the transfer from the store counts into its age until the store confirms it.
+	newConfigGrace = 400 * time.Millisecond
 	// retryPause is the pause after a failed pull.
 	retryPause = 50 * time.Millisecond
 )
@@ -57,6 +60,8 @@
 	distrust    Distrust
 	parent      Peer
 	parentSince time.Duration
+	// newConfigAt is when the parent last passed on a new configuration.
+	newConfigAt time.Duration
 	// failedPulls counts consecutive failed pulls from the parent.
 	failedPulls int
 	// parentExchange is the state of the load exchange. pulledFrom is the name of the router from
@@ -239,7 +244,7 @@
 		"engines_revision", s.Engines.Upto}
 	f.Log.Info("catalog source changed", append(fields, s.AgeFields(now)...)...)
 	f.parent = parent
-	f.parentSince = now
+	f.parentSince, f.newConfigAt = now, 0
 	f.failedPulls = 0
 	f.parentStoreLost = false
 	f.pulledFrom.Store(parent.Name)
@@ -277,6 +282,9 @@
 	}
 	f.suspectExchange.HandleReply(cmp.Or(result.to.Name, result.to.Address), result.reply.Suspects, f.Suspects, result.sent+result.reply.Held)
 	f.applyReply(ctx, cmp.Or(result.to.Name, result.to.Address), result.reply, result.sent)
+	if result.reply.Config != nil {
+		f.newConfigAt = f.Clock()
+	}
 	f.checkParent(ctx, result.to, result.reply)
 	return nil
 }
@@ -414,6 +422,7 @@
 		f.distrustRouter(parent, reasonStoreLost, nil)
 	case f.StoreDown():
 		// A reader further up the tree failed. The routers that pull from it select another one.
+	case f.Clock()-f.newConfigAt <= newConfigGrace:
 	case f.isStale(reply):
 		f.distrustRouter(parent, reasonStale, nil)
 	}
--- a/internal/edge/feed/reader.go
+++ b/internal/edge/feed/reader.go
@@ -132,11 +132,12 @@
 			pause.For(ctx, r.pollInterval())
 			continue
 		}
-		err := watch(ctx, schedule.next(r.Timing()))
+		call, sent := schedule.next(r.Timing()), r.Clock()
+		err := watch(ctx, call)
 		r.logEra()
 		if err == nil {
 			r.recordSuccess(which)
-			schedule.succeeded()
+			schedule.succeeded(r.Clock()-sent > call.hold+watchSlack)
 			pause.For(ctx, watchPause)
 			continue
 		}
@@ -176,8 +177,9 @@
 
 // callSchedule holds the timeouts and pauses of consecutive calls to the store.
 type callSchedule struct {
-	// lastOK is set if the last call succeeded.
-	lastOK bool
+	// lastOK is set if the last call succeeded, and lastSlow if its response took long to arrive, unless it
+	// was set before that call.
+	lastOK, lastSlow bool
 	// timeout bounds the next call unless the last one succeeded. pause is the pause after the next
 	// call if it fails.
 	timeout, pause time.Duration
@@ -185,17 +187,22 @@
 
 func newCallSchedule() callSchedule { return callSchedule{timeout: probeTimeout, pause: failurePause} }
 
-// next returns the bounds of the next call.
+// next returns the bounds of the next call. What a slow response has brought counts as of when its call
+// was sent. The next call is not held, so that it confirms it before other routers find it too old.
 func (s *callSchedule) next(t Timing) storeCall {
+	if s.lastSlow {
+		return storeCall{hold: probeWait, timeout: t.Watch + watchSlack}
+	}
 	if s.lastOK {
 		return storeCall{hold: t.Watch, timeout: t.Watch + watchSlack}
 	}
 	return storeCall{hold: probeWait, timeout: s.timeout}
 }
 
-func (s *callSchedule) succeeded() {
+func (s *callSchedule) succeeded(slow bool) {
+	slow = slow && !s.lastSlow
 	*s = newCallSchedule()
-	s.lastOK = true
+	s.lastOK, s.lastSlow = true, slow
 }
 
 // failed returns the pause before the next call.
@@ -203,7 +210,7 @@
 	if !s.lastOK {
 		s.timeout = min(2*s.timeout, maxCallTimeout)
 	}
-	s.lastOK = false
+	s.lastOK, s.lastSlow = false, false
 	wait := s.pause
 	s.pause = min(2*s.pause, maxPause)
 	return wait
--- a/internal/edge/feed/slowtransfer_test.go
+++ b/internal/edge/feed/slowtransfer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damaskrouter.example/damaskrouter/internal/edge/catalog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -110,3 +111,39 @@
 		require.Zero(t, r.configCursor)
 	})
 }
+
+// Guards against good keys that are refused after each change of a large configuration: it was old when it
+// arrived and confirmed late, so that other routers found it too old and read all of it over their own slow
+// links.
+func TestLargeConfigIsConfirmedBeforeKeysAreRefused(t *testing.T) {
+	const transfer = 1100 * time.Millisecond
+	// keyLease is the age from which on routers refuse keys, 0.7 of 5 s.
+	const keyLease = 3500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newFakeStore()
+		s.update(func(s *fakeStore) {
+			s.config, s.transfer = catalog.NewConfig(catalog.Config{Version: 1}), transfer
+			s.engines = []catalog.Engine{{ID: "e1", Service: "llm", Revision: 2}}
+		})
+		live := peersIn("x", "y", "z")
+		f := startTimedFleet(ctx, live, sameStore(live, s), TimingFor(3*time.Second))
+		defer func() {
+			cancel()
+			time.Sleep(2 * slowTransfer)
+		}()
+		time.Sleep(2 * slowChange)
+		oldest := time.Duration(0)
+		for version := range uint64(slowChanges) {
+			s.update(func(s *fakeStore) { s.config = catalog.NewConfig(catalog.Config{Version: version + 2}) })
+			for range 600 {
+				time.Sleep(10 * time.Millisecond)
+				for _, n := range f.nodes {
+					oldest = max(oldest, n.board.Snapshot().ConfigAge(f.clock()))
+				}
+			}
+			f.requireVersion(t, version+2)
+		}
+		assert.Less(t, oldest, keyLease)
+	})
+}
