--- a/internal/edge/crash/detector.go
+++ b/internal/edge/crash/detector.go
@@ -304,7 +304,7 @@
 // report logs an end and passes it on.
 func (d *Detector) report(end End) {
 	e := end.Engine
-	d.Log.Warn("engine ended", "engine", e.ID, "address", e.Address, "service", e.Service, "site", e.Site,
+	d.Log.Warn("engine ended", "engine", e.ID, "born", e.Born, "address", e.Address, "service", e.Service, "site", e.Site,
 		"evidence", end.Evidence, "requests", requestIDs(end.Cuts), "fingerprints", fingerprints(end.Cuts),
 		"answered", answered(end.Cuts), "parts", partCounts(end.Cuts))
 	d.Ended(end)
