--- a/internal/edge/crash/detector.go
+++ b/internal/edge/crash/detector.go
@@ -288,12 +288,12 @@
 		}
 	}
 	switch {
-	case known, accepted == acceptedEarly:
+	case known:
 		return false, "", false
-	case accepted == acceptedLate:
-		return false, "", true
+	case accepted == notAccepted:
+		return true, "entry removed", true
 	}
-	return true, "entry removed", true
+	return false, "", accepted == acceptedLate
 }
 
 // connect opens and closes a connection.
