origins: a list that has just been read counts with its versions

The list of a lookup is taken over at once now, and the question is asked once in each round, before the versions.

--- a/internal/edge/origins/find.go
+++ b/internal/edge/origins/find.go
@@ -67,10 +67,9 @@
 	began, doubted, doubtedAt := r.Clock(), false, time.Duration(0)
 	var last error
 	for range maxUnsettled {
+		missing := r.mayMissVersions(began)
 		s := search{registry: r, args: args, own: r.local(args)}
-		if r.mayMissVersions(began) {
-			s.own.Complete = false
-		}
+		s.own.Complete = s.own.Complete && !missing
 		if s.merge(s.own) {
 			return found(*s.record, r.Self), nil
 		}
@@ -89,7 +88,7 @@
 		out, err := s.onlyVersion()
 		late := s.record == nil && id != "" && err != nil && r.Clock()-began < missingWait
 		// The engines are read again soon.
-		late = late || s.alone && err != nil && r.mayMissVersions(began)
+		late = late || s.alone && err != nil && missing
 		if !(late || s.unsettled() || known && doubted) || !pause.For(ctx, unsettledPause) {
 			return out, err
 		}
--- a/internal/edge/origins/fleet_test.go
+++ b/internal/edge/origins/fleet_test.go
@@ -29,7 +29,8 @@
 	provesAfter, doubtedAt time.Duration
 	// born is the start that entries of engines state; zero for 1.
 	born int64
-	// listAt is when the router last read the engines; zero for always.
+	// listMu guards versions and listAt, when the router last read the engines; zero for always.
+	listMu sync.Mutex
 	listAt time.Duration
 	// old routers are of an earlier release: they keep no records.
 	old bool
@@ -101,6 +102,13 @@
 	})
 }
 
+// readEngines lets a router read the engines again during its calls.
+func (f *testFleet) readEngines(r *testRouter, versions []string) {
+	r.listMu.Lock()
+	defer r.listMu.Unlock()
+	r.versions, r.listAt = versions, f.now()
+}
+
 // kill ends a router as a crash does.
 func (f *testFleet) kill(name string) {
 	f.routers[name].up = false
@@ -123,6 +131,8 @@
 }
 
 func (f *testFleet) snapshot(r *testRouter) *catalog.Snapshot {
+	r.listMu.Lock()
+	defer r.listMu.Unlock()
 	u := catalog.EngineUpdate{Full: true, Upto: 1}
 	for _, version := range r.versions {
 		e := engineOf(version)
--- a/internal/edge/origins/origins_test.go
+++ b/internal/edge/origins/origins_test.go
@@ -435,7 +435,7 @@
 				r.live, r.listAt = []string{"r5"}, f.now()-freshFor/2
 				settle()
 				if test.reads != nil {
-					time.AfterFunc(test.readIn, func() { r.versions, r.listAt = test.reads, f.now() })
+					time.AfterFunc(test.readIn, func() { f.readEngines(r, test.reads) })
 				}
 				require.Equal(t, test.expected, f.find("r5", "1"))
 			})
--- a/internal/edge/origins/registry.go
+++ b/internal/edge/origins/registry.go
@@ -392,12 +392,21 @@
 	return !r.hadPeers || r.lostAt == 0 || now-r.lostAt > origin.Window
 }
 
-// mayMissVersions reports whether other routers, which this one has lost, may know of engines that have
-// registered since it last read them before a time.
+// mayMissVersions reports whether other routers, which this one has lost, may know of engines that
+// registered before a time and that this one has not read since. Otherwise the history has all versions of
+// that time.
 func (r *Registry) mayMissVersions(at time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.connected(r.Clock()) && r.Snapshot().EnginesAsOf < at
+	now, snapshot := r.Clock(), r.Snapshot()
+	switch {
+	case r.connected(now):
+		return false
+	case snapshot.EnginesAsOf < at:
+		return true
+	}
+	r.history.Observe(versionsOf(snapshot), now)
+	return false
 }
 
 func (r *Registry) expire(now time.Duration) {
