--- a/test/soak/freeze_test.go
+++ b/test/soak/freeze_test.go
@@ -13,13 +13,20 @@
 	"github.com/stretchr/testify/require"
 )
 
+// buildRouter builds the router and returns the path of its binary.
+func buildRouter(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "damaskrouter")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/damaskrouter").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
 // Guards against the beginning of an answer without a length that is taken for the whole of it, because its engine ended
 // while the router stood still, and another process listens at the address by the time the router looks; and against whole
 // answers that are given up because the router stood still.
 func TestAnswersThatEndedDuringAFreezeAreWholeIfTheirEngineRuns(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "damaskrouter")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/damaskrouter").CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildRouter(t)
 	cl, err := newCluster(t.TempDir(), binary, 230, 1, 1)
 	require.NoError(t, err)
 	defer cl.close()
--- a/test/soak/outofstep_test.go
+++ b/test/soak/outofstep_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,9 +15,7 @@
 // Guards against streams that go on at an engine of another version because the router at which their
 // callers resume them was cut off from the others, or stood still, while engines of that version joined.
 func TestRouterOutOfStepResumesNoStreamAtAnotherVersion(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "damaskrouter")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/damaskrouter").CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildRouter(t)
 	cutPeers := func(cl *cluster, m mode) {
 		for _, r := range cl.routers {
 			r.peers.set(m)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"flag"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -63,10 +61,7 @@
 //
 // The directory with the logs of a failed run is kept.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "damaskrouter")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/damaskrouter")
-	out, err := build.CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildRouter(t)
 	for _, seed := range selectedSeeds() {
 		dir, err := os.MkdirTemp("", "soak-")
 		require.NoError(t, err)
